--- /dev/null
+++ b/core/call.go
@@ -0,0 +1,85 @@
+package core
+
+import (
+	"io"
+	"net/http"
+	"time"
+)
+
+// Outcome is what is known about one attempt of a call.
+type Outcome string
+
+// The outcomes of an attempt.
+const (
+	// OutcomeAnswered means that the backend server's answer has begun to arrive.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeNotRun means that the backend server has not seen the call and never will.
+	OutcomeNotRun Outcome = "not-run"
+	// OutcomeUnknown means that the backend server may have run the call.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// RefusalCause says why a call was not run; it is a label of the refusal counters.
+type RefusalCause string
+
+// The causes of a refusal.
+const (
+	CauseNoRoute        RefusalCause = "no-route"
+	CauseNoEndpoint     RefusalCause = "no-endpoint"
+	CauseNotConfirmed   RefusalCause = "configuration-not-confirmed"
+	CauseLeaving        RefusalCause = "leaving"
+	CauseNoBackend      RefusalCause = "no-backend-server"
+	CauseDeadline       RefusalCause = "deadline-cannot-be-met"
+	CauseQueueFull      RefusalCause = "queue-full"
+	CauseTenantShare    RefusalCause = "tenant-share-used"
+	CauseRevoked        RefusalCause = "revoked"
+	CauseCrashSuspect   RefusalCause = "suspected-to-crash-backend-servers"
+	CauseTooDeep        RefusalCause = "too-deep"
+	CauseConnectFailed  RefusalCause = "connect-failed"
+	CauseRetryBudget    RefusalCause = "retry-budget-used"
+	CauseMalformedCall  RefusalCause = "malformed-call"
+	CauseDuplicateCall  RefusalCause = "duplicate-call"
+	CauseBackendRefused RefusalCause = "backend-server-refused"
+)
+
+// Call is one request on its way to a backend server; Deadline is a point in time on the local clock.
+type Call struct {
+	ID             CallID
+	Tenant         TenantID
+	Service        ServiceName
+	Release        Release
+	Route          RouteName
+	Revision       Revision
+	Method         string
+	Target         string // path and query
+	Host           string
+	Header         http.Header
+	Body           []byte // buffered up to the entry node's limit so that an attempt can be repeated
+	Idempotent     bool
+	IdempotencyKey IdempotencyKey
+	Priority       Priority
+	Deadline       time.Time
+	Depth          int
+	AttemptsLeft   int
+}
+
+// Answer is a backend server's answer; Body returns io.EOF only after length and checksum were verified.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+// Refusal is the error of an attempt with OutcomeNotRun.
+type Refusal struct {
+	Cause  RefusalCause
+	Detail string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Detail == "" {
+		return "not run: " + string(r.Cause)
+	}
+	return "not run: " + string(r.Cause) + ": " + r.Detail
+}
--- /dev/null
+++ b/core/endpoint.go
@@ -0,0 +1,32 @@
+package core
+
+// EndpointState says whether an endpoint takes new calls.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	EndpointStarting EndpointState = "starting"
+	EndpointReady    EndpointState = "ready"
+	EndpointLeaving  EndpointState = "leaving"
+)
+
+// Endpoint is a backend server as its node announces it.
+type Endpoint struct {
+	Node        NodeID        `json:"node" msgpack:"node"`
+	Incarnation Incarnation   `json:"incarnation" msgpack:"incarnation"`
+	Sequence    uint64        `json:"sequence" msgpack:"sequence"`
+	DataCentre  DataCentre    `json:"data-centre" msgpack:"data-centre"`
+	Address     string        `json:"address" msgpack:"address"`
+	Service     ServiceName   `json:"service" msgpack:"service"`
+	Release     Release       `json:"release" msgpack:"release"`
+	Slots       int           `json:"slots" msgpack:"slots"`
+	State       EndpointState `json:"state" msgpack:"state"`
+}
+
+// Newer reports whether e was announced after other by the same node.
+func (e Endpoint) Newer(other Endpoint) bool {
+	if e.Incarnation != other.Incarnation {
+		return e.Incarnation > other.Incarnation
+	}
+	return e.Sequence > other.Sequence
+}
--- /dev/null
+++ b/core/ids.go
@@ -0,0 +1,67 @@
+package core
+
+// ControlID names a control instance, unique within the deployment.
+type ControlID string
+
+// NodeID names a node, unique within the deployment and stable across its restarts.
+type NodeID string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// TenantID names an organisation whose callers share the platform with others.
+type TenantID string
+
+// ServiceName names a service.
+type ServiceName string
+
+// UpstreamName names an upstream record: the backend servers of one release of a service.
+type UpstreamName string
+
+// Release names a release of a backend server.
+type Release string
+
+// RouteName names a route.
+type RouteName string
+
+// Operator names the person or program that submitted a change.
+type Operator string
+
+// SubmissionID makes a submission idempotent: the same id always gets the verdict of its first submission.
+type SubmissionID string
+
+// MoveID names a move of traffic between two releases.
+type MoveID string
+
+// CallID identifies one call of a caller across all its attempts.
+type CallID string
+
+// IdempotencyKey is chosen by a caller so that resends of one request run at most once.
+type IdempotencyKey string
+
+// Revision counts accepted changes of the configuration; zero means none yet.
+type Revision uint64
+
+// Incarnation distinguishes the runs of one node; a later run has a greater value (Unix nanoseconds at start).
+type Incarnation uint64
+
+// SchemaVersion numbers the format of a record's body, starting at 1.
+type SchemaVersion uint32
+
+// RecordVersion is the operators' version number of one record, starting at 1.
+type RecordVersion uint64
+
+// Hash is an xxhash64 sum.
+type Hash uint64
+
+// PerMille is a share of traffic in thousandths, from 0 to 1000.
+type PerMille uint32
+
+// Priority orders calls when a backend server is short of capacity; greater is more important, from 0 to 9.
+type Priority uint8
+
+// Term is a raft term.
+type Term uint64
+
+// LogIndex is a position in the replicated log; the first entry has index 1.
+type LogIndex uint64
--- /dev/null
+++ b/core/move.go
@@ -0,0 +1,68 @@
+package core
+
+import "time"
+
+// MoveRequest asks to move a service's traffic from one upstream to another by a point in time.
+type MoveRequest struct {
+	ID           SubmissionID `json:"submission-id,omitempty" msgpack:"submission-id"`
+	Operator     Operator     `json:"operator,omitempty" msgpack:"operator"`
+	Service      ServiceName  `json:"service" msgpack:"service"`
+	From         UpstreamName `json:"from" msgpack:"from"`
+	To           UpstreamName `json:"to" msgpack:"to"`
+	Deadline     time.Time    `json:"deadline" msgpack:"deadline"`
+	MaxRiskShare PerMille     `json:"max-risk-per-mille,omitempty" msgpack:"max-risk-per-mille"`
+}
+
+// MoveState is a state of the move chart.
+type MoveState string
+
+// The states of a move.
+const (
+	MoveProposed  MoveState = "proposed"
+	MoveProbing   MoveState = "probing"
+	MoveGrowing   MoveState = "growing"
+	MoveDone      MoveState = "done"
+	MoveTakenBack MoveState = "taken-back"
+	MoveExpired   MoveState = "expired"
+)
+
+// Move is a move with its progress; State and Verdict change only through the replicated log.
+type Move struct {
+	MoveID    MoveID      `json:"move-id" msgpack:"move-id"`
+	Request   MoveRequest `json:"request" msgpack:"request"`
+	State     MoveState   `json:"state" msgpack:"state"`
+	Share     PerMille    `json:"share-per-mille" msgpack:"share-per-mille"`
+	Step      uint64      `json:"step" msgpack:"step"`
+	StartedAt time.Time   `json:"started-at" msgpack:"started-at"`
+	SteppedAt time.Time   `json:"stepped-at" msgpack:"stepped-at"`
+	Cause     string      `json:"cause,omitempty" msgpack:"cause"`
+	Evidence  string      `json:"evidence,omitempty" msgpack:"evidence"`
+	Original  []Weight    `json:"original-weights" msgpack:"original-weights"`
+}
+
+// MoveStep is the leader's proposal to bring a move one step further; it applies only if Step is the move's Step plus one.
+type MoveStep struct {
+	MoveID   MoveID    `json:"move-id" msgpack:"move-id"`
+	Step     uint64    `json:"step" msgpack:"step"`
+	State    MoveState `json:"state" msgpack:"state"`
+	Share    PerMille  `json:"share-per-mille" msgpack:"share-per-mille"`
+	At       time.Time `json:"at" msgpack:"at"`
+	Cause    string    `json:"cause,omitempty" msgpack:"cause"`
+	Evidence string    `json:"evidence,omitempty" msgpack:"evidence"`
+}
+
+// LatencyBuckets is the number of latency buckets of an EvidenceCount; bucket i counts answers below 2^i milliseconds, the last one all others.
+const LatencyBuckets = 14
+
+// EvidenceCount holds cumulative outcomes of one service, route and release at one run of a node; a later count replaces an earlier one.
+type EvidenceCount struct {
+	Node        NodeID                 `json:"node" msgpack:"n"`
+	Incarnation Incarnation            `json:"incarnation" msgpack:"i"`
+	Service     ServiceName            `json:"service" msgpack:"s"`
+	Route       RouteName              `json:"route" msgpack:"r"`
+	Release     Release                `json:"release" msgpack:"v"`
+	Calls       uint64                 `json:"calls" msgpack:"c"`
+	Failures    uint64                 `json:"failures" msgpack:"f"`
+	Crashes     uint64                 `json:"crashes" msgpack:"x"`
+	Latency     [LatencyBuckets]uint64 `json:"latency" msgpack:"l"`
+}
--- /dev/null
+++ b/core/record/configuration.go
@@ -0,0 +1,388 @@
+package record
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// Errors of a configuration.
+const (
+	// ErrDangling means that a record refers to one that the configuration does not have.
+	ErrDangling = errors.ConstError("dangling reference")
+	// ErrWrongBase means that a delta does not start from the configuration that is held.
+	ErrWrongBase = errors.ConstError("delta starts from another configuration")
+	// ErrHashMismatch means that a result does not have the hash that its sender stated.
+	ErrHashMismatch = errors.ConstError("hash mismatch")
+	// ErrOlder means that a configuration is older than the one that is held.
+	ErrOlder = errors.ConstError("configuration is older than the one in force")
+)
+
+// Configuration is an immutable set of records and overrides whose references have been checked.
+type Configuration struct {
+	revision  core.Revision
+	hash      core.Hash
+	records   map[core.RecordKey]core.Record
+	overrides map[core.ServiceName]core.Override
+	services  map[core.ServiceName]core.ServiceBody
+	upstreams map[core.UpstreamName]core.UpstreamBody
+	policies  map[core.ServiceName]core.PolicyBody
+	routes    []Route // longest path prefix first
+}
+
+// Route is a route with its name, ready for matching.
+type Route struct {
+	core.RouteBody
+	Name core.RouteName
+}
+
+// Full is the transferable form of a configuration; records and overrides are sorted.
+type Full struct {
+	Revision  core.Revision   `msgpack:"revision"`
+	Hash      core.Hash       `msgpack:"hash"`
+	Records   []core.Record   `msgpack:"records"`
+	Overrides []core.Override `msgpack:"overrides"`
+}
+
+// Delta leads from one configuration to a later one; unchanged records are not in it.
+type Delta struct {
+	FromRevision    core.Revision      `msgpack:"from-revision"`
+	FromHash        core.Hash          `msgpack:"from-hash"`
+	ToRevision      core.Revision      `msgpack:"to-revision"`
+	ToHash          core.Hash          `msgpack:"to-hash"`
+	Upserts         []core.Record      `msgpack:"upserts"`
+	Deletes         []core.RecordKey   `msgpack:"deletes"`
+	Overrides       []core.Override    `msgpack:"overrides"`
+	DeleteOverrides []core.ServiceName `msgpack:"delete-overrides"`
+}
+
+// Empty returns the configuration with revision 0 and no records.
+func Empty() *Configuration {
+	configuration, err := build(0, nil, nil)
+	if err != nil {
+		panic(err) // an empty set has no references
+	}
+	return configuration
+}
+
+// New builds a configuration; it returns ErrDangling or a decoding error and never a part of the configuration.
+// Schema versions that are unknown here are kept but not used.
+func New(revision core.Revision, records []core.Record, overrides []core.Override) (*Configuration, error) {
+	byKey := make(map[core.RecordKey]core.Record, len(records))
+	for _, r := range records {
+		byKey[r.Key()] = r
+	}
+	byService := make(map[core.ServiceName]core.Override, len(overrides))
+	for _, o := range overrides {
+		byService[o.Service] = o
+	}
+	return build(revision, byKey, byService)
+}
+
+// FromFull checks the stated hash and builds the configuration; it returns ErrHashMismatch or the errors of New.
+func FromFull(full Full) (*Configuration, error) {
+	configuration, err := New(full.Revision, full.Records, full.Overrides)
+	if err != nil {
+		return nil, err
+	}
+	if configuration.hash != full.Hash {
+		return nil, errors.Annotatef(ErrHashMismatch, "revision %d", full.Revision)
+	}
+	return configuration, nil
+}
+
+func build(revision core.Revision, records map[core.RecordKey]core.Record, overrides map[core.ServiceName]core.Override) (*Configuration, error) {
+	c := &Configuration{
+		revision:  revision,
+		records:   records,
+		overrides: overrides,
+		services:  make(map[core.ServiceName]core.ServiceBody),
+		upstreams: make(map[core.UpstreamName]core.UpstreamBody),
+		policies:  make(map[core.ServiceName]core.PolicyBody),
+	}
+	for _, r := range newestSupported(records) {
+		if err := c.index(r); err != nil {
+			return nil, errors.Annotatef(err, "%s record %q", r.Kind, r.Name)
+		}
+	}
+	if err := c.checkReferences(); err != nil {
+		return nil, err
+	}
+	sort.Slice(c.routes, func(i, j int) bool { return routeBefore(c.routes[i], c.routes[j]) })
+	c.hash = c.computeHash()
+	return c, nil
+}
+
+// newestSupported picks, for each kind and name, the record with the highest schema version that this program understands.
+func newestSupported(records map[core.RecordKey]core.Record) []core.Record {
+	type kindAndName struct {
+		kind core.Kind
+		name string
+	}
+	best := make(map[kindAndName]core.Record, len(records))
+	for _, r := range records {
+		id := kindAndName{
+			kind: r.Kind,
+			name: r.Name,
+		}
+		held, exists := best[id]
+		if r.SchemaVersion <= NewestSchema && (!exists || r.SchemaVersion > held.SchemaVersion) {
+			best[id] = r
+		}
+	}
+	chosen := make([]core.Record, 0, len(best))
+	for _, r := range best {
+		chosen = append(chosen, r)
+	}
+	return chosen
+}
+
+// index decodes leniently: a later program may have added fields to a schema version.
+func (c *Configuration) index(r core.Record) error {
+	switch r.Kind {
+	case core.KindService:
+		var body core.ServiceBody
+		if err := json.Unmarshal(r.Body, &body); err != nil {
+			return err
+		}
+		c.services[core.ServiceName(r.Name)] = body
+	case core.KindUpstream:
+		var body core.UpstreamBody
+		if err := json.Unmarshal(r.Body, &body); err != nil {
+			return err
+		}
+		c.upstreams[core.UpstreamName(r.Name)] = body
+	case core.KindPolicy:
+		var body core.PolicyBody
+		if err := json.Unmarshal(r.Body, &body); err != nil {
+			return err
+		}
+		if held, exists := c.policies[body.Service]; exists && held.Service != "" {
+			return errors.Errorf("service %q has two policies", body.Service)
+		}
+		c.policies[body.Service] = body
+	case core.KindRoute:
+		var body core.RouteBody
+		if err := json.Unmarshal(r.Body, &body); err != nil {
+			return err
+		}
+		c.routes = append(c.routes, Route{
+			RouteBody: body,
+			Name:      core.RouteName(r.Name),
+		})
+	}
+	return nil // a kind that a later program added is kept and forwarded
+}
+
+func (c *Configuration) checkReferences() error {
+	for name, upstream := range c.upstreams {
+		if _, exists := c.services[upstream.Service]; !exists {
+			return errors.Annotatef(ErrDangling, "upstream %q refers to service %q", name, upstream.Service)
+		}
+	}
+	for _, route := range c.routes {
+		if _, exists := c.services[route.Service]; !exists {
+			return errors.Annotatef(ErrDangling, "route %q refers to service %q", route.Name, route.Service)
+		}
+		if _, exists := c.policies[route.Service]; !exists {
+			return errors.Annotatef(ErrDangling, "route %q needs a policy for service %q", route.Name, route.Service)
+		}
+	}
+	for service, policy := range c.policies {
+		if _, exists := c.services[service]; !exists {
+			return errors.Annotatef(ErrDangling, "policy refers to service %q", service)
+		}
+		if err := c.checkWeightTargets(service, policy.Weights); err != nil {
+			return err
+		}
+	}
+	for service, override := range c.overrides {
+		if err := c.checkWeightTargets(service, override.Weights); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Configuration) checkWeightTargets(service core.ServiceName, weights []core.Weight) error {
+	for _, weight := range weights {
+		upstream, exists := c.upstreams[weight.Upstream]
+		if !exists {
+			return errors.Annotatef(ErrDangling, "weights of service %q refer to upstream %q", service, weight.Upstream)
+		}
+		if upstream.Service != service {
+			return errors.Errorf("weights of service %q refer to upstream %q of service %q", service, weight.Upstream, upstream.Service)
+		}
+	}
+	return nil
+}
+
+// Revision returns the revision.
+func (c *Configuration) Revision() core.Revision { return c.revision }
+
+// Hash returns the hash over revision, records and overrides.
+func (c *Configuration) Hash() core.Hash { return c.hash }
+
+// Service returns the body of a service record.
+func (c *Configuration) Service(name core.ServiceName) (core.ServiceBody, bool) {
+	body, exists := c.services[name]
+	return body, exists
+}
+
+// Upstream returns the body of an upstream record.
+func (c *Configuration) Upstream(name core.UpstreamName) (core.UpstreamBody, bool) {
+	body, exists := c.upstreams[name]
+	return body, exists
+}
+
+// Policy returns the policy of a service, with its default values filled in.
+func (c *Configuration) Policy(service core.ServiceName) (core.PolicyBody, bool) {
+	body, exists := c.policies[service]
+	if body.MaxAttempts == 0 {
+		body.MaxAttempts = defaultAttempts
+	}
+	return body, exists
+}
+
+// Weights returns the weights in force for a service: those of its move if there is an override, else those of its policy.
+func (c *Configuration) Weights(service core.ServiceName) []core.Weight {
+	if override, exists := c.overrides[service]; exists {
+		return override.Weights
+	}
+	return c.policies[service].Weights
+}
+
+// Services returns the names of all services, sorted.
+func (c *Configuration) Services() []core.ServiceName {
+	names := make([]core.ServiceName, 0, len(c.services))
+	for name := range c.services {
+		names = append(names, name)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// Match returns the route for a request: the longest path prefix whose host and method fit.
+func (c *Configuration) Match(host, method, path string) (Route, bool) {
+	if bare, _, err := net.SplitHostPort(host); err == nil {
+		host = bare
+	}
+	for _, route := range c.routes {
+		if route.Host != "" && !strings.EqualFold(route.Host, host) {
+			continue
+		}
+		if len(route.Methods) > 0 && !contains(route.Methods, method) {
+			continue
+		}
+		if prefixMatches(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Timeout returns the route's timeout.
+func (r Route) Timeout() time.Duration {
+	return time.Duration(r.TimeoutMS) * time.Millisecond
+}
+
+// prefixMatches compares whole path segments, so that /orders does not match /orders-archive.
+func prefixMatches(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+func routeBefore(a, b Route) bool {
+	if len(a.PathPrefix) != len(b.PathPrefix) {
+		return len(a.PathPrefix) > len(b.PathPrefix)
+	}
+	if (a.Host != "") != (b.Host != "") {
+		return a.Host != ""
+	}
+	if (len(a.Methods) > 0) != (len(b.Methods) > 0) {
+		return len(a.Methods) > 0
+	}
+	return a.Name < b.Name
+}
+
+// Records returns all records, sorted by kind, name and schema version.
+func (c *Configuration) Records() []core.Record {
+	records := make([]core.Record, 0, len(c.records))
+	for _, r := range c.records {
+		records = append(records, r)
+	}
+	sort.Slice(records, func(i, j int) bool { return keyBefore(records[i].Key(), records[j].Key()) })
+	return records
+}
+
+// Overrides returns all overrides, sorted by service.
+func (c *Configuration) Overrides() []core.Override {
+	overrides := make([]core.Override, 0, len(c.overrides))
+	for _, o := range c.overrides {
+		overrides = append(overrides, o)
+	}
+	sort.Slice(overrides, func(i, j int) bool { return overrides[i].Service < overrides[j].Service })
+	return overrides
+}
+
+// Full returns the transferable form.
+func (c *Configuration) Full() Full {
+	return Full{
+		Revision:  c.revision,
+		Hash:      c.hash,
+		Records:   c.Records(),
+		Overrides: c.Overrides(),
+	}
+}
+
+func keyBefore(a, b core.RecordKey) bool {
+	if a.Kind != b.Kind {
+		return a.Kind < b.Kind
+	}
+	if a.Name != b.Name {
+		return a.Name < b.Name
+	}
+	return a.SchemaVersion < b.SchemaVersion
+}
+
+func (c *Configuration) computeHash() core.Hash {
+	digest := xxhash.New()
+	writeNumber(digest, uint64(c.revision))
+	for _, r := range c.Records() {
+		writeText(digest, string(r.Kind))
+		writeText(digest, r.Name)
+		writeNumber(digest, uint64(r.SchemaVersion))
+		writeNumber(digest, uint64(r.Version))
+		writeText(digest, string(r.Body))
+	}
+	for _, o := range c.Overrides() {
+		writeText(digest, string(o.Service))
+		writeText(digest, string(o.Move))
+		for _, weight := range o.Weights {
+			writeText(digest, string(weight.Upstream))
+			writeNumber(digest, uint64(weight.PerMille))
+		}
+	}
+	return core.Hash(digest.Sum64())
+}
+
+func writeNumber(digest *xxhash.Digest, number uint64) {
+	var encoded [8]byte
+	binary.BigEndian.PutUint64(encoded[:], number)
+	_, _ = digest.Write(encoded[:]) // a Digest never fails
+}
+
+func writeText(digest *xxhash.Digest, text string) {
+	writeNumber(digest, uint64(len(text)))
+	_, _ = digest.WriteString(text)
+}
--- /dev/null
+++ b/core/record/schema.go
@@ -0,0 +1,186 @@
+package record
+
+import (
+	"bytes"
+	"encoding/json"
+	"regexp"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// NewestSchema is the newest schema version that this program understands, for each kind.
+const NewestSchema core.SchemaVersion = 1
+
+// Limits of a record.
+const (
+	maxNameBytes     = 128
+	maxBodyBytes     = 64 << 10
+	maxRouteTimeout  = 10 * 60 * 1000 // milliseconds
+	maxAttempts      = 5
+	maxPriority      = 9
+	maxSlots         = 10_000
+	maxWeights       = 32
+	defaultAttempts  = 3
+	knownMethodNames = "GET HEAD POST PUT PATCH DELETE OPTIONS"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+
+// CheckRecord checks one record by itself; the error says which field is wrong and what was expected.
+// A schema version that this program does not know is an error here, though relays forward it.
+func CheckRecord(r core.Record) error {
+	if err := checkName(r.Name); err != nil {
+		return errors.Annotatef(err, "%s record %q", r.Kind, r.Name)
+	}
+	if r.Version == 0 {
+		return errors.Errorf("%s record %q: version must be at least 1", r.Kind, r.Name)
+	}
+	if len(r.Body) > maxBodyBytes {
+		return errors.Errorf("%s record %q: body has %d bytes, at most %d are allowed", r.Kind, r.Name, len(r.Body), maxBodyBytes)
+	}
+	if r.SchemaVersion == 0 || r.SchemaVersion > NewestSchema {
+		return errors.Errorf("%s record %q: schema version %d is unknown, expected 1 to %d", r.Kind, r.Name, r.SchemaVersion, NewestSchema)
+	}
+	if err := checkBody(r); err != nil {
+		return errors.Annotatef(err, "%s record %q", r.Kind, r.Name)
+	}
+	return nil
+}
+
+func checkName(name string) error {
+	if len(name) > maxNameBytes || !namePattern.MatchString(name) {
+		return errors.Errorf("name must be 1 to %d lower-case letters, digits, dots and hyphens", maxNameBytes)
+	}
+	return nil
+}
+
+func checkBody(r core.Record) error {
+	switch r.Kind {
+	case core.KindService:
+		return checkService(r.Body)
+	case core.KindUpstream:
+		return checkUpstream(r.Body)
+	case core.KindRoute:
+		return checkRoute(r.Body)
+	case core.KindPolicy:
+		return checkPolicy(r.Body)
+	}
+	return errors.Errorf("unknown kind, expected service, upstream, route or policy")
+}
+
+func checkService(body []byte) error {
+	var service core.ServiceBody
+	if err := decodeStrict(body, &service); err != nil {
+		return err
+	}
+	if service.Tenant == "" {
+		return errors.Errorf("tenant is missing")
+	}
+	return checkPriority(service.Priority)
+}
+
+func checkUpstream(body []byte) error {
+	var upstream core.UpstreamBody
+	if err := decodeStrict(body, &upstream); err != nil {
+		return err
+	}
+	if upstream.Service == "" {
+		return errors.Errorf("service is missing")
+	}
+	if upstream.Release == "" {
+		return errors.Errorf("release is missing")
+	}
+	if upstream.Slots < 1 || upstream.Slots > maxSlots {
+		return errors.Errorf("slots is %d, expected 1 to %d", upstream.Slots, maxSlots)
+	}
+	return nil
+}
+
+func checkRoute(body []byte) error {
+	var route core.RouteBody
+	if err := decodeStrict(body, &route); err != nil {
+		return err
+	}
+	if !strings.HasPrefix(route.PathPrefix, "/") {
+		return errors.Errorf("path-prefix is %q, expected a path that starts with /", route.PathPrefix)
+	}
+	if route.Service == "" {
+		return errors.Errorf("service is missing")
+	}
+	if route.TimeoutMS < 1 || route.TimeoutMS > maxRouteTimeout {
+		return errors.Errorf("timeout-ms is %d, expected 1 to %d", route.TimeoutMS, maxRouteTimeout)
+	}
+	for _, method := range route.Methods {
+		if !contains(strings.Fields(knownMethodNames), method) {
+			return errors.Errorf("methods has %q, expected some of %s", method, knownMethodNames)
+		}
+	}
+	return checkPriority(route.Priority)
+}
+
+func checkPolicy(body []byte) error {
+	var policy core.PolicyBody
+	if err := decodeStrict(body, &policy); err != nil {
+		return err
+	}
+	if policy.Service == "" {
+		return errors.Errorf("service is missing")
+	}
+	if policy.MaxAttempts < 0 || policy.MaxAttempts > maxAttempts {
+		return errors.Errorf("max-attempts is %d, expected 0 (for %d) to %d", policy.MaxAttempts, defaultAttempts, maxAttempts)
+	}
+	return checkWeights(policy.Weights)
+}
+
+func checkWeights(weights []core.Weight) error {
+	if len(weights) == 0 || len(weights) > maxWeights {
+		return errors.Errorf("weights has %d entries, expected 1 to %d", len(weights), maxWeights)
+	}
+	sum := core.PerMille(0)
+	seen := make(map[core.UpstreamName]bool, len(weights))
+	for _, weight := range weights {
+		if weight.PerMille > core.FullShare {
+			return errors.Errorf("weight of upstream %q is %d per mille, expected 0 to 1000", weight.Upstream, weight.PerMille)
+		}
+		if seen[weight.Upstream] {
+			return errors.Errorf("weights names upstream %q twice", weight.Upstream)
+		}
+		seen[weight.Upstream] = true
+		sum += weight.PerMille
+	}
+	if sum != core.FullShare {
+		return errors.Errorf("weights add up to %d per mille, expected 1000", sum)
+	}
+	return nil
+}
+
+func checkPriority(priority core.Priority) error {
+	if priority > maxPriority {
+		return errors.Errorf("priority is %d, expected 0 to %d", priority, maxPriority)
+	}
+	return nil
+}
+
+func decodeStrict(body []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(target); err != nil {
+		return errors.Annotate(err, "body")
+	}
+	if decoder.More() {
+		return errors.Errorf("body: more than one JSON value")
+	}
+	return nil
+}
+
+func contains(list []string, item string) bool {
+	for _, each := range list {
+		if each == item {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/ring/doc.go
@@ -0,0 +1,2 @@
+// Package ring provides bounded queues that join the goroutines of a process.
+package ring
--- /dev/null
+++ b/io/frame/frame_test.go
@@ -0,0 +1,80 @@
+package frame_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/io/frame"
+)
+
+type note struct {
+	Text string `msgpack:"text"`
+}
+
+// Guards against a frame whose type or content changes on the way, in either buffer size class.
+func TestSendAndReceive(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	sender, receiver := frame.New(near), frame.New(far)
+	for _, size := range []int{0, 100, 200_000} {
+		want := note{
+			Text: strings.Repeat("x", size),
+		}
+		sent := make(chan error, 1)
+		go func() { sent <- sender.Send(time.Time{}, 7, want) }()
+		got, err := receiver.Receive(time.Time{})
+		c.Assert(err, qt.IsNil)
+		c.Assert(<-sent, qt.IsNil)
+		c.Assert(got.Type, qt.Equals, frame.Type(7))
+		var message note
+		c.Assert(got.Decode(&message), qt.IsNil)
+		c.Assert(message == want, qt.IsTrue)
+	}
+	c.Assert(sender.Close(), qt.IsNil)
+	_, err := receiver.Receive(time.Time{})
+	c.Assert(err, qt.Equals, io.EOF)
+}
+
+// Guards against memory exhaustion by a false length and against a cut frame that passes for a whole one.
+func TestReadRefusesBrokenFrames(t *testing.T) {
+	c := qt.New(t)
+	tooLong := binary.BigEndian.AppendUint32(nil, core.MaxFrameBytes+1)
+	_, _, err := frame.Read(bytes.NewReader(tooLong))
+	c.Assert(errors.Is(err, frame.ErrTooLong), qt.IsTrue)
+
+	tooShort := binary.BigEndian.AppendUint32(nil, 1)
+	_, _, err = frame.Read(bytes.NewReader(tooShort))
+	c.Assert(errors.Is(err, frame.ErrMalformed), qt.IsTrue)
+
+	for _, length := range []uint32{10, 1 << 20} {
+		cut := append(binary.BigEndian.AppendUint32(nil, length), 0, 1, 2)
+		_, _, err = frame.Read(bytes.NewReader(cut))
+		c.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 3, 0, 1, 0x80})
+	f.Add([]byte{0, 0, 0, 1, 0})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, input []byte) {
+		received, size, err := frame.Read(bytes.NewReader(input))
+		if err != nil {
+			return
+		}
+		if size > len(input) {
+			t.Fatalf("frame of %d bytes read from %d bytes", size, len(input))
+		}
+		var message note
+		_ = received.Decode(&message) // must not panic
+	})
+}
