Add the balancer with five policies

Endpoints are judged by what this node sees: outstanding attempts, latency and failures. Outliers are ejected, with a panic threshold; new runs start slowly; the own data centre comes first unless it is much worse.

--- /dev/null
+++ b/core/balancer/balancer.go
@@ -0,0 +1,174 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// Options configure a Balancer.
+type Options struct {
+	DataCentre core.DataCentre
+	Policy     Policy // empty for PolicyPowerOfTwo
+	Seed       uint64 // equal seeds give equal choices
+}
+
+// Balancer implements core.Picker; it may be used from several goroutines.
+type Balancer struct {
+	options  Options
+	mu       sync.Mutex // guards all fields below
+	random   *rand.Rand
+	members  map[core.NodeID]*member
+	sessions sessionTable
+	next     int // round robin
+	forgetAt time.Time
+	started  time.Time
+}
+
+var _ core.Picker = (*Balancer)(nil)
+
+// New returns a balancer; an unknown policy is treated as PolicyPowerOfTwo.
+func New(options Options) *Balancer {
+	return &Balancer{
+		options:  options,
+		random:   rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
+		members:  make(map[core.NodeID]*member),
+		sessions: newSessionTable(),
+	}
+}
+
+// Pick implements core.Picker: endpoints that were tried, leave, or are ejected come last or not at all.
+func (b *Balancer) Pick(now time.Time, request core.PickRequest, candidates []core.Endpoint) (core.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	usable := b.usable(now, request, candidates)
+	if len(usable) == 0 {
+		return core.Endpoint{}, false
+	}
+	chosen := b.choose(now, request, usable)
+	chosen.outstanding++
+	return chosen.endpoint, true
+}
+
+// usable returns the members to choose from, after ejections and the panic threshold.
+func (b *Balancer) usable(now time.Time, request core.PickRequest, candidates []core.Endpoint) []*member {
+	all := make([]*member, 0, len(candidates))
+	for _, endpoint := range candidates {
+		m := b.member(now, endpoint)
+		if endpoint.State == core.EndpointReady && !lo.Contains(request.Tried, endpoint.Node) {
+			all = append(all, m)
+		}
+	}
+	b.forget(now)
+	healthy := lo.Filter(all, func(m *member, _ int) bool { return !m.ejected(now) })
+	if float64(len(all)-len(healthy)) > panicShare*float64(len(all)) {
+		healthy = all
+	}
+	preferred := lo.Filter(healthy, func(m *member, _ int) bool { return !m.avoided(now) })
+	if len(preferred) > 0 {
+		return preferred
+	}
+	return healthy
+}
+
+// member returns the statistics of an endpoint; a new incarnation starts with fresh ones.
+func (b *Balancer) member(now time.Time, endpoint core.Endpoint) *member {
+	if b.started.IsZero() {
+		b.started = now
+	}
+	held, exists := b.members[endpoint.Node]
+	if !exists || held.endpoint.Incarnation != endpoint.Incarnation || held.endpoint.Release != endpoint.Release {
+		// What is known right at the start of this node was running before it, so it is taken as warm.
+		warm := now.Sub(b.started) < time.Second
+		held = newMember(now, endpoint, warm)
+		b.members[endpoint.Node] = held
+	}
+	held.endpoint = endpoint
+	held.seenAt = now
+	return held
+}
+
+func (b *Balancer) forget(now time.Time) {
+	if now.Before(b.forgetAt) {
+		return
+	}
+	b.forgetAt = now.Add(forgetAfter / 10)
+	for id, m := range b.members {
+		if m.outstanding == 0 && now.Sub(m.seenAt) > forgetAfter {
+			delete(b.members, id)
+		}
+	}
+	b.sessions.expire(now, b.members)
+}
+
+// Done implements core.Picker.
+func (b *Balancer) Done(now time.Time, result core.PickResult) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m, exists := b.members[result.Endpoint.Node]
+	if !exists || m.endpoint.Incarnation != result.Endpoint.Incarnation {
+		return // an attempt at an earlier run says nothing about this one
+	}
+	m.outstanding = max(0, m.outstanding-1)
+	if result.Outcome == core.OutcomeNotRun && !result.Failed {
+		m.avoidUntil = now.Add(avoidAfterRefusal)
+		return
+	}
+	m.observe(now, result.Latency, result.Failed)
+	if result.Failed && b.isOutlier(m) {
+		m.eject(now)
+	}
+}
+
+func (b *Balancer) isOutlier(m *member) bool {
+	if m.consecutive >= ejectAfterFailures {
+		return true
+	}
+	if m.calls < ejectMinCalls {
+		return false
+	}
+	rate := m.failures / m.calls
+	return rate >= ejectRateFloor && rate >= ejectRateRatio*b.rateOfOthers(m)
+}
+
+func (b *Balancer) rateOfOthers(m *member) float64 {
+	calls, failures := 0.0, 0.0
+	for _, other := range b.members {
+		if other != m && other.endpoint.Service == m.endpoint.Service {
+			calls += other.calls
+			failures += other.failures
+		}
+	}
+	if calls == 0 {
+		return 0
+	}
+	return failures / calls
+}
+
+// EndpointStatus describes an endpoint as this node sees it.
+type EndpointStatus struct {
+	Node        core.NodeID `json:"node"`
+	Outstanding int         `json:"outstanding"`
+	LatencyMS   float64     `json:"latency-ms"`
+	FailureRate float64     `json:"failure-rate"`
+	Ejected     bool        `json:"ejected"`
+}
+
+// Status describes all known endpoints, for a state dump.
+func (b *Balancer) Status(now time.Time) []EndpointStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return lo.MapToSlice(b.members, func(id core.NodeID, m *member) EndpointStatus {
+		return EndpointStatus{
+			Node:        id,
+			Outstanding: m.outstanding,
+			LatencyMS:   m.latency * 1000,
+			FailureRate: m.failureRate(),
+			Ejected:     m.ejected(now),
+		}
+	})
+}
--- /dev/null
+++ b/core/balancer/policy.go
@@ -0,0 +1,154 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// Policy names a way of choosing among usable endpoints.
+type Policy string
+
+// The policies.
+const (
+	PolicyPowerOfTwo  Policy = "power-of-two"
+	PolicyRandom      Policy = "random"
+	PolicyRoundRobin  Policy = "round-robin"
+	PolicyLeastLoaded Policy = "least-loaded"
+	// PolicySticky reserves the endpoint with the fewest sessions, after "feat(router): add sticky least-loaded session
+	// routing"; calls without a session are placed by power of two choices.
+	PolicySticky Policy = "sticky"
+)
+
+// Policies returns all policies, the default one first.
+func Policies() []Policy {
+	return []Policy{PolicyPowerOfTwo, PolicyRandom, PolicyRoundRobin, PolicyLeastLoaded, PolicySticky}
+}
+
+func (b *Balancer) choose(now time.Time, request core.PickRequest, usable []*member) *member {
+	switch b.options.Policy {
+	case PolicyRandom:
+		return usable[b.random.IntN(len(usable))]
+	case PolicyRoundRobin:
+		b.next++
+		return usable[b.next%len(usable)]
+	case PolicyLeastLoaded:
+		return lo.MinBy(usable, func(a, b *member) bool { return a.outstanding < b.outstanding })
+	case PolicySticky:
+		if request.Session != "" {
+			return b.sticky(now, request.Session, usable)
+		}
+	}
+	return b.nearestOfTwo(now, usable)
+}
+
+// nearestOfTwo prefers the own data centre unless an endpoint elsewhere is much better.
+func (b *Balancer) nearestOfTwo(now time.Time, usable []*member) *member {
+	local, remote := lo.FilterReject(usable, func(m *member, _ int) bool {
+		return m.endpoint.DataCentre == b.options.DataCentre
+	})
+	if len(local) == 0 {
+		return b.betterOfTwo(now, remote)
+	}
+	near := b.betterOfTwo(now, local)
+	if len(remote) == 0 {
+		return near
+	}
+	far := b.betterOfTwo(now, remote)
+	if far.cost(now)*remoteAdvantage < near.cost(now) {
+		return far
+	}
+	return near
+}
+
+func (b *Balancer) betterOfTwo(now time.Time, members []*member) *member {
+	if len(members) == 1 {
+		return members[0]
+	}
+	first := b.random.IntN(len(members))
+	second := b.random.IntN(len(members) - 1)
+	if second >= first {
+		second++
+	}
+	if members[second].cost(now) < members[first].cost(now) {
+		return members[second]
+	}
+	return members[first]
+}
+
+func (b *Balancer) sticky(now time.Time, session string, usable []*member) *member {
+	if held, exists := b.sessions.find(now, session); exists {
+		for _, m := range usable {
+			if m.endpoint.Node == held {
+				return m
+			}
+		}
+	}
+	chosen := lo.MinBy(usable, func(a, b *member) bool { return sessionBefore(session, a, b) })
+	b.sessions.reserve(now, session, chosen, b.members)
+	return chosen
+}
+
+// sessionBefore orders by number of sessions; rendezvous hashing breaks ties, so that nodes agree without talking.
+func sessionBefore(session string, a, b *member) bool {
+	if a.sessions != b.sessions {
+		return a.sessions < b.sessions
+	}
+	return xxhash.Sum64String(session+string(a.endpoint.Node)) < xxhash.Sum64String(session+string(b.endpoint.Node))
+}
+
+type reservation struct {
+	node      core.NodeID
+	expiresAt time.Time
+}
+
+// sessionTable holds the reservations of sticky sessions.
+type sessionTable struct {
+	held map[string]*reservation
+}
+
+func newSessionTable() sessionTable {
+	return sessionTable{
+		held: make(map[string]*reservation),
+	}
+}
+
+func (t *sessionTable) find(now time.Time, session string) (core.NodeID, bool) {
+	r, exists := t.held[session]
+	if !exists || now.After(r.expiresAt) {
+		return "", false
+	}
+	r.expiresAt = now.Add(sessionIdle)
+	return r.node, true
+}
+
+func (t *sessionTable) reserve(now time.Time, session string, m *member, members map[core.NodeID]*member) {
+	if held, exists := t.held[session]; exists {
+		t.release(held, members)
+	} else if len(t.held) >= maxSessions {
+		return
+	}
+	t.held[session] = &reservation{
+		node:      m.endpoint.Node,
+		expiresAt: now.Add(sessionIdle),
+	}
+	m.sessions++
+}
+
+func (t *sessionTable) release(r *reservation, members map[core.NodeID]*member) {
+	if m, exists := members[r.node]; exists {
+		m.sessions = max(0, m.sessions-1)
+	}
+}
+
+func (t *sessionTable) expire(now time.Time, members map[core.NodeID]*member) {
+	for session, r := range t.held {
+		if now.After(r.expiresAt) {
+			t.release(r, members)
+			delete(t.held, session)
+		}
+	}
+}
