--- /dev/null
+++ b/standin/caller.go
@@ -0,0 +1,241 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"github.com/samber/lo"
+)
+
+const maxLatencyMicroseconds = int64(time.Minute / time.Microsecond)
+
+type callerOptions struct {
+	targets    []string
+	paths      []string
+	postShare  int
+	workers    int
+	ratePerSec int
+	durationMS int
+	timeoutMS  int
+	tenant     string
+	keyed      bool
+	crash      bool
+	log        string
+	summary    string
+}
+
+func callerFlags(app *kingpin.Application) (*kingpin.CmdClause, *callerOptions) {
+	o := &callerOptions{}
+	command := app.Command("caller", "Make calls for a while and record each one.")
+	command.Flag("target", "Caller address of a node, or of a backend server for direct calls; repeatable.").Required().StringsVar(&o.targets)
+	command.Flag("path", "Path to call; repeatable.").Required().StringsVar(&o.paths)
+	command.Flag("post-per-mille", "Share of calls that are not idempotent.").Default("200").IntVar(&o.postShare)
+	command.Flag("workers", "Calls at the same time at most.").Default("8").IntVar(&o.workers)
+	command.Flag("rate", "Calls a second; 0 for as fast as the workers can.").Default("200").IntVar(&o.ratePerSec)
+	command.Flag("duration-ms", "How long to call.").Default("5000").IntVar(&o.durationMS)
+	command.Flag("timeout-ms", "Deadline of each call.").Default("2000").IntVar(&o.timeoutMS)
+	command.Flag("tenant", "Tenant header.").Default("").StringVar(&o.tenant)
+	command.Flag("keyed", "Send an idempotency key with calls that are not idempotent.").BoolVar(&o.keyed)
+	command.Flag("crash", "Ask backend servers to crash.").BoolVar(&o.crash)
+	command.Flag("log", "File that gets one JSON line for each call.").Default("").StringVar(&o.log)
+	command.Flag("summary", "File that gets the summary; empty for standard output.").Default("").StringVar(&o.summary)
+	return command, o
+}
+
+// callEntry is one line of a call log.
+type callEntry struct {
+	Key       string    `json:"key"`
+	Method    string    `json:"method"`
+	Path      string    `json:"path"`
+	Target    string    `json:"target"`
+	At        time.Time `json:"at"`
+	LatencyUS int64     `json:"latency-us"`
+	Status    int       `json:"status"`
+	Outcome   string    `json:"outcome"`
+	Cause     string    `json:"cause,omitempty"`
+	Release   string    `json:"release,omitempty"`
+	Revision  uint64    `json:"revision,omitempty"`
+	Complete  bool      `json:"complete"`
+	Error     string    `json:"error,omitempty"`
+}
+
+// summary counts what the caller saw; latencies are in microseconds.
+type summary struct {
+	Calls       int            `json:"calls"`
+	OK          int            `json:"ok"`
+	Outcomes    map[string]int `json:"outcomes"`
+	Causes      map[string]int `json:"causes"`
+	Releases    map[string]int `json:"releases"`
+	P50US       int64          `json:"p50-us"`
+	P99US       int64          `json:"p99-us"`
+	CallsPerSec float64        `json:"calls-per-second"`
+}
+
+type caller struct {
+	options  callerOptions
+	client   *http.Client
+	sequence atomic.Uint64
+	prefix   string
+
+	mu        sync.Mutex // guards what follows
+	log       io.Writer
+	histogram *hdrhistogram.Histogram
+	summary   summary
+}
+
+func runCaller(ctx context.Context, o callerOptions) error {
+	c := &caller{
+		options: o,
+		client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: o.workers,
+			},
+		},
+		prefix:    strconv.FormatUint(rand.Uint64(), 36),
+		log:       io.Discard,
+		histogram: hdrhistogram.New(1, maxLatencyMicroseconds, 3),
+		summary: summary{
+			Outcomes: make(map[string]int),
+			Causes:   make(map[string]int),
+			Releases: make(map[string]int),
+		},
+	}
+	if o.log != "" {
+		file, err := os.Create(o.log)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer file.Close()
+		c.log = file
+	}
+	startedAt := time.Now()
+	c.callUntil(ctx, startedAt.Add(time.Duration(o.durationMS)*time.Millisecond))
+	return c.report(time.Since(startedAt))
+}
+
+func (c *caller) callUntil(ctx context.Context, end time.Time) {
+	due := make(chan struct{}, c.options.workers)
+	var workers sync.WaitGroup
+	for range c.options.workers {
+		workers.Go(func() {
+			for range due {
+				c.call()
+			}
+		})
+	}
+	startedAt := time.Now()
+	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		if c.options.ratePerSec > 0 {
+			time.Sleep(time.Until(startedAt.Add(time.Duration(n) * time.Second / time.Duration(c.options.ratePerSec))))
+		}
+		due <- struct{}{}
+	}
+	close(due)
+	workers.Wait()
+}
+
+func (c *caller) call() {
+	entry := callEntry{
+		Key:    fmt.Sprintf("%s-%d", c.prefix, c.sequence.Add(1)),
+		Method: lo.Ternary(rand.IntN(1000) < c.options.postShare, http.MethodPost, http.MethodGet),
+		Path:   lo.Sample(c.options.paths),
+		Target: lo.Sample(c.options.targets),
+		At:     time.Now(),
+	}
+	if err := c.attempt(&entry); err != nil {
+		entry.Error = err.Error()
+	}
+	entry.LatencyUS = time.Since(entry.At).Microseconds()
+	c.record(entry)
+}
+
+func (c *caller) attempt(entry *callEntry) error {
+	timeout := time.Duration(c.options.timeoutMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, entry.Method, "http://"+entry.Target+entry.Path, strings.NewReader(entry.Key))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Standin-Key", entry.Key)
+	request.Header.Set("Parsleyport-Deadline-Ms", strconv.Itoa(c.options.timeoutMS))
+	if c.options.tenant != "" {
+		request.Header.Set("Parsleyport-Tenant", c.options.tenant)
+	}
+	if c.options.keyed && entry.Method == http.MethodPost {
+		request.Header.Set("Idempotency-Key", entry.Key)
+	}
+	if c.options.crash {
+		request.Header.Set("Standin-Crash", "1")
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	entry.Status = response.StatusCode
+	entry.Outcome = response.Header.Get("Parsleyport-Outcome")
+	entry.Cause = response.Header.Get("Parsleyport-Cause")
+	entry.Release = response.Header.Get("Parsleyport-Release")
+	entry.Revision, _ = strconv.ParseUint(response.Header.Get("Parsleyport-Revision"), 10, 64)
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	entry.Complete = response.StatusCode == http.StatusOK &&
+		bytes.HasPrefix(body, []byte(entry.Key+" ")) &&
+		strconv.FormatUint(xxhash.Sum64(body), 16) == response.Header.Get(checksumName)
+	return nil
+}
+
+func (c *caller) record(entry callEntry) {
+	line, err := json.Marshal(entry)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = c.log.Write(append(line, '\n'))
+	_ = c.histogram.RecordValue(min(max(entry.LatencyUS, 1), maxLatencyMicroseconds))
+	c.summary.Calls++
+	if entry.Complete {
+		c.summary.OK++
+	}
+	c.summary.Outcomes[lo.Ternary(entry.Outcome == "", "none", entry.Outcome)]++
+	if entry.Cause != "" {
+		c.summary.Causes[entry.Cause]++
+	}
+	if entry.Release != "" {
+		c.summary.Releases[entry.Release]++
+	}
+}
+
+func (c *caller) report(took time.Duration) error {
+	c.summary.P50US = c.histogram.ValueAtQuantile(50)
+	c.summary.P99US = c.histogram.ValueAtQuantile(99)
+	c.summary.CallsPerSec = float64(c.summary.Calls) / took.Seconds()
+	text, err := json.MarshalIndent(c.summary, "", "  ")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if c.options.summary == "" {
+		fmt.Println(string(text))
+		return nil
+	}
+	return errors.Trace(os.WriteFile(c.options.summary, append(text, '\n'), 0o600))
+}
