--- /dev/null
+++ b/core/limiter/limiter.go
@@ -0,0 +1,311 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+const (
+	// waitingPerSlot bounds the queue: a longer one holds only calls whose deadlines most likely pass in it.
+	waitingPerSlot = 20
+	// decreaseFactor and decreasePause lower the limit after overload, at most once per pause, so that the answers of
+	// calls that began under the old limit are not counted against the new one.
+	decreaseFactor = 0.8
+	decreasePause  = 100 * time.Millisecond
+	// overloadRatio is how many times the uncongested latency counts as overload.
+	overloadRatio = 4.0
+	// fastestDecay lets the uncongested latency rise slowly when a backend server has become slower for good.
+	fastestDecay = 1.001
+	// latencyWeight is the weight of one sample in the average latency.
+	latencyWeight = 0.1
+)
+
+// Ticket identifies a call in the limiter.
+type Ticket uint64
+
+// Request describes a call that arrives.
+type Request struct {
+	Tenant   core.TenantID
+	Priority core.Priority
+	Deadline time.Time
+}
+
+// Result describes how a started call ended.
+type Result struct {
+	Latency    time.Duration
+	Overloaded bool // the backend server shed the call or said that it is overloaded
+}
+
+// Shed is a waiting call that will not be run.
+type Shed struct {
+	Ticket Ticket
+	Cause  core.RefusalCause
+}
+
+// Change is what an event leads to: calls to start now and calls to refuse.
+type Change struct {
+	Start []Ticket
+	Shed  []Shed
+}
+
+type entry struct {
+	ticket  Ticket
+	request Request
+}
+
+// tenant holds the calls of one tenant that run or wait; it is forgotten when it has none.
+type tenant struct {
+	running int
+	waiting []entry // best first: higher priority, then earlier deadline, then earlier arrival
+}
+
+// Limiter holds the running and waiting calls of one backend server; it must not be used by several goroutines at once.
+type Limiter struct {
+	slots       int
+	limit       float64
+	running     map[Ticket]core.TenantID
+	tenants     map[core.TenantID]*tenant
+	waiting     int
+	lastTicket  Ticket
+	average     float64 // seconds
+	fastest     float64 // seconds, 0 before the first sample
+	decreasedAt time.Time
+}
+
+// New returns a limiter that starts at the announced number of slots; slots below 1 count as 1.
+func New(slots int) *Limiter {
+	slots = max(slots, 1)
+	return &Limiter{
+		slots:   slots,
+		limit:   float64(slots),
+		running: make(map[Ticket]core.TenantID),
+		tenants: make(map[core.TenantID]*tenant),
+	}
+}
+
+// Resize follows a new announcement of slots.
+func (l *Limiter) Resize(now time.Time, slots int) Change {
+	if slots = max(slots, 1); slots != l.slots {
+		l.slots = slots
+		l.limit = float64(slots)
+	}
+	return l.dispatch(now)
+}
+
+// Limit returns the present limit of running calls.
+func (l *Limiter) Limit() int {
+	return max(1, int(l.limit))
+}
+
+// Running returns the number of running calls.
+func (l *Limiter) Running() int {
+	return len(l.running)
+}
+
+// Waiting returns the number of waiting calls.
+func (l *Limiter) Waiting() int {
+	return l.waiting
+}
+
+// Arrive adds a call; it is in Start, in Shed, or waits.
+func (l *Limiter) Arrive(now time.Time, request Request) (Ticket, Change) {
+	l.lastTicket++
+	added := entry{
+		ticket:  l.lastTicket,
+		request: request,
+	}
+	if l.hopeless(now, request) {
+		return added.ticket, Change{
+			Shed: []Shed{{Ticket: added.ticket, Cause: core.CauseDeadline}},
+		}
+	}
+	l.tenant(request.Tenant).insert(added)
+	l.waiting++
+	change := l.dispatch(now)
+	if l.waiting > l.slots*waitingPerSlot {
+		change.Shed = append(change.Shed, l.shedOne(added))
+	}
+	return added.ticket, change
+}
+
+// Finish ends a started call.
+func (l *Limiter) Finish(now time.Time, ticket Ticket, result Result) Change {
+	name, exists := l.running[ticket]
+	if !exists {
+		return Change{}
+	}
+	full := len(l.running) >= l.Limit()
+	delete(l.running, ticket)
+	l.tenants[name].running--
+	l.forgetIdle(name)
+	l.adapt(now, result, full)
+	return l.dispatch(now)
+}
+
+// Cancel removes a waiting call and returns false if it is not waiting, so that it can no longer be called "not run".
+func (l *Limiter) Cancel(ticket Ticket) bool {
+	for name, t := range l.tenants {
+		if t.remove(ticket) {
+			l.waiting--
+			l.forgetIdle(name)
+			return true
+		}
+	}
+	return false
+}
+
+// Expire sheds the waiting calls that can no longer meet their deadlines.
+func (l *Limiter) Expire(now time.Time) Change {
+	var change Change
+	for name, t := range l.tenants {
+		late, kept := lo.FilterReject(t.waiting, func(e entry, _ int) bool { return l.hopeless(now, e.request) })
+		t.waiting = kept
+		l.waiting -= len(late)
+		for _, e := range late {
+			change.Shed = append(change.Shed, Shed{Ticket: e.ticket, Cause: core.CauseDeadline})
+		}
+		l.forgetIdle(name)
+	}
+	return change
+}
+
+// hopeless reports whether not even an uncongested run would meet the deadline.
+func (l *Limiter) hopeless(now time.Time, request Request) bool {
+	left := request.Deadline.Sub(now)
+	return left <= 0 || left.Seconds() < l.fastest
+}
+
+// dispatch starts waiting calls while there is room, for the tenant with the fewest running calls first.
+func (l *Limiter) dispatch(now time.Time) Change {
+	var change Change
+	for len(l.running) < l.Limit() && l.waiting > 0 {
+		name, t := l.neediest()
+		next := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		l.waiting--
+		if l.hopeless(now, next.request) {
+			change.Shed = append(change.Shed, Shed{Ticket: next.ticket, Cause: core.CauseDeadline})
+			l.forgetIdle(name)
+			continue
+		}
+		t.running++
+		l.running[next.ticket] = name
+		change.Start = append(change.Start, next.ticket)
+	}
+	return change
+}
+
+// neediest returns the tenant with waiting calls that has the fewest running ones, then the best waiting call.
+func (l *Limiter) neediest() (core.TenantID, *tenant) {
+	var bestName core.TenantID
+	var best *tenant
+	for name, t := range l.tenants {
+		if len(t.waiting) == 0 {
+			continue
+		}
+		if best == nil || t.running < best.running || t.running == best.running && before(t.waiting[0], best.waiting[0]) {
+			bestName, best = name, t
+		}
+	}
+	return bestName, best
+}
+
+// shedOne makes room in a full queue at the cost of the tenant that has the most waiting calls.
+func (l *Limiter) shedOne(added entry) Shed {
+	name := added.request.Tenant
+	for other, t := range l.tenants {
+		if len(t.waiting) > len(l.tenants[name].waiting) {
+			name = other
+		}
+	}
+	t := l.tenants[name]
+	worst := t.waiting[len(t.waiting)-1]
+	t.waiting = t.waiting[:len(t.waiting)-1]
+	l.waiting--
+	cause := core.CauseQueueFull
+	if len(l.tenants) > 1 {
+		cause = core.CauseTenantShare
+	}
+	l.forgetIdle(name)
+	return Shed{
+		Ticket: worst.ticket,
+		Cause:  cause,
+	}
+}
+
+// adapt lowers the limit in proportion on overload and raises it by about one for each round of a full limit.
+func (l *Limiter) adapt(now time.Time, result Result, full bool) {
+	if result.Overloaded {
+		l.decrease(now)
+		return
+	}
+	latency := result.Latency.Seconds()
+	if l.fastest == 0 {
+		l.fastest, l.average = latency, latency
+	}
+	l.fastest = min(l.fastest*fastestDecay, latency)
+	l.average += (latency - l.average) * latencyWeight
+	if l.average > overloadRatio*l.fastest && full {
+		l.decrease(now)
+		return
+	}
+	if full {
+		l.limit = min(l.limit+1/l.limit, float64(l.slots))
+	}
+}
+
+func (l *Limiter) decrease(now time.Time) {
+	if now.Sub(l.decreasedAt) < decreasePause {
+		return
+	}
+	l.decreasedAt = now
+	l.limit = max(1, l.limit*decreaseFactor)
+}
+
+func (l *Limiter) tenant(name core.TenantID) *tenant {
+	t, exists := l.tenants[name]
+	if !exists {
+		t = &tenant{}
+		l.tenants[name] = t
+	}
+	return t
+}
+
+func (l *Limiter) forgetIdle(name core.TenantID) {
+	if t := l.tenants[name]; t != nil && t.running == 0 && len(t.waiting) == 0 {
+		delete(l.tenants, name)
+	}
+}
+
+func (t *tenant) insert(added entry) {
+	at := len(t.waiting)
+	for at > 0 && before(added, t.waiting[at-1]) {
+		at--
+	}
+	t.waiting = append(t.waiting, entry{})
+	copy(t.waiting[at+1:], t.waiting[at:])
+	t.waiting[at] = added
+}
+
+func (t *tenant) remove(ticket Ticket) bool {
+	for i, e := range t.waiting {
+		if e.ticket == ticket {
+			t.waiting = append(t.waiting[:i], t.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func before(a, b entry) bool {
+	if a.request.Priority != b.request.Priority {
+		return a.request.Priority > b.request.Priority
+	}
+	if !a.request.Deadline.Equal(b.request.Deadline) {
+		return a.request.Deadline.Before(b.request.Deadline)
+	}
+	return a.ticket < b.ticket
+}
