--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"sort"
 	"time"
 
 	"github.com/samber/lo"
@@ -169,6 +170,7 @@
 		}
 		l.forgetIdle(name)
 	}
+	sort.Slice(change.Shed, func(i, j int) bool { return change.Shed[i].Ticket < change.Shed[j].Ticket })
 	return change
 }
 
@@ -217,7 +219,8 @@
 func (l *Limiter) shedOne(added entry) Shed {
 	name := added.request.Tenant
 	for other, t := range l.tenants {
-		if len(t.waiting) > len(l.tenants[name].waiting) {
+		longer := len(t.waiting) - len(l.tenants[name].waiting)
+		if longer > 0 || longer == 0 && name != added.request.Tenant && other < name {
 			name = other
 		}
 	}
