Add io/settings with validation of whole settings files

An operator who fixes one fault at a time restarts a process once for each of them. The parser therefore walks the syntax tree and lists every fault with file, line, key and what was expected.

encoding/json with DisallowUnknownFields was ruled out: it stops at the first fault and has no line numbers. Unspecified addresses such as 0.0.0.0 are refused, because other processes dial the listed addresses, and an instance's own addresses must equal its entry in members.

--- /dev/null
+++ b/io/settings/settings_test.go
@@ -0,0 +1,120 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"parsleyport/io/settings"
+)
+
+const control = `{
+  "id": "c1", "data-centre": "dc-a", "data-folder": "/data",
+  "operator-address": "127.0.0.1:7101", // operators
+  "peer-address": "127.0.0.1:7102",
+  "node-address": "127.0.0.1:7103",
+  "bootstrap": true,
+  "members": [
+    {"id": "c1", "data-centre": "dc-a", "operator-address": "127.0.0.1:7101", "peer-address": "127.0.0.1:7102", "node-address": "127.0.0.1:7103"},
+    {"id": "c2", "data-centre": "dc-b", "operator-address": "127.0.0.1:7111", "peer-address": "127.0.0.1:7112", "node-address": "127.0.0.1:7113"},
+    {"id": "c3", "data-centre": "dc-c", "operator-address": "127.0.0.1:7121", "peer-address": "127.0.0.1:7122", "node-address": "127.0.0.1:7123"},
+  ],
+}`
+
+const node = `{
+  "id": "n1", "data-centre": "dc-a",
+  "caller-address": "127.0.0.1:7201", "peer-address": "127.0.0.1:7202", "relay-address": "127.0.0.1:7203",
+  "backend-address": "127.0.0.1:7204", "admin-address": "[::1]:7205",
+  "control-addresses": ["127.0.0.1:7103"], "log-level": "debug",
+}`
+
+// Guards against settings that are read into the wrong field or lose their default values.
+func TestLoad(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(c.TempDir(), "control.jsonc")
+	c.Assert(os.WriteFile(path, []byte(control), 0o600), qt.IsNil)
+	loaded, err := settings.LoadControl(path)
+	c.Assert(err, qt.IsNil)
+	c.Assert(loaded.Bootstrap, qt.IsTrue)
+	c.Assert(loaded.LogLevel, qt.Equals, zerolog.InfoLevel)
+	c.Assert(loaded.Members[2].NodeAddress, qt.Equals, "127.0.0.1:7123")
+	c.Assert(loaded.PeerAddress, qt.Equals, "127.0.0.1:7102")
+
+	parsed, err := settings.ParseNode("node.jsonc", []byte(node))
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed.AdminAddress, qt.Equals, "[::1]:7205")
+	c.Assert(parsed.LogLevel, qt.Equals, zerolog.DebugLevel)
+
+	_, err = settings.LoadNode(filepath.Join(c.TempDir(), "missing.jsonc"))
+	c.Assert(err, qt.ErrorMatches, `.*missing.jsonc:0: expected a readable file.*`)
+}
+
+// Guards against a faulty file that is accepted, or whose message does not lead to the fault.
+func TestParseControlNamesEachFault(t *testing.T) {
+	c := qt.New(t)
+	c3 := control[strings.Index(control, `    {"id": "c3"`):strings.Index(control, "  ],")]
+	for _, test := range []struct{ old, new, want string }{
+		{`"bootstrap"`, `"boot"`, `f:6: boot: expected one of id, .*log-level, members, found an unknown key`},
+		{`true`, `"yes"`, `f:6: bootstrap: expected true or false, found "yes"`},
+		{`"/data"`, `7`, `f:2: data-folder: expected path of a folder, found 7`},
+		{`127.0.0.1:7101", // operators`, `localhost:7101", //`, `f:3: operator-address: expected IP number and port .*, found "localhost:7101"`},
+		{`127.0.0.1:7112`, `127.0.0.1:0`, `f:9: members\[1\].peer-address: expected IP .*`},
+		{`127.0.0.1:7112`, `0.0.0.0:7112`, `f:9: members\[1\].peer-address: expected IP .*`},
+		{`127.0.0.1:7112`, `127.0.0.1:7102`, `f:9: members\[1\].peer-address: expected an address that is unique, found 127.0.0.1:7102 as in members\[0\]`},
+		{`127.0.0.1:7112`, `127.0.0.1:7111`, `f:9: members\[1\].peer-address: expected another address than operator-address, .*`},
+		{`"c3"`, `"c2"`, `f:10: members\[2\].id: expected an id that is unique, found "c2" as in members\[1\]`},
+		{`"id": "c1", "data-centre": "dc-a", "data-folder"`, `"id": "c9", "data-centre": "dc-a", "data-folder"`, `f:2: id: expected one of the ids in members, found "c9"`},
+		{`"data-centre": "dc-a", "data-folder"`, `"data-centre": "dc-b", "data-folder"`, `f:2: data-centre: expected "dc-a" as in members, found "dc-b"`},
+		{`"node-address": "127.0.0.1:7103",`, `"node-address": "127.0.0.1:7109",`, `f:5: node-address: expected 127.0.0.1:7103 as in members, found 127.0.0.1:7109`},
+		{`"dc-c"`, `"dc-b"`, `f:7: members: expected no majority in one of several data centres, found 2 of 3 in "dc-b"`},
+		{c3, ``, `f:7: members: expected an odd number of control instances, at most 7, found 2`},
+		{`"bootstrap": true`, `"bootstrap": true, "bootstrap": false`, `f:6: bootstrap: expected each key once, found a second one`},
+		{`"bootstrap": true`, `"log-level": "loud"`, `f:6: log-level: expected trace, .*, found "loud"`},
+		{`"data-folder": "/data",`, ``, `f:1: data-folder: expected path of a folder, found nothing`},
+		{control, `[]`, `f:1: expected an object, found \[\]`},
+		{control, "{\n}}", `f:2: expected JSON with comments, found .*`},
+	} {
+		c.Assert(strings.Contains(control, test.old), qt.IsTrue, qt.Commentf("%s", test.old))
+		_, err := settings.ParseControl("f", []byte(strings.Replace(control, test.old, test.new, 1)))
+		c.Assert(err, qt.ErrorMatches, test.want, qt.Commentf("%s -> %s", test.old, test.new))
+	}
+}
+
+// Guards against a check that stops at the first fault, so that operators find the faults one at a time.
+func TestParseReportsAllFaultsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	broken := strings.NewReplacer(`"id": "n1"`, `"id": "N 1"`, "7202", "7201", "7103", "x", "debug", "or", `"admin-address"`, `"admin"`).Replace(node)
+	_, err := settings.ParseNode("f", []byte(broken))
+	var faults *settings.Error
+	c.Assert(errors.As(err, &faults), qt.IsTrue)
+	keys := make([]string, 0, len(faults.Faults))
+	for _, fault := range faults.Faults {
+		keys = append(keys, fault.Key)
+	}
+	c.Assert(keys, qt.ContentEquals, []string{"id", "peer-address", "control-addresses[0]", "log-level", "admin", "admin-address"})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(control))
+	f.Add([]byte(node))
+	f.Add([]byte(`{"members": [1, {"id": "\ud800"}], "control-addresses": "x", "id": 1e999,}`))
+	f.Add([]byte(`{"a": /* cut`))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		_, controlErr := settings.ParseControl("f", source)
+		_, nodeErr := settings.ParseNode("f", source)
+		for _, err := range []error{controlErr, nodeErr} {
+			var faults *settings.Error
+			if err != nil && (!errors.As(err, &faults) || len(faults.Faults) == 0) {
+				t.Fatalf("error without faults: %v", err)
+			}
+		}
+		if controlErr == nil && nodeErr == nil {
+			t.Fatal("one file passes as both kinds of settings")
+		}
+	})
+}
