--- /dev/null
+++ b/core/lease/table.go
@@ -0,0 +1,442 @@
+package lease
+
+import (
+	"encoding/binary"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"parsleyport/core"
+)
+
+const (
+	// TombstoneAge is how long an endpoint that left is remembered: the window of the idempotency keys.
+	TombstoneAge = 10 * time.Minute
+	// MaxEntries bounds live and remembered endpoints: five times the planned 2,700 nodes and their daily restarts.
+	MaxEntries = 16_384
+	// maxNameBytes bounds the names in an announcement, so that MaxEntries bounds the memory too.
+	maxNameBytes = 256
+	// elsewhereGrace is how long an owner's word outlives its end while the endpoint moves to another owner, whose word may
+	// arrive later because it takes another way.
+	elsewhereGrace = 5 * time.Second
+)
+
+// Owner vouches for endpoints. Endpoints of remote owners (a parent, another control instance) are not sent back up.
+type Owner struct {
+	Name   string
+	Remote bool
+}
+
+// Removal says that a node no longer serves a service as of its announcement with the given sequence. Elsewhere says that
+// the sender only stopped vouching for it, and knows the endpoint to be live by the word of others.
+type Removal struct {
+	Elsewhere   bool             `msgpack:"elsewhere,omitempty"`
+	Node        core.NodeID      `msgpack:"node"`
+	Incarnation core.Incarnation `msgpack:"incarnation"`
+	Sequence    uint64           `msgpack:"sequence"`
+	Service     core.ServiceName `msgpack:"service"`
+}
+
+// Left is an endpoint that left its service at a point in time.
+type Left struct {
+	Endpoint core.Endpoint
+	At       time.Time
+}
+
+type entry struct {
+	endpoint core.Endpoint
+	owners   map[Owner]bool
+}
+
+type leftKey struct {
+	node    core.NodeID
+	service core.ServiceName
+}
+
+type fadingWord struct {
+	owner Owner
+	node  core.NodeID
+}
+
+type lostOwner struct {
+	direct   core.NodeID
+	directAt time.Time
+	restAt   time.Time
+}
+
+// Table is the set of leases; it is not safe for concurrent use.
+type Table struct {
+	entries  map[core.NodeID]*entry // live ones and, until they expire, those that left
+	services map[core.ServiceName]map[core.NodeID]bool
+	left     map[leftKey]Left
+	lost     map[Owner]lostOwner
+	fading   map[fadingWord]time.Time
+	dirty    map[core.ServiceName]bool
+	logs     [views]changeLog
+	refused  uint64
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		entries:  make(map[core.NodeID]*entry),
+		services: make(map[core.ServiceName]map[core.NodeID]bool),
+		left:     make(map[leftKey]Left),
+		lost:     make(map[Owner]lostOwner),
+		fading:   make(map[fadingWord]time.Time),
+		dirty:    make(map[core.ServiceName]bool),
+	}
+}
+
+// Announce records that an owner vouches for an endpoint; it returns false if a newer announcement of the node is held
+// or the table is full. Equal announcements of several owners add up, so that a subtree can move between two parents.
+func (t *Table) Announce(now time.Time, owner Owner, endpoint core.Endpoint) bool {
+	if !valid(endpoint) {
+		t.refused++
+		return false
+	}
+	held := t.entries[endpoint.Node]
+	if held == nil {
+		if len(t.entries) >= MaxEntries && !t.forgetOldest() {
+			t.refused++
+			return false
+		}
+		held = &entry{
+			endpoint: endpoint,
+			owners:   make(map[Owner]bool, 2),
+		}
+		t.entries[endpoint.Node] = held
+	}
+	if held.endpoint.Newer(endpoint) {
+		return false
+	}
+	t.update(now, held, func() {
+		if endpoint.Newer(held.endpoint) {
+			clear(held.owners) // they vouched for an older announcement
+			held.endpoint = endpoint
+		}
+		held.owners[owner] = true
+	})
+	delete(t.fading, fadingWord{
+		owner: owner,
+		node:  endpoint.Node,
+	})
+	return true
+}
+
+func valid(endpoint core.Endpoint) bool {
+	return endpoint.Node != "" && endpoint.Service != "" &&
+		len(endpoint.Node) <= maxNameBytes && len(endpoint.Service) <= maxNameBytes &&
+		len(endpoint.Release) <= maxNameBytes && len(endpoint.Address) <= maxNameBytes &&
+		len(endpoint.DataCentre) <= maxNameBytes
+}
+
+// Remove ends an owner's word for an endpoint. A removal that is older than the held announcement changes nothing, and one
+// that is newer ends the word of all owners, since they vouched for what the node announced before.
+func (t *Table) Remove(now time.Time, owner Owner, removal Removal) {
+	held := t.entries[removal.Node]
+	gone := core.Endpoint{
+		Incarnation: removal.Incarnation,
+		Sequence:    removal.Sequence,
+	}
+	if held == nil || held.endpoint.Service != removal.Service || held.endpoint.Newer(gone) {
+		return
+	}
+	if removal.Elsewhere {
+		t.fade(now, owner, held)
+		return
+	}
+	t.update(now, held, func() {
+		delete(held.owners, owner)
+		if gone.Newer(held.endpoint) {
+			clear(held.owners)
+		}
+		if len(held.owners) == 0 {
+			held.endpoint.Incarnation, held.endpoint.Sequence = removal.Incarnation, removal.Sequence
+		}
+	})
+}
+
+func (t *Table) fade(now time.Time, owner Owner, held *entry) {
+	if !held.owners[owner] {
+		return
+	}
+	word := fadingWord{
+		owner: owner,
+		node:  held.endpoint.Node,
+	}
+	if _, begun := t.fading[word]; !begun {
+		t.fading[word] = now.Add(elsewhereGrace)
+	}
+}
+
+// Lose starts the grace periods of an owner whose link broke: direct is the node at its other end, whose death is likely,
+// and the rest are nodes behind it, which are likely to be announced again over another link.
+func (t *Table) Lose(now time.Time, owner Owner, direct core.NodeID, directGrace, restGrace time.Duration) {
+	t.lost[owner] = lostOwner{
+		direct:   direct,
+		directAt: now.Add(directGrace),
+		restAt:   now.Add(restGrace),
+	}
+	t.Expire(now)
+}
+
+// Regain ends the grace period of an owner whose link is back.
+func (t *Table) Regain(owner Owner) {
+	delete(t.lost, owner)
+}
+
+// Retain ends an owner's word for all endpoints that it does not name, in the services for which covers returns true.
+func (t *Table) Retain(now time.Time, owner Owner, named []core.Endpoint, covers func(core.ServiceName) bool) {
+	kept := make(map[core.NodeID]bool, len(named))
+	for _, endpoint := range named {
+		kept[endpoint.Node] = true
+	}
+	for node, held := range t.entries {
+		if held.owners[owner] && !kept[node] && covers(held.endpoint.Service) {
+			t.update(now, held, func() { delete(held.owners, owner) })
+		}
+	}
+}
+
+// Expire ends grace periods that are over and forgets endpoints that left more than TombstoneAge ago.
+func (t *Table) Expire(now time.Time) {
+	for owner, lost := range t.lost {
+		if held := t.entries[lost.direct]; held != nil && held.owners[owner] && !now.Before(lost.directAt) {
+			t.update(now, held, func() { delete(held.owners, owner) })
+		}
+		if !now.Before(lost.restAt) {
+			t.Retain(now, owner, nil, func(core.ServiceName) bool { return true })
+			delete(t.lost, owner)
+		}
+	}
+	for word, until := range t.fading {
+		if now.Before(until) {
+			continue
+		}
+		if held := t.entries[word.node]; held != nil {
+			t.update(now, held, func() { delete(held.owners, word.owner) })
+		}
+		delete(t.fading, word)
+	}
+	for key, left := range t.left {
+		if now.Sub(left.At) >= TombstoneAge {
+			t.forget(key)
+		}
+	}
+}
+
+func (t *Table) forgetOldest() bool {
+	var oldest leftKey
+	var at time.Time
+	for key, left := range t.left {
+		if at.IsZero() || left.At.Before(at) {
+			oldest, at = key, left.At
+		}
+	}
+	if at.IsZero() {
+		return false
+	}
+	t.forget(oldest)
+	return true
+}
+
+func (t *Table) forget(key leftKey) {
+	delete(t.left, key)
+	if held := t.entries[key.node]; held != nil && len(held.owners) == 0 && held.endpoint.Service == key.service {
+		delete(t.entries, key.node)
+	}
+}
+
+type standing struct {
+	endpoint    core.Endpoint
+	live, local bool
+	sole        Owner // set if one owner only vouches
+}
+
+func (e *entry) standing() standing {
+	now := standing{
+		endpoint: e.endpoint,
+		live:     len(e.owners) > 0,
+	}
+	for owner := range e.owners {
+		now.local = now.local || !owner.Remote
+		if len(e.owners) == 1 {
+			now.sole = owner
+		}
+	}
+	return now
+}
+
+// seenBy reports whether an owner is sent the endpoint: not if nobody else vouches for it, since its own word coming back
+// would keep the endpoint alive after the owner lost it.
+func (s standing) seenBy(owner Owner) bool {
+	return s.live && s.sole != owner
+}
+
+// update runs a change of one entry and brings the index, the tombstones and the change logs up to date.
+func (t *Table) update(now time.Time, held *entry, change func()) {
+	before := held.standing()
+	change()
+	after := held.standing()
+	moved := before.endpoint.Service != after.endpoint.Service
+	if before.live && (!after.live || moved) {
+		t.unlist(now, before.endpoint, after.endpoint)
+	}
+	if after.live && (!before.live || before.endpoint != after.endpoint) {
+		t.list(after.endpoint)
+	}
+	if before.live && after.live && before.sole != after.sole {
+		t.logs[All].addFor(before.sole, after.endpoint)
+		t.logs[All].addFor(after.sole, after.endpoint)
+	}
+	if before.local && (!after.local || moved) {
+		t.logs[Local].add(before.endpoint)
+	}
+	if after.local && (!before.local || before.endpoint != after.endpoint) {
+		t.logs[Local].add(after.endpoint)
+	}
+}
+
+func (t *Table) list(endpoint core.Endpoint) {
+	members := t.services[endpoint.Service]
+	if members == nil {
+		members = make(map[core.NodeID]bool)
+		t.services[endpoint.Service] = members
+	}
+	members[endpoint.Node] = true
+	delete(t.left, leftKey{
+		node:    endpoint.Node,
+		service: endpoint.Service,
+	})
+	t.dirty[endpoint.Service] = true
+	t.logs[All].add(endpoint)
+}
+
+func (t *Table) unlist(now time.Time, endpoint, last core.Endpoint) {
+	delete(t.services[endpoint.Service], endpoint.Node)
+	if len(t.services[endpoint.Service]) == 0 {
+		delete(t.services, endpoint.Service)
+	}
+	endpoint.Incarnation, endpoint.Sequence = last.Incarnation, last.Sequence
+	t.bury(Left{
+		Endpoint: endpoint,
+		At:       now,
+	})
+	t.dirty[endpoint.Service] = true
+	t.logs[All].add(endpoint)
+}
+
+func (t *Table) bury(left Left) {
+	if len(t.left) >= MaxEntries {
+		t.forgetOldest()
+	}
+	t.left[leftKey{
+		node:    left.Endpoint.Node,
+		service: left.Endpoint.Service,
+	}] = left
+}
+
+// Remember adds an endpoint that left before the table knew it, unless the node announces the service now.
+func (t *Table) Remember(now time.Time, left Left) {
+	if !valid(left.Endpoint) || now.Sub(left.At) >= TombstoneAge || t.services[left.Endpoint.Service][left.Endpoint.Node] {
+		return
+	}
+	key := leftKey{
+		node:    left.Endpoint.Node,
+		service: left.Endpoint.Service,
+	}
+	if _, known := t.left[key]; !known {
+		t.bury(left)
+	}
+}
+
+// Endpoints returns the live endpoints of a service, sorted by node.
+func (t *Table) Endpoints(service core.ServiceName) []core.Endpoint {
+	endpoints := make([]core.Endpoint, 0, len(t.services[service]))
+	for node := range t.services[service] {
+		endpoints = append(endpoints, t.entries[node].endpoint)
+	}
+	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].Node < endpoints[j].Node })
+	return endpoints
+}
+
+// EndpointsFor returns the live endpoints of a service that an owner is sent, sorted by node.
+func (t *Table) EndpointsFor(owner Owner, service core.ServiceName) []core.Endpoint {
+	return slices.DeleteFunc(t.Endpoints(service), func(endpoint core.Endpoint) bool {
+		return !t.entries[endpoint.Node].standing().seenBy(owner)
+	})
+}
+
+// LocalEndpoints returns the endpoints that a local owner vouches for, sorted by node.
+func (t *Table) LocalEndpoints() []core.Endpoint {
+	var endpoints []core.Endpoint
+	for _, held := range t.entries {
+		if held.standing().local {
+			endpoints = append(endpoints, held.endpoint)
+		}
+	}
+	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].Node < endpoints[j].Node })
+	return endpoints
+}
+
+// Tombstones returns the endpoints that left a service at or after the given time, sorted by node.
+func (t *Table) Tombstones(since time.Time, wanted func(core.ServiceName) bool) []Left {
+	var found []Left
+	for _, left := range t.left {
+		if !left.At.Before(since) && wanted(left.Endpoint.Service) {
+			found = append(found, left)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Endpoint.Node < found[j].Endpoint.Node })
+	return found
+}
+
+// Digests returns a hash over the live endpoints of each service for which wanted returns true; it does not depend on the order.
+func (t *Table) Digests(wanted func(core.ServiceName) bool) map[core.ServiceName]core.Hash {
+	digests := make(map[core.ServiceName]core.Hash)
+	for service, members := range t.services {
+		if !wanted(service) {
+			continue
+		}
+		for node := range members {
+			digests[service] ^= hash(t.entries[node].endpoint)
+		}
+	}
+	return digests
+}
+
+func hash(endpoint core.Endpoint) core.Hash {
+	encoded := make([]byte, 0, 2*maxNameBytes)
+	encoded = binary.BigEndian.AppendUint64(encoded, uint64(endpoint.Incarnation))
+	encoded = binary.BigEndian.AppendUint64(encoded, endpoint.Sequence)
+	encoded = append(append(encoded, endpoint.Node...), 0)
+	encoded = append(encoded, endpoint.Service...)
+	return core.Hash(xxhash.Sum64(encoded))
+}
+
+// TakeDirty returns the services whose live endpoints changed since the last call.
+func (t *Table) TakeDirty() []core.ServiceName {
+	services := make([]core.ServiceName, 0, len(t.dirty))
+	for service := range t.dirty {
+		services = append(services, service)
+	}
+	clear(t.dirty)
+	return services
+}
+
+// Refused returns how many announcements were not accepted because they were malformed or the table was full.
+func (t *Table) Refused() uint64 {
+	return t.refused
+}
+
+// Live returns the number of live endpoints.
+func (t *Table) Live() int {
+	live := 0
+	for _, members := range t.services {
+		live += len(members)
+	}
+	return live
+}
--- /dev/null
+++ b/io/distribution/attachment.go
@@ -0,0 +1,216 @@
+package distribution
+
+import (
+	"context"
+	_ "embed"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"parsleyport/core/statechart"
+	"parsleyport/io/frame"
+)
+
+//go:embed attachment.chart.json
+var attachmentSource []byte
+
+var attachmentChart = statechart.MustLoad(attachmentSource)
+
+// The states and events of the attachment chart.
+const (
+	stateDetached statechart.State = "detached"
+	stateDialing  statechart.State = "dialing"
+	stateGreeting statechart.State = "greeting"
+	stateAttached statechart.State = "attached"
+	stateWaiting  statechart.State = "waiting"
+
+	eventDial       statechart.Event = "dial"
+	eventConnected  statechart.Event = "connected"
+	eventFailed     statechart.Event = "failed"
+	eventAccepted   statechart.Event = "accepted"
+	eventRedirected statechart.Event = "redirected"
+	eventRetryAfter statechart.Event = "retry-after"
+	eventLost       statechart.Event = "lost"
+	eventWaitOver   statechart.Event = "wait-over"
+	eventStop       statechart.Event = "stop"
+)
+
+// attachment opens one upward link at a time and opens another when it is lost; one goroutine runs it.
+type attachment struct {
+	hub     *hub
+	logger  zerolog.Logger
+	targets []string // where to start, in turn
+	random  func() float64
+	hello   func() hello
+	accept  func(accept) error // checks the path before the link is used
+	// serve uses the link until it ends.
+	serve func(ctx context.Context, conn *frame.Conn, address string) error
+
+	state     atomic.Value // statechart.State
+	turn      int
+	queue     []string // addresses from a redirect, best first
+	redirects int
+	attempts  int
+	wait      time.Duration
+	address   string
+	conn      *frame.Conn
+}
+
+func newAttachment(a attachment) *attachment {
+	a.state.Store(attachmentChart.Initial())
+	a.turn = int(a.random() * float64(len(a.targets)))
+	return &a
+}
+
+func (a *attachment) current() statechart.State {
+	return a.state.Load().(statechart.State)
+}
+
+// run interprets the chart: each state has one action, and its result is the next event.
+func (a *attachment) run(ctx context.Context) {
+	actions := map[statechart.State]func(context.Context) statechart.Event{
+		stateDetached: a.choose,
+		stateDialing:  a.dial,
+		stateGreeting: a.greet,
+		stateAttached: a.use,
+		stateWaiting:  a.pause,
+	}
+	for !attachmentChart.IsFinal(a.current()) {
+		event := eventStop
+		if ctx.Err() == nil {
+			event = actions[a.current()](ctx)
+		}
+		if ctx.Err() != nil {
+			event = eventStop
+		}
+		next, err := attachmentChart.Next(a.current(), event)
+		if err != nil {
+			panic(err) // an action returned an event that the chart does not have
+		}
+		a.state.Store(next)
+	}
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+}
+
+func (a *attachment) choose(context.Context) statechart.Event {
+	if len(a.queue) > 0 {
+		a.address, a.queue = a.queue[0], a.queue[1:]
+		return eventDial
+	}
+	a.address = a.targets[a.turn%len(a.targets)]
+	a.turn++
+	a.redirects = 0
+	return eventDial
+}
+
+func (a *attachment) dial(ctx context.Context) statechart.Event {
+	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := a.hub.network.Dial(dialing, a.address)
+	if err != nil {
+		a.backOff()
+		return eventFailed
+	}
+	a.conn = frame.New(conn)
+	return eventConnected
+}
+
+func (a *attachment) greet(ctx context.Context) statechart.Event {
+	stop := context.AfterFunc(ctx, func() { _ = a.conn.Close() })
+	defer stop()
+	event, err := a.exchange()
+	if err != nil {
+		a.logger.Debug().Err(err).Str("address", a.address).Msg("handshake failed")
+		a.backOff()
+		event = eventFailed
+	}
+	if event != eventAccepted {
+		_ = a.conn.Close()
+	}
+	return event
+}
+
+func (a *attachment) exchange() (statechart.Event, error) {
+	if err := a.hub.send(a.conn, helloTimeout, outgoing{
+		kind:    typeHello,
+		message: a.hello(),
+	}); err != nil {
+		// A parent that is short of handshakes answers without reading, so its answer may be there all the same.
+		a.logger.Debug().Err(err).Msg("send hello")
+	}
+	answer, err := a.hub.receive(a.conn, silenceLimit)
+	if err != nil {
+		return "", err
+	}
+	switch answer.Type {
+	case typeAccept:
+		var message accept
+		if err := answer.Decode(&message); err != nil {
+			return "", err
+		}
+		return eventAccepted, a.accept(message)
+	case typeRedirect:
+		var message redirect
+		if err := answer.Decode(&message); err != nil {
+			return "", err
+		}
+		return eventRedirected, a.follow(message)
+	case typeRetryAfter:
+		var message retryAfter
+		if err := answer.Decode(&message); err != nil {
+			return "", err
+		}
+		asked := time.Duration(min(max(message.Milliseconds, 0), maxBackoff.Milliseconds())) * time.Millisecond
+		a.wait = asked + time.Duration(a.random()*float64(asked))
+		return eventRetryAfter, nil
+	}
+	return "", errors.Errorf("unexpected answer of type %d to hello", answer.Type)
+}
+
+func (a *attachment) follow(message redirect) error {
+	a.redirects++
+	if a.redirects > maxRedirects || len(message.Addresses) == 0 || len(message.Addresses) > maxDirectChildren {
+		a.queue = nil
+		return errors.Errorf("redirect %d to %d addresses", a.redirects, len(message.Addresses))
+	}
+	a.queue = message.Addresses
+	return nil
+}
+
+func (a *attachment) use(ctx context.Context) statechart.Event {
+	began := time.Now()
+	err := a.serve(ctx, a.conn, a.address)
+	_ = a.conn.Close()
+	if time.Since(began) >= silenceLimit {
+		a.attempts = 0
+	}
+	a.queue = nil
+	a.backOff()
+	a.logger.Info().Err(err).Str("address", a.address).Msg("link lost")
+	return eventLost
+}
+
+func (a *attachment) pause(ctx context.Context) statechart.Event {
+	pauseFor(ctx, a.wait)
+	return eventWaitOver
+}
+
+func pauseFor(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// backOff sets a wait with full jitter: any time up to a bound that doubles, so that nodes that lost a parent together spread out.
+func (a *attachment) backOff() {
+	bound := min(minBackoff<<min(a.attempts, 10), maxBackoff)
+	a.attempts++
+	a.wait = time.Duration(a.random() * float64(bound))
+}
--- /dev/null
+++ b/io/distribution/child.go
@@ -0,0 +1,498 @@
+package distribution
+
+import (
+	"context"
+	"net"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/lease"
+	"parsleyport/core/ring"
+	"parsleyport/io/frame"
+)
+
+// child is a link that another process opened: a node below, or another control instance that reports what is announced to it.
+type child struct {
+	id    uint64
+	hello hello
+	conn  *frame.Conn
+	owner lease.Owner
+	wake  *ring.Ring[struct{}]
+
+	// What follows is guarded by hub.mu.
+	acknowledged acknowledge
+	assigned     []time.Time // recent redirects to this child
+	held         position
+	wantsFull    bool
+	pongs        int
+	pathTurn     uint64
+	subscribed   bool
+	all          bool
+	services     map[core.ServiceName]bool
+	cursor       uint64
+	batch        pacer
+	digestDue    bool
+	digestFinal  bool
+	leftSince    time.Time
+	digests      map[core.ServiceName]core.Hash // of an unanswered request for endpoints
+	newServices  []core.ServiceName
+}
+
+// serve answers a listener until the context ends.
+func (h *hub) serve(ctx context.Context, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			pauseFor(ctx, tickInterval) // out of file descriptors, for example; accepting again at once would spin
+			continue
+		}
+		select {
+		case h.handshakes <- struct{}{}:
+			h.start(func() { h.greet(ctx, frame.New(conn)) })
+		default:
+			h.turnAway(frame.New(conn))
+		}
+	}
+}
+
+// turnAway answers without reading, so that a crowd of reconnecting nodes costs one small frame for each attempt.
+func (h *hub) turnAway(conn *frame.Conn) {
+	h.meters.retryAfters.Inc()
+	_ = h.send(conn, farewellTimeout/10, outgoing{
+		kind: typeRetryAfter,
+		message: retryAfter{
+			Milliseconds: retryLater.Milliseconds(),
+		},
+	})
+	_ = conn.Close()
+}
+
+func (h *hub) send(conn *frame.Conn, timeout time.Duration, m outgoing) error {
+	before, _ := conn.Bytes()
+	err := conn.Send(time.Now().Add(timeout), m.kind, m.message)
+	after, _ := conn.Bytes()
+	h.meters.countSent(after - before)
+	return err
+}
+
+func (h *hub) receive(conn *frame.Conn, timeout time.Duration) (frame.Frame, error) {
+	_, before := conn.Bytes()
+	received, err := conn.Receive(time.Now().Add(timeout))
+	_, after := conn.Bytes()
+	h.meters.countReceived(after - before)
+	return received, err
+}
+
+// greet holds a handshake slot until the child has been sent what it lacks.
+func (h *hub) greet(ctx context.Context, conn *frame.Conn) {
+	defer conn.Close()
+	slot := newSlot(h.handshakes)
+	defer slot.release()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+
+	first, err := h.receive(conn, helloTimeout)
+	if err != nil || first.Type != typeHello {
+		return
+	}
+	var greeting hello
+	if err := first.Decode(&greeting); err != nil || greeting.ID == "" {
+		return
+	}
+	h.meters.handshakes.Inc()
+	c, answer := h.admit(time.Now(), greeting, conn)
+	if c == nil {
+		_ = h.send(conn, helloTimeout, answer)
+		return
+	}
+	h.runChild(ctx, c, slot)
+}
+
+func (h *hub) runChild(ctx context.Context, c *child, slot *slot) {
+	sending, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	h.start(func() {
+		defer close(done)
+		defer c.conn.Close() // ends the receiver
+		_ = h.sender(sending, c.wake, func(m outgoing) error {
+			return h.send(c.conn, writeTimeout, m)
+		}, func(now time.Time) ([]outgoing, time.Time) {
+			messages, again := h.dueToChild(c, now)
+			if len(messages) == 0 {
+				slot.release()
+			}
+			return messages, again
+		})
+	})
+	err := h.receiveFromChild(c)
+	cancel()
+	_ = c.conn.Close()
+	<-done
+	h.lose(time.Now(), c, err)
+}
+
+func (h *hub) receiveFromChild(c *child) error {
+	for {
+		received, err := h.receive(c.conn, silenceLimit)
+		if err != nil {
+			return err
+		}
+		if err := h.handleFromChild(time.Now(), c, received); err != nil {
+			return err
+		}
+	}
+}
+
+// lose starts the grace periods of what the child announced.
+func (h *hub) lose(now time.Time, c *child, cause error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.meters.lostLinks.Inc()
+	delete(h.children, c.id)
+	h.confirmer.drop(c.id)
+	if c.hello.Kind == kindControl {
+		h.losePeer(now, c)
+		h.changed()
+		return
+	}
+	grace := brokenGrace
+	if isTimeout(cause) {
+		grace = 0
+	}
+	h.table.Lose(now, c.owner, c.hello.ID, grace, subtreeGrace)
+	h.changed()
+}
+
+func (h *hub) losePeer(now time.Time, c *child) {
+	id := core.ControlID(c.hello.ID)
+	word := h.peerWords[id]
+	if word.link != c.id {
+		return // it is back on another link
+	}
+	word.until = now.Add(controlGrace)
+	h.peerWords[id] = word
+	h.table.Lose(now, c.owner, "", controlGrace, controlGrace)
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// handleFromChild ignores message types that a later program may have added.
+func (h *hub) handleFromChild(now time.Time, c *child, received frame.Frame) error {
+	switch received.Type {
+	case typePing:
+		return h.withChild(received, &ping{}, func() {
+			c.pongs++
+			c.wake.TryPush(struct{}{})
+		})
+	case typeAnnounce:
+		var message announce
+		return h.withChild(received, &message, func() { h.announced(now, c, message) })
+	case typeAcknowledge:
+		var message acknowledge
+		return h.withChild(received, &message, func() { h.acknowledged(c, message) })
+	case typeEvidence:
+		var message evidence
+		return h.withChild(received, &message, func() {
+			h.evidence.merge(message.Counts, c.owner.Remote)
+			h.changed()
+		})
+	case typeSubscribe:
+		var message subscribe
+		return h.withChild(received, &message, func() { h.subscribed(now, c, message) })
+	case typeEndpointsRequest:
+		var message endpointsRequest
+		return h.withChild(received, &message, func() {
+			c.digests = message.Digests
+			if c.digests == nil {
+				c.digests = map[core.ServiceName]core.Hash{}
+			}
+			c.wake.TryPush(struct{}{})
+		})
+	case typeConfigRequest:
+		return h.withChild(received, &configRequest{}, func() {
+			c.wantsFull = true
+			c.wake.TryPush(struct{}{})
+		})
+	case typeConfirmRequest:
+		var message confirmRequest
+		return h.withChild(received, &message, func() {
+			h.confirmer.request(c.id, message.Number)
+			h.changed()
+		})
+	}
+	h.meters.unknownMessages.Inc()
+	return nil
+}
+
+func (h *hub) withChild(received frame.Frame, message any, handle func()) error {
+	if err := received.Decode(message); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	handle()
+	return nil
+}
+
+func (h *hub) announced(now time.Time, c *child, message announce) {
+	if message.Complete {
+		h.table.Retain(now, c.owner, message.Upserts, everything)
+	}
+	for _, endpoint := range message.Upserts {
+		h.table.Announce(now, c.owner, endpoint)
+	}
+	for _, removal := range message.Removals {
+		h.table.Remove(now, c.owner, removal)
+	}
+	h.changed()
+}
+
+func (h *hub) acknowledged(c *child, message acknowledge) {
+	if c.hello.Kind == kindControl {
+		h.peerWords[core.ControlID(c.hello.ID)] = peerWord{
+			acknowledge: message,
+			link:        c.id,
+		}
+		return
+	}
+	c.acknowledged = message
+	h.changed()
+}
+
+func (h *hub) subscribed(now time.Time, c *child, message subscribe) {
+	first := !c.subscribed
+	c.subscribed = true
+	c.all = c.all || message.All
+	for _, service := range message.Services {
+		if c.services[service] || len(c.services) >= maxSubscriptions {
+			continue
+		}
+		c.services[service] = true
+		if !first {
+			c.newServices = append(c.newServices, service)
+		}
+	}
+	if first || message.All {
+		c.cursor = h.table.Position(lease.All)
+		c.digestDue = true
+		c.leftSince = now.Add(-lease.TombstoneAge)
+		if message.AwayMS >= 0 {
+			// The child saw what left before its link broke; the margin covers the time until it noticed.
+			c.leftSince = now.Add(-time.Duration(message.AwayMS)*time.Millisecond - subtreeGrace)
+		}
+	}
+	h.changed() // a relay may have to subscribe to more services itself
+}
+
+func (c *child) wants(service core.ServiceName) bool {
+	return c.all || c.services[service]
+}
+
+// dueToChild collects what the child should be sent now.
+func (h *hub) dueToChild(c *child, now time.Time) ([]outgoing, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var due []outgoing
+	if c.pathTurn != h.pathTurn {
+		c.pathTurn = h.pathTurn
+		due = append(due, outgoing{
+			kind:    typeAccept,
+			message: h.acceptance(),
+		})
+	}
+	for ; c.pongs > 0; c.pongs-- {
+		due = append(due, outgoing{
+			kind:    typePong,
+			message: ping{},
+		})
+	}
+	if c.hello.Kind == kindControl {
+		return due, now.Add(pingInterval)
+	}
+	due = append(due, h.configurationDue(c)...)
+	if answer, ready := h.confirmer.take(c.id, c.held.revision); ready {
+		due = append(due, outgoing{
+			kind:    typeConfirm,
+			message: answer,
+		})
+	}
+	list, again := h.endpointsDue(c, now)
+	return append(due, list...), again
+}
+
+func (h *hub) configurationDue(c *child) []outgoing {
+	if !c.wantsFull && h.current.Revision() <= c.held.revision {
+		return nil // a child may hold a newer one than a parent that is behind
+	}
+	held := c.held
+	if c.wantsFull {
+		held = position{}
+	}
+	message := configMessage(held, h.current, h.history)
+	if message.kind == typeConfigFull {
+		h.meters.fulls.Inc()
+	} else {
+		h.meters.deltas.Inc()
+	}
+	c.wantsFull = false
+	c.held = positionOf(h.current)
+	return []outgoing{message}
+}
+
+func (h *hub) endpointsDue(c *child, now time.Time) ([]outgoing, time.Time) {
+	idle := now.Add(pingInterval)
+	if !c.subscribed {
+		return nil, idle
+	}
+	if h.complete && !c.digestFinal {
+		c.digestDue = true
+	}
+	var due []outgoing
+	if c.digestDue {
+		c.digestDue, c.digestFinal = false, h.complete
+		due = append(due, h.digestMessage(c, now))
+	}
+	if c.digests != nil {
+		due = append(due, h.resetMessage(c, h.differing(c), true))
+		c.digests = nil
+	}
+	if len(c.newServices) > 0 {
+		due = append(due, h.resetMessage(c, c.newServices, false))
+		c.newServices = nil
+	}
+	if !c.batch.ready(now) {
+		return due, c.batch.next
+	}
+	changes, reached := h.table.Changes(lease.All, c.cursor, c.owner, c.wants)
+	if !reached {
+		c.cursor, c.digestFinal = h.table.Position(lease.All), false
+		c.digestDue = true
+		return due, now
+	}
+	c.cursor = changes.Next
+	if !h.complete {
+		changes.Removals = nil // the digest that ends the grace period shows what left
+	}
+	if changes.Empty() {
+		return due, idle
+	}
+	c.batch.sent(now)
+	return append(due, outgoing{
+		kind: typeEndpoints,
+		message: endpoints{
+			Upserts:  changes.Upserts,
+			Removals: changes.Removals,
+		},
+	}), c.batch.next
+}
+
+func (h *hub) digestMessage(c *child, now time.Time) outgoing {
+	message := endpoints{
+		HasDigest: true,
+		Partial:   !h.complete,
+	}
+	for _, digest := range h.table.Digests(c.wants) {
+		message.Digest ^= digest
+	}
+	for _, each := range h.table.Tombstones(c.leftSince, c.wants) {
+		message.Left = append(message.Left, left{
+			Endpoint: each.Endpoint,
+			AgeMS:    now.Sub(each.At).Milliseconds(),
+		})
+	}
+	if h.complete {
+		c.leftSince = now
+	}
+	return outgoing{
+		kind:    typeEndpoints,
+		message: message,
+	}
+}
+
+// differing names the services whose digests the child does not share, those that only one side has included.
+func (h *hub) differing(c *child) []core.ServiceName {
+	own := h.table.Digests(c.wants)
+	var services []core.ServiceName
+	for service, digest := range own {
+		if held, exists := c.digests[service]; !exists || held != digest {
+			services = append(services, service)
+		}
+	}
+	for service := range c.digests {
+		if _, exists := own[service]; !exists && c.wants(service) {
+			services = append(services, service)
+		}
+	}
+	sort.Slice(services, func(i, j int) bool { return services[i] < services[j] })
+	return services
+}
+
+func (h *hub) resetMessage(c *child, services []core.ServiceName, answer bool) outgoing {
+	message := endpoints{
+		Answer:  answer,
+		Reset:   services,
+		Partial: !h.complete,
+	}
+	for _, service := range services {
+		message.Upserts = append(message.Upserts, h.table.EndpointsFor(c.owner, service)...)
+	}
+	return outgoing{
+		kind:    typeEndpoints,
+		message: message,
+	}
+}
+
+// acceptance is the path that a child gets; mu is held.
+func (h *hub) acceptance() accept {
+	path := h.path
+	if h.relay != "" {
+		path = append([]core.NodeID{h.relay}, h.path...)
+	}
+	return accept{
+		Path:    path,
+		Control: h.control,
+	}
+}
+
+func (h *hub) newChild(greeting hello, conn *frame.Conn) *child {
+	h.lastLink++
+	c := &child{
+		id:    h.lastLink,
+		hello: greeting,
+		conn:  conn,
+		owner: lease.Owner{
+			Name: "link-" + strconv.FormatUint(h.lastLink, 10),
+		},
+		wake: ring.New[struct{}](1),
+		held: position{
+			revision: greeting.Revision,
+			hash:     greeting.Hash,
+		},
+		services: make(map[core.ServiceName]bool),
+		batch: pacer{
+			interval: batchInterval,
+		},
+	}
+	if greeting.Kind == kindControl {
+		c.owner = peerOwner(core.ControlID(greeting.ID))
+	}
+	h.children[c.id] = c
+	return c
+}
+
+func peerOwner(id core.ControlID) lease.Owner {
+	return lease.Owner{
+		Name:   "control-" + string(id),
+		Remote: true,
+	}
+}
--- /dev/null
+++ b/io/distribution/history.go
@@ -0,0 +1,59 @@
+package distribution
+
+import (
+	"parsleyport/core"
+	"parsleyport/core/record"
+)
+
+// maxHistory bounds the configurations kept as bases of deltas. They share the bodies of unchanged records.
+const maxHistory = 16
+
+// position identifies a configuration.
+type position struct {
+	revision core.Revision
+	hash     core.Hash
+}
+
+func positionOf(configuration *record.Configuration) position {
+	return position{
+		revision: configuration.Revision(),
+		hash:     configuration.Hash(),
+	}
+}
+
+// history keeps the latest configurations, oldest first, and the deltas from them to the newest.
+type history struct {
+	kept   []*record.Configuration
+	deltas map[position]record.Delta
+}
+
+func (h *history) add(configuration *record.Configuration) {
+	if len(h.kept) > 0 && h.kept[len(h.kept)-1].Revision() >= configuration.Revision() {
+		return
+	}
+	if len(h.kept) == maxHistory {
+		h.kept = append(h.kept[:0], h.kept[1:]...)
+	}
+	h.kept = append(h.kept, configuration)
+	h.deltas = make(map[position]record.Delta)
+}
+
+func (h *history) find(at position) *record.Configuration {
+	for _, configuration := range h.kept {
+		if positionOf(configuration) == at {
+			return configuration
+		}
+	}
+	return nil
+}
+
+// delta is computed once for all children that hold the same base.
+func (h *history) delta(base, current *record.Configuration) record.Delta {
+	at := positionOf(base)
+	if delta, cached := h.deltas[at]; cached && delta.ToRevision == current.Revision() {
+		return delta
+	}
+	delta := current.DeltaFrom(base)
+	h.deltas[at] = delta
+	return delta
+}
--- /dev/null
+++ b/io/distribution/hub.go
@@ -0,0 +1,215 @@
+package distribution
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"parsleyport/core"
+	"parsleyport/core/lease"
+	"parsleyport/core/record"
+	"parsleyport/core/ring"
+)
+
+// hub is what a Source and a Subscriber have in common: the state that they pass on, and the links to their children.
+type hub struct {
+	logger  zerolog.Logger
+	meters  *meters
+	network Network
+	relay   core.NodeID // empty on a control instance
+	schema  core.SchemaVersion
+	// confirms wakes the goroutine that runs confirmed reads; nil on a node, which asks its parent instead.
+	confirms *ring.Ring[struct{}]
+
+	views      atomic.Pointer[map[core.ServiceName][]core.Endpoint]
+	handshakes chan struct{}
+	work       sync.WaitGroup
+
+	mu        sync.Mutex // guards what follows
+	table     *lease.Table
+	evidence  *evidenceStore
+	confirmer *confirmer
+	history   *history
+	current   *record.Configuration
+	children  map[uint64]*child
+	lastLink  uint64
+	uplinks   map[*uplink]bool
+	path      []core.NodeID // from the parent up
+	control   core.ControlID
+	pathTurn  uint64 // counts changes of the path
+	attached  bool
+	all       bool // this node wants the endpoints of all services
+	services  map[core.ServiceName]bool
+	complete  bool // the table has all endpoints, so that digests and removals are final
+	peerWords map[core.ControlID]peerWord
+	peers     map[core.ControlID]bool
+}
+
+// peerWord is the last acknowledgement of another control instance; until is set once its link is lost.
+type peerWord struct {
+	acknowledge acknowledge
+	link        uint64
+	until       time.Time
+}
+
+func newHub(logger zerolog.Logger, meters *meters, network Network) *hub {
+	h := &hub{
+		logger:     logger,
+		meters:     meters,
+		network:    network,
+		handshakes: make(chan struct{}, maxHandshakes),
+		table:      lease.New(),
+		evidence:   newEvidenceStore(),
+		confirmer:  newConfirmer(),
+		history:    &history{},
+		children:   make(map[uint64]*child),
+		uplinks:    make(map[*uplink]bool),
+		peerWords:  make(map[core.ControlID]peerWord),
+		peers:      make(map[core.ControlID]bool),
+	}
+	h.views.Store(&map[core.ServiceName][]core.Endpoint{})
+	return h
+}
+
+// start runs a duty on its own goroutine, which the clean-up function waits for.
+func (h *hub) start(duty func()) {
+	h.work.Go(duty)
+}
+
+// changed publishes what changed and wakes the senders; mu is held.
+func (h *hub) changed() {
+	h.publish()
+	for _, c := range h.children {
+		c.wake.TryPush(struct{}{})
+	}
+	for u := range h.uplinks {
+		u.wake.TryPush(struct{}{})
+	}
+	if h.confirms != nil {
+		h.confirms.TryPush(struct{}{})
+	}
+}
+
+func (h *hub) publish() {
+	dirty := h.table.TakeDirty()
+	if len(dirty) == 0 {
+		return
+	}
+	held := *h.views.Load()
+	next := make(map[core.ServiceName][]core.Endpoint, len(held)+len(dirty))
+	for service, list := range held {
+		next[service] = list
+	}
+	for _, service := range dirty {
+		next[service] = h.table.Endpoints(service)
+		if len(next[service]) == 0 {
+			delete(next, service)
+		}
+	}
+	h.views.Store(&next)
+}
+
+// hold makes a configuration the one that children get; mu is held.
+func (h *hub) hold(configuration *record.Configuration) {
+	h.current = configuration
+	h.history.add(configuration)
+	h.changed()
+}
+
+func (h *hub) endpoints(service core.ServiceName) []core.Endpoint {
+	return (*h.views.Load())[service]
+}
+
+func (h *hub) tombstones(service core.ServiceName) []core.Endpoint {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	gone := h.table.Tombstones(time.Now().Add(-lease.TombstoneAge), func(name core.ServiceName) bool { return name == service })
+	list := make([]core.Endpoint, 0, len(gone))
+	for _, each := range gone {
+		list = append(list, each.Endpoint)
+	}
+	return list
+}
+
+// subtree adds up the acknowledgements of the children; mu is held.
+func (h *hub) subtree() acknowledge {
+	var sum acknowledge
+	for _, c := range h.children {
+		sum = sum.and(c.acknowledged)
+	}
+	return sum
+}
+
+// tick ends grace periods.
+func (h *hub) tick(ctx context.Context, also func(now time.Time)) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			h.mu.Lock()
+			before := h.table.Position(lease.All) + h.table.Position(lease.Local)
+			h.table.Expire(now)
+			if before != h.table.Position(lease.All)+h.table.Position(lease.Local) {
+				h.changed()
+			}
+			also(now)
+			h.mu.Unlock()
+		}
+	}
+}
+
+// sender runs steps of a link's sending side: step returns what to send now and when to look again.
+func (h *hub) sender(ctx context.Context, wake *ring.Ring[struct{}], send func(outgoing) error, step func(now time.Time) ([]outgoing, time.Time)) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		messages, again := step(time.Now())
+		for _, m := range messages {
+			if err := send(m); err != nil {
+				return err
+			}
+		}
+		if len(messages) > 0 {
+			continue // something may have changed while the link was slow
+		}
+		timer.Reset(time.Until(again))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-wake.Items():
+		case <-timer.C:
+		}
+	}
+}
+
+// pacer spaces the messages of one kind.
+type pacer struct {
+	interval time.Duration
+	next     time.Time
+}
+
+func (p *pacer) ready(now time.Time) bool {
+	return !now.Before(p.next)
+}
+
+func (p *pacer) sent(now time.Time) {
+	p.next = now.Add(p.interval)
+}
+
+func everything(core.ServiceName) bool { return true }
+
+func (h *hub) childIDs() []core.NodeID {
+	ids := make([]core.NodeID, 0, len(h.children))
+	for _, c := range h.children {
+		ids = append(ids, c.hello.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/io/distribution/messages.go
@@ -0,0 +1,158 @@
+package distribution
+
+import (
+	"parsleyport/core"
+	"parsleyport/core/lease"
+	"parsleyport/core/record"
+	"parsleyport/io/frame"
+)
+
+// The message types of the protocol; a number is never used again for another message.
+const (
+	typeHello frame.Type = iota + 1
+	typeAccept
+	typeRedirect
+	typeRetryAfter
+	typeConfigFull
+	typeConfigDelta
+	typeConfigRequest
+	typeConfirmRequest
+	typeConfirm
+	typeSubscribe
+	typeAnnounce
+	typeEndpoints
+	typeEndpointsRequest
+	typeEvidence
+	typeAcknowledge
+	typePing
+	typePong
+)
+
+type linkKind string
+
+const (
+	kindNode    linkKind = "node"
+	kindControl linkKind = "control"
+)
+
+// hello opens a link; revision and hash say what the child holds, so that it can resume with a delta.
+type hello struct {
+	Kind         linkKind           `msgpack:"kind"`
+	ID           core.NodeID        `msgpack:"id"`
+	Incarnation  core.Incarnation   `msgpack:"incarnation"`
+	DataCentre   core.DataCentre    `msgpack:"data-centre"`
+	RelayAddress string             `msgpack:"relay-address"`
+	Schema       core.SchemaVersion `msgpack:"schema-version"`
+	Revision     core.Revision      `msgpack:"revision"`
+	Hash         core.Hash          `msgpack:"hash"`
+}
+
+// accept names the nodes from the parent up to the control instance; it is sent again when they change.
+type accept struct {
+	Path    []core.NodeID  `msgpack:"path"`
+	Control core.ControlID `msgpack:"control"`
+}
+
+type redirect struct {
+	Addresses []string `msgpack:"addresses"`
+}
+
+type retryAfter struct {
+	Milliseconds int64 `msgpack:"ms"`
+}
+
+type configRequest struct{}
+
+type confirm struct {
+	Number   uint64        `msgpack:"number"`
+	Revision core.Revision `msgpack:"revision"`
+}
+
+type confirmRequest struct {
+	Number uint64 `msgpack:"number"`
+}
+
+// subscribe adds services, or all of them; AwayMS is how long the child was without a parent, negative for a fresh child.
+type subscribe struct {
+	All      bool               `msgpack:"all"`
+	Services []core.ServiceName `msgpack:"services"`
+	AwayMS   int64              `msgpack:"away-ms"`
+}
+
+// announce carries changes upwards; Complete says that the upserts are all endpoints that the sender vouches for.
+type announce struct {
+	Complete bool            `msgpack:"complete,omitempty"`
+	Upserts  []core.Endpoint `msgpack:"upserts,omitempty"`
+	Removals []lease.Removal `msgpack:"removals,omitempty"`
+}
+
+// endpoints carries changes downwards. Reset names services whose endpoints are all among the upserts; with Partial, the
+// sender may not know all of them yet, and the receiver removes none. Digest covers all services of the subscription.
+// Answer marks the answer to an endpoints-request.
+type endpoints struct {
+	Answer    bool               `msgpack:"answer,omitempty"`
+	Reset     []core.ServiceName `msgpack:"reset,omitempty"`
+	Partial   bool               `msgpack:"partial,omitempty"`
+	HasDigest bool               `msgpack:"has-digest,omitempty"`
+	Digest    core.Hash          `msgpack:"digest,omitempty"`
+	Upserts   []core.Endpoint    `msgpack:"upserts,omitempty"`
+	Removals  []lease.Removal    `msgpack:"removals,omitempty"`
+	Left      []left             `msgpack:"left,omitempty"`
+}
+
+// left is an endpoint that left its service some time ago; an age needs no common clock.
+type left struct {
+	Endpoint core.Endpoint `msgpack:"endpoint"`
+	AgeMS    int64         `msgpack:"age-ms"`
+}
+
+// endpointsRequest asks for the services whose digests differ from those of the parent.
+type endpointsRequest struct {
+	Digests map[core.ServiceName]core.Hash `msgpack:"digests"`
+}
+
+type evidence struct {
+	Counts []core.EvidenceCount `msgpack:"counts"`
+}
+
+// acknowledge describes the sender's subtree, the sender included.
+type acknowledge struct {
+	Lowest core.Revision      `msgpack:"lowest"`
+	Nodes  int                `msgpack:"nodes"`
+	Schema core.SchemaVersion `msgpack:"schema-version"`
+}
+
+// and adds another subtree.
+func (a acknowledge) and(other acknowledge) acknowledge {
+	if a.Nodes == 0 {
+		return other
+	}
+	if other.Nodes == 0 {
+		return a
+	}
+	return acknowledge{
+		Lowest: min(a.Lowest, other.Lowest),
+		Nodes:  a.Nodes + other.Nodes,
+		Schema: min(a.Schema, other.Schema),
+	}
+}
+
+type ping struct{}
+
+type outgoing struct {
+	kind    frame.Type
+	message any
+}
+
+func configMessage(held position, current *record.Configuration, history *history) outgoing {
+	if base := history.find(held); base != nil && held.revision > 0 {
+		return outgoing{
+			kind:    typeConfigDelta,
+			message: history.delta(base, current),
+		}
+	}
+	return outgoing{
+		kind:    typeConfigFull,
+		message: current.Full(),
+	}
+}
--- /dev/null
+++ b/io/distribution/meters.go
@@ -0,0 +1,39 @@
+package distribution
+
+import "github.com/VictoriaMetrics/metrics"
+
+type meters struct {
+	sent, received  *metrics.Counter
+	handshakes      *metrics.Counter
+	redirects       *metrics.Counter
+	retryAfters     *metrics.Counter
+	fulls, deltas   *metrics.Counter
+	applied         *metrics.Counter
+	refused         *metrics.Counter
+	mismatches      *metrics.Counter
+	unknownMessages *metrics.Counter
+	lostLinks       *metrics.Counter
+}
+
+func newMeters(set *metrics.Set) *meters {
+	counter := func(name string) *metrics.Counter {
+		return set.GetOrCreateCounter("parsleyport_distribution_" + name + "_total")
+	}
+	return &meters{
+		sent:            counter("sent_bytes"),
+		received:        counter("received_bytes"),
+		handshakes:      counter("handshakes"),
+		redirects:       counter("redirects"),
+		retryAfters:     counter("retry_afters"),
+		fulls:           counter("full_configurations_sent"),
+		deltas:          counter("deltas_sent"),
+		applied:         counter("configurations_applied"),
+		refused:         counter("configurations_refused"),
+		mismatches:      counter("delta_mismatches"),
+		unknownMessages: counter("unknown_messages"),
+		lostLinks:       counter("links_lost"),
+	}
+}
+
+func (m *meters) countSent(n uint64)     { m.sent.AddInt64(int64(n)) }
+func (m *meters) countReceived(n uint64) { m.received.AddInt64(int64(n)) }
--- /dev/null
+++ b/io/distribution/options.go
@@ -0,0 +1,147 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"parsleyport/core"
+	"parsleyport/core/record"
+)
+
+// Intervals and limits of the protocol; the design page gives the reasons for those that it names.
+const (
+	pingInterval    = time.Second
+	silenceLimit    = 3 * time.Second
+	writeTimeout    = silenceLimit
+	helloTimeout    = time.Second
+	dialTimeout     = 2 * time.Second
+	farewellTimeout = 500 * time.Millisecond
+	tickInterval    = 200 * time.Millisecond
+
+	// A change that follows another one waits this long, so that a burst goes out in one frame.
+	batchInterval    = 100 * time.Millisecond
+	evidenceInterval = time.Second
+
+	// startGrace is how long a control instance that has just started sends no removals.
+	startGrace = 10 * time.Second
+	// brokenGrace is how long the node at the other end of a broken link stays listed. It may be a short cut of the
+	// connection; a silent link has used up its time already.
+	brokenGrace = 2 * time.Second
+	// subtreeGrace is how long nodes behind a lost relay stay listed: the longest wait between two attempts to attach is 5 s.
+	subtreeGrace = 10 * time.Second
+	// controlGrace is how long the nodes of a lost control instance stay listed while they attach elsewhere.
+	controlGrace = 30 * time.Second
+
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 5 * time.Second
+	// assignedWindow is how long a redirected node counts as a child of the relay that it was sent to.
+	assignedWindow = 5 * time.Second
+
+	maxDirectPerDataCentre = 2
+	maxDirectChildren      = 128 // 64 data centres
+	maxRelayChildren       = 16
+	maxHandshakes          = 32
+	maxPath                = 12
+	maxRedirects           = 8
+	maxSubscriptions       = 4096
+)
+
+// Peer is another control instance and the address where nodes attach to it.
+type Peer struct {
+	ID      core.ControlID
+	Address string
+}
+
+// Network opens and accepts connections; tests replace it.
+type Network struct {
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// SourceOptions configure the root of a tree on a control instance.
+type SourceOptions struct {
+	ID            core.ControlID
+	ListenAddress string // nodes and other control instances attach here
+	Peers         []Peer
+	Catalog       record.Source
+	Replicator    core.Replicator
+	Logger        zerolog.Logger
+	Metrics       *metrics.Set // optional
+	Network       Network      // optional, TCP by default
+}
+
+// SubscriberOptions configure a node's place in the tree.
+type SubscriberOptions struct {
+	ID               core.NodeID
+	Incarnation      core.Incarnation
+	DataCentre       core.DataCentre
+	RelayAddress     string // nodes below attach here
+	ControlAddresses []string
+	OnRequest        bool // receive only the endpoints of services given to Subscribe; default is all services
+	Logger           zerolog.Logger
+	Metrics          *metrics.Set       // optional
+	Network          Network            // optional, TCP by default
+	Random           func() float64     // optional, in [0, 1)
+	Schema           core.SchemaVersion // optional, the newest schema version that the program supports
+}
+
+func (o *SourceOptions) check() error {
+	if o.ID == "" || o.ListenAddress == "" {
+		return errors.New("distribution source: id and listen address are required")
+	}
+	if o.Catalog == nil || o.Replicator == nil {
+		return errors.New("distribution source: catalog and replicator are required")
+	}
+	for _, peer := range o.Peers {
+		if peer.ID == "" || peer.ID == o.ID || peer.Address == "" {
+			return errors.Errorf("distribution source: control instance %q at %q: expected another id and an address", peer.ID, peer.Address)
+		}
+	}
+	o.Metrics = orNewSet(o.Metrics)
+	o.Network = o.Network.orTCP()
+	return nil
+}
+
+func (o *SubscriberOptions) check() error {
+	if o.ID == "" || o.Incarnation == 0 || o.RelayAddress == "" {
+		return errors.New("distribution subscriber: id, incarnation and relay address are required")
+	}
+	if len(o.ControlAddresses) == 0 {
+		return errors.New("distribution subscriber: at least one control address is required")
+	}
+	if o.Schema == 0 {
+		o.Schema = record.NewestSchema
+	}
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	o.Metrics = orNewSet(o.Metrics)
+	o.Network = o.Network.orTCP()
+	return nil
+}
+
+func orNewSet(set *metrics.Set) *metrics.Set {
+	if set == nil {
+		return metrics.NewSet()
+	}
+	return set
+}
+
+func (n Network) orTCP() Network {
+	if n.Listen == nil {
+		n.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	if n.Dial == nil {
+		dialer := net.Dialer{Timeout: dialTimeout}
+		n.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/io/distribution/source.go
@@ -0,0 +1,191 @@
+package distribution
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/ring"
+	"parsleyport/io/frame"
+)
+
+// confirmRetry is the wait before a confirmed read that failed is tried again.
+const confirmRetry = 100 * time.Millisecond
+
+// Fleet describes all attached nodes, those of the other control instances included.
+type Fleet struct {
+	Lowest core.Revision      `json:"lowest-revision-in-force"`
+	Nodes  int                `json:"nodes"`
+	Schema core.SchemaVersion `json:"schema-floor"` // zero without nodes
+}
+
+// Source is the root of a tree on a control instance.
+type Source struct {
+	options  SourceOptions
+	hub      *hub
+	confirms *ring.Ring[struct{}]
+}
+
+// NewSource starts the listener for nodes and the links to the other control instances; it returns an error for wrong
+// options or an address in use. The clean-up function waits for all goroutines.
+func NewSource(options SourceOptions) (*Source, func(), error) {
+	if err := options.check(); err != nil {
+		return nil, nil, err
+	}
+	listener, err := options.Network.Listen(options.ListenAddress)
+	if err != nil {
+		return nil, nil, errors.Annotatef(err, "node address %q", options.ListenAddress)
+	}
+	s := &Source{
+		options:  options,
+		hub:      newHub(options.Logger, newMeters(options.Metrics), options.Network),
+		confirms: ring.New[struct{}](1),
+	}
+	s.hub.control = options.ID
+	s.hub.attached = true
+	s.hub.pathTurn = 1
+	s.hub.confirms = s.confirms
+	s.hub.hold(options.Catalog.Current())
+	ctx, cancel := context.WithCancel(context.Background())
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	for _, peer := range options.Peers {
+		s.hub.peers[peer.ID] = true
+		a := s.peerAttachment(peer)
+		s.hub.start(func() { a.run(ctx) })
+	}
+	began := time.Now()
+	s.hub.start(func() { s.hub.serve(ctx, listener) })
+	s.hub.start(func() { s.follow(ctx) })
+	s.hub.start(func() { s.confirmReads(ctx) })
+	s.hub.start(func() { s.hub.tick(ctx, func(now time.Time) { s.tick(now, began) }) })
+	return s, func() {
+		cancel()
+		s.hub.work.Wait()
+	}, nil
+}
+
+func (s *Source) tick(now, began time.Time) {
+	if !s.hub.complete && now.Sub(began) >= startGrace {
+		s.hub.complete = true
+		s.hub.changed()
+	}
+	for id, word := range s.hub.peerWords {
+		if !word.until.IsZero() && !now.Before(word.until) {
+			delete(s.hub.peerWords, id)
+		}
+	}
+}
+
+// follow passes on each configuration that the catalog accepts; children that are slow skip some.
+func (s *Source) follow(ctx context.Context) {
+	for {
+		changed := s.options.Catalog.Changed()
+		s.hub.mu.Lock()
+		if newest := s.options.Catalog.Current(); newest.Revision() > s.hub.current.Revision() {
+			s.hub.hold(newest)
+		}
+		s.hub.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// confirmReads runs one confirmed read at a time for all requests that arrived before it began.
+func (s *Source) confirmReads(ctx context.Context) {
+	for {
+		if _, err := s.confirms.Pop(ctx); err != nil {
+			return
+		}
+		for s.confirmOnce(ctx) {
+			// A request may have arrived during the read.
+		}
+	}
+}
+
+func (s *Source) confirmOnce(ctx context.Context) bool {
+	s.hub.mu.Lock()
+	number, begun := s.hub.confirmer.begin()
+	s.hub.mu.Unlock()
+	if !begun {
+		return false
+	}
+	reading, cancel := context.WithTimeout(ctx, silenceLimit)
+	err := s.options.Replicator.ConfirmRead(reading)
+	cancel()
+	newest := s.options.Catalog.Current()
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	if err != nil {
+		s.hub.confirmer.abandon()
+		time.AfterFunc(confirmRetry, func() { s.confirms.TryPush(struct{}{}) })
+		return false
+	}
+	s.hub.confirmer.finish(number, newest.Revision())
+	if newest.Revision() > s.hub.current.Revision() {
+		s.hub.hold(newest)
+	}
+	s.hub.changed()
+	return true
+}
+
+// peerAttachment reports to another control instance what is announced to this one.
+func (s *Source) peerAttachment(peer Peer) *attachment {
+	return newAttachment(attachment{
+		hub:     s.hub,
+		logger:  s.options.Logger.With().Str("control", string(peer.ID)).Logger(),
+		targets: []string{peer.Address},
+		random:  rand.Float64,
+		hello: func() hello {
+			return hello{
+				Kind: kindControl,
+				ID:   core.NodeID(s.options.ID),
+			}
+		},
+		accept: func(accept) error { return nil },
+		serve: func(ctx context.Context, conn *frame.Conn, _ string) error {
+			u := newUplink(conn, kindControl)
+			return s.hub.runUplink(ctx, u, func() error {
+				for {
+					// Only pongs and changed paths arrive.
+					if _, err := s.hub.receive(conn, silenceLimit); err != nil {
+						return err
+					}
+				}
+			})
+		},
+	})
+}
+
+// Endpoints implements core.EndpointSource.
+func (s *Source) Endpoints(service core.ServiceName) []core.Endpoint {
+	return s.hub.endpoints(service)
+}
+
+// Fleet returns the lowest revision in force, the number of nodes and the schema version that all nodes support.
+func (s *Source) Fleet() Fleet {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	word := s.hub.subtree()
+	for _, other := range s.hub.peerWords {
+		word = word.and(other.acknowledge)
+	}
+	return Fleet(word)
+}
+
+// Evidence returns the newest count of each node run, service, route and release.
+func (s *Source) Evidence() []core.EvidenceCount {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	return s.hub.evidence.all()
+}
+
+// Bytes returns how many bytes were sent and received over all links.
+func (s *Source) Bytes() (sent, received uint64) {
+	return s.hub.meters.sent.Get(), s.hub.meters.received.Get()
+}
--- /dev/null
+++ b/io/distribution/subscriber.go
@@ -0,0 +1,429 @@
+package distribution
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"parsleyport/core"
+	"parsleyport/core/lease"
+	"parsleyport/core/record"
+	"parsleyport/io/frame"
+)
+
+var (
+	ownOwner = lease.Owner{
+		Name: "self",
+	}
+	parentOwner = lease.Owner{
+		Name:   "parent",
+		Remote: true,
+	}
+)
+
+// Status describes a subscriber for a state dump.
+type Status struct {
+	State        string         `json:"state"`
+	Parent       string         `json:"parent,omitempty"`
+	Path         []core.NodeID  `json:"path"`
+	Control      core.ControlID `json:"control,omitempty"`
+	Revision     core.Revision  `json:"revision"`
+	Hash         core.Hash      `json:"hash"`
+	Confirmed    bool           `json:"confirmed"`
+	Children     []core.NodeID  `json:"children"`
+	SubtreeNodes int            `json:"subtree-nodes"`
+	Lowest       core.Revision  `json:"subtree-lowest-revision"`
+	Endpoints    int            `json:"endpoints"`
+}
+
+// Subscriber keeps a node's configuration and endpoints up to date and passes them on to the nodes below it.
+type Subscriber struct {
+	options   SubscriberOptions
+	hub       *hub
+	logger    zerolog.Logger
+	attach    *attachment
+	newest    atomic.Pointer[record.Configuration]
+	confirmed chan struct{}
+	confirm   sync.Once
+
+	change   sync.Mutex // guards changedCh
+	changeCh chan struct{}
+
+	// What follows is guarded by hub.mu.
+	sequence  uint64
+	own       core.Endpoint // zero if nothing is announced
+	parent    string
+	awaySince time.Time // zero until the first parent is lost
+}
+
+// NewSubscriber starts the relay listener and the attachment to the tree; it returns an error for wrong options or an
+// address in use. The clean-up function withdraws the node's endpoint and waits for all goroutines.
+func NewSubscriber(options SubscriberOptions) (*Subscriber, func(), error) {
+	if err := options.check(); err != nil {
+		return nil, nil, err
+	}
+	listener, err := options.Network.Listen(options.RelayAddress)
+	if err != nil {
+		return nil, nil, errors.Annotatef(err, "relay address %q", options.RelayAddress)
+	}
+	s := &Subscriber{
+		options:   options,
+		hub:       newHub(options.Logger, newMeters(options.Metrics), options.Network),
+		logger:    options.Logger,
+		confirmed: make(chan struct{}),
+		changeCh:  make(chan struct{}),
+	}
+	s.newest.Store(record.Empty())
+	s.hub.relay = options.ID
+	s.hub.schema = options.Schema
+	s.hub.all = !options.OnRequest
+	s.hub.services = make(map[core.ServiceName]bool)
+	s.hub.hold(record.Empty())
+	s.hub.confirmer.request(ownLink, 1)
+	s.attach = newAttachment(attachment{
+		hub:     s.hub,
+		logger:  options.Logger,
+		targets: options.ControlAddresses,
+		random:  options.Random,
+		hello:   s.hello,
+		accept:  s.takePath,
+		serve:   s.serve,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	s.hub.start(func() { s.hub.serve(ctx, listener) })
+	s.hub.start(func() { s.hub.tick(ctx, func(time.Time) {}) })
+	s.hub.start(func() { s.attach.run(ctx) })
+	return s, func() {
+		s.Withdraw()
+		cancel()
+		s.hub.work.Wait()
+	}, nil
+}
+
+func (s *Subscriber) hello() hello {
+	held := s.newest.Load()
+	return hello{
+		Kind:         kindNode,
+		ID:           s.options.ID,
+		Incarnation:  s.options.Incarnation,
+		DataCentre:   s.options.DataCentre,
+		RelayAddress: s.options.RelayAddress,
+		Schema:       s.options.Schema,
+		Revision:     held.Revision(),
+		Hash:         held.Hash(),
+	}
+}
+
+// checkPath refuses a parent that is this node or below it.
+func (s *Subscriber) checkPath(message accept) error {
+	if slices.Contains(message.Path, s.options.ID) || len(message.Path) > maxPath {
+		return errors.Errorf("parent's path %v leads through this node or is too long", message.Path)
+	}
+	return nil
+}
+
+// serve uses a link to a parent until it breaks.
+func (s *Subscriber) serve(ctx context.Context, conn *frame.Conn, address string) error {
+	u := newUplink(conn, kindNode)
+	s.hub.mu.Lock()
+	u.awayMS = -1
+	if !s.awaySince.IsZero() {
+		u.awayMS = time.Since(s.awaySince).Milliseconds()
+	}
+	s.parent = address
+	s.hub.attached = true
+	s.hub.changed()
+	s.hub.mu.Unlock()
+	s.logger.Info().Str("parent", address).Msg("attached")
+
+	err := s.hub.runUplink(ctx, u, func() error { return s.receive(u) })
+
+	s.hub.mu.Lock()
+	s.parent = ""
+	s.hub.attached = false
+	s.hub.confirmer.abandon()
+	s.awaySince = time.Now()
+	s.hub.mu.Unlock()
+	return err
+}
+
+func (s *Subscriber) receive(u *uplink) error {
+	for {
+		received, err := s.hub.receive(u.conn, silenceLimit)
+		if err != nil {
+			return err
+		}
+		if err := s.handle(u, received); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Subscriber) handle(u *uplink, received frame.Frame) error {
+	switch received.Type {
+	case typePong:
+		return nil
+	case typeAccept:
+		var message accept
+		if err := received.Decode(&message); err != nil {
+			return err
+		}
+		return s.takePath(message)
+	case typeConfigFull:
+		var message record.Full
+		if err := received.Decode(&message); err != nil {
+			return err
+		}
+		s.takeFull(message)
+		return nil
+	case typeConfigDelta:
+		var message record.Delta
+		if err := received.Decode(&message); err != nil {
+			return err
+		}
+		s.takeDelta(u, message)
+		return nil
+	case typeConfirm:
+		var message confirm
+		return s.hub.withChild(received, &message, func() {
+			s.hub.confirmer.finish(message.Number, message.Revision)
+			s.checkConfirmed()
+			s.hub.changed()
+		})
+	case typeEndpoints:
+		var message endpoints
+		return s.hub.withChild(received, &message, func() { s.takeEndpoints(time.Now(), u, message) })
+	}
+	s.hub.meters.unknownMessages.Inc()
+	return nil
+}
+
+func (s *Subscriber) takePath(message accept) error {
+	if err := s.checkPath(message); err != nil {
+		return err
+	}
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	s.hub.path, s.hub.control = message.Path, message.Control
+	s.hub.pathTurn++
+	s.hub.changed()
+	return nil
+}
+
+func (s *Subscriber) takeFull(message record.Full) {
+	if message.Revision <= s.newest.Load().Revision() {
+		return
+	}
+	next, err := record.FromFull(message)
+	if err != nil {
+		s.refuse(message.Revision, err)
+		return
+	}
+	s.switchTo(next)
+}
+
+func (s *Subscriber) takeDelta(u *uplink, message record.Delta) {
+	next, err := s.newest.Load().Apply(message)
+	switch {
+	case err == nil:
+		s.switchTo(next)
+	case errors.Is(err, record.ErrOlder):
+		// An update that crossed with a newer one.
+	case errors.Is(err, record.ErrWrongBase), errors.Is(err, record.ErrHashMismatch):
+		s.hub.meters.mismatches.Inc()
+		s.hub.mu.Lock()
+		defer s.hub.mu.Unlock()
+		u.configRequest = true
+		u.wake.TryPush(struct{}{})
+	default:
+		s.refuse(message.ToRevision, err)
+	}
+}
+
+func (s *Subscriber) refuse(revision core.Revision, err error) {
+	s.hub.meters.refused.Inc()
+	s.logger.Error().Err(err).Uint64("revision", uint64(revision)).Msg("configuration refused")
+}
+
+// switchTo puts a complete and checked configuration into force; only the attachment's goroutine calls it.
+func (s *Subscriber) switchTo(next *record.Configuration) {
+	s.hub.meters.applied.Inc()
+	s.change.Lock()
+	s.newest.Store(next)
+	close(s.changeCh)
+	s.changeCh = make(chan struct{})
+	s.change.Unlock()
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	s.hub.hold(next)
+	s.checkConfirmed()
+}
+
+func (s *Subscriber) checkConfirmed() {
+	if _, ready := s.hub.confirmer.take(ownLink, s.newest.Load().Revision()); ready {
+		s.confirm.Do(func() { close(s.confirmed) })
+	}
+}
+
+func (s *Subscriber) takeEndpoints(now time.Time, u *uplink, message endpoints) {
+	for _, each := range message.Left {
+		s.hub.table.Remember(now, lease.Left{
+			Endpoint: each.Endpoint,
+			At:       now.Add(-time.Duration(each.AgeMS) * time.Millisecond),
+		})
+	}
+	if len(message.Reset) > 0 && !message.Partial {
+		s.hub.table.Retain(now, parentOwner, message.Upserts, func(service core.ServiceName) bool {
+			return slices.Contains(message.Reset, service)
+		})
+	}
+	for _, endpoint := range message.Upserts {
+		s.hub.table.Announce(now, parentOwner, endpoint)
+	}
+	for _, removal := range message.Removals {
+		s.hub.table.Remove(now, parentOwner, removal)
+	}
+	if message.HasDigest {
+		s.compare(u, message)
+	}
+	s.hub.complete = s.hub.complete || (message.Answer && !message.Partial)
+	s.hub.changed()
+}
+
+// compare asks for the services that differ, unless all endpoints are the same as the parent's.
+func (s *Subscriber) compare(u *uplink, message endpoints) {
+	var own core.Hash
+	for _, digest := range s.hub.table.Digests(u.wants) {
+		own ^= digest
+	}
+	if own != message.Digest {
+		u.endpointsRequest = true
+		return
+	}
+	s.hub.complete = s.hub.complete || !message.Partial
+}
+
+// Current implements record.Source.
+func (s *Subscriber) Current() *record.Configuration {
+	return s.newest.Load()
+}
+
+// Changed implements record.Source.
+func (s *Subscriber) Changed() <-chan struct{} {
+	s.change.Lock()
+	defer s.change.Unlock()
+	return s.changeCh
+}
+
+// Endpoints implements core.EndpointSource; leaving and starting endpoints are among them.
+func (s *Subscriber) Endpoints(service core.ServiceName) []core.Endpoint {
+	return s.hub.endpoints(service)
+}
+
+// Tombstones returns the endpoints of a service that left within the last 10 min, sorted by node.
+func (s *Subscriber) Tombstones(service core.ServiceName) []core.Endpoint {
+	return s.hub.tombstones(service)
+}
+
+// Confirmed reports whether the configuration in force is at least as new as any that an earlier run of the node served.
+func (s *Subscriber) Confirmed() bool {
+	select {
+	case <-s.confirmed:
+		return true
+	default:
+		return false
+	}
+}
+
+// ConfirmedSignal returns a channel that is closed once Confirmed returns true.
+func (s *Subscriber) ConfirmedSignal() <-chan struct{} {
+	return s.confirmed
+}
+
+// Announce tells the fleet of the node's endpoint; node, incarnation, sequence and data centre are filled in, and an
+// announcement that changes nothing sends nothing.
+func (s *Subscriber) Announce(endpoint core.Endpoint) {
+	endpoint.Node = s.options.ID
+	endpoint.Incarnation = s.options.Incarnation
+	endpoint.DataCentre = s.options.DataCentre
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	endpoint.Sequence = s.sequence
+	if endpoint == s.own {
+		return
+	}
+	s.sequence++
+	endpoint.Sequence = s.sequence
+	s.own = endpoint
+	s.hub.table.Announce(time.Now(), ownOwner, endpoint)
+	s.hub.changed()
+}
+
+// Withdraw removes the node's endpoint.
+func (s *Subscriber) Withdraw() {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	if s.own.Node == "" {
+		return
+	}
+	s.sequence++
+	s.hub.table.Remove(time.Now(), ownOwner, lease.Removal{
+		Node:        s.own.Node,
+		Incarnation: s.own.Incarnation,
+		Sequence:    s.sequence,
+		Service:     s.own.Service,
+	})
+	s.own = core.Endpoint{}
+	s.hub.changed()
+}
+
+// Subscribe adds a service whose endpoints the node needs; it has no effect unless the options say OnRequest.
+func (s *Subscriber) Subscribe(service core.ServiceName) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	if s.hub.all || s.hub.services[service] || len(s.hub.services) >= maxSubscriptions {
+		return
+	}
+	s.hub.services[service] = true
+	s.hub.changed()
+}
+
+// ReportEvidence passes the node's cumulative counts towards the control instances; counts that did not change send nothing.
+func (s *Subscriber) ReportEvidence(counts []core.EvidenceCount) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	s.hub.evidence.merge(counts, false)
+	s.hub.changed()
+}
+
+// Bytes returns how many bytes were sent and received over all links.
+func (s *Subscriber) Bytes() (sent, received uint64) {
+	return s.hub.meters.sent.Get(), s.hub.meters.received.Get()
+}
+
+// Status describes the subscriber.
+func (s *Subscriber) Status() Status {
+	held := s.newest.Load()
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	status := Status{
+		State:     string(s.attach.current()),
+		Parent:    s.parent,
+		Path:      s.hub.path,
+		Control:   s.hub.control,
+		Revision:  held.Revision(),
+		Hash:      held.Hash(),
+		Confirmed: s.Confirmed(),
+		Children:  s.hub.childIDs(),
+		Endpoints: s.hub.table.Live(),
+	}
+	word := s.hub.ownWord().and(s.hub.subtree())
+	status.SubtreeNodes, status.Lowest = word.Nodes, word.Lowest
+	return status
+}
--- /dev/null
+++ b/io/distribution/uplink.go
@@ -0,0 +1,265 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"parsleyport/core"
+	"parsleyport/core/lease"
+	"parsleyport/core/ring"
+	"parsleyport/io/frame"
+)
+
+// uplink is the sending side of a link to a parent or to another control instance. All but conn and wake is guarded by hub.mu.
+type uplink struct {
+	conn *frame.Conn
+	wake *ring.Ring[struct{}]
+	kind linkKind
+
+	announced     bool
+	finished      bool // the other control instance got the complete set
+	cursor        uint64
+	batch         pacer
+	acknowledged  acknowledge
+	acknowledging pacer
+	evidenceAt    uint64
+	evidencing    pacer
+	pinging       pacer
+
+	subscribed       bool
+	all              bool
+	services         map[core.ServiceName]bool
+	awayMS           int64
+	configRequest    bool
+	endpointsRequest bool
+}
+
+func newUplink(conn *frame.Conn, kind linkKind) *uplink {
+	return &uplink{
+		conn:     conn,
+		wake:     ring.New[struct{}](1),
+		kind:     kind,
+		services: make(map[core.ServiceName]bool),
+		batch: pacer{
+			interval: batchInterval,
+		},
+		acknowledging: pacer{
+			interval: batchInterval,
+		},
+		evidencing: pacer{
+			interval: evidenceInterval,
+		},
+		pinging: pacer{
+			interval: pingInterval,
+			next:     time.Now().Add(pingInterval),
+		},
+	}
+}
+
+// runUplink sends until the context ends or the link breaks, while receive handles what arrives; it returns receive's error.
+func (h *hub) runUplink(ctx context.Context, u *uplink, receive func() error) error {
+	h.mu.Lock()
+	h.uplinks[u] = true
+	h.mu.Unlock()
+	sending, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	h.start(func() {
+		defer close(done)
+		defer u.conn.Close() // ends the receiver
+		_ = h.sender(sending, u.wake, func(m outgoing) error {
+			return h.send(u.conn, writeTimeout, m)
+		}, func(now time.Time) ([]outgoing, time.Time) {
+			return h.dueUp(u, now, false)
+		})
+		if ctx.Err() != nil {
+			h.farewell(u)
+		}
+	})
+	err := receive()
+	cancel()
+	<-done
+	h.mu.Lock()
+	delete(h.uplinks, u)
+	h.mu.Unlock()
+	return err
+}
+
+// farewell sends what waits for its interval, above all the node's withdrawal.
+func (h *hub) farewell(u *uplink) {
+	messages, _ := h.dueUp(u, time.Now(), true)
+	for _, m := range messages {
+		if err := h.send(u.conn, farewellTimeout, m); err != nil {
+			return
+		}
+	}
+}
+
+// dueUp collects what the parent should be sent now.
+func (h *hub) dueUp(u *uplink, now time.Time, last bool) ([]outgoing, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	due := h.announcementsDue(u, now, last)
+	if word := h.ownWord().and(h.subtree()); word != u.acknowledged && (last || u.acknowledging.ready(now)) {
+		u.acknowledged = word
+		u.acknowledging.sent(now)
+		due = append(due, outgoing{
+			kind:    typeAcknowledge,
+			message: word,
+		})
+	}
+	if last || u.evidencing.ready(now) {
+		due = append(due, h.evidenceDue(u, now)...)
+	}
+	if u.kind == kindNode {
+		due = append(due, h.requestsDue(u)...)
+	}
+	if u.pinging.ready(now) {
+		u.pinging.sent(now)
+		due = append(due, outgoing{
+			kind:    typePing,
+			message: ping{},
+		})
+	}
+	return due, h.nextUp(u)
+}
+
+func (h *hub) nextUp(u *uplink) time.Time {
+	next := u.pinging.next
+	if u.cursor != h.table.Position(lease.Local) && u.batch.next.Before(next) {
+		next = u.batch.next
+	}
+	if u.acknowledged != h.ownWord().and(h.subtree()) && u.acknowledging.next.Before(next) {
+		next = u.acknowledging.next
+	}
+	return next
+}
+
+// ownWord is a node's word for itself; a control instance does not count as a node.
+func (h *hub) ownWord() acknowledge {
+	if h.relay == "" {
+		return acknowledge{}
+	}
+	return acknowledge{
+		Lowest: h.current.Revision(),
+		Nodes:  1,
+		Schema: h.schema,
+	}
+}
+
+func (h *hub) announcementsDue(u *uplink, now time.Time, last bool) []outgoing {
+	if !u.announced || (u.kind == kindControl && h.complete && !u.finished) {
+		u.announced, u.finished = true, h.complete
+		u.cursor = h.table.Position(lease.Local)
+		return []outgoing{{
+			kind: typeAnnounce,
+			message: announce{
+				Complete: u.kind == kindControl && h.complete,
+				Upserts:  h.table.LocalEndpoints(),
+			},
+		}}
+	}
+	if !last && !u.batch.ready(now) {
+		return nil
+	}
+	changes, reached := h.table.Changes(lease.Local, u.cursor, lease.Owner{}, everything)
+	if !reached {
+		u.announced = false
+		return h.announcementsDue(u, now, last)
+	}
+	u.cursor = changes.Next
+	if changes.Empty() {
+		return nil
+	}
+	u.batch.sent(now)
+	return []outgoing{{
+		kind: typeAnnounce,
+		message: announce{
+			Upserts:  changes.Upserts,
+			Removals: changes.Removals,
+		},
+	}}
+}
+
+func (h *hub) evidenceDue(u *uplink, now time.Time) []outgoing {
+	counts, at := h.evidence.since(u.evidenceAt)
+	u.evidenceAt = at
+	if len(counts) == 0 {
+		return nil
+	}
+	u.evidencing.sent(now)
+	return []outgoing{{
+		kind: typeEvidence,
+		message: evidence{
+			Counts: counts,
+		},
+	}}
+}
+
+func (h *hub) requestsDue(u *uplink) []outgoing {
+	var due []outgoing
+	if message, needed := h.subscriptionDue(u); needed {
+		due = append(due, outgoing{
+			kind:    typeSubscribe,
+			message: message,
+		})
+	}
+	if u.configRequest {
+		u.configRequest = false
+		due = append(due, outgoing{
+			kind:    typeConfigRequest,
+			message: configRequest{},
+		})
+	}
+	if u.endpointsRequest {
+		u.endpointsRequest = false
+		due = append(due, outgoing{
+			kind: typeEndpointsRequest,
+			message: endpointsRequest{
+				Digests: h.table.Digests(u.wants),
+			},
+		})
+	}
+	if number, begun := h.confirmer.begin(); begun {
+		due = append(due, outgoing{
+			kind: typeConfirmRequest,
+			message: confirmRequest{
+				Number: number,
+			},
+		})
+	}
+	return due
+}
+
+// subscriptionDue names what this node and its children want and the parent has not been told.
+func (h *hub) subscriptionDue(u *uplink) (subscribe, bool) {
+	message := subscribe{
+		AwayMS: u.awayMS,
+	}
+	wanted := make(map[core.ServiceName]bool, len(h.services))
+	all := h.all
+	for service := range h.services {
+		wanted[service] = true
+	}
+	for _, c := range h.children {
+		all = all || c.all
+		for service := range c.services {
+			wanted[service] = true
+		}
+	}
+	if all && !u.all {
+		message.All = true
+	}
+	for service := range wanted {
+		if !u.services[service] && len(u.services) < maxSubscriptions {
+			u.services[service] = true
+			message.Services = append(message.Services, service)
+		}
+	}
+	needed := !u.subscribed || message.All || len(message.Services) > 0
+	u.subscribed, u.all = true, u.all || all
+	return message, needed
+}
+
+func (u *uplink) wants(service core.ServiceName) bool {
+	return u.all || u.services[service]
+}
