--- /dev/null
+++ b/core/idempotency/attempts.go
@@ -0,0 +1,235 @@
+package idempotency
+
+import "time"
+
+// Window is how long keys, attempts, revocations and crashes are remembered.
+const Window = 10 * time.Minute
+
+const (
+	maxConnections = 8192   // of which at most half are open, see nodepeer
+	maxRevocations = 65_536 // beyond that a revocation is answered with "not revoked", which is always true
+	maxNotRun      = 4096   // for each connection
+	maxAhead       = 4096   // senders race for the order on the wire, so a sequence may arrive before a lower one
+	pruneEvery     = time.Minute
+)
+
+// AttemptKey identifies one attempt: a random number of the connection that carries it, and its number there from 1.
+type AttemptKey struct {
+	Connection uint64
+	Sequence   uint64
+}
+
+// Arrival is the verdict on an attempt that has arrived.
+type Arrival int
+
+// The verdicts on an arrival.
+const (
+	// ArrivalNew means that the attempt may run.
+	ArrivalNew Arrival = iota
+	// ArrivalRevoked means that the attempt was revoked before it arrived and must not run.
+	ArrivalRevoked
+	// ArrivalRepeated means that the attempt has arrived before, which breaks the protocol.
+	ArrivalRepeated
+)
+
+// Revocation is the verdict on a revocation.
+type Revocation int
+
+// The verdicts on a revocation.
+const (
+	// RevocationDone means that the attempt was not run and never will be.
+	RevocationDone Revocation = iota
+	// RevocationPending means that the attempt is in progress; its end decides.
+	RevocationPending
+	// RevocationTooLate means that the attempt has run or that nothing is known about it.
+	RevocationTooLate
+)
+
+// AttemptLog remembers which attempts a node has seen. For each connection it keeps one number below which every
+// sequence has arrived, so its size does not grow with the number of calls.
+type AttemptLog struct {
+	connections    map[uint64]*connectionLog
+	revocations    int
+	forgottenUntil time.Time // until then, an unknown connection may be one that was forgotten too early
+	pruned         time.Time
+}
+
+type connectionLog struct {
+	open    bool
+	used    time.Time
+	below   uint64 // all sequences below this one have arrived
+	ahead   map[uint64]struct{}
+	running map[uint64]struct{}
+	notRun  map[uint64]struct{}
+	revoked map[uint64]struct{}
+}
+
+// NewAttemptLog returns an empty log.
+func NewAttemptLog() *AttemptLog {
+	return &AttemptLog{
+		connections: make(map[uint64]*connectionLog),
+	}
+}
+
+// Connected records a connection; it returns false if there are too many.
+func (l *AttemptLog) Connected(now time.Time, connection uint64) bool {
+	log := l.connection(now, connection)
+	if log == nil || log.open {
+		return false
+	}
+	log.open = true
+	return true
+}
+
+// Disconnected records the end of a connection; its attempts stay known for the window.
+func (l *AttemptLog) Disconnected(now time.Time, connection uint64) {
+	if log := l.connections[connection]; log != nil {
+		log.open = false
+		log.used = now
+	}
+}
+
+// Arrived records an attempt on an open connection and says whether it may run.
+func (l *AttemptLog) Arrived(now time.Time, key AttemptKey) Arrival {
+	log := l.connection(now, key.Connection)
+	if log == nil || log.seen(key.Sequence) {
+		return ArrivalRepeated
+	}
+	log.used = now
+	log.mark(key.Sequence)
+	if _, revoked := log.revoked[key.Sequence]; revoked {
+		delete(log.revoked, key.Sequence)
+		l.revocations--
+		log.notRun[key.Sequence] = struct{}{}
+		return ArrivalRevoked
+	}
+	log.running[key.Sequence] = struct{}{}
+	return ArrivalNew
+}
+
+// Ended records the end of an attempt; ran is false only if the backend server has seen nothing of it.
+func (l *AttemptLog) Ended(key AttemptKey, ran bool) {
+	log := l.connections[key.Connection]
+	if log == nil {
+		return
+	}
+	delete(log.running, key.Sequence)
+	if ran {
+		return
+	}
+	if len(log.notRun) >= maxNotRun {
+		clear(log.notRun) // those attempts become unknown, which is always true
+	}
+	log.notRun[key.Sequence] = struct{}{}
+}
+
+// Revoke keeps an attempt that has not arrived from running later, or says what became of it.
+func (l *AttemptLog) Revoke(now time.Time, key AttemptKey) Revocation {
+	if _, known := l.connections[key.Connection]; !known && now.Before(l.forgottenUntil) {
+		return RevocationTooLate
+	}
+	log := l.connection(now, key.Connection)
+	if log == nil {
+		return RevocationTooLate
+	}
+	log.used = now
+	if log.seen(key.Sequence) {
+		return log.verdict(key.Sequence)
+	}
+	if _, revoked := log.revoked[key.Sequence]; revoked {
+		return RevocationDone
+	}
+	if l.revocations >= maxRevocations {
+		return RevocationTooLate
+	}
+	log.revoked[key.Sequence] = struct{}{}
+	l.revocations++
+	return RevocationDone
+}
+
+func (l *AttemptLog) connection(now time.Time, id uint64) *connectionLog {
+	l.prune(now)
+	if log := l.connections[id]; log != nil {
+		return log
+	}
+	if len(l.connections) >= maxConnections && !l.forgetOldest(now) {
+		return nil
+	}
+	log := &connectionLog{
+		used:    now,
+		below:   1,
+		ahead:   make(map[uint64]struct{}),
+		running: make(map[uint64]struct{}),
+		notRun:  make(map[uint64]struct{}),
+		revoked: make(map[uint64]struct{}),
+	}
+	l.connections[id] = log
+	return log
+}
+
+func (l *AttemptLog) prune(now time.Time) {
+	if now.Sub(l.pruned) < pruneEvery {
+		return
+	}
+	l.pruned = now
+	for id, log := range l.connections {
+		if !log.open && len(log.running) == 0 && now.Sub(log.used) > Window {
+			l.forget(id)
+		}
+	}
+}
+
+func (l *AttemptLog) forgetOldest(now time.Time) bool {
+	oldest, found := uint64(0), false
+	for id, log := range l.connections {
+		if log.open || len(log.running) > 0 {
+			continue
+		}
+		if !found || log.used.Before(l.connections[oldest].used) {
+			oldest, found = id, true
+		}
+	}
+	if found {
+		l.forget(oldest)
+		l.forgottenUntil = now.Add(Window)
+	}
+	return found
+}
+
+func (l *AttemptLog) forget(id uint64) {
+	l.revocations -= len(l.connections[id].revoked)
+	delete(l.connections, id)
+}
+
+func (c *connectionLog) seen(sequence uint64) bool {
+	_, ahead := c.ahead[sequence]
+	return sequence < c.below || ahead
+}
+
+func (c *connectionLog) mark(sequence uint64) {
+	c.ahead[sequence] = struct{}{}
+	if len(c.ahead) > maxAhead {
+		for each := range c.ahead {
+			c.below = max(c.below, each+1)
+		}
+		clear(c.ahead)
+		return
+	}
+	for {
+		if _, arrived := c.ahead[c.below]; !arrived {
+			return
+		}
+		delete(c.ahead, c.below)
+		c.below++
+	}
+}
+
+func (c *connectionLog) verdict(sequence uint64) Revocation {
+	if _, running := c.running[sequence]; running {
+		return RevocationPending
+	}
+	if _, notRun := c.notRun[sequence]; notRun {
+		return RevocationDone
+	}
+	return RevocationTooLate
+}
--- /dev/null
+++ b/core/retry/retry.go
@@ -0,0 +1,84 @@
+package retry
+
+import "parsleyport/core"
+
+// MaxFreeTries bounds the attempts of one call that cost nothing, so that a fleet in which every node is leaving
+// cannot keep a call going round.
+const MaxFreeTries = 8
+
+// Class says what may follow an attempt.
+type Class int
+
+// The classes of an attempt's result.
+const (
+	// Final means that the result goes to the caller.
+	Final Class = iota
+	// Repeat means that another attempt is allowed at the cost of one attempt and of the budget.
+	Repeat
+	// RepeatFree means that another attempt costs nothing: the node has refused before its backend server had any load.
+	RepeatFree
+)
+
+// Classify returns what may follow an attempt; repeatable says that a second run does no harm.
+func Classify(outcome core.Outcome, cause core.RefusalCause, repeatable bool) Class {
+	switch outcome {
+	case core.OutcomeNotRun:
+		return classifyRefusal(cause)
+	case core.OutcomeUnknown:
+		if repeatable {
+			return Repeat
+		}
+	}
+	return Final
+}
+
+func classifyRefusal(cause core.RefusalCause) Class {
+	switch cause {
+	case core.CauseLeaving, core.CauseNoBackend:
+		return RepeatFree
+	case core.CauseCrashSuspect, core.CauseTooDeep, core.CauseMalformedCall, core.CauseDuplicateCall, core.CauseNoRoute, core.CauseNotConfirmed, core.CauseTenantShare:
+		return Final
+	}
+	return Repeat
+}
+
+// Attempts counts the attempts of one call.
+type Attempts struct {
+	left int
+	free int
+}
+
+// NewAttempts returns the attempts of a call: the policy's number, or what the calling level has left if that is lower.
+func NewAttempts(policy, inherited int) Attempts {
+	left := policy
+	if inherited > 0 {
+		left = min(left, inherited)
+	}
+	return Attempts{
+		left: max(left, 1),
+		free: MaxFreeTries,
+	}
+}
+
+// Start takes one attempt and returns how many attempts the calls below this one may make. The number falls with each
+// level, so that n attempts at the top become at most 2^(n-1) at any depth instead of n to the power of the depth.
+func (a *Attempts) Start() int {
+	a.left--
+	return max(a.left, 1)
+}
+
+// Another reports whether the class allows one more attempt; it asks the budget only for attempts that cost something.
+func (a *Attempts) Another(class Class, budget func() bool) bool {
+	switch class {
+	case RepeatFree:
+		if a.free == 0 {
+			return false
+		}
+		a.free--
+		a.left++
+		return true
+	case Repeat:
+		return a.left > 0 && budget()
+	}
+	return false
+}
--- /dev/null
+++ b/io/backendhttp/handle.go
@@ -0,0 +1,291 @@
+package backendhttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// Errors of an answer.
+const (
+	// ErrNoLength means that the answer's body ends with the connection, so that a crash would look like its end.
+	ErrNoLength = errors.ConstError("backend server's answer states no length")
+	// ErrBroken means that the connection broke before the answer was complete.
+	ErrBroken = errors.ConstError("connection to the backend server broke")
+)
+
+// Headers of a call on its way to the backend server.
+const (
+	HeaderCallID         = "Parsleyport-Call-Id"
+	HeaderDeadline       = "Parsleyport-Deadline-Ms"
+	HeaderAttempts       = "Parsleyport-Attempts"
+	HeaderDepth          = "Parsleyport-Depth"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Handle implements core.Backend. The context must live until the answer's body is closed.
+func (s *Server) Handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+	if refusal := s.begin(); refusal != nil {
+		return nil, core.OutcomeNotRun, refusal
+	}
+	release, refusal := s.admission.Acquire(ctx, call)
+	if refusal != nil {
+		s.end()
+		return nil, core.OutcomeNotRun, refusal
+	}
+	x := &exchange{
+		server:  s,
+		ctx:     ctx,
+		call:    call,
+		release: release,
+	}
+	answer, outcome, err := x.run()
+	if outcome != core.OutcomeAnswered {
+		x.end(true)
+	}
+	return answer, outcome, err
+}
+
+// exchange is one call at the backend server; it holds its slot until the answer's body has ended.
+type exchange struct {
+	server   *Server
+	ctx      context.Context
+	call     *core.Call
+	release  func(failed bool)
+	ended    sync.Once
+	conn     *backendConn
+	runID    string
+	stop     func() bool // stops the propagation of a cancellation; false if it has begun
+	written  bool        // the first byte may have been written
+	reusable bool
+}
+
+func (x *exchange) end(failed bool) {
+	x.ended.Do(func() {
+		x.release(failed)
+		x.server.end()
+	})
+}
+
+func (x *exchange) run() (*core.Answer, core.Outcome, error) {
+	s := x.server
+	s.mu.Lock()
+	target, refusal := s.target()
+	s.mu.Unlock()
+	if refusal == nil && x.ctx.Err() != nil {
+		refusal = refusalOf(x.ctx)
+	}
+	if refusal != nil {
+		return nil, core.OutcomeNotRun, refusal
+	}
+	request, err := requestOf(x.call, time.Now())
+	if err != nil {
+		return nil, core.OutcomeNotRun, &core.Refusal{
+			Cause:  core.CauseMalformedCall,
+			Detail: err.Error(),
+		}
+	}
+	x.runID = target.Run
+	if x.conn, err = s.pool.get(x.ctx, target.Address); err != nil {
+		return nil, core.OutcomeNotRun, x.connectRefusal(err)
+	}
+	return x.converse(request)
+}
+
+func (x *exchange) connectRefusal(err error) *core.Refusal {
+	if x.ctx.Err() != nil {
+		return refusalOf(x.ctx)
+	}
+	return &core.Refusal{
+		Cause:  core.CauseBackendRefused,
+		Detail: err.Error(),
+	}
+}
+
+// Write implements io.Writer and notes that the backend server may have seen something of the call.
+func (x *exchange) Write(bytes []byte) (int, error) {
+	x.written = true
+	return x.conn.Write(bytes)
+}
+
+func (x *exchange) converse(request *http.Request) (*core.Answer, core.Outcome, error) {
+	x.stop = context.AfterFunc(x.ctx, func() { _ = x.conn.Close() })
+	if x.ctx.Err() != nil {
+		_ = x.conn.Close()
+		return nil, core.OutcomeNotRun, refusalOf(x.ctx)
+	}
+	x.server.handed.Inc()
+	writer := bufio.NewWriter(x)
+	err := request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	if err != nil && !x.written {
+		x.abort()
+		return nil, core.OutcomeNotRun, &core.Refusal{
+			Cause:  core.CauseMalformedCall,
+			Detail: err.Error(),
+		}
+	}
+	// A backend server may answer before it has read the whole request, so the answer is read even after a failed write.
+	response, readErr := x.readResponse(request)
+	if readErr != nil {
+		return nil, core.OutcomeUnknown, x.fail(readErr)
+	}
+	x.reusable = err == nil && !response.Close
+	return x.answer(response), core.OutcomeAnswered, nil
+}
+
+func (x *exchange) readResponse(request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("backend server switched protocols")
+		}
+		if response.StatusCode >= 200 {
+			return response, nil
+		}
+	}
+}
+
+// abort closes the connection; it returns false if a cancellation has done so.
+func (x *exchange) abort() bool {
+	own := x.stop()
+	_ = x.conn.Close()
+	return own
+}
+
+// fail ends the connection and returns the error of the exchange.
+func (x *exchange) fail(err error) error {
+	if !x.abort() {
+		return errors.Annotate(context.Cause(x.ctx), "call at the backend server")
+	}
+	x.server.broke(time.Now(), x.runID, x.call)
+	return errors.Annotate(ErrBroken, err.Error())
+}
+
+func (x *exchange) answer(response *http.Response) *core.Answer {
+	removeHopHeaders(response.Header)
+	body := &answerBody{
+		exchange: x,
+		reader:   response.Body,
+		failed:   response.StatusCode >= 500,
+		noLength: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
+	}
+	return &core.Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   body,
+	}
+}
+
+// answerBody gives the slot back at the end of the body and keeps the connection if it can be used again.
+type answerBody struct {
+	exchange *exchange
+	reader   io.ReadCloser
+	failed   bool
+	noLength bool
+	err      error
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(target []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.reader.Read(target)
+	if err != nil {
+		b.err = b.finish(err)
+	}
+	return n, b.err
+}
+
+func (b *answerBody) finish(err error) error {
+	x := b.exchange
+	switch {
+	case err != io.EOF:
+		err = x.fail(err)
+	case b.noLength:
+		_ = x.abort()
+		err = ErrNoLength
+	case x.stop() && x.reusable:
+		x.server.pool.put(x.conn)
+	default:
+		_ = x.conn.Close()
+	}
+	x.end(b.failed || err != io.EOF)
+	return err
+}
+
+// Close implements io.Closer; closing before the end cancels the call.
+func (b *answerBody) Close() error {
+	if b.err == nil {
+		b.err = errors.New("body is closed")
+		_ = b.exchange.abort()
+		b.exchange.end(b.failed)
+	}
+	return nil
+}
+
+func requestOf(call *core.Call, now time.Time) (*http.Request, error) {
+	target, err := url.ParseRequestURI(call.Target)
+	if err != nil || !strings.HasPrefix(call.Target, "/") {
+		return nil, errors.Errorf("target is %q, expected a path", call.Target)
+	}
+	if !strings.HasPrefix(call.Target, "//") {
+		target = &url.URL{
+			Opaque: call.Target, // keeps the caller's way of escaping
+		}
+	}
+	header := call.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	removeHopHeaders(header)
+	if _, exists := header["User-Agent"]; !exists {
+		header.Set("User-Agent", "") // else net/http writes its own
+	}
+	header.Set(HeaderCallID, string(call.ID))
+	header.Set(HeaderDeadline, strconv.FormatInt(max(call.Deadline.Sub(now).Milliseconds(), 1), 10))
+	header.Set(HeaderAttempts, strconv.Itoa(call.AttemptsLeft))
+	header.Set(HeaderDepth, strconv.Itoa(call.Depth))
+	if call.IdempotencyKey != "" {
+		header.Set(HeaderIdempotencyKey, string(call.IdempotencyKey))
+	}
+	request := &http.Request{
+		Method:        call.Method,
+		URL:           target,
+		Host:          call.Host,
+		Header:        header,
+		ContentLength: int64(len(call.Body)),
+	}
+	if len(call.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(call.Body))
+	}
+	return request, nil
+}
+
+func removeHopHeaders(header http.Header) {
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"} {
+		header.Del(name)
+	}
+}
--- /dev/null
+++ b/io/backendhttp/pool.go
@@ -0,0 +1,127 @@
+package backendhttp
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	connectLimit = time.Second
+	// idleLimit is below the usual keep-alive limit of backend servers (5 s and more), so that the pool closes first.
+	idleLimit = 4 * time.Second
+	maxIdle   = 256
+)
+
+// backendConn is one HTTP/1.1 connection to the backend server.
+type backendConn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	idle    time.Time
+}
+
+// pool keeps idle connections; the most recently used one is taken first.
+type pool struct {
+	dial func(ctx context.Context, address string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle []*backendConn
+}
+
+func newPool(dial func(ctx context.Context, address string) (net.Conn, error)) *pool {
+	if dial == nil {
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", address)
+		}
+	}
+	return &pool{
+		dial: dial,
+	}
+}
+
+// get returns a connection on which nothing has been written for this call.
+func (p *pool) get(ctx context.Context, address string) (*backendConn, error) {
+	for c := p.take(); c != nil; c = p.take() {
+		if c.address == address && time.Since(c.idle) < idleLimit && c.alive() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectLimit)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &backendConn{
+		Conn:    conn,
+		address: address,
+		reader:  bufio.NewReader(conn),
+	}, nil
+}
+
+func (p *pool) take() *backendConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+func (p *pool) put(c *backendConn) {
+	c.idle = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// prune closes the connections that have been idle for too long.
+func (p *pool) prune(limit time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.idle) < limit {
+			kept = append(kept, c)
+		} else {
+			_ = c.Close()
+		}
+	}
+	p.idle = kept
+}
+
+// alive looks for an end of the connection, or for bytes that nobody asked for, without waiting. Without it, a call on
+// a connection that the backend server has closed would end as unknown.
+func (c *backendConn) alive() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	system, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, _, receiveErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = receiveErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && waiting
+}
--- /dev/null
+++ b/io/callerhttp/path_test.go
@@ -0,0 +1,181 @@
+package callerhttp_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/core/record"
+	"parsleyport/io/backendhttp"
+	"parsleyport/io/callerhttp"
+	"parsleyport/io/nodepeer"
+)
+
+// fixedSource is a record.Source with one configuration.
+type fixedSource struct{ configuration *record.Configuration }
+
+func (f fixedSource) Current() *record.Configuration { return f.configuration }
+func (f fixedSource) Changed() <-chan struct{}       { return nil }
+
+// fixedEndpoints is a core.EndpointSource and a core.Picker that takes the first candidate.
+type fixedEndpoints struct {
+	mu        sync.Mutex
+	endpoints []core.Endpoint
+	done      []core.PickResult
+}
+
+func (f *fixedEndpoints) Endpoints(core.ServiceName) []core.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints
+}
+
+func (f *fixedEndpoints) Pick(_ time.Time, _ core.PickRequest, candidates []core.Endpoint) (core.Endpoint, bool) {
+	return candidates[0], true
+}
+
+func (f *fixedEndpoints) Done(_ time.Time, result core.PickResult) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.done = append(f.done, result)
+}
+
+type noEvidence struct{}
+
+func (noEvidence) Record(core.ServiceName, core.RouteName, core.Release, bool, bool, time.Duration) {}
+
+func configuration(t testing.TB, weights string) *record.Configuration {
+	body := func(kind core.Kind, name, text string) core.Record {
+		return core.Record{Kind: kind, Name: name, SchemaVersion: 1, Version: 1, Body: []byte(text)}
+	}
+	c, err := record.New(7, []core.Record{
+		body(core.KindService, "orders", `{"tenant":"shops"}`),
+		body(core.KindUpstream, "orders-v1", `{"service":"orders","release":"v1","slots":64}`),
+		body(core.KindUpstream, "orders-v2", `{"service":"orders","release":"v2","slots":64}`),
+		body(core.KindPolicy, "orders", `{"service":"orders","weights":[`+weights+`]}`),
+		body(core.KindRoute, "read", `{"path-prefix":"/orders","methods":["GET"],"service":"orders","idempotent":true,"timeout-ms":5000}`),
+		body(core.KindRoute, "write", `{"path-prefix":"/orders","methods":["POST"],"service":"orders","timeout-ms":5000}`),
+	}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+const allV1 = `{"upstream":"orders-v1","per-mille":1000}`
+
+// node is the part of a node beside a backend server.
+type node struct {
+	backend *backendhttp.Server
+	peer    *nodepeer.Server
+}
+
+func announce(t testing.TB, n node, a backendhttp.Announcement) *http.Response {
+	text := fmt.Sprintf(`{"service":%q,"release":%q,"address":%q,"slots":%d,"state":%q,"run":%q}`, a.Service, a.Release, a.Address, a.Slots, a.State, a.Run)
+	request, err := http.NewRequest(http.MethodPut, "http://"+n.backend.Address()+"/v1/backend", strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	return response
+}
+
+func startNode(t testing.TB, backend *httptest.Server, state core.EndpointState) node {
+	handler, stopBackend, err := backendhttp.New(backendhttp.Options{Address: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopBackend)
+	peer, stopPeer, err := nodepeer.NewServer(nodepeer.ServerOptions{Address: "127.0.0.1:0", Backend: handler})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopPeer)
+	n := node{backend: handler, peer: peer}
+	if response := announce(t, n, backendhttp.Announcement{Service: "orders", Release: "v1", Address: backend.Listener.Addr().String(), Slots: 64, State: state, Run: "a1"}); response.StatusCode != http.StatusOK {
+		t.Fatalf("announcement refused with status %d", response.StatusCode)
+	}
+	return n
+}
+
+func startEntry(t testing.TB, weights string, endpoints *fixedEndpoints) *callerhttp.Server {
+	dialer, stopDialer, err := nodepeer.NewDialer(nodepeer.DialerOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopDialer)
+	entry, stopEntry, err := callerhttp.New(callerhttp.Options{
+		Address:   "127.0.0.1:0",
+		Source:    fixedSource{configuration: configuration(t, weights)},
+		Confirmed: func() bool { return true },
+		Endpoints: endpoints,
+		Picker:    endpoints,
+		Forwarder: dialer,
+		Evidence:  noEvidence{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopEntry)
+	return entry
+}
+
+func endpointOf(name core.NodeID, n node) core.Endpoint {
+	return core.Endpoint{Node: name, Address: n.peer.Address(), Service: "orders", Release: "v1", Slots: 64, State: core.EndpointReady}
+}
+
+// Guards against a call that is changed, lost or mixed up with another on its way through two nodes.
+func TestCallPassesTwoNodes(t *testing.T) {
+	c := qt.New(t)
+	var runs atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		for _, name := range []string{"Parsleyport-Call-Id", "Parsleyport-Deadline-Ms", "Parsleyport-Attempts", "Parsleyport-Depth"} {
+			w.Header().Set("Seen-"+name, r.Header.Get(name))
+		}
+		fmt.Fprintf(w, "%s %s %s|", r.Method, r.RequestURI, r.Host)
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(backend.Close)
+	n := startNode(t, backend, core.EndpointReady)
+	entry := startEntry(t, allV1, &fixedEndpoints{endpoints: []core.Endpoint{endpointOf("b", n)}})
+
+	var callers sync.WaitGroup
+	for i := range 60 {
+		callers.Go(func() {
+			sent := bytes.Repeat([]byte{byte('a' + i%26)}, i*i*300) // up to 1 MB, in one frame and in many
+			response, err := http.Post("http://"+entry.Address()+"/orders/a%2Fb?q="+fmt.Sprint(i), "text/plain", bytes.NewReader(sent))
+			c.Check(err, qt.IsNil)
+			got, err := io.ReadAll(response.Body)
+			response.Body.Close()
+			c.Check(err, qt.IsNil)
+			want := fmt.Sprintf("POST /orders/a%%2Fb?q=%d %s|%s", i, entry.Address(), sent)
+			c.Check(string(got) == want, qt.IsTrue, qt.Commentf("call %d", i))
+			c.Check(response.Header.Get("Parsleyport-Outcome"), qt.Equals, "answered")
+			c.Check(response.Header.Get("Parsleyport-Release"), qt.Equals, "v1")
+			c.Check(response.Header.Get("Parsleyport-Revision"), qt.Equals, "7")
+			c.Check(response.Header.Get("Seen-Parsleyport-Depth"), qt.Equals, "1")
+			c.Check(response.Header.Get("Seen-Parsleyport-Attempts"), qt.Equals, "2")
+			c.Check(response.Header.Get("Seen-Parsleyport-Call-Id"), qt.HasLen, 32)
+			c.Check(response.Header.Get("Seen-Parsleyport-Deadline-Ms"), qt.Matches, `4\d\d\d|5000`)
+		})
+	}
+	callers.Wait()
+	c.Assert(runs.Load(), qt.Equals, int64(60))
+}
--- /dev/null
+++ b/io/callerhttp/serve.go
@@ -0,0 +1,251 @@
+package callerhttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/idempotency"
+	"parsleyport/core/retry"
+)
+
+// result is what the last attempt of a request came to.
+type result struct {
+	answer   *core.Answer
+	endpoint core.Endpoint
+	release  core.Release
+	outcome  core.Outcome
+	err      error
+	latency  time.Duration // to the head of the answer
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	now := time.Now()
+	configuration := s.options.Source.Current()
+	w.Header().Set(headerRevision, strconv.FormatUint(uint64(configuration.Revision()), 10))
+	if !s.options.Confirmed() {
+		s.refuse(w, refusal(core.CauseNotConfirmed, ""))
+		return
+	}
+	q, refused := parse(r, configuration, now)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	if q.call.Body, refused = readBody(r, s.options.MaxBodyBytes); refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	if s.options.Suspected(idempotency.FingerprintOf(q.call)) {
+		s.refuse(w, refusal(core.CauseCrashSuspect, ""))
+		return
+	}
+	w.Header().Set(headerCallID, string(q.call.ID))
+	s.serve(w, r, q)
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, q *request) {
+	ctx, cancel := context.WithDeadline(r.Context(), q.call.Deadline)
+	defer cancel()
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(q.call.Deadline.Add(writeGrace)) // fails only on a connection that is gone
+	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
+	s.mu.Lock()
+	s.budget.Call(q.began)
+	s.mu.Unlock()
+	last := s.attempt(ctx, q)
+	switch last.outcome {
+	case core.OutcomeAnswered:
+		s.stream(ctx, w, q, last)
+	case core.OutcomeNotRun:
+		s.refuse(w, refusalOf(last.err))
+	default:
+		s.unknown(w, q, last)
+	}
+	s.latency.UpdateDuration(q.began)
+}
+
+func refusalOf(err error) *core.Refusal {
+	var refused *core.Refusal
+	if errors.As(err, &refused) {
+		return refused
+	}
+	return refusal(core.CauseNoEndpoint, "")
+}
+
+// attempt makes attempts until one is answered or no other is allowed. A call of which one attempt may have run never
+// ends as not-run.
+func (s *Server) attempt(ctx context.Context, q *request) result {
+	var earlier past
+	mayHaveRun := error(nil)
+	var last result
+	for {
+		next, placed := s.place(ctx, q, earlier)
+		if !placed && last.outcome != "" {
+			break // the earlier attempt's cause says more than the lack of an endpoint
+		}
+		last = next
+		if last.outcome == core.OutcomeUnknown {
+			mayHaveRun = last.err
+		}
+		class := retry.Classify(last.outcome, causeOf(last.err), q.call.Idempotent)
+		if !placed || ctx.Err() != nil || !q.attempts.Another(class, s.takeBudget) {
+			break
+		}
+		earlier.tried = append(earlier.tried, last.endpoint.Node)
+		if class == retry.RepeatFree {
+			earlier.gone = append(earlier.gone, last.endpoint.Node)
+		}
+		s.retries.Inc()
+	}
+	if last.outcome == core.OutcomeNotRun && mayHaveRun != nil {
+		last.outcome, last.err = core.OutcomeUnknown, mayHaveRun
+	}
+	return last
+}
+
+func causeOf(err error) core.RefusalCause {
+	var refused *core.Refusal
+	if errors.As(err, &refused) {
+		return refused.Cause
+	}
+	return ""
+}
+
+func (s *Server) takeBudget() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Take(time.Now())
+}
+
+// place makes one attempt; it returns false if no endpoint is left.
+func (s *Server) place(ctx context.Context, q *request, earlier past) (result, bool) {
+	began := time.Now()
+	endpoint, found := s.choose(q, earlier, began)
+	if !found {
+		return result{
+			outcome: core.OutcomeNotRun,
+			err:     refusal(core.CauseNoEndpoint, ""),
+		}, false
+	}
+	call := *q.call
+	call.Release = endpoint.Release
+	call.AttemptsLeft = q.attempts.Start()
+	answer, outcome, err := s.options.Forwarder.Forward(ctx, endpoint, &call)
+	last := result{
+		answer:   answer,
+		endpoint: endpoint,
+		release:  endpoint.Release,
+		outcome:  outcome,
+		err:      err,
+		latency:  time.Since(began),
+	}
+	if outcome != core.OutcomeAnswered {
+		s.done(ctx, q, last, outcome == core.OutcomeUnknown || causeOf(err) == core.CauseConnectFailed || causeOf(err) == core.CauseBackendRefused)
+	}
+	return last, true
+}
+
+// done tells the picker and, unless the backend server has seen nothing of it, the evidence about one attempt. A caller
+// that goes away is no failure of the release.
+func (s *Server) done(ctx context.Context, q *request, last result, failed bool) {
+	callerGone := errors.Is(ctx.Err(), context.Canceled)
+	failed = failed && !callerGone
+	s.options.Picker.Done(time.Now(), core.PickResult{
+		Endpoint: last.endpoint,
+		Outcome:  last.outcome,
+		Failed:   failed,
+		Latency:  last.latency,
+	})
+	if last.outcome != core.OutcomeNotRun && !callerGone {
+		s.options.Evidence.Record(q.route.Service, q.route.Name, last.release, failed, false, last.latency)
+	}
+}
+
+// stream sends an answer. If its body fails midway, the connection is aborted, so that the caller never takes a part
+// for the whole.
+func (s *Server) stream(ctx context.Context, w http.ResponseWriter, q *request, last result) {
+	defer last.answer.Body.Close()
+	header := w.Header()
+	removeHopHeaders(last.answer.Header)
+	for name, values := range last.answer.Header {
+		header[name] = values
+	}
+	header.Set(headerOutcome, string(core.OutcomeAnswered))
+	header.Set(headerRelease, string(last.release))
+	w.WriteHeader(last.answer.Status)
+	fromBackend, err := copyBody(w, last.answer.Body)
+	s.done(ctx, q, last, last.answer.Status >= 500 || fromBackend)
+	if err != nil {
+		s.aborted.Inc()
+		s.outcomes[core.OutcomeUnknown].Inc()
+		panic(http.ErrAbortHandler)
+	}
+	s.outcomes[core.OutcomeAnswered].Inc()
+}
+
+// copyBody flushes after each chunk, since a streaming answer may pause; it says whether an error is the source's.
+func copyBody(w http.ResponseWriter, body io.Reader) (fromSource bool, err error) {
+	flusher, _ := w.(http.Flusher)
+	chunk := make([]byte, core.MaxChunkBytes)
+	for {
+		n, readErr := body.Read(chunk)
+		if n > 0 {
+			if _, err := w.Write(chunk[:n]); err != nil {
+				return false, err
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return false, nil
+		}
+		if readErr != nil {
+			return true, readErr
+		}
+		if n == len(chunk) || w.Header().Get("Content-Length") == "" {
+			flusher.Flush()
+		}
+	}
+}
+
+// refuse answers a call that was not run and never will be.
+func (s *Server) refuse(w http.ResponseWriter, refused *core.Refusal) {
+	s.outcomes[core.OutcomeNotRun].Inc()
+	s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_refusals_total{cause="` + string(knownCause(refused.Cause)) + `"}`).Inc()
+	w.Header().Set(headerOutcome, string(core.OutcomeNotRun))
+	w.Header().Set(headerCause, string(refused.Cause))
+	http.Error(w, refused.Error(), http.StatusServiceUnavailable)
+}
+
+// knownCause keeps the counters' labels bounded, since causes come from other nodes.
+func knownCause(cause core.RefusalCause) core.RefusalCause {
+	switch cause {
+	case core.CauseNoRoute, core.CauseNoEndpoint, core.CauseNotConfirmed, core.CauseLeaving, core.CauseNoBackend,
+		core.CauseDeadline, core.CauseQueueFull, core.CauseTenantShare, core.CauseRevoked, core.CauseCrashSuspect,
+		core.CauseTooDeep, core.CauseConnectFailed, core.CauseRetryBudget, core.CauseMalformedCall,
+		core.CauseDuplicateCall, core.CauseBackendRefused:
+		return cause
+	}
+	return "other"
+}
+
+func (s *Server) unknown(w http.ResponseWriter, q *request, last result) {
+	s.outcomes[core.OutcomeUnknown].Inc()
+	status := http.StatusBadGateway
+	if !time.Now().Before(q.call.Deadline) {
+		status = http.StatusGatewayTimeout
+	}
+	w.Header().Set(headerOutcome, string(core.OutcomeUnknown))
+	if last.release != "" {
+		w.Header().Set(headerRelease, string(last.release))
+	}
+	http.Error(w, "outcome unknown: "+last.err.Error(), status)
+}
--- /dev/null
+++ b/io/callerhttp/server.go
@@ -0,0 +1,147 @@
+package callerhttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"parsleyport/core"
+	"parsleyport/core/idempotency"
+	"parsleyport/core/record"
+	"parsleyport/core/retry"
+)
+
+const (
+	defaultMaxBodyBytes = 8 << 20
+	headerLimit         = 10 * time.Second
+	bodyLimit           = time.Minute // to receive a request
+	idleLimit           = 2 * time.Minute
+	// lingerLimit is how long a draining server waits for idle callers to send one more request, whose answer tells
+	// them to close the connection; closing at once could cut off a request that is on its way.
+	lingerLimit = time.Second
+	lingerCheck = 20 * time.Millisecond
+	// writeGrace is how long after the deadline a caller may take to read what it gets.
+	writeGrace = time.Second
+)
+
+// Options configures a Server. Listener replaces Address; ReleaseAllowed and Suspected may be nil; MaxBodyBytes zero
+// means 8 MiB, the most that io/nodepeer carries.
+type Options struct {
+	Address        string
+	Listener       net.Listener
+	Source         record.Source
+	Confirmed      func() bool
+	Endpoints      core.EndpointSource
+	Picker         core.Picker
+	Forwarder      core.Forwarder
+	Evidence       core.EvidenceRecorder
+	ReleaseAllowed func(core.ServiceName, core.Release) bool
+	Suspected      func(idempotency.Fingerprint) bool
+	MaxBodyBytes   int64
+	Logger         zerolog.Logger
+	Metrics        *metrics.Set
+}
+
+// Server takes callers' requests.
+type Server struct {
+	options  Options
+	listener net.Listener
+	http     *http.Server
+	tasks    sync.WaitGroup
+	leaving  atomic.Bool
+	open     atomic.Int64 // callers' connections
+
+	mu     sync.Mutex
+	budget retry.Budget
+
+	retries  *metrics.Counter
+	aborted  *metrics.Counter
+	latency  *metrics.Histogram
+	outcomes map[core.Outcome]*metrics.Counter
+}
+
+// New listens and starts to take requests; the clean-up function closes all connections and waits for the goroutines.
+func New(options Options) (*Server, func(), error) {
+	if options.Source == nil || options.Endpoints == nil || options.Picker == nil || options.Forwarder == nil || options.Evidence == nil || options.Confirmed == nil {
+		return nil, nil, errors.New("source, endpoints, picker, forwarder, evidence and confirmed must be set")
+	}
+	listener := options.Listener
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", options.Address); err != nil {
+			return nil, nil, errors.Annotate(err, "listen for callers")
+		}
+	}
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewSet()
+	}
+	if options.MaxBodyBytes == 0 {
+		options.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if options.ReleaseAllowed == nil {
+		options.ReleaseAllowed = func(core.ServiceName, core.Release) bool { return true }
+	}
+	if options.Suspected == nil {
+		options.Suspected = func(idempotency.Fingerprint) bool { return false }
+	}
+	s := &Server{
+		options:  options,
+		listener: listener,
+		retries:  options.Metrics.GetOrCreateCounter("parsleyport_caller_retries_total"),
+		aborted:  options.Metrics.GetOrCreateCounter("parsleyport_caller_answers_aborted_total"),
+		latency:  options.Metrics.GetOrCreateHistogram("parsleyport_caller_latency_seconds"),
+		outcomes: make(map[core.Outcome]*metrics.Counter),
+	}
+	for _, outcome := range []core.Outcome{core.OutcomeAnswered, core.OutcomeNotRun, core.OutcomeUnknown} {
+		s.outcomes[outcome] = options.Metrics.GetOrCreateCounter(`parsleyport_caller_calls_total{outcome="` + string(outcome) + `"}`)
+	}
+	s.http = &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: headerLimit,
+		ReadTimeout:       bodyLimit,
+		IdleTimeout:       idleLimit,
+		ConnState:         s.count,
+	}
+	s.tasks.Go(func() { _ = s.http.Serve(listener) }) // ends with http.ErrServerClosed
+	return s, s.close, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+func (s *Server) close() {
+	_ = s.http.Close()
+	s.tasks.Wait()
+}
+
+func (s *Server) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+}
+
+// Drain answers what comes with "Connection: close" until the callers have gone or a second has passed, then accepts
+// nothing new and returns when all requests have been answered, or the context's error.
+func (s *Server) Drain(ctx context.Context) error {
+	s.leaving.Store(true)
+	ticker := time.NewTicker(lingerCheck)
+	defer ticker.Stop()
+	for until := time.Now().Add(lingerLimit); s.open.Load() > 0 && time.Now().Before(until); {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return s.http.Shutdown(ctx)
+}
--- /dev/null
+++ b/io/nodepeer/credit.go
@@ -0,0 +1,50 @@
+package nodepeer
+
+import (
+	"context"
+	"sync"
+)
+
+// credit counts the bytes of one answer that may still be sent; one goroutine takes, any may add.
+type credit struct {
+	mu    sync.Mutex
+	bytes int
+	added chan struct{}
+}
+
+func newCredit(bytes int) *credit {
+	return &credit{
+		bytes: bytes,
+		added: make(chan struct{}, 1),
+	}
+}
+
+func (c *credit) add(bytes int) {
+	c.mu.Lock()
+	c.bytes = min(c.bytes+max(bytes, 0), answerWindow)
+	c.mu.Unlock()
+	select {
+	case c.added <- struct{}{}:
+	default:
+	}
+}
+
+// take waits until so many bytes may be sent.
+func (c *credit) take(ctx context.Context, bytes int) error {
+	for {
+		c.mu.Lock()
+		enough := c.bytes >= bytes
+		if enough {
+			c.bytes -= bytes
+		}
+		c.mu.Unlock()
+		if enough {
+			return nil
+		}
+		select {
+		case <-c.added:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/io/nodepeer/dialer.go
@@ -0,0 +1,291 @@
+package nodepeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"parsleyport/core"
+)
+
+// DialerOptions configures a Dialer. Calls to Self go to Local without a connection; Dial replaces a TCP dial.
+type DialerOptions struct {
+	Self               core.NodeID
+	Local              core.Backend
+	ConnectionsPerPeer int // zero for 2
+	Logger             zerolog.Logger
+	Metrics            *metrics.Set
+	Dial               func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Dialer is a core.Forwarder with a small pool of connections to each peer.
+type Dialer struct {
+	options DialerOptions
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+
+	dials    *metrics.Counter
+	failures *metrics.Counter
+	silent   *metrics.Counter
+
+	mu      sync.Mutex
+	peers   map[string]*peer
+	dialled uint64 // number of the latest dial
+}
+
+// peer is the pool of one address; its fields belong to the dialer's lock.
+type peer struct {
+	connections []*clientConn
+	dialing     chan struct{} // closed when the dial that is under way has ended
+	dialError   error         // of the latest dial
+	failed      time.Time     // latest failed dial
+}
+
+// NewDialer returns a dialer; the clean-up function closes all connections and waits for the goroutines.
+func NewDialer(options DialerOptions) (*Dialer, func(), error) {
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewSet()
+	}
+	if options.ConnectionsPerPeer < 0 {
+		return nil, nil, errors.Errorf("connections per peer is %d, expected at least 1, or 0 for %d", options.ConnectionsPerPeer, defaultConnections)
+	}
+	if options.ConnectionsPerPeer == 0 {
+		options.ConnectionsPerPeer = defaultConnections
+	}
+	if options.Dial == nil {
+		options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", address)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Dialer{
+		options:  options,
+		ctx:      ctx,
+		cancel:   cancel,
+		dials:    options.Metrics.GetOrCreateCounter(`parsleyport_peer_dials_total{result="connected"}`),
+		failures: options.Metrics.GetOrCreateCounter(`parsleyport_peer_dials_total{result="failed"}`),
+		silent:   options.Metrics.GetOrCreateCounter("parsleyport_peer_silent_connections_total"),
+		peers:    make(map[string]*peer),
+	}
+	return d, d.close, nil
+}
+
+func (d *Dialer) close() {
+	d.cancel()
+	d.mu.Lock()
+	var open []*clientConn
+	for _, p := range d.peers {
+		open = append(open, p.connections...)
+	}
+	d.mu.Unlock()
+	for _, c := range open {
+		c.fail(errDialerClosed)
+	}
+	d.tasks.Wait()
+}
+
+// Forward implements core.Forwarder; the context must live until the answer's body is closed.
+func (d *Dialer) Forward(ctx context.Context, to core.Endpoint, call *core.Call) (*core.Answer, core.Outcome, error) {
+	if to.Node == d.options.Self && d.options.Local != nil {
+		return d.options.Local.Handle(ctx, call)
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	answer, outcome, err := d.forward(ctx, cancel, to.Address, call)
+	if outcome != core.OutcomeAnswered {
+		cancel()
+	}
+	return answer, outcome, err
+}
+
+func (d *Dialer) forward(ctx context.Context, cancel context.CancelFunc, address string, call *core.Call) (*core.Answer, core.Outcome, error) {
+	s, err := d.register(ctx, cancel, address)
+	if err != nil {
+		return nil, core.OutcomeNotRun, &core.Refusal{
+			Cause:  core.CauseConnectFailed,
+			Detail: err.Error(),
+		}
+	}
+	if !s.conn.sendCall(s.sequence, call) {
+		return d.settle(ctx, address, s)
+	}
+	answer, refusal, err := s.await(ctx)
+	switch {
+	case answer != nil:
+		return answer, core.OutcomeAnswered, nil
+	case refusal != nil && refusal.Outcome == core.OutcomeNotRun:
+		return nil, core.OutcomeNotRun, &core.Refusal{
+			Cause:  refusal.Cause,
+			Detail: refusal.Detail,
+		}
+	case refusal != nil:
+		return nil, core.OutcomeUnknown, errors.New(refusal.Detail)
+	case errors.Is(err, errConnectionLost):
+		return d.settle(ctx, address, s)
+	}
+	return nil, core.OutcomeUnknown, err
+}
+
+// register takes a sequence on a live connection; an error means that nothing has been sent.
+func (d *Dialer) register(ctx context.Context, cancel context.CancelFunc, address string) (*stream, error) {
+	for {
+		c, err := d.connection(ctx, address, 0)
+		if err != nil {
+			return nil, err
+		}
+		s, err := c.register(ctx, cancel)
+		if !errors.Is(err, errConnectionLost) {
+			return s, err
+		}
+	}
+}
+
+// settle finds out over a new connection whether an attempt whose connection was lost has run. It is not-run only if
+// the same run of the server says that it has not begun and never will.
+func (d *Dialer) settle(ctx context.Context, address string, s *stream) (*core.Answer, core.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, revokeLimit)
+	defer cancel()
+	<-s.conn.done
+	c, err := d.connection(ctx, address, s.conn.lostBefore)
+	if err != nil {
+		return nil, core.OutcomeUnknown, errors.Annotate(errConnectionLost, err.Error())
+	}
+	revoked, err := c.revoke(ctx, s)
+	if err != nil {
+		return nil, core.OutcomeUnknown, errors.Annotate(errConnectionLost, err.Error())
+	}
+	if !revoked {
+		return nil, core.OutcomeUnknown, errConnectionLost
+	}
+	return nil, core.OutcomeNotRun, &core.Refusal{
+		Cause:  core.CauseRevoked,
+		Detail: errConnectionLost.Error(),
+	}
+}
+
+// connection returns a connection whose dial has a greater number than the given one, dialling if need be.
+func (d *Dialer) connection(ctx context.Context, address string, after uint64) (*clientConn, error) {
+	for {
+		d.mu.Lock()
+		p, err := d.peer(address)
+		if err != nil {
+			d.mu.Unlock()
+			return nil, err
+		}
+		best, usable := p.best(after, time.Now())
+		if best != nil && (usable >= d.options.ConnectionsPerPeer || best.outstanding() == 0 || p.dialing != nil || time.Since(p.failed) < redialAfter) {
+			d.mu.Unlock()
+			return best, nil
+		}
+		wait := p.dialing
+		if wait == nil {
+			wait = make(chan struct{})
+			p.dialing = wait
+			d.dialled++
+			number := d.dialled
+			d.tasks.Go(func() { d.dial(address, p, number) })
+		}
+		d.mu.Unlock()
+		if best != nil {
+			return best, nil // the pool grows for the calls that follow
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		d.mu.Lock()
+		err = p.dialError
+		d.mu.Unlock()
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// peer needs the lock; it drops pools without connections when there are too many.
+func (d *Dialer) peer(address string) (*peer, error) {
+	if d.ctx.Err() != nil {
+		return nil, errDialerClosed
+	}
+	if p := d.peers[address]; p != nil {
+		return p, nil
+	}
+	if len(d.peers) >= maxPeers {
+		for each, p := range d.peers {
+			if len(p.connections) == 0 && p.dialing == nil {
+				delete(d.peers, each)
+			}
+		}
+	}
+	if len(d.peers) >= maxPeers {
+		return nil, errors.Errorf("%d peers have connections, no more are allowed", maxPeers)
+	}
+	p := &peer{}
+	d.peers[address] = p
+	return p, nil
+}
+
+// best returns the connection with the fewest calls among those that are not suspected to be silent.
+func (p *peer) best(after uint64, now time.Time) (*clientConn, int) {
+	var best *clientConn
+	fewest, usable := 0, 0
+	for _, c := range p.connections {
+		if c.number <= after || !c.usable(now) {
+			continue
+		}
+		usable++
+		if n := c.outstanding(); best == nil || n < fewest {
+			best, fewest = c, n
+		}
+	}
+	return best, usable
+}
+
+func (d *Dialer) dial(address string, p *peer, number uint64) {
+	ctx, cancel := context.WithTimeout(d.ctx, connectLimit)
+	defer cancel()
+	dialled := time.Now()
+	conn, err := d.options.Dial(ctx, address)
+	var c *clientConn
+	if err == nil {
+		c = newClientConn(d, p, conn, dialled, number)
+		err = c.greet()
+	}
+	d.mu.Lock()
+	if err == nil && d.ctx.Err() != nil {
+		err = errDialerClosed
+		_ = conn.Close()
+	}
+	p.dialError = err
+	if err == nil {
+		p.connections = append(p.connections, c)
+		d.dials.Inc()
+		d.tasks.Go(c.receive)
+		d.tasks.Go(c.watch)
+	} else {
+		p.failed = time.Now()
+		d.failures.Inc()
+	}
+	close(p.dialing)
+	p.dialing = nil
+	d.mu.Unlock()
+}
+
+// drop removes a connection from its pool and returns the number of the latest dial.
+func (d *Dialer) drop(c *clientConn) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, each := range c.peer.connections {
+		if each == c {
+			c.peer.connections = append(c.peer.connections[:i], c.peer.connections[i+1:]...)
+			break
+		}
+	}
+	return d.dialled
+}
--- /dev/null
+++ b/io/nodepeer/limits.go
@@ -0,0 +1,30 @@
+package nodepeer
+
+import "time"
+
+const (
+	pingInterval = 500 * time.Millisecond
+	silenceLimit = 1500 * time.Millisecond
+	checkEvery   = 250 * time.Millisecond
+
+	// writeLimit bounds one write; a peer that takes nothing for so long is as good as silent.
+	writeLimit = 1500 * time.Millisecond
+	// idleLimit ends a connection without calls at the dialer, before serverIdleLimit ends it at the server.
+	idleLimit       = time.Minute
+	serverIdleLimit = 2 * time.Minute // far below idempotency.Window, so that no open arrives after its revocation is forgotten
+
+	connectLimit = time.Second
+	// redialAfter is the pause before a pool that still has a connection tries to grow again after a failed dial.
+	redialAfter = time.Second
+	revokeLimit = time.Second
+	// verdictLimit is how long a cancelled attempt waits for the server's word whether it had run.
+	verdictLimit = 100 * time.Millisecond
+
+	answerWindow       = 256 << 10 // bytes of one answer that may be on the way or unread
+	maxBodyBytes       = 8 << 20   // of one call
+	maxBufferedBodies  = 64 << 20  // of all calls whose body is incomplete or queued at a server
+	defaultMaxCalls    = 4096      // at one server
+	maxConnections     = 4096      // at one server
+	maxPeers           = 8192      // at one dialer
+	defaultConnections = 2         // to one peer
+)
--- /dev/null
+++ b/io/nodepeer/messages.go
@@ -0,0 +1,165 @@
+package nodepeer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"parsleyport/core"
+	"parsleyport/io/frame"
+)
+
+// Message types; a number is never reused for another message.
+const (
+	typeHello frame.Type = iota + 1
+	typeWelcome
+	typeOpen
+	typeBody
+	typeBodyEnd
+	typeHead
+	typeAnswerBody
+	typeAnswerEnd
+	typeRefused
+	typeCancel
+	typeRevoke
+	typeRevoked
+	typePing
+	typePong
+	typeGoaway
+	typeCredit
+)
+
+type helloMessage struct {
+	Connection uint64 `msgpack:"connection"`
+}
+
+type welcomeMessage struct {
+	RunningUS int64 `msgpack:"running-us"`
+}
+
+type openMessage struct {
+	Sequence       uint64              `msgpack:"sequence"`
+	CallID         core.CallID         `msgpack:"call-id"`
+	Tenant         core.TenantID       `msgpack:"tenant"`
+	Service        core.ServiceName    `msgpack:"service"`
+	Release        core.Release        `msgpack:"release"`
+	Route          core.RouteName      `msgpack:"route"`
+	Revision       core.Revision       `msgpack:"revision"`
+	Method         string              `msgpack:"method"`
+	Target         string              `msgpack:"target"`
+	Host           string              `msgpack:"host"`
+	Header         map[string][]string `msgpack:"header"`
+	Idempotent     bool                `msgpack:"idempotent"`
+	IdempotencyKey core.IdempotencyKey `msgpack:"idempotency-key"`
+	Priority       core.Priority       `msgpack:"priority"`
+	RemainingUS    int64               `msgpack:"remaining-us"`
+	Depth          int                 `msgpack:"depth"`
+	Attempts       int                 `msgpack:"attempts"`
+	Length         int                 `msgpack:"length"`
+	Sum            uint64              `msgpack:"sum"`
+	Body           []byte              `msgpack:"body"`
+}
+
+type bodyMessage struct {
+	Sequence uint64 `msgpack:"sequence"`
+	Bytes    []byte `msgpack:"bytes"`
+}
+
+type sequenceMessage struct {
+	Sequence uint64 `msgpack:"sequence"`
+}
+
+// headMessage has Whole set if Body is the whole body, which Length and Sum then cover.
+type headMessage struct {
+	Sequence uint64              `msgpack:"sequence"`
+	Status   int                 `msgpack:"status"`
+	Header   map[string][]string `msgpack:"header"`
+	Whole    bool                `msgpack:"whole"`
+	Body     []byte              `msgpack:"body"`
+	Length   int64               `msgpack:"length"`
+	Sum      uint64              `msgpack:"sum"`
+}
+
+// answerEndMessage has Fault set if the body broke off at the backend server.
+type answerEndMessage struct {
+	Sequence uint64 `msgpack:"sequence"`
+	Length   int64  `msgpack:"length"`
+	Sum      uint64 `msgpack:"sum"`
+	Fault    string `msgpack:"fault"`
+}
+
+// refusedMessage ends an attempt without an answer; its outcome is not-run or unknown.
+type refusedMessage struct {
+	Sequence uint64            `msgpack:"sequence"`
+	Outcome  core.Outcome      `msgpack:"outcome"`
+	Cause    core.RefusalCause `msgpack:"cause"`
+	Detail   string            `msgpack:"detail"`
+}
+
+type revokeMessage struct {
+	Token      uint64 `msgpack:"token"`
+	Connection uint64 `msgpack:"connection"`
+	Sequence   uint64 `msgpack:"sequence"`
+}
+
+type revokedMessage struct {
+	Token   uint64 `msgpack:"token"`
+	Revoked bool   `msgpack:"revoked"`
+}
+
+type creditMessage struct {
+	Sequence uint64 `msgpack:"sequence"`
+	Bytes    int    `msgpack:"bytes"`
+}
+
+type emptyMessage struct{}
+
+func openOf(sequence uint64, call *core.Call, now time.Time) openMessage {
+	message := openMessage{
+		Sequence:       sequence,
+		CallID:         call.ID,
+		Tenant:         call.Tenant,
+		Service:        call.Service,
+		Release:        call.Release,
+		Route:          call.Route,
+		Revision:       call.Revision,
+		Method:         call.Method,
+		Target:         call.Target,
+		Host:           call.Host,
+		Header:         call.Header,
+		Idempotent:     call.Idempotent,
+		IdempotencyKey: call.IdempotencyKey,
+		Priority:       call.Priority,
+		RemainingUS:    call.Deadline.Sub(now).Microseconds(),
+		Depth:          call.Depth,
+		Attempts:       call.AttemptsLeft,
+		Length:         len(call.Body),
+		Sum:            xxhash.Sum64(call.Body),
+	}
+	if len(call.Body) <= core.MaxChunkBytes {
+		message.Body = call.Body
+	}
+	return message
+}
+
+func callOf(message openMessage, now time.Time) *core.Call {
+	return &core.Call{
+		ID:             message.CallID,
+		Tenant:         message.Tenant,
+		Service:        message.Service,
+		Release:        message.Release,
+		Route:          message.Route,
+		Revision:       message.Revision,
+		Method:         message.Method,
+		Target:         message.Target,
+		Host:           message.Host,
+		Header:         http.Header(message.Header),
+		Idempotent:     message.Idempotent,
+		IdempotencyKey: message.IdempotencyKey,
+		Priority:       message.Priority,
+		Deadline:       now.Add(time.Duration(message.RemainingUS) * time.Microsecond),
+		Depth:          message.Depth,
+		AttemptsLeft:   message.Attempts,
+	}
+}
--- /dev/null
+++ b/io/nodepeer/run.go
@@ -0,0 +1,132 @@
+package nodepeer
+
+import (
+	"context"
+	"io"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// run hands one call to the backend and sends what comes of it.
+func (s *Server) run(call *serverCall) {
+	ctx, cancel := context.WithDeadline(call.ctx, call.call.Deadline)
+	defer cancel()
+	answer, outcome, err := s.options.Backend.Handle(ctx, call.call)
+	s.judge(call, outcome)
+	if outcome != core.OutcomeAnswered {
+		s.refuse(call, outcome, err)
+		s.finish(call, outcome != core.OutcomeNotRun)
+		return
+	}
+	call.stream(ctx, answer)
+	_ = answer.Body.Close()
+	s.finish(call, true)
+}
+
+func (s *Server) finish(call *serverCall, ran bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(call, ran)
+}
+
+// judge answers the revocations that came while the backend had the call.
+func (s *Server) judge(call *serverCall, outcome core.Outcome) {
+	s.mu.Lock()
+	call.judged = true
+	revokers := call.revokers
+	call.revokers = nil
+	s.mu.Unlock()
+	for _, each := range revokers {
+		each.conn.answerRevocation(each.token, outcome == core.OutcomeNotRun)
+	}
+}
+
+func (s *Server) refuse(call *serverCall, outcome core.Outcome, err error) {
+	s.refused.Inc()
+	detail := ""
+	var refusal *core.Refusal
+	if outcome == core.OutcomeNotRun {
+		if !errors.As(err, &refusal) {
+			refusal = &core.Refusal{}
+		}
+		call.conn.refuse(call.key.Sequence, outcome, refusal.Cause, refusal.Detail)
+		return
+	}
+	if err != nil {
+		detail = err.Error()
+	}
+	call.conn.refuse(call.key.Sequence, core.OutcomeUnknown, "", detail)
+}
+
+// stream sends an answer. A body that is stated to fit in one chunk goes with the head, in one frame.
+func (c *serverCall) stream(ctx context.Context, answer *core.Answer) {
+	head := headMessage{
+		Sequence: c.key.Sequence,
+		Status:   answer.Status,
+		Header:   answer.Header,
+	}
+	stated, err := strconv.Atoi(answer.Header.Get("Content-Length"))
+	if err == nil && stated >= 0 && stated <= core.MaxChunkBytes && c.call.Method != "HEAD" {
+		body, err := io.ReadAll(answer.Body)
+		if err != nil {
+			c.conn.refuse(c.key.Sequence, core.OutcomeUnknown, "", err.Error())
+			return
+		}
+		head.Whole = true
+		head.Body = body
+		head.Length = int64(len(body))
+		head.Sum = xxhash.Sum64(body)
+		c.conn.send(typeHead, head)
+		return
+	}
+	if !c.conn.send(typeHead, head) {
+		return
+	}
+	c.streamBody(ctx, answer.Body)
+}
+
+func (c *serverCall) streamBody(ctx context.Context, body io.Reader) {
+	chunk := make([]byte, core.MaxChunkBytes)
+	digest, length := xxhash.New(), int64(0)
+	for {
+		n, err := body.Read(chunk)
+		if n > 0 {
+			_, _ = digest.Write(chunk[:n]) // a Digest never fails
+			length += int64(n)
+			if !c.sendChunk(ctx, chunk[:n]) {
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		end := answerEndMessage{
+			Sequence: c.key.Sequence,
+			Length:   length,
+			Sum:      digest.Sum64(),
+		}
+		if !errors.Is(err, io.EOF) {
+			end.Fault = err.Error()
+		}
+		c.conn.send(typeAnswerEnd, end)
+		return
+	}
+}
+
+func (c *serverCall) sendChunk(ctx context.Context, bytes []byte) bool {
+	if err := c.credit.take(ctx, len(bytes)); err != nil {
+		c.conn.send(typeAnswerEnd, answerEndMessage{
+			Sequence: c.key.Sequence,
+			Fault:    err.Error(),
+		})
+		return false
+	}
+	return c.conn.send(typeAnswerBody, bodyMessage{
+		Sequence: c.key.Sequence,
+		Bytes:    bytes,
+	})
+}
--- /dev/null
+++ b/io/nodepeer/stream.go
@@ -0,0 +1,289 @@
+package nodepeer
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// Errors of an answer's body; none of them is io.EOF.
+const (
+	// ErrCut means that the body ended before its end message, or that the backend server broke it off.
+	ErrCut = errors.ConstError("answer body was cut off")
+	// ErrCorrupted means that the body does not have the length and sum of its end message.
+	ErrCorrupted = errors.ConstError("answer body is corrupted")
+)
+
+// stream is one attempt at the dialer. The connection's reader adds to it, and one goroutine of the caller takes.
+type stream struct {
+	conn     *clientConn
+	sequence uint64
+	cancel   context.CancelFunc
+	changed  chan struct{} // holds one token when something was added
+
+	mu      sync.Mutex
+	head    *headMessage
+	refused *refusedMessage
+	chunks  [][]byte
+	unread  int // bytes in chunks
+	end     *answerEndMessage
+	closed  bool
+}
+
+func newStream(c *clientConn, sequence uint64, cancel context.CancelFunc) *stream {
+	return &stream{
+		conn:     c,
+		sequence: sequence,
+		cancel:   cancel,
+		changed:  make(chan struct{}, 1),
+	}
+}
+
+func (s *stream) signal() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (s *stream) setHead(message headMessage) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.head != nil || message.Status < 100 || message.Status > 999 {
+		return errors.Annotatef(errProtocol, "head of sequence %d", s.sequence)
+	}
+	s.head = &message
+	if message.Whole {
+		s.chunks = append(s.chunks, message.Body)
+		s.end = &answerEndMessage{
+			Length: message.Length,
+			Sum:    message.Sum,
+		}
+		s.conn.remove(s.sequence)
+	}
+	s.signal()
+	return nil
+}
+
+func (s *stream) addChunk(bytes []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unread += len(bytes)
+	if s.head == nil || s.unread > answerWindow {
+		return errors.Annotatef(errProtocol, "answer body of sequence %d", s.sequence)
+	}
+	s.chunks = append(s.chunks, bytes)
+	s.signal()
+	return nil
+}
+
+func (s *stream) setEnd(message answerEndMessage) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.head == nil {
+		return errors.Annotatef(errProtocol, "answer end of sequence %d", s.sequence)
+	}
+	s.end = &message
+	s.conn.remove(s.sequence)
+	s.signal()
+	return nil
+}
+
+func (s *stream) setRefused(message refusedMessage) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.head != nil {
+		return errors.Annotatef(errProtocol, "refusal of sequence %d after its head", s.sequence)
+	}
+	s.refused = &message
+	s.conn.remove(s.sequence)
+	s.signal()
+	return nil
+}
+
+// await waits for the head or the refusal; its error is errConnectionLost or the context's.
+func (s *stream) await(ctx context.Context) (*core.Answer, *refusedMessage, error) {
+	for {
+		s.mu.Lock()
+		head, refused := s.head, s.refused
+		s.mu.Unlock()
+		if refused != nil {
+			return nil, refused, nil
+		}
+		if head != nil {
+			return s.answer(ctx, head), nil, nil
+		}
+		select {
+		case <-s.changed:
+		case <-s.conn.done:
+			if s.arrived() {
+				continue
+			}
+			return nil, nil, errConnectionLost
+		case <-ctx.Done():
+			refused, err := s.abandon(ctx.Err())
+			return nil, refused, err
+		}
+	}
+}
+
+func (s *stream) arrived() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.head != nil || s.refused != nil
+}
+
+// abandon cancels the attempt and waits a short time for the peer's word that it had not run.
+func (s *stream) abandon(cause error) (*refusedMessage, error) {
+	defer s.conn.remove(s.sequence)
+	s.conn.send(typeCancel, sequenceMessage{
+		Sequence: s.sequence,
+	})
+	timer := time.NewTimer(verdictLimit)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		refused := s.refused
+		s.mu.Unlock()
+		if refused != nil {
+			return refused, nil
+		}
+		select {
+		case <-s.changed:
+		case <-s.conn.done:
+			return nil, cause
+		case <-timer.C:
+			return nil, cause
+		}
+	}
+}
+
+func (s *stream) answer(ctx context.Context, head *headMessage) *core.Answer {
+	return &core.Answer{
+		Status: head.Status,
+		Header: http.Header(head.Header),
+		Body: &answerBody{
+			stream: s,
+			ctx:    ctx,
+			digest: xxhash.New(),
+		},
+	}
+}
+
+// answerBody checks length and sum before it returns io.EOF.
+type answerBody struct {
+	stream  *stream
+	ctx     context.Context
+	digest  *xxhash.Digest
+	length  int64
+	chunk   []byte
+	ungiven int // bytes read since the latest credit
+	err     error
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(target []byte) (int, error) {
+	for len(b.chunk) == 0 {
+		if b.err != nil {
+			return 0, b.err
+		}
+		b.chunk, b.err = b.stream.next(b.ctx, b)
+	}
+	n := copy(target, b.chunk)
+	b.chunk = b.chunk[n:]
+	_, _ = b.digest.Write(target[:n]) // a Digest never fails
+	b.length += int64(n)
+	b.credit(n)
+	return n, nil
+}
+
+func (b *answerBody) credit(n int) {
+	b.ungiven += n
+	if b.ungiven < answerWindow/2 {
+		return
+	}
+	b.stream.mu.Lock()
+	ended := b.stream.end != nil
+	b.stream.unread -= b.ungiven
+	b.stream.mu.Unlock()
+	if !ended {
+		b.stream.conn.send(typeCredit, creditMessage{
+			Sequence: b.stream.sequence,
+			Bytes:    b.ungiven,
+		})
+	}
+	b.ungiven = 0
+}
+
+func (b *answerBody) verify(end *answerEndMessage) error {
+	switch {
+	case end.Fault != "":
+		return errors.Annotate(ErrCut, end.Fault)
+	case end.Length != b.length || end.Sum != b.digest.Sum64():
+		return errors.Annotatef(ErrCorrupted, "%d bytes, expected %d", b.length, end.Length)
+	}
+	return io.EOF
+}
+
+func (s *stream) next(ctx context.Context, b *answerBody) ([]byte, error) {
+	for {
+		s.mu.Lock()
+		if len(s.chunks) > 0 {
+			chunk := s.chunks[0]
+			s.chunks = s.chunks[1:]
+			s.mu.Unlock()
+			return chunk, nil
+		}
+		end := s.end
+		s.mu.Unlock()
+		if end != nil {
+			return nil, b.verify(end)
+		}
+		select {
+		case <-s.changed:
+			continue
+		default:
+		}
+		select {
+		case <-s.changed:
+		case <-s.conn.done:
+			if s.pending() {
+				continue
+			}
+			return nil, errors.Annotate(ErrCut, errConnectionLost.Error())
+		case <-ctx.Done():
+			return nil, errors.Annotate(ErrCut, ctx.Err().Error())
+		}
+	}
+}
+
+func (s *stream) pending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.chunks) > 0 || s.end != nil
+}
+
+// Close implements io.Closer; an attempt whose answer has not ended is cancelled.
+func (b *answerBody) Close() error {
+	s := b.stream
+	s.mu.Lock()
+	cut := s.end == nil && !s.closed
+	s.closed = true
+	s.chunks = nil
+	s.mu.Unlock()
+	if cut {
+		s.conn.remove(s.sequence)
+		s.conn.send(typeCancel, sequenceMessage{
+			Sequence: s.sequence,
+		})
+	}
+	s.cancel()
+	return nil
+}
