--- /dev/null
+++ b/core/rollout/constants.go
@@ -0,0 +1,59 @@
+package rollout
+
+import "time"
+
+// Error rates of each sequential test (design 7.2).
+const (
+	falseAlarm = 0.001
+	miss       = 0.01
+	// restartAlarm is the false alarm rate of one excursion of the restarting test. It is lower than falseAlarm
+	// because a restarting test begins a new excursion every few windows.
+	restartAlarm = 0.00001
+)
+
+// Effects that the tests look for, as differences between the rates of the new and the old release.
+const (
+	failureDelta = 0.02
+	// restartDelta is smaller than failureDelta, so that a release that fails 1 call in 100 is found as well.
+	restartDelta = 0.01
+	slowDelta    = 0.10
+	crashDelta   = 0.002
+	// Floors of the old release's rates: a release without a single failure does not prove a rate of zero.
+	failureFloor = 0.001
+	slowFloor    = 0.01
+	crashFloor   = 0.0001
+	// rateWeight is the number of calls at which an observed rate weighs as much as its floor.
+	rateWeight = 1000
+	// slowQuantile is the share of the old release's calls that the latency boundary leaves above it.
+	slowQuantile = 0.05
+	// minFailures keeps one or two unlucky calls from taking a move back.
+	minFailures = 3
+)
+
+// Sizes of the windows of counter differences that the tests compare.
+const (
+	windowCalls    = 100 // of each release
+	windowMinCalls = 20  // of each release, once windowAge is reached
+	windowAge      = 10 * time.Second
+	windowMaxAge   = 60 * time.Second
+)
+
+// Pacing.
+const (
+	probeShare   = 5
+	defaultRisk  = 50  // per mille without evidence that passes, if the request names no share
+	compareShare = 500 // the comparison is most sensitive while both releases get the same traffic
+	lastShare    = 800 // the old release keeps enough traffic for a comparison under load
+	// baselineTime is how long a move stays proposed, so that reports from before it arrive first.
+	baselineTime = 3 * time.Second
+	// evidenceDelay is left out after a step, since reports from before the step still arrive.
+	evidenceDelay = 2 * time.Second
+	minDwell      = 4 * time.Second
+	maxDwell      = 30 * time.Second
+	// slowStart is the time in which the balancer warms a backend server up (design 6.7).
+	slowStart = 10 * time.Second
+	// maxWarmup bounds the time without latency evidence, so that a release that restarts constantly is judged.
+	maxWarmup = 60 * time.Second
+	// littleFactor: traffic is little if a third of the time at the risk share does not give a verdict.
+	littleFactor = 3
+)
--- /dev/null
+++ b/core/rollout/evidence.go
@@ -0,0 +1,77 @@
+package rollout
+
+import (
+	"time"
+
+	"parsleyport/core"
+)
+
+type run struct {
+	node        core.NodeID
+	incarnation core.Incarnation
+}
+
+type counterKey struct {
+	run
+	route   core.RouteName
+	release core.Release
+}
+
+// merge turns cumulative counts into differences. Counts from before the move are a baseline.
+type merge struct {
+	last map[counterKey]core.EvidenceCount
+	runs map[run]bool
+	// fresh means that the new release had no counts while the move was proposed, so all its counts belong to the move.
+	fresh bool
+}
+
+func newMerge() *merge {
+	return &merge{
+		last: make(map[counterKey]core.EvidenceCount),
+		runs: make(map[run]bool),
+	}
+}
+
+// advance returns what count adds to the newest one of its node run, route and release; repeated and older counts add
+// nothing. A first count is a baseline unless it must have begun within the move.
+func (m *merge) advance(count core.EvidenceCount, isNew, baseline bool, startedAt time.Time) (core.EvidenceCount, bool) {
+	key := counterKey{
+		run: run{
+			node:        count.Node,
+			incarnation: count.Incarnation,
+		},
+		route:   count.Route,
+		release: count.Release,
+	}
+	last, known := m.last[key]
+	if known && count.Calls <= last.Calls {
+		return core.EvidenceCount{}, false
+	}
+	m.last[key] = count
+	knownRun := m.runs[key.run]
+	if !known {
+		m.runs[key.run] = true
+		withinMove := count.Incarnation > core.Incarnation(max(0, startedAt.UnixNano()))
+		if !withinMove && (baseline || !knownRun && !(isNew && m.fresh)) {
+			return core.EvidenceCount{}, false
+		}
+	}
+	return difference(count, last), true
+}
+
+func difference(count, last core.EvidenceCount) core.EvidenceCount {
+	count.Calls = less(count.Calls, last.Calls)
+	count.Failures = less(count.Failures, last.Failures)
+	count.Crashes = less(count.Crashes, last.Crashes)
+	for i := range count.Latency {
+		count.Latency[i] = less(count.Latency[i], last.Latency[i])
+	}
+	return count
+}
+
+func less(a, b uint64) uint64 {
+	if a < b {
+		return 0
+	}
+	return a - b
+}
--- /dev/null
+++ b/core/rollout/group.go
@@ -0,0 +1,109 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"parsleyport/core"
+)
+
+// group is the evidence of one route, of the routes with little traffic together, or of all routes.
+type group struct {
+	name     string
+	failures *comparison
+	slow     *comparison
+	crashes  *comparison
+}
+
+func newGroup(name string) *group {
+	return &group{
+		name:     name,
+		failures: newComparison(failureDelta, restartDelta, failureFloor),
+		slow:     newComparison(slowDelta, slowDelta, slowFloor),
+		crashes:  newComparison(crashDelta, crashDelta, crashFloor),
+	}
+}
+
+func (g *group) comparisons() []*comparison {
+	return []*comparison{g.failures, g.slow, g.crashes}
+}
+
+// sample is what one data centre's nodes counted of one route since the previous decision.
+type sample struct {
+	failures, slow, crashes pair
+}
+
+func (g *group) add(now time.Time, dataCentre core.DataCentre, s sample, warming bool) {
+	g.failures.add(now, dataCentre, s.failures)
+	g.crashes.add(now, dataCentre, s.crashes)
+	if !warming {
+		g.slow.add(now, dataCentre, s.slow)
+	}
+}
+
+func (g *group) closeWindows(now time.Time, all bool) {
+	for _, c := range g.comparisons() {
+		c.closeWindows(now, all)
+	}
+}
+
+func (g *group) clearStage() {
+	for _, c := range g.comparisons() {
+		c.stage = pair{}
+	}
+}
+
+func (g *group) suspicious() bool {
+	return g.failures.suspicious() || g.slow.suspicious() || g.crashes.suspicious()
+}
+
+// passesMove reports whether all evidence of the move accepts the new release.
+func (g *group) passesMove() bool {
+	return g.failures.passes(g.failures.total) && g.slow.passes(g.slow.total)
+}
+
+// passesStage reports whether the evidence since the last step accepts the new release.
+func (g *group) passesStage() bool {
+	return g.failures.passes(g.failures.stage) && g.slow.passes(g.slow.stage)
+}
+
+// callsToPass is the expected number of calls of the new release until the group passes.
+func (g *group) callsToPass() float64 {
+	return max(g.failures.callsToPass(), g.slow.callsToPass())
+}
+
+func (g *group) calls() float64 {
+	return g.failures.total.before.calls + g.failures.total.after.calls
+}
+
+// verdict names the measure in which the new release is worse, with the counts since the last step.
+func (g *group) verdict() (cause, evidence string, worse bool) {
+	for _, m := range []struct {
+		what string
+		c    *comparison
+	}{
+		{what: "failed", c: g.failures},
+		{what: "slow", c: g.slow},
+		{what: "crashed", c: g.crashes},
+	} {
+		if m.c.worse() {
+			return fmt.Sprintf("new release worse on %s: calls %s", g.name, m.what), m.c.text(m.what), true
+		}
+	}
+	return "", "", false
+}
+
+func (c *comparison) text(what string) string {
+	p := c.stage
+	if p.after.calls == 0 {
+		p = c.total
+	}
+	return fmt.Sprintf("%s: new release %s, old release %s", what, p.after.text(), p.before.text())
+}
+
+func (t tally) text() string {
+	if t.calls == 0 {
+		return "no calls"
+	}
+	return fmt.Sprintf("%.0f of %.0f calls (%.2f%%)", t.bad, t.calls, 100*t.bad/t.calls)
+}
--- /dev/null
+++ b/core/rollout/judge.go
@@ -0,0 +1,253 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// Judge decides the steps of one move. A judge that is rebuilt from the replicated move after a leader change keeps
+// the state, the share and the deadline; the counts that it sees first become its baseline, so the evidence from
+// before the change is lost, except that of node runs that began within the move. It is not safe for concurrent use.
+type Judge struct {
+	service       core.ServiceName
+	from, to      core.Release
+	began         time.Time // of the first decision
+	baselineUntil time.Time
+	step          uint64
+	merge         *merge
+	routes        map[core.RouteName]*group
+	latency       map[core.RouteName]*[core.LatencyBuckets]float64 // of the old release
+	pooled        *group                                           // the routes with little traffic
+	all           *group
+	fleet         fleet
+}
+
+// NewJudge returns a judge for one move between two releases.
+func NewJudge(move core.Move, from, to core.Release) *Judge {
+	return &Judge{
+		service: move.Request.Service,
+		from:    from,
+		to:      to,
+		merge:   newMerge(),
+		routes:  make(map[core.RouteName]*group),
+		latency: make(map[core.RouteName]*[core.LatencyBuckets]float64),
+		pooled:  newGroup("routes with little traffic"),
+		all:     newGroup("all routes"),
+	}
+}
+
+// ObserveEndpoints tells the judge which endpoints exist, of this service and any other; it is optional. The judge
+// learns from it where nodes run, which backend servers are cold and how much capacity the new release has.
+func (j *Judge) ObserveEndpoints(now time.Time, endpoints []core.Endpoint) {
+	j.fleet.observe(now, endpoints, j.service, j.from, j.to)
+}
+
+// Decide counts the evidence and returns the next step if one is due; evidence may repeat counts. Until the move
+// shows the step, Decide proposes a step with the same number again.
+func (j *Judge) Decide(now time.Time, move core.Move, evidence []core.EvidenceCount) (core.MoveStep, bool) {
+	if IsFinal(move.State) {
+		return core.MoveStep{}, false
+	}
+	j.enter(now, move)
+	j.count(now, move, evidence)
+	if move.State == core.MoveProposed {
+		return j.begin(now, move)
+	}
+	if cause, text, worse := j.worse(); worse {
+		return step(now, move, eventFail, 0, cause, j.describe(now, move)+"; "+text)
+	}
+	if !now.Before(move.Request.Deadline) {
+		return step(now, move, eventTimeUp, 0, j.expiry(now, move), j.describe(now, move))
+	}
+	return j.pace(now, move)
+}
+
+func (j *Judge) enter(now time.Time, move core.Move) {
+	if j.began.IsZero() {
+		j.began = now
+		j.baselineUntil = now.Add(baselineTime)
+		j.merge.fresh = move.State == core.MoveProposed
+		j.step = move.Step
+	}
+	if j.step != move.Step {
+		j.step = move.Step
+		for _, g := range j.groups() {
+			g.closeWindows(now, true)
+			g.clearStage()
+		}
+	}
+}
+
+func (j *Judge) begin(now time.Time, move core.Move) (core.MoveStep, bool) {
+	if !now.Before(move.Request.Deadline) {
+		return step(now, move, eventTimeUp, 0, "the time was reached before the move began", "no evidence")
+	}
+	if now.Before(j.baselineUntil) {
+		return core.MoveStep{}, false
+	}
+	share := min(probeShare, risk(move))
+	return step(now, move, eventBegin, share, "", fmt.Sprintf("probing with %d per mille", share))
+}
+
+// groups returns all groups in a fixed order, the single routes first.
+func (j *Judge) groups() []*group {
+	names := lo.Keys(j.routes)
+	slices.Sort(names)
+	groups := make([]*group, 0, len(names)+2)
+	for _, name := range names {
+		groups = append(groups, j.routes[name])
+	}
+	return append(groups, j.pooled, j.all)
+}
+
+func (j *Judge) worse() (cause, evidence string, worse bool) {
+	for _, g := range j.groups() {
+		if cause, evidence, worse = g.verdict(); worse {
+			return cause, evidence, true
+		}
+	}
+	return "", "", false
+}
+
+type place struct {
+	route      core.RouteName
+	dataCentre core.DataCentre
+}
+
+func (j *Judge) count(now time.Time, move core.Move, evidence []core.EvidenceCount) {
+	samples := make(map[place]*sample)
+	var order []place
+	baseline := now.Before(j.baselineUntil)
+	for _, c := range evidence {
+		if c.Service != j.service || c.Release != j.from && c.Release != j.to {
+			continue
+		}
+		if baseline && c.Release == j.to && move.State == core.MoveProposed && c.Calls > 0 {
+			j.merge.fresh = false
+		}
+		added, counted := j.merge.advance(c, c.Release == j.to, baseline, move.StartedAt)
+		if !counted || move.State == core.MoveProposed && c.Release == j.to {
+			continue
+		}
+		at := place{
+			route:      c.Route,
+			dataCentre: j.fleet.dataCentreOf(c.Node),
+		}
+		if samples[at] == nil {
+			samples[at] = &sample{}
+			order = append(order, at)
+		}
+		j.addTo(samples[at], added)
+	}
+	for _, at := range order {
+		j.addSample(now, move, at, *samples[at])
+	}
+	early := now.Before(move.SteppedAt.Add(evidenceDelay))
+	for _, g := range j.groups() {
+		g.closeWindows(now, false)
+		if early {
+			g.clearStage()
+		}
+	}
+}
+
+// addTo adds a difference to a sample; the boundary of slow calls is set by the calls of the old release before it.
+func (j *Judge) addTo(s *sample, added core.EvidenceCount) {
+	side := func(p *pair) *tally {
+		if added.Release == j.from {
+			return &p.before
+		}
+		return &p.after
+	}
+	calls := float64(added.Calls)
+	side(&s.failures).add(tally{calls: calls, bad: float64(added.Failures)})
+	side(&s.crashes).add(tally{calls: calls, bad: float64(added.Crashes)})
+	if boundary, known := j.boundary(added.Route); known {
+		side(&s.slow).add(tally{calls: calls, bad: above(added.Latency, boundary)})
+	}
+	if added.Release != j.from {
+		return
+	}
+	histogram := j.latency[added.Route]
+	if histogram == nil {
+		histogram = new([core.LatencyBuckets]float64)
+		j.latency[added.Route] = histogram
+	}
+	for i, n := range added.Latency {
+		histogram[i] += float64(n)
+	}
+}
+
+// boundary returns the lowest bucket that leaves at most slowQuantile of the old release's calls above it.
+func (j *Judge) boundary(route core.RouteName) (int, bool) {
+	histogram := j.latency[route]
+	if histogram == nil {
+		return 0, false
+	}
+	calls := lo.Sum(histogram[:])
+	if calls < windowCalls {
+		return 0, false
+	}
+	rest := 0.0
+	for i := core.LatencyBuckets - 1; i > 0; i-- {
+		rest += histogram[i]
+		if rest > slowQuantile*calls {
+			return i, true
+		}
+	}
+	return 0, true
+}
+
+func above(latency [core.LatencyBuckets]uint64, boundary int) float64 {
+	return float64(lo.Sum(latency[boundary+1:]))
+}
+
+func (j *Judge) addSample(now time.Time, move core.Move, at place, s sample) {
+	if !j.fleet.comparable(at.dataCentre) {
+		return
+	}
+	g := j.routes[at.route]
+	if g == nil {
+		g = newGroup(fmt.Sprintf("route %q", at.route))
+		j.routes[at.route] = g
+	}
+	groups := []*group{g, j.all}
+	if !j.enoughTraffic(now, move, g) {
+		groups = append(groups, j.pooled)
+	}
+	for _, g := range groups {
+		g.add(now, at.dataCentre, s, j.fleet.warming(now))
+	}
+}
+
+// describe states the share and the evidence since the last step for an operator.
+func (j *Judge) describe(now time.Time, move core.Move) string {
+	judged, unjudged, little := j.judged(now, move)
+	parts := []string{
+		fmt.Sprintf("%d per mille for %s", move.Share, now.Sub(move.SteppedAt).Round(time.Second)),
+		j.all.failures.text("failed"),
+		j.all.slow.text("slow"),
+	}
+	if j.all.crashes.total.after.bad+j.all.crashes.total.before.bad > 0 {
+		parts = append(parts, j.all.crashes.text("crashed"))
+	}
+	for _, list := range []struct {
+		title string
+		names []string
+	}{
+		{title: "routes judged", names: judged},
+		{title: "routes not judged yet", names: unjudged},
+		{title: "routes with little traffic", names: little},
+	} {
+		if len(list.names) > 0 {
+			parts = append(parts, list.title+": "+strings.Join(list.names, ", "))
+		}
+	}
+	return strings.Join(parts, "; ")
+}
--- /dev/null
+++ b/core/rollout/pace.go
@@ -0,0 +1,140 @@
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"parsleyport/core"
+)
+
+// risk is the largest share before the evidence passes.
+func risk(move core.Move) core.PerMille {
+	if move.Request.MaxRiskShare > 0 {
+		return move.Request.MaxRiskShare
+	}
+	return defaultRisk
+}
+
+// nextShare is the share that follows when a stretch of evidence passes.
+func nextShare(share core.PerMille) core.PerMille {
+	switch {
+	case share < compareShare:
+		return min(2*share, compareShare)
+	case share < lastShare:
+		return lastShare
+	default:
+		return core.FullShare
+	}
+}
+
+// dwell is the time that a share may last if the remaining steps take equally long and end before the deadline.
+func dwell(move core.Move) time.Duration {
+	total := move.Request.Deadline.Sub(move.StartedAt)
+	margin := min(max(total/20, minDwell), total/5)
+	steps := 1
+	for share := move.Share; nextShare(share) < core.FullShare; share = nextShare(share) {
+		steps++
+	}
+	return max(0, move.Request.Deadline.Add(-margin).Sub(move.SteppedAt)) / time.Duration(steps)
+}
+
+func (j *Judge) pace(now time.Time, move core.Move) (core.MoveStep, bool) {
+	target, limit := j.target(now, move)
+	if target <= move.Share || limit != "" || j.suspicious() {
+		return core.MoveStep{}, false
+	}
+	planned, elapsed := dwell(move), now.Sub(move.SteppedAt)
+	passed := j.all.passesStage() && elapsed >= max(min(planned, maxDwell), min(planned, minDwell))
+	byTime := elapsed >= planned && (target <= risk(move) || j.littleTraffic(now, move))
+	if !passed && !byTime {
+		return core.MoveStep{}, false
+	}
+	if target < core.FullShare {
+		return step(now, move, eventPass, target, "", j.describe(now, move))
+	}
+	_, _, little := j.judged(now, move)
+	cause := "judged on all routes"
+	if !j.all.passesMove() || len(little) > 0 {
+		cause = "evidence thin"
+	}
+	return step(now, move, eventFinish, target, cause, j.describe(now, move))
+}
+
+// target returns the next share, and the reason if it may not be given now.
+func (j *Judge) target(now time.Time, move core.Move) (core.PerMille, string) {
+	target := nextShare(move.Share)
+	if j.fleet.warming(now) {
+		return target, "backend servers of the new release are in slow start"
+	}
+	if capacity := j.fleet.capacity(); target > capacity {
+		return target, fmt.Sprintf("the new release has backend servers for %d per mille only", capacity)
+	}
+	if target <= risk(move) || j.passes(now, move) {
+		return target, ""
+	}
+	if j.littleTraffic(now, move) && move.Request.MaxRiskShare == 0 {
+		return target, ""
+	}
+	target = risk(move)
+	if target <= move.Share {
+		return target, fmt.Sprintf("the largest share at risk is %d per mille until the evidence passes", target)
+	}
+	return target, ""
+}
+
+// passes reports whether the evidence passes in total and on each route that carries enough traffic.
+func (j *Judge) passes(now time.Time, move core.Move) bool {
+	_, unjudged, _ := j.judged(now, move)
+	return len(unjudged) == 0 && j.all.passesMove()
+}
+
+// judged sorts the routes by what is known of them.
+func (j *Judge) judged(now time.Time, move core.Move) (judged, unjudged, little []string) {
+	for _, g := range j.groups() {
+		switch {
+		case g == j.all || g == j.pooled:
+		case g.passesMove():
+			judged = append(judged, strings.TrimPrefix(g.name, "route "))
+		case j.enoughTraffic(now, move, g):
+			unjudged = append(unjudged, strings.TrimPrefix(g.name, "route "))
+		default:
+			little = append(little, strings.TrimPrefix(g.name, "route "))
+		}
+	}
+	return judged, unjudged, little
+}
+
+// enoughTraffic reports whether a part of the move's time at the share at risk gives a verdict on the group.
+func (j *Judge) enoughTraffic(now time.Time, move core.Move, g *group) bool {
+	observed := now.Sub(j.began)
+	if observed <= 0 {
+		return false
+	}
+	total := move.Request.Deadline.Sub(move.StartedAt)
+	expected := g.calls() * float64(total) / float64(observed)
+	return expected*float64(risk(move))/float64(core.FullShare) >= littleFactor*g.callsToPass()
+}
+
+func (j *Judge) littleTraffic(now time.Time, move core.Move) bool {
+	return !j.enoughTraffic(now, move, j.all)
+}
+
+func (j *Judge) suspicious() bool {
+	for _, g := range j.groups() {
+		if g.suspicious() {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *Judge) expiry(now time.Time, move core.Move) string {
+	if _, unjudged, _ := j.judged(now, move); len(unjudged) > 0 {
+		return "the time was reached before a verdict on " + strings.Join(unjudged, ", ")
+	}
+	if _, limit := j.target(now, move); limit != "" {
+		return "the time was reached: " + limit
+	}
+	return "the time was reached before the evidence passed"
+}
--- /dev/null
+++ b/core/rollout/sequential.go
@@ -0,0 +1,151 @@
+package rollout
+
+import (
+	"math"
+	"time"
+
+	"parsleyport/core"
+)
+
+// tally counts calls of one release and those among them that failed, were slow or crashed.
+type tally struct {
+	calls, bad float64
+}
+
+func (t *tally) add(other tally) {
+	t.calls += other.calls
+	t.bad += other.bad
+}
+
+func (t tally) rate(floor float64) float64 {
+	return math.Max(floor, (t.bad+floor*rateWeight)/(t.calls+rateWeight))
+}
+
+// pair counts both releases over the same time.
+type pair struct {
+	before, after tally // the old and the new release
+}
+
+func (p *pair) add(other pair) {
+	p.before.add(other.before)
+	p.after.add(other.after)
+}
+
+// window is the open window of one data centre.
+type window struct {
+	pair
+	dataCentre core.DataCentre
+	since      time.Time
+}
+
+// comparison tests one measure (failures, slow calls, crashes) of the new release against the old one.
+type comparison struct {
+	delta, restartDelta, floor float64
+	sequential                 float64   // log likelihood ratio since the move began
+	restarting                 float64   // the same, restarted at zero
+	open                       []*window // at most one of each data centre
+	total, stage               pair
+}
+
+func newComparison(delta, restart, floor float64) *comparison {
+	return &comparison{
+		delta:        delta,
+		restartDelta: restart,
+		floor:        floor,
+	}
+}
+
+// add counts differences of one data centre.
+func (c *comparison) add(now time.Time, dataCentre core.DataCentre, p pair) {
+	c.total.add(p)
+	c.stage.add(p)
+	for _, w := range c.open {
+		if w.dataCentre == dataCentre {
+			w.add(p)
+			return
+		}
+	}
+	c.open = append(c.open, &window{
+		pair:       p,
+		dataCentre: dataCentre,
+		since:      now,
+	})
+}
+
+// closeWindows adds the windows that are complete to the tests; all of them if the share has changed.
+func (c *comparison) closeWindows(now time.Time, all bool) {
+	var open []*window
+	for _, w := range c.open {
+		if !all && !w.complete(now) {
+			open = append(open, w)
+			continue
+		}
+		sequential, restarting := c.ratios(w.pair)
+		c.sequential += sequential
+		c.restarting = math.Max(0, c.restarting+restarting)
+	}
+	c.open = open
+}
+
+func (w *window) complete(now time.Time) bool {
+	smaller := math.Min(w.before.calls, w.after.calls)
+	age := now.Sub(w.since)
+	return smaller >= windowCalls || smaller >= windowMinCalls && age >= windowAge || age >= windowMaxAge
+}
+
+func (c *comparison) ratios(p pair) (sequential, restarting float64) {
+	rate := c.total.before.rate(c.floor)
+	return logRatio(p, (rate+c.delta)/rate), logRatio(p, (rate+c.restartDelta)/rate)
+}
+
+// logRatio is the log likelihood ratio of "the new release fails factor times as often" to "both fail alike", given
+// the number of failures of both together. A burst of failures that meets both releases cancels out.
+func logRatio(p pair, factor float64) float64 {
+	if p.before.calls == 0 || p.after.calls == 0 {
+		return 0
+	}
+	alike := p.after.calls / (p.after.calls + p.before.calls)
+	worse := factor * p.after.calls / (factor*p.after.calls + p.before.calls)
+	return p.after.bad*math.Log(worse/alike) + p.before.bad*math.Log((1-worse)/(1-alike))
+}
+
+// worse reports whether the new release is worse, with the open windows counted as they stand.
+func (c *comparison) worse() bool {
+	if c.total.after.bad < minFailures {
+		return false
+	}
+	sequential, restarting := c.sequential, c.restarting
+	for _, w := range c.open {
+		s, r := c.ratios(w.pair)
+		sequential += s
+		restarting += r
+	}
+	return sequential >= math.Log((1-miss)/falseAlarm) || restarting >= math.Log((1-miss)/restartAlarm)
+}
+
+// suspicious reports whether either test is halfway to its alarm.
+func (c *comparison) suspicious() bool {
+	restarting := c.restarting
+	for _, w := range c.open {
+		_, r := c.ratios(w.pair)
+		restarting += r
+	}
+	return restarting >= math.Log((1-miss)/restartAlarm)/2
+}
+
+// passes reports whether the sequential test accepts that the new release is not worse by delta.
+func (c *comparison) passes(p pair) bool {
+	rate := p.before.rate(c.floor)
+	worse := math.Min(rate+c.delta, 0.99)
+	good := p.after.calls - p.after.bad
+	ratio := p.after.bad*math.Log(worse/rate) + good*math.Log((1-worse)/(1-rate))
+	return ratio <= math.Log(miss/(1-falseAlarm))
+}
+
+// callsToPass is the expected number of calls after which the test passes a new release that is as good as the old one.
+func (c *comparison) callsToPass() float64 {
+	rate := c.total.before.rate(c.floor)
+	worse := math.Min(rate+c.delta, 0.99)
+	drift := rate*math.Log(worse/rate) + (1-rate)*math.Log((1-worse)/(1-rate))
+	return math.Log(miss/(1-falseAlarm)) / drift
+}
