rollout: accept by windows so that a burst on both releases does not block a move

Cause: totals of the whole move mix times with different shares, so a burst of failures on both releases looked like a difference and moves expired. Ruled out: the restarting test, which showed no suspicion in these traces. Conclusion: the accepting test takes the old rate of the same window, is clipped above, and stays passed once it has passed.

--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -26,6 +26,8 @@
 	rateWeight = 1000
 	// slowQuantile is the share of the old release's calls that the latency boundary leaves above it.
 	slowQuantile = 0.05
+	// acceptCeiling bounds what one burst of failures adds to the accepting test.
+	acceptCeiling = 2
 	// minFailures keeps one or two unlucky calls from taking a move back.
 	minFailures = 3
 )
--- a/core/rollout/group.go
+++ b/core/rollout/group.go
@@ -41,15 +41,15 @@
 	}
 }
 
-func (g *group) closeWindows(now time.Time, all bool) {
+func (g *group) closeWindows(now time.Time) {
 	for _, c := range g.comparisons() {
-		c.closeWindows(now, all)
+		c.closeWindows(now, false)
 	}
 }
 
-func (g *group) clearStage() {
+func (g *group) clearStage(now time.Time) {
 	for _, c := range g.comparisons() {
-		c.stage = pair{}
+		c.clearStage(now)
 	}
 }
 
@@ -57,14 +57,14 @@
 	return g.failures.suspicious() || g.slow.suspicious() || g.crashes.suspicious()
 }
 
-// passesMove reports whether all evidence of the move accepts the new release.
+// passesMove reports whether the evidence of the move has accepted the new release.
 func (g *group) passesMove() bool {
-	return g.failures.passes(g.failures.total) && g.slow.passes(g.slow.total)
+	return g.failures.passes() && g.slow.passes()
 }
 
 // passesStage reports whether the evidence since the last step accepts the new release.
 func (g *group) passesStage() bool {
-	return g.failures.passes(g.failures.stage) && g.slow.passes(g.slow.stage)
+	return g.failures.passesStage() && g.slow.passesStage()
 }
 
 // callsToPass is the expected number of calls of the new release until the group passes.
--- a/core/rollout/sequential.go
+++ b/core/rollout/sequential.go
@@ -44,6 +44,8 @@
 	sequential                 float64   // log likelihood ratio since the move began
 	restarting                 float64   // the same, restarted at zero
 	open                       []*window // at most one of each data centre
+	accepting, acceptingStage  float64   // log likelihood ratios of the accepting test
+	judged                     bool      // the accepting test has passed once
 	total, stage               pair
 }
 
@@ -81,6 +83,9 @@
 			continue
 		}
 		sequential, restarting := c.ratios(w.pair)
+		accepting := c.acceptRatio(w.pair)
+		c.accepting = math.Min(c.accepting+accepting, acceptCeiling)
+		c.acceptingStage = math.Min(c.acceptingStage+accepting, acceptCeiling)
 		c.sequential += sequential
 		c.restarting = math.Max(0, c.restarting+restarting)
 	}
@@ -133,15 +138,43 @@
 	return restarting >= math.Log((1-miss)/restartAlarm)/2
 }
 
-// passes reports whether the sequential test accepts that the new release is not worse by delta.
-func (c *comparison) passes(p pair) bool {
-	rate := p.before.rate(c.floor)
-	worse := math.Min(rate+c.delta, 0.99)
+// acceptRatio is the log likelihood ratio of "the new release is worse by delta" to "it is as good as the old one". It
+// takes the old release's rate from the same window, so that a burst that meets both releases does not count against
+// the new one, and leans on the rate of the whole move where the window has few calls.
+func (c *comparison) acceptRatio(p pair) float64 {
+	rate := (p.before.bad + c.total.before.rate(c.floor)*windowCalls) / (p.before.calls + windowCalls)
+	rate = math.Min(math.Max(rate, c.floor), 0.98-c.delta)
+	worse := rate + c.delta
 	good := p.after.calls - p.after.bad
-	ratio := p.after.bad*math.Log(worse/rate) + good*math.Log((1-worse)/(1-rate))
+	return p.after.bad*math.Log(worse/rate) + good*math.Log((1-worse)/(1-rate))
+}
+
+// accepts reports whether a ratio, with the open windows as they stand, accepts the new release.
+func (c *comparison) accepts(ratio float64) bool {
+	for _, w := range c.open {
+		ratio += c.acceptRatio(w.pair)
+	}
 	return ratio <= math.Log(miss/(1-falseAlarm))
 }
 
+// passes reports whether the accepting test has passed within the move; what comes later is for the restarting test.
+func (c *comparison) passes() bool {
+	c.judged = c.judged || c.accepts(c.accepting)
+	return c.judged
+}
+
+// passesStage reports whether the evidence since the last step accepts the new release.
+func (c *comparison) passesStage() bool {
+	return c.accepts(c.acceptingStage)
+}
+
+// clearStage begins the evidence of a step.
+func (c *comparison) clearStage(now time.Time) {
+	c.closeWindows(now, true)
+	c.stage = pair{}
+	c.acceptingStage = 0
+}
+
 // callsToPass is the expected number of calls after which the test passes a new release that is as good as the old one.
 func (c *comparison) callsToPass() float64 {
 	rate := c.total.before.rate(c.floor)
