rollout: raise the share by time once the move is judged

Cause: each step asked for a full stretch of evidence of its own, which tight deadlines and failing old releases do not give in the planned time. Ruled out: too few calls in the whole move, all routes were judged. Conclusion: kept; the slower detection at large shares is a separate cause.

--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -46,7 +46,7 @@
 	}
 	planned, elapsed := dwell(move), now.Sub(move.SteppedAt)
 	passed := j.all.passesStage() && elapsed >= max(min(planned, maxDwell), min(planned, minDwell))
-	byTime := elapsed >= planned && (target <= risk(move) || j.littleTraffic(now, move))
+	byTime := elapsed >= planned && (target <= risk(move) || j.passes(now, move) || j.littleTraffic(now, move))
 	if !passed && !byTime {
 		return core.MoveStep{}, false
 	}
