rollout: use the time until the deadline and risk 15 per mille before a verdict

Cause: a move that finished early missed a fault that came before its time, and 50 per mille before the verdict is more than the 2% that may meet a bad version. Ruled out: none.

--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -43,7 +43,7 @@
 // Pacing.
 const (
 	probeShare   = 5
-	defaultRisk  = 50  // per mille without evidence that passes, if the request names no share
+	defaultRisk  = 15  // per mille without evidence that passes, if the request names no share
 	compareShare = 500 // the comparison is most sensitive while both releases get the same traffic
 	lastShare    = 800 // the old release keeps enough traffic for a comparison under load
 	// baselineTime is how long a move stays proposed, so that reports from before it arrive first.
@@ -51,7 +51,7 @@
 	// evidenceDelay is left out after a step, since reports from before the step still arrive.
 	evidenceDelay = 2 * time.Second
 	minDwell      = 4 * time.Second
-	maxDwell      = 30 * time.Second
+	maxDwell      = 2 * time.Minute
 	// slowStart is the time in which the balancer warms a backend server up (design 6.7).
 	slowStart = 10 * time.Second
 	// maxWarmup bounds the time without latency evidence, so that a release that restarts constantly is judged.
