--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -38,6 +38,7 @@
 type Result struct {
 	Latency    time.Duration
 	Overloaded bool // the backend server shed the call or said that it is overloaded
+	Failed     bool // the latency says nothing, since failures are often fast
 }
 
 // Shed is a waiting call that will not be run.
@@ -245,6 +246,9 @@
 		l.decrease(now)
 		return
 	}
+	if result.Failed {
+		return
+	}
 	latency := result.Latency.Seconds()
 	if l.fastest == 0 {
 		l.fastest, l.average = latency, latency
--- a/core/record.go
+++ b/core/record.go
@@ -93,7 +93,10 @@
 
 // Override replaces the weights of a service's policy while a move is under way or after it has ended.
 type Override struct {
-	Service ServiceName `json:"service" msgpack:"service"`
-	Move    MoveID      `json:"move" msgpack:"move"`
-	Weights []Weight    `json:"weights" msgpack:"weights"`
+	Service ServiceName  `json:"service" msgpack:"service"`
+	Move    MoveID       `json:"move" msgpack:"move"`
+	From    UpstreamName `json:"from" msgpack:"from"`
+	To      UpstreamName `json:"to" msgpack:"to"`
+	Open    bool         `json:"open" msgpack:"open"` // the move has not ended
+	Weights []Weight     `json:"weights" msgpack:"weights"`
 }
--- a/core/record/configuration.go
+++ b/core/record/configuration.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -368,6 +369,9 @@
 	for _, o := range c.Overrides() {
 		writeText(digest, string(o.Service))
 		writeText(digest, string(o.Move))
+		writeText(digest, string(o.From))
+		writeText(digest, string(o.To))
+		writeText(digest, strconv.FormatBool(o.Open))
 		for _, weight := range o.Weights {
 			writeText(digest, string(weight.Upstream))
 			writeNumber(digest, uint64(weight.PerMille))
--- a/core/record/delta.go
+++ b/core/record/delta.go
@@ -93,7 +93,7 @@
 }
 
 func sameOverride(a, b core.Override) bool {
-	if a.Move != b.Move || len(a.Weights) != len(b.Weights) {
+	if a.Move != b.Move || a.From != b.From || a.To != b.To || a.Open != b.Open || len(a.Weights) != len(b.Weights) {
 		return false
 	}
 	for i := range a.Weights {
--- /dev/null
+++ b/io/adminhttp/server.go
@@ -0,0 +1,78 @@
+package adminhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	stopTimeout   = time.Second
+)
+
+// Options configure a Server. State is encoded as JSON for the state dump and must hold no secrets.
+type Options struct {
+	Address string
+	Ready   func() bool
+	State   func() any
+	Metrics *metrics.Set
+	Logger  zerolog.Logger
+}
+
+// New starts the server on /metrics, /ready (status 200 or 503) and /state; the clean-up function stops it.
+func New(options Options) (func(), error) {
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, errors.Annotate(err, "admin address")
+	}
+	server := &http.Server{
+		Handler:           handler(options),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			options.Logger.Error().Err(err).Msg("admin server stopped")
+		}
+	}()
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+		<-stopped
+	}, nil
+}
+
+func handler(options Options) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		options.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !options.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(options.State()); err != nil {
+			options.Logger.Error().Err(err).Msg("state dump cannot be encoded")
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/io/node/admission.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"parsleyport/core"
+	"parsleyport/core/limiter"
+	"parsleyport/io/backendhttp"
+)
+
+// expireEvery is how often waiting calls are checked for deadlines that can no longer be met.
+const expireEvery = 10 * time.Millisecond
+
+// admission lets the calls at the local backend server wait for their turn in a limiter.Limiter.
+type admission struct {
+	mu      sync.Mutex // guards limiter and waiting
+	limiter *limiter.Limiter
+	waiting map[limiter.Ticket]chan *core.Refusal // receives nil to start
+}
+
+var _ backendhttp.Admission = (*admission)(nil)
+
+func newAdmission() (*admission, func()) {
+	a := &admission{
+		limiter: limiter.New(1),
+		waiting: make(map[limiter.Ticket]chan *core.Refusal),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		a.expireUntil(ctx)
+	}()
+	return a, func() {
+		cancel()
+		<-stopped
+	}
+}
+
+func (a *admission) expireUntil(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			a.mu.Lock()
+			if a.limiter.Waiting() > 0 {
+				a.follow(a.limiter.Expire(now))
+			}
+			a.mu.Unlock()
+		}
+	}
+}
+
+// SetSlots implements backendhttp.Admission.
+func (a *admission) SetSlots(slots int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.follow(a.limiter.Resize(time.Now(), slots))
+}
+
+// Acquire implements backendhttp.Admission.
+func (a *admission) Acquire(ctx context.Context, call *core.Call) (func(failed bool), *core.Refusal) {
+	ticket, turn := a.arrive(call)
+	select {
+	case refusal := <-turn:
+		return a.admitted(ticket, refusal)
+	case <-ctx.Done():
+	}
+	if a.cancel(ticket) {
+		return nil, &core.Refusal{
+			Cause: core.CauseRevoked,
+		}
+	}
+	return a.admitted(ticket, <-turn) // the decision was made just before the context ended
+}
+
+func (a *admission) arrive(call *core.Call) (limiter.Ticket, <-chan *core.Refusal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	turn := make(chan *core.Refusal, 1)
+	ticket, change := a.limiter.Arrive(time.Now(), limiter.Request{
+		Tenant:   call.Tenant,
+		Priority: call.Priority,
+		Deadline: call.Deadline,
+	})
+	a.waiting[ticket] = turn
+	a.follow(change)
+	return ticket, turn
+}
+
+func (a *admission) admitted(ticket limiter.Ticket, refusal *core.Refusal) (func(failed bool), *core.Refusal) {
+	if refusal != nil {
+		return nil, refusal
+	}
+	startedAt := time.Now()
+	return func(failed bool) { a.finish(ticket, startedAt, failed) }, nil
+}
+
+func (a *admission) finish(ticket limiter.Ticket, startedAt time.Time, failed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	a.follow(a.limiter.Finish(now, ticket, limiter.Result{
+		Latency: now.Sub(startedAt),
+		Failed:  failed,
+	}))
+}
+
+func (a *admission) cancel(ticket limiter.Ticket) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.limiter.Cancel(ticket) {
+		return false
+	}
+	delete(a.waiting, ticket)
+	return true
+}
+
+// follow wakes the calls that a change concerns; the caller holds the lock.
+func (a *admission) follow(change limiter.Change) {
+	for _, ticket := range change.Start {
+		a.wake(ticket, nil)
+	}
+	for _, shed := range change.Shed {
+		a.wake(shed.Ticket, &core.Refusal{
+			Cause: shed.Cause,
+		})
+	}
+}
+
+func (a *admission) wake(ticket limiter.Ticket, refusal *core.Refusal) {
+	a.waiting[ticket] <- refusal
+	delete(a.waiting, ticket)
+}
