--- a/standin/caller.go
+++ b/standin/caller.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -157,13 +158,27 @@
 		Target: lo.Sample(c.options.targets),
 		At:     time.Now(),
 	}
-	if err := c.attempt(&entry); err != nil {
+	err := c.attempt(&entry)
+	for range len(c.options.targets) {
+		if !refusedConnection(err) {
+			break
+		}
+		entry.Target = lo.Sample(c.options.targets) // callers may enter at any node, and nothing was sent
+		err = c.attempt(&entry)
+	}
+	if err != nil {
 		entry.Error = err.Error()
 	}
 	entry.LatencyUS = time.Since(entry.At).Microseconds()
 	c.record(entry)
 }
 
+// refusedConnection reports whether no connection could be opened, so that the target has seen nothing of the call.
+func refusedConnection(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 func (c *caller) attempt(entry *callEntry) error {
 	timeout := time.Duration(c.options.timeoutMS) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
