Claim idempotency keys at their holders and test the messages between nodes

core/idempotency remembers keys, attempts, revocations and crash suspects. nodepeer.Claims chooses two holders by rendezvous hashing, asks the first before the second, and gives back what it won if the claim fails as a whole. A full memory refuses new keys instead of forgetting one.

The tests of io/nodepeer cut a connection at each message, swallow, hold and change messages, and count the runs of each call.

--- /dev/null
+++ b/core/idempotency/keys.go
@@ -0,0 +1,199 @@
+package idempotency
+
+import (
+	"net/http"
+	"time"
+
+	"parsleyport/core"
+)
+
+const (
+	maxKeys = 131_072 // 218 keys a second over the window
+	// MaxRecordedBytes bounds the body of one recorded answer.
+	MaxRecordedBytes = 64 << 10
+	maxRecordedTotal = 32 << 20
+)
+
+// Key identifies what a caller wants to happen at most once.
+type Key struct {
+	Tenant  core.TenantID       `msgpack:"tenant"`
+	Service core.ServiceName    `msgpack:"service"`
+	Name    core.IdempotencyKey `msgpack:"name"`
+}
+
+// KeyOf returns the key of a call.
+func KeyOf(call *core.Call) Key {
+	return Key{
+		Tenant:  call.Tenant,
+		Service: call.Service,
+		Name:    call.IdempotencyKey,
+	}
+}
+
+// Recorded is an answer that a resend of its request gets.
+type Recorded struct {
+	Status  int          `msgpack:"status"`
+	Header  http.Header  `msgpack:"header"`
+	Body    []byte       `msgpack:"body"`
+	Release core.Release `msgpack:"release"`
+}
+
+// Verdict is a holder's answer to a claim, or what several holders' answers come to.
+type Verdict string
+
+// The verdicts on a claim.
+const (
+	// VerdictGranted means that the claiming call may run.
+	VerdictGranted Verdict = "granted"
+	// VerdictRunning means that another call with the key is running.
+	VerdictRunning Verdict = "running"
+	// VerdictAnswered means that a call with the key was answered and the answer is recorded.
+	VerdictAnswered Verdict = "answered"
+	// VerdictUnknown means that a call with the key may have run, or that nobody remembers.
+	VerdictUnknown Verdict = "unknown"
+	// VerdictConflict means that the key belongs to another request.
+	VerdictConflict Verdict = "conflict"
+	// VerdictFull means that the holder can remember no more keys.
+	VerdictFull Verdict = "full"
+)
+
+// Keys is one holder's memory of idempotency keys. An entry stays for the window; a full memory refuses new keys rather
+// than forget one.
+type Keys struct {
+	entries  map[Key]*keyEntry
+	order    []keyAge // oldest first
+	recorded int      // bytes of bodies
+}
+
+type keyEntry struct {
+	owner   core.CallID
+	content Fingerprint
+	verdict Verdict // running, answered or unknown
+	until   time.Time
+	claimed time.Time
+	answer  *Recorded
+}
+
+type keyAge struct {
+	key     Key
+	claimed time.Time
+}
+
+// NewKeys returns an empty memory.
+func NewKeys() *Keys {
+	return &Keys{
+		entries: make(map[Key]*keyEntry),
+	}
+}
+
+// Claim gives the key to a call, which must settle it by the given time, or says who has it. A repeated claim of the
+// same call is granted again.
+func (k *Keys) Claim(now time.Time, key Key, owner core.CallID, content Fingerprint, until time.Time) (Verdict, *Recorded) {
+	k.expire(now)
+	entry := k.entries[key]
+	switch {
+	case entry == nil && len(k.order) >= maxKeys:
+		return VerdictFull, nil
+	case entry == nil:
+		k.entries[key] = &keyEntry{
+			owner:   owner,
+			content: content,
+			verdict: VerdictRunning,
+			until:   until,
+			claimed: now,
+		}
+		k.order = append(k.order, keyAge{
+			key:     key,
+			claimed: now,
+		})
+		return VerdictGranted, nil
+	case entry.content != content:
+		return VerdictConflict, nil
+	case entry.verdict == VerdictRunning && entry.owner == owner:
+		return VerdictGranted, nil
+	case entry.verdict == VerdictRunning && now.After(entry.until):
+		entry.verdict = VerdictUnknown // its entry node has not settled it
+	}
+	return entry.verdict, entry.answer
+}
+
+// Settle records what became of the owner's call: granted means that it has not run and gives the key back.
+func (k *Keys) Settle(now time.Time, key Key, owner core.CallID, verdict Verdict, answer *Recorded) {
+	k.expire(now)
+	entry := k.entries[key]
+	if entry == nil || entry.owner != owner || entry.verdict == VerdictAnswered {
+		return
+	}
+	switch {
+	case verdict == VerdictGranted && entry.verdict == VerdictRunning:
+		delete(k.entries, key)
+	case verdict == VerdictAnswered && answer != nil && len(answer.Body) <= MaxRecordedBytes && k.recorded+len(answer.Body) <= maxRecordedTotal:
+		entry.verdict = VerdictAnswered
+		entry.answer = answer
+		k.recorded += len(answer.Body)
+	default:
+		entry.verdict = VerdictUnknown
+	}
+}
+
+func (k *Keys) expire(now time.Time) {
+	expired := 0
+	for expired < len(k.order) && now.Sub(k.order[expired].claimed) > Window {
+		age := k.order[expired]
+		expired++
+		entry := k.entries[age.key]
+		if entry == nil || !entry.claimed.Equal(age.claimed) {
+			continue // given back, and perhaps claimed again later
+		}
+		if entry.answer != nil {
+			k.recorded -= len(entry.answer.Body)
+		}
+		delete(k.entries, age.key)
+	}
+	k.order = k.order[expired:]
+}
+
+// Reply is what one holder said about a claim.
+type Reply struct {
+	Reached bool
+	Whole   bool // the holder remembers the whole window
+	Verdict Verdict
+	Answer  *Recorded
+}
+
+// Combine decides a claim from its holders' replies: the claim must have won at each holder that was reached, and one
+// of them must remember the whole window.
+func Combine(replies []Reply) (Verdict, *Recorded) {
+	whole := false
+	verdict, answer := VerdictGranted, (*Recorded)(nil)
+	for _, reply := range replies {
+		if !reply.Reached {
+			continue
+		}
+		whole = whole || reply.Whole
+		if rank(reply.Verdict) > rank(verdict) {
+			verdict, answer = reply.Verdict, reply.Answer
+		}
+	}
+	if !whole && verdict == VerdictGranted {
+		return VerdictUnknown, nil
+	}
+	return verdict, answer
+}
+
+// rank orders verdicts by how much they say: a recorded answer settles everything, a grant only what is left.
+func rank(verdict Verdict) int {
+	switch verdict {
+	case VerdictAnswered:
+		return 5
+	case VerdictConflict:
+		return 4
+	case VerdictRunning:
+		return 3
+	case VerdictUnknown:
+		return 2
+	case VerdictFull:
+		return 1
+	}
+	return 0
+}
--- a/core/idempotency/suspects.go
+++ b/core/idempotency/suspects.go
@@ -23,14 +23,23 @@
 // FingerprintOf is the hash of tenant, route, method, path and body.
 func FingerprintOf(call *core.Call) Fingerprint {
 	path, _, _ := strings.Cut(call.Target, "?")
+	return hashOf(call.Body, string(call.Tenant), string(call.Route), call.Method, path)
+}
+
+// ContentOf identifies requests that are resends of each other; unlike FingerprintOf, it covers the query.
+func ContentOf(call *core.Call) Fingerprint {
+	return hashOf(call.Body, string(call.Tenant), string(call.Service), call.Method, call.Target)
+}
+
+func hashOf(body []byte, texts ...string) Fingerprint {
 	digest := xxhash.New()
-	for _, text := range []string{string(call.Tenant), string(call.Route), call.Method, path} {
+	for _, text := range texts {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(text)))
 		_, _ = digest.Write(length[:]) // a Digest never fails
 		_, _ = digest.WriteString(text)
 	}
-	_, _ = digest.Write(call.Body)
+	_, _ = digest.Write(body)
 	return Fingerprint(digest.Sum64())
 }
 
--- /dev/null
+++ b/io/callerhttp/keyed.go
@@ -0,0 +1,99 @@
+package callerhttp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/idempotency"
+)
+
+// settleLimit bounds the time to tell the holders of a key what became of its call.
+const settleLimit = time.Second
+
+// errKeyUnknown is the error of a resend whose first call may have run.
+const errKeyUnknown = errors.ConstError("an earlier call with this idempotency key may have run")
+
+// serveKeyed serves a call with an idempotency key. Once the key is claimed, the call no longer ends with its caller's
+// connection, so that a resend gets the answer.
+func (s *Server) serveKeyed(ctx context.Context, w http.ResponseWriter, q *request) {
+	verdict, recorded := s.options.Keys.Claim(ctx, q.call)
+	switch verdict {
+	case idempotency.VerdictGranted:
+		s.runClaimed(context.WithoutCancel(ctx), w, q)
+	case idempotency.VerdictAnswered:
+		s.replay(w, recorded)
+	case idempotency.VerdictConflict:
+		s.refuse(w, refusal(core.CauseDuplicateCall, "the idempotency key belongs to another request"))
+	case idempotency.VerdictFull:
+		s.refuse(w, refusal(core.CauseQueueFull, "no more idempotency keys can be remembered"))
+	default:
+		s.unknown(w, q, "", errKeyUnknown)
+	}
+}
+
+func (s *Server) runClaimed(ctx context.Context, w http.ResponseWriter, q *request) {
+	ctx, cancel := context.WithDeadline(ctx, q.call.Deadline)
+	defer cancel()
+	last := s.attempt(ctx, q)
+	r := &recorder{
+		verdict: idempotency.VerdictUnknown,
+	}
+	if last.outcome == core.OutcomeNotRun {
+		r.verdict = idempotency.VerdictGranted
+	}
+	if last.outcome == core.OutcomeAnswered {
+		r.answer = &idempotency.Recorded{
+			Status:  last.answer.Status,
+			Header:  last.answer.Header.Clone(),
+			Release: last.release,
+		}
+	}
+	defer func() { // also when the caller's connection is aborted
+		settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
+		defer cancel()
+		s.options.Keys.Settle(settle, q.call, r.verdict, r.answer)
+	}()
+	s.deliver(ctx, w, q, last, r)
+}
+
+// replay answers a resend with the recorded answer of its first call.
+func (s *Server) replay(w http.ResponseWriter, recorded *idempotency.Recorded) {
+	s.outcomes[core.OutcomeAnswered].Inc()
+	removeHopHeaders(recorded.Header)
+	for name, values := range recorded.Header {
+		w.Header()[name] = values
+	}
+	w.Header().Set(headerOutcome, string(core.OutcomeAnswered))
+	w.Header().Set(headerRelease, string(recorded.Release))
+	w.WriteHeader(recorded.Status)
+	_, _ = w.Write(recorded.Body) // a caller that has gone may send again
+}
+
+// recorder keeps an answer's body for resends, up to idempotency.MaxRecordedBytes; a nil recorder keeps nothing.
+type recorder struct {
+	verdict idempotency.Verdict
+	answer  *idempotency.Recorded
+	tooLong bool
+}
+
+func (r *recorder) add(bytes []byte) {
+	if r == nil || r.tooLong {
+		return
+	}
+	if len(r.answer.Body)+len(bytes) > idempotency.MaxRecordedBytes {
+		r.tooLong = true
+		r.answer.Body = nil
+		return
+	}
+	r.answer.Body = append(r.answer.Body, bytes...)
+}
+
+func (r *recorder) complete() {
+	if r != nil && !r.tooLong {
+		r.verdict = idempotency.VerdictAnswered
+	}
+}
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -62,16 +62,24 @@
 	s.mu.Lock()
 	s.budget.Call(q.began)
 	s.mu.Unlock()
-	last := s.attempt(ctx, q)
+	defer s.latency.UpdateDuration(q.began)
+	if s.options.Keys != nil && q.call.IdempotencyKey != "" && !q.call.Idempotent {
+		s.serveKeyed(ctx, w, q)
+		return
+	}
+	s.deliver(ctx, w, q, s.attempt(ctx, q), nil)
+}
+
+// deliver gives the caller what its call came to; an answer's body also goes to the recorder, if there is one.
+func (s *Server) deliver(ctx context.Context, w http.ResponseWriter, q *request, last result, recorder *recorder) {
 	switch last.outcome {
 	case core.OutcomeAnswered:
-		s.stream(ctx, w, q, last)
+		s.stream(ctx, w, q, last, recorder)
 	case core.OutcomeNotRun:
 		s.refuse(w, refusalOf(last.err))
 	default:
-		s.unknown(w, q, last)
+		s.unknown(w, q, last.release, last.err)
 	}
-	s.latency.UpdateDuration(q.began)
 }
 
 func refusalOf(err error) *core.Refusal {
@@ -173,7 +181,7 @@
 
 // stream sends an answer. If its body fails midway, the connection is aborted, so that the caller never takes a part
 // for the whole.
-func (s *Server) stream(ctx context.Context, w http.ResponseWriter, q *request, last result) {
+func (s *Server) stream(ctx context.Context, w http.ResponseWriter, q *request, last result, recorder *recorder) {
 	defer last.answer.Body.Close()
 	header := w.Header()
 	removeHopHeaders(last.answer.Header)
@@ -183,7 +191,7 @@
 	header.Set(headerOutcome, string(core.OutcomeAnswered))
 	header.Set(headerRelease, string(last.release))
 	w.WriteHeader(last.answer.Status)
-	fromBackend, err := copyBody(w, last.answer.Body)
+	fromBackend, err := copyBody(w, last.answer.Body, recorder)
 	s.done(ctx, q, last, last.answer.Status >= 500 || fromBackend)
 	if err != nil {
 		s.aborted.Inc()
@@ -194,18 +202,21 @@
 }
 
 // copyBody flushes after each chunk, since a streaming answer may pause; it says whether an error is the source's.
-func copyBody(w http.ResponseWriter, body io.Reader) (fromSource bool, err error) {
+func copyBody(w http.ResponseWriter, body io.Reader, recorder *recorder) (fromSource bool, err error) {
 	flusher, _ := w.(http.Flusher)
 	chunk := make([]byte, core.MaxChunkBytes)
 	for {
 		n, readErr := body.Read(chunk)
-		if n > 0 {
-			if _, err := w.Write(chunk[:n]); err != nil {
-				return false, err
-			}
+		recorder.add(chunk[:n])
+		if n > 0 && err == nil {
+			_, err = w.Write(chunk[:n])
 		}
 		if errors.Is(readErr, io.EOF) {
-			return false, nil
+			recorder.complete()
+			return false, err
+		}
+		if err != nil && recorder == nil {
+			return false, err
 		}
 		if readErr != nil {
 			return true, readErr
@@ -237,15 +248,15 @@
 	return "other"
 }
 
-func (s *Server) unknown(w http.ResponseWriter, q *request, last result) {
+func (s *Server) unknown(w http.ResponseWriter, q *request, release core.Release, err error) {
 	s.outcomes[core.OutcomeUnknown].Inc()
 	status := http.StatusBadGateway
 	if !time.Now().Before(q.call.Deadline) {
 		status = http.StatusGatewayTimeout
 	}
 	w.Header().Set(headerOutcome, string(core.OutcomeUnknown))
-	if last.release != "" {
-		w.Header().Set(headerRelease, string(last.release))
+	if release != "" {
+		w.Header().Set(headerRelease, string(release))
 	}
-	http.Error(w, "outcome unknown: "+last.err.Error(), status)
+	http.Error(w, "outcome unknown: "+err.Error(), status)
 }
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -31,8 +31,15 @@
 	writeGrace = time.Second
 )
 
-// Options configures a Server. Listener replaces Address; ReleaseAllowed and Suspected may be nil; MaxBodyBytes zero
-// means 8 MiB, the most that io/nodepeer carries.
+// KeyClaimer settles idempotency keys with the nodes that hold them, as nodepeer.Claims does.
+type KeyClaimer interface {
+	Claim(ctx context.Context, call *core.Call) (idempotency.Verdict, *idempotency.Recorded)
+	Settle(ctx context.Context, call *core.Call, verdict idempotency.Verdict, answer *idempotency.Recorded)
+}
+
+// Options configures a Server. Listener replaces Address; ReleaseAllowed, Suspected and Keys may be nil, and without
+// Keys a call with an idempotency key is like one without; MaxBodyBytes zero means 8 MiB, the most that io/nodepeer
+// carries.
 type Options struct {
 	Address        string
 	Listener       net.Listener
@@ -44,6 +51,7 @@
 	Evidence       core.EvidenceRecorder
 	ReleaseAllowed func(core.ServiceName, core.Release) bool
 	Suspected      func(idempotency.Fingerprint) bool
+	Keys           KeyClaimer
 	MaxBodyBytes   int64
 	Logger         zerolog.Logger
 	Metrics        *metrics.Set
--- /dev/null
+++ b/io/nodepeer/claims.go
@@ -0,0 +1,244 @@
+package nodepeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/idempotency"
+)
+
+const (
+	// holderLimit bounds the question to one holder; one that takes longer counts as out of reach.
+	holderLimit = 500 * time.Millisecond
+	// claimGrace is how long after the call's deadline its entry node may still settle the key.
+	claimGrace = 2 * time.Second
+	// runningPoll is how often a resend asks whether the running call has been answered.
+	runningPoll  = 50 * time.Millisecond
+	observeEvery = time.Second
+)
+
+// keyMessage claims a key or settles it. Verdict is empty in a claim.
+type keyMessage struct {
+	Token       uint64                  `msgpack:"token"`
+	Key         idempotency.Key         `msgpack:"key"`
+	Owner       core.CallID             `msgpack:"owner"`
+	Content     idempotency.Fingerprint `msgpack:"content"`
+	RemainingUS int64                   `msgpack:"remaining-us"`
+	Verdict     idempotency.Verdict     `msgpack:"verdict"`
+	Answer      *idempotency.Recorded   `msgpack:"answer"`
+}
+
+// keyReply answers a keyMessage.
+type keyReply struct {
+	Token     uint64                `msgpack:"token"`
+	RunningUS int64                 `msgpack:"running-us"`
+	Verdict   idempotency.Verdict   `msgpack:"verdict"`
+	Answer    *idempotency.Recorded `msgpack:"answer"`
+}
+
+// keepKey is the holder's side of a claim.
+func (s *Server) keepKey(message keyMessage) keyReply {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := keyReply{
+		Token:     message.Token,
+		RunningUS: now.Sub(s.started).Microseconds(),
+	}
+	if message.Verdict != "" {
+		s.keys.Settle(now, message.Key, message.Owner, message.Verdict, message.Answer)
+		return reply
+	}
+	until := now.Add(time.Duration(message.RemainingUS) * time.Microsecond).Add(claimGrace)
+	reply.Verdict, reply.Answer = s.keys.Claim(now, message.Key, message.Owner, message.Content, until)
+	return reply
+}
+
+func (c *serverConn) keepKey(message keyMessage) error {
+	c.send(typeKeyReply, c.server.keepKey(message))
+	return nil
+}
+
+// ClaimsOptions configures Claims. Server is this node's own memory of keys. ServiceSince returns the time before which
+// a service is known to have had no endpoint anywhere; it may be nil.
+type ClaimsOptions struct {
+	Self         core.NodeID
+	Server       *Server
+	Dialer       *Dialer
+	Endpoints    core.EndpointSource
+	Services     func() []core.ServiceName
+	ServiceSince func(core.ServiceName) (time.Time, bool)
+	Metrics      *metrics.Set
+}
+
+// Claims claims and settles idempotency keys at the nodes that hold them.
+type Claims struct {
+	options ClaimsOptions
+	granted *metrics.Counter
+	denied  *metrics.Counter
+
+	mu      sync.Mutex
+	holders *idempotency.Holders
+}
+
+// NewClaims starts to observe the endpoints of all services; the clean-up function ends that.
+func NewClaims(options ClaimsOptions) (*Claims, func(), error) {
+	if options.Server == nil || options.Dialer == nil || options.Endpoints == nil || options.Services == nil {
+		return nil, nil, errors.New("server, dialer, endpoints and services must be set")
+	}
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewSet()
+	}
+	c := &Claims{
+		options: options,
+		granted: options.Metrics.GetOrCreateCounter(`parsleyport_key_claims_total{verdict="granted"}`),
+		denied:  options.Metrics.GetOrCreateCounter(`parsleyport_key_claims_total{verdict="denied"}`),
+		holders: idempotency.NewHolders(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { c.observe(ctx) })
+	return c, func() { cancel(); tasks.Wait() }, nil
+}
+
+func (c *Claims) observe(ctx context.Context) {
+	ticker := time.NewTicker(observeEvery)
+	defer ticker.Stop()
+	for {
+		for _, service := range c.options.Services() {
+			c.observeService(service)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Claims) observeService(service core.ServiceName) {
+	endpoints := c.options.Endpoints.Endpoints(service)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holders.Observe(time.Now(), service, endpoints)
+}
+
+// Claim returns VerdictGranted if the call may run. It waits for a running call with the same key until the context
+// ends, and then returns VerdictUnknown.
+func (c *Claims) Claim(ctx context.Context, call *core.Call) (idempotency.Verdict, *idempotency.Recorded) {
+	c.observeService(call.Service)
+	for {
+		verdict, answer := c.claimOnce(ctx, call)
+		switch verdict {
+		case idempotency.VerdictGranted:
+			c.granted.Inc()
+			return verdict, nil
+		case idempotency.VerdictRunning:
+		default:
+			c.denied.Inc()
+			return verdict, answer
+		}
+		select {
+		case <-time.After(runningPoll):
+		case <-ctx.Done():
+			c.denied.Inc()
+			return idempotency.VerdictUnknown, nil
+		}
+	}
+}
+
+// claimOnce asks the first holder before the second, so that of two calls with one key only one gets both.
+func (c *Claims) claimOnce(ctx context.Context, call *core.Call) (idempotency.Verdict, *idempotency.Recorded) {
+	message := keyMessage{
+		Key:         idempotency.KeyOf(call),
+		Owner:       call.ID,
+		Content:     idempotency.ContentOf(call),
+		RemainingUS: time.Until(call.Deadline).Microseconds(),
+	}
+	var replies []idempotency.Reply
+	for _, holder := range c.holdersOf(message.Key) {
+		reply := c.reply(ctx, holder, call.Service, message)
+		replies = append(replies, reply)
+		if reply.Reached && reply.Verdict != idempotency.VerdictGranted {
+			break
+		}
+	}
+	verdict, answer := idempotency.Combine(replies)
+	if verdict != idempotency.VerdictGranted {
+		c.giveBack(ctx, call, replies)
+	}
+	return verdict, answer
+}
+
+// giveBack returns what a claim won that failed as a whole, so that it does not block the call that has the key.
+func (c *Claims) giveBack(ctx context.Context, call *core.Call, replies []idempotency.Reply) {
+	for _, reply := range replies {
+		if reply.Verdict == idempotency.VerdictGranted {
+			c.Settle(ctx, call, idempotency.VerdictGranted, nil)
+			return
+		}
+	}
+}
+
+func (c *Claims) holdersOf(key idempotency.Key) []core.Endpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holders.Choose(key)
+}
+
+func (c *Claims) reply(ctx context.Context, holder core.Endpoint, service core.ServiceName, message keyMessage) idempotency.Reply {
+	reply, err := c.ask(ctx, holder, message)
+	if err != nil {
+		return idempotency.Reply{}
+	}
+	running := time.Duration(reply.RunningUS) * time.Microsecond
+	whole := running >= idempotency.Window
+	if since, known := c.since(service); known && !time.Now().Add(-running).After(since) {
+		whole = true
+	}
+	return idempotency.Reply{
+		Reached: true,
+		Whole:   whole,
+		Verdict: reply.Verdict,
+		Answer:  reply.Answer,
+	}
+}
+
+func (c *Claims) since(service core.ServiceName) (time.Time, bool) {
+	if c.options.ServiceSince == nil {
+		return time.Time{}, false
+	}
+	return c.options.ServiceSince(service)
+}
+
+func (c *Claims) ask(ctx context.Context, holder core.Endpoint, message keyMessage) (keyReply, error) {
+	if holder.Node == c.options.Self {
+		return c.options.Server.keepKey(message), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, holderLimit)
+	defer cancel()
+	conn, err := c.options.Dialer.connection(ctx, holder.Address, 0)
+	if err != nil {
+		return keyReply{}, err
+	}
+	return conn.askKey(ctx, message)
+}
+
+// Settle records at the holders what became of a call whose claim was granted: VerdictAnswered with the answer,
+// VerdictUnknown, or VerdictGranted if the call was not run.
+func (c *Claims) Settle(ctx context.Context, call *core.Call, verdict idempotency.Verdict, answer *idempotency.Recorded) {
+	message := keyMessage{
+		Key:     idempotency.KeyOf(call),
+		Owner:   call.ID,
+		Verdict: verdict,
+		Answer:  answer,
+	}
+	for _, holder := range c.holdersOf(message.Key) {
+		_, _ = c.ask(ctx, holder, message) // a holder that does not learn of it answers a resend with unknown
+	}
+}
--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -34,6 +34,7 @@
 	mu        sync.Mutex
 	streams   map[uint64]*stream
 	revokes   map[uint64]chan bool
+	claims    map[uint64]chan keyReply
 	next      uint64 // sequence of the latest attempt
 	token     uint64 // of the latest revocation
 	lost      bool
@@ -56,6 +57,7 @@
 		greeted: make(chan struct{}),
 		streams: make(map[uint64]*stream),
 		revokes: make(map[uint64]chan bool),
+		claims:  make(map[uint64]chan keyReply),
 		heard:   time.Now(),
 		used:    time.Now(),
 	}
@@ -70,7 +72,7 @@
 func (c *clientConn) usable(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	busy := len(c.streams)+len(c.revokes) > 0
+	busy := c.isBusy()
 	return !c.lost && !c.goaway && !(busy && now.Sub(c.heard) > suspectAfter)
 }
 
@@ -117,9 +119,14 @@
 	return s, nil
 }
 
+// isBusy needs the lock; it says whether something is expected from the peer.
+func (c *clientConn) isBusy() bool {
+	return len(c.streams)+len(c.revokes)+len(c.claims) > 0
+}
+
 // busy needs the lock. Silence counts from the first outstanding call, since an idle connection gets no pings.
 func (c *clientConn) busy() {
-	if len(c.streams)+len(c.revokes) == 0 {
+	if !c.isBusy() {
 		c.heard = time.Now()
 		c.pinged = c.heard
 	}
@@ -169,7 +176,7 @@
 	token, verdict := c.token, make(chan bool, 1)
 	c.revokes[token] = verdict
 	c.mu.Unlock()
-	defer c.endRevoke(token)
+	defer c.endQuestion(token)
 	if restarted {
 		return false, errors.New("the peer's process may have started after the attempt")
 	}
@@ -188,10 +195,32 @@
 	}
 }
 
-func (c *clientConn) endRevoke(token uint64) {
+// askKey sends a claim or settlement to a holder and waits for its reply.
+func (c *clientConn) askKey(ctx context.Context, message keyMessage) (keyReply, error) {
+	c.mu.Lock()
+	c.busy()
+	c.token++
+	message.Token = c.token
+	reply := make(chan keyReply, 1)
+	c.claims[message.Token] = reply
+	c.mu.Unlock()
+	defer c.endQuestion(message.Token)
+	c.send(typeKey, message)
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-c.done:
+		return keyReply{}, errConnectionLost
+	case <-ctx.Done():
+		return keyReply{}, ctx.Err()
+	}
+}
+
+func (c *clientConn) endQuestion(token uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.revokes, token)
+	delete(c.claims, token)
 	c.used = time.Now()
 }
 
@@ -244,6 +273,8 @@
 		})
 	case typeRevoked:
 		return decoded(received, c.revoked)
+	case typeKeyReply:
+		return decoded(received, c.keyReplied)
 	case typeGoaway:
 		c.mu.Lock()
 		c.goaway = true
@@ -288,6 +319,17 @@
 	return nil
 }
 
+func (c *clientConn) keyReplied(message keyReply) error {
+	c.mu.Lock()
+	reply := c.claims[message.Token]
+	delete(c.claims, message.Token)
+	c.mu.Unlock()
+	if reply != nil {
+		reply <- message
+	}
+	return nil
+}
+
 // watch sends pings while calls are outstanding, and ends a connection that is silent or has been idle for long.
 func (c *clientConn) watch() {
 	ticker := time.NewTicker(checkEvery)
@@ -304,7 +346,7 @@
 
 func (c *clientConn) check(now time.Time) {
 	c.mu.Lock()
-	busy := len(c.streams)+len(c.revokes) > 0
+	busy := c.isBusy()
 	silent := busy && now.Sub(c.heard) >= silenceLimit
 	ping := busy && now.Sub(c.pinged) >= pingInterval
 	idle := !busy && (c.goaway || now.Sub(c.used) >= idleLimit)
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -28,6 +28,8 @@
 	typePong
 	typeGoaway
 	typeCredit
+	typeKey
+	typeKeyReply
 )
 
 type helloMessage struct {
--- /dev/null
+++ b/io/nodepeer/network_test.go
@@ -0,0 +1,200 @@
+package nodepeer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"parsleyport/core"
+	"parsleyport/io/frame"
+)
+
+// action is what the network does with one frame.
+type action int
+
+const (
+	pass    action = iota
+	cutHere        // the connection ends before this frame
+	cutNext        // the connection ends after this frame
+	swallow        // nothing passes on this connection in this direction any more
+	hold           // waits for network.release and then passes
+	corrupt        // the last byte is changed
+)
+
+const (
+	toServer = true
+	toDialer = false
+)
+
+// network joins dialers and a server by pipes and decides on every frame. It reads what it swallows, as a kernel does
+// for a peer that has gone silent.
+type network struct {
+	decide  func(connection int, toServer bool, kind frame.Type) action
+	release chan struct{}
+	accept  chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+	tasks   sync.WaitGroup
+	mu      sync.Mutex
+	dials   int
+	refuse  bool
+}
+
+func newNetwork() *network {
+	return &network{
+		decide:  func(int, bool, frame.Type) action { return pass },
+		release: make(chan struct{}),
+		accept:  make(chan net.Conn),
+		closed:  make(chan struct{}),
+	}
+}
+
+func (n *network) Accept() (net.Conn, error) {
+	select {
+	case conn := <-n.accept:
+		return conn, nil
+	case <-n.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (n *network) Close() error   { n.once.Do(func() { close(n.closed) }); return nil }
+func (n *network) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *network) dial(ctx context.Context, _ string) (net.Conn, error) {
+	n.mu.Lock()
+	n.dials++
+	number, refuse := n.dials, n.refuse
+	n.mu.Unlock()
+	if refuse {
+		return nil, io.ErrClosedPipe
+	}
+	near, relayNear := net.Pipe()
+	far, relayFar := net.Pipe()
+	select {
+	case n.accept <- far:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.tasks.Go(func() { n.relay(number, toServer, relayNear, relayFar) })
+	n.tasks.Go(func() { n.relay(number, toDialer, relayFar, relayNear) })
+	return near, nil
+}
+
+func (n *network) relay(number int, direction bool, from, to net.Conn) {
+	defer from.Close()
+	defer to.Close()
+	for silent := false; ; {
+		var head [4]byte
+		if _, err := io.ReadFull(from, head[:]); err != nil {
+			return
+		}
+		rest := make([]byte, binary.BigEndian.Uint32(head[:]))
+		if _, err := io.ReadFull(from, rest); err != nil {
+			return
+		}
+		verdict := n.decide(number, direction, frame.Type(binary.BigEndian.Uint16(rest)))
+		silent = silent || verdict == swallow
+		if silent {
+			continue
+		}
+		switch verdict {
+		case cutHere:
+			return
+		case hold:
+			<-n.release
+		case corrupt:
+			rest[len(rest)-1] ^= 1
+		}
+		if _, err := to.Write(append(head[:], rest...)); err != nil || verdict == cutNext {
+			return
+		}
+	}
+}
+
+// countingBackend is a core.Backend that counts the runs of each call.
+type countingBackend struct {
+	mu     sync.Mutex
+	runs   map[core.CallID]int
+	handle func(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error)
+}
+
+func (b *countingBackend) ran(id core.CallID) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[id]
+}
+
+func (b *countingBackend) begin(id core.CallID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[id]++
+}
+
+// Handle runs the call, unless a handler is set.
+func (b *countingBackend) Handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+	if b.handle != nil {
+		return b.handle(ctx, call)
+	}
+	b.begin(call.ID)
+	return answerWith(call.Body), core.OutcomeAnswered, nil
+}
+
+func answerWith(body []byte) *core.Answer {
+	return &core.Answer{Status: 200, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(body))}
+}
+
+// queueUntilCancelled is the handler of a backend whose queue never moves.
+func queueUntilCancelled(ctx context.Context, _ *core.Call) (*core.Answer, core.Outcome, error) {
+	<-ctx.Done()
+	return nil, core.OutcomeNotRun, &core.Refusal{Cause: core.CauseRevoked}
+}
+
+// bench is one dialer and one server, joined by a network.
+type bench struct {
+	network *network
+	backend *countingBackend
+	server  *Server
+	dialer  *Dialer
+	stop    func() // stops the server
+}
+
+func newBench(t *testing.T, connections int) *bench {
+	b := &bench{network: newNetwork(), backend: &countingBackend{runs: make(map[core.CallID]int)}}
+	b.startServer(t)
+	time.Sleep(time.Second) // a server that starts together with the dial cannot vouch for the time before
+	dialer, stopDialer, err := NewDialer(DialerOptions{Dial: b.network.dial, ConnectionsPerPeer: connections})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.dialer = dialer
+	t.Cleanup(func() {
+		stopDialer()
+		b.stop()
+		b.network.tasks.Wait()
+	})
+	return b
+}
+
+func (b *bench) startServer(t *testing.T) {
+	var err error
+	if b.server, b.stop, err = NewServer(ServerOptions{Listener: b.network, Backend: b.backend}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func callFor(id string, body []byte) *core.Call {
+	return &core.Call{ID: core.CallID(id), Method: "POST", Target: "/", Body: body, Deadline: time.Now().Add(20 * time.Second)}
+}
+
+func (b *bench) forward(call *core.Call) (*core.Answer, core.Outcome, error) {
+	return b.dialer.Forward(context.Background(), core.Endpoint{Node: "b", Address: "b"}, call)
+}
+
+func long(seed string) []byte { return []byte(strings.Repeat(seed, 100_000/len(seed))) }
--- /dev/null
+++ b/io/nodepeer/nodepeer_test.go
@@ -0,0 +1,357 @@
+package nodepeer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/io/frame"
+)
+
+// Guards against a second run, a false not-run and a part taken for the whole, whichever message a connection is cut at.
+func TestCutAtEachMessage(t *testing.T) {
+	for _, verdict := range []action{cutHere, cutNext} {
+		for position := int64(1); ; position++ {
+			cut := false
+			synctest.Test(t, func(t *testing.T) { cut = cutAt(t, verdict, position) })
+			if !cut {
+				qt.Assert(t, position > 12, qt.IsTrue) // hello, welcome, open, 4 of the body, head, 4 of the answer, ends
+				break
+			}
+		}
+	}
+}
+
+// cutAt returns false if the call needs fewer messages than that.
+func cutAt(t *testing.T, verdict action, position int64) bool {
+	c := qt.New(t)
+	b := newBench(t, 1)
+	var frames atomic.Int64
+	var cut atomic.Bool
+	b.network.decide = func(int, bool, frame.Type) action {
+		if frames.Add(1) == position {
+			cut.Store(true)
+			return verdict
+		}
+		return pass
+	}
+	call := callFor("once", long("abc"))
+	for range 5 { // as for a call that is not idempotent: again only after not-run
+		ranBefore := b.backend.ran("once")
+		answer, outcome, err := b.forward(call)
+		switch outcome {
+		case core.OutcomeNotRun:
+			c.Assert(b.backend.ran("once"), qt.Equals, ranBefore)
+			continue
+		case core.OutcomeAnswered:
+			got, readErr := io.ReadAll(answer.Body)
+			c.Assert(readErr != nil || bytes.Equal(got, call.Body), qt.IsTrue, qt.Commentf("%d bytes pass for the whole", len(got)))
+			c.Assert(answer.Body.Close(), qt.IsNil)
+		default:
+			c.Assert(err, qt.IsNotNil)
+		}
+		break
+	}
+	synctest.Wait()
+	c.Assert(b.backend.ran("once") <= 1, qt.IsTrue, qt.Commentf("cut at message %d", position))
+	return cut.Load()
+}
+
+// Guards against an answer that reaches another call when answers come late and in another order.
+func TestAnswersOutOfOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.backend.handle = func(_ context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+			delay := time.Duration(0)
+			_, _ = fmt.Sscan(string(call.ID), (*int64)(&delay))
+			time.Sleep(10*time.Second - delay*time.Millisecond) // the first call is answered last
+			return answerWith(bytes.Repeat([]byte(call.ID+","), 20_000)), core.OutcomeAnswered, nil
+		}
+		var callers sync.WaitGroup
+		for i := range 50 {
+			callers.Go(func() {
+				id := fmt.Sprint(i)
+				answer, outcome, _ := b.forward(callFor(id, nil))
+				c.Check(outcome, qt.Equals, core.OutcomeAnswered)
+				got, err := io.ReadAll(answer.Body)
+				c.Check(err, qt.IsNil)
+				c.Check(bytes.Equal(got, bytes.Repeat([]byte(id+","), 20_000)), qt.IsTrue)
+			})
+		}
+		callers.Wait()
+	})
+}
+
+// Guards against a changed body that passes for the backend server's, in one frame or in many.
+func TestCorruptedBodyIsAnError(t *testing.T) {
+	for _, kind := range []frame.Type{typeAnswerBody, typeAnswerEnd, typeBody} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(t, 1)
+			b.network.decide = func(number int, _ bool, seen frame.Type) action {
+				if seen == kind && number == 1 {
+					return corrupt
+				}
+				return pass
+			}
+			answer, outcome, _ := b.forward(callFor("x", long("abc")))
+			if kind == typeBody {
+				c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+				c.Assert(b.backend.ran("x"), qt.Equals, 0)
+				return
+			}
+			c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+			_, err := io.ReadAll(answer.Body)
+			c.Assert(errors.Is(err, ErrCorrupted) || errors.Is(err, ErrCut), qt.IsTrue, qt.Commentf("error %v", err))
+		})
+	}
+}
+
+// Guards against waiting for the deadline on a connection that has gone silent, and against calling its queued calls
+// unknown or its running ones not run.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for _, running := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(t, 1)
+			b.backend.handle = func(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+				if call.ID != "first" {
+					return answerWith(nil), core.OutcomeAnswered, nil
+				}
+				if !running {
+					return queueUntilCancelled(ctx, call)
+				}
+				<-ctx.Done()
+				return nil, core.OutcomeUnknown, ctx.Err()
+			}
+			b.network.decide = func(number int, direction bool, kind frame.Type) action {
+				if number == 1 && (kind == typePing || kind == typePong) {
+					return swallow
+				}
+				return pass
+			}
+			began := time.Now()
+			_, outcome, _ := b.forward(callFor("first", nil))
+			c.Assert(time.Since(began) <= 2500*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+			if running {
+				c.Assert(outcome, qt.Equals, core.OutcomeUnknown)
+			} else {
+				c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+			}
+			_, outcome, _ = b.forward(callFor("second", nil))
+			c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+		})
+	}
+}
+
+// Guards against taking a backend server that is slow for a connection that is dead.
+func TestSlowBackendKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.backend.handle = func(context.Context, *core.Call) (*core.Answer, core.Outcome, error) {
+			time.Sleep(15 * time.Second)
+			return answerWith([]byte("late")), core.OutcomeAnswered, nil
+		}
+		answer, outcome, _ := b.forward(callFor("x", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+		got, err := io.ReadAll(answer.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(got), qt.Equals, "late")
+		c.Assert(b.network.dials, qt.Equals, 1)
+	})
+}
+
+// Guards against a run after not-run: the open is held up in the network and arrives after its revocation.
+func TestOpenAfterRevocationNeverRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.network.decide = func(number int, direction bool, kind frame.Type) action {
+			if number == 1 && direction == toServer && kind == typeOpen {
+				return hold
+			}
+			return pass
+		}
+		_, outcome, err := b.forward(callFor("x", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+		c.Assert(err, qt.ErrorMatches, "not run: revoked.*")
+		close(b.network.release)
+		time.Sleep(5 * time.Second)
+		c.Assert(b.backend.ran("x"), qt.Equals, 0)
+	})
+}
+
+// Guards against a not-run from a process that cannot know: the server that had the call has been replaced.
+func TestRevocationAtRestartedServerIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		started, restarted := make(chan struct{}), make(chan struct{})
+		b.backend.handle = func(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+			b.backend.begin(call.ID)
+			close(started)
+			<-ctx.Done()
+			return nil, core.OutcomeUnknown, ctx.Err()
+		}
+		go func() {
+			<-started
+			time.Sleep(time.Second)
+			b.stop()
+			b.network.closed = make(chan struct{})
+			b.network.once = sync.Once{}
+			b.startServer(t)
+			close(restarted)
+		}()
+		b.network.decide = func(number int, direction bool, kind frame.Type) action {
+			if number == 1 && direction == toDialer && kind == typeRefused {
+				return swallow
+			}
+			return pass
+		}
+		_, outcome, _ := b.forward(callFor("x", nil))
+		<-restarted
+		c.Assert(b.backend.ran("x"), qt.Equals, 1)
+		c.Assert(outcome, qt.Equals, core.OutcomeUnknown)
+	})
+}
+
+// Guards against one caller that does not read its answer holding up the connection's other calls.
+func TestSlowReaderDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		big := bytes.Repeat([]byte("x"), 5*answerWindow)
+		b.backend.handle = func(_ context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+			if call.ID == "slow" {
+				return answerWith(big), core.OutcomeAnswered, nil
+			}
+			return answerWith([]byte("quick")), core.OutcomeAnswered, nil
+		}
+		slow, outcome, _ := b.forward(callFor("slow", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+		synctest.Wait()
+		c.Assert(slow.Body.(*answerBody).stream.unread <= answerWindow, qt.IsTrue)
+		began := time.Now()
+		quick, outcome, _ := b.forward(callFor("quick", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+		_, err := io.ReadAll(quick.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(time.Since(began), qt.Equals, time.Duration(0))
+		got, err := io.ReadAll(slow.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(bytes.Equal(got, big), qt.IsTrue)
+		c.Assert(b.network.dials, qt.Equals, 1)
+	})
+}
+
+// Guards against an unknown outcome for a call that was never sent.
+func TestFailedConnectIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.network.refuse = true
+		_, outcome, err := b.forward(callFor("x", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+		var refusal *core.Refusal
+		c.Assert(errors.As(err, &refusal), qt.IsTrue)
+		c.Assert(refusal.Cause, qt.Equals, core.CauseConnectFailed)
+	})
+}
+
+// Guards against a queued call that runs after its caller has given up, and against calling it unknown.
+func TestCancelledCallLeavesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.backend.handle = queueUntilCancelled
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, outcome, _ := b.dialer.Forward(ctx, core.Endpoint{Address: "b"}, callFor("x", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+		synctest.Wait()
+		c.Assert(b.server.calls, qt.HasLen, 0)
+	})
+}
+
+// Guards against a planned stop that cuts off a begun call or takes a new one.
+func TestDrainFinishesBegunCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.backend.handle = func(context.Context, *core.Call) (*core.Answer, core.Outcome, error) {
+			time.Sleep(3 * time.Second)
+			return answerWith(long("abc")), core.OutcomeAnswered, nil
+		}
+		begun := make(chan error, 1)
+		go func() {
+			answer, outcome, err := b.forward(callFor("begun", nil))
+			if outcome == core.OutcomeAnswered {
+				_, err = io.ReadAll(answer.Body)
+			}
+			begun <- err
+		}()
+		time.Sleep(time.Second)
+		drained := make(chan error, 1)
+		go func() { drained <- b.server.Drain(context.Background()) }()
+		synctest.Wait()
+		_, outcome, err := b.forward(callFor("new", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+		c.Assert(err, qt.ErrorMatches, "not run: leaving")
+		c.Assert(<-begun, qt.IsNil)
+		c.Assert(<-drained, qt.IsNil)
+	})
+}
+
+// Guards against a panic or an endless loop on messages that a broken peer sends.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 3, 0, byte(typeOpen), 0x80})
+	f.Add([]byte{0, 0, 0, 3, 0, byte(typeHead), 0x80})
+	f.Add([]byte{0, 0, 0, 3, 0, byte(typeKey), 0x80, 0, 0, 0, 3, 0, byte(typeRevoke), 0x80})
+	backend := &countingBackend{runs: make(map[core.CallID]int)}
+	server, stop, err := NewServer(ServerOptions{Listener: newNetwork(), Backend: backend})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(stop)
+	dialer, stopDialer, err := NewDialer(DialerOptions{})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(stopDialer)
+	f.Fuzz(func(_ *testing.T, input []byte) {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		defer near.Close()
+		defer far.Close()
+		ctx, cancel := context.WithCancelCause(context.Background())
+		atServer := &serverConn{server: server, frames: frame.New(near), ctx: ctx, cancel: cancel}
+		if server.attempts.Connected(time.Now(), 1) {
+			atServer.id = 1
+			defer server.forget(atServer)
+		}
+		atDialer := newClientConn(dialer, &peer{}, near, time.Now(), 1)
+		stream, _ := atDialer.register(ctx, func() {})
+		_ = stream
+		for reader := bytes.NewReader(input); ; {
+			received, _, err := frame.Read(reader)
+			if err != nil {
+				return
+			}
+			_ = atServer.dispatch(received)
+			_ = atDialer.dispatch(received)
+		}
+	})
+}
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -48,6 +48,7 @@
 
 	mu          sync.Mutex
 	attempts    *idempotency.AttemptLog
+	keys        *idempotency.Keys
 	calls       map[idempotency.AttemptKey]*serverCall
 	connections map[*serverConn]struct{}
 	bodyBytes   int
@@ -80,6 +81,7 @@
 		revoked:     options.Metrics.GetOrCreateCounter(`parsleyport_peer_revocations_total{verdict="not-run"}`),
 		tooLate:     options.Metrics.GetOrCreateCounter(`parsleyport_peer_revocations_total{verdict="unknown"}`),
 		attempts:    idempotency.NewAttemptLog(),
+		keys:        idempotency.NewKeys(),
 		calls:       make(map[idempotency.AttemptKey]*serverCall),
 		connections: make(map[*serverConn]struct{}),
 		idle:        make(chan struct{}),
@@ -251,6 +253,8 @@
 		return decoded(received, c.grant)
 	case typeRevoke:
 		return decoded(received, c.revoke)
+	case typeKey:
+		return decoded(received, c.keepKey)
 	case typePing:
 		c.send(typePong, emptyMessage{})
 		return nil
