rollout: state the false alarm rate for all tests of a move together

Cause: a move runs 9 to 18 tests at once, each at 0.1%, and a good release was taken back for 3 slow answers of 15 after a leader change. Ruled out: the baseline after the leader change, its counts were right.

--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// Error rates of each sequential test (design 7.2).
+// Error rates of the sequential tests (design 7.2), the false alarm rates for all tests of a move together.
 const (
 	falseAlarm = 0.001
 	miss       = 0.01
 	// restartAlarm is the false alarm rate of one excursion of the restarting test. It is lower than falseAlarm
 	// because a restarting test begins a new excursion every few windows.
-	restartAlarm = 0.00001
+	restartAlarm = 0.0001
 )
 
 // Effects that the tests look for, as differences between the rates of the new and the old release.
--- a/core/rollout/group.go
+++ b/core/rollout/group.go
@@ -77,7 +77,7 @@
 }
 
 // verdict names the measure in which the new release is worse, with the counts since the last step.
-func (g *group) verdict() (cause, evidence string, worse bool) {
+func (g *group) verdict(groups int) (cause, evidence string, worse bool) {
 	for _, m := range []struct {
 		what string
 		c    *comparison
@@ -86,7 +86,7 @@
 		{what: "slow", c: g.slow},
 		{what: "crashed", c: g.crashes},
 	} {
-		if m.c.worse() {
+		if m.c.worse(groups * len(g.comparisons())) {
 			return fmt.Sprintf("new release worse on %s: calls %s", g.name, m.what), m.c.text(m.what), true
 		}
 	}
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -106,8 +106,9 @@
 }
 
 func (j *Judge) worse() (cause, evidence string, worse bool) {
-	for _, g := range j.groups() {
-		if cause, evidence, worse = g.verdict(); worse {
+	groups := j.groups()
+	for _, g := range groups {
+		if cause, evidence, worse = g.verdict(len(groups)); worse {
 			return cause, evidence, true
 		}
 	}
--- a/core/rollout/sequential.go
+++ b/core/rollout/sequential.go
@@ -114,8 +114,9 @@
 	return p.after.bad*math.Log(worse/alike) + p.before.bad*math.Log((1-worse)/(1-alike))
 }
 
-// worse reports whether the new release is worse, with the open windows counted as they stand.
-func (c *comparison) worse() bool {
+// worse reports whether the new release is worse, with the open windows counted as they stand. The false alarm rates
+// are those of a whole move and are divided among its tests.
+func (c *comparison) worse(tests int) bool {
 	if c.total.after.bad < minFailures {
 		return false
 	}
@@ -125,7 +126,8 @@
 		sequential += s
 		restarting += r
 	}
-	return sequential >= math.Log((1-miss)/falseAlarm) || restarting >= math.Log((1-miss)/restartAlarm)
+	share := math.Log(float64(tests))
+	return sequential >= math.Log((1-miss)/falseAlarm)+share || restarting >= math.Log((1-miss)/restartAlarm)+share
 }
 
 // suspicious reports whether either test is halfway to its alarm.
