rollout: weigh failures against the usual rate where it is steady

Cause: with most calls on the new release, a failure of it hardly weighs against the few calls of the old one in the same window, so late flaky releases are found slowly. Conclusion: a mixture of the usual rate and of any rate, by Bayes' rule, for failures and crashes of single routes and of all routes.

--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -26,6 +26,13 @@
 	rateWeight = 1000
 	// slowQuantile is the share of the old release's calls that the latency boundary leaves above it.
 	slowQuantile = 0.05
+	// steadyCalls is the weight of the usual rate of failures in a window, in calls. 2000 took good releases back whose
+	// usual rate had changed.
+	steadyCalls = 500
+	// A burst may have any rate, with this probability of a window to be in one.
+	burstProbability = 0.02
+	burstFailures    = 0.5
+	burstCalls       = 5
 	// acceptCeiling bounds what one burst of failures adds to the accepting test.
 	acceptCeiling = 2
 	// minFailures keeps one or two unlucky calls from taking a move back.
--- a/core/rollout/group.go
+++ b/core/rollout/group.go
@@ -15,12 +15,13 @@
 	crashes  *comparison
 }
 
-func newGroup(name string) *group {
+// newGroup returns an empty group; steadyCalls is 0 if the routes in it change.
+func newGroup(name string, steadyCalls float64) *group {
 	return &group{
 		name:     name,
-		failures: newComparison(failureDelta, restartDelta, failureFloor),
-		slow:     newComparison(slowDelta, slowDelta, slowFloor),
-		crashes:  newComparison(crashDelta, crashDelta, crashFloor),
+		failures: newComparison(failureDelta, restartDelta, failureFloor, steadyCalls),
+		slow:     newComparison(slowDelta, slowDelta, slowFloor, 0),
+		crashes:  newComparison(crashDelta, crashDelta, crashFloor, steadyCalls),
 	}
 }
 
--- a/core/rollout/sequential.go
+++ b/core/rollout/sequential.go
@@ -41,6 +41,7 @@
 // comparison tests one measure (failures, slow calls, crashes) of the new release against the old one.
 type comparison struct {
 	delta, restartDelta, floor float64
+	steadyCalls                float64   // weight of the usual rate in a window; 0 if the rate is not steady
 	sequential                 float64   // log likelihood ratio since the move began
 	restarting                 float64   // the same, restarted at zero
 	open                       []*window // at most one of each data centre
@@ -49,11 +50,12 @@
 	total, stage               pair
 }
 
-func newComparison(delta, restart, floor float64) *comparison {
+func newComparison(delta, restart, floor, steadyCalls float64) *comparison {
 	return &comparison{
 		delta:        delta,
 		restartDelta: restart,
 		floor:        floor,
+		steadyCalls:  steadyCalls,
 	}
 }
 
@@ -100,18 +102,48 @@
 
 func (c *comparison) ratios(p pair) (sequential, restarting float64) {
 	rate := c.total.before.rate(c.floor)
-	return logRatio(p, (rate+c.delta)/rate), logRatio(p, (rate+c.restartDelta)/rate)
+	usual := rates{
+		failures: rate * c.steadyCalls,
+		calls:    c.steadyCalls,
+	}
+	return logRatio(p, (rate+c.delta)/rate, usual), logRatio(p, (rate+c.restartDelta)/rate, usual)
+}
+
+// rates is a gamma distribution of the failure rate that both releases have in a window if they are alike: failures
+// that are expected and the calls that they are expected in.
+type rates struct {
+	failures, calls float64
 }
 
-// logRatio is the log likelihood ratio of "the new release fails factor times as often" to "both fail alike", given
-// the number of failures of both together. A burst of failures that meets both releases cancels out.
-func logRatio(p pair, factor float64) float64 {
+// logRatio is the log likelihood ratio of "the new release fails factor times as often" to "both fail alike". The rate
+// that both have in the window is near the steady one, or, seldom, anything. In the first case a failure of the new
+// release weighs much even while the old one has few calls; in the second the two are compared with each other only,
+// so that a burst which meets both cancels out.
+func logRatio(p pair, factor float64, usual rates) float64 {
 	if p.before.calls == 0 || p.after.calls == 0 {
 		return 0
 	}
-	alike := p.after.calls / (p.after.calls + p.before.calls)
-	worse := factor * p.after.calls / (factor*p.after.calls + p.before.calls)
-	return p.after.bad*math.Log(worse/alike) + p.before.bad*math.Log((1-worse)/(1-alike))
+	burst := rates{
+		failures: burstFailures,
+		calls:    burstCalls,
+	}
+	if usual.calls == 0 {
+		usual = burst
+	}
+	logLikelihood := func(factor float64) float64 {
+		a := math.Log(1-burstProbability) + usual.logMarginal(p, factor)
+		b := math.Log(burstProbability) + burst.logMarginal(p, factor)
+		return max(a, b) + math.Log1p(math.Exp(-math.Abs(a-b)))
+	}
+	return p.after.bad*math.Log(factor) + logLikelihood(factor) - logLikelihood(1)
+}
+
+// logMarginal is the log probability of the failures in a window, but for a term that does not depend on r.
+func (r rates) logMarginal(p pair, factor float64) float64 {
+	failures := p.before.bad + p.after.bad
+	before, _ := math.Lgamma(r.failures)
+	after, _ := math.Lgamma(r.failures + failures)
+	return r.failures*math.Log(r.calls) - before + after - (r.failures+failures)*math.Log(r.calls+p.before.calls+factor*p.after.calls)
 }
 
 // worse reports whether the new release is worse, with the open windows counted as they stand. The false alarm rates
