rollout: weigh the usual rate by expected failures, hold at half the full alarm

Cause: a weight in calls is too strong for high rates and too weak for crashes; and the hold threshold ignored that the alarm grows with the number of tests, so a move was held for 135 s after a burst. Ruled out: the accepting test, which had passed.

--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -26,9 +26,9 @@
 	rateWeight = 1000
 	// slowQuantile is the share of the old release's calls that the latency boundary leaves above it.
 	slowQuantile = 0.05
-	// steadyCalls is the weight of the usual rate of failures in a window, in calls. 2000 took good releases back whose
-	// usual rate had changed.
-	steadyCalls = 500
+	// steadyFailures is the weight of the usual rate in a window, in expected failures. A weight of 2000 calls took good
+	// releases back whose usual rate had changed.
+	steadyFailures = 1
 	// A burst may have any rate, with this probability of a window to be in one.
 	burstProbability = 0.02
 	burstFailures    = 0.5
--- a/core/rollout/group.go
+++ b/core/rollout/group.go
@@ -15,13 +15,13 @@
 	crashes  *comparison
 }
 
-// newGroup returns an empty group; steadyCalls is 0 if the routes in it change.
-func newGroup(name string, steadyCalls float64) *group {
+// newGroup returns an empty group; steady is false if the routes in it change.
+func newGroup(name string, steady bool) *group {
 	return &group{
 		name:     name,
-		failures: newComparison(failureDelta, restartDelta, failureFloor, steadyCalls),
-		slow:     newComparison(slowDelta, slowDelta, slowFloor, 0),
-		crashes:  newComparison(crashDelta, crashDelta, crashFloor, steadyCalls),
+		failures: newComparison(failureDelta, restartDelta, failureFloor, steady),
+		slow:     newComparison(slowDelta, slowDelta, slowFloor, false),
+		crashes:  newComparison(crashDelta, crashDelta, crashFloor, steady),
 	}
 }
 
@@ -54,8 +54,13 @@
 	}
 }
 
-func (g *group) suspicious() bool {
-	return g.failures.suspicious() || g.slow.suspicious() || g.crashes.suspicious()
+func (g *group) suspicious(groups int) bool {
+	for _, c := range g.comparisons() {
+		if c.suspicious(groups * len(g.comparisons())) {
+			return true
+		}
+	}
+	return false
 }
 
 // passesMove reports whether the evidence of the move has accepted the new release.
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -37,8 +37,8 @@
 		merge:   newMerge(),
 		routes:  make(map[core.RouteName]*group),
 		latency: make(map[core.RouteName]*[core.LatencyBuckets]float64),
-		pooled:  newGroup("routes with little traffic", 0),
-		all:     newGroup("all routes", steadyCalls),
+		pooled:  newGroup("routes with little traffic", false),
+		all:     newGroup("all routes", true),
 	}
 }
 
@@ -214,7 +214,7 @@
 	}
 	g := j.routes[at.route]
 	if g == nil {
-		g = newGroup(fmt.Sprintf("route %q", at.route), steadyCalls)
+		g = newGroup(fmt.Sprintf("route %q", at.route), true)
 		j.routes[at.route] = g
 	}
 	groups := []*group{g, j.all}
--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -121,8 +121,9 @@
 }
 
 func (j *Judge) suspicious() bool {
-	for _, g := range j.groups() {
-		if g.suspicious() {
+	groups := j.groups()
+	for _, g := range groups {
+		if g.suspicious(len(groups)) {
 			return true
 		}
 	}
--- a/core/rollout/sequential.go
+++ b/core/rollout/sequential.go
@@ -41,7 +41,7 @@
 // comparison tests one measure (failures, slow calls, crashes) of the new release against the old one.
 type comparison struct {
 	delta, restartDelta, floor float64
-	steadyCalls                float64   // weight of the usual rate in a window; 0 if the rate is not steady
+	steady                     bool      // the usual rate tells something about the rate in a window
 	sequential                 float64   // log likelihood ratio since the move began
 	restarting                 float64   // the same, restarted at zero
 	open                       []*window // at most one of each data centre
@@ -50,12 +50,12 @@
 	total, stage               pair
 }
 
-func newComparison(delta, restart, floor, steadyCalls float64) *comparison {
+func newComparison(delta, restart, floor float64, steady bool) *comparison {
 	return &comparison{
 		delta:        delta,
 		restartDelta: restart,
 		floor:        floor,
-		steadyCalls:  steadyCalls,
+		steady:       steady,
 	}
 }
 
@@ -102,9 +102,12 @@
 
 func (c *comparison) ratios(p pair) (sequential, restarting float64) {
 	rate := c.total.before.rate(c.floor)
-	usual := rates{
-		failures: rate * c.steadyCalls,
-		calls:    c.steadyCalls,
+	usual := rates{}
+	if c.steady {
+		usual = rates{
+			failures: steadyFailures,
+			calls:    steadyFailures / rate,
+		}
 	}
 	return logRatio(p, (rate+c.delta)/rate, usual), logRatio(p, (rate+c.restartDelta)/rate, usual)
 }
@@ -158,18 +161,21 @@
 		sequential += s
 		restarting += r
 	}
-	share := math.Log(float64(tests))
-	return sequential >= math.Log((1-miss)/falseAlarm)+share || restarting >= math.Log((1-miss)/restartAlarm)+share
+	return sequential >= alarm(falseAlarm, tests) || restarting >= alarm(restartAlarm, tests)
+}
+
+func alarm(rate float64, tests int) float64 {
+	return math.Log((1 - miss) / rate * float64(tests))
 }
 
-// suspicious reports whether either test is halfway to its alarm.
-func (c *comparison) suspicious() bool {
+// suspicious reports whether the restarting test is halfway to its alarm.
+func (c *comparison) suspicious(tests int) bool {
 	restarting := c.restarting
 	for _, w := range c.open {
 		_, r := c.ratios(w.pair)
 		restarting += r
 	}
-	return restarting >= math.Log((1-miss)/restartAlarm)/2
+	return restarting >= alarm(restartAlarm, tests)/2
 }
 
 // acceptRatio is the log likelihood ratio of "the new release is worse by delta" to "it is as good as the old one". It
