rollout: look for crashes from a lower floor

Cause: a floor of 1 crash in 10,000 calls made 4 to 5 crashes necessary. Ruled out: the share before the verdict, which is 15 per mille at most. The remaining trace has 75 calls a second of which 0.4% crash: 2% of its calls hold fewer than 2 crashes.

--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -21,7 +21,7 @@
 	// Floors of the old release's rates: a release without a single failure does not prove a rate of zero.
 	failureFloor = 0.001
 	slowFloor    = 0.01
-	crashFloor   = 0.0001
+	crashFloor   = 0.00001
 	// rateWeight is the number of calls at which an observed rate weighs as much as its floor.
 	rateWeight = 1000
 	// slowQuantile is the share of the old release's calls that the latency boundary leaves above it.
@@ -36,7 +36,7 @@
 	// acceptCeiling bounds what one burst of failures adds to the accepting test.
 	acceptCeiling = 2
 	// minFailures keeps one or two unlucky calls from taking a move back.
-	minFailures = 3
+	minFailures = 2
 )
 
 // Sizes of the windows of counter differences that the tests compare.
