--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// Error rates of each sequential test (design 7.2).
+// Error rates of the sequential tests (design 7.2), the false alarm rates for all tests of a move together.
 const (
 	falseAlarm = 0.001
 	miss       = 0.01
 	// restartAlarm is the false alarm rate of one excursion of the restarting test. It is lower than falseAlarm
 	// because a restarting test begins a new excursion every few windows.
-	restartAlarm = 0.00001
+	restartAlarm = 0.0001
 )
 
 // Effects that the tests look for, as differences between the rates of the new and the old release.
@@ -21,15 +21,22 @@
 	// Floors of the old release's rates: a release without a single failure does not prove a rate of zero.
 	failureFloor = 0.001
 	slowFloor    = 0.01
-	crashFloor   = 0.0001
+	crashFloor   = 0.00001
 	// rateWeight is the number of calls at which an observed rate weighs as much as its floor.
 	rateWeight = 1000
 	// slowQuantile is the share of the old release's calls that the latency boundary leaves above it.
 	slowQuantile = 0.05
+	// steadyFailures is the weight of the usual rate in a window, in expected failures. A weight of 2000 calls took good
+	// releases back whose usual rate had changed.
+	steadyFailures = 1
+	// A burst may have any rate, with this probability of a window to be in one.
+	burstProbability = 0.02
+	burstFailures    = 0.5
+	burstCalls       = 5
 	// acceptCeiling bounds what one burst of failures adds to the accepting test.
 	acceptCeiling = 2
 	// minFailures keeps one or two unlucky calls from taking a move back.
-	minFailures = 3
+	minFailures = 2
 )
 
 // Sizes of the windows of counter differences that the tests compare.
--- a/core/rollout/group.go
+++ b/core/rollout/group.go
@@ -15,12 +15,13 @@
 	crashes  *comparison
 }
 
-func newGroup(name string) *group {
+// newGroup returns an empty group; steady is false if the routes in it change.
+func newGroup(name string, steady bool) *group {
 	return &group{
 		name:     name,
-		failures: newComparison(failureDelta, restartDelta, failureFloor),
-		slow:     newComparison(slowDelta, slowDelta, slowFloor),
-		crashes:  newComparison(crashDelta, crashDelta, crashFloor),
+		failures: newComparison(failureDelta, restartDelta, failureFloor, steady),
+		slow:     newComparison(slowDelta, slowDelta, slowFloor, false),
+		crashes:  newComparison(crashDelta, crashDelta, crashFloor, steady),
 	}
 }
 
@@ -53,8 +54,13 @@
 	}
 }
 
-func (g *group) suspicious() bool {
-	return g.failures.suspicious() || g.slow.suspicious() || g.crashes.suspicious()
+func (g *group) suspicious(groups int) bool {
+	for _, c := range g.comparisons() {
+		if c.suspicious(groups * len(g.comparisons())) {
+			return true
+		}
+	}
+	return false
 }
 
 // passesMove reports whether the evidence of the move has accepted the new release.
@@ -77,7 +83,7 @@
 }
 
 // verdict names the measure in which the new release is worse, with the counts since the last step.
-func (g *group) verdict() (cause, evidence string, worse bool) {
+func (g *group) verdict(groups int) (cause, evidence string, worse bool) {
 	for _, m := range []struct {
 		what string
 		c    *comparison
@@ -86,7 +92,7 @@
 		{what: "slow", c: g.slow},
 		{what: "crashed", c: g.crashes},
 	} {
-		if m.c.worse() {
+		if m.c.worse(groups * len(g.comparisons())) {
 			return fmt.Sprintf("new release worse on %s: calls %s", g.name, m.what), m.c.text(m.what), true
 		}
 	}
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -37,8 +37,8 @@
 		merge:   newMerge(),
 		routes:  make(map[core.RouteName]*group),
 		latency: make(map[core.RouteName]*[core.LatencyBuckets]float64),
-		pooled:  newGroup("routes with little traffic"),
-		all:     newGroup("all routes"),
+		pooled:  newGroup("routes with little traffic", false),
+		all:     newGroup("all routes", true),
 	}
 }
 
@@ -106,8 +106,9 @@
 }
 
 func (j *Judge) worse() (cause, evidence string, worse bool) {
-	for _, g := range j.groups() {
-		if cause, evidence, worse = g.verdict(); worse {
+	groups := j.groups()
+	for _, g := range groups {
+		if cause, evidence, worse = g.verdict(len(groups)); worse {
 			return cause, evidence, true
 		}
 	}
@@ -213,7 +214,7 @@
 	}
 	g := j.routes[at.route]
 	if g == nil {
-		g = newGroup(fmt.Sprintf("route %q", at.route))
+		g = newGroup(fmt.Sprintf("route %q", at.route), true)
 		j.routes[at.route] = g
 	}
 	groups := []*group{g, j.all}
