Add the replicated log: consensus, disk store, peer transport

The initial membership names random identities, so it is agreed on before anything starts: every initial member must have stored the same identities. Deriving the identities from the settings was ruled out, because a wiped disk with bootstrap still set would then be taken for the old one.

--- /dev/null
+++ b/core/raft/bootstrap.go
@@ -0,0 +1,149 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// Hello tells other instances of an identity, and of the initial membership that its data folder has stored.
+type Hello struct {
+	From    Peer     `msgpack:"from"`
+	Initial []Member `msgpack:"initial,omitempty"`
+	Started bool     `msgpack:"started"` // all initial members have stored the initial membership
+	Answer  bool     `msgpack:"answer"`
+}
+
+// Bootstrap agrees on the identities of the initial members. An instance starts only after every initial member has
+// stored the same identities, so a disk that is wiped at any time after that is recognised even if the settings still
+// ask for a bootstrap.
+type Bootstrap struct {
+	self    Peer
+	wanted  []Member // from the settings, without identities; empty unless a bootstrap is asked for
+	initial []Member
+	started bool
+	foreign bool // another instance has stored an initial membership without this identity
+	known   map[core.ControlID]Identity
+	agreed  map[core.ControlID]bool
+}
+
+// NewBootstrap returns the decision for a folder that has stored initial (or nothing) and has or has not started.
+func NewBootstrap(self Peer, wanted, initial []Member, started bool) *Bootstrap {
+	return &Bootstrap{
+		self:    self,
+		wanted:  wanted,
+		initial: initial,
+		started: started,
+		known:   map[core.ControlID]Identity{self.ID: self.Identity},
+		agreed:  map[core.ControlID]bool{self.ID: true},
+	}
+}
+
+// Step takes a hello, or only checks what is known if it is nil. It returns a membership to be synced before the next
+// hello is sent, and whether the instance may start with the initial membership.
+func (b *Bootstrap) Step(hello *Hello) (store []Member, start bool) {
+	if !b.Pending() {
+		return nil, false
+	}
+	had := len(b.initial)
+	if hello != nil {
+		b.hear(*hello)
+	}
+	if len(b.initial) == 0 && !b.foreign {
+		b.complete()
+	}
+	if had == 0 {
+		return b.initial, b.finish(hello)
+	}
+	return nil, b.finish(hello)
+}
+
+func (b *Bootstrap) hear(hello Hello) {
+	if hello.Started && len(hello.Initial) == 0 {
+		b.foreign = true // a learner of a deployment that has started
+		return
+	}
+	if len(hello.Initial) == 0 {
+		b.known[hello.From.ID] = hello.From.Identity
+		return
+	}
+	if !lo.ContainsBy(hello.Initial, func(m Member) bool { return m.Peer == b.self }) {
+		b.foreign = true
+		return
+	}
+	if len(b.initial) == 0 && slices.Equal(names(hello.Initial), names(b.wanted)) {
+		b.initial = hello.Initial
+	}
+	if slices.Equal(peers(hello.Initial), peers(b.initial)) {
+		b.agreed[hello.From.ID] = true
+	}
+}
+
+func (b *Bootstrap) complete() {
+	if !lo.EveryBy(b.wanted, func(m Member) bool { return b.known[m.Peer.ID] != "" }) {
+		return
+	}
+	b.initial = sortMembers(lo.Map(b.wanted, func(m Member, _ int) Member {
+		m.Peer.Identity = b.known[m.Peer.ID]
+		m.Voter = true
+		return m
+	}))
+}
+
+func (b *Bootstrap) finish(hello *Hello) bool {
+	told := hello != nil && hello.Started && b.agreed[hello.From.ID]
+	all := lo.EveryBy(b.initial, func(m Member) bool { return b.agreed[m.Peer.ID] })
+	b.started = len(b.initial) > 0 && (all || told)
+	return b.started
+}
+
+// Hello returns what the instance tells the others.
+func (b *Bootstrap) Hello(answer bool) Hello {
+	return Hello{
+		From:    b.self,
+		Initial: b.initial,
+		Started: b.started,
+		Answer:  answer,
+	}
+}
+
+// Pending reports that the agreement is under way. Until it ends, the instance must not vote or store entries, since
+// it will start with the initial state.
+func (b *Bootstrap) Pending() bool {
+	return !b.started && !b.foreign && (len(b.wanted) > 0 || len(b.initial) > 0)
+}
+
+// Foreign reports that the deployment has started without this identity, as after the loss of a disk.
+func (b *Bootstrap) Foreign() bool {
+	return b.foreign
+}
+
+// Started reports that the instance has the initial membership.
+func (b *Bootstrap) Started() bool {
+	return b.started
+}
+
+// InitialState returns what the data folder of an initial member holds at its start. The initial membership is the
+// first entry, so that learners receive it with the log.
+func InitialState(initial []Member) (HardState, []Entry) {
+	return HardState{
+		Term: 1,
+	}, []Entry{{
+		Index:   1,
+		Term:    1,
+		Kind:    EntryMembers,
+		Members: initial,
+	}}
+}
+
+func peers(members []Member) []Peer {
+	return lo.Map(members, func(m Member, _ int) Peer { return m.Peer })
+}
+
+func names(members []Member) []core.ControlID {
+	ids := lo.Map(members, func(m Member, _ int) core.ControlID { return m.Peer.ID })
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/core/raft/replication.go
@@ -0,0 +1,256 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"parsleyport/core"
+)
+
+// progress is what a leader knows about one member.
+type progress struct {
+	match   core.LogIndex // last entry that the member has reported as synced
+	next    core.LogIndex
+	contact time.Time // of the last answer
+	round   uint64    // last heartbeat round that was answered
+	chunk   uint64    // offset of the snapshot chunk to send
+	sending *Snapshot // nil unless the member needs a snapshot
+}
+
+func (n *Node) trackMembers() {
+	tracked := make(map[Peer]*progress, len(n.current().members))
+	for _, member := range n.current().members {
+		p, exists := n.progress[member.Peer]
+		if !exists {
+			p = &progress{
+				next:    n.log.last() + 1,
+				contact: n.now,
+			}
+		}
+		tracked[member.Peer] = p
+	}
+	n.progress = tracked
+}
+
+// quorumContact returns the newest time by which a majority had answered; the leader answers itself.
+func (n *Node) quorumContact() time.Time {
+	voters := n.current().voters()
+	contacts := make([]time.Time, 0, len(voters))
+	for _, member := range voters {
+		if member.Peer == n.self {
+			contacts = append(contacts, n.now)
+		} else if p := n.progress[member.Peer]; p != nil {
+			contacts = append(contacts, p.contact)
+		}
+	}
+	slices.SortFunc(contacts, func(a, b time.Time) int { return b.Compare(a) })
+	return contacts[len(contacts)/2]
+}
+
+func (n *Node) appendOwn(entry Entry) {
+	entry.Index = n.log.last() + 1
+	entry.Term = n.hard.Term
+	n.log.append(entry)
+	n.noteMemberships([]Entry{entry})
+}
+
+func (n *Node) broadcast() {
+	for _, member := range n.current().members {
+		n.replicate(member.Peer, true)
+	}
+}
+
+// replicate sends a member what it lacks; a heartbeat is sent even if that is nothing.
+func (n *Node) replicate(to Peer, heartbeat bool) {
+	p := n.progress[to]
+	if to == n.self || p == nil {
+		return
+	}
+	if p.sending == nil && p.next <= n.log.base {
+		snapshot := n.snapshot
+		p.sending, p.chunk = &snapshot, 0
+		heartbeat = true
+	}
+	if p.sending != nil {
+		if heartbeat {
+			n.sendChunk(to, p)
+		}
+		return
+	}
+	var entries []Entry
+	if p.next <= p.match+maxInFlight {
+		entries = n.log.page(p.next)
+	}
+	if len(entries) == 0 && !heartbeat {
+		return
+	}
+	previous := p.next - 1
+	term, _ := n.log.term(previous)
+	n.send(to, Message{
+		Kind:    KindAppend,
+		Index:   previous,
+		LogTerm: term,
+		Entries: entries,
+		Commit:  n.commit,
+		Round:   n.round,
+	})
+	p.next += core.LogIndex(len(entries))
+}
+
+func (n *Node) sendChunk(to Peer, p *progress) {
+	data := p.sending.Data
+	from := min(p.chunk, uint64(len(data)))
+	n.send(to, Message{
+		Kind: KindSnapshotChunk,
+		Snapshot: &Snapshot{
+			Index:   p.sending.Index,
+			Term:    p.sending.Term,
+			Members: p.sending.Members,
+			Data:    data[from:min(from+chunkBytes, uint64(len(data)))],
+		},
+		Offset: from,
+		Size:   uint64(len(data)),
+		Round:  n.round,
+	})
+}
+
+// followLeader accepts the sender as the leader of its term, or tells it of a newer term.
+func (n *Node) followLeader(m Message, answer Kind) bool {
+	if m.Term < n.hard.Term {
+		n.sendSynced(m.From, Message{
+			Kind:   answer,
+			Reject: true,
+		})
+		return false
+	}
+	if n.role == Leader {
+		panic(fmt.Sprintf("raft instance %q: %q also leads in term %d", n.self.ID, m.From.ID, m.Term))
+	}
+	n.fire(onLeaderSeen)
+	n.votes = nil
+	n.leader = m.From
+	n.contact = n.now
+	n.resetTimeout()
+	return true
+}
+
+func (n *Node) receiveAppend(m Message) {
+	if !n.followLeader(m, KindAppendAnswer) {
+		return
+	}
+	answer := Message{
+		Kind:  KindAppendAnswer,
+		Round: m.Round,
+	}
+	switch {
+	case n.installed != nil: // the log is about to be replaced; the leader must not resend entries until then
+		answer.Index = n.commit
+	case m.Index > n.log.last():
+		answer.Reject, answer.Index = true, n.log.last()
+	case m.Index >= n.log.base && !n.log.matches(m.Index, m.LogTerm):
+		answer.Reject, answer.Index = true, max(n.log.firstOfTerm(m.Index)-1, n.commit)
+	default:
+		answer.Index = n.store(m)
+	}
+	n.sendSynced(m.From, answer)
+}
+
+// store appends the entries that are new and returns the last index at which the log matches the leader's.
+func (n *Node) store(m Message) core.LogIndex {
+	for i, entry := range m.Entries {
+		if entry.Index <= n.log.base || n.log.matches(entry.Index, entry.Term) {
+			continue
+		}
+		n.truncate(entry.Index)
+		n.log.append(m.Entries[i:]...)
+		n.noteMemberships(m.Entries[i:])
+		break
+	}
+	matching := m.Index + core.LogIndex(len(m.Entries))
+	n.commit = max(n.commit, min(m.Commit, matching))
+	return matching
+}
+
+func (n *Node) truncate(from core.LogIndex) {
+	if from > n.log.last() {
+		return
+	}
+	if from <= n.commit {
+		panic(fmt.Sprintf("raft instance %q: entry %d is committed and would be overwritten", n.self.ID, from))
+	}
+	n.log.truncate(from)
+	n.dropMemberships(from)
+	n.unwritten = min(n.unwritten, from)
+	n.stable = min(n.stable, from-1)
+	n.followMembership()
+}
+
+// answered notes that a member has answered in the current term; it returns nil for answers that do not count.
+func (n *Node) answered(m Message) *progress {
+	p := n.progress[m.From]
+	if n.role != Leader || m.Term != n.hard.Term || p == nil {
+		return nil
+	}
+	p.contact = n.now
+	p.round = max(p.round, m.Round)
+	n.finishReads()
+	return p
+}
+
+func (n *Node) receiveAppendAnswer(m Message) {
+	p := n.answered(m)
+	if p == nil {
+		return
+	}
+	if m.Reject {
+		if p.sending == nil {
+			p.next = max(p.match+1, min(p.next, m.Index+1))
+			n.replicate(m.From, false)
+		}
+		return
+	}
+	p.match = max(p.match, m.Index)
+	p.next = max(p.next, p.match+1)
+	if p.sending != nil && p.match >= p.sending.Index {
+		p.sending = nil
+	}
+	n.advanceCommit()
+	n.tryPromotion()
+}
+
+// advanceCommit commits what a majority has synced, the leader's own disk included, if it ends with an own entry.
+func (n *Node) advanceCommit() {
+	if n.role != Leader {
+		return
+	}
+	index := n.quorumMatch()
+	if term, _ := n.log.term(index); index <= n.commit || term != n.hard.Term {
+		return
+	}
+	n.commit = index
+	n.afterCommit()
+}
+
+func (n *Node) quorumMatch() core.LogIndex {
+	voters := n.current().voters()
+	matches := make([]core.LogIndex, 0, len(voters))
+	for _, member := range voters {
+		if member.Peer == n.self {
+			matches = append(matches, n.stable)
+		} else {
+			matches = append(matches, n.progress[member.Peer].match)
+		}
+	}
+	slices.Sort(matches)
+	return matches[(len(matches)-1)/2]
+}
+
+// afterCommit ends a leadership whose instance lost its vote with a committed entry.
+func (n *Node) afterCommit() {
+	if n.current().index <= n.commit && !n.current().isVoter(n.self) {
+		n.broadcast() // tells the others of the commit
+		n.fire(onLostVote)
+		n.leave()
+	}
+}
--- /dev/null
+++ b/core/raft/requests.go
@@ -0,0 +1,190 @@
+package raft
+
+import (
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// pendingRead waits for a heartbeat round; Round is zero until that round is sent.
+type pendingRead struct {
+	request RequestID
+	origin  Peer
+	index   core.LogIndex
+	round   uint64
+}
+
+// promotion waits for a learner to hold all that was committed when it was asked for.
+type promotion struct {
+	request RequestID
+	origin  Peer
+	change  Change
+	target  core.LogIndex
+}
+
+// Reasons of refusals that more than one place gives.
+const (
+	reasonNoLeader    = "no leader is known"
+	reasonNotLeader   = "not the leader"
+	reasonBusy        = "too many requests are outstanding"
+	reasonSteppedDown = "the leader has stepped down"
+)
+
+func (n *Node) proposed(p Proposed, origin Peer) {
+	switch {
+	case n.role != Leader && origin != n.self:
+		n.refuse(origin, p.Request, reasonNotLeader)
+	case n.role != Leader && n.leader == Peer{}:
+		n.refuse(origin, p.Request, reasonNoLeader)
+	case n.role != Leader:
+		n.send(n.leader, Message{
+			Kind:    KindPropose,
+			Request: p.Request,
+			Command: p.Command,
+			Change:  p.Change,
+		})
+	case n.log.last() >= n.commit+maxUncommitted:
+		n.refuse(origin, p.Request, reasonBusy)
+	case p.Change != nil:
+		n.changeMembers(p, origin)
+	default:
+		n.appendOwn(Entry{
+			Kind:    EntryCommand,
+			Request: p.Request,
+			Command: p.Command,
+		})
+	}
+}
+
+// changeMembers allows one membership change at a time, and none before an entry of the own term is committed, since a
+// membership of an earlier term that the instance has not seen could otherwise form another majority.
+func (n *Node) changeMembers(p Proposed, origin Peer) {
+	if n.current().index > n.commit || !n.committedInTerm() {
+		n.refuse(origin, p.Request, "another membership change is under way")
+		return
+	}
+	if n.promote != nil {
+		n.refuse(n.promote.origin, n.promote.request, "replaced by a later membership change")
+		n.promote = nil
+	}
+	if _, err := n.current().after(*p.Change); err != nil {
+		n.refuse(origin, p.Request, err.Error())
+		return
+	}
+	n.promote = &promotion{
+		request: p.Request,
+		origin:  origin,
+		change:  *p.Change,
+	}
+	if p.Change.Kind == ChangePromote {
+		n.promote.target = n.commit
+	}
+	n.tryPromotion()
+}
+
+// tryPromotion appends the membership that is asked for once a learner to be promoted has caught up.
+func (n *Node) tryPromotion() {
+	if n.promote == nil {
+		return
+	}
+	asked := n.promote
+	if p := n.progress[asked.change.Peer]; asked.target > 0 && (p == nil || p.match < asked.target) {
+		return
+	}
+	n.promote = nil
+	members, err := n.current().after(asked.change)
+	if err != nil {
+		n.refuse(asked.origin, asked.request, err.Error())
+		return
+	}
+	n.appendOwn(Entry{
+		Kind:    EntryMembers,
+		Request: asked.request,
+		Members: members,
+	})
+}
+
+func (n *Node) committedInTerm() bool {
+	term, _ := n.log.term(n.commit)
+	return term == n.hard.Term
+}
+
+func (n *Node) readRequested(request RequestID, origin Peer) {
+	switch {
+	case n.role == Leader && len(n.reads) < maxPendingReads:
+		n.reads = append(n.reads, pendingRead{
+			request: request,
+			origin:  origin,
+		})
+	case n.role == Leader:
+		n.refuse(origin, request, reasonBusy)
+	case origin != n.self:
+		n.refuse(origin, request, reasonNotLeader)
+	case n.leader == Peer{}:
+		n.refuse(origin, request, reasonNoLeader)
+	default:
+		n.send(n.leader, Message{
+			Kind:    KindRead,
+			Request: request,
+		})
+	}
+}
+
+// startReads begins one heartbeat round for all reads of a step. They wait for an entry of the own term to be committed,
+// because a new leader does not know before that which entries were committed.
+func (n *Node) startReads() {
+	if n.role != Leader || !n.committedInTerm() {
+		return
+	}
+	started := false
+	for i := range n.reads {
+		if n.reads[i].round == 0 {
+			n.reads[i].round, n.reads[i].index = n.round+1, n.commit
+			started = true
+		}
+	}
+	if started {
+		n.round++
+		n.broadcast()
+		n.finishReads()
+	}
+}
+
+// finishReads answers the reads whose round a majority has answered.
+func (n *Node) finishReads() {
+	n.reads = lo.Reject(n.reads, func(read pendingRead, _ int) bool {
+		if read.round == 0 || !n.roundConfirmed(read.round) {
+			return false
+		}
+		n.answerRead(read)
+		return true
+	})
+}
+
+func (n *Node) roundConfirmed(round uint64) bool {
+	return n.current().quorum(func(peer Peer) bool {
+		return peer == n.self || n.progress[peer].round >= round
+	})
+}
+
+func (n *Node) answerRead(read pendingRead) {
+	if read.origin == n.self {
+		n.out.Reads = append(n.out.Reads, ReadResult{
+			Request: read.request,
+			Index:   read.index,
+		})
+		return
+	}
+	n.send(read.origin, Message{
+		Kind:    KindReadAnswer,
+		Request: read.request,
+		Index:   read.index,
+	})
+}
+
+func (n *Node) failReads() {
+	for _, read := range n.reads {
+		n.refuse(read.origin, read.request, reasonSteppedDown)
+	}
+	n.reads = nil
+}
--- /dev/null
+++ b/io/disk/store.go
@@ -0,0 +1,254 @@
+package disk
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+)
+
+// ErrFailed means that an earlier write or sync failed; the process must end.
+const ErrFailed = errors.ConstError("data folder has failed")
+
+const (
+	identityName   = "identity"
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snapshot-"
+	temporary      = ".tmp"
+	segmentBytes   = 16 << 20 // a new segment is begun behind this size
+)
+
+// Identity names the data folder; Initial is the initial membership once it is agreed.
+type Identity struct {
+	Self    raft.Peer     `msgpack:"self"`
+	Initial []raft.Member `msgpack:"initial"`
+}
+
+// Found is what a data folder held when it was opened.
+type Found struct {
+	Identity Identity
+	Fresh    bool // the identity was created by this Open
+	Used     bool // the folder holds a log or a snapshot
+	Restored raft.Restored
+}
+
+// batch is the content of a log record: first the reset, then the hard state, then the entries.
+type batch struct {
+	Reset     *raft.Reset     `msgpack:"reset"`
+	HardState *raft.HardState `msgpack:"hard-state"`
+	Entries   []raft.Entry    `msgpack:"entries"`
+}
+
+type segment struct {
+	number uint64
+	last   core.LogIndex // greatest index of any of its entries
+	size   uint64
+}
+
+// Store writes to an opened data folder. SaveSnapshot may run beside the other methods, which need one caller at a time.
+type Store struct {
+	folder   Folder
+	file     File
+	segments []segment // the last one is open as file
+	hard     raft.HardState
+
+	mu     sync.Mutex // guards failed
+	failed error
+}
+
+// Open reads the data folder of an instance and creates its identity if the folder is empty; newIdentity returns a
+// random identity. It returns ErrCorrupt if the folder is damaged.
+func Open(folder Folder, self core.ControlID, newIdentity func() raft.Identity) (*Store, Found, error) {
+	s := &Store{
+		folder: folder,
+	}
+	names, err := s.listFiles()
+	if err != nil {
+		return nil, Found{}, err
+	}
+	found, err := s.openIdentity(names, self, newIdentity)
+	if err != nil {
+		return nil, Found{}, err
+	}
+	if found.Restored.Snapshot, err = s.readSnapshots(names); err != nil {
+		return nil, Found{}, err
+	}
+	log, err := s.readSegments(names)
+	if err != nil {
+		return nil, Found{}, err
+	}
+	if len(s.segments) == 0 && (found.Restored.Snapshot.Index > 0 || len(found.Identity.Initial) > 0) {
+		return nil, Found{}, errors.Annotate(ErrCorrupt, "log segments are missing")
+	}
+	found.Restored.HardState = s.hard
+	found.Used = len(log.entries) > 0 || found.Restored.Snapshot.Index > 0 || s.hard != raft.HardState{}
+	if err := s.join(&found.Restored, log); err != nil {
+		return nil, Found{}, err
+	}
+	return s, found, nil
+}
+
+// listFiles returns the files of the folder after it has removed those that an interrupted write has left.
+func (s *Store) listFiles() ([]string, error) {
+	names, err := s.folder.List()
+	if err != nil {
+		return nil, errors.Annotate(err, "list data folder")
+	}
+	slices.Sort(names)
+	kept := names[:0]
+	for _, name := range names {
+		if !strings.HasSuffix(name, temporary) {
+			kept = append(kept, name)
+		} else if err := s.folder.Remove(name); err != nil {
+			return nil, errors.Annotatef(err, "remove %q", name)
+		}
+	}
+	return kept, nil
+}
+
+func (s *Store) openIdentity(names []string, self core.ControlID, newIdentity func() raft.Identity) (Found, error) {
+	var found Found
+	if slices.Contains(names, identityName) {
+		if err := s.readFile(identityName, &found.Identity); err != nil {
+			return found, err
+		}
+		if found.Identity.Self.ID != self {
+			return found, errors.Errorf("data folder belongs to %q and not to %q", found.Identity.Self.ID, self)
+		}
+		return found, nil
+	}
+	if len(names) > 0 {
+		return found, errors.Annotatef(ErrCorrupt, "identity is missing beside %q", names[0])
+	}
+	found.Fresh = true
+	found.Identity.Self = raft.Peer{
+		ID:       self,
+		Identity: newIdentity(),
+	}
+	return found, s.SaveIdentity(found.Identity)
+}
+
+// SaveIdentity replaces the identity.
+func (s *Store) SaveIdentity(identity Identity) error {
+	return s.replaceFile(identityName, identity)
+}
+
+// readFile reads a file that holds one record.
+func (s *Store) readFile(name string, target any) error {
+	data, err := s.folder.Read(name)
+	if err != nil {
+		return errors.Annotatef(err, "read %q", name)
+	}
+	payload, valid := recordAt(0, data, 0)
+	if !valid || len(payload)+headBytes != len(data) {
+		return errors.Annotatef(ErrCorrupt, "checksum of %q does not match", name)
+	}
+	if err := msgpack.Unmarshal(payload, target); err != nil {
+		return errors.Annotatef(ErrCorrupt, "decode %q: %v", name, err)
+	}
+	return nil
+}
+
+// replaceFile writes a file that holds one record: under a temporary name first, so that it is whole or absent.
+func (s *Store) replaceFile(name string, content any) error {
+	if err := s.checkFailed(); err != nil {
+		return err
+	}
+	record, err := encodeRecord(0, 0, content)
+	if err != nil {
+		return err
+	}
+	file, err := s.folder.Create(name + temporary)
+	if err != nil {
+		return s.fail(err, "create", name)
+	}
+	if _, err := file.Write(record); err != nil {
+		return s.fail(err, "write", name)
+	}
+	if err := file.Sync(); err != nil {
+		return s.fail(err, "sync", name)
+	}
+	if err := file.Close(); err != nil {
+		return s.fail(err, "close", name)
+	}
+	if err := s.folder.Rename(name+temporary, name); err != nil {
+		return s.fail(err, "rename", name)
+	}
+	if err := s.folder.Sync(); err != nil {
+		return s.fail(err, "sync folder of", name)
+	}
+	return nil
+}
+
+func (s *Store) readSnapshots(names []string) (raft.Snapshot, error) {
+	var newest raft.Snapshot
+	for _, name := range slices.Backward(names) {
+		if strings.HasPrefix(name, snapshotPrefix) {
+			return newest, s.readFile(name, &newest)
+		}
+	}
+	return newest, nil
+}
+
+// SaveSnapshot stores a snapshot; the log behind it may be removed with Compact afterwards.
+func (s *Store) SaveSnapshot(snapshot raft.Snapshot) error {
+	return s.replaceFile(snapshotName(snapshot.Index), snapshot)
+}
+
+func snapshotName(index core.LogIndex) string {
+	return fmt.Sprintf("%s%020d", snapshotPrefix, index)
+}
+
+func segmentName(number uint64) string {
+	return fmt.Sprintf("%s%020d", segmentPrefix, number)
+}
+
+// join cuts the log to what follows the snapshot.
+func (s *Store) join(restored *raft.Restored, log *replay) error {
+	snapshot := restored.Snapshot
+	if log.first() > snapshot.Index+1 {
+		return errors.Annotatef(ErrCorrupt, "log begins with entry %d, but the newest snapshot ends with entry %d",
+			log.first(), snapshot.Index)
+	}
+	if err := s.openSegment(); err != nil {
+		return err
+	}
+	if entries, joined := log.after(snapshot); joined {
+		restored.Entries = entries
+		return nil
+	}
+	return s.Write(&raft.Reset{
+		Index: snapshot.Index,
+		Term:  snapshot.Term,
+	}, nil, nil)
+}
+
+func (s *Store) checkFailed() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// fail makes the store refuse everything from now on.
+func (s *Store) fail(cause error, action, name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed == nil {
+		s.failed = errors.Annotatef(ErrFailed, "%s %q: %v", action, name, cause)
+	}
+	return s.failed
+}
+
+// Close releases the folder; what was not synced may be lost.
+func (s *Store) Close() error {
+	if s.file != nil {
+		_ = s.file.Close()
+	}
+	return errors.Trace(s.folder.Close())
+}
--- /dev/null
+++ b/io/raftpeer/applier.go
@@ -0,0 +1,117 @@
+package raftpeer
+
+import (
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+	"parsleyport/io/disk"
+)
+
+// applier drives the state machine and stores its snapshots.
+type applier struct {
+	store    *disk.Store
+	machine  core.StateMachine
+	applied  core.LogIndex
+	term     core.Term
+	members  []raft.Member
+	snapshot core.LogIndex // index of the newest stored snapshot
+	waiting  []raft.ReadResult
+	// done reports the result of a proposal or read of this process.
+	done func(request raft.RequestID, result []byte)
+}
+
+func newApplier(store *disk.Store, machine core.StateMachine, from raft.Snapshot, done func(raft.RequestID, []byte)) (*applier, error) {
+	a := &applier{
+		store:   store,
+		machine: machine,
+		done:    done,
+	}
+	if from.Index == 0 {
+		return a, nil
+	}
+	return a, a.restore(from)
+}
+
+func (a *applier) restore(snapshot raft.Snapshot) error {
+	if err := a.machine.Restore(snapshot.Data); err != nil {
+		return errors.Annotatef(err, "restore snapshot of entry %d", snapshot.Index)
+	}
+	a.applied, a.term, a.members, a.snapshot = snapshot.Index, snapshot.Term, snapshot.Members, snapshot.Index
+	return nil
+}
+
+// apply handles one step's outcome and returns a snapshot that was stored, or nil.
+func (a *applier) apply(o outcome) (*raft.Snapshot, error) {
+	for _, entry := range o.committed {
+		a.applyEntry(entry)
+	}
+	a.waiting = append(a.waiting, o.reads...)
+	if excess := len(a.waiting) - maxOutstanding; excess > 0 {
+		a.waiting = a.waiting[excess:] // reads that were given up and asked again
+	}
+	if o.install != nil {
+		return a.install(*o.install)
+	}
+	a.finishReads()
+	if a.applied < a.snapshot+raft.SnapshotInterval {
+		return nil, nil
+	}
+	return a.takeSnapshot()
+}
+
+func (a *applier) applyEntry(entry raft.Entry) {
+	if entry.Index <= a.applied {
+		return
+	}
+	var result []byte
+	switch entry.Kind {
+	case raft.EntryCommand:
+		result = a.machine.Apply(entry.Index, entry.Command)
+	case raft.EntryMembers:
+		a.members = entry.Members
+	}
+	a.applied, a.term = entry.Index, entry.Term
+	a.done(entry.Request, result)
+}
+
+func (a *applier) finishReads() {
+	kept := a.waiting[:0]
+	for _, read := range a.waiting {
+		if read.Index > a.applied {
+			kept = append(kept, read)
+			continue
+		}
+		a.done(read.Request, nil)
+	}
+	a.waiting = kept
+}
+
+func (a *applier) install(snapshot raft.Snapshot) (*raft.Snapshot, error) {
+	if err := a.store.SaveSnapshot(snapshot); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := a.restore(snapshot); err != nil {
+		return nil, err
+	}
+	a.finishReads()
+	return &snapshot, nil
+}
+
+func (a *applier) takeSnapshot() (*raft.Snapshot, error) {
+	data, err := a.machine.Snapshot()
+	if err != nil {
+		return nil, errors.Annotatef(err, "take snapshot of entry %d", a.applied)
+	}
+	snapshot := raft.Snapshot{
+		Index:   a.applied,
+		Term:    a.term,
+		Members: a.members,
+		Data:    data,
+	}
+	if err := a.store.SaveSnapshot(snapshot); err != nil {
+		return nil, errors.Trace(err)
+	}
+	a.snapshot = a.applied
+	return &snapshot, nil
+}
--- /dev/null
+++ b/io/raftpeer/engine.go
@@ -0,0 +1,132 @@
+package raftpeer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core/raft"
+	"parsleyport/io/disk"
+)
+
+// engine joins the decisions with the disk: it writes before it lets go of what vouches for the disk. It has no goroutine
+// and no clock, so that fault schedules can run it.
+type engine struct {
+	store     *disk.Store
+	identity  disk.Identity
+	restored  raft.Restored
+	node      *raft.Node
+	bootstrap *raft.Bootstrap
+	send      func(raft.Message)
+}
+
+// outcome is what a step leaves to be applied and answered.
+type outcome struct {
+	install   *raft.Snapshot
+	committed []raft.Entry
+	reads     []raft.ReadResult
+	refused   []raft.Refusal
+}
+
+func openEngine(now time.Time, folder disk.Folder, options *Options, random *rand.Rand,
+	newIdentity func() raft.Identity, send func(raft.Message),
+) (*engine, error) {
+	store, found, err := disk.Open(folder, options.Self, newIdentity)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	e := &engine{
+		store:     store,
+		identity:  found.Identity,
+		restored:  found.Restored,
+		bootstrap: raft.NewBootstrap(found.Identity.Self, options.wanted(), found.Identity.Initial, found.Used),
+		send:      send,
+	}
+	e.node = raft.NewNode(now, found.Identity.Self, found.Restored, random)
+	return e, e.hear(now, nil, random)
+}
+
+// hear takes part in the agreement on the initial membership.
+func (e *engine) hear(now time.Time, hello *raft.Hello, random *rand.Rand) error {
+	store, start := e.bootstrap.Step(hello)
+	if len(store) > 0 {
+		e.identity.Initial = store
+		if err := e.store.SaveIdentity(e.identity); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if !start {
+		return nil
+	}
+	hard, entries := raft.InitialState(e.identity.Initial)
+	if err := e.store.Write(nil, &hard, entries); err != nil {
+		return errors.Trace(err)
+	}
+	e.restored.HardState, e.restored.Entries = hard, entries
+	e.node = raft.NewNode(now, e.identity.Self, e.restored, random)
+	return nil
+}
+
+// step runs events through the node until nothing is left to write. An error of the disk is final.
+func (e *engine) step(now time.Time, events ...raft.Event) (outcome, error) {
+	var result outcome
+	if e.bootstrap.Pending() {
+		return refuseAll(events), nil
+	}
+	for {
+		out := e.node.Step(now, events...)
+		for _, message := range out.Messages {
+			e.send(message)
+		}
+		if out.NeedsSync() {
+			if err := e.store.Write(out.Reset, out.HardState, out.Entries); err != nil {
+				return result, errors.Trace(err)
+			}
+		}
+		for _, message := range out.AfterSync {
+			e.send(message)
+		}
+		result.add(out)
+		if !out.NeedsSync() {
+			return result, nil
+		}
+		events = []raft.Event{raft.Synced{
+			Token: out.Token,
+		}}
+	}
+}
+
+// refuseAll answers the local requests that come before the initial membership is agreed on.
+func refuseAll(events []raft.Event) outcome {
+	var result outcome
+	for _, event := range events {
+		refusal := raft.Refusal{
+			Reason: "the initial membership is not agreed on",
+		}
+		switch e := event.(type) {
+		case raft.Proposed:
+			refusal.Request = e.Request
+		case raft.ReadRequested:
+			refusal.Request = e.Request
+		default:
+			continue
+		}
+		result.refused = append(result.refused, refusal)
+	}
+	return result
+}
+
+func (o *outcome) add(out raft.Output) {
+	if out.Install != nil {
+		o.install = out.Install
+	}
+	o.committed = append(o.committed, out.Committed...)
+	o.reads = append(o.reads, out.Reads...)
+	o.refused = append(o.refused, out.Refused...)
+}
+
+// compact removes what a stored snapshot replaces on the disk.
+func (e *engine) compact(snapshot raft.Snapshot) error {
+	return errors.Trace(e.store.Compact(snapshot.Index))
+}
--- /dev/null
+++ b/io/raftpeer/requests.go
@@ -0,0 +1,203 @@
+package raftpeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+)
+
+type answer struct {
+	result  []byte
+	refused string
+}
+
+// requests holds the proposals, reads and changes of this process that wait for an answer.
+type requests struct {
+	mu       sync.Mutex
+	run      uint64
+	sequence uint64
+	waiting  map[raft.RequestID]chan answer
+}
+
+func newRequests(run uint64) *requests {
+	return &requests{
+		run:     run,
+		waiting: make(map[raft.RequestID]chan answer),
+	}
+}
+
+// add returns false if too many requests wait already.
+func (r *requests) add() (raft.RequestID, chan answer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.waiting) >= maxOutstanding {
+		return raft.RequestID{}, nil, false
+	}
+	r.sequence++
+	id := raft.RequestID{
+		Run:      r.run,
+		Sequence: r.sequence,
+	}
+	answered := make(chan answer, 1)
+	r.waiting[id] = answered
+	return id, answered, true
+}
+
+func (r *requests) remove(id raft.RequestID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, id)
+}
+
+func (r *requests) finish(id raft.RequestID, a answer) {
+	if id.Run != r.run {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answered, exists := r.waiting[id]; exists {
+		delete(r.waiting, id)
+		answered <- a
+	}
+}
+
+func withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, limited := ctx.Deadline(); limited {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, defaultTimeout)
+}
+
+// Propose implements core.Replicator.
+func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if len(command) > MaxCommandBytes {
+		return nil, errors.NotValidf("command of %d bytes (at most %d)", len(command), MaxCommandBytes)
+	}
+	r.counters.proposals.Inc()
+	return r.propose(ctx, raft.Proposed{
+		Command: command,
+	}, true)
+}
+
+// Change commits a membership change; a promotion waits for the learner to catch up. An empty identity stands for the
+// one with which that instance introduced itself last. It returns ErrNoLeader, ErrOutcomeUnknown or why it was refused.
+func (r *Replica) Change(ctx context.Context, change raft.Change) error {
+	if change.Peer.Identity == "" {
+		change.Peer.Identity = r.introduced(change.Peer.ID)
+	}
+	if change.Peer.Identity == "" {
+		return errors.NotFoundf("identity of instance %q", change.Peer.ID)
+	}
+	_, err := r.propose(ctx, raft.Proposed{
+		Change: &change,
+	}, false)
+	return err
+}
+
+// propose asks until the request is appended. A refusal says that it was not, so it can be asked again.
+func (r *Replica) propose(ctx context.Context, proposed raft.Proposed, retry bool) ([]byte, error) {
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	for {
+		a, err := r.attempt(ctx, func(id raft.RequestID) raft.Event {
+			proposed.Request = id
+			return proposed
+		})
+		if err != nil {
+			return nil, err
+		}
+		if a.refused == "" {
+			return a.result, nil
+		}
+		if !retry && r.Status().Leader != "" {
+			return nil, errors.New(a.refused)
+		}
+		if !r.pause(ctx) {
+			return nil, errors.Annotate(core.ErrNoLeader, a.refused)
+		}
+	}
+}
+
+// attempt hands one event to the loop and waits for its answer.
+func (r *Replica) attempt(ctx context.Context, event func(raft.RequestID) raft.Event) (answer, error) {
+	id, answered, accepted := r.requests.add()
+	if !accepted {
+		r.counters.refused.Inc()
+		return answer{
+			refused: "too many requests are outstanding",
+		}, nil
+	}
+	defer r.requests.remove(id)
+	select {
+	case <-r.stopped:
+		return answer{}, errors.Annotate(core.ErrNoLeader, "replica has stopped")
+	default:
+	}
+	if err := r.inputs.Push(ctx, input{event: event(id)}); err != nil {
+		return answer{}, errors.Annotate(core.ErrNoLeader, err.Error())
+	}
+	return r.wait(ctx, answered)
+}
+
+// wait ends early if the leader has changed and the new one has not committed the request for a while: the client can
+// then ask again instead of waiting for the whole deadline.
+func (r *Replica) wait(ctx context.Context, answered <-chan answer) (answer, error) {
+	term, changed := r.Status().Term, 0
+	poll := time.NewTicker(leaderPoll)
+	defer poll.Stop()
+	for {
+		select {
+		case a := <-answered:
+			return a, nil
+		case <-ctx.Done():
+			return answer{}, errors.Annotate(core.ErrOutcomeUnknown, ctx.Err().Error())
+		case <-r.stopped:
+			return answer{}, errors.Annotate(core.ErrOutcomeUnknown, "replica has stopped")
+		case <-poll.C:
+			if status := r.Status(); status.Term > term && status.Leader != "" {
+				changed++
+			}
+			if changed > 2 {
+				return answer{}, errors.Annotate(core.ErrOutcomeUnknown, "the leader has changed")
+			}
+		}
+	}
+}
+
+func (r *Replica) pause(ctx context.Context) bool {
+	select {
+	case <-time.After(retryPause):
+		return true
+	case <-ctx.Done():
+		return false
+	case <-r.stopped:
+		return false
+	}
+}
+
+// ConfirmRead implements core.Replicator.
+func (r *Replica) ConfirmRead(ctx context.Context) error {
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	r.counters.reads.Inc()
+	for {
+		attempt, end := context.WithTimeout(ctx, readAttempt)
+		a, err := r.attempt(attempt, func(id raft.RequestID) raft.Event {
+			return raft.ReadRequested{
+				Request: id,
+			}
+		})
+		end()
+		if err == nil && a.refused == "" {
+			return nil
+		}
+		if !r.pause(ctx) {
+			return errors.Annotate(core.ErrNoLeader, "read is not confirmed")
+		}
+	}
+}
