Add core/catalog, the replicated state machine

Verdicts are part of the state, so a resend to any instance gets the first one. Submissions are planned on copies and published as a whole. The stamp of a deleted record stays, because a late submission with an old version would otherwise bring the record back.

The proposer checks single records and puts them into canonical JSON. The state machine checks only what depends on the state: its result must not differ between program versions that know different schema versions. For the same reason core/record now checks references in the order of names; in map order, replicas stored different texts for one refusal.

FuzzApply found that msgpack panics on nil in the place of a time.

--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,239 @@
+package catalog
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyport/core"
+	"parsleyport/core/record"
+)
+
+var (
+	_ core.StateMachine = (*Catalog)(nil)
+	_ record.Source     = (*Catalog)(nil)
+)
+
+// Catalog is the replicated state; Apply and Restore run on one goroutine, the other methods on any.
+type Catalog struct {
+	mu            sync.RWMutex // guards all fields
+	configuration *record.Configuration
+	changed       chan struct{}
+	stamps        map[core.RecordKey]stamp
+	verdicts      memory
+	moves         map[core.MoveID]move
+	moveOrder     []core.MoveID // oldest first
+	openMoves     map[core.ServiceName]core.MoveID
+	moveCount     uint64
+	audit         []AuditEntry
+}
+
+// stamp says who set the newest version of a record. The stamp of a deleted record stays, so that a late submission with
+// an old version cannot bring the record back.
+type stamp struct {
+	Version    core.RecordVersion `msgpack:"version"`
+	Submission core.SubmissionID  `msgpack:"submission-id"`
+	Operator   core.Operator      `msgpack:"operator"`
+	Hash       core.Hash          `msgpack:"hash"`
+	Deleted    bool               `msgpack:"deleted"`
+}
+
+// New returns a catalog with revision 0 and no records.
+func New() *Catalog {
+	return &Catalog{
+		configuration: record.Empty(),
+		changed:       make(chan struct{}),
+		stamps:        make(map[core.RecordKey]stamp),
+		verdicts:      newMemory(),
+		moves:         make(map[core.MoveID]move),
+		openMoves:     make(map[core.ServiceName]core.MoveID),
+	}
+}
+
+// Current returns the newest accepted configuration.
+func (c *Catalog) Current() *record.Configuration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.configuration
+}
+
+// Changed returns a channel that is closed when the configuration after the one held at the call arrives.
+func (c *Catalog) Changed() <-chan struct{} {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.changed
+}
+
+// Apply applies one command and returns an encoded Verdict; a command that cannot be decoded changes nothing.
+func (c *Catalog) Apply(index core.LogIndex, command []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	verdict := c.apply(index, command)
+	encoded, err := msgpack.Marshal(verdict)
+	if err != nil {
+		panic(err) // a Verdict has only fields that can be encoded
+	}
+	return encoded
+}
+
+func (c *Catalog) apply(index core.LogIndex, command []byte) Verdict {
+	var e envelope
+	if err := decode(command, &e); err != nil {
+		return c.complete(refused(CauseMalformed, "command: %v", err))
+	}
+	e.At = e.At.UTC()
+	switch e.Action {
+	case ActionSubmit:
+		return decodeAndRun(c, index, e, c.submit)
+	case ActionMove:
+		return decodeAndRun(c, index, e, c.startMove)
+	case ActionAbort:
+		return decodeAndRun(c, index, e, c.abortMove)
+	case ActionStep:
+		return c.step(index, e)
+	}
+	return c.complete(refused(CauseMalformed, "unknown action %q", e.Action))
+}
+
+// sender is what an operator's command says about itself in the audit trail.
+type sender struct {
+	id       core.SubmissionID
+	operator core.Operator
+	what     []string
+}
+
+type operatorCommand interface {
+	core.Submission | core.MoveRequest | Abort
+}
+
+// decodeAndRun answers a resend from memory, and otherwise runs the command and remembers its verdict.
+func decodeAndRun[T operatorCommand](c *Catalog, index core.LogIndex, e envelope, run func(envelope, T) Verdict) Verdict {
+	var body T
+	if err := decode(e.Body, &body); err != nil {
+		return c.complete(refused(CauseMalformed, "%s: %v", e.Action, err))
+	}
+	from := senderOf(body)
+	if from.id == "" || from.operator == "" {
+		return c.complete(refused(CauseMalformed, "%s: submission-id and operator are needed", e.Action))
+	}
+	hash := core.Hash(xxhash.Sum64(append([]byte(e.Action), e.Body...)))
+	if earlier, exists := c.verdicts.byID[from.id]; exists {
+		return c.resent(earlier, from, hash)
+	}
+	verdict := run(e, body)
+	verdict.Submission = from.id
+	verdict.At = e.At
+	verdict = c.complete(verdict)
+	c.verdicts.add(remembered{
+		Verdict:  verdict,
+		Operator: from.operator,
+		Hash:     hash,
+	})
+	c.record(index, e, from, verdict)
+	return verdict
+}
+
+// resent refuses another content under a known id, because the first verdict would be untrue for it.
+func (c *Catalog) resent(earlier remembered, from sender, hash core.Hash) Verdict {
+	if earlier.Hash == hash {
+		return earlier.Verdict
+	}
+	verdict := refused(CauseIDUsed, "submission-id %q was used for another content at %s", from.id, earlier.Verdict.At.Format(time.RFC3339))
+	verdict.Submission = from.id
+	return c.complete(verdict.against(stamp{
+		Submission: from.id,
+		Operator:   earlier.Operator,
+		Hash:       earlier.Hash,
+	}))
+}
+
+func (c *Catalog) complete(verdict Verdict) Verdict {
+	verdict.Revision = c.configuration.Revision()
+	return verdict
+}
+
+func (c *Catalog) record(index core.LogIndex, e envelope, from sender, verdict Verdict) {
+	c.audit = append(c.audit, AuditEntry{
+		Index:      index,
+		At:         e.At,
+		Operator:   from.operator,
+		Action:     e.Action,
+		What:       from.what,
+		Submission: from.id,
+		Move:       verdict.Move,
+		Result:     verdict.Result,
+		Cause:      verdict.Cause,
+		Detail:     verdict.Detail,
+		Revision:   verdict.Revision,
+	})
+}
+
+func (c *Catalog) publish(next *record.Configuration) {
+	c.configuration = next
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// build returns the configuration of the next revision, or a refusal.
+func (c *Catalog) build(records []core.Record, overrides []core.Override) (*record.Configuration, *Verdict) {
+	next, err := record.New(c.configuration.Revision()+1, records, overrides)
+	if err == nil {
+		return next, nil
+	}
+	refusal := refused(CauseMalformed, "%v", err)
+	if errors.Is(err, record.ErrDangling) {
+		refusal.Cause = CauseDangling
+	}
+	return nil, &refusal
+}
+
+func senderOf(body any) sender {
+	switch b := body.(type) {
+	case core.Submission:
+		return sender{
+			id:       b.ID,
+			operator: b.Operator,
+			what:     describeSubmission(b),
+		}
+	case core.MoveRequest:
+		return sender{
+			id:       b.ID,
+			operator: b.Operator,
+			what:     []string{fmt.Sprintf("move service %s from %s to %s by %s", b.Service, b.From, b.To, b.Deadline.UTC().Format(time.RFC3339))},
+		}
+	case Abort:
+		return sender{
+			id:       b.ID,
+			operator: b.Operator,
+			what:     []string{fmt.Sprintf("abort %s", b.MoveID)},
+		}
+	}
+	return sender{}
+}
+
+func describeSubmission(s core.Submission) []string {
+	what := make([]string, 0, len(s.Records)+len(s.Deletes))
+	for _, r := range s.Records {
+		what = append(what, "set "+describe(r.Key(), r.Version))
+	}
+	for _, d := range s.Deletes {
+		what = append(what, "delete "+describe(deletionKey(d), d.Version))
+	}
+	return what
+}
+
+func describe(key core.RecordKey, version core.RecordVersion) string {
+	return fmt.Sprintf("%s %s schema %d version %d", key.Kind, key.Name, key.SchemaVersion, version)
+}
+
+func deletionKey(d core.Deletion) core.RecordKey {
+	return core.RecordKey{
+		Kind:          d.Kind,
+		Name:          d.Name,
+		SchemaVersion: d.SchemaVersion,
+	}
+}
--- /dev/null
+++ b/core/catalog/command.go
@@ -0,0 +1,180 @@
+package catalog
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyport/core"
+	"parsleyport/core/record"
+)
+
+// ErrMalformed means that a submission is wrong in itself; it must not be proposed.
+const ErrMalformed = errors.ConstError("malformed submission")
+
+// Limits of a command.
+const (
+	// MaxCommandBytes bounds one command, so that a log entry with its frame stays well below core.MaxFrameBytes.
+	MaxCommandBytes = 4 << 20
+	maxIDBytes      = 128
+	maxTextBytes    = 4 << 10 // cause and evidence of a step
+)
+
+// Action is the kind of a command; the audit trail shows it.
+type Action string
+
+// The actions.
+const (
+	ActionSubmit Action = "submit"
+	ActionMove   Action = "move"
+	ActionStep   Action = "step"
+	ActionAbort  Action = "abort"
+)
+
+// Abort asks to take an open move back.
+type Abort struct {
+	ID       core.SubmissionID `json:"submission-id,omitempty" msgpack:"submission-id"`
+	Operator core.Operator     `json:"operator,omitempty" msgpack:"operator"`
+	MoveID   core.MoveID       `json:"move-id" msgpack:"move-id"`
+}
+
+// envelope is a command; the hash of Body identifies the content of a submission, so Body has nothing that a resend changes.
+type envelope struct {
+	Action Action             `msgpack:"action"`
+	At     time.Time          `msgpack:"at"`
+	Floor  core.SchemaVersion `msgpack:"floor"`
+	Body   []byte             `msgpack:"body"`
+}
+
+// EncodeSubmit checks each record by itself and encodes the submission; floor is the highest schema version that every
+// attached node supports (zero if no node is attached). It returns ErrMalformed.
+func EncodeSubmit(at time.Time, floor core.SchemaVersion, s core.Submission) ([]byte, error) {
+	if err := checkSender(s.ID, s.Operator); err != nil {
+		return nil, err
+	}
+	records := make([]core.Record, 0, len(s.Records))
+	for _, r := range s.Records {
+		if err := record.CheckRecord(r); err != nil {
+			return nil, errors.WithType(err, ErrMalformed)
+		}
+		body, err := canonical(r.Body)
+		if err != nil {
+			return nil, errors.WithType(errors.Annotatef(err, "%s record %q", r.Kind, r.Name), ErrMalformed)
+		}
+		r.Body = body
+		records = append(records, r)
+	}
+	s.Records = records
+	if err := checkKeys(s); err != nil {
+		return nil, errors.WithType(err, ErrMalformed)
+	}
+	return encode(ActionSubmit, at, floor, s)
+}
+
+// EncodeMove encodes a request for a move; it returns ErrMalformed.
+func EncodeMove(at time.Time, request core.MoveRequest) ([]byte, error) {
+	if err := checkSender(request.ID, request.Operator); err != nil {
+		return nil, err
+	}
+	request.Deadline = request.Deadline.UTC()
+	return encode(ActionMove, at, 0, request)
+}
+
+// EncodeAbort encodes a request to take a move back; it returns ErrMalformed.
+func EncodeAbort(at time.Time, abort Abort) ([]byte, error) {
+	if err := checkSender(abort.ID, abort.Operator); err != nil {
+		return nil, err
+	}
+	return encode(ActionAbort, at, 0, abort)
+}
+
+// EncodeStep encodes the leader's proposal to bring a move one step further; it returns ErrMalformed.
+func EncodeStep(step core.MoveStep) ([]byte, error) {
+	if len(step.Cause) > maxTextBytes || len(step.Evidence) > maxTextBytes {
+		return nil, errors.Annotatef(ErrMalformed, "cause or evidence of a step has more than %d bytes", maxTextBytes)
+	}
+	return encode(ActionStep, step.At, 0, step)
+}
+
+func encode(action Action, at time.Time, floor core.SchemaVersion, body any) ([]byte, error) {
+	encoded, err := msgpack.Marshal(body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	command, err := msgpack.Marshal(envelope{
+		Action: action,
+		At:     at.UTC(),
+		Floor:  floor,
+		Body:   encoded,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(command) > MaxCommandBytes {
+		return nil, errors.Annotatef(ErrMalformed, "%d bytes, at most %d are allowed", len(command), MaxCommandBytes)
+	}
+	return command, nil
+}
+
+func checkSender(id core.SubmissionID, operator core.Operator) error {
+	if id == "" || len(id) > maxIDBytes {
+		return errors.Annotatef(ErrMalformed, "submission-id has %d bytes, expected 1 to %d", len(id), maxIDBytes)
+	}
+	if operator == "" || len(operator) > maxIDBytes {
+		return errors.Annotatef(ErrMalformed, "operator has %d bytes, expected 1 to %d", len(operator), maxIDBytes)
+	}
+	return nil
+}
+
+func checkKeys(s core.Submission) error {
+	if len(s.Records)+len(s.Deletes) == 0 {
+		return errors.New("a submission needs records or deletes")
+	}
+	seen := make(map[core.RecordKey]bool, len(s.Records)+len(s.Deletes))
+	check := func(key core.RecordKey, version core.RecordVersion) error {
+		if key.Kind == "" || key.Name == "" || key.SchemaVersion == 0 || version == 0 {
+			return errors.Errorf("%s: kind, name, schema-version and version are needed", describe(key, version))
+		}
+		if seen[key] {
+			return errors.Errorf("%s: named twice in one submission", describe(key, version))
+		}
+		seen[key] = true
+		return nil
+	}
+	for _, r := range s.Records {
+		if err := check(r.Key(), r.Version); err != nil {
+			return err
+		}
+	}
+	for _, d := range s.Deletes {
+		if err := check(deletionKey(d), d.Version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// canonical sorts keys and drops white space, so that equal content has equal bytes. Only the proposer calls it: the
+// state machine must not depend on the JSON encoder of the program version.
+func canonical(body []byte) ([]byte, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.UseNumber()
+	var value any
+	if err := decoder.Decode(&value); err != nil {
+		return nil, err
+	}
+	return json.Marshal(value)
+}
+
+// decode returns an error for any broken input: msgpack panics on a nil in the place of a time.
+func decode(encoded []byte, target any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Errorf("msgpack: %v", cause)
+		}
+	}()
+	return msgpack.Unmarshal(encoded, target)
+}
--- /dev/null
+++ b/core/catalog/moves.go
@@ -0,0 +1,245 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// maxEndedMoves bounds the ended moves that are listed; older ones are in the audit trail only.
+const maxEndedMoves = 1000
+
+// causeOperator is the cause of a move that an operator took back.
+const causeOperator = "operator"
+
+var moveStates = []core.MoveState{core.MoveProposed, core.MoveProbing, core.MoveGrowing, core.MoveDone, core.MoveTakenBack, core.MoveExpired}
+
+// move is a move with the override that it replaces, if an earlier move left one.
+type move struct {
+	Move     core.Move      `msgpack:"move"`
+	Previous *core.Override `msgpack:"previous"`
+}
+
+// Ended reports whether a state is final.
+func Ended(state core.MoveState) bool {
+	return state == core.MoveDone || state == core.MoveTakenBack || state == core.MoveExpired
+}
+
+// Moves returns the open moves and the latest ended ones, oldest first.
+func (c *Catalog) Moves() []core.Move {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return lo.Map(c.moveOrder, func(id core.MoveID, _ int) core.Move { return c.moves[id].Move })
+}
+
+// Move returns one move.
+func (c *Catalog) Move(id core.MoveID) (core.Move, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	m, exists := c.moves[id]
+	return m.Move, exists
+}
+
+func (c *Catalog) startMove(e envelope, request core.MoveRequest) Verdict {
+	if refusal := c.checkRequest(e.At, request); refusal != nil {
+		return *refusal
+	}
+	c.moveCount++
+	id := core.MoveID("m" + strconv.FormatUint(c.moveCount, 10))
+	request.Deadline = request.Deadline.UTC()
+	started := move{
+		Move: core.Move{
+			MoveID:    id,
+			Request:   request,
+			State:     core.MoveProposed,
+			StartedAt: e.At,
+			SteppedAt: e.At,
+			Original:  c.configuration.Weights(request.Service),
+		},
+	}
+	if held, exists := lo.Find(c.configuration.Overrides(), func(o core.Override) bool { return o.Service == request.Service }); exists {
+		started.Previous = &held
+	}
+	c.moves[id] = started
+	c.moveOrder = append(c.moveOrder, id)
+	c.openMoves[request.Service] = id
+	return Verdict{
+		Result: Accepted,
+		Move:   id,
+	}
+}
+
+func (c *Catalog) checkRequest(at time.Time, request core.MoveRequest) *Verdict {
+	if id, open := c.openMoves[request.Service]; open {
+		refusal := moveOpen(id, "move %s of service %q is open", id, request.Service)
+		return &refusal
+	}
+	from, fromExists := c.configuration.Upstream(request.From)
+	to, toExists := c.configuration.Upstream(request.To)
+	var refusal Verdict
+	switch {
+	case !fromExists || from.Service != request.Service:
+		refusal = refused(CauseDangling, "service %q has no upstream %q to move from", request.Service, request.From)
+	case !toExists || to.Service != request.Service:
+		refusal = refused(CauseDangling, "service %q has no upstream %q to move to", request.Service, request.To)
+	case from.Release == to.Release:
+		refusal = refused(CauseMalformed, "upstreams %q and %q have the same release %q", request.From, request.To, from.Release)
+	case weightOf(c.configuration.Weights(request.Service), request.From) == 0:
+		refusal = refused(CauseMalformed, "upstream %q has no share of service %q that could be moved", request.From, request.Service)
+	case !request.Deadline.After(at):
+		refusal = refused(CauseMalformed, "deadline %s is not after the submission at %s", request.Deadline.UTC().Format(time.RFC3339), at.Format(time.RFC3339))
+	case request.MaxRiskShare > core.FullShare:
+		refusal = refused(CauseMalformed, "max-risk-per-mille is %d, expected 0 to 1000", request.MaxRiskShare)
+	default:
+		return nil
+	}
+	return &refusal
+}
+
+func (c *Catalog) abortMove(e envelope, abort Abort) Verdict {
+	m, exists := c.moves[abort.MoveID]
+	if !exists {
+		return refused(CauseNotFound, "there is no move %q", abort.MoveID)
+	}
+	verdict := c.advance(m, core.MoveStep{
+		MoveID: abort.MoveID,
+		Step:   m.Move.Step + 1,
+		State:  core.MoveTakenBack,
+		At:     e.At,
+		Cause:  causeOperator,
+	})
+	verdict.Move = abort.MoveID
+	return verdict
+}
+
+// step applies a step of the leader. A step that changes nothing is not in the audit trail: after a change of leader,
+// two leaders may send the same one.
+func (c *Catalog) step(index core.LogIndex, e envelope) Verdict {
+	var s core.MoveStep
+	if err := decode(e.Body, &s); err != nil {
+		return c.complete(refused(CauseMalformed, "%s: %v", e.Action, err))
+	}
+	s.At = e.At
+	verdict := refused(CauseNotFound, "there is no move %q", s.MoveID)
+	if m, exists := c.moves[s.MoveID]; exists {
+		verdict = c.advance(m, s)
+	}
+	verdict.Move = s.MoveID
+	verdict.At = e.At
+	verdict = c.complete(verdict)
+	if verdict.Result == Accepted {
+		c.record(index, e, sender{
+			what: []string{describeStep(s)},
+		}, verdict)
+	}
+	return verdict
+}
+
+func (c *Catalog) advance(m move, s core.MoveStep) Verdict {
+	switch {
+	case Ended(m.Move.State):
+		return refused(CauseMoveEnded, "move %s has ended: %s", s.MoveID, m.Move.State)
+	case s.Step != m.Move.Step+1:
+		return refused(CauseWrongStep, "step %d of move %s, expected step %d", s.Step, s.MoveID, m.Move.Step+1)
+	case !slices.Contains(moveStates, s.State):
+		return refused(CauseMalformed, "move %s: unknown state %q", s.MoveID, s.State)
+	case s.Share > core.FullShare:
+		return refused(CauseMalformed, "move %s: share of %d per mille, expected 0 to 1000", s.MoveID, s.Share)
+	}
+	before := m.Move.Share
+	m.Move.State, m.Move.Step, m.Move.SteppedAt, m.Move.Share = s.State, s.Step, s.At, s.Share
+	m.Move.Cause, m.Move.Evidence = s.Cause, s.Evidence
+	switch s.State {
+	case core.MoveDone:
+		m.Move.Share = core.FullShare
+	case core.MoveTakenBack, core.MoveExpired:
+		m.Move.Share = 0
+	}
+	if m.Move.Share != before || Ended(s.State) {
+		next, refusal := c.build(c.configuration.Records(), c.overridesWith(m))
+		if refusal != nil {
+			return *refusal
+		}
+		c.publish(next)
+	}
+	c.moves[s.MoveID] = m
+	if Ended(s.State) {
+		delete(c.openMoves, m.Move.Request.Service)
+		c.forgetEndedMoves()
+	}
+	return Verdict{
+		Result: Accepted,
+	}
+}
+
+// overridesWith returns all overrides as they are after a move's step.
+func (c *Catalog) overridesWith(m move) []core.Override {
+	request := m.Move.Request
+	overrides := lo.Reject(c.configuration.Overrides(), func(o core.Override, _ int) bool { return o.Service == request.Service })
+	if m.Move.Share > 0 {
+		return append(overrides, core.Override{
+			Service: request.Service,
+			Move:    m.Move.MoveID,
+			Weights: movedWeights(m.Move.Original, request, m.Move.Share),
+		})
+	}
+	if m.Previous != nil {
+		overrides = append(overrides, *m.Previous)
+	}
+	return overrides
+}
+
+// movedWeights moves a share of From's weight to To, rounded up so that a small share of a small weight is not lost.
+// It keeps From without weight, so that its record cannot be deleted while the move may still be taken back.
+func movedWeights(original []core.Weight, request core.MoveRequest, share core.PerMille) []core.Weight {
+	from := weightOf(original, request.From)
+	moved := (from*share + core.FullShare - 1) / core.FullShare
+	weights := lo.Filter(original, func(w core.Weight, _ int) bool {
+		return w.PerMille > 0 && w.Upstream != request.From && w.Upstream != request.To
+	})
+	return append(weights, core.Weight{
+		Upstream: request.From,
+		PerMille: from - moved,
+	}, core.Weight{
+		Upstream: request.To,
+		PerMille: weightOf(original, request.To) + moved,
+	})
+}
+
+func weightOf(weights []core.Weight, upstream core.UpstreamName) core.PerMille {
+	for _, weight := range weights {
+		if weight.Upstream == upstream {
+			return weight.PerMille
+		}
+	}
+	return 0
+}
+
+func (c *Catalog) forgetEndedMoves() {
+	if len(c.moveOrder) <= maxEndedMoves+len(c.openMoves) {
+		return
+	}
+	for i, id := range c.moveOrder {
+		if Ended(c.moves[id].Move.State) {
+			delete(c.moves, id)
+			c.moveOrder = slices.Concat(c.moveOrder[:i], c.moveOrder[i+1:])
+			return
+		}
+	}
+}
+
+func describeStep(s core.MoveStep) string {
+	text := fmt.Sprintf("step %d: %s, share %d per mille", s.Step, s.State, s.Share)
+	if s.Cause != "" {
+		text += ", cause " + s.Cause
+	}
+	if s.Evidence != "" {
+		text += ", evidence " + s.Evidence
+	}
+	return text
+}
--- /dev/null
+++ b/core/catalog/snapshot.go
@@ -0,0 +1,126 @@
+package catalog
+
+import (
+	"sort"
+
+	"github.com/juju/errors"
+	"github.com/samber/lo"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyport/core"
+	"parsleyport/core/record"
+)
+
+// snapshotFormat numbers the format of snapshots; Restore refuses others.
+const snapshotFormat = 1
+
+type snapshot struct {
+	Format    int          `msgpack:"format"`
+	Full      record.Full  `msgpack:"configuration"`
+	Stamps    []keyedStamp `msgpack:"stamps"`
+	Verdicts  []remembered `msgpack:"verdicts"`
+	Moves     []move       `msgpack:"moves"`
+	MoveCount uint64       `msgpack:"move-count"`
+	Audit     []AuditEntry `msgpack:"audit"`
+}
+
+type keyedStamp struct {
+	Kind          core.Kind          `msgpack:"kind"`
+	Name          string             `msgpack:"name"`
+	SchemaVersion core.SchemaVersion `msgpack:"schema-version"`
+	Stamp         stamp              `msgpack:"stamp"`
+}
+
+// Snapshot encodes the whole state; equal states have equal bytes.
+func (c *Catalog) Snapshot() ([]byte, error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	encoded, err := msgpack.Marshal(snapshot{
+		Format:    snapshotFormat,
+		Full:      c.configuration.Full(),
+		Stamps:    sortedStamps(c.stamps),
+		Verdicts:  lo.Map(c.verdicts.order, func(id core.SubmissionID, _ int) remembered { return c.verdicts.byID[id] }),
+		Moves:     lo.Map(c.moveOrder, func(id core.MoveID, _ int) move { return c.moves[id] }),
+		MoveCount: c.moveCount,
+		Audit:     c.audit,
+	})
+	return encoded, errors.Trace(err)
+}
+
+// Restore replaces the whole state, or returns an error and leaves the state as it is.
+func (c *Catalog) Restore(encoded []byte) error {
+	var s snapshot
+	if err := decode(encoded, &s); err != nil {
+		return errors.Annotate(err, "decode snapshot")
+	}
+	if s.Format != snapshotFormat {
+		return errors.Errorf("snapshot has format %d, expected %d", s.Format, snapshotFormat)
+	}
+	configuration, err := record.FromFull(s.Full)
+	if err != nil {
+		return errors.Annotate(err, "snapshot")
+	}
+	restored := New()
+	restored.moveCount = s.MoveCount
+	for _, k := range s.Stamps {
+		restored.stamps[core.RecordKey{
+			Kind:          k.Kind,
+			Name:          k.Name,
+			SchemaVersion: k.SchemaVersion,
+		}] = k.Stamp
+	}
+	for _, r := range s.Verdicts {
+		r.Verdict.At = r.Verdict.At.UTC()
+		restored.verdicts.add(r)
+	}
+	for _, m := range s.Moves {
+		restored.addMove(m)
+	}
+	for _, entry := range s.Audit {
+		entry.At = entry.At.UTC()
+		restored.audit = append(restored.audit, entry)
+	}
+	c.replace(restored, configuration)
+	return nil
+}
+
+func (c *Catalog) addMove(m move) {
+	m.Move.StartedAt, m.Move.SteppedAt = m.Move.StartedAt.UTC(), m.Move.SteppedAt.UTC()
+	m.Move.Request.Deadline = m.Move.Request.Deadline.UTC()
+	c.moves[m.Move.MoveID] = m
+	c.moveOrder = append(c.moveOrder, m.Move.MoveID)
+	if !Ended(m.Move.State) {
+		c.openMoves[m.Move.Request.Service] = m.Move.MoveID
+	}
+}
+
+func (c *Catalog) replace(restored *Catalog, configuration *record.Configuration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stamps, c.verdicts, c.audit = restored.stamps, restored.verdicts, restored.audit
+	c.moves, c.moveOrder, c.openMoves, c.moveCount = restored.moves, restored.moveOrder, restored.openMoves, restored.moveCount
+	c.publish(configuration)
+}
+
+func sortedStamps(stamps map[core.RecordKey]stamp) []keyedStamp {
+	sorted := make([]keyedStamp, 0, len(stamps))
+	for key, s := range stamps {
+		sorted = append(sorted, keyedStamp{
+			Kind:          key.Kind,
+			Name:          key.Name,
+			SchemaVersion: key.SchemaVersion,
+			Stamp:         s,
+		})
+	}
+	sort.Slice(sorted, func(i, j int) bool {
+		a, b := sorted[i], sorted[j]
+		if a.Kind != b.Kind {
+			return a.Kind < b.Kind
+		}
+		if a.Name != b.Name {
+			return a.Name < b.Name
+		}
+		return a.SchemaVersion < b.SchemaVersion
+	})
+	return sorted
+}
--- /dev/null
+++ b/core/catalog/submit.go
@@ -0,0 +1,202 @@
+package catalog
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/record"
+)
+
+// plan collects what a submission changes before anything is changed.
+type plan struct {
+	catalog  *Catalog
+	author   core.Submission
+	upserts  map[core.RecordKey]core.Record
+	deletes  map[core.RecordKey]bool
+	stamps   map[core.RecordKey]stamp
+	policies map[core.ServiceName]bool // services whose policy changes
+}
+
+func (c *Catalog) submit(e envelope, s core.Submission) Verdict {
+	if err := checkKeys(s); err != nil {
+		return refused(CauseMalformed, "%v", err)
+	}
+	p := &plan{
+		catalog:  c,
+		author:   s,
+		upserts:  make(map[core.RecordKey]core.Record),
+		deletes:  make(map[core.RecordKey]bool),
+		stamps:   make(map[core.RecordKey]stamp),
+		policies: make(map[core.ServiceName]bool),
+	}
+	if refusal := p.collect(); refusal != nil {
+		return *refusal
+	}
+	if len(p.stamps) == 0 {
+		return Verdict{
+			Result:    Accepted,
+			Unchanged: true,
+		}
+	}
+	return p.commit(e.Floor)
+}
+
+func (p *plan) collect() *Verdict {
+	for _, r := range p.author.Records {
+		if refusal := p.upsert(r); refusal != nil {
+			return refusal
+		}
+	}
+	for _, d := range p.author.Deletes {
+		if refusal := p.delete(d); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+func (p *plan) upsert(r core.Record) *Verdict {
+	key := r.Key()
+	held, exists := p.catalog.configuration.Record(key)
+	if exists && held.Version == r.Version && bytes.Equal(held.Body, r.Body) {
+		return nil
+	}
+	if refusal := p.checkVersion(key, r.Version); refusal != nil {
+		return refusal
+	}
+	p.upserts[key] = r
+	p.stamp(key, r.Version, core.Hash(xxhash.Sum64(r.Body)), false)
+	p.notePolicy(r)
+	p.notePolicy(held)
+	return nil
+}
+
+func (p *plan) delete(d core.Deletion) *Verdict {
+	key := deletionKey(d)
+	s, exists := p.catalog.stamps[key]
+	if !exists {
+		refusal := refused(CauseNotFound, "%s: there is no such record", describe(key, d.Version))
+		return &refusal
+	}
+	if s.Deleted && s.Version == d.Version {
+		return nil
+	}
+	if refusal := p.checkVersion(key, d.Version); refusal != nil {
+		return refusal
+	}
+	p.deletes[key] = true
+	p.stamp(key, d.Version, 0, true)
+	held, _ := p.catalog.configuration.Record(key)
+	p.notePolicy(held)
+	return nil
+}
+
+func (p *plan) checkVersion(key core.RecordKey, version core.RecordVersion) *Verdict {
+	s, exists := p.catalog.stamps[key]
+	if !exists || version > s.Version {
+		return nil
+	}
+	refusal := refused(CauseStaleVersion, "%s: version %d is newer", describe(key, version), s.Version)
+	if version == s.Version {
+		refusal = refused(CauseEqualVersion, "%s: submission %q by %q set this version first with other content", describe(key, version), s.Submission, s.Operator)
+	}
+	refusal = refusal.against(s)
+	return &refusal
+}
+
+func (p *plan) stamp(key core.RecordKey, version core.RecordVersion, hash core.Hash, deleted bool) {
+	p.stamps[key] = stamp{
+		Version:    version,
+		Submission: p.author.ID,
+		Operator:   p.author.Operator,
+		Hash:       hash,
+		Deleted:    deleted,
+	}
+}
+
+func (p *plan) notePolicy(r core.Record) {
+	if r.Kind != core.KindPolicy {
+		return
+	}
+	var body struct {
+		Service core.ServiceName `json:"service"`
+	}
+	if err := json.Unmarshal(r.Body, &body); err == nil { // record.New reports a broken body
+		p.policies[body.Service] = true
+	}
+}
+
+func (p *plan) commit(floor core.SchemaVersion) Verdict {
+	c := p.catalog
+	services := lo.Keys(p.policies)
+	slices.Sort(services) // so that all replicas name the same move
+	for _, service := range services {
+		if id, open := c.openMoves[service]; open {
+			return moveOpen(id, "move %s of service %q is open; its policy cannot change before the move ends", id, service)
+		}
+	}
+	records := lo.Reject(c.configuration.Records(), func(r core.Record, _ int) bool {
+		_, replaced := p.upserts[r.Key()]
+		return replaced || p.deletes[r.Key()]
+	})
+	records = append(records, lo.Values(p.upserts)...)
+	overrides := lo.Reject(c.configuration.Overrides(), func(o core.Override, _ int) bool { return p.policies[o.Service] })
+	if err := record.CheckSchemaFloor(records, p.touched, floor); err != nil {
+		return refused(CauseSchemaFloor, "%v", err)
+	}
+	next, refusal := c.build(records, overrides)
+	if refusal != nil {
+		return *refusal
+	}
+	if refusal := p.checkMoveTargets(next); refusal != nil {
+		return *refusal
+	}
+	for key, s := range p.stamps {
+		c.stamps[key] = s
+	}
+	c.publish(next)
+	return Verdict{
+		Result: Accepted,
+	}
+}
+
+// touched reports whether the submission changes any schema version of a kind and name.
+func (p *plan) touched(kind core.Kind, name string) bool {
+	for key := range p.stamps {
+		if key.Kind == kind && key.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// checkMoveTargets keeps both upstreams of an open move, since each of its steps refers to them.
+func (p *plan) checkMoveTargets(next *record.Configuration) *Verdict {
+	c := p.catalog
+	services := lo.Keys(c.openMoves)
+	slices.Sort(services) // so that all replicas name the same move
+	for _, service := range services {
+		id := c.openMoves[service]
+		request := c.moves[id].Move.Request
+		for _, name := range []core.UpstreamName{request.From, request.To} {
+			before, _ := c.configuration.Upstream(name)
+			after, exists := next.Upstream(name)
+			if !exists || before.Service != after.Service || before.Release != after.Release {
+				refusal := moveOpen(id, "move %s needs upstream %q as it is until the move ends", id, name)
+				return &refusal
+			}
+		}
+	}
+	return nil
+}
+
+func moveOpen(id core.MoveID, format string, args ...any) Verdict {
+	refusal := refused(CauseMoveOpen, format, args...)
+	refusal.Move = id
+	return refusal
+}
--- /dev/null
+++ b/core/catalog/verdict.go
@@ -0,0 +1,120 @@
+package catalog
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// Result says whether a command was accepted.
+type Result string
+
+// The results of a command.
+const (
+	Accepted Result = "accepted"
+	Refused  Result = "refused"
+)
+
+// Cause is the kind of a refusal.
+type Cause string
+
+// The causes of a refusal.
+const (
+	CauseMalformed    Cause = "malformed"
+	CauseIDUsed       Cause = "submission-id-used"
+	CauseEqualVersion Cause = "equal-version"
+	CauseStaleVersion Cause = "stale-version"
+	CauseNotFound     Cause = "not-found"
+	CauseDangling     Cause = "dangling-reference"
+	CauseSchemaFloor  Cause = "schema-floor"
+	CauseMoveOpen     Cause = "move-open"
+	CauseMoveEnded    Cause = "move-ended"
+	CauseWrongStep    Cause = "wrong-step"
+)
+
+// Winner names the submission that a refused one lost against.
+type Winner struct {
+	Submission core.SubmissionID  `json:"submission-id" msgpack:"submission-id"`
+	Operator   core.Operator      `json:"operator" msgpack:"operator"`
+	Version    core.RecordVersion `json:"version,omitempty" msgpack:"version"`
+	Hash       string             `json:"hash" msgpack:"hash"` // xxhash64 of the content in hexadecimal digits
+}
+
+// Verdict is the result of a command; resends of a submission get the same one.
+type Verdict struct {
+	Submission core.SubmissionID `json:"submission-id,omitempty" msgpack:"submission-id"`
+	Result     Result            `json:"result" msgpack:"result"`
+	Unchanged  bool              `json:"unchanged,omitempty" msgpack:"unchanged"` // accepted, but it was in force already
+	Revision   core.Revision     `json:"revision" msgpack:"revision"`             // newest revision after the command
+	Cause      Cause             `json:"cause,omitempty" msgpack:"cause"`
+	Detail     string            `json:"detail,omitempty" msgpack:"detail"`
+	Winner     *Winner           `json:"winner,omitempty" msgpack:"winner"`
+	Move       core.MoveID       `json:"move-id,omitempty" msgpack:"move-id"`
+	At         time.Time         `json:"at" msgpack:"at"`
+}
+
+// DecodeVerdict decodes the result of Catalog.Apply; it returns a decoding error.
+func DecodeVerdict(result []byte) (Verdict, error) {
+	var verdict Verdict
+	if err := decode(result, &verdict); err != nil {
+		return Verdict{}, errors.Annotate(err, "decode verdict")
+	}
+	verdict.At = verdict.At.UTC()
+	return verdict, nil
+}
+
+func refused(cause Cause, format string, args ...any) Verdict {
+	return Verdict{
+		Result: Refused,
+		Cause:  cause,
+		Detail: fmt.Sprintf(format, args...),
+	}
+}
+
+func (v Verdict) against(s stamp) Verdict {
+	v.Winner = &Winner{
+		Submission: s.Submission,
+		Operator:   s.Operator,
+		Version:    s.Version,
+		Hash:       formatHash(s.Hash),
+	}
+	return v
+}
+
+func formatHash(hash core.Hash) string {
+	return fmt.Sprintf("%016x", uint64(hash))
+}
+
+// maxVerdicts is the number of latest submissions whose verdicts are remembered.
+const maxVerdicts = 100_000
+
+// remembered is a verdict with what identifies the content of its submission.
+type remembered struct {
+	Verdict  Verdict       `msgpack:"verdict"`
+	Operator core.Operator `msgpack:"operator"`
+	Hash     core.Hash     `msgpack:"hash"`
+}
+
+// memory holds the latest verdicts, oldest first in order.
+type memory struct {
+	byID  map[core.SubmissionID]remembered
+	order []core.SubmissionID
+}
+
+func newMemory() memory {
+	return memory{
+		byID: make(map[core.SubmissionID]remembered),
+	}
+}
+
+func (m *memory) add(r remembered) {
+	m.byID[r.Verdict.Submission] = r
+	m.order = append(m.order, r.Verdict.Submission)
+	if len(m.order) > maxVerdicts {
+		delete(m.byID, m.order[0])
+		m.order = m.order[1:]
+	}
+}
--- a/core/record/configuration.go
+++ b/core/record/configuration.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -142,6 +143,7 @@
 	for _, r := range best {
 		chosen = append(chosen, r)
 	}
+	sort.Slice(chosen, func(i, j int) bool { return keyBefore(chosen[i].Key(), chosen[j].Key()) })
 	return chosen
 }
 
@@ -182,8 +184,10 @@
 	return nil // a kind that a later program added is kept and forwarded
 }
 
+// checkReferences goes through the names in order, so that all replicas report the same one of several faults.
 func (c *Configuration) checkReferences() error {
-	for name, upstream := range c.upstreams {
+	for _, name := range sortedKeys(c.upstreams) {
+		upstream := c.upstreams[name]
 		if _, exists := c.services[upstream.Service]; !exists {
 			return errors.Annotatef(ErrDangling, "upstream %q refers to service %q", name, upstream.Service)
 		}
@@ -196,22 +200,31 @@
 			return errors.Annotatef(ErrDangling, "route %q needs a policy for service %q", route.Name, route.Service)
 		}
 	}
-	for service, policy := range c.policies {
+	for _, service := range sortedKeys(c.policies) {
 		if _, exists := c.services[service]; !exists {
 			return errors.Annotatef(ErrDangling, "policy refers to service %q", service)
 		}
-		if err := c.checkWeightTargets(service, policy.Weights); err != nil {
+		if err := c.checkWeightTargets(service, c.policies[service].Weights); err != nil {
 			return err
 		}
 	}
-	for service, override := range c.overrides {
-		if err := c.checkWeightTargets(service, override.Weights); err != nil {
+	for _, service := range sortedKeys(c.overrides) {
+		if err := c.checkWeightTargets(service, c.overrides[service].Weights); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func sortedKeys[K ~string, V any](values map[K]V) []K {
+	keys := make([]K, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 func (c *Configuration) checkWeightTargets(service core.ServiceName, weights []core.Weight) error {
 	for _, weight := range weights {
 		upstream, exists := c.upstreams[weight.Upstream]
@@ -231,6 +244,12 @@
 // Hash returns the hash over revision, records and overrides.
 func (c *Configuration) Hash() core.Hash { return c.hash }
 
+// Record returns the record that is stored under a key.
+func (c *Configuration) Record(key core.RecordKey) (core.Record, bool) {
+	r, exists := c.records[key]
+	return r, exists
+}
+
 // Service returns the body of a service record.
 func (c *Configuration) Service(name core.ServiceName) (core.ServiceBody, bool) {
 	body, exists := c.services[name]
