Test distribution against lost, late and crossed messages

Most tests run whole trees in one synctest bubble over a network fake with a delay of 5 ms for each message, so that grace periods and back-off take their real spans in test time. The lease table is checked against a follower with rapid; that found that a removal could leave a sequence beside the service before the last one, so that the same announcement by another owner was listed under the wrong service.

--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -117,6 +117,9 @@
 			clear(held.owners) // they vouched for an older announcement
 			held.endpoint = endpoint
 		}
+		if len(held.owners) == 0 {
+			held.endpoint = endpoint // a removal may have left the sequence beside the service before the last one
+		}
 		held.owners[owner] = true
 	})
 	delete(t.fading, fadingWord{
--- /dev/null
+++ b/core/lease/table_test.go
@@ -0,0 +1,188 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"parsleyport/core"
+	"parsleyport/core/lease"
+)
+
+var (
+	start  = time.Unix(1_800_000_000, 0)
+	left   = lease.Owner{Name: "left"}
+	right  = lease.Owner{Name: "right"}
+	parent = lease.Owner{Name: "parent", Remote: true}
+)
+
+func announced(node core.NodeID, incarnation core.Incarnation, sequence uint64, service core.ServiceName) core.Endpoint {
+	return core.Endpoint{
+		Node:        node,
+		Incarnation: incarnation,
+		Sequence:    sequence,
+		Service:     service,
+		State:       core.EndpointReady,
+	}
+}
+
+func removal(e core.Endpoint) lease.Removal {
+	return lease.Removal{
+		Node:        e.Node,
+		Incarnation: e.Incarnation,
+		Sequence:    e.Sequence,
+		Service:     e.Service,
+	}
+}
+
+func anyService(core.ServiceName) bool { return true }
+
+// Guards against a late message of an earlier run or announcement that replaces or removes a newer endpoint.
+func TestNewerAnnouncementWins(t *testing.T) {
+	c := qt.New(t)
+	table := lease.New()
+	newer, older := announced("n", 2, 1, "s"), announced("n", 1, 9, "s")
+	c.Assert(table.Announce(start, left, newer), qt.IsTrue)
+	c.Assert(table.Announce(start, right, older), qt.IsFalse)
+	table.Remove(start, left, removal(older))
+	c.Assert(table.Endpoints("s"), qt.DeepEquals, []core.Endpoint{newer})
+
+	// A withdrawal is newer than what anyone vouches for.
+	table.Announce(start, right, newer)
+	withdrawn := newer
+	withdrawn.Sequence++
+	table.Remove(start, left, removal(withdrawn))
+	c.Assert(table.Endpoints("s"), qt.HasLen, 0)
+	c.Assert(table.Announce(start, right, newer), qt.IsFalse)
+}
+
+// Guards against endpoints that vanish when a subtree has moved and its old link is noticed to be dead.
+func TestLossOfOneOwnerKeepsWhatAnotherVouchesFor(t *testing.T) {
+	c := qt.New(t)
+	table := lease.New()
+	for _, node := range []core.NodeID{"relay", "below", "moved"} {
+		table.Announce(start, left, announced(node, 1, 1, "s"))
+	}
+	table.Announce(start, right, announced("moved", 1, 1, "s"))
+	table.Lose(start, left, "relay", 2*time.Second, 10*time.Second)
+	names := func(at time.Duration) (list []core.NodeID) {
+		table.Expire(start.Add(at))
+		for _, e := range table.Endpoints("s") {
+			list = append(list, e.Node)
+		}
+		return list
+	}
+	c.Assert(names(1999*time.Millisecond), qt.DeepEquals, []core.NodeID{"below", "moved", "relay"})
+	c.Assert(names(2*time.Second), qt.DeepEquals, []core.NodeID{"below", "moved"})
+	c.Assert(names(10*time.Second), qt.DeepEquals, []core.NodeID{"moved"})
+}
+
+// Guards against an endpoint that lives for ever because two owners tell each other their own word.
+func TestOwnWordDoesNotComeBack(t *testing.T) {
+	c := qt.New(t)
+	table := lease.New()
+	table.Announce(start, left, announced("n", 1, 1, "s"))
+	c.Assert(table.EndpointsFor(left, "s"), qt.HasLen, 0)
+	changes, reached := table.Changes(lease.All, 0, left, anyService)
+	c.Assert(reached, qt.IsTrue)
+	c.Assert(changes.Empty(), qt.IsTrue)
+
+	table.Announce(start, right, announced("n", 1, 1, "s"))
+	changes, _ = table.Changes(lease.All, changes.Next, left, anyService)
+	c.Assert(changes.Upserts, qt.HasLen, 1)
+	table.Remove(start, right, removal(announced("n", 1, 1, "s")))
+	changes, _ = table.Changes(lease.All, changes.Next, left, anyService)
+	c.Assert(changes.Removals, qt.HasLen, 1)
+}
+
+// Guards against a removal that outruns the announcement by the endpoint's new owner.
+func TestWordThatMovedElsewhereFades(t *testing.T) {
+	c := qt.New(t)
+	table := lease.New()
+	e := announced("n", 1, 1, "s")
+	table.Announce(start, parent, e)
+	gone := removal(e)
+	gone.Elsewhere = true
+	table.Remove(start, parent, gone)
+	table.Expire(start.Add(4 * time.Second))
+	c.Assert(table.Endpoints("s"), qt.HasLen, 1)
+	table.Expire(start.Add(5 * time.Second))
+	c.Assert(table.Endpoints("s"), qt.HasLen, 0)
+}
+
+// Guards against key holders that are forgotten within the window, and against tombstones that stay for ever.
+func TestTombstonesLastTenMinutes(t *testing.T) {
+	c := qt.New(t)
+	table := lease.New()
+	e := announced("n", 1, 1, "s")
+	table.Announce(start, left, e)
+	table.Remove(start, left, removal(e))
+	table.Remember(start, lease.Left{Endpoint: announced("m", 1, 1, "s"), At: start.Add(-time.Minute)})
+	table.Expire(start.Add(9*time.Minute - time.Millisecond))
+	c.Assert(table.Tombstones(start.Add(-time.Minute), anyService), qt.HasLen, 2)
+	table.Expire(start.Add(9 * time.Minute))
+	c.Assert(table.Tombstones(start.Add(-time.Minute), anyService), qt.HasLen, 1)
+	table.Expire(start.Add(10 * time.Minute))
+	c.Assert(table.Tombstones(start.Add(-time.Minute), anyService), qt.HasLen, 0)
+}
+
+// Guards against memory that grows with announcements of ever new nodes, and against a full table that cannot take a node
+// although others have left.
+func TestTableIsBounded(t *testing.T) {
+	c := qt.New(t)
+	table := lease.New()
+	for i := range lease.MaxEntries {
+		table.Announce(start, left, announced(core.NodeID(fmt.Sprint(i)), 1, 1, "s"))
+	}
+	c.Assert(table.Announce(start, left, announced("late", 1, 1, "s")), qt.IsFalse)
+	table.Remove(start, left, removal(announced("0", 1, 1, "s")))
+	c.Assert(table.Announce(start, left, announced("late", 1, 1, "s")), qt.IsTrue)
+	c.Assert(table.Live(), qt.Equals, lease.MaxEntries)
+	_, reached := table.Changes(lease.All, 0, right, anyService)
+	c.Assert(reached, qt.IsFalse)
+}
+
+// Guards against a subscriber that ends up with other endpoints than its parent after any order of changes.
+func TestFollowerHasTheEndpointsOfItsParent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, follower := lease.New(), lease.New()
+		viewer := lease.Owner{Name: "viewer"}
+		now, position := start, uint64(0)
+		services := []core.ServiceName{"a", "b"}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			owner := rapid.SampledFrom([]lease.Owner{left, right, parent}).Draw(t, "owner")
+			// A node raises its sequence with each change, so one sequence never has two services.
+			sequence := rapid.Uint64Range(1, 6).Draw(t, "sequence")
+			e := announced(rapid.SampledFrom([]core.NodeID{"x", "y", "z"}).Draw(t, "node"), 1, sequence, services[sequence/2%2])
+			switch rapid.IntRange(0, 4).Draw(t, "operation") {
+			case 0, 1:
+				table.Announce(now, owner, e)
+			case 2:
+				table.Remove(now, owner, removal(e))
+			case 3:
+				table.Lose(now, owner, e.Node, time.Second, 2*time.Second)
+			case 4:
+				changes, reached := table.Changes(lease.All, position, viewer, anyService)
+				if !reached {
+					t.Fatal("log of 4096 changes overflowed")
+				}
+				position = changes.Next
+				for _, upsert := range changes.Upserts {
+					follower.Announce(now, parent, upsert)
+				}
+				for _, each := range changes.Removals {
+					follower.Remove(now, parent, each)
+				}
+				for _, service := range services {
+					if got, want := fmt.Sprint(follower.Endpoints(service)), fmt.Sprint(table.Endpoints(service)); got != want {
+						t.Fatalf("service %s: follower has %s, parent has %s", service, got, want)
+					}
+				}
+			}
+		}
+	})
+}
--- a/io/distribution/fakes_test.go
+++ b/io/distribution/fakes_test.go
@@ -16,6 +16,7 @@
 	"parsleyport/core"
 	"parsleyport/core/record"
 	"parsleyport/core/ring"
+	"parsleyport/io/frame"
 )
 
 // fakeNet joins processes by name within the test, with a short delay and a buffer in each direction, as a kernel has.
@@ -23,12 +24,12 @@
 	mu        sync.Mutex
 	listeners map[string]*fakeListener
 	conns     map[*fakeConn]bool
-	blocked   map[string]bool // addresses that cannot be dialed
+	blocked   map[string]bool // addresses that cannot be dialed, and processes that cannot dial
 	dials     atomic.Int64
 	pumps     sync.WaitGroup
 }
 
-const fakeDelay = time.Millisecond
+const fakeDelay = 5 * time.Millisecond
 
 func newFakeNet() *fakeNet {
 	return &fakeNet{
@@ -58,9 +59,12 @@
 func (l *fakeListener) Close() error {
 	l.once.Do(func() {
 		l.net.mu.Lock()
-		defer l.net.mu.Unlock()
 		delete(l.net.listeners, l.address)
 		close(l.closed)
+		l.net.mu.Unlock()
+		for len(l.backlog) > 0 {
+			_ = (<-l.backlog).Close()
+		}
 	})
 	return nil
 }
@@ -69,25 +73,37 @@
 // fakeConn is one end of a connection; a pump moves what is written to the other end.
 type fakeConn struct {
 	net.Conn
-	net     *fakeNet
-	to      string // the address that was dialed
-	written *ring.Ring[[]byte]
-	ctx     context.Context
-	cancel  context.CancelFunc
-	silent  atomic.Bool
+	net      *fakeNet
+	to       string // the address that was dialed
+	from     string // the relay address of the process that dialed
+	written  *ring.Ring[[]byte]
+	ctx      context.Context
+	cancel   context.CancelFunc
+	deadline atomic.Value // time.Time, of writes
+	silent   atomic.Bool
+	stalled  atomic.Bool // delivers nothing, as if the other end does not read
 }
 
 func (c *fakeConn) Write(p []byte) (int, error) {
 	if c.silent.Load() {
 		return len(p), nil
 	}
-	if err := c.written.Push(c.ctx, append([]byte(nil), p...)); err != nil {
-		return 0, net.ErrClosed
+	ctx := c.ctx
+	if deadline, set := c.deadline.Load().(time.Time); set && !deadline.IsZero() {
+		limited, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		ctx = limited
+	}
+	if err := c.written.Push(ctx, append([]byte(nil), p...)); err != nil {
+		return 0, err
 	}
 	return len(p), nil
 }
 
-func (c *fakeConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *fakeConn) SetWriteDeadline(at time.Time) error {
+	c.deadline.Store(at)
+	return nil
+}
 
 func (c *fakeConn) pump() {
 	defer c.Conn.Close()
@@ -100,6 +116,10 @@
 			p = <-c.written.Items()
 		}
 		time.Sleep(fakeDelay)
+		if c.stalled.Load() {
+			<-c.ctx.Done()
+			return
+		}
 		if _, err := c.Conn.Write(p); err != nil {
 			return
 		}
@@ -112,16 +132,18 @@
 	c.net.mu.Lock()
 	delete(c.net.conns, c)
 	c.net.mu.Unlock()
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(10 * fakeDelay))
 	return c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-func (n *fakeNet) wrap(conn net.Conn, to string) *fakeConn {
+func (n *fakeNet) wrap(conn net.Conn, from, to string) *fakeConn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &fakeConn{
 		Conn:    conn,
 		net:     n,
+		from:    from,
 		to:      to,
-		written: ring.New[[]byte](256),
+		written: ring.New[[]byte](16),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -130,7 +152,7 @@
 	return c
 }
 
-func (n *fakeNet) network() Network {
+func (n *fakeNet) network(from string) Network {
 	return Network{
 		Listen: func(address string) (net.Listener, error) {
 			n.mu.Lock()
@@ -152,12 +174,12 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			l := n.listeners[address]
-			if l == nil || n.blocked[address] {
+			if l == nil || n.blocked[address] || n.blocked[from] {
 				return nil, errors.Errorf("%s: connection refused", address)
 			}
 			near, far := net.Pipe()
-			accepted := n.wrap(far, address)
-			dialed := n.wrap(near, address)
+			accepted := n.wrap(far, from, address)
+			dialed := n.wrap(near, from, address)
 			l.backlog <- accepted
 			return dialed, nil
 		},
@@ -183,6 +205,24 @@
 	return list
 }
 
+func (n *fakeNet) block(address string, blocked bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked[address] = blocked
+}
+
+// silence makes a process vanish without closing its connections: nothing that it sends or is sent arrives any more.
+func (n *fakeNet) silence(s *Subscriber) {
+	n.block(s.options.RelayAddress, true)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.to == s.options.RelayAddress || c.from == s.options.RelayAddress {
+			c.silent.Store(true)
+		}
+	}
+}
+
 // fakeCatalog is a record.Source and core.Replicator whose confirmed reads the test can hold up.
 type fakeCatalog struct {
 	mu      sync.Mutex
@@ -289,9 +329,11 @@
 }
 
 func (w *world) close() {
+	var stopping sync.WaitGroup
 	for _, stop := range w.stops {
-		stop()
+		stopping.Go(stop)
 	}
+	stopping.Wait()
 	w.net.cut("")
 	w.net.pumps.Wait()
 }
@@ -308,7 +350,7 @@
 		Catalog:       catalog,
 		Replicator:    catalog,
 		Logger:        zerolog.Nop(),
-		Network:       w.net.network(),
+		Network:       w.net.network(string(id)),
 	}
 	for _, peer := range peers {
 		options.Peers = append(options.Peers, Peer{ID: peer, Address: string(peer)})
@@ -332,7 +374,7 @@
 		DataCentre:   "dc-a",
 		RelayAddress: "relay-" + string(id),
 		Logger:       zerolog.Nop(),
-		Network:      w.net.network(),
+		Network:      w.net.network("relay-" + string(id)),
 	}
 	change(&options)
 	s, stop, err := NewSubscriber(options)
@@ -376,6 +418,84 @@
 	}
 }
 
+func allHave(list []*Subscriber, service core.ServiceName, count int) func() bool {
+	return func() bool {
+		for _, s := range list {
+			if len(s.Endpoints(service)) != count {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// rawPeer is one end of a link whose messages the test chooses.
+type rawPeer struct {
+	t        testing.TB
+	listener net.Listener
+	conn     *frame.Conn
+	hello    hello
+}
+
+func (w *world) rawParent(address string) *rawPeer {
+	listener, err := w.net.network(address).Listen(address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.stops[address] = func() { _ = listener.Close() }
+	return &rawPeer{
+		t:        w.t,
+		listener: listener,
+	}
+}
+
+// attach answers the next hello.
+func (p *rawPeer) attach(kind frame.Type, answer any) {
+	conn, err := p.listener.Accept()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.conn = frame.New(conn)
+	p.receive(typeHello, &p.hello)
+	p.send(kind, answer)
+}
+
+// rawChild says hello to a parent; what follows is up to the test.
+func (w *world) rawChild(address string, greeting hello) *rawPeer {
+	conn, err := w.net.network("raw-child").Dial(context.Background(), address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	p := &rawPeer{
+		t:    w.t,
+		conn: frame.New(conn),
+	}
+	p.send(typeHello, greeting)
+	return p
+}
+
+func (p *rawPeer) send(kind frame.Type, message any) {
+	if err := p.conn.Send(time.Time{}, kind, message); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// receive skips frames up to one of the given type.
+func (p *rawPeer) receive(kind frame.Type, target any) {
+	for {
+		received, err := p.conn.Receive(time.Now().Add(silenceLimit))
+		if err != nil {
+			p.t.Fatalf("waiting for message type %d: %v", kind, err)
+		}
+		if received.Type == kind {
+			if err := received.Decode(target); err != nil {
+				p.t.Fatal(err)
+			}
+			return
+		}
+	}
+}
+
 func endpoint(service core.ServiceName, state core.EndpointState) core.Endpoint {
 	return core.Endpoint{
 		Address: "127.0.0.1:1",
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -213,3 +213,9 @@
 	slices.Sort(ids)
 	return ids
 }
+
+func (h *hub) live() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Live()
+}
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -410,6 +410,7 @@
 // Status describes the subscriber.
 func (s *Subscriber) Status() Status {
 	held := s.newest.Load()
+	endpoints := s.hub.live()
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
 	status := Status{
@@ -421,7 +422,7 @@
 		Hash:      held.Hash(),
 		Confirmed: s.Confirmed(),
 		Children:  s.hub.childIDs(),
-		Endpoints: s.hub.table.Live(),
+		Endpoints: endpoints,
 	}
 	word := s.hub.ownWord().and(s.hub.subtree())
 	status.SubtreeNodes, status.Lowest = word.Nodes, word.Lowest
