--- /dev/null
+++ b/core/idempotency/idempotency_test.go
@@ -0,0 +1,195 @@
+package idempotency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"parsleyport/core"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// Guards against an attempt that runs after "not run", for any order of arrivals, ends and revocations.
+func TestRevokedAttemptsNeverRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := NewAttemptLog()
+		log.Connected(epoch, 1)
+		promised, ran, running := make(map[uint64]bool), make(map[uint64]bool), make(map[uint64]bool)
+		now := epoch
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			sequence := rapid.Uint64Range(1, 12).Draw(t, "sequence")
+			key := AttemptKey{Connection: 1, Sequence: sequence}
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				if log.Arrived(now, key) == ArrivalNew {
+					running[sequence] = true
+				}
+			case 1:
+				if running[sequence] {
+					delete(running, sequence)
+					ran[sequence] = rapid.Bool().Draw(t, "ran")
+					log.Ended(key, ran[sequence])
+				}
+			case 2:
+				switch log.Revoke(now, key) {
+				case RevocationDone:
+					promised[sequence] = true
+				case RevocationPending:
+					if !running[sequence] {
+						t.Fatalf("attempt %d is said to be running", sequence)
+					}
+				}
+			case 3:
+				log.Disconnected(now, 1)
+			}
+			if promised[sequence] && (running[sequence] || ran[sequence]) {
+				t.Fatalf("attempt %d ran after its revocation", sequence)
+			}
+		}
+	})
+}
+
+// Guards against a log that grows with the number of calls or revocations, and against a false not-run once it is full.
+func TestAttemptLogIsBounded(t *testing.T) {
+	c := qt.New(t)
+	log := NewAttemptLog()
+	log.Connected(epoch, 1)
+	for i := uint64(1); i <= 100_000; i++ {
+		log.Arrived(epoch, AttemptKey{Connection: 1, Sequence: i})
+		log.Ended(AttemptKey{Connection: 1, Sequence: i}, true)
+	}
+	c.Assert(len(log.connections[1].ahead)+len(log.connections[1].running)+len(log.connections[1].notRun), qt.Equals, 0)
+	for i := uint64(0); i < maxRevocations; i++ {
+		c.Assert(log.Revoke(epoch, AttemptKey{Connection: 2, Sequence: 1 + i}), qt.Equals, RevocationDone)
+	}
+	late := AttemptKey{Connection: 2, Sequence: maxRevocations + 1}
+	c.Assert(log.Revoke(epoch, late), qt.Equals, RevocationTooLate)
+	c.Assert(log.Arrived(epoch, AttemptKey{Connection: 2, Sequence: 1}), qt.Equals, ArrivalRevoked)
+
+	crowded := NewAttemptLog()
+	for i := range uint64(maxConnections + 10) {
+		crowded.Connected(epoch, 1+i)
+		crowded.Arrived(epoch, AttemptKey{Connection: 1 + i, Sequence: 1})
+		crowded.Ended(AttemptKey{Connection: 1 + i, Sequence: 1}, true)
+		crowded.Disconnected(epoch.Add(time.Duration(i)), 1+i)
+	}
+	c.Assert(len(crowded.connections), qt.Equals, maxConnections)
+	c.Assert(crowded.Revoke(epoch, AttemptKey{Connection: 1, Sequence: 1}), qt.Equals, RevocationTooLate) // forgotten, so unknown
+	later := epoch.Add(2 * Window)
+	c.Assert(crowded.Revoke(later, AttemptKey{Connection: 1 << 40, Sequence: 1}), qt.Equals, RevocationDone)
+}
+
+// Guards against two owners of one key, a lost recorded answer, and a key that stays with a call that was not run.
+func TestKeyHasOneOwner(t *testing.T) {
+	c := qt.New(t)
+	keys, key := NewKeys(), Key{Tenant: "a", Service: "s", Name: "k"}
+	until := epoch.Add(time.Second)
+	claim := func(now time.Time, owner core.CallID, content Fingerprint) Verdict {
+		verdict, _ := keys.Claim(now, key, owner, content, until)
+		return verdict
+	}
+	c.Assert(claim(epoch, "one", 1), qt.Equals, VerdictGranted)
+	c.Assert(claim(epoch, "one", 1), qt.Equals, VerdictGranted)
+	c.Assert(claim(epoch, "two", 1), qt.Equals, VerdictRunning)
+	c.Assert(claim(epoch, "two", 2), qt.Equals, VerdictConflict)
+	keys.Settle(epoch, key, "two", VerdictGranted, nil) // not its owner
+	c.Assert(claim(epoch, "two", 1), qt.Equals, VerdictRunning)
+	keys.Settle(epoch, key, "one", VerdictGranted, nil)
+	c.Assert(claim(epoch, "two", 1), qt.Equals, VerdictGranted)
+	keys.Settle(epoch, key, "two", VerdictAnswered, &Recorded{Status: 200, Body: []byte("ok")})
+	verdict, answer := keys.Claim(epoch.Add(Window), key, "three", 1, until)
+	c.Assert(verdict, qt.Equals, VerdictAnswered)
+	c.Assert(string(answer.Body), qt.Equals, "ok")
+	c.Assert(claim(epoch.Add(Window+time.Second), "three", 1), qt.Equals, VerdictGranted)
+	c.Assert(keys.recorded, qt.Equals, 0)
+	c.Assert(claim(epoch.Add(Window+2*time.Second), "four", 1), qt.Equals, VerdictUnknown) // three was never settled
+	keys.Settle(epoch, key, "three", VerdictAnswered, &Recorded{Body: make([]byte, MaxRecordedBytes+1)})
+	c.Assert(claim(epoch.Add(Window+2*time.Second), "four", 1), qt.Equals, VerdictUnknown)
+}
+
+// Guards against forgetting a key early to make room for others.
+func TestFullMemoryRefusesNewKeys(t *testing.T) {
+	c := qt.New(t)
+	keys := NewKeys()
+	for i := range maxKeys {
+		keys.Claim(epoch, Key{Name: core.IdempotencyKey(fmt.Sprint(i))}, "one", 1, epoch)
+	}
+	verdict, _ := keys.Claim(epoch.Add(Window), Key{Name: "new"}, "two", 1, epoch)
+	c.Assert(verdict, qt.Equals, VerdictFull)
+	verdict, _ = keys.Claim(epoch.Add(Window), Key{Name: "0"}, "two", 1, epoch)
+	c.Assert(verdict, qt.Equals, VerdictUnknown)
+	verdict, _ = keys.Claim(epoch.Add(Window+1), Key{Name: "new"}, "two", 1, epoch)
+	c.Assert(verdict, qt.Equals, VerdictGranted)
+}
+
+// Guards against a run on the word of holders that cannot know, or against the word of one that does.
+func TestClaimNeedsEachReachedHolderAndAWholeMemory(t *testing.T) {
+	c := qt.New(t)
+	reply := func(verdict Verdict, whole bool) Reply { return Reply{Reached: true, Whole: whole, Verdict: verdict} }
+	for _, test := range []struct {
+		replies []Reply
+		want    Verdict
+	}{
+		{replies: []Reply{reply(VerdictGranted, true), reply(VerdictGranted, false)}, want: VerdictGranted},
+		{replies: []Reply{{}, reply(VerdictGranted, true)}, want: VerdictGranted},
+		{replies: []Reply{{}, {}}, want: VerdictUnknown},
+		{replies: nil, want: VerdictUnknown},
+		{replies: []Reply{reply(VerdictGranted, false), reply(VerdictGranted, false)}, want: VerdictUnknown},
+		{replies: []Reply{reply(VerdictGranted, true), reply(VerdictRunning, false)}, want: VerdictRunning},
+		{replies: []Reply{reply(VerdictGranted, true), reply(VerdictUnknown, true)}, want: VerdictUnknown},
+		{replies: []Reply{reply(VerdictGranted, true), reply(VerdictAnswered, false)}, want: VerdictAnswered},
+		{replies: []Reply{reply(VerdictGranted, true), reply(VerdictFull, true)}, want: VerdictFull},
+	} {
+		got, _ := Combine(test.replies)
+		c.Assert(got, qt.Equals, test.want, qt.Commentf("%+v", test.replies))
+	}
+}
+
+// Guards against a key whose holders change as soon as a node leaves, so that a resend finds no memory.
+func TestHoldersOutliveTheirEndpoints(t *testing.T) {
+	c := qt.New(t)
+	holders, spread := NewHolders(), make(map[core.NodeID]int)
+	var endpoints []core.Endpoint
+	for i := range 10 {
+		endpoints = append(endpoints, core.Endpoint{Node: core.NodeID(fmt.Sprint(i))})
+	}
+	holders.Observe(epoch, "s", endpoints)
+	for i := range 1000 {
+		key := Key{Service: "s", Name: core.IdempotencyKey(fmt.Sprint(i))}
+		holders.Observe(epoch, "s", endpoints)
+		before := holders.Choose(key)
+		c.Assert(before, qt.HasLen, 2)
+		c.Assert(before[0].Node, qt.Not(qt.Equals), before[1].Node)
+		spread[before[0].Node]++
+		holders.Observe(epoch.Add(Window), "s", nil)
+		c.Assert(holders.Choose(key), qt.DeepEquals, before)
+	}
+	for node, n := range spread {
+		c.Assert(n > 50 && n < 200, qt.IsTrue, qt.Commentf("node %s is first holder of %d of 1000 keys", node, n))
+	}
+	holders.Observe(epoch.Add(Window+1), "s", nil)
+	c.Assert(holders.Choose(Key{Service: "s"}), qt.HasLen, 0)
+	c.Assert(holders.nodes, qt.Equals, 0)
+}
+
+// Guards against blaming a request for one crash, for a repeated report of it, or for ever.
+func TestSuspectsNeedTwoCrashes(t *testing.T) {
+	c := qt.New(t)
+	suspects := NewSuspects()
+	for i := range maxSuspects + 100 { // each ran in one crash
+		suspects.Crashed(epoch, CrashID{Node: "n", Run: "1"}, Fingerprint(1000+i))
+	}
+	c.Assert(len(suspects.crashes) <= maxSuspects, qt.IsTrue)
+	suspects.Crashed(epoch, CrashID{Node: "a", Run: "1"}, 7)
+	suspects.Crashed(epoch, CrashID{Node: "a", Run: "1"}, 7)
+	c.Assert(suspects.Suspected(epoch, 7), qt.IsFalse)
+	suspects.Crashed(epoch, CrashID{Node: "b", Run: "1"}, 7)
+	c.Assert(suspects.Suspected(epoch, 7), qt.IsTrue)
+	c.Assert(suspects.Suspected(epoch, 8), qt.IsFalse)
+	c.Assert(suspects.Suspected(epoch.Add(Window+1), 7), qt.IsFalse)
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,92 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/core/retry"
+)
+
+// Guards against a second run of a call that is not idempotent.
+func TestOnlyNotRunIsRepeatedUnlessRepeatable(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		outcome    core.Outcome
+		cause      core.RefusalCause
+		repeatable bool
+		want       retry.Class
+	}{
+		{outcome: core.OutcomeAnswered, repeatable: true, want: retry.Final},
+		{outcome: core.OutcomeUnknown, want: retry.Final},
+		{outcome: core.OutcomeUnknown, repeatable: true, want: retry.Repeat},
+		{outcome: core.OutcomeNotRun, cause: core.CauseConnectFailed, want: retry.Repeat},
+		{outcome: core.OutcomeNotRun, cause: core.CauseLeaving, want: retry.RepeatFree},
+		{outcome: core.OutcomeNotRun, cause: core.CauseCrashSuspect, repeatable: true, want: retry.Final},
+		{outcome: core.Outcome("odd"), want: retry.Final},
+	} {
+		c.Assert(retry.Classify(test.outcome, test.cause, test.repeatable), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
+
+// Guards against a retry storm: repetitions stay under a tenth of the calls, or 3 a second, whatever fails.
+func TestBudgetBoundsRepetitions(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct{ callsPerSecond, most int }{
+		{callsPerSecond: 5, most: 3},
+		{callsPerSecond: 2000, most: 200},
+	} {
+		var budget retry.Budget
+		now := time.Unix(1_000_000, 0)
+		repeats := 0
+		const seconds = 20
+		for range seconds * test.callsPerSecond {
+			now = now.Add(time.Second / time.Duration(test.callsPerSecond))
+			budget.Call(now)
+			for range 2 { // each attempt fails
+				if budget.Take(now) {
+					repeats++
+				}
+			}
+		}
+		c.Assert(repeats <= (seconds+1)*test.most, qt.IsTrue, qt.Commentf("%d repetitions", repeats))
+		c.Assert(repeats >= (seconds-2)*test.most*9/10, qt.IsTrue, qt.Commentf("%d repetitions", repeats))
+	}
+}
+
+// Guards against attempts that multiply from level to level of nested calls.
+func TestAttemptsDoNotMultiplyWithDepth(t *testing.T) {
+	c := qt.New(t)
+	always := func() bool { return true }
+	var runs func(policy, inherited, depth int) int
+	runs = func(policy, inherited, depth int) int {
+		if depth == core.MaxDepth {
+			return 1
+		}
+		total := 0
+		for attempts := retry.NewAttempts(policy, inherited); ; {
+			total += runs(policy, attempts.Start(), depth+1)
+			if !attempts.Another(retry.Repeat, always) {
+				return total
+			}
+		}
+	}
+	c.Assert(runs(1, 0, 0), qt.Equals, 1)
+	c.Assert(runs(3, 0, 0) <= 4, qt.IsTrue, qt.Commentf("%d runs", runs(3, 0, 0)))
+	c.Assert(runs(5, 0, 0) <= 16, qt.IsTrue, qt.Commentf("%d runs", runs(5, 0, 0)))
+}
+
+// Guards against a call that goes round for ever while every node is leaving, and against a leaving node using up
+// attempts or budget.
+func TestLeavingNodesCostNothing(t *testing.T) {
+	c := qt.New(t)
+	attempts := retry.NewAttempts(1, 0)
+	never := func() bool { t.Error("the budget was asked"); return false }
+	tries := 1
+	for attempts.Start(); attempts.Another(retry.RepeatFree, never); attempts.Start() {
+		tries++
+	}
+	c.Assert(tries, qt.Equals, 1+retry.MaxFreeTries)
+}
--- /dev/null
+++ b/io/callerhttp/callerhttp_test.go
@@ -0,0 +1,305 @@
+package callerhttp_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/core/idempotency"
+	"parsleyport/core/retry"
+	"parsleyport/io/callerhttp"
+)
+
+// scriptedForwarder answers attempts by a function and counts them.
+type scriptedForwarder struct {
+	mu      sync.Mutex
+	calls   []core.Call
+	forward func(attempt int, to core.Endpoint) (*core.Answer, core.Outcome, error)
+}
+
+func (f *scriptedForwarder) Forward(_ context.Context, to core.Endpoint, call *core.Call) (*core.Answer, core.Outcome, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, *call)
+	attempt := len(f.calls)
+	f.mu.Unlock()
+	return f.forward(attempt, to)
+}
+
+func (f *scriptedForwarder) attempts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls)
+}
+
+func answer(status int, body io.Reader) (*core.Answer, core.Outcome, error) {
+	return &core.Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body)}, core.OutcomeAnswered, nil
+}
+
+func notRun(cause core.RefusalCause) (*core.Answer, core.Outcome, error) {
+	return nil, core.OutcomeNotRun, &core.Refusal{Cause: cause}
+}
+
+func unknown() (*core.Answer, core.Outcome, error) {
+	return nil, core.OutcomeUnknown, errors.New("connection broke")
+}
+
+// entry is a callers' entry in front of a scripted forwarder.
+type entry struct {
+	*callerhttp.Server
+	forwarder *scriptedForwarder
+	endpoints *fixedEndpoints
+}
+
+func newEntry(c *qt.C, weights string, change func(*callerhttp.Options)) entry {
+	e := entry{forwarder: &scriptedForwarder{}, endpoints: &fixedEndpoints{}}
+	for _, name := range []core.NodeID{"a", "b", "c"} {
+		e.endpoints.endpoints = append(e.endpoints.endpoints, core.Endpoint{Node: name, Service: "orders", Release: "v1", State: core.EndpointReady})
+	}
+	options := callerhttp.Options{
+		Address: "127.0.0.1:0", Source: fixedSource{configuration: configuration(c, weights)}, Confirmed: func() bool { return true },
+		Endpoints: e.endpoints, Picker: e.endpoints, Forwarder: e.forwarder, Evidence: noEvidence{},
+	}
+	if change != nil {
+		change(&options)
+	}
+	server, stop, err := callerhttp.New(options)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	e.Server = server
+	return e
+}
+
+func (e entry) send(c *qt.C, method, path string, header ...string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, "http://"+e.Address()+path, strings.NewReader("body"))
+	c.Assert(err, qt.IsNil)
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// Guards against a refused request that is forwarded all the same, and against a refusal without outcome and cause.
+func TestRefusalsForwardNothing(t *testing.T) {
+	c := qt.New(t)
+	confirmed := true
+	e := newEntry(c, allV1, func(o *callerhttp.Options) {
+		o.Confirmed = func() bool { return confirmed }
+		o.MaxBodyBytes = 100
+		o.Suspected = func(f idempotency.Fingerprint) bool {
+			return f == idempotency.FingerprintOf(&core.Call{Tenant: "shops", Route: "write", Method: "POST", Target: "/orders/deadly", Body: []byte("body")})
+		}
+	})
+	e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) {
+		return answer(200, strings.NewReader(""))
+	}
+	for _, test := range []struct {
+		path   string
+		header []string
+		cause  core.RefusalCause
+	}{
+		{path: "/nowhere", cause: core.CauseNoRoute},
+		{path: "/orders", header: []string{"Parsleyport-Depth", "12"}, cause: core.CauseTooDeep},
+		{path: "/orders", header: []string{"Parsleyport-Depth", "-1"}, cause: core.CauseMalformedCall},
+		{path: "/orders", header: []string{"Parsleyport-Attempts", "many"}, cause: core.CauseMalformedCall},
+		{path: "/orders", header: []string{"Parsleyport-Deadline-Ms", "0"}, cause: core.CauseDeadline},
+		{path: "/orders", header: []string{"Idempotency-Key", strings.Repeat("k", 300)}, cause: core.CauseMalformedCall},
+		{path: "/orders/deadly?x=1", cause: core.CauseCrashSuspect},
+	} {
+		response, _, err := e.send(c, "POST", test.path, test.header...)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		c.Assert(response.Header.Get("Parsleyport-Outcome"), qt.Equals, "not-run")
+		c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(test.cause))
+	}
+	response, err := http.Post("http://"+e.Address()+"/orders", "", io.MultiReader(bytes.NewReader(make([]byte, 101)))) // chunked
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(core.CauseMalformedCall))
+	confirmed = false
+	response, _, _ = e.send(c, "POST", "/orders")
+	c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(core.CauseNotConfirmed))
+	c.Assert(e.forwarder.attempts(), qt.Equals, 0)
+	confirmed = true
+	response, _, _ = e.send(c, "POST", "/orders", "Parsleyport-Depth", "11", "Parsleyport-Deadline-Ms", "900", "Parsleyport-Attempts", "1")
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(e.forwarder.calls[0].Depth, qt.Equals, 12)
+	c.Assert(e.forwarder.calls[0].AttemptsLeft, qt.Equals, 1)
+	c.Assert(time.Until(e.forwarder.calls[0].Deadline) <= 900*time.Millisecond, qt.IsTrue)
+}
+
+// Guards against a second run of a call that is not idempotent, and against "not run" after an attempt that may have run.
+func TestOutcomeOfSeveralAttempts(t *testing.T) {
+	type script []func() (*core.Answer, core.Outcome, error)
+	ok := func() (*core.Answer, core.Outcome, error) { return answer(200, strings.NewReader("ok")) }
+	refused := func() (*core.Answer, core.Outcome, error) { return notRun(core.CauseConnectFailed) }
+	leaving := func() (*core.Answer, core.Outcome, error) { return notRun(core.CauseLeaving) }
+	failing := func() (*core.Answer, core.Outcome, error) { return answer(500, strings.NewReader("bad")) }
+	for _, test := range []struct {
+		method   string
+		script   script
+		status   int
+		outcome  string
+		attempts int
+	}{
+		{method: "POST", script: script{unknown, ok}, status: 502, outcome: "unknown", attempts: 1},
+		{method: "POST", script: script{refused, ok}, status: 200, outcome: "answered", attempts: 2},
+		{method: "POST", script: script{refused, unknown, ok}, status: 502, outcome: "unknown", attempts: 2},
+		{method: "POST", script: script{leaving, leaving, refused}, status: 503, outcome: "not-run", attempts: 5},
+		{method: "POST", script: script{refused, refused, refused, ok}, status: 503, outcome: "not-run", attempts: 3},
+		{method: "GET", script: script{unknown, ok}, status: 200, outcome: "answered", attempts: 2},
+		{method: "GET", script: script{unknown, refused, refused}, status: 502, outcome: "unknown", attempts: 3},
+		{method: "GET", script: script{failing, ok}, status: 500, outcome: "answered", attempts: 1},
+	} {
+		c := qt.New(t)
+		e := newEntry(c, allV1, nil)
+		tried := make(map[core.NodeID]int)
+		e.forwarder.forward = func(attempt int, to core.Endpoint) (*core.Answer, core.Outcome, error) {
+			tried[to.Node]++
+			return test.script[min(attempt, len(test.script))-1]()
+		}
+		response, _, err := e.send(c, test.method, "/orders")
+		c.Assert(err, qt.IsNil)
+		comment := qt.Commentf("%s, %d attempts", test.method, e.forwarder.attempts())
+		c.Assert(response.StatusCode, qt.Equals, test.status, comment)
+		c.Assert(response.Header.Get("Parsleyport-Outcome"), qt.Equals, test.outcome, comment)
+		c.Assert(e.forwarder.attempts(), qt.Equals, test.attempts, comment)
+		c.Assert(len(tried) >= min(test.attempts, 3), qt.IsTrue, qt.Commentf("tried %v", tried))
+		c.Assert(len(e.endpoints.done), qt.Equals, test.attempts)
+	}
+}
+
+// Guards against attempts that a failing service multiplies: the budget holds for the node as a whole.
+func TestBudgetHoldsForTheNode(t *testing.T) {
+	c := qt.New(t)
+	e := newEntry(c, allV1, nil)
+	e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) { return unknown() }
+	began := time.Now()
+	const calls = 200
+	for range calls {
+		response, _, err := e.send(c, "GET", "/orders")
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusBadGateway)
+	}
+	seconds := int(time.Since(began).Seconds()) + 2
+	c.Assert(e.forwarder.attempts()-calls <= calls/10+3*seconds, qt.IsTrue, qt.Commentf("%d attempts", e.forwarder.attempts()))
+	c.Assert(e.forwarder.attempts() > calls, qt.IsTrue)
+	c.Assert(retry.MaxFreeTries < 10, qt.IsTrue)
+}
+
+// failingReader breaks off after some bytes.
+type failingReader struct{ left int }
+
+func (r *failingReader) Read(target []byte) (int, error) {
+	if r.left == 0 {
+		return 0, errors.New("cut")
+	}
+	n := min(r.left, len(target))
+	r.left -= n
+	return n, nil
+}
+
+// Guards against a caller that takes a part of an answer for the whole.
+func TestCutBodyAbortsTheConnection(t *testing.T) {
+	c := qt.New(t)
+	for _, length := range []int{0, 10, 200_000} {
+		e := newEntry(c, allV1, nil)
+		e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) {
+			return answer(200, &failingReader{left: length})
+		}
+		_, body, err := e.send(c, "POST", "/orders")
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%d of %d bytes pass for the whole", len(body), length))
+	}
+}
+
+// Guards against a release under trial that gets more than its share, and against a share that a node has set to zero.
+func TestSharesOfReleases(t *testing.T) {
+	c := qt.New(t)
+	allowed := true
+	e := newEntry(c, `{"upstream":"orders-v1","per-mille":900},{"upstream":"orders-v2","per-mille":100}`, func(o *callerhttp.Options) {
+		o.ReleaseAllowed = func(_ core.ServiceName, release core.Release) bool { return release == "v1" || allowed }
+	})
+	counts := make(map[core.Release]int)
+	e.forwarder.forward = func(_ int, to core.Endpoint) (*core.Answer, core.Outcome, error) {
+		counts[to.Release]++
+		return answer(200, strings.NewReader(""))
+	}
+	send := func(n int) map[core.Release]int {
+		clear(counts)
+		for range n {
+			_, _, err := e.send(c, "GET", "/orders")
+			c.Assert(err, qt.IsNil)
+		}
+		return counts
+	}
+	c.Assert(send(100)["v1"], qt.Equals, 100) // v2 has no endpoint, and the larger share takes its calls
+	e.endpoints.endpoints = append(e.endpoints.endpoints, core.Endpoint{Node: "d", Release: "v2", State: core.EndpointReady})
+	got := send(1000)["v2"]
+	c.Assert(got > 50 && got < 160, qt.IsTrue, qt.Commentf("%d of 1000 calls", got)) // 5 standard deviations around 100
+	allowed = false
+	c.Assert(send(100)["v2"], qt.Equals, 0)
+	allowed = true
+	e.endpoints.endpoints = e.endpoints.endpoints[3:]
+	got = send(100)["v2"]
+	c.Assert(got < 50, qt.IsTrue, qt.Commentf("%d of 100 calls", got)) // v1 has no endpoint; its calls don't go to the smaller share
+}
+
+// Guards against a planned stop that cuts off a request, on a new connection or on one that has been idle.
+func TestDrainCutsOffNothing(t *testing.T) {
+	c := qt.New(t)
+	e := newEntry(c, allV1, nil)
+	begun, finish := make(chan struct{}), make(chan struct{})
+	e.forwarder.forward = func(attempt int, _ core.Endpoint) (*core.Answer, core.Outcome, error) {
+		if attempt == 2 {
+			close(begun)
+			<-finish
+		}
+		return answer(200, strings.NewReader(fmt.Sprint(attempt)))
+	}
+	idle, slow := &http.Client{Transport: &http.Transport{}}, &http.Client{Transport: &http.Transport{}}
+	get := func(client *http.Client) (string, error) {
+		response, err := client.Get("http://" + e.Address() + "/orders")
+		if err != nil {
+			return "", err
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		return string(body), err
+	}
+	_, err := get(idle)
+	c.Assert(err, qt.IsNil)
+	answers := make(chan string, 1)
+	go func() { body, _ := get(slow); answers <- body }()
+	<-begun
+	drained := make(chan error, 1)
+	go func() { drained <- e.Drain(context.Background()) }()
+	for range 10 { // the idle connection is still served, and then closed by its answer
+		body, err := get(idle)
+		c.Assert(err, qt.IsNil)
+		c.Assert(body, qt.Not(qt.Equals), "")
+	}
+	select {
+	case <-drained:
+		t.Fatal("drain returned with a request in progress")
+	default:
+	}
+	close(finish)
+	c.Assert(<-answers, qt.Equals, "2")
+	c.Assert(<-drained, qt.IsNil)
+	_, err = get(idle)
+	c.Assert(err, qt.IsNotNil)
+}
