rollout: compare latency only while few backend servers are cold

Cause: with crashes on both releases, the one with more calls has more cold backend servers and looked slow; good releases were taken back. Conclusion: latency is left out while a tenth of either release is cold, a third of the new release in slow start holds the share, and after 60 s without latency the move goes on by failures and says so.

--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -61,7 +61,7 @@
 	maxDwell      = 2 * time.Minute
 	// slowStart is the time in which the balancer warms a backend server up (design 6.7).
 	slowStart = 10 * time.Second
-	// maxWarmup bounds the time without latency evidence, so that a release that restarts constantly is judged.
+	// maxWarmup bounds the time for which slow start holds a move; after it, the move goes on by failures alone.
 	maxWarmup = 60 * time.Second
 	// littleFactor: traffic is little if a third of the time at the risk share does not give a verdict.
 	littleFactor = 3
--- a/core/rollout/fleet.go
+++ b/core/rollout/fleet.go
@@ -9,27 +9,34 @@
 // fleet is what the endpoints tell about a move.
 type fleet struct {
 	dataCentres map[core.NodeID]core.DataCentre
-	readySince  map[run]time.Time // of the new release
+	readySince  map[run]time.Time // of both releases
+	isNew       map[run]bool
 	readyOld    map[core.DataCentre]int
 	readyNew    map[core.DataCentre]int
 	slotsOld    int
 	slotsNew    int
 	observedAt  time.Time
-	warmed      time.Duration // total time in which backend servers of the new release were cold
+	warmed      time.Duration // total time in which slow start held the move
+	muted       time.Duration // total time in which latency told nothing
 }
 
 func (f *fleet) observe(now time.Time, endpoints []core.Endpoint, service core.ServiceName, from, to core.Release) {
 	if f.warming(now) {
 		f.warmed += now.Sub(f.observedAt)
 	}
+	if !f.latencyTells(now) {
+		f.muted += now.Sub(f.observedAt)
+	}
 	previous := f.readySince
 	*f = fleet{
 		dataCentres: make(map[core.NodeID]core.DataCentre, len(endpoints)),
 		readySince:  make(map[run]time.Time),
+		isNew:       make(map[run]bool),
 		readyOld:    make(map[core.DataCentre]int),
 		readyNew:    make(map[core.DataCentre]int),
 		observedAt:  now,
 		warmed:      f.warmed,
+		muted:       f.muted,
 	}
 	for _, e := range endpoints {
 		f.dataCentres[e.Node] = e.DataCentre
@@ -43,14 +50,16 @@
 		case to:
 			f.readyNew[e.DataCentre]++
 			f.slotsNew += e.Slots
-			key := run{
-				node:        e.Node,
-				incarnation: e.Incarnation,
-			}
-			since, known := previous[key]
-			if !known {
-				since = now
-			}
+		default:
+			continue
+		}
+		key := run{
+			node:        e.Node,
+			incarnation: e.Incarnation,
+		}
+		f.isNew[key] = e.Release == to
+		f.readySince[key] = now
+		if since, known := previous[key]; known {
 			f.readySince[key] = since
 		}
 	}
@@ -74,18 +83,36 @@
 	return true
 }
 
-// warming reports whether a tenth or more of the new release's ready backend servers are in slow start.
+// warming reports whether the share must not grow since a third of the new release's backend servers are in slow start.
 func (f *fleet) warming(now time.Time) bool {
-	if f.warmed >= maxWarmup {
-		return false
-	}
-	cold := 0
-	for _, since := range f.readySince {
-		if now.Sub(since) < slowStart {
+	return f.warmed < maxWarmup && 3*f.coldSince(true, now.Add(-slowStart)) >= 1
+}
+
+// exhausted reports whether backend servers were cold for so long that the move goes on without a verdict on latency.
+func (f *fleet) exhausted() bool {
+	return f.muted >= maxWarmup
+}
+
+// latencyTells reports whether latency compares the releases. If a tenth of either one's backend servers are cold, they
+// are slow by themselves, and their answers are still reported a while later.
+func (f *fleet) latencyTells(now time.Time) bool {
+	since := now.Add(-slowStart - evidenceDelay - time.Second)
+	return 10*max(f.coldSince(true, since), f.coldSince(false, since)) < 1
+}
+
+// coldSince returns the part of a release's ready backend servers that became ready after a point in time.
+func (f *fleet) coldSince(isNew bool, since time.Time) float64 {
+	cold, all := 0.0, 0.0
+	for key, ready := range f.readySince {
+		if f.isNew[key] != isNew {
+			continue
+		}
+		all++
+		if ready.After(since) {
 			cold++
 		}
 	}
-	return cold > 0 && 10*cold >= len(f.readySince)
+	return cold / max(1, all)
 }
 
 // capacity is the share that the new release's ready slots can carry if the old release's slots carry all traffic.
--- a/core/rollout/group.go
+++ b/core/rollout/group.go
@@ -34,10 +34,10 @@
 	failures, slow, crashes pair
 }
 
-func (g *group) add(now time.Time, dataCentre core.DataCentre, s sample, warming bool) {
+func (g *group) add(now time.Time, dataCentre core.DataCentre, s sample, latencyTells bool) {
 	g.failures.add(now, dataCentre, s.failures)
 	g.crashes.add(now, dataCentre, s.crashes)
-	if !warming {
+	if latencyTells {
 		g.slow.add(now, dataCentre, s.slow)
 	}
 }
@@ -63,14 +63,15 @@
 	return false
 }
 
-// passesMove reports whether the evidence of the move has accepted the new release.
-func (g *group) passesMove() bool {
-	return g.failures.passes() && g.slow.passes()
+// passesMove reports whether the evidence of the move has accepted the new release, by latency as well unless it does
+// not tell anything.
+func (g *group) passesMove(latencyTells bool) bool {
+	return g.failures.passes() && (g.slow.passes() || !latencyTells)
 }
 
 // passesStage reports whether the evidence since the last step accepts the new release.
-func (g *group) passesStage() bool {
-	return g.failures.passesStage() && g.slow.passesStage()
+func (g *group) passesStage(latencyTells bool) bool {
+	return g.failures.passesStage() && (g.slow.passesStage() || !latencyTells)
 }
 
 // callsToPass is the expected number of calls of the new release until the group passes.
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -222,7 +222,7 @@
 		groups = append(groups, j.pooled)
 	}
 	for _, g := range groups {
-		g.add(now, at.dataCentre, s, j.fleet.warming(now))
+		g.add(now, at.dataCentre, s, j.fleet.latencyTells(now))
 	}
 }
 
@@ -237,6 +237,9 @@
 	if j.all.crashes.total.after.bad+j.all.crashes.total.before.bad > 0 {
 		parts = append(parts, j.all.crashes.text("crashed"))
 	}
+	if j.fleet.exhausted() {
+		parts = append(parts, "latency judged only while no backend server was cold")
+	}
 	for _, list := range []struct {
 		title string
 		names []string
--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -45,7 +45,7 @@
 		return core.MoveStep{}, false
 	}
 	planned, elapsed := dwell(move), now.Sub(move.SteppedAt)
-	passed := j.all.passesStage() && elapsed >= max(min(planned, maxDwell), min(planned, minDwell))
+	passed := j.all.passesStage(!j.fleet.exhausted()) && elapsed >= max(min(planned, maxDwell), min(planned, minDwell))
 	byTime := elapsed >= planned && (target <= risk(move) || j.passes(now, move) || j.littleTraffic(now, move))
 	if !passed && !byTime {
 		return core.MoveStep{}, false
@@ -55,7 +55,7 @@
 	}
 	_, _, little := j.judged(now, move)
 	cause := "judged on all routes"
-	if !j.all.passesMove() || len(little) > 0 {
+	if !j.all.passesMove(!j.fleet.exhausted()) || len(little) > 0 {
 		cause = "evidence thin"
 	}
 	return step(now, move, eventFinish, target, cause, j.describe(now, move))
@@ -86,7 +86,7 @@
 // passes reports whether the evidence passes in total and on each route that carries enough traffic.
 func (j *Judge) passes(now time.Time, move core.Move) bool {
 	_, unjudged, _ := j.judged(now, move)
-	return len(unjudged) == 0 && j.all.passesMove()
+	return len(unjudged) == 0 && j.all.passesMove(!j.fleet.exhausted())
 }
 
 // judged sorts the routes by what is known of them.
@@ -94,7 +94,7 @@
 	for _, g := range j.groups() {
 		switch {
 		case g == j.all || g == j.pooled:
-		case g.passesMove():
+		case g.passesMove(!j.fleet.exhausted()):
 			judged = append(judged, strings.TrimPrefix(g.name, "route "))
 		case j.enoughTraffic(now, move, g):
 			unjudged = append(unjudged, strings.TrimPrefix(g.name, "route "))
