rollout: give shares below 100 per mille three parts of the time

Cause: as before, a late fault at a large share meets most calls. Ruled out: nothing else was changed.

--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -31,10 +31,14 @@
 // weight is the part of the time that a share gets. Large shares get less, and thus come later: a fault that shows then
 // meets more calls, and needs less time to be found.
 func weight(share core.PerMille) time.Duration {
-	if share >= compareShare/2 {
+	switch {
+	case share >= compareShare/2:
 		return 1
+	case share >= compareShare/5:
+		return 2
+	default:
+		return 3
 	}
-	return 2
 }
 
 // dwell is the time that a share may last if the remaining steps take their parts of the time before the deadline.
