--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -28,15 +28,28 @@
 	}
 }
 
-// dwell is the time that a share may last if the remaining steps take equally long and end before the deadline.
+// weight is the part of the time that a share gets. Large shares get less, and thus come later: a fault that shows then
+// meets more calls, and needs less time to be found.
+func weight(share core.PerMille) time.Duration {
+	switch {
+	case share >= compareShare/2:
+		return 1
+	case share >= compareShare/5:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// dwell is the time that a share may last if the remaining steps take their parts of the time before the deadline.
 func dwell(move core.Move) time.Duration {
 	total := move.Request.Deadline.Sub(move.StartedAt)
 	margin := min(max(total/20, minDwell), total/5)
-	steps := 1
+	weights := weight(move.Share)
 	for share := move.Share; nextShare(share) < core.FullShare; share = nextShare(share) {
-		steps++
+		weights += weight(nextShare(share))
 	}
-	return max(0, move.Request.Deadline.Add(-margin).Sub(move.SteppedAt)) / time.Duration(steps)
+	return max(0, move.Request.Deadline.Add(-margin).Sub(move.SteppedAt)) * weight(move.Share) / weights
 }
 
 func (j *Judge) pace(now time.Time, move core.Move) (core.MoveStep, bool) {
@@ -45,7 +58,7 @@
 		return core.MoveStep{}, false
 	}
 	planned, elapsed := dwell(move), now.Sub(move.SteppedAt)
-	passed := j.all.passesStage() && elapsed >= max(min(planned, maxDwell), min(planned, minDwell))
+	passed := j.all.passesStage(!j.fleet.exhausted()) && elapsed >= max(min(planned, maxDwell), min(planned, minDwell))
 	byTime := elapsed >= planned && (target <= risk(move) || j.passes(now, move) || j.littleTraffic(now, move))
 	if !passed && !byTime {
 		return core.MoveStep{}, false
@@ -55,7 +68,7 @@
 	}
 	_, _, little := j.judged(now, move)
 	cause := "judged on all routes"
-	if !j.all.passesMove() || len(little) > 0 {
+	if !j.all.passesMove(!j.fleet.exhausted()) || len(little) > 0 {
 		cause = "evidence thin"
 	}
 	return step(now, move, eventFinish, target, cause, j.describe(now, move))
@@ -86,7 +99,7 @@
 // passes reports whether the evidence passes in total and on each route that carries enough traffic.
 func (j *Judge) passes(now time.Time, move core.Move) bool {
 	_, unjudged, _ := j.judged(now, move)
-	return len(unjudged) == 0 && j.all.passesMove()
+	return len(unjudged) == 0 && j.all.passesMove(!j.fleet.exhausted())
 }
 
 // judged sorts the routes by what is known of them.
@@ -94,7 +107,7 @@
 	for _, g := range j.groups() {
 		switch {
 		case g == j.all || g == j.pooled:
-		case g.passesMove():
+		case g.passesMove(!j.fleet.exhausted()):
 			judged = append(judged, strings.TrimPrefix(g.name, "route "))
 		case j.enoughTraffic(now, move, g):
 			unjudged = append(unjudged, strings.TrimPrefix(g.name, "route "))
