Test the replicated log with fault schedules over fake disks and a fake network

Seeded schedules run the real engine (decisions and disk writes) on one goroutine in passed-in time and check one leader for each term, equal committed entries and linearizable histories.

A schedule found an instance that stayed in the agreement on the initial membership for ever: after every other initial member had been replaced, their hellos no longer said that the deployment had started. A hello now says so for any instance that is a member or knows of a started deployment.

Segments now begin with the last index before them, so that a missing segment file is detected.

--- a/core/raft/bootstrap.go
+++ b/core/raft/bootstrap.go
@@ -12,7 +12,7 @@
 type Hello struct {
 	From    Peer     `msgpack:"from"`
 	Initial []Member `msgpack:"initial,omitempty"`
-	Started bool     `msgpack:"started"` // all initial members have stored the initial membership
+	Started bool     `msgpack:"started"` // the deployment is known to have started
 	Answer  bool     `msgpack:"answer"`
 }
 
@@ -99,12 +99,12 @@
 	return b.started
 }
 
-// Hello returns what the instance tells the others.
-func (b *Bootstrap) Hello(answer bool) Hello {
+// Hello returns what the instance tells the others; joined says that it has become a member in another way.
+func (b *Bootstrap) Hello(answer, joined bool) Hello {
 	return Hello{
 		From:    b.self,
 		Initial: b.initial,
-		Started: b.started,
+		Started: b.started || b.foreign || joined,
 		Answer:  answer,
 	}
 }
--- a/io/disk/segment.go
+++ b/io/disk/segment.go
@@ -35,7 +35,7 @@
 			return nil, err
 		}
 	}
-	s.hard = replay.hard
+	s.hard, s.last = replay.hard, max(replay.next, 1)-1
 	return replay, nil
 }
 
@@ -113,6 +113,12 @@
 }
 
 func (r *replay) apply(b batch) error {
+	if b.Last > 0 && r.next > 0 && r.next != b.Last+1 {
+		return errors.Annotatef(ErrCorrupt, "segment follows entry %d, but the one before it ends with entry %d", b.Last, r.next-1)
+	}
+	if b.Last > 0 {
+		r.next = b.Last + 1
+	}
 	if b.Reset != nil {
 		r.entries, r.next = nil, b.Reset.Index+1
 	}
@@ -175,7 +181,7 @@
 		number: number,
 	})
 	hard := s.hard
-	if err := s.write(batch{HardState: &hard}); err != nil {
+	if err := s.write(batch{HardState: &hard, Last: s.last}); err != nil {
 		return err
 	}
 	if err := s.folder.Sync(); err != nil {
@@ -219,6 +225,12 @@
 	}
 	newest.size += uint64(len(record))
 	newest.note(b.Entries)
+	if b.Reset != nil {
+		s.last = b.Reset.Index
+	}
+	if len(b.Entries) > 0 {
+		s.last = b.Entries[len(b.Entries)-1].Index
+	}
 	return nil
 }
 
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -40,6 +40,7 @@
 
 // batch is the content of a log record: first the reset, then the hard state, then the entries.
 type batch struct {
+	Last      core.LogIndex   `msgpack:"last"` // in the first record of a segment: the last entry before it
 	Reset     *raft.Reset     `msgpack:"reset"`
 	HardState *raft.HardState `msgpack:"hard-state"`
 	Entries   []raft.Entry    `msgpack:"entries"`
@@ -57,6 +58,7 @@
 	file     File
 	segments []segment // the last one is open as file
 	hard     raft.HardState
+	last     core.LogIndex // last entry of the log
 
 	mu     sync.Mutex // guards failed
 	failed error
--- /dev/null
+++ b/io/disk/store_test.go
@@ -0,0 +1,199 @@
+package disk_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+	"parsleyport/io/disk"
+	"parsleyport/io/disk/disktest"
+)
+
+const firstSegment = "log-00000000000000000001"
+
+func open(folder disk.Folder) (*disk.Store, disk.Found, error) {
+	return disk.Open(folder, "c1", func() raft.Identity { return "identity" })
+}
+
+func mustOpen(c *qt.C, folder disk.Folder) (*disk.Store, disk.Found) {
+	store, found, err := open(folder)
+	c.Assert(err, qt.IsNil)
+	return store, found
+}
+
+func entry(index core.LogIndex, term core.Term) raft.Entry {
+	return raft.Entry{
+		Index:   index,
+		Term:    term,
+		Kind:    raft.EntryCommand,
+		Command: fmt.Appendf(nil, "command %d of term %d", index, term),
+	}
+}
+
+// filled returns a folder with three records of one entry each, and the size of the log before each record.
+func filled(c *qt.C) (*disktest.Memory, []int) {
+	folder := disktest.NewMemory()
+	store, found := mustOpen(c, folder)
+	c.Assert(found.Fresh, qt.IsTrue)
+	c.Assert(found.Used, qt.IsFalse)
+	var sizes []int
+	for index := range core.LogIndex(3) {
+		sizes = append(sizes, folder.Size(firstSegment))
+		hard := raft.HardState{
+			Term: core.Term(index + 1),
+		}
+		c.Assert(store.Write(nil, &hard, []raft.Entry{entry(index+1, 1)}), qt.IsNil)
+	}
+	return folder, append(sizes, folder.Size(firstSegment))
+}
+
+// Guards against a start that is refused, or that keeps damaged data, after the write of the last record was cut.
+func TestTornTailIsTruncated(t *testing.T) {
+	c := qt.New(t)
+	_, sizes := filled(c)
+	for size := sizes[2]; size < sizes[3]; size++ {
+		folder, _ := filled(c)
+		c.Assert(folder.Truncate(firstSegment, int64(size)), qt.IsNil)
+		store, found := mustOpen(c, folder)
+		c.Assert(found.Restored.Entries, qt.DeepEquals, []raft.Entry{entry(1, 1), entry(2, 1)})
+		c.Assert(found.Restored.HardState.Term, qt.Equals, core.Term(2))
+		c.Assert(folder.Size(firstSegment), qt.Equals, sizes[2])
+		c.Assert(store.Write(nil, nil, []raft.Entry{entry(3, 2)}), qt.IsNil)
+		_, found = mustOpen(c, folder)
+		c.Assert(found.Restored.Entries[2], qt.DeepEquals, entry(3, 2))
+	}
+	for offset := sizes[2]; offset < sizes[3]; offset++ {
+		folder, _ := filled(c)
+		folder.Corrupt(firstSegment, offset)
+		_, found := mustOpen(c, folder)
+		c.Assert(found.Restored.Entries, qt.HasLen, 2)
+	}
+}
+
+// Guards against synced entries that are dropped silently because a record before them is damaged.
+func TestCorruptMiddleRefusesToStart(t *testing.T) {
+	c := qt.New(t)
+	_, sizes := filled(c)
+	for offset := range sizes[2] {
+		folder, _ := filled(c)
+		folder.Corrupt(firstSegment, offset)
+		_, _, err := open(folder)
+		c.Assert(errors.Is(err, disk.ErrCorrupt), qt.IsTrue, qt.Commentf("offset %d", offset))
+		c.Assert(err, qt.ErrorMatches, `record in "log-.*" at byte \d+ is bad and a valid record follows at byte \d+: .*`)
+	}
+}
+
+// Guards against a start with files that are missing or damaged, which would forget a vote or entries.
+func TestDamagedFilesRefuseToStart(t *testing.T) {
+	c := qt.New(t)
+	for name, damage := range map[string]func(folder *disktest.Memory){
+		"identity lost":      func(folder *disktest.Memory) { _ = folder.Remove("identity") },
+		"identity damaged":   func(folder *disktest.Memory) { folder.Corrupt("identity", 20) },
+		"snapshot damaged":   func(folder *disktest.Memory) { folder.Corrupt("snapshot-00000000000000000003", 20) },
+		"snapshot lost":      func(folder *disktest.Memory) { _ = folder.Remove("snapshot-00000000000000000003") },
+		"log lost":           func(folder *disktest.Memory) { _ = folder.Remove("log-00000000000000000002") },
+		"older segment torn": func(folder *disktest.Memory) { _ = folder.Truncate("log-00000000000000000002", 90) },
+	} {
+		folder, _ := filled(c)
+		store, _ := mustOpen(c, folder)
+		c.Assert(store.SaveSnapshot(raft.Snapshot{Index: 3, Term: 1}), qt.IsNil)
+		c.Assert(store.Compact(3), qt.IsNil)
+		c.Assert(store.Write(nil, nil, []raft.Entry{entry(4, 1)}), qt.IsNil)
+		c.Assert(store.Compact(0), qt.IsNil) // begins a segment, removes nothing
+		damage(folder)
+		_, _, err := open(folder)
+		c.Assert(errors.Is(err, disk.ErrCorrupt), qt.IsTrue, qt.Commentf("%s: %v", name, err))
+	}
+	folder, _ := filled(c)
+	_, _, err := disk.Open(folder, "c2", nil)
+	c.Assert(err, qt.ErrorMatches, `data folder belongs to "c1" and not to "c2"`)
+}
+
+// Guards against a store that goes on after a failed write or sync, whose effect on the disk is unknown.
+func TestFaultIsFinal(t *testing.T) {
+	c := qt.New(t)
+	for name, fault := range map[string][2]func(folder *disktest.Memory){
+		"full disk":   {func(f *disktest.Memory) { f.Limit(1) }, func(f *disktest.Memory) { f.Limit(0) }},
+		"failed sync": {func(f *disktest.Memory) { f.FailSyncs(true) }, func(f *disktest.Memory) { f.FailSyncs(false) }},
+	} {
+		folder, _ := filled(c)
+		store, _ := mustOpen(c, folder)
+		fault[0](folder)
+		err := store.Write(nil, nil, []raft.Entry{entry(4, 1)})
+		c.Assert(errors.Is(err, disk.ErrFailed), qt.IsTrue, qt.Commentf(name))
+		fault[1](folder)
+		syncs := folder.Syncs()
+		for _, again := range []error{
+			store.Write(nil, nil, []raft.Entry{entry(4, 1)}),
+			store.SaveSnapshot(raft.Snapshot{Index: 2, Term: 1}),
+			store.Compact(2),
+		} {
+			c.Assert(errors.Is(again, disk.ErrFailed), qt.IsTrue, qt.Commentf(name))
+		}
+		c.Assert(folder.Syncs(), qt.Equals, syncs)
+	}
+}
+
+// Guards against a loss of what a call has reported as synced, at a crash between any two operations or within one. After
+// a crash the folder must hold the state before or after the operation that failed, and nothing else.
+func TestCrashKeepsWhatWasSynced(t *testing.T) {
+	for seed := range uint64(300) {
+		c := qt.New(t)
+		random := rand.New(rand.NewPCG(seed, 2))
+		folder := disktest.NewMemory()
+		store, _ := mustOpen(c, folder)
+		var before model
+		for range 60 {
+			crash := random.IntN(6) == 0
+			folder.FailSyncs(crash)
+			after, err := before.operate(store, random)
+			c.Assert(err != nil, qt.Equals, crash)
+			if !crash {
+				before = after
+				continue
+			}
+			folder.Crash(random)
+			folder.FailSyncs(false)
+			var found disk.Found
+			store, found = mustOpen(c, folder)
+			if fmt.Sprint(found.Restored.Entries) == fmt.Sprint(after.entries) && found.Restored.Snapshot.Index == after.snapshot {
+				before = after
+			}
+			c.Assert(found.Restored.Snapshot.Index, qt.Equals, before.snapshot, qt.Commentf("seed %d", seed))
+			c.Assert(fmt.Sprint(found.Restored.Entries), qt.Equals, fmt.Sprint(before.entries), qt.Commentf("seed %d", seed))
+		}
+	}
+}
+
+// model is what a folder must hold.
+type model struct {
+	snapshot core.LogIndex
+	entries  []raft.Entry // after snapshot
+}
+
+// operate does one random operation and returns the model after it.
+func (m model) operate(store *disk.Store, random *rand.Rand) (model, error) {
+	if random.IntN(8) == 0 && len(m.entries) > 0 {
+		count := 1 + random.IntN(len(m.entries))
+		after := model{
+			snapshot: m.entries[count-1].Index,
+			entries:  m.entries[count:],
+		}
+		if err := store.SaveSnapshot(raft.Snapshot{Index: after.snapshot, Term: m.entries[count-1].Term}); err != nil {
+			return after, err
+		}
+		return after, store.Compact(after.snapshot)
+	}
+	kept := random.IntN(len(m.entries) + 1)
+	first := m.snapshot + core.LogIndex(kept) + 1
+	added := []raft.Entry{entry(first, core.Term(random.IntN(9)+1)), entry(first+1, 9)}
+	return model{
+		snapshot: m.snapshot,
+		entries:  append(m.entries[:kept:kept], added...),
+	}, store.Write(nil, nil, added)
+}
--- a/io/raftpeer/applier.go
+++ b/io/raftpeer/applier.go
@@ -16,6 +16,7 @@
 	term     core.Term
 	members  []raft.Member
 	snapshot core.LogIndex // index of the newest stored snapshot
+	interval core.LogIndex // entries between two snapshots
 	waiting  []raft.ReadResult
 	// done reports the result of a proposal or read of this process.
 	done func(request raft.RequestID, result []byte)
@@ -23,9 +24,10 @@
 
 func newApplier(store *disk.Store, machine core.StateMachine, from raft.Snapshot, done func(raft.RequestID, []byte)) (*applier, error) {
 	a := &applier{
-		store:   store,
-		machine: machine,
-		done:    done,
+		store:    store,
+		machine:  machine,
+		interval: raft.SnapshotInterval,
+		done:     done,
 	}
 	if from.Index == 0 {
 		return a, nil
@@ -54,7 +56,7 @@
 		return a.install(*o.install)
 	}
 	a.finishReads()
-	if a.applied < a.snapshot+raft.SnapshotInterval {
+	if a.applied < a.snapshot+a.interval {
 		return nil, nil
 	}
 	return a.takeSnapshot()
--- a/io/raftpeer/engine.go
+++ b/io/raftpeer/engine.go
@@ -97,6 +97,11 @@
 	}
 }
 
+func (e *engine) hello(answer bool) *raft.Hello {
+	hello := e.bootstrap.Hello(answer, len(e.node.Members()) > 0)
+	return &hello
+}
+
 // refuseAll answers the local requests that come before the initial membership is agreed on.
 func refuseAll(events []raft.Event) outcome {
 	var result outcome
--- /dev/null
+++ b/io/raftpeer/failure_test.go
@@ -0,0 +1,283 @@
+package raftpeer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+	"parsleyport/io/disk"
+)
+
+// startedWorld has a leader and one committed write.
+func startedWorld(t *testing.T, size int) (*world, *instance) {
+	w := newWorld(t, 7, size)
+	w.write("first=1")
+	w.advance(time.Second)
+	return w, w.leader()
+}
+
+// Guards against an instance that votes with a new disk after it has voted with the old one.
+func TestWipedDiskDoesNotVote(t *testing.T) {
+	c := qt.New(t)
+	w, leader := startedWorld(t, 3)
+	rest := w.others(leader.options.Self)
+	lagging, wiped := w.instances[rest[0]], w.instances[rest[1]]
+
+	// The entry is on the leader and on the instance that loses its disk, and the instance that is left lacks it.
+	w.isolate(rest[0], true, true)
+	w.write("kept=1")
+	leader.crash()
+	wiped.wipe()
+	wiped.start()
+	w.isolate(rest[0], false, false)
+	w.observe = func(m raft.Message) {
+		if m.From.ID == rest[1] && (m.Kind == raft.KindVoteAnswer || m.Kind == raft.KindPreVoteAnswer) && !m.Reject {
+			t.Fatalf("the wiped instance granted %+v", m)
+		}
+	}
+	w.advance(10 * time.Second)
+	c.Assert(lagging.leads(), qt.IsFalse)
+
+	// With the old leader back, the entry is still there, and the wiped instance is known as a stranger.
+	leader.start()
+	w.until(5*time.Second, "leader after restart", leader.leads)
+	w.until(5*time.Second, "entry is kept", func() bool { return lagging.machine["kept"] == "1" })
+	c.Assert(wiped.engine.bootstrap.Foreign(), qt.IsTrue)
+	w.change(raft.ChangeReplace, rest[1])
+	w.change(raft.ChangePromote, rest[1])
+	w.converge()
+	c.Assert(wiped.machine["kept"], qt.Equals, "1")
+}
+
+// Guards against a loss when a second disk is lost right after the repair of a first one, whichever of the others it is.
+func TestSecondDiskLostAfterRepair(t *testing.T) {
+	for order := range 2 {
+		t.Run(fmt.Sprint(order), func(t *testing.T) {
+			w, leader := startedWorld(t, 3)
+			rest := w.others(leader.options.Self)
+			first := rest[0]
+			second := []core.ControlID{leader.options.Self, rest[1]}[order]
+
+			w.instances[first].wipe()
+			w.write("during=1")
+			w.instances[first].start()
+			w.change(raft.ChangeReplace, first)
+			w.change(raft.ChangePromote, first)
+			w.instances[second].wipe()
+			w.write("after=1")
+			w.instances[second].start()
+			w.advance(3 * time.Second) // it tries to bootstrap, and must not
+			w.change(raft.ChangeReplace, second)
+			w.change(raft.ChangePromote, second)
+			w.converge()
+			qt.Assert(t, fmt.Sprint(w.instances[first].machine), qt.Equals, "map[after:1 during:1 first:1 last:1]")
+		})
+	}
+}
+
+// Guards against a promotion that counts a learner towards the majority before it holds what was committed.
+func TestPromotionWaitsForTheLearner(t *testing.T) {
+	c := qt.New(t)
+	w, leader := startedWorld(t, 3)
+	rest := w.others(leader.options.Self)
+	w.instances[rest[0]].wipe()
+	w.instances[rest[0]].start()
+	w.change(raft.ChangeReplace, rest[0])
+	w.isolate(rest[0], false, true)
+	w.write("missing=1")
+
+	promoted := false
+	w.changeOnce(leader, raft.ChangePromote, rest[0], func(string) { promoted = true })
+	w.advance(5 * time.Second)
+	c.Assert(promoted, qt.IsFalse)
+	c.Assert(leader.engine.node.Describe().Learners, qt.DeepEquals, []core.ControlID{rest[0]})
+	w.write("possible=1") // the two voters still are a majority
+	w.heal()
+	w.until(5*time.Second, "promotion", func() bool { return promoted })
+	c.Assert(leader.engine.node.Describe().Voters, qt.HasLen, 3)
+}
+
+// Guards against a second membership change while one is not committed: their majorities need not overlap.
+func TestOneMembershipChangeAtATime(t *testing.T) {
+	c := qt.New(t)
+	w, leader := startedWorld(t, 5)
+	rest := w.others(leader.options.Self)
+	for _, id := range rest {
+		w.isolate(id, true, false)
+	}
+	var refusals []string
+	for _, id := range rest[:2] {
+		w.changeOnce(leader, raft.ChangeRemove, id, func(refused string) { refusals = append(refusals, refused) })
+	}
+	w.advance(100 * time.Millisecond)
+	c.Assert(refusals, qt.DeepEquals, []string{"another membership change is under way"})
+}
+
+// Guards against a leader that goes on, or serves a stale read as current, while it is cut off in any direction.
+func TestCutOffLeaderStepsDown(t *testing.T) {
+	for _, cut := range []struct {
+		name               string
+		outgoing, incoming bool
+	}{
+		{"outgoing", true, false},
+		{"incoming", false, true},
+		{"both", true, true},
+	} {
+		t.Run(cut.name, func(t *testing.T) {
+			c := qt.New(t)
+			w, leader := startedWorld(t, 3)
+			w.isolate(leader.options.Self, cut.outgoing, cut.incoming)
+			begun := w.now
+			w.until(raft.ElectionTimeout+tick, "step-down", func() bool {
+				leader.read(func(refused string) {
+					if refused == "" && w.now.After(begun.Add(3*tick)) { // answers that were under way at the cut
+						t.Errorf("read confirmed %v after the cut", w.now.Sub(begun))
+					}
+				})
+				return !leader.leads()
+			})
+			w.until(5*time.Second, "new leader", func() bool { return w.leader() != nil && w.leader() != leader })
+			w.write("newer=1")
+			stale := false
+			leader.read(func(refused string) { stale = refused == "" && leader.machine["newer"] != "1" })
+			w.advance(3 * time.Second)
+			c.Assert(stale, qt.IsFalse)
+		})
+	}
+}
+
+// Guards against a process that was frozen and acts on its old leadership when it continues.
+func TestFrozenLeaderServesNoStaleRead(t *testing.T) {
+	c := qt.New(t)
+	w, leader := startedWorld(t, 3)
+	leader.frozen = w.now.Add(4 * time.Second)
+	w.until(4*time.Second, "new leader", func() bool {
+		return w.instances[w.others(leader.options.Self)[0]].leads() || w.instances[w.others(leader.options.Self)[1]].leads()
+	})
+	w.checkLeaders()
+	for _, id := range w.others(leader.options.Self) {
+		if w.instances[id].leads() {
+			w.instances[id].propose("newer=1", func(string) {})
+		}
+	}
+	w.advance(time.Second)
+	leader.frozen = time.Time{}
+	answered := ""
+	leader.read(func(refused string) { answered = refused + leader.machine["newer"] })
+	leader.inbox = nil // nothing tells it of the new leader
+	leader.run()
+	c.Assert(leader.leads(), qt.IsFalse)
+	w.advance(time.Second)
+	c.Assert(answered, qt.Not(qt.Equals), "")
+}
+
+// Guards against a new leader that answers reads before it knows which entries were committed.
+func TestNewLeaderReadsAfterItsNoOp(t *testing.T) {
+	c := qt.New(t)
+	w, leader := startedWorld(t, 3)
+	rest := w.others(leader.options.Self)
+	// The others store the entry, but do not learn that it is committed.
+	seen := false
+	w.observe = func(m raft.Message) {
+		if m.Kind == raft.KindAppend && len(m.Entries) > 0 {
+			seen = true
+		}
+	}
+	leader.propose("late=1", func(string) {})
+	w.until(time.Second, "append", func() bool { return seen })
+	w.advance(2 * tick)
+	leader.crash()
+	c.Assert(w.instances[rest[0]].machine["late"], qt.Equals, "")
+	w.until(5*time.Second, "new leader", func() bool { return w.leader() != nil })
+	next, wrong := w.leader(), false
+	next.read(func(refused string) { wrong = refused == "" && next.machine["late"] != "1" })
+	w.advance(time.Second)
+	c.Assert(wrong, qt.IsFalse)
+	c.Assert(next.machine["late"], qt.Equals, "1")
+}
+
+// Guards against an instance that raises the term when it returns, and so ends a leadership that works.
+func TestReturningInstanceDoesNotDisturb(t *testing.T) {
+	for _, incoming := range []bool{true, false} {
+		t.Run(fmt.Sprint(incoming), func(t *testing.T) {
+			c := qt.New(t)
+			w, leader := startedWorld(t, 3)
+			away := w.others(leader.options.Self)[0]
+			term := leader.engine.node.Describe().Term
+			w.isolate(away, incoming, true)
+			w.advance(30 * time.Second)
+			w.write("away=1")
+			w.heal()
+			w.advance(5 * time.Second)
+			c.Assert(leader.leads(), qt.IsTrue)
+			c.Assert(leader.engine.node.Describe().Term, qt.Equals, term)
+			c.Assert(w.instances[away].machine["away"], qt.Equals, "1")
+		})
+	}
+}
+
+// Guards against an acknowledgement of an entry whose sync has failed, or a retry of that sync.
+func TestFailedSyncAcknowledgesNothing(t *testing.T) {
+	c := qt.New(t)
+	w, leader := startedWorld(t, 3)
+	rest := w.others(leader.options.Self)
+	for _, id := range rest {
+		w.instances[id].folder.FailSyncs(true)
+	}
+	committed := false
+	leader.propose("lost=1", func(refused string) { committed = refused == "" })
+	w.advance(3 * time.Second)
+	c.Assert(committed, qt.IsFalse)
+	for _, id := range rest {
+		i := w.instances[id]
+		c.Assert(errors.Is(i.fault, disk.ErrFailed), qt.IsTrue)
+		c.Assert(i.up, qt.IsFalse)
+		c.Assert(errors.Is(i.engine.store.Write(nil, nil, nil), disk.ErrFailed), qt.IsTrue)
+	}
+}
+
+// Guards against a restart that replays the whole log, or that finds less than was committed.
+func TestRestartUsesTheSnapshot(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 3, 1)
+	only := w.instances["c1"]
+	only.interval = raft.SnapshotInterval
+	only.crash()
+	only.start()
+	w.write("first=1")
+	for n := range 2000 {
+		only.propose(fmt.Sprintf("n=%d", n), func(string) {})
+		if n%50 == 0 {
+			w.advance(tick)
+		}
+	}
+	w.advance(time.Second)
+	only.crash()
+	only.start()
+	c.Assert(only.engine.restored.Snapshot.Index >= 1000, qt.IsTrue)
+	c.Assert(len(only.engine.restored.Entries) < 1100, qt.IsTrue)
+	w.write("last=1")
+	c.Assert(only.machine["n"], qt.Equals, "1999")
+}
+
+// Guards against a learner that cannot catch up once the entries it lacks are only in the snapshot.
+func TestSnapshotReachesAnInstanceThatLags(t *testing.T) {
+	c := qt.New(t)
+	w, leader := startedWorld(t, 3)
+	away := w.others(leader.options.Self)[0]
+	w.instances[away].crash()
+	for n := range 700 {
+		w.write(fmt.Sprintf("n%d=%01000d", n, n))
+	}
+	restored := w.instances[away].machine
+	w.heal()
+	w.converge()
+	c.Assert(len(restored), qt.Equals, 1)
+	c.Assert(len(w.instances[away].machine), qt.Equals, 702)
+	c.Assert(w.instances[away].applier.snapshot > 0, qt.IsTrue)
+}
--- a/io/raftpeer/hello.go
+++ b/io/raftpeer/hello.go
@@ -30,10 +30,9 @@
 }
 
 func (r *Replica) sayHello(to core.ControlID, asAnswer bool) {
-	hello := r.engine.bootstrap.Hello(asAnswer)
 	r.post(to, outgoing{
 		kind:    typeHello,
-		message: &hello,
+		message: r.engine.hello(asAnswer),
 	})
 }
 
--- /dev/null
+++ b/io/raftpeer/schedule_test.go
@@ -0,0 +1,265 @@
+package raftpeer
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+)
+
+var schedules = flag.Int("schedules", 40, "number of random fault schedules")
+
+// operation is a client's read or write of one register.
+type operation struct {
+	register string
+	write    bool
+	value    string
+}
+
+// history records what clients asked and saw; a write without an answer may take effect at any later time.
+type history struct {
+	world      *world
+	operations []porcupine.Operation
+	clients    []*client
+	values     int
+}
+
+type client struct {
+	id      int
+	busy    bool
+	next    time.Time
+	timeout time.Time
+	giveUp  func()
+}
+
+var registerModel = porcupine.Model{
+	Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+		parts := make(map[string][]porcupine.Operation)
+		for _, o := range all {
+			name := o.Input.(operation).register
+			parts[name] = append(parts[name], o)
+		}
+		var result [][]porcupine.Operation
+		for _, part := range parts {
+			result = append(result, part)
+		}
+		return result
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		o := input.(operation)
+		if o.write {
+			return true, o.value
+		}
+		return output.(string) == state.(string), state
+	},
+}
+
+func (h *history) run() {
+	for _, c := range h.clients {
+		switch {
+		case c.busy && h.world.now.After(c.timeout):
+			c.giveUp()
+		case !c.busy && h.world.now.After(c.next):
+			h.begin(c)
+		}
+	}
+}
+
+// begin starts an operation at a random instance.
+func (h *history) begin(c *client) {
+	w := h.world
+	at := w.instances[w.ids[w.random.IntN(len(w.ids))]]
+	c.next = w.now.Add(time.Duration(w.random.IntN(150)) * time.Millisecond)
+	if !at.up {
+		return
+	}
+	o := operation{
+		register: fmt.Sprintf("r%d", w.random.IntN(6)),
+		write:    w.random.IntN(2) == 0,
+	}
+	begun := w.now
+	record := func(value string, returned int64) {
+		h.operations = append(h.operations, porcupine.Operation{
+			ClientId: c.id,
+			Input:    o,
+			Call:     begun.UnixNano(),
+			Output:   value,
+			Return:   returned,
+		})
+	}
+	c.busy, c.timeout = true, w.now.Add(2*time.Second)
+	var request raft.RequestID
+	c.giveUp = func() {
+		delete(w.done, request)
+		c.busy = false
+		if o.write {
+			record("", math.MaxInt64)
+		}
+	}
+	done := func(refused string) {
+		c.busy = false
+		if refused == "" {
+			record(at.machine[o.register], w.now.UnixNano()+int64(tick/2))
+		}
+	}
+	if o.write {
+		h.values++
+		o.value = fmt.Sprint(h.values)
+		request = at.propose(o.register+"="+o.value, done)
+		return
+	}
+	request = at.read(done)
+}
+
+func (h *history) check() {
+	h.world.t.Helper()
+	if result := porcupine.CheckOperationsTimeout(registerModel, h.operations, 30*time.Second); result != porcupine.Ok {
+		h.world.t.Fatalf("history of %d operations: linearizable: %v", len(h.operations), result)
+	}
+}
+
+// operator replaces an instance that has lost its disk.
+type operator struct {
+	world    *world
+	repairs  core.ControlID // empty if no disk is lost
+	next     time.Time
+	promoted bool
+}
+
+func (o *operator) run() {
+	leader := o.world.leader()
+	if o.repairs == "" || leader == nil || o.world.now.Before(o.next) || !o.world.instances[o.repairs].up {
+		return
+	}
+	o.next = o.world.now.Add(700 * time.Millisecond)
+	peer := o.world.instances[o.repairs].engine.identity.Self
+	if o.promoted {
+		o.repairs, o.promoted = "", false
+		return
+	}
+	kind := raft.ChangeReplace
+	for _, member := range leader.engine.node.Members() {
+		if member.Peer == peer {
+			kind = raft.ChangePromote
+		}
+	}
+	o.world.changeOnce(leader, kind, o.repairs, func(refused string) {
+		o.promoted = o.promoted || refused == "" && kind == raft.ChangePromote
+	})
+}
+
+// injectFault does one random thing; of the disks, at most one is lost at a time.
+func injectFault(w *world, o *operator) string {
+	id := w.ids[w.random.IntN(len(w.ids))]
+	other := w.ids[w.random.IntN(len(w.ids))]
+	i := w.instances[id]
+	switch w.random.IntN(11) {
+	case 0:
+		w.isolate(id, true, false)
+		return "outgoing cut of " + string(id)
+	case 1:
+		w.isolate(id, false, true)
+		return "incoming cut of " + string(id)
+	case 2:
+		w.isolate(id, true, true)
+		return "cut of " + string(id)
+	case 3:
+		w.cut[[2]core.ControlID{id, other}] = true
+		return fmt.Sprintf("cut from %s to %s", id, other)
+	case 4:
+		clear(w.cut)
+		return "network healed"
+	case 5:
+		w.drop, w.slow = 0.3*w.random.Float64(), w.random.IntN(2) == 0
+		return fmt.Sprintf("drop %.2f slow %v", w.drop, w.slow)
+	case 6:
+		if i.up {
+			i.crash()
+		}
+		return "crash of " + string(id)
+	case 7:
+		i.folder.FailSyncs(i.up)
+		return "crash in the next sync of " + string(id)
+	case 8:
+		i.frozen = w.now.Add(time.Duration(w.random.IntN(3000)) * time.Millisecond)
+		return "freeze of " + string(id)
+	case 9:
+		if o.repairs == "" {
+			i.wipe()
+			o.repairs = id
+			return "wiped disk of " + string(id)
+		}
+	}
+	for _, id := range w.ids {
+		if !w.instances[id].up {
+			w.instances[id].start()
+		}
+	}
+	return "all started"
+}
+
+func runSchedule(t *testing.T, seed uint64) {
+	w := newWorld(t, seed, 3+2*int(seed%2))
+	h := &history{
+		world: w,
+	}
+	for id := range 5 {
+		h.clients = append(h.clients, &client{
+			id: id,
+		})
+	}
+	o := &operator{
+		world: w,
+	}
+	w.write("first=1")
+	var faults []string
+	defer func() {
+		if t.Failed() {
+			t.Logf("faults: %s", strings.Join(faults, ", "))
+		}
+	}()
+	for end := w.now.Add(20 * time.Second); w.now.Before(end); {
+		faults = append(faults, injectFault(w, o))
+		for pause := w.now.Add(time.Duration(100+w.random.IntN(1200)) * time.Millisecond); w.now.Before(pause); {
+			h.run()
+			o.run()
+			w.advance(tick)
+		}
+	}
+	w.heal()
+	healed := w.now.Add(3 * time.Second)
+	w.until(30*time.Second, "repair", func() bool {
+		h.run()
+		o.run()
+		return o.repairs == "" && w.now.After(healed)
+	})
+	w.converge()
+	for _, c := range h.clients {
+		if c.busy {
+			c.giveUp()
+		}
+	}
+	h.check()
+	if len(h.operations) < 50 {
+		t.Fatalf("only %d operations finished", len(h.operations))
+	}
+}
+
+// Guards against two leaders in a term, lost or changed entries and stale reads under any mix of drop, delay, reorder,
+// duplicate, one-way cut, crash with loss of unsynced data, freeze and lost disk.
+func TestFaultSchedules(t *testing.T) {
+	for seed := range uint64(*schedules) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSchedule(t, seed)
+		})
+	}
+}
--- /dev/null
+++ b/io/raftpeer/world_test.go
@@ -0,0 +1,428 @@
+package raftpeer
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+	"parsleyport/io/disk/disktest"
+)
+
+const tick = 5 * time.Millisecond
+
+// registers is a state machine of named registers; a command is "name=value".
+type registers map[string]string
+
+func (m registers) Apply(_ core.LogIndex, command []byte) []byte {
+	name, value, _ := strings.Cut(string(command), "=")
+	m[name] = value
+	return []byte(value)
+}
+
+func (m registers) Snapshot() ([]byte, error) { return json.Marshal(m) }
+
+func (m registers) Restore(snapshot []byte) error {
+	clear(m)
+	return json.Unmarshal(snapshot, &m)
+}
+
+// world runs the engines of all instances over fake disks and a fake network in passed-in time, on one goroutine.
+type world struct {
+	t         testing.TB
+	random    *rand.Rand
+	now       time.Time
+	ids       []core.ControlID
+	instances map[core.ControlID]*instance
+	packets   []packet
+	cut       map[[2]core.ControlID]bool // from, to
+	drop      float64
+	slow      bool // some packets are late, out of order or doubled
+	leaders   map[core.Term]core.ControlID
+	applied   map[core.LogIndex]raft.Entry
+	sequence  uint64
+	done      map[raft.RequestID]func(refused string)
+	observe   func(raft.Message)
+}
+
+type packet struct {
+	at       time.Time
+	from, to core.ControlID
+	message  raft.Message
+	hello    *raft.Hello
+}
+
+type instance struct {
+	world    *world
+	options  Options
+	folder   *disktest.Memory
+	engine   *engine
+	applier  *applier
+	machine  registers
+	up       bool
+	frozen   time.Time
+	fault    error
+	inbox    []packet
+	own      []raft.Event
+	helloAt  time.Time
+	interval core.LogIndex
+}
+
+func newWorld(t testing.TB, seed uint64, size int) *world {
+	w := &world{
+		t:         t,
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		now:       time.Unix(1_700_000_000, 0),
+		instances: make(map[core.ControlID]*instance),
+		cut:       make(map[[2]core.ControlID]bool),
+		leaders:   make(map[core.Term]core.ControlID),
+		applied:   make(map[core.LogIndex]raft.Entry),
+		done:      make(map[raft.RequestID]func(string)),
+	}
+	members := lo.Times(size, func(i int) Member {
+		return Member{
+			ID: core.ControlID(fmt.Sprintf("c%d", i+1)),
+		}
+	})
+	for _, member := range members {
+		w.ids = append(w.ids, member.ID)
+		w.instances[member.ID] = &instance{
+			world: w,
+			options: Options{
+				Self:      member.ID,
+				Members:   members,
+				Bootstrap: true,
+				Logger:    zerolog.Nop(),
+			},
+			folder:   disktest.NewMemory(),
+			interval: 25,
+		}
+		w.instances[member.ID].start()
+	}
+	return w
+}
+
+func (i *instance) start() {
+	w := i.world
+	var err error
+	i.machine, i.inbox, i.own = registers{}, nil, nil
+	send := func(m raft.Message) {
+		if w.observe != nil {
+			w.observe(m)
+		}
+		w.transmit(packet{
+			from:    i.options.Self,
+			to:      m.To.ID,
+			message: m,
+		})
+	}
+	newIdentity := func() raft.Identity { return raft.Identity(fmt.Sprint(w.random.Uint64())) }
+	if i.engine, err = openEngine(w.now, i.folder, &i.options, w.random, newIdentity, send); err != nil {
+		w.t.Fatalf("start %s: %v", i.options.Self, err)
+	}
+	if i.applier, err = newApplier(i.engine.store, i.machine, i.engine.restored.Snapshot, w.finish); err != nil {
+		w.t.Fatalf("start %s: %v", i.options.Self, err)
+	}
+	i.applier.interval = i.interval
+	i.up = true
+}
+
+func (i *instance) crash() {
+	i.up = false
+	i.folder.Crash(i.world.random)
+	i.folder.FailSyncs(false)
+}
+
+func (i *instance) wipe() {
+	i.crash()
+	i.folder.Wipe()
+}
+
+func (w *world) finish(request raft.RequestID, _ []byte) { w.answer(request, "") }
+
+func (w *world) answer(request raft.RequestID, refused string) {
+	if done, exists := w.done[request]; exists {
+		delete(w.done, request)
+		done(refused)
+	}
+}
+
+func (w *world) transmit(p packet) {
+	if w.cut[[2]core.ControlID{p.from, p.to}] || w.random.Float64() < w.drop {
+		return
+	}
+	p.at = w.now.Add(time.Duration(1+w.random.IntN(3)) * time.Millisecond)
+	if w.slow && w.random.IntN(20) == 0 {
+		p.at = p.at.Add(time.Duration(w.random.IntN(1500)) * time.Millisecond)
+	}
+	w.packets = append(w.packets, p)
+	if w.slow && w.random.IntN(20) == 0 && p.message.Kind != raft.KindPropose {
+		p.at = p.at.Add(time.Duration(w.random.IntN(300)) * time.Millisecond)
+		w.packets = append(w.packets, p)
+	}
+}
+
+// advance runs the world for a time.
+func (w *world) advance(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(tick)
+		w.deliver()
+		for _, id := range w.ids {
+			if i := w.instances[id]; i.up && !w.now.Before(i.frozen) {
+				i.run()
+			}
+		}
+		w.checkLeaders()
+	}
+}
+
+// until advances until the condition holds and fails the test if that takes longer than the limit.
+func (w *world) until(limit time.Duration, what string, holds func() bool) {
+	w.t.Helper()
+	for end := w.now.Add(limit); !holds(); w.advance(tick) {
+		if w.now.After(end) {
+			w.t.Fatalf("%s: not within %v; %s", what, limit, w.describe())
+		}
+	}
+}
+
+func (w *world) describe() string {
+	return strings.Join(lo.Map(w.ids, func(id core.ControlID, _ int) string {
+		i := w.instances[id]
+		return fmt.Sprintf("%s up=%v %+v", id, i.up, i.engine.node.Describe())
+	}), "; ")
+}
+
+func (w *world) deliver() {
+	late := w.packets[:0:0]
+	for _, p := range w.packets {
+		if p.at.After(w.now) {
+			late = append(late, p)
+		} else if to := w.instances[p.to]; to.up && len(to.inbox) < 2000 {
+			to.inbox = append(to.inbox, p)
+		}
+	}
+	w.packets = late
+}
+
+// run gives an instance what has arrived, as one batch.
+func (i *instance) run() {
+	if i.up && i.engine.bootstrap.Pending() && !i.world.now.Before(i.helloAt) {
+		i.helloAt = i.world.now.Add(bootstrapInterval)
+		for _, id := range i.world.ids {
+			i.sayHello(id, false)
+		}
+	}
+	events := i.own
+	inbox := i.inbox
+	i.own, i.inbox = nil, nil
+	for _, p := range inbox {
+		if p.hello == nil {
+			events = append(events, raft.Received{Message: p.message})
+		} else if err := i.engine.hear(i.world.now, p.hello, i.world.random); err != nil {
+			i.failed(err)
+			return
+		} else if !p.hello.Answer {
+			i.sayHello(p.from, true)
+		}
+	}
+	if len(events) > 0 || !i.world.now.Before(i.engine.node.NextDeadline()) {
+		i.step(events...)
+	}
+}
+
+func (i *instance) sayHello(to core.ControlID, answer bool) {
+	if to != i.options.Self {
+		i.world.transmit(packet{
+			from:  i.options.Self,
+			to:    to,
+			hello: i.engine.hello(answer),
+		})
+	}
+}
+
+func (i *instance) step(events ...raft.Event) {
+	result, err := i.engine.step(i.world.now, events...)
+	if err != nil {
+		i.failed(err)
+		return
+	}
+	for _, refusal := range result.refused {
+		i.world.answer(refusal.Request, refusal.Reason)
+	}
+	i.world.checkCommitted(i.options.Self, result.committed)
+	snapshot, err := i.applier.apply(result)
+	if err == nil && snapshot != nil {
+		i.step(raft.SnapshotStored{Snapshot: *snapshot})
+		if i.up {
+			err = i.engine.compact(*snapshot)
+		}
+	}
+	if err != nil && i.up {
+		i.failed(err)
+	}
+}
+
+// failed ends the process, as a disk fault does.
+func (i *instance) failed(err error) {
+	i.fault = err
+	i.crash()
+}
+
+// checkCommitted guards against a committed entry that differs between instances or changes.
+func (w *world) checkCommitted(id core.ControlID, entries []raft.Entry) {
+	for _, entry := range entries {
+		known, exists := w.applied[entry.Index]
+		if exists && (known.Term != entry.Term || string(known.Command) != string(entry.Command)) {
+			w.t.Fatalf("%s: committed entry %d changed from %+v to %+v", id, entry.Index, known, entry)
+		}
+		w.applied[entry.Index] = entry
+	}
+}
+
+// checkLeaders guards against two leaders in one term.
+func (w *world) checkLeaders() {
+	for _, id := range w.ids {
+		i := w.instances[id]
+		status := i.engine.node.Describe()
+		if !i.up || status.Role != string(raft.Leader) {
+			continue
+		}
+		if other, exists := w.leaders[status.Term]; exists && other != id {
+			w.t.Fatalf("%s and %s both led in term %d", other, id, status.Term)
+		}
+		w.leaders[status.Term] = id
+	}
+}
+
+func (w *world) leader() *instance {
+	for _, id := range w.ids {
+		if i := w.instances[id]; i.leads() {
+			return i
+		}
+	}
+	return nil
+}
+
+func (i *instance) leads() bool {
+	return i.up && i.engine.node.Describe().Role == string(raft.Leader)
+}
+
+// request hands an event to an instance; done is called with a refusal or with "" once the request is finished.
+func (i *instance) request(event func(raft.RequestID) raft.Event, done func(refused string)) raft.RequestID {
+	i.world.sequence++
+	id := raft.RequestID{
+		Run:      1,
+		Sequence: i.world.sequence,
+	}
+	i.world.done[id] = done
+	i.own = append(i.own, event(id))
+	return id
+}
+
+func (i *instance) propose(command string, done func(refused string)) raft.RequestID {
+	return i.request(func(id raft.RequestID) raft.Event {
+		return raft.Proposed{
+			Request: id,
+			Command: []byte(command),
+		}
+	}, done)
+}
+
+func (i *instance) read(done func(refused string)) raft.RequestID {
+	return i.request(func(id raft.RequestID) raft.Event {
+		return raft.ReadRequested{
+			Request: id,
+		}
+	}, done)
+}
+
+// write proposes at the leader until the command is committed.
+func (w *world) write(command string) {
+	w.t.Helper()
+	committed, pending := false, false
+	w.until(10*time.Second, "write "+command, func() bool {
+		if leader := w.leader(); leader != nil && !pending {
+			pending = true
+			leader.propose(command, func(refused string) { committed, pending = refused == "", false })
+		}
+		return committed
+	})
+}
+
+// change asks the leader for a membership change until it is committed.
+func (w *world) change(kind raft.ChangeKind, id core.ControlID) {
+	w.t.Helper()
+	committed := false
+	var next time.Time
+	w.until(10*time.Second, string(kind)+" "+string(id), func() bool {
+		if leader := w.leader(); leader != nil && !w.now.Before(next) {
+			next = w.now.Add(time.Second)
+			w.changeOnce(leader, kind, id, func(refused string) { committed = committed || refused == "" })
+		}
+		return committed
+	})
+}
+
+func (w *world) changeOnce(leader *instance, kind raft.ChangeKind, id core.ControlID, done func(string)) {
+	leader.request(func(request raft.RequestID) raft.Event {
+		return raft.Proposed{
+			Request: request,
+			Change: &raft.Change{
+				Kind: kind,
+				Peer: w.instances[id].engine.identity.Self,
+			},
+		}
+	}, done)
+}
+
+// isolate cuts an instance off in the given directions.
+func (w *world) isolate(id core.ControlID, outgoing, incoming bool) {
+	for _, other := range w.ids {
+		w.cut[[2]core.ControlID{id, other}] = outgoing
+		w.cut[[2]core.ControlID{other, id}] = incoming
+	}
+}
+
+func (w *world) heal() {
+	clear(w.cut)
+	w.drop, w.slow = 0, false
+	for _, id := range w.ids {
+		i := w.instances[id]
+		i.frozen = time.Time{}
+		i.folder.FailSyncs(false)
+		if !i.up {
+			i.start()
+		}
+	}
+}
+
+// others returns the ids apart from the given ones.
+func (w *world) others(ids ...core.ControlID) []core.ControlID {
+	return lo.Reject(w.ids, func(id core.ControlID, _ int) bool { return slices.Contains(ids, id) })
+}
+
+// converge waits until all instances have applied the same state.
+func (w *world) converge() {
+	w.t.Helper()
+	w.write("last=1")
+	w.until(20*time.Second, "converge", func() bool {
+		first := w.instances[w.ids[0]]
+		return lo.EveryBy(w.ids, func(id core.ControlID) bool {
+			return w.instances[id].up && w.instances[id].applier.applied == first.applier.applied
+		})
+	})
+	for _, id := range w.ids {
+		if a, b := fmt.Sprint(w.instances[id].machine), fmt.Sprint(w.instances[w.ids[0]].machine); a != b {
+			w.t.Fatalf("%s has %s, %s has %s", id, a, w.ids[0], b)
+		}
+	}
+}
