Add io/operatorhttp, the operators' API and its client

A client keeps the submission id over all servers and attempts, so a lost answer costs a resend and never a second change. It reports the outcome as unknown only if an attempt may have been proposed: status 503 means that it was not, 504 or a cut connection that it may have been.

The body is read whole before huma sees it. huma answers a cut body with status 500, which the client would have to take for an unknown outcome.

--- /dev/null
+++ b/io/operatorhttp/api.go
@@ -0,0 +1,80 @@
+package operatorhttp
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// Limits of the API.
+const (
+	proposeTimeout    = 4 * time.Second // below the client's attempt, so that the client reads the reason
+	confirmTimeout    = 4 * time.Second
+	statusTimeout     = time.Second // status is also for times without a leader
+	headerTimeout     = 5 * time.Second
+	bodyTimeout       = 30 * time.Second
+	idleTimeout       = time.Minute
+	stopTimeout       = 5 * time.Second
+	attemptTimeout    = 6 * time.Second
+	dialTimeout       = 2 * time.Second
+	pauseBetween      = 200 * time.Millisecond // after all servers have failed once
+	maxRequests       = 64                     // handled at the same time; further ones get status 503
+	maxAnswerBytes    = 64 << 20
+	maxTokenFileBytes = 4 << 10
+	maxHeaderBytes    = 64 << 10
+)
+
+// Paths of the API.
+const (
+	submissionsPath = "/v1/submissions"
+	movesPath       = "/v1/moves"
+	movePath        = "/v1/moves/{id}"
+	abortPath       = "/v1/moves/{id}/abort"
+	statusPath      = "/v1/status"
+	auditPath       = "/v1/audit"
+	metricsPath     = "/metrics"
+)
+
+// FleetStatus describes the nodes that are attached to the control instances.
+type FleetStatus struct {
+	LowestInForce core.Revision            `json:"lowest-in-force"`
+	Nodes         int                      `json:"nodes"`
+	Endpoints     map[core.ServiceName]int `json:"endpoints"`
+	SchemaFloor   core.SchemaVersion       `json:"schema-floor"` // zero if no node is attached
+}
+
+// FleetView gives the state of the fleet as this control instance knows it; it may be called from any goroutine.
+type FleetView interface {
+	// Fleet returns the state of the fleet now.
+	Fleet() FleetStatus
+}
+
+// Status is the answer of the status operation.
+type Status struct {
+	Current   bool                  `json:"current"` // false if no leader confirmed that the rest is up to date
+	Revision  core.Revision         `json:"revision"`
+	Hash      string                `json:"hash"`
+	OpenMoves []core.MoveID         `json:"open-moves"`
+	Fleet     FleetStatus           `json:"fleet"`
+	Replica   core.ReplicatorStatus `json:"replica"`
+}
+
+// ReadToken reads the operators' token from a file, without white space around it; an empty path gives no token.
+func ReadToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Annotate(err, "token file")
+	}
+	token := strings.TrimSpace(string(content))
+	if token == "" || len(token) > maxTokenFileBytes {
+		return "", errors.Errorf("token file %s: expected a token of 1 to %d bytes", path, maxTokenFileBytes)
+	}
+	return token, nil
+}
--- /dev/null
+++ b/io/operatorhttp/client.go
@@ -0,0 +1,213 @@
+package operatorhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+)
+
+// Errors of a Client; core.ErrOutcomeUnknown means that a command may have been committed.
+const (
+	// ErrUnreachable means that no server took the request before the deadline, so nothing has changed.
+	ErrUnreachable = errors.ConstError("no control instance took the request")
+	// ErrRejected means that a server refused the request as malformed, unauthorized or about something that does not exist.
+	ErrRejected = errors.ConstError("rejected")
+)
+
+// ClientOptions are what a Client works with; Servers are operator addresses, Token may be empty.
+type ClientOptions struct {
+	Servers []string
+	Token   string
+}
+
+// Client sends operators' requests; it resends until the context ends, which must have a deadline.
+type Client struct {
+	options ClientOptions
+	http    *http.Client
+}
+
+// NewClient returns a client; Close releases its connections.
+func NewClient(options ClientOptions) *Client {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+	}
+	return &Client{
+		options: options,
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext: dialer.DialContext, // no proxy: control instances are reached by IP number
+			},
+			Timeout: attemptTimeout,
+		},
+	}
+}
+
+// Close releases the connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Submit sends a submission until it has a verdict; it returns core.ErrOutcomeUnknown, ErrUnreachable or ErrRejected.
+func (c *Client) Submit(ctx context.Context, submission core.Submission) (catalog.Verdict, error) {
+	return c.command(ctx, submissionsPath, submission)
+}
+
+// Move requests a move; its errors are those of Submit.
+func (c *Client) Move(ctx context.Context, request core.MoveRequest) (catalog.Verdict, error) {
+	return c.command(ctx, movesPath, request)
+}
+
+// Abort takes a move back; its errors are those of Submit.
+func (c *Client) Abort(ctx context.Context, abort catalog.Abort) (catalog.Verdict, error) {
+	path := strings.Replace(abortPath, "{id}", url.PathEscape(string(abort.MoveID)), 1)
+	return c.command(ctx, path, abortBody{
+		ID:       abort.ID,
+		Operator: abort.Operator,
+	})
+}
+
+// Moves lists the moves; it returns ErrUnreachable or ErrRejected.
+func (c *Client) Moves(ctx context.Context) ([]core.Move, error) {
+	return read[[]core.Move](ctx, c, movesPath)
+}
+
+// ShowMove returns one move; its errors are those of Moves.
+func (c *Client) ShowMove(ctx context.Context, id core.MoveID) (core.Move, error) {
+	return read[core.Move](ctx, c, strings.Replace(movePath, "{id}", url.PathEscape(string(id)), 1))
+}
+
+// Status describes the fleet as the first reachable control instance knows it; its errors are those of Moves.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return read[Status](ctx, c, statusPath)
+}
+
+// Audit returns the matching entries of the audit trail, oldest first; its errors are those of Moves.
+func (c *Client) Audit(ctx context.Context, filter catalog.AuditFilter) ([]catalog.AuditEntry, error) {
+	query := url.Values{}
+	for key, value := range map[string]string{
+		"operator":      string(filter.Operator),
+		"submission-id": string(filter.Submission),
+		"move-id":       string(filter.Move),
+	} {
+		if value != "" {
+			query.Set(key, value)
+		}
+	}
+	if !filter.Since.IsZero() {
+		query.Set("since", filter.Since.UTC().Format(time.RFC3339Nano))
+	}
+	if filter.Limit > 0 {
+		query.Set("limit", strconv.Itoa(filter.Limit))
+	}
+	return read[[]catalog.AuditEntry](ctx, c, auditPath+"?"+query.Encode())
+}
+
+func (c *Client) command(ctx context.Context, path string, body any) (catalog.Verdict, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return catalog.Verdict{}, errors.Trace(err)
+	}
+	var verdict catalog.Verdict
+	mayHaveRun, err := c.persist(ctx, http.MethodPost, path, encoded, &verdict)
+	if err != nil && mayHaveRun { // a rejection by one server does not undo what another one may have proposed
+		return catalog.Verdict{}, errors.Annotatef(core.ErrOutcomeUnknown, "%v", err)
+	}
+	return verdict, err
+}
+
+func read[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var answer T
+	_, err := c.persist(ctx, http.MethodGet, path, nil, &answer)
+	return answer, err
+}
+
+// persist tries the servers in turn until one answers. It reports whether an attempt may have been proposed.
+func (c *Client) persist(ctx context.Context, method, path string, body []byte, answer any) (mayHaveRun bool, err error) {
+	if len(c.options.Servers) == 0 {
+		return false, errors.Annotate(ErrUnreachable, "no server is given")
+	}
+	for {
+		for _, server := range c.options.Servers {
+			var reached bool
+			reached, err = c.attempt(ctx, server, method, path, body, answer)
+			mayHaveRun = mayHaveRun || reached
+			if err == nil || errors.Is(err, ErrRejected) {
+				return mayHaveRun, err
+			}
+			if ctx.Err() != nil {
+				return mayHaveRun, errors.WithType(err, ErrUnreachable)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return mayHaveRun, errors.WithType(err, ErrUnreachable)
+		case <-time.After(pauseBetween):
+		}
+	}
+}
+
+func (c *Client) attempt(ctx context.Context, server, method, path string, body []byte, answer any) (reached bool, err error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(body))
+	if err != nil {
+		return false, errors.WithType(err, ErrRejected)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if c.options.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.options.Token)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		var failed *net.OpError
+		notSent := errors.As(err, &failed) && failed.Op == "dial"
+		return !notSent, errors.Annotate(err, server)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return true, errors.Annotate(err, server)
+	}
+	return evaluate(server, response.StatusCode, content, answer)
+}
+
+func evaluate(server string, status int, content []byte, answer any) (reached bool, err error) {
+	switch {
+	case status == http.StatusOK || status == http.StatusConflict:
+		return true, errors.Annotate(json.Unmarshal(content, answer), server)
+	case status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout:
+		return false, errors.Errorf("%s: %s", server, problem(content))
+	case status < http.StatusInternalServerError:
+		return false, errors.WithType(errors.Errorf("%s: %s", server, problem(content)), ErrRejected)
+	}
+	return true, errors.Errorf("%s: status %d: %s", server, status, problem(content))
+}
+
+// problem returns the detail of an error answer, or the answer itself if it has another format.
+func problem(content []byte) string {
+	var described struct {
+		Detail string `json:"detail"`
+		Errors []struct {
+			Message  string `json:"message"`
+			Location string `json:"location"`
+		} `json:"errors"`
+	}
+	if err := json.Unmarshal(content, &described); err != nil || described.Detail == "" {
+		return strings.TrimSpace(string(content))
+	}
+	text := described.Detail
+	for _, each := range described.Errors {
+		text += "; " + strings.TrimSpace(each.Location+" "+each.Message)
+	}
+	return text
+}
--- /dev/null
+++ b/io/operatorhttp/operations.go
@@ -0,0 +1,200 @@
+package operatorhttp
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+)
+
+type verdictOutput struct {
+	Status int
+	Body   catalog.Verdict
+}
+
+type output[T any] struct {
+	Body T
+}
+
+type submitInput struct {
+	Body core.Submission
+}
+
+type moveInput struct {
+	Body core.MoveRequest
+}
+
+type abortBody struct {
+	ID       core.SubmissionID `json:"submission-id"`
+	Operator core.Operator     `json:"operator"`
+}
+
+type abortInput struct {
+	MoveID string `path:"id"`
+	Body   abortBody
+}
+
+type showInput struct {
+	MoveID string `path:"id"`
+}
+
+type auditInput struct {
+	Operator   string    `query:"operator"`
+	Submission string    `query:"submission-id"`
+	Move       string    `query:"move-id"`
+	Since      time.Time `query:"since"`
+	Limit      int       `query:"limit" minimum:"1" maximum:"10000" default:"100"`
+}
+
+func (s *Server) register(api huma.API) {
+	huma.Register(api, operation("submit", http.MethodPost, submissionsPath), s.submit)
+	huma.Register(api, operation("move", http.MethodPost, movesPath), s.move)
+	huma.Register(api, operation("abort", http.MethodPost, abortPath), s.abort)
+	huma.Register(api, operation("list-moves", http.MethodGet, movesPath), s.listMoves)
+	huma.Register(api, operation("show-move", http.MethodGet, movePath), s.showMove)
+	huma.Register(api, operation("status", http.MethodGet, statusPath), s.status)
+	huma.Register(api, operation("audit", http.MethodGet, auditPath), s.audit)
+}
+
+func operation(id, method, path string) huma.Operation {
+	return huma.Operation{
+		OperationID:                  id,
+		Method:                       method,
+		Path:                         path,
+		MaxBodyBytes:                 catalog.MaxCommandBytes,
+		BodyReadTimeout:              bodyTimeout,
+		RejectUnknownQueryParameters: true,
+	}
+}
+
+func (s *Server) submit(ctx context.Context, input *submitInput) (*verdictOutput, error) {
+	command, err := catalog.EncodeSubmit(time.Now(), s.options.Fleet.Fleet().SchemaFloor, input.Body)
+	return s.propose(ctx, catalog.ActionSubmit, input.Body.Operator, command, err)
+}
+
+func (s *Server) move(ctx context.Context, input *moveInput) (*verdictOutput, error) {
+	command, err := catalog.EncodeMove(time.Now(), input.Body)
+	return s.propose(ctx, catalog.ActionMove, input.Body.Operator, command, err)
+}
+
+func (s *Server) abort(ctx context.Context, input *abortInput) (*verdictOutput, error) {
+	command, err := catalog.EncodeAbort(time.Now(), catalog.Abort{
+		ID:       input.Body.ID,
+		Operator: input.Body.Operator,
+		MoveID:   core.MoveID(input.MoveID),
+	})
+	return s.propose(ctx, catalog.ActionAbort, input.Body.Operator, command, err)
+}
+
+// propose takes the command and the error of its encoder; nothing malformed is proposed.
+func (s *Server) propose(ctx context.Context, action catalog.Action, operator core.Operator, command []byte, err error) (*verdictOutput, error) {
+	if err != nil {
+		s.countError("malformed")
+		return nil, huma.Error422UnprocessableEntity(err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := s.options.Replicator.Propose(ctx, command)
+	if err != nil {
+		return nil, s.unavailable(err)
+	}
+	verdict, err := catalog.DecodeVerdict(result)
+	if err != nil {
+		return nil, s.unavailable(err)
+	}
+	s.countVerdict(action, verdict)
+	if verdict.Result == catalog.Refused {
+		return &verdictOutput{
+			Status: http.StatusConflict,
+			Body:   verdict,
+		}, nil
+	}
+	s.options.Log.Info().Str("action", string(action)).Str("operator", string(operator)).
+		Str("submission-id", string(verdict.Submission)).Uint64("revision", uint64(verdict.Revision)).Msg("accepted")
+	return &verdictOutput{
+		Status: http.StatusOK,
+		Body:   verdict,
+	}, nil
+}
+
+// unavailable tells a command that was certainly not proposed (503) from one that may be committed later (504).
+func (s *Server) unavailable(err error) error {
+	if errors.Is(err, core.ErrNoLeader) {
+		s.countError("no-leader")
+		return huma.Error503ServiceUnavailable(err.Error())
+	}
+	s.countError("outcome-unknown")
+	return huma.Error504GatewayTimeout(err.Error())
+}
+
+// confirm returns once everything that was committed before the request is applied here.
+func (s *Server) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := s.options.Replicator.ConfirmRead(ctx); err != nil {
+		s.countError("read-not-confirmed")
+		return huma.Error503ServiceUnavailable(fmt.Sprintf("the read could not be confirmed: %v", err))
+	}
+	return nil
+}
+
+func (s *Server) listMoves(ctx context.Context, _ *struct{}) (*output[[]core.Move], error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	return &output[[]core.Move]{
+		Body: s.options.Catalog.Moves(),
+	}, nil
+}
+
+func (s *Server) showMove(ctx context.Context, input *showInput) (*output[core.Move], error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	move, exists := s.options.Catalog.Move(core.MoveID(input.MoveID))
+	if !exists {
+		return nil, huma.Error404NotFound(fmt.Sprintf("there is no move %q", input.MoveID))
+	}
+	return &output[core.Move]{
+		Body: move,
+	}, nil
+}
+
+func (s *Server) status(ctx context.Context, _ *struct{}) (*output[Status], error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	current := s.options.Replicator.ConfirmRead(ctx) == nil
+	configuration := s.options.Catalog.Current()
+	return &output[Status]{
+		Body: Status{
+			Current:   current,
+			Revision:  configuration.Revision(),
+			Hash:      fmt.Sprintf("%016x", uint64(configuration.Hash())),
+			OpenMoves: s.openMoves(),
+			Fleet:     s.options.Fleet.Fleet(),
+			Replica:   s.options.Replicator.Status(),
+		},
+	}, nil
+}
+
+func (s *Server) audit(ctx context.Context, input *auditInput) (*output[[]catalog.AuditEntry], error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	entries := s.options.Catalog.Audit(catalog.AuditFilter{
+		Operator:   core.Operator(input.Operator),
+		Submission: core.SubmissionID(input.Submission),
+		Move:       core.MoveID(input.Move),
+		Since:      input.Since,
+		Limit:      input.Limit,
+	})
+	return &output[[]catalog.AuditEntry]{
+		Body: entries,
+	}, nil
+}
--- /dev/null
+++ b/io/operatorhttp/server.go
@@ -0,0 +1,171 @@
+package operatorhttp
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/danielgtaylor/huma/v2/adapters/humago"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+)
+
+// Options are what a Server works with; Token is empty if operators need none.
+type Options struct {
+	Listen     string
+	Replicator core.Replicator
+	Catalog    *catalog.Catalog
+	Token      string
+	Fleet      FleetView
+	Log        zerolog.Logger
+	Metrics    *metrics.Set
+}
+
+// Server is the operators' API of one control instance.
+type Server struct {
+	options  Options
+	listener net.Listener
+	requests chan struct{} // one item for each request under way
+}
+
+// New listens and serves until the returned function is called, which lets requests under way end for a few seconds; it
+// returns an error if it cannot listen.
+func New(options Options) (*Server, func(), error) {
+	listener, err := net.Listen("tcp", options.Listen)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "operator address")
+	}
+	s := &Server{
+		options:  options,
+		listener: listener,
+		requests: make(chan struct{}, maxRequests),
+	}
+	server := &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	s.addGauges()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			options.Log.Error().Err(err).Msg("operators' API has ended")
+		}
+	}()
+	options.Log.Info().Str("address", s.Address()).Msg("operators' API is listening")
+	return s, func() { stop(server, served) }, nil
+}
+
+func stop(server *http.Server, served <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close() // cuts the requests that did not end in time
+	}
+	<-served
+}
+
+// Address returns the address on which the server listens.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	config := huma.DefaultConfig("parsleyport operators' API", "1")
+	config.DocsPath, config.SchemasPath = "", "" // the documentation page loads scripts from other hosts
+	config.CreateHooks = nil                     // no schema links in answers
+	api := humago.New(mux, config)
+	s.register(api)
+	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		s.options.Metrics.WritePrometheus(w)
+	})
+	return s.bounded(s.authorized(s.whole(mux)))
+}
+
+// whole reads the body before anything else looks at it: huma answers a cut body with status 500, which would tell the
+// client that the command may have been proposed.
+func (s *Server) whole(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, catalog.MaxCommandBytes))
+		if err == nil {
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			next.ServeHTTP(w, r)
+			return
+		}
+		s.countError("malformed")
+		status := http.StatusBadRequest
+		if tooLong, is := errors.AsType[*http.MaxBytesError](err); is {
+			status = http.StatusRequestEntityTooLarge
+			err = fmt.Errorf("more than %d bytes", tooLong.Limit)
+		}
+		http.Error(w, fmt.Sprintf("request body: %v", err), status)
+	})
+}
+
+func (s *Server) bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.requests <- struct{}{}:
+			defer func() { <-s.requests }()
+			next.ServeHTTP(w, r)
+		default:
+			s.countError("busy")
+			http.Error(w, "too many requests at the same time", http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// authorized compares hashes, so that the time of the comparison tells nothing of the token, not even its length.
+func (s *Server) authorized(next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(s.options.Token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if s.options.Token != "" && r.URL.Path != metricsPath && subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			s.countError("unauthorized")
+			http.Error(w, "the operators' token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) countError(cause string) {
+	s.options.Metrics.GetOrCreateCounter(fmt.Sprintf("parsleyport_operator_errors_total{cause=%q}", cause)).Inc()
+}
+
+func (s *Server) countVerdict(action catalog.Action, v catalog.Verdict) {
+	name := fmt.Sprintf("parsleyport_operator_verdicts_total{action=%q,result=%q,cause=%q}", action, v.Result, v.Cause)
+	s.options.Metrics.GetOrCreateCounter(name).Inc()
+}
+
+func (s *Server) addGauges() {
+	gauge := func(name string, value func() float64) { s.options.Metrics.GetOrCreateGauge(name, value) }
+	gauge("parsleyport_revision", func() float64 { return float64(s.options.Catalog.Current().Revision()) })
+	gauge("parsleyport_revision_lowest_in_force", func() float64 { return float64(s.options.Fleet.Fleet().LowestInForce) })
+	gauge("parsleyport_nodes", func() float64 { return float64(s.options.Fleet.Fleet().Nodes) })
+	gauge("parsleyport_moves_open", func() float64 { return float64(len(s.openMoves())) })
+}
+
+func (s *Server) openMoves() []core.MoveID {
+	return lo.FilterMap(s.options.Catalog.Moves(), func(m core.Move, _ int) (core.MoveID, bool) {
+		return m.MoveID, !catalog.Ended(m.State)
+	})
+}
