--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -1,7 +1,6 @@
 package backendhttp
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -126,7 +125,9 @@
 		return nil, core.OutcomeNotRun, refusalOf(x.ctx)
 	}
 	x.server.handed.Inc()
-	writer := bufio.NewWriter(x)
+	writer := x.conn.writer
+	writer.Reset(x)
+	defer writer.Reset(nil) // an idle connection keeps no call in memory
 	err := request.Write(writer)
 	if err == nil {
 		err = writer.Flush()
--- a/io/backendhttp/pool.go
+++ b/io/backendhttp/pool.go
@@ -21,6 +21,7 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	writer  *bufio.Writer
 	idle    time.Time
 }
 
@@ -61,6 +62,7 @@
 		Conn:    conn,
 		address: address,
 		reader:  bufio.NewReader(conn),
+		writer:  bufio.NewWriter(nil),
 	}, nil
 }
 
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -201,10 +202,19 @@
 	s.outcomes[core.OutcomeAnswered].Inc()
 }
 
+var chunks = sync.Pool{
+	New: func() any {
+		chunk := make([]byte, core.MaxChunkBytes)
+		return &chunk
+	},
+}
+
 // copyBody flushes after each chunk, since a streaming answer may pause; it says whether an error is the source's.
 func copyBody(w http.ResponseWriter, body io.Reader, recorder *recorder) (fromSource bool, err error) {
 	flusher, _ := w.(http.Flusher)
-	chunk := make([]byte, core.MaxChunkBytes)
+	buffer := chunks.Get().(*[]byte)
+	defer chunks.Put(buffer)
+	chunk := *buffer
 	for {
 		n, readErr := body.Read(chunk)
 		recorder.add(chunk[:n])
--- a/io/nodepeer/run.go
+++ b/io/nodepeer/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -89,8 +90,17 @@
 	c.streamBody(ctx, answer.Body)
 }
 
+var chunks = sync.Pool{
+	New: func() any {
+		chunk := make([]byte, core.MaxChunkBytes)
+		return &chunk
+	},
+}
+
 func (c *serverCall) streamBody(ctx context.Context, body io.Reader) {
-	chunk := make([]byte, core.MaxChunkBytes)
+	buffer := chunks.Get().(*[]byte)
+	defer chunks.Put(buffer)
+	chunk := *buffer
 	digest, length := xxhash.New(), int64(0)
 	for {
 		n, err := body.Read(chunk)
