rollout: continue after a leader change from the replicated share

Cause: a new judge asked again for the verdict that lets the share exceed the share at risk and expired a good move; and slow start held a last step beyond the deadline. Ruled out: lost evidence, the move's share above the share at risk shows that an earlier leader had the verdict.

--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -20,6 +20,7 @@
 	began         time.Time // of the first decision
 	baselineUntil time.Time
 	step          uint64
+	passedBefore  bool // under an earlier leader, as the replicated share shows
 	merge         *merge
 	routes        map[core.RouteName]*group
 	latency       map[core.RouteName]*[core.LatencyBuckets]float64 // of the old release
@@ -74,6 +75,7 @@
 		j.baselineUntil = now.Add(baselineTime)
 		j.merge.fresh = move.State == core.MoveProposed
 		j.step = move.Step
+		j.passedBefore = move.Share > risk(move)
 	}
 	if j.step != move.Step {
 		j.step = move.Step
--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -77,7 +77,7 @@
 // target returns the next share, and the reason if it may not be given now.
 func (j *Judge) target(now time.Time, move core.Move) (core.PerMille, string) {
 	target := nextShare(move.Share)
-	if j.fleet.warming(now) {
+	if j.fleet.warming(now) && now.Before(move.SteppedAt.Add(dwell(move)+slowStart)) {
 		return target, "backend servers of the new release are in slow start"
 	}
 	if capacity := j.fleet.capacity(); target > capacity {
@@ -98,6 +98,9 @@
 
 // passes reports whether the evidence passes in total and on each route that carries enough traffic.
 func (j *Judge) passes(now time.Time, move core.Move) bool {
+	if j.passedBefore {
+		return true
+	}
 	_, unjudged, _ := j.judged(now, move)
 	return len(unjudged) == 0 && j.all.passesMove(!j.fleet.exhausted())
 }
