Add the operators' commands to io/cli

All files of one apply are parsed and checked before the first is sent, and options.go checks every option before anything is dialled. The process commands are registered only when their run function is set.

A derived submission id depends on the content only, so running the same command again after an unknown outcome gets the first verdict.

Record files with a key that occurs twice are refused: encoding/json keeps the last value, and a second list of records would replace the first one without a message.

--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -1,11 +1,20 @@
 package cli
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
-	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"parsleyport/io/operatorhttp"
+	"parsleyport/io/settings"
 )
 
 // Exit statuses of the program.
@@ -16,23 +25,108 @@
 	StatusUnknown = 3
 )
 
+// The functions of the process commands; a command is registered only if its function is set. They return once the
+// context has ended and everything is stopped.
+var (
+	runControl func(context.Context, settings.Control, zerolog.Logger) error
+	runNode    func(context.Context, settings.Node, zerolog.Logger) error
+)
+
+// program is one run of the command line.
+type program struct {
+	stdout io.Writer
+	stderr io.Writer
+}
+
 // Run executes one command line and returns the exit status.
 func Run(args []string, stdout, stderr io.Writer) int {
-	app := kingpin.New("parsleyport", "Configuration distribution for a service mesh.")
-	app.UsageWriter(stderr).ErrorWriter(stderr).Terminate(nil)
-	version := app.Command("version", "Print the version from the build information.")
-
-	command, err := app.Parse(args)
+	p := &program{
+		stdout: stdout,
+		stderr: stderr,
+	}
+	o, err := parseOptions(args, time.Now(), stdout)
+	if errors.Is(err, errHelp) {
+		return StatusOK
+	}
 	if err != nil {
-		fmt.Fprintf(stderr, "parsleyport: %v\n", err)
-		return StatusUsage
+		return p.fail(StatusUsage, err)
 	}
-	if command == version.FullCommand() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	switch o.command {
+	case commandVersion:
 		fmt.Fprintln(stdout, buildVersion())
+		return StatusOK
+	case commandCheck:
+		return p.check(o)
+	case commandControl:
+		return p.control(ctx, o)
+	case commandNode:
+		return p.node(ctx, o)
+	}
+	return p.operator(ctx, o)
+}
+
+func (p *program) operator(ctx context.Context, o options) int {
+	client := operatorhttp.NewClient(operatorhttp.ClientOptions{
+		Servers: o.servers,
+		Token:   o.token,
+	})
+	defer client.Close()
+	switch o.command {
+	case commandApply:
+		return p.apply(ctx, o, client)
+	case commandMove:
+		return p.move(ctx, o, client)
+	case commandMoves:
+		return p.moves(ctx, o, client)
+	case commandAbort:
+		return p.abort(ctx, o, client)
+	case commandStatus:
+		return p.status(ctx, o, client)
+	case commandAudit:
+		return p.audit(ctx, o, client)
+	}
+	return p.fail(StatusUsage, errors.Errorf("command %q does not exist", o.command))
+}
+
+func (p *program) control(ctx context.Context, o options) int {
+	loaded, err := settings.LoadControl(o.settings)
+	if err != nil {
+		return p.fail(StatusUsage, err)
+	}
+	if err := runControl(ctx, loaded, p.logger(loaded.LogLevel)); err != nil {
+		return p.fail(StatusRefused, err)
+	}
+	return StatusOK
+}
+
+func (p *program) node(ctx context.Context, o options) int {
+	loaded, err := settings.LoadNode(o.settings)
+	if err != nil {
+		return p.fail(StatusUsage, err)
+	}
+	if err := runNode(ctx, loaded, p.logger(loaded.LogLevel)); err != nil {
+		return p.fail(StatusRefused, err)
 	}
 	return StatusOK
 }
 
+func (p *program) logger(level zerolog.Level) zerolog.Logger {
+	return zerolog.New(p.stderr).Level(level).With().Timestamp().Logger()
+}
+
+func (p *program) fail(status int, err error) int {
+	fmt.Fprintf(p.stderr, "parsleyport: %v\n", err)
+	return status
+}
+
+func (p *program) printJSON(value any) {
+	encoder := json.NewEncoder(p.stdout)
+	encoder.SetEscapeHTML(false)
+	_ = encoder.Encode(value) // a broken standard output has no other place to be reported
+}
+
 func buildVersion() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
--- /dev/null
+++ b/io/cli/cli_test.go
@@ -0,0 +1,289 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+	"parsleyport/io/operatorhttp"
+	"parsleyport/io/settings"
+)
+
+// fakeReplicator applies proposals at once, and takes the next of the steps at each confirmed read.
+type fakeReplicator struct {
+	catalog *catalog.Catalog
+	index   core.LogIndex
+	steps   []core.MoveState
+	step    uint64
+	err     error
+}
+
+func (f *fakeReplicator) Propose(_ context.Context, command []byte) ([]byte, error) {
+	f.index++
+	return f.catalog.Apply(f.index, command), f.err
+}
+
+func (f *fakeReplicator) ConfirmRead(ctx context.Context) error {
+	if len(f.steps) == 0 {
+		return nil
+	}
+	f.step++
+	command, err := catalog.EncodeStep(core.MoveStep{
+		MoveID: "m1",
+		Step:   f.step,
+		State:  f.steps[0],
+		Share:  5,
+	})
+	f.steps = f.steps[1:]
+	_, _ = f.Propose(ctx, command)
+	return err
+}
+
+func (f *fakeReplicator) Status() core.ReplicatorStatus { return core.ReplicatorStatus{} }
+
+func (f *fakeReplicator) Fleet() operatorhttp.FleetStatus { return operatorhttp.FleetStatus{} }
+
+const records = `{
+  // Everything that one service needs.
+  "operator": "amina",
+  "records": [
+    {"kind": "service", "name": "orders", "schema-version": 1, "version": 1, "body": {"tenant": "a"}},
+    {"kind": "upstream", "name": "v1", "schema-version": 1, "version": 1, "body": {"service": "orders", "release": "r1", "slots": 9}},
+    {"kind": "upstream", "name": "v2", "schema-version": 1, "version": 1, "body": {"service": "orders", "release": "r2", "slots": 9}},
+    {"kind": "policy", "name": "orders", "schema-version": 1, "version": 1, "body": {"service": "orders", "weights": [{"upstream": "v1", "per-mille": 1000}]}},
+  ],
+}`
+
+const node = `{"id": "n1", "data-centre": "a", "caller-address": "127.0.0.1:1", "peer-address": "127.0.0.1:2", "relay-address": "127.0.0.1:3",
+"backend-address": "127.0.0.1:4", "admin-address": "127.0.0.1:5", "control-addresses": ["127.0.0.1:6"]}`
+
+type fixture struct {
+	c          *qt.C
+	replicator *fakeReplicator
+	folder     string
+}
+
+func newFixture(t *testing.T) fixture {
+	c := qt.New(t)
+	f := fixture{
+		c: c,
+		replicator: &fakeReplicator{
+			catalog: catalog.New(),
+		},
+		folder: c.TempDir(),
+	}
+	server, stop, err := operatorhttp.New(operatorhttp.Options{
+		Listen:     "127.0.0.1:0",
+		Replicator: f.replicator,
+		Catalog:    f.replicator.catalog,
+		Fleet:      f.replicator,
+		Log:        zerolog.Nop(),
+		Metrics:    metrics.NewSet(),
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	c.Setenv(serversVariable, server.Address())
+	c.Setenv(operatorVariable, "")
+	return f
+}
+
+func (f fixture) file(name, content string) string {
+	path := filepath.Join(f.folder, name)
+	f.c.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil)
+	return path
+}
+
+// run checks the exit status and returns both outputs.
+func (f fixture) run(want int, args ...string) string {
+	f.c.Helper()
+	var stdout, stderr bytes.Buffer
+	status := Run(args, &stdout, &stderr)
+	f.c.Assert(status, qt.Equals, want, qt.Commentf("%v: %s%s", args, &stdout, &stderr))
+	return stdout.String() + stderr.String()
+}
+
+// Guards against an exit status that misleads a script: refused for unknown, or success for a wrong option.
+func TestExitStatuses(t *testing.T) {
+	f := newFixture(t)
+	good := f.file("good.jsonc", records)
+	equal := f.file("equal.jsonc", strings.Replace(records, `"tenant": "a"`, `"tenant": "b"`, 1))
+	f.c.Assert(f.run(StatusOK, "apply", good), qt.Contains, "accepted, revision 1, submission content-")
+	f.c.Assert(f.run(StatusOK, "apply", "--submission-id", "x", good), qt.Contains, "unchanged")
+	f.c.Assert(f.run(StatusRefused, "apply", equal), qt.Matches, `(?s)refused \(equal-version\): .* by amina won, content hash .*another --submission-id.*`)
+	f.run(StatusOK, "version")
+	f.run(StatusOK, "--help")
+	f.run(StatusOK, "audit", "--limit", "5")
+	f.run(StatusOK, "status")
+	f.run(StatusRefused, "abort", "--operator", "amina", "m7")
+	f.run(StatusRefused, "moves", "m7")
+
+	move := func(last ...string) []string {
+		return append([]string{"move", "--operator", "amina", "--service", "orders", "--from", "v1", "--to", "v2"}, last...)
+	}
+	missing := filepath.Join(f.folder, "missing")
+	nobody := f.file("nobody.jsonc", strings.Replace(records, `"operator": "amina",`, "", 1))
+	for _, test := range []struct {
+		want string
+		args []string
+	}{
+		{"a command is needed", nil},
+		{"expected command", []string{"fly"}},
+		{"expected command", []string{"control", "--settings", good}},
+		{"required argument 'file'", []string{"apply"}},
+		{`server is "localhost:1"`, []string{"apply", "--server", "localhost:1", good}},
+		{"--timeout is 0s", []string{"apply", "--timeout", "0s", good}},
+		{"unknown long flag", []string{"apply", "--colour", good}},
+		{"cut.jsonc:6: ", []string{"apply", f.file("cut.jsonc", records[:200])}},
+		{"no such file", []string{"apply", missing}},
+		{"--submission-id fits one file", []string{"apply", "--submission-id", "x", good, equal}},
+		{"operator is missing", []string{"apply", nobody}},
+		{"--operator or PARSLEYPORT_OPERATOR is needed", []string{"abort", "m1"}},
+		{"must be one of text,json", []string{"status", "--output", "xml"}},
+		{"token file", []string{"status", "--token-file", missing}},
+		{"--limit is 0", []string{"audit", "--limit", "0"}},
+		{`--since is "noon"`, []string{"audit", "--since", "noon"}},
+		{`--by is "noon"`, move("--by", "noon")},
+		{`expected a time in the future`, move("--by=-1m")},
+		{`--max-risk is 1001`, move("--by", "10m", "--max-risk", "1001")},
+	} {
+		f.c.Assert(f.run(StatusUsage, test.args...), qt.Contains, test.want)
+	}
+
+	f.replicator.err = core.ErrOutcomeUnknown
+	f.run(StatusUnknown, "apply", "--timeout", "300ms", "--submission-id", "y", good)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(listener.Close(), qt.IsNil)
+	f.run(StatusUnknown, "status", "--timeout", "300ms", "--server", listener.Addr().String())
+	f.c.Setenv(serversVariable, "")
+	f.c.Assert(f.run(StatusUsage, "status"), qt.Contains, "--server or PARSLEYPORT_SERVERS is needed")
+}
+
+// Guards against a file that is sent although a later one is malformed, and against sending on after a refusal.
+func TestApplyStopsAtTheFirstFault(t *testing.T) {
+	f := newFixture(t)
+	good := f.file("good.jsonc", records)
+	equal := f.file("equal.jsonc", strings.Replace(records, `"tenant": "a"`, `"tenant": "b"`, 1))
+	later := f.file("later.jsonc", `{"operator": "a", "records": [{"kind": "service", "name": "x", "schema-version": 1, "version": 1, "body": {"tenant": "a"}}]}`)
+	f.run(StatusUsage, "apply", good, f.file("bad.jsonc", "{}"))
+	f.c.Assert(f.replicator.index, qt.Equals, core.LogIndex(0))
+	f.run(StatusRefused, "apply", good, equal, later)
+	f.c.Assert(f.replicator.index, qt.Equals, core.LogIndex(2))
+}
+
+// Guards against a resend of one file that counts as another submission, and against one id for two contents.
+func TestDerivedSubmissionID(t *testing.T) {
+	f := newFixture(t)
+	load := func(content, operator string) core.SubmissionID {
+		submission, derived, err := loadSubmission(f.file("records.jsonc", content), options{
+			operator: core.Operator(operator),
+		})
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(derived, qt.IsTrue)
+		return submission.ID
+	}
+	f.c.Assert(load(records, ""), qt.Equals, load(strings.ReplaceAll(records, "  ", "\t"), ""))
+	f.c.Assert(load(records, ""), qt.Not(qt.Equals), load(records, "lars"))
+	f.c.Assert(load(records, ""), qt.Not(qt.Equals), load(strings.Replace(records, `"slots": 9`, `"slots": 8`, 1), ""))
+}
+
+// Guards against a script that takes a move for done while it is open or after it was taken back.
+func TestWaitForMoves(t *testing.T) {
+	for end, want := range map[core.MoveState]int{
+		core.MoveDone:      StatusOK,
+		core.MoveTakenBack: StatusRefused,
+		core.MoveExpired:   StatusRefused,
+	} {
+		f := newFixture(t)
+		f.run(StatusOK, "apply", f.file("records.jsonc", records))
+		f.run(StatusOK, "move", "--operator", "amina", "--service", "orders", "--from", "v1", "--to", "v2", "--by", "10m")
+		f.replicator.steps = []core.MoveState{core.MoveProbing, end}
+		output := f.run(want, "moves", "--wait", "--output", "json")
+		var moves []core.Move
+		f.c.Assert(json.Unmarshal([]byte(output), &moves), qt.IsNil)
+		f.c.Assert(moves[0].State, qt.Equals, end)
+		f.run(StatusOK, "moves")
+		f.run(want, "moves", "--wait", "m1")
+	}
+}
+
+// Guards against a check that passes a faulty file or hides all faults behind the first one.
+func TestCheck(t *testing.T) {
+	f := newFixture(t)
+	good, goodNode := f.file("good.jsonc", records), f.file("node.jsonc", node)
+	f.run(StatusOK, "check", "--complete", good, goodNode)
+	f.run(StatusUsage, "check", "--as", "node", good)
+	route := `{"records": [{"kind": "route", "name": "read", "schema-version": 1, "version": 1, "body": {"path-prefix": "/", "service": "none", "timeout-ms": 1}}]}`
+	f.run(StatusOK, "check", f.file("route.jsonc", route))
+	f.c.Assert(f.run(StatusUsage, "check", "--complete", good, f.file("route.jsonc", route)), qt.Contains, `refers to service "none"`)
+
+	bad := f.file("bad.jsonc", strings.NewReplacer(`"tenant": "a"`, `"colour": 1`, `"slots": 9`, `"slots": 0`).Replace(records))
+	output := f.run(StatusUsage, "check", bad, f.file("node.jsonc", strings.Replace(node, "127.0.0.1:6", "x", 1)))
+	f.c.Assert(output, qt.Matches, `(?s).*bad.jsonc:5: service record.*bad.jsonc:6: upstream.*bad.jsonc:7: .*node.jsonc:2: control-addresses\[0\].*`)
+	f.c.Assert(f.run(StatusUsage, "check", f.file("twice.jsonc", strings.Replace(records, "],\n}", `], "records": [],}`, 1))), qt.Matches, `.*twice.jsonc:9: key "records" is there twice\n`)
+	f.c.Assert(f.run(StatusUsage, "check", f.file("cut.jsonc", records[:300])), qt.Matches, `.*cut.jsonc:6: .*\n`)
+	f.c.Assert(f.run(StatusUsage, "check", f.file("type.jsonc", strings.Replace(records, `"version": 1`, `"version": "1"`, 1))), qt.Matches, `.*type.jsonc:5: .*\n`)
+	var result checked
+	f.c.Assert(json.Unmarshal([]byte(f.run(StatusUsage, "check", "--output", "json", bad)), &result), qt.IsNil)
+	f.c.Assert(result.Faults, qt.HasLen, 3)
+}
+
+// Guards against a process command that is offered but cannot run, and against settings faults that reach the process.
+func TestProcessCommands(t *testing.T) {
+	f := newFixture(t)
+	path := f.file("node.jsonc", node)
+	f.c.Patch(&runNode, nil)
+	f.c.Assert(f.run(StatusUsage, "node", "--settings", path), qt.Contains, "expected command")
+
+	var started []core.NodeID
+	f.c.Patch(&runNode, func(_ context.Context, loaded settings.Node, _ zerolog.Logger) error {
+		started = append(started, loaded.ID)
+		return errors.New("port in use")
+	})
+	f.c.Assert(f.run(StatusRefused, "node", "--settings", path), qt.Contains, "port in use")
+	f.run(StatusUsage, "node", "--settings", f.file("bad.jsonc", "{}"))
+	f.c.Assert(started, qt.DeepEquals, []core.NodeID{"n1"})
+}
+
+// Guards against help that does not show how a command is used.
+func TestHelpHasAnExampleOfEachCommand(t *testing.T) {
+	f := newFixture(t)
+	f.c.Patch(&runNode, func(context.Context, settings.Node, zerolog.Logger) error { return nil })
+	f.c.Patch(&runControl, func(context.Context, settings.Control, zerolog.Logger) error { return nil })
+	for _, command := range []string{commandControl, commandNode, commandApply, commandMove, commandMoves, commandAbort, commandStatus, commandAudit, commandCheck, commandVersion} {
+		f.c.Assert(f.run(StatusOK, command, "--help"), qt.Contains, "Example: parsleyport "+command)
+	}
+}
+
+func FuzzParseRecords(f *testing.F) {
+	f.Add([]byte(records))
+	f.Add([]byte(`{"records": [{"kind": "service", "body": {"tenant": }}]}`))
+	f.Add([]byte(`{"deletes": [{"kind": "route", "name": "a", "schema-version": 1, "version": 2}], "records": null,}`))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		submission, err := parseRecords("f", source)
+		if faults, is := errors.AsType[fileError](err); err != nil && (!is || len(faults) == 0) {
+			t.Fatalf("error without faults: %v", err)
+		}
+		if err != nil {
+			return
+		}
+		submission.ID, submission.Operator = "a", "b"
+		if _, err := catalog.EncodeSubmit(time.Unix(0, 0), 1, submission); err != nil && !errors.Is(err, catalog.ErrMalformed) {
+			t.Fatal(fmt.Errorf("unexpected error: %w", err))
+		}
+	})
+}
--- /dev/null
+++ b/io/cli/options.go
@@ -0,0 +1,284 @@
+package cli
+
+import (
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+	"parsleyport/io/operatorhttp"
+)
+
+// Environment variables that stand in for options.
+const (
+	serversVariable  = "PARSLEYPORT_SERVERS"
+	operatorVariable = "PARSLEYPORT_OPERATOR"
+)
+
+const (
+	defaultTimeout = 30 * time.Second
+	maxAuditLimit  = 10_000
+)
+
+// Names of the commands.
+const (
+	commandControl = "control"
+	commandNode    = "node"
+	commandApply   = "apply"
+	commandMove    = "move"
+	commandMoves   = "moves"
+	commandAbort   = "abort"
+	commandStatus  = "status"
+	commandAudit   = "audit"
+	commandCheck   = "check"
+	commandVersion = "version"
+)
+
+// options holds every option and argument of all commands, checked.
+type options struct {
+	command      string
+	settings     string
+	files        []string
+	servers      []string
+	tokenFile    string
+	token        string
+	timeout      time.Duration // how long one request is repeated until it has an answer
+	json         bool
+	operator     core.Operator
+	submissionID core.SubmissionID
+	service      core.ServiceName
+	from         core.UpstreamName
+	to           core.UpstreamName
+	by           time.Time
+	maxRisk      core.PerMille
+	moveID       core.MoveID
+	wait         bool
+	since        time.Time
+	limit        int
+	as           string
+	complete     bool
+}
+
+// raw holds what needs more than kingpin's own checks.
+type raw struct {
+	options
+	output  string
+	by      string
+	since   string
+	maxRisk uint32
+}
+
+// errHelp means that help was asked for and has been printed.
+const errHelp = errors.ConstError("help was printed")
+
+// parseOptions returns checked options, errHelp, or an error that describes the wrong option; now is the start of --by.
+func parseOptions(args []string, now time.Time, usage io.Writer) (options, error) {
+	if len(args) == 0 {
+		return options{}, errors.New("a command is needed; parsleyport --help lists them")
+	}
+	app := kingpin.New("parsleyport", "Configuration distribution for a service mesh.\n\nExit status: 0 success, 1 refused or failed, 2 wrong usage or settings, 3 unreachable or outcome unknown.")
+	helped := false
+	app.UsageWriter(usage).Terminate(func(int) { helped = true })
+	app.HelpFlag.Short('h')
+	var r raw
+	addProcessCommands(app, &r)
+	addSubmissionCommands(app, &r)
+	addReadCommands(app, &r)
+	addOfflineCommands(app, &r)
+	command, err := app.Parse(args)
+	if helped {
+		return options{}, errHelp
+	}
+	if err != nil {
+		return options{}, err
+	}
+	r.command = command
+	return r.check(now)
+}
+
+// addProcessCommands leaves out a process that this program cannot run.
+func addProcessCommands(app *kingpin.Application, r *raw) {
+	if runControl != nil {
+		control := app.Command(commandControl, "Run a control instance.\n\nExample: parsleyport control --settings c1.jsonc")
+		control.Flag("settings", "Settings file, JSON with comments.").Required().StringVar(&r.settings)
+	}
+	if runNode != nil {
+		node := app.Command(commandNode, "Run a node beside a backend server.\n\nExample: parsleyport node --settings n1.jsonc")
+		node.Flag("settings", "Settings file, JSON with comments.").Required().StringVar(&r.settings)
+	}
+}
+
+func addSubmissionCommands(app *kingpin.Application, r *raw) {
+	apply := app.Command(commandApply, "Submit record files, each as one submission, up to the first that is refused.\n\nExample: parsleyport apply --server 127.0.0.1:7101 orders.jsonc")
+	apply.Arg("file", "Record file, JSON with comments.").Required().StringsVar(&r.files)
+	addOperator(apply, r)
+
+	move := app.Command(commandMove, "Move a service's traffic from one upstream to another.\n\nExample: parsleyport move --server 127.0.0.1:7101 --operator amina --service orders --from orders-v1 --to orders-v2 --by 10m")
+	move.Flag("service", "Service whose traffic moves.").Required().StringVar((*string)(&r.service))
+	move.Flag("from", "Upstream that has the traffic.").Required().StringVar((*string)(&r.from))
+	move.Flag("to", "Upstream that gets the traffic.").Required().StringVar((*string)(&r.to))
+	move.Flag("by", "Time by which traffic must have moved: 2026-12-04T10:00:00Z, or from now: 10m.").Required().StringVar(&r.by)
+	move.Flag("max-risk", "Largest share at risk, per mille; 0 for no limit.").Uint32Var(&r.maxRisk)
+	move.Flag("wait", "Wait until the move has ended; exit status 1 unless it is done.").BoolVar(&r.wait)
+	addOperator(move, r)
+
+	abort := app.Command(commandAbort, "Take an open move back.\n\nExample: parsleyport abort --server 127.0.0.1:7101 --operator amina m3")
+	abort.Arg("move-id", "Move to take back.").Required().StringVar((*string)(&r.moveID))
+	addOperator(abort, r)
+
+	for _, command := range []*kingpin.CmdClause{apply, move, abort} {
+		addRemote(command, r)
+	}
+}
+
+func addReadCommands(app *kingpin.Application, r *raw) {
+	moves := app.Command(commandMoves, "List moves.\n\nExample: parsleyport moves --server 127.0.0.1:7101 --wait m3")
+	moves.Arg("move-id", "Only this move.").StringVar((*string)(&r.moveID))
+	moves.Flag("wait", "Wait until the open moves have ended; exit status 1 unless all of them are done.").BoolVar(&r.wait)
+
+	status := app.Command(commandStatus, "Show accepted and in-force revisions, nodes and control instances.\n\nExample: parsleyport status --server 127.0.0.1:7101 --output json")
+
+	audit := app.Command(commandAudit, "Show the latest entries of the audit trail.\n\nExample: parsleyport audit --server 127.0.0.1:7101 --operator amina --limit 20")
+	audit.Flag("operator", "Only this operator's entries.").StringVar((*string)(&r.operator))
+	audit.Flag("submission-id", "Only entries of this submission.").StringVar((*string)(&r.submissionID))
+	audit.Flag("move", "Only entries of this move.").StringVar((*string)(&r.moveID))
+	audit.Flag("since", "Only entries from this time on, such as 2026-12-04T10:00:00Z.").StringVar(&r.since)
+	audit.Flag("limit", "Number of entries, from 1 to 10000.").Default("100").IntVar(&r.limit)
+
+	for _, command := range []*kingpin.CmdClause{moves, status, audit} {
+		addRemote(command, r)
+	}
+}
+
+func addOfflineCommands(app *kingpin.Application, r *raw) {
+	check := app.Command(commandCheck, "Check settings and record files without a control instance.\n\nExample: parsleyport check c1.jsonc n1.jsonc orders.jsonc")
+	check.Arg("file", "Settings or record file, JSON with comments.").Required().StringsVar(&r.files)
+	check.Flag("as", "Kind of the files; auto goes by their keys.").Default(kindAuto).EnumVar(&r.as, kindAuto, kindControl, kindNode, kindRecords)
+	check.Flag("complete", "The record files together are all records: check the references between them too.").BoolVar(&r.complete)
+	addOutput(check, r)
+
+	app.Command(commandVersion, "Print the version from the build information.\n\nExample: parsleyport version")
+}
+
+func addOperator(command *kingpin.CmdClause, r *raw) {
+	command.Flag("operator", "Who submits; "+operatorVariable+" and a record file may name the operator as well.").StringVar((*string)(&r.operator))
+	command.Flag("submission-id", "Id that makes a resend harmless; derived from the content if there is none.").StringVar((*string)(&r.submissionID))
+}
+
+func addRemote(command *kingpin.CmdClause, r *raw) {
+	command.Flag("server", "Operator address of a control instance; may be repeated. Otherwise "+serversVariable+", separated by commas.").StringsVar(&r.servers)
+	command.Flag("token-file", "File with the operators' token.").StringVar(&r.tokenFile)
+	command.Flag("timeout", "How long a request is repeated until it has an answer.").Default(defaultTimeout.String()).DurationVar(&r.timeout)
+	addOutput(command, r)
+}
+
+func addOutput(command *kingpin.CmdClause, r *raw) {
+	command.Flag("output", "Output format: text or json.").Default("text").EnumVar(&r.output, "text", "json")
+}
+
+func (r raw) check(now time.Time) (options, error) {
+	o := r.options
+	o.json = r.output == "json"
+	switch o.command {
+	case commandApply, commandMove, commandAbort:
+		if o.operator == "" {
+			o.operator = core.Operator(os.Getenv(operatorVariable))
+		}
+	case commandMoves, commandStatus, commandAudit:
+	default:
+		return o, nil
+	}
+	for _, check := range []func(*options, time.Time) error{r.checkServers, r.checkSender, r.checkMove, r.checkAudit} {
+		if err := check(&o, now); err != nil {
+			return options{}, err
+		}
+	}
+	return o, nil
+}
+
+func (r raw) checkServers(o *options, _ time.Time) error {
+	if len(o.servers) == 0 {
+		o.servers = strings.FieldsFunc(os.Getenv(serversVariable), func(c rune) bool { return c == ',' || c == ' ' || c == '\n' })
+	}
+	if len(o.servers) == 0 {
+		return errors.Errorf("--server or %s is needed", serversVariable)
+	}
+	for _, server := range o.servers {
+		if _, err := netip.ParseAddrPort(server); err != nil {
+			return errors.Errorf("server is %q, expected IP number and port such as 127.0.0.1:7101", server)
+		}
+	}
+	if o.timeout <= 0 {
+		return errors.Errorf("--timeout is %s, expected more than 0", o.timeout)
+	}
+	token, err := operatorhttp.ReadToken(o.tokenFile)
+	o.token = token
+	return err
+}
+
+func (r raw) checkSender(o *options, _ time.Time) error {
+	switch o.command {
+	case commandMove, commandAbort:
+		if o.operator == "" {
+			return errors.Errorf("--operator or %s is needed", operatorVariable)
+		}
+	case commandApply:
+		if o.submissionID != "" && len(o.files) > 1 {
+			return errors.Errorf("--submission-id fits one file, but %d are given", len(o.files))
+		}
+	}
+	return nil
+}
+
+func (r raw) checkMove(o *options, now time.Time) error {
+	if o.command != commandMove {
+		return nil
+	}
+	if r.maxRisk > uint32(core.FullShare) {
+		return errors.Errorf("--max-risk is %d, expected 0 to %d per mille", r.maxRisk, core.FullShare)
+	}
+	o.maxRisk = core.PerMille(r.maxRisk)
+	if period, err := time.ParseDuration(r.by); err == nil {
+		o.by = now.Add(period)
+	} else if o.by, err = time.Parse(time.RFC3339, r.by); err != nil {
+		return errors.Errorf("--by is %q, expected a time such as 2026-12-04T10:00:00Z or a period such as 10m", r.by)
+	}
+	if !o.by.After(now) {
+		return errors.Errorf("--by is %q, expected a time in the future", r.by)
+	}
+	return nil
+}
+
+func (r raw) checkAudit(o *options, _ time.Time) error {
+	if o.command != commandAudit {
+		return nil
+	}
+	if o.limit < 1 || o.limit > maxAuditLimit {
+		return errors.Errorf("--limit is %d, expected 1 to %d", o.limit, maxAuditLimit)
+	}
+	if r.since == "" {
+		return nil
+	}
+	since, err := time.Parse(time.RFC3339, r.since)
+	if err != nil {
+		return errors.Errorf("--since is %q, expected a time such as 2026-12-04T10:00:00Z", r.since)
+	}
+	o.since = since
+	return nil
+}
+
+func (o options) auditFilter() catalog.AuditFilter {
+	return catalog.AuditFilter{
+		Operator:   o.operator,
+		Submission: o.submissionID,
+		Move:       o.moveID,
+		Since:      o.since,
+		Limit:      o.limit,
+	}
+}
--- /dev/null
+++ b/io/cli/recordfile.go
@@ -0,0 +1,146 @@
+package cli
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/tailscale/hujson"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+	"parsleyport/core/record"
+)
+
+// fileFault is one fault of a record file.
+type fileFault struct {
+	File   string `json:"file"`
+	Line   int    `json:"line"`
+	Detail string `json:"detail"`
+}
+
+// fileError lists all faults of one record file.
+type fileError []fileFault
+
+// Error implements error with one line for each fault.
+func (e fileError) Error() string {
+	var text bytes.Buffer
+	for i, fault := range e {
+		if i > 0 {
+			text.WriteByte('\n')
+		}
+		fmt.Fprintf(&text, "%s:%d: %s", fault.File, fault.Line, fault.Detail)
+	}
+	return text.String()
+}
+
+func oneFault(file string, line int, detail string) fileError {
+	return fileError{{
+		File:   file,
+		Line:   line,
+		Detail: detail,
+	}}
+}
+
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer file.Close()
+	source, err := io.ReadAll(io.LimitReader(file, catalog.MaxCommandBytes+1))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(source) > catalog.MaxCommandBytes {
+		return nil, errors.Errorf("%s: more than %d bytes", path, catalog.MaxCommandBytes)
+	}
+	return source, nil
+}
+
+// parseRecords reads a record file and checks each record by itself; it returns a fileError with all faults.
+func parseRecords(file string, source []byte) (core.Submission, error) {
+	value, err := hujson.Parse(source)
+	if err != nil {
+		line := 1
+		_, _ = fmt.Sscanf(err.Error(), "hujson: line %d,", &line) // the first line if the parser names none
+		return core.Submission{}, oneFault(file, line, err.Error())
+	}
+	if faults := repeatedKeys(file, source, value); len(faults) > 0 {
+		return core.Submission{}, faults
+	}
+	standard := value.Clone()
+	standard.Standardize() // keeps all offsets
+	decoder := json.NewDecoder(bytes.NewReader(standard.Pack()))
+	decoder.DisallowUnknownFields()
+	var submission core.Submission
+	if err := decoder.Decode(&submission); err != nil {
+		return core.Submission{}, oneFault(file, lineAt(source, errorOffset(decoder, err)), err.Error())
+	}
+	var faults fileError
+	for i, r := range submission.Records {
+		if err := record.CheckRecord(r); err != nil {
+			line := 1
+			if at := value.Find(fmt.Sprintf("/records/%d", i)); at != nil {
+				line = lineAt(source, int64(at.StartOffset))
+			}
+			faults = append(faults, oneFault(file, line, err.Error())...)
+		}
+	}
+	if len(faults) == 0 && len(submission.Records)+len(submission.Deletes) == 0 {
+		faults = oneFault(file, 1, "records or deletes are needed")
+	}
+	if len(faults) > 0 {
+		return core.Submission{}, faults
+	}
+	return submission, nil
+}
+
+// repeatedKeys lists keys that an object has twice; encoding/json would silently drop the first value.
+func repeatedKeys(file string, source []byte, value hujson.Value) (faults fileError) {
+	for each := range value.All() {
+		object, isObject := each.Value.(*hujson.Object)
+		if !isObject {
+			continue
+		}
+		seen := make(map[string]bool, len(object.Members))
+		for _, member := range object.Members {
+			key := member.Name.Value.(hujson.Literal).String()
+			if seen[key] {
+				line := lineAt(source, int64(member.Name.StartOffset))
+				faults = append(faults, oneFault(file, line, fmt.Sprintf("key %q is there twice", key))...)
+			}
+			seen[key] = true
+		}
+	}
+	return faults
+}
+
+func errorOffset(decoder *json.Decoder, err error) int64 {
+	if wrong, is := errors.AsType[*json.UnmarshalTypeError](err); is {
+		return wrong.Offset
+	}
+	if wrong, is := errors.AsType[*json.SyntaxError](err); is {
+		return wrong.Offset
+	}
+	return decoder.InputOffset()
+}
+
+func lineAt(source []byte, offset int64) int {
+	return 1 + bytes.Count(source[:min(max(offset, 0), int64(len(source)))], []byte{'\n'})
+}
+
+// deriveID returns a submission id that is the same for the same content.
+func deriveID(content any) (core.SubmissionID, error) {
+	encoded, err := json.Marshal(content)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	sum := sha256.Sum256(encoded)
+	return core.SubmissionID("content-" + hex.EncodeToString(sum[:16])), nil
+}
