Answer a revocation truthfully while its queued call is being removed

A revocation that arrived after the backend had said not-run, but before the attempt was taken out of the server's table, was answered with "too late", and the caller got unknown instead of not-run.

Headers that concern one connection are removed in one place, in io/backendhttp.

--- a/io/backendhttp/backendhttp_test.go
+++ b/io/backendhttp/backendhttp_test.go
@@ -185,6 +185,29 @@
 	}
 }
 
+// Guards against a call that is written to a connection which the backend server is about to close.
+func TestClosingConnectionIsNotReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := start(t)
+		f.announce(time.Now(), ready("1"))
+		for closing, dials := range map[string]int{"": 1, "Connection: close\r\n": 2} {
+			f.backend.kill()
+			f.pool.prune(0)
+			f.backend.conns = nil
+			f.backend.respond = func(conn net.Conn, _ *http.Request) {
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n"+closing+"Content-Length: 2\r\n\r\nok")
+			}
+			for range 2 {
+				_, outcome, err := f.handle(c, callFor(""))
+				c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+				c.Assert(err, qt.IsNil)
+			}
+			c.Assert(f.backend.conns, qt.HasLen, dials)
+		}
+	})
+}
+
 // Guards against a queued call that runs after it was cancelled, revoked or late, and against one that is never run.
 func TestQueueRemovesCancelledCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -195,6 +218,7 @@
 			time.Sleep(800 * time.Millisecond) // two of them end before the deadline of 2 s
 			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		}
+		began := time.Now()
 		var calls sync.WaitGroup
 		calls.Go(func() {
 			_, outcome, _ := f.handle(c, callFor("running"))
@@ -206,6 +230,7 @@
 			_, outcome, err := f.Handle(ctx, callFor("cancelled"))
 			c.Check(outcome, qt.Equals, core.OutcomeNotRun)
 			c.Check(causeOf(err), qt.Equals, core.CauseRevoked)
+			c.Check(time.Since(began), qt.Equals, time.Duration(0))
 		})
 		late := callFor("late")
 		late.Deadline = time.Now().Add(500 * time.Millisecond)
@@ -213,6 +238,7 @@
 			_, outcome, err := f.handle(c, late)
 			c.Check(outcome, qt.Equals, core.OutcomeNotRun)
 			c.Check(causeOf(err), qt.Equals, core.CauseDeadline)
+			c.Check(time.Since(began), qt.Equals, 500*time.Millisecond)
 		})
 		synctest.Wait()
 		cancel()
--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/idempotency"
+	"parsleyport/core/record"
 	"parsleyport/core/retry"
 	"parsleyport/io/callerhttp"
 )
@@ -183,6 +185,53 @@
 	}
 }
 
+// Guards against a call that circles around a lone node which takes no calls.
+func TestLoneLeavingNodeIsAskedOnce(t *testing.T) {
+	c := qt.New(t)
+	e := newEntry(c, allV1, nil)
+	e.endpoints.endpoints = e.endpoints.endpoints[:1]
+	e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) { return notRun(core.CauseLeaving) }
+	response, _, err := e.send(c, "POST", "/orders")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(core.CauseLeaving))
+	c.Assert(e.forwarder.attempts(), qt.Equals, 1)
+}
+
+// swappedSource gives another configuration once it is swapped.
+type swappedSource struct {
+	fixedSource
+	next *record.Configuration
+	swap atomic.Bool
+}
+
+func (s *swappedSource) Current() *record.Configuration {
+	if s.swap.Load() {
+		return s.next
+	}
+	return s.configuration
+}
+
+// Guards against a call whose attempts follow two configurations.
+func TestCallKeepsItsConfiguration(t *testing.T) {
+	c := qt.New(t)
+	source := &swappedSource{fixedSource: fixedSource{configuration: configuration(c, allV1)}, next: record.Empty()}
+	e := newEntry(c, allV1, func(o *callerhttp.Options) { o.Source = source })
+	e.forwarder.forward = func(attempt int, _ core.Endpoint) (*core.Answer, core.Outcome, error) {
+		source.swap.Store(true)
+		if attempt == 1 {
+			return notRun(core.CauseConnectFailed)
+		}
+		return answer(200, strings.NewReader(""))
+	}
+	response, _, err := e.send(c, "POST", "/orders")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(response.Header.Get("Parsleyport-Revision"), qt.Equals, "7")
+	response, _, err = e.send(c, "POST", "/orders")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(core.CauseNoRoute))
+}
+
 // Guards against attempts that a failing service multiplies: the budget holds for the node as a whole.
 func TestBudgetHoldsForTheNode(t *testing.T) {
 	c := qt.New(t)
--- a/io/callerhttp/keyed.go
+++ b/io/callerhttp/keyed.go
@@ -63,7 +63,6 @@
 // replay answers a resend with the recorded answer of its first call.
 func (s *Server) replay(w http.ResponseWriter, recorded *idempotency.Recorded) {
 	s.outcomes[core.OutcomeAnswered].Inc()
-	removeHopHeaders(recorded.Header)
 	for name, values := range recorded.Header {
 		w.Header()[name] = values
 	}
--- a/io/callerhttp/keyed_test.go
+++ b/io/callerhttp/keyed_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"parsleyport/core"
+	"parsleyport/core/idempotency"
 	"parsleyport/io/callerhttp"
 	"parsleyport/io/nodepeer"
 )
@@ -129,10 +130,24 @@
 	}
 }
 
+// claimWatcher shows the context of the first claim, which ends when the entry node sees that the caller has gone.
+type claimWatcher struct {
+	callerhttp.KeyClaimer
+	claimed chan context.Context
+}
+
+func (w claimWatcher) Claim(ctx context.Context, call *core.Call) (idempotency.Verdict, *idempotency.Recorded) {
+	select {
+	case w.claimed <- ctx:
+	default:
+	}
+	return w.KeyClaimer.Claim(ctx, call)
+}
+
 // Guards against losing the answer of a keyed request whose caller went away while it ran.
 func TestKeyedCallOutlivesItsCaller(t *testing.T) {
 	c := qt.New(t)
-	begun, finish := make(chan struct{}), make(chan struct{})
+	begun, finish, claimed := make(chan struct{}), make(chan struct{}), make(chan context.Context, 1)
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(begun)
 		<-finish
@@ -147,7 +162,7 @@
 	started := time.Now()
 	e := newEntry(c, allV1, func(o *callerhttp.Options) {
 		o.Endpoints, o.Picker, o.Forwarder = endpoints, endpoints, dialer
-		o.Keys = claimsOf(c, dialer, endpoints, func(core.ServiceName) (time.Time, bool) { return started, true })
+		o.Keys = claimWatcher{KeyClaimer: claimsOf(c, dialer, endpoints, func(core.ServiceName) (time.Time, bool) { return started, true }), claimed: claimed}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+e.Address()+"/orders", strings.NewReader("body"))
@@ -158,6 +173,7 @@
 	<-begun
 	cancel()
 	c.Assert(<-gone, qt.IsNotNil)
+	<-(<-claimed).Done()
 	resent := make(chan string, 1)
 	go func() { _, body, _ := e.send(c, "POST", "/orders", "Idempotency-Key", "k"); resent <- body }()
 	close(finish)
--- a/io/callerhttp/path_test.go
+++ b/io/callerhttp/path_test.go
@@ -152,7 +152,7 @@
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
 		body, _ := io.ReadAll(r.Body)
-		for _, name := range []string{"Parsleyport-Call-Id", "Parsleyport-Deadline-Ms", "Parsleyport-Attempts", "Parsleyport-Depth"} {
+		for _, name := range []string{"Parsleyport-Call-Id", "Parsleyport-Deadline-Ms", "Parsleyport-Attempts", "Parsleyport-Depth", "X-Hop", "X-End"} {
 			w.Header().Set("Seen-"+name, r.Header.Get(name))
 		}
 		fmt.Fprintf(w, "%s %s %s|", r.Method, r.RequestURI, r.Host)
@@ -166,7 +166,10 @@
 	for i := range 60 {
 		callers.Go(func() {
 			sent := bytes.Repeat([]byte{byte('a' + i%26)}, i*i*300) // up to 1 MB, in one frame and in many
-			response, err := http.Post("http://"+entry.Address()+"/orders/a%2Fb?q="+fmt.Sprint(i), "text/plain", bytes.NewReader(sent))
+			request, err := http.NewRequest("POST", "http://"+entry.Address()+"/orders/a%2Fb?q="+fmt.Sprint(i), bytes.NewReader(sent))
+			c.Check(err, qt.IsNil)
+			request.Header = http.Header{"Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-End": {"2"}}
+			response, err := http.DefaultClient.Do(request)
 			c.Check(err, qt.IsNil)
 			got, err := io.ReadAll(response.Body)
 			response.Body.Close()
@@ -176,6 +179,7 @@
 			c.Check(response.Header.Get("Parsleyport-Outcome"), qt.Equals, "answered")
 			c.Check(response.Header.Get("Parsleyport-Release"), qt.Equals, "v1")
 			c.Check(response.Header.Get("Parsleyport-Revision"), qt.Equals, "7")
+			c.Check(response.Header.Get("Seen-X-Hop")+response.Header.Get("Seen-X-End"), qt.Equals, "2")
 			c.Check(response.Header.Get("Seen-Parsleyport-Depth"), qt.Equals, "1")
 			c.Check(response.Header.Get("Seen-Parsleyport-Attempts"), qt.Equals, "2")
 			c.Check(response.Header.Get("Seen-Parsleyport-Call-Id"), qt.HasLen, 32)
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -139,8 +138,6 @@
 	if tenant == "" {
 		tenant = service.Tenant
 	}
-	header := r.Header.Clone()
-	removeHopHeaders(header)
 	priority := route.Priority
 	if priority == 0 {
 		priority = service.Priority
@@ -154,7 +151,7 @@
 		Method:         r.Method,
 		Target:         r.URL.RequestURI(),
 		Host:           r.Host,
-		Header:         header,
+		Header:         r.Header.Clone(), // io/backendhttp removes what concerns one connection only
 		Idempotent:     route.Idempotent,
 		IdempotencyKey: core.IdempotencyKey(r.Header.Get(headerIdempotencyKey)),
 		Priority:       priority,
@@ -186,14 +183,3 @@
 	}
 	return body, nil
 }
-
-func removeHopHeaders(header http.Header) {
-	for _, list := range header["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"} {
-		header.Del(name)
-	}
-}
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -185,7 +185,6 @@
 func (s *Server) stream(ctx context.Context, w http.ResponseWriter, q *request, last result, recorder *recorder) {
 	defer last.answer.Body.Close()
 	header := w.Header()
-	removeHopHeaders(last.answer.Header)
 	for name, values := range last.answer.Header {
 		header[name] = values
 	}
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -119,6 +120,29 @@
 	}
 }
 
+// Guards against an answer that the backend server broke off and that passes for a whole one.
+func TestBrokenBodyIsAnError(t *testing.T) {
+	for _, stated := range []string{"", "9"} { // in several frames, and in one
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(t, 1)
+			b.backend.handle = func(context.Context, *core.Call) (*core.Answer, core.Outcome, error) {
+				answer := answerWith(nil)
+				answer.Header.Set("Content-Length", stated)
+				answer.Body = io.NopCloser(io.MultiReader(bytes.NewReader([]byte("part")), iotest.ErrReader(io.ErrUnexpectedEOF)))
+				return answer, core.OutcomeAnswered, nil
+			}
+			answer, outcome, err := b.forward(callFor("x", nil))
+			if outcome == core.OutcomeAnswered {
+				_, err = io.ReadAll(answer.Body)
+			} else {
+				c.Assert(outcome, qt.Equals, core.OutcomeUnknown)
+			}
+			c.Assert(err, qt.IsNotNil)
+		})
+	}
+}
+
 // Guards against waiting for the deadline on a connection that has gone silent, and against calling its queued calls
 // unknown or its running ones not run.
 func TestSilentConnectionIsReplaced(t *testing.T) {
@@ -156,6 +180,48 @@
 	}
 }
 
+// Guards against a revocation over an idle connection of the pool that has gone silent together with the lost one.
+func TestRevocationTakesANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 2)
+		b.backend.handle = queueUntilCancelled
+		var silent atomic.Bool
+		b.network.decide = func(number int, _ bool, _ frame.Type) action {
+			if number <= 2 && silent.Load() {
+				return swallow
+			}
+			return pass
+		}
+		var callers sync.WaitGroup
+		for i := range 2 { // the second call lets the pool grow
+			callers.Go(func() {
+				_, outcome, err := b.forward(callFor(fmt.Sprint(i), nil))
+				c.Check(outcome, qt.Equals, core.OutcomeNotRun, qt.Commentf("error %v", err))
+			})
+			synctest.Wait()
+		}
+		c.Assert(b.network.dials, qt.Equals, 2)
+		silent.Store(true)
+		callers.Wait()
+	})
+}
+
+// Guards against a queued call that runs after its connection was lost, for a caller that no longer listens.
+func TestLostConnectionEmptiesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.backend.handle = queueUntilCancelled
+		go func() { _, _, _ = b.forward(callFor("x", nil)) }()
+		synctest.Wait()
+		c.Assert(b.server.calls, qt.HasLen, 1)
+		b.dialer.close()
+		synctest.Wait()
+		c.Assert(b.server.calls, qt.HasLen, 0)
+	})
+}
+
 // Guards against taking a backend server that is slow for a connection that is dead.
 func TestSlowBackendKeepsItsConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -305,7 +371,12 @@
 		}()
 		time.Sleep(time.Second)
 		drained := make(chan error, 1)
-		go func() { drained <- b.server.Drain(context.Background()) }()
+		began := time.Now()
+		go func() {
+			err := b.server.Drain(context.Background())
+			c.Check(time.Since(began), qt.Equals, 2*time.Second) // when the begun call ends
+			drained <- err
+		}()
 		synctest.Wait()
 		_, outcome, err := b.forward(callFor("new", nil))
 		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
--- a/io/nodepeer/run.go
+++ b/io/nodepeer/run.go
@@ -17,6 +17,9 @@
 	ctx, cancel := context.WithDeadline(call.ctx, call.call.Deadline)
 	defer cancel()
 	answer, outcome, err := s.options.Backend.Handle(ctx, call.call)
+	if outcome != core.OutcomeAnswered && outcome != core.OutcomeNotRun {
+		outcome = core.OutcomeUnknown
+	}
 	s.judge(call, outcome)
 	if outcome != core.OutcomeAnswered {
 		s.refuse(call, outcome, err)
@@ -37,7 +40,7 @@
 // judge answers the revocations that came while the backend had the call.
 func (s *Server) judge(call *serverCall, outcome core.Outcome) {
 	s.mu.Lock()
-	call.judged = true
+	call.outcome = outcome
 	revokers := call.revokers
 	call.revokers = nil
 	s.mu.Unlock()
@@ -60,7 +63,7 @@
 	if err != nil {
 		detail = err.Error()
 	}
-	call.conn.refuse(call.key.Sequence, core.OutcomeUnknown, "", detail)
+	call.conn.refuse(call.key.Sequence, outcome, "", detail)
 }
 
 // stream sends an answer. A body that is stated to fit in one chunk goes with the head, in one frame.
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -194,8 +194,8 @@
 
 	body     []byte
 	reserved int
-	handed   bool // Handle has been called
-	judged   bool // Handle has returned
+	handed   bool         // Handle has been called
+	outcome  core.Outcome // empty until Handle has returned
 	revokers []revoker
 }
 
@@ -467,7 +467,9 @@
 		case !call.handed:
 			s.end(call, false)
 			verdict = idempotency.RevocationDone
-		case call.judged:
+		case call.outcome == core.OutcomeNotRun:
+			verdict = idempotency.RevocationDone
+		case call.outcome != "":
 			verdict = idempotency.RevocationTooLate
 		default:
 			call.revokers = append(call.revokers, revoker{
