Keep the endpoints of a control instance that stops

A control instance that stopped closed the links to its children, took the closed links for dead children, and reported these as gone to the other control instances in its farewell. The whole fleet lost its direct children for the moment until they had attached elsewhere. A process that stops no longer judges its children.

TestControlInstanceDies found this; it watches all nodes for 60 s, twice the time that the words of a lost control instance count.

--- a/core/lease/changes.go
+++ b/core/lease/changes.go
@@ -22,8 +22,9 @@
 	only Owner // set if nothing changed for others
 }
 
+// changeLog grows up to maxLog items and then overwrites the oldest.
 type changeLog struct {
-	items [maxLog]change
+	items []change
 	next  uint64
 }
 
@@ -39,13 +40,18 @@
 }
 
 func (l *changeLog) append(endpoint core.Endpoint, only Owner) {
-	l.items[l.next%maxLog] = change{
+	item := change{
 		leftKey: leftKey{
 			node:    endpoint.Node,
 			service: endpoint.Service,
 		},
 		only: only,
 	}
+	if len(l.items) < maxLog {
+		l.items = append(l.items, item)
+	} else {
+		l.items[l.next%maxLog] = item
+	}
 	l.next++
 }
 
--- a/io/distribution/bench_test.go
+++ b/io/distribution/bench_test.go
@@ -23,7 +23,7 @@
 	number  core.Revision
 }
 
-func loopback(b *testing.B) (string, Network) {
+func loopback(b testing.TB) (string, Network) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -33,7 +33,7 @@
 	}
 }
 
-func newFleet(b *testing.B, count int) *fleet {
+func newFleet(b testing.TB, count int) *fleet {
 	f := &fleet{
 		catalog: newFakeCatalog(),
 		number:  1,
@@ -76,7 +76,7 @@
 }
 
 // planned is a configuration of the planned size: 170 services.
-func planned(b *testing.B, number core.Revision) *record.Configuration {
+func planned(b testing.TB, number core.Revision) *record.Configuration {
 	records := testRecords(170, 1)
 	records[0].Version = core.RecordVersion(number)
 	configuration, err := record.New(number, records, nil)
@@ -102,7 +102,7 @@
 	return true
 }
 
-func (f *fleet) wait(b *testing.B, holds func() bool) {
+func (f *fleet) wait(b testing.TB, holds func() bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	for !holds() {
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -135,7 +135,9 @@
 	cancel()
 	_ = c.conn.Close()
 	<-done
-	h.lose(time.Now(), c, err)
+	if ctx.Err() == nil { // a process that stops closes its links itself; its children have not died
+		h.lose(time.Now(), c, err)
+	}
 }
 
 func (h *hub) receiveFromChild(c *child) error {
--- a/io/distribution/distribution_test.go
+++ b/io/distribution/distribution_test.go
@@ -51,6 +51,17 @@
 	})
 }
 
+// Guards against a reliance on the timing or buffering of the network fake.
+func TestLoopbackTCP(t *testing.T) {
+	f := newFleet(t, 25)
+	defer f.close()
+	next := planned(t, 2)
+	f.catalog.set(next)
+	f.wait(t, func() bool { return f.source.Fleet() == Fleet{Lowest: 2, Nodes: 25, Schema: record.NewestSchema} })
+	f.nodes[0].Announce(endpoint("service-0", core.EndpointLeaving))
+	f.wait(t, func() bool { return f.nodes[24].Endpoints("service-0")[0].State == core.EndpointLeaving })
+}
+
 // Guards against a return to an older configuration when updates arrive out of order.
 func TestNeverOlderWhenUpdatesCross(t *testing.T) {
 	run(t, func(c *qt.C, w *world) {
@@ -446,6 +457,32 @@
 	})
 }
 
+// Guards against endpoints that vanish from the rest of the fleet while the nodes of a lost control instance attach elsewhere,
+// and against the words of that instance that stay for ever.
+func TestControlInstanceDies(t *testing.T) {
+	run(t, func(c *qt.C, w *world) {
+		source := w.source("c1", w.catalog, "c2")
+		w.source("c2", w.catalog, "c1")
+		var nodes []*Subscriber
+		for i := range 60 {
+			nodes = append(nodes, w.subscriberWith(core.NodeID(fmt.Sprintf("n%03d", i)), func(o *SubscriberOptions) {
+				o.ControlAddresses = []string{"c1", "c2"}
+			}))
+			nodes[i].Announce(endpoint("service-0", core.EndpointReady))
+		}
+		w.eventually(inForce, "endpoints at all nodes", allHave(nodes, "service-0", 60))
+		time.Sleep(startGrace)
+		w.stop("c2")
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(allHave(nodes, "service-0", 60)(), qt.IsTrue)
+		}
+		c.Assert(source.Fleet().Nodes, qt.Equals, 60)
+		w.stop("n007")
+		w.eventually(3*time.Second, "withdrawal known", allHave(append(nodes[:7:7], nodes[8:]...), "service-0", 59))
+	})
+}
+
 // Guards against a child that does not read and so delays its siblings.
 func TestSlowChildDelaysNobody(t *testing.T) {
 	run(t, func(c *qt.C, w *world) {
--- a/io/distribution/evidence.go
+++ b/io/distribution/evidence.go
@@ -10,6 +10,8 @@
 	// maxEvidence bounds the counts kept. At the planned size a node beside a backend server has a few routes and two
 	// releases; the oldest counts are dropped first.
 	maxEvidence = 65_536
+	// maxEvidenceName bounds the names in a count, so that maxEvidence bounds the memory too.
+	maxEvidenceName = 256
 	// maxCountsPerFrame keeps a frame of evidence under about 100 KB.
 	maxCountsPerFrame = 500
 )
@@ -22,6 +24,16 @@
 	release     core.Release
 }
 
+func keyOf(count core.EvidenceCount) evidenceKey {
+	return evidenceKey{
+		node:        count.Node,
+		incarnation: count.Incarnation,
+		service:     count.Service,
+		route:       count.Route,
+		release:     count.Release,
+	}
+}
+
 type evidenceItem struct {
 	count  core.EvidenceCount
 	remote bool // came from another control instance
@@ -50,12 +62,10 @@
 }
 
 func (s *evidenceStore) mergeOne(count core.EvidenceCount, remote bool) {
-	key := evidenceKey{
-		node:        count.Node,
-		incarnation: count.Incarnation,
-		service:     count.Service,
-		route:       count.Route,
-		release:     count.Release,
+	key := keyOf(count)
+	if len(key.node)+len(key.service)+len(key.route)+len(key.release) > 4*maxEvidenceName {
+		s.dropped++
+		return
 	}
 	element := s.items[key]
 	if element == nil {
@@ -81,14 +91,7 @@
 	if s.order.Len() < maxEvidence {
 		return
 	}
-	oldest := s.order.Remove(s.order.Front()).(*evidenceItem).count
-	delete(s.items, evidenceKey{
-		node:        oldest.Node,
-		incarnation: oldest.Incarnation,
-		service:     oldest.Service,
-		route:       oldest.Route,
-		release:     oldest.Release,
-	})
+	delete(s.items, keyOf(s.order.Remove(s.order.Front()).(*evidenceItem).count))
 	s.dropped++
 }
 
--- a/io/distribution/meters.go
+++ b/io/distribution/meters.go
@@ -37,3 +37,26 @@
 
 func (m *meters) countSent(n uint64)     { m.sent.AddInt64(int64(n)) }
 func (m *meters) countReceived(n uint64) { m.received.AddInt64(int64(n)) }
+
+// watch registers gauges over the state of a hub.
+func (h *hub) watch(set *metrics.Set) {
+	gauge := func(name string, read func() float64) {
+		set.GetOrCreateGauge("parsleyport_distribution_"+name, func() float64 {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return read()
+		})
+	}
+	gauge("revision", func() float64 { return float64(h.current.Revision()) })
+	gauge("children", func() float64 { return float64(len(h.children)) })
+	gauge("subtree_nodes", func() float64 { return float64(h.ownWord().and(h.subtree()).Nodes) })
+	gauge("endpoints", func() float64 { return float64(h.table.Live()) })
+	gauge("announcements_refused", func() float64 { return float64(h.table.Refused()) })
+	gauge("evidence_dropped", func() float64 { return float64(h.evidence.dropped) })
+	gauge("attached", func() float64 {
+		if h.attached {
+			return 1
+		}
+		return 0
+	})
+}
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -49,6 +49,7 @@
 	s.hub.pathTurn = 1
 	s.hub.confirms = s.confirms
 	s.hub.hold(options.Catalog.Current())
+	s.hub.watch(options.Metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	for _, peer := range options.Peers {
@@ -167,7 +168,8 @@
 	return s.hub.endpoints(service)
 }
 
-// Fleet returns the lowest revision in force, the number of nodes and the schema version that all nodes support.
+// Fleet returns the lowest revision in force, the number of nodes and the schema version that all of them support. Nodes
+// that lost their parent count again once they are attached.
 func (s *Source) Fleet() Fleet {
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -51,7 +51,7 @@
 	confirmed chan struct{}
 	confirm   sync.Once
 
-	change   sync.Mutex // guards changedCh
+	change   sync.Mutex // guards changeCh
 	changeCh chan struct{}
 
 	// What follows is guarded by hub.mu.
@@ -84,6 +84,7 @@
 	s.hub.all = !options.OnRequest
 	s.hub.services = make(map[core.ServiceName]bool)
 	s.hub.hold(record.Empty())
+	s.hub.watch(options.Metrics)
 	s.hub.confirmer.request(ownLink, 1)
 	s.attach = newAttachment(attachment{
 		hub:     s.hub,
