rollout: name the more likely reason when the time is reached

Cause: a release that failed 8 of 814 calls against 73 of 51706 expired, since the ratio of 3300 to 1 is short of the alarm for 12 tests. Ruled out: a lower alarm during the move, which costs false take-backs. Conclusion: at the deadline a ratio of 99 to 1 decides, as both ends restore the old weights.

--- a/core/rollout/constants.go
+++ b/core/rollout/constants.go
@@ -9,6 +9,8 @@
 	// restartAlarm is the false alarm rate of one excursion of the restarting test. It is lower than falseAlarm
 	// because a restarting test begins a new excursion every few windows.
 	restartAlarm = 0.0001
+	// deadlineAlarm decides between taken back and expired, which both restore the old weights.
+	deadlineAlarm = 0.01
 )
 
 // Effects that the tests look for, as differences between the rates of the new and the old release.
--- a/core/rollout/group.go
+++ b/core/rollout/group.go
@@ -83,8 +83,8 @@
 	return g.failures.total.before.calls + g.failures.total.after.calls
 }
 
-// verdict names the measure in which the new release is worse, with the counts since the last step.
-func (g *group) verdict(groups int) (cause, evidence string, worse bool) {
+// verdict names the first measure in which the new release is worse, with the counts since the last step.
+func (g *group) verdict(worse func(*comparison) bool) (cause, evidence string, found bool) {
 	for _, m := range []struct {
 		what string
 		c    *comparison
@@ -93,7 +93,7 @@
 		{what: "slow", c: g.slow},
 		{what: "crashed", c: g.crashes},
 	} {
-		if m.c.worse(groups * len(g.comparisons())) {
+		if worse(m.c) {
 			return fmt.Sprintf("new release worse on %s: calls %s", g.name, m.what), m.c.text(m.what), true
 		}
 	}
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -60,10 +60,11 @@
 	if move.State == core.MoveProposed {
 		return j.begin(now, move)
 	}
-	if cause, text, worse := j.worse(); worse {
+	timeUp := !now.Before(move.Request.Deadline)
+	if cause, text, worse := j.worse(timeUp); worse {
 		return step(now, move, eventFail, 0, cause, j.describe(now, move)+"; "+text)
 	}
-	if !now.Before(move.Request.Deadline) {
+	if timeUp {
 		return step(now, move, eventTimeUp, 0, j.expiry(now, move), j.describe(now, move))
 	}
 	return j.pace(now, move)
@@ -107,10 +108,13 @@
 	return append(groups, j.pooled, j.all)
 }
 
-func (j *Judge) worse() (cause, evidence string, worse bool) {
+func (j *Judge) worse(atDeadline bool) (cause, evidence string, found bool) {
 	groups := j.groups()
 	for _, g := range groups {
-		if cause, evidence, worse = g.verdict(len(groups)); worse {
+		cause, evidence, found = g.verdict(func(c *comparison) bool {
+			return c.worse(len(groups)*len(g.comparisons())) || atDeadline && c.worseAtDeadline()
+		})
+		if found {
 			return cause, evidence, true
 		}
 	}
--- a/core/rollout/sequential.go
+++ b/core/rollout/sequential.go
@@ -152,16 +152,28 @@
 // worse reports whether the new release is worse, with the open windows counted as they stand. The false alarm rates
 // are those of a whole move and are divided among its tests.
 func (c *comparison) worse(tests int) bool {
+	sequential, restarting := c.current()
+	return sequential >= alarm(falseAlarm, tests) || restarting >= alarm(restartAlarm, tests)
+}
+
+// worseAtDeadline is worse for a move that cannot be done anymore: it names the more likely reason.
+func (c *comparison) worseAtDeadline() bool {
+	sequential, restarting := c.current()
+	return max(sequential, restarting) >= alarm(deadlineAlarm, 1)
+}
+
+// current returns the tests with the open windows as they stand, or zero for too few failures.
+func (c *comparison) current() (sequential, restarting float64) {
 	if c.total.after.bad < minFailures {
-		return false
+		return 0, 0
 	}
-	sequential, restarting := c.sequential, c.restarting
+	sequential, restarting = c.sequential, c.restarting
 	for _, w := range c.open {
 		s, r := c.ratios(w.pair)
 		sequential += s
 		restarting += r
 	}
-	return sequential >= alarm(falseAlarm, tests) || restarting >= alarm(restartAlarm, tests)
+	return sequential, restarting
 }
 
 func alarm(rate float64, tests int) float64 {
@@ -170,11 +182,7 @@
 
 // suspicious reports whether the restarting test is halfway to its alarm.
 func (c *comparison) suspicious(tests int) bool {
-	restarting := c.restarting
-	for _, w := range c.open {
-		_, r := c.ratios(w.pair)
-		restarting += r
-	}
+	_, restarting := c.current()
 	return restarting >= alarm(restartAlarm, tests)/2
 }
 
