--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -1,14 +1,147 @@
 package replay_test
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
 	"parsleyport/core/replay"
 )
 
-var seeds = flag.String("seeds", "", "print the scores of generated traces, as FIRST-LAST")
+var (
+	writeTraces = flag.Bool("write-traces", false, "write testdata/*.trace from the generator")
+	seeds       = flag.String("seeds", "", "print the scores of generated traces, as FIRST-LAST")
+)
+
+// kept lists the traces in testdata: each scenario for one user in turn, and those that are hardest to judge for both.
+func kept() []*replay.Trace {
+	var traces []*replay.Trace
+	for i, scenario := range replay.Scenarios {
+		for u, user := range replay.Users {
+			hard := slices.Contains([]replay.Scenario{"bad-load-only", "bad-one-route", "bad-flaky", "bad-crash", "bad-late-flaky", "good-shared-slow"}, scenario)
+			if hard || u == i%len(replay.Users) {
+				traces = append(traces, replay.Generate(101, user, scenario))
+			}
+		}
+	}
+	return traces
+}
+
+// Guards against a change of the decision modules that misses the targets of design 1.5 in a kept trace.
+func TestKeptTraces(t *testing.T) {
+	if *writeTraces {
+		for _, trace := range kept() {
+			var out bytes.Buffer
+			qt.Assert(t, trace.Write(&out), qt.IsNil)
+			qt.Assert(t, os.WriteFile(filepath.Join("testdata", trace.Name+".trace"), out.Bytes(), 0o600), qt.IsNil)
+		}
+	}
+	files, err := filepath.Glob("testdata/*.trace")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) >= 24, qt.IsTrue)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			c := qt.New(t)
+			trace, err := replay.Load(file)
+			c.Assert(err, qt.IsNil)
+			m, err := replay.Replay(trace, replay.RuleSequential)
+			c.Assert(err, qt.IsNil)
+			c.Assert(m.Matches(trace.Outcome), qt.IsTrue, qt.Commentf("%+v", m.Move))
+			c.Assert(m.Move.SteppedAt.After(m.Move.Request.Deadline), qt.IsFalse)
+			if trace.Outcome.Bad {
+				c.Assert(m.BadShare() < 0.02, qt.IsTrue, qt.Commentf("%d of %d calls", m.BadCalls, m.Calls))
+			}
+			for _, step := range m.Steps {
+				c.Assert(step.Evidence, qt.Not(qt.Equals), "", qt.Commentf("step %d", step.Step))
+			}
+		})
+	}
+}
+
+// Guards against a replay that depends on map order or on the time of day, and a trace that changes when it is stored.
+func TestReplayIsDeterministic(t *testing.T) {
+	c := qt.New(t)
+	trace := replay.Generate(3, replay.UserPamoja, "bad-leader-loss")
+	var out bytes.Buffer
+	c.Assert(trace.Write(&out), qt.IsNil)
+	stored, err := replay.Parse(out.Bytes())
+	c.Assert(err, qt.IsNil)
+	c.Assert(stored, qt.DeepEquals, trace)
+	for _, rule := range replay.RuleNames {
+		first, err := replay.Replay(trace, rule)
+		c.Assert(err, qt.IsNil)
+		second, err := replay.Replay(stored, rule)
+		c.Assert(err, qt.IsNil)
+		c.Assert(second, qt.DeepEquals, first)
+	}
+}
+
+// Guards against an outcome that differs from the stated one without an error, which a script would miss.
+func TestRunReportsMeasuresAndADifferentOutcome(t *testing.T) {
+	c := qt.New(t)
+	trace := replay.Generate(3, replay.UserVavlaget, "bad-at-once")
+	file := filepath.Join(c.TempDir(), "a.trace")
+	write := func() {
+		var out bytes.Buffer
+		c.Assert(trace.Write(&out), qt.IsNil)
+		c.Assert(os.WriteFile(file, out.Bytes(), 0o600), qt.IsNil)
+	}
+	write()
+	var report bytes.Buffer
+	c.Assert(replay.Run(file, &report), qt.IsNil)
+	c.Assert(report.String(), qt.Matches, `(?s).*fixed-schedule +done +NOT AS STATED.*sequential-test +taken-back as stated.*taken back \d+ s after.*new release worse.*`)
+	trace.Outcome.State = core.MoveDone
+	write()
+	c.Assert(errors.Is(replay.Run(file, &report), replay.ErrOutcome), qt.IsTrue)
+}
+
+// Guards against a malformed trace that is replayed in part or that takes unbounded time.
+func TestParseRefusesMalformedTraces(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	c.Assert(replay.Generate(3, replay.UserPamoja, "good-calm").Write(&out), qt.IsNil)
+	good := out.String()
+	for line, want := range map[string]string{
+		"1 fault * 0 0.1 1":         `line \d+: event "fault" has 4 arguments, expected 5`,
+		"1 fault nowhere 0 0.1 1 0": `line \d+: route "nowhere" does not exist`,
+		"1 restart 999":             `line \d+: argument "999" of "restart" is not a number in its range`,
+		"1 centre 9 0 1":            `line \d+: data centre "9" does not exist`,
+		"1 explode":                 `line \d+: event "explode" is unknown`,
+		"-99 delay 5":               `line \d+: time "-99" is before that of the line above`,
+		"x delay 5":                 `line \d+: time "x" is not a number of seconds`,
+		"1":                         `line \d+: expected seconds, kind and arguments`,
+	} {
+		// The lines go to the end, so their times are made late enough, but for the one that tests the order.
+		if strings.HasPrefix(line, "1 ") {
+			line = "9000" + line[1:]
+		}
+		_, err := replay.Parse([]byte(good + line + "\n"))
+		c.Assert(err, qt.ErrorMatches, want, qt.Commentf("line %q", line))
+	}
+	for from, to := range map[string]string{
+		`"format": 1`:         `"format": 2`,
+		`"seed"`:              `"sead"`,
+		"\n---\n":             "\n",
+		`"from": "v1"`:        `"from": "v2"`,
+		`"state": "done"`:     `"state": "growing"`,
+		`"data-centres": 4`:   `"data-centres": 0`,
+		"-30 arrivals":        "-30 arrivals 1e9 1e9 1e9\n-29 arrivals",
+		`"warm-seconds": 30,`: `"warm-seconds": -1,`,
+	} {
+		c.Assert(strings.Contains(good, from), qt.IsTrue, qt.Commentf("%q", from))
+		_, err := replay.Parse([]byte(strings.Replace(good, from, to, 1)))
+		c.Assert(err, qt.IsNotNil, qt.Commentf("%q", to))
+	}
+}
 
 // Prints the scores of generated traces; used to tune on one range of seeds and to judge on another one.
 func TestSeeds(t *testing.T) {
--- /dev/null
+++ b/core/rollout/judge_test.go
@@ -0,0 +1,411 @@
+package rollout_test
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/core/rollout"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// load is what one route shows in each second.
+type load struct {
+	calls            float64
+	oldFail, newFail float64 // parts of the calls
+	oldSlow, newSlow float64
+	oldCrash         float64
+	newCrash         float64
+}
+
+// course drives a judge second by second with exact rates instead of random ones.
+type course struct {
+	*qt.C
+	judge     *rollout.Judge
+	move      core.Move
+	second    int
+	loads     func(second int) map[core.RouteName]load
+	endpoints func(second int) []core.Endpoint
+	deliver   func(evidence []core.EvidenceCount) []core.EvidenceCount
+	rates     map[string]float64
+	steps     []core.MoveStep
+	faultFrom int     // second
+	calls     float64 // since the move was accepted
+	badCalls  float64 // of the new release since faultFrom
+}
+
+func newCourse(c *qt.C, deadline time.Duration, loads func(second int) map[core.RouteName]load) *course {
+	r := &course{
+		C:     c,
+		loads: loads,
+		rates: make(map[string]float64),
+		move: core.Move{
+			MoveID:    "m",
+			State:     rollout.InitialState(),
+			StartedAt: start,
+			SteppedAt: start,
+			Request:   core.MoveRequest{Service: "s", Deadline: start.Add(deadline)},
+		},
+	}
+	r.judge = rollout.NewJudge(r.move, "v1", "v2")
+	return r
+}
+
+func steady(l load) func(int) map[core.RouteName]load {
+	return func(int) map[core.RouteName]load { return map[core.RouteName]load{"read": l} }
+}
+
+// evidence adds one second of calls to the cumulative counts of node n1.
+func (r *course) evidence() []core.EvidenceCount {
+	var counts []core.EvidenceCount
+	share := float64(r.move.Share) / 1000
+	loads := r.loads(r.second)
+	for _, route := range slices.Sorted(maps.Keys(loads)) {
+		l := loads[route]
+		for _, side := range []struct {
+			release           core.Release
+			calls             float64
+			fail, slow, crash float64
+		}{
+			{"v1", l.calls * (1 - share), l.oldFail, l.oldSlow, l.oldCrash},
+			{"v2", l.calls * share, l.newFail, l.newSlow, l.newCrash},
+		} {
+			r.calls += side.calls
+			if side.release == "v2" && r.second >= r.faultFrom {
+				r.badCalls += side.calls
+			}
+			sum := func(what string, n float64) uint64 {
+				key := fmt.Sprint(route, side.release, what)
+				if _, known := r.rates[key]; !known {
+					// Golden ratio steps, so that the routes do not fail in the same second.
+					r.rates[key] = math.Mod(0.618*float64(len(r.rates)), 1)
+				}
+				r.rates[key] += n
+				return uint64(r.rates[key])
+			}
+			count := core.EvidenceCount{
+				Node:        "n1",
+				Incarnation: 1,
+				Service:     "s",
+				Route:       route,
+				Release:     side.release,
+				Calls:       sum("calls", side.calls),
+				Failures:    sum("failures", side.calls*side.fail),
+				Crashes:     sum("crashes", side.calls*side.crash),
+			}
+			count.Latency[9] = min(count.Calls, sum("slow", side.calls*side.slow))
+			count.Latency[5] = count.Calls - count.Latency[9]
+			counts = append(counts, count)
+		}
+	}
+	return counts
+}
+
+// run goes on until the move is closed or a condition holds, and checks each step as the catalog does.
+func (r *course) run(until func() bool) *course {
+	for !rollout.IsFinal(r.move.State) && (until == nil || !until()) {
+		r.second++
+		now := start.Add(time.Duration(r.second) * time.Second)
+		r.Assert(now.After(r.move.Request.Deadline.Add(time.Second)), qt.IsFalse, qt.Commentf("still open after the deadline"))
+		if r.endpoints != nil {
+			r.judge.ObserveEndpoints(now, r.endpoints(r.second))
+		}
+		evidence := r.evidence()
+		if r.deliver != nil {
+			evidence = r.deliver(evidence)
+		}
+		step, due := r.judge.Decide(now, r.move, evidence)
+		if !due {
+			continue
+		}
+		r.Assert(step.Step, qt.Equals, r.move.Step+1)
+		r.Assert(rollout.Allowed(r.move.State, step.State), qt.IsTrue)
+		r.steps = append(r.steps, step)
+		r.move.Step, r.move.State, r.move.Share, r.move.SteppedAt = step.Step, step.State, step.Share, step.At
+		r.move.Cause, r.move.Evidence = step.Cause, step.Evidence
+	}
+	return r
+}
+
+func (r *course) share() core.PerMille { return r.move.Share }
+
+// Guards against a fault that is missed or found late: each kind of fault alone, from the beginning or after a long
+// good past that must not anchor the test.
+func TestJudgeTakesBadReleasesBack(t *testing.T) {
+	good := load{calls: 200, oldFail: 0.001, newFail: 0.001, oldSlow: 0.02, newSlow: 0.02}
+	with := func(change func(*load)) load {
+		bad := good
+		change(&bad)
+		return bad
+	}
+	failing := with(func(l *load) { l.newFail = 0.2 })
+	flaky := with(func(l *load) { l.newFail = 0.02 })
+	for name, test := range map[string]struct {
+		loads     func(second int) map[core.RouteName]load
+		faultFrom int
+		cause     string
+	}{
+		"at once":  {loads: steady(failing), cause: `.*"read": calls failed`},
+		"flaky":    {loads: steady(flaky), cause: `.*: calls failed`},
+		"slow":     {loads: steady(with(func(l *load) { l.newSlow = 0.5 })), cause: `.*: calls slow`},
+		"crashing": {loads: steady(with(func(l *load) { l.newCrash = 0.01 })), cause: `.*: calls crashed`},
+		"late": {faultFrom: 300, cause: `.*: calls failed`, loads: func(second int) map[core.RouteName]load {
+			return map[core.RouteName]load{"read": []load{good, flaky}[min(1, second/300)]}
+		}},
+		"one route": {cause: `.*route "write": calls failed`, loads: func(int) map[core.RouteName]load {
+			return map[core.RouteName]load{"read": good, "write": {calls: 10, newFail: 0.5}}
+		}},
+		"many routes with little traffic": {cause: `.*routes with little traffic: calls failed`, loads: func(int) map[core.RouteName]load {
+			loads := map[core.RouteName]load{"read": good}
+			for i := range 20 {
+				loads[core.RouteName(fmt.Sprint("r", i))] = load{calls: 0.5, newFail: 0.2, oldFail: 0.001}
+			}
+			return loads
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newCourse(c, 10*time.Minute, test.loads)
+			r.faultFrom = test.faultFrom
+			r.run(nil)
+			c.Assert(r.move.State, qt.Equals, core.MoveTakenBack, qt.Commentf("%+v", r.move))
+			c.Assert(r.move.Cause, qt.Matches, test.cause)
+			c.Assert(r.move.Share, qt.Equals, core.PerMille(0))
+			c.Assert(r.move.Evidence, qt.Matches, `\d+ per mille for .*new release \d+ of \d+ calls.*old release.*`)
+			c.Assert(r.badCalls < 0.02*r.calls, qt.IsTrue, qt.Commentf("%.0f of %.0f calls after %d s", r.badCalls, r.calls, r.second))
+		})
+	}
+}
+
+// Guards against blame for what both releases show, for what was counted before the move and for too few calls.
+func TestJudgeFinishesGoodReleasesInTime(t *testing.T) {
+	good := load{calls: 200, oldFail: 0.001, newFail: 0.001, oldSlow: 0.02, newSlow: 0.02}
+	burst := func(l load) func(int) map[core.RouteName]load {
+		return func(second int) map[core.RouteName]load {
+			if second%100 >= 60 {
+				return map[core.RouteName]load{"read": l}
+			}
+			return map[core.RouteName]load{"read": good}
+		}
+	}
+	for name, loads := range map[string]func(int) map[core.RouteName]load{
+		"calm":              steady(good),
+		"shared slowness":   burst(load{calls: 200, oldSlow: 0.8, newSlow: 0.8}),
+		"shared failures":   burst(load{calls: 200, oldFail: 0.3, newFail: 0.3}),
+		"shared crashes":    steady(load{calls: 200, oldCrash: 0.001, newCrash: 0.001}),
+		"failing as before": steady(load{calls: 200, oldFail: 0.03, newFail: 0.03}),
+		"old release worse": steady(load{calls: 200, oldFail: 0.05}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newCourse(c, 10*time.Minute, loads).run(nil)
+			c.Assert(r.move.State, qt.Equals, core.MoveDone, qt.Commentf("%+v", r.move))
+			c.Assert(r.move.Cause, qt.Equals, "judged on all routes")
+			c.Assert(r.move.Share, qt.Equals, core.FullShare)
+		})
+	}
+}
+
+// Guards against counts that are added twice or lost: repeated and older reports change nothing, a restarted node
+// counts anew.
+func TestRepeatedOlderAndRestartedCounts(t *testing.T) {
+	c := qt.New(t)
+	loads := steady(load{calls: 200, oldFail: 0.001, newFail: 0.004, oldSlow: 0.02, newSlow: 0.02})
+	plain := newCourse(c, 10*time.Minute, loads).run(nil)
+
+	repeated := newCourse(c, 10*time.Minute, loads)
+	var kept []core.EvidenceCount
+	repeated.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
+		all := slices.Concat(kept, evidence, evidence, kept)
+		if repeated.second%7 == 0 {
+			kept = evidence
+		}
+		return all
+	}
+	c.Assert(repeated.run(nil).steps, qt.DeepEquals, plain.steps)
+
+	loads = steady(load{calls: 200, oldFail: 0.001, newFail: 0.001, oldSlow: 0.02, newSlow: 0.02})
+	plain = newCourse(c, 10*time.Minute, loads).run(nil)
+	restarted := newCourse(c, 10*time.Minute, loads)
+	incarnation, before := core.Incarnation(1), []core.EvidenceCount(nil)
+	restarted.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
+		for i := range evidence {
+			evidence[i].Incarnation = incarnation
+		}
+		if restarted.second%50 == 0 {
+			incarnation, before = core.Incarnation(start.Add(time.Duration(restarted.second)*time.Second).UnixNano()), evidence
+			restarted.rates = make(map[string]float64)
+		}
+		return slices.Concat(evidence, before)
+	}
+	restarted.run(nil)
+	c.Assert(restarted.move.State, qt.Equals, core.MoveDone)
+	c.Assert(len(restarted.steps), qt.Equals, len(plain.steps))
+}
+
+// Guards against blame for failures of the same release in an earlier move.
+func TestCountsFromBeforeTheMoveAreABaseline(t *testing.T) {
+	c := qt.New(t)
+	r := newCourse(c, 10*time.Minute, steady(load{calls: 200, oldFail: 0.001, newFail: 0.001}))
+	for _, key := range []string{"calls", "failures", "slow"} {
+		r.rates["readv2"+key] = 5000
+	}
+	c.Assert(r.run(nil).move.State, qt.Equals, core.MoveDone, qt.Commentf("%+v", r.move))
+}
+
+// Guards against a share above the limit before the evidence passes, and against a share that grows without evidence.
+func TestShareAtRiskIsHonouredUntilTheEvidencePasses(t *testing.T) {
+	c := qt.New(t)
+	limited := func(calls float64) *course {
+		r := newCourse(c, 5*time.Minute, steady(load{calls: calls, oldFail: 0.001, newFail: 0.001}))
+		r.move.Request.MaxRiskShare = 30
+		return r
+	}
+	r := limited(200).run(func() bool { return false })
+	c.Assert(r.move.State, qt.Equals, core.MoveDone)
+	for _, step := range r.steps {
+		if step.Share > 30 {
+			c.Assert(step.Evidence, qt.Contains, `routes judged: "read"`)
+		}
+	}
+	r = limited(2).run(func() bool { return false })
+	c.Assert(r.move.State, qt.Equals, core.MoveExpired)
+	c.Assert(r.move.Cause, qt.Contains, "largest share at risk is 30 per mille")
+	for _, step := range r.steps {
+		c.Assert(step.Share <= 30, qt.IsTrue)
+	}
+}
+
+// Guards against a move with little traffic that never ends or does not say that its evidence is thin, and against one
+// that is done although a route with enough traffic has no verdict.
+func TestLittleTrafficAndExpiry(t *testing.T) {
+	c := qt.New(t)
+	r := newCourse(c, 5*time.Minute, steady(load{calls: 0.5})).run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveDone)
+	c.Assert(r.move.Cause, qt.Equals, "evidence thin")
+
+	r = newCourse(c, 5*time.Minute, steady(load{calls: 0.01, newFail: 1})).run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveDone, qt.Commentf("a single failed call must not be blamed: %+v", r.move))
+
+	r = newCourse(c, 10*time.Minute, steady(load{calls: 500, oldFail: 0.002, newFail: 0.002}))
+	r.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
+		return slices.DeleteFunc(evidence, func(count core.EvidenceCount) bool { return count.Release == "v2" })
+	}
+	r.run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveExpired)
+	c.Assert(r.move.Cause, qt.Equals, `the time was reached before a verdict on "read"`)
+}
+
+// Guards against a new leader that begins again, that loses the verdict that the share shows, or that misses a fault.
+func TestLeaderChangeInTheMiddle(t *testing.T) {
+	c := qt.New(t)
+	for _, fault := range []float64{0.001, 0.3} {
+		changed := false
+		r := newCourse(c, 10*time.Minute, func(int) map[core.RouteName]load {
+			l := load{calls: 200, oldFail: 0.001, newFail: 0.001, oldSlow: 0.02, newSlow: 0.02}
+			if changed {
+				l.newFail = fault
+			}
+			return map[core.RouteName]load{"read": l}
+		})
+		r.run(func() bool { return r.share() >= 60 })
+		changed, share := true, r.share()
+		r.judge = rollout.NewJudge(r.move, "v1", "v2")
+		began := r.second
+		r.run(func() bool { return r.share() != share })
+		if fault > 0.1 {
+			c.Assert(r.move.State, qt.Equals, core.MoveTakenBack)
+			c.Assert(r.second-began <= 10, qt.IsTrue)
+			continue
+		}
+		c.Assert(r.share(), qt.Equals, 2*share)
+		c.Assert(r.run(nil).move.State, qt.Equals, core.MoveDone)
+	}
+}
+
+func backends(release core.Release, dataCentre core.DataCentre, first, n int, state core.EndpointState) []core.Endpoint {
+	var endpoints []core.Endpoint
+	for i := range n {
+		endpoints = append(endpoints, core.Endpoint{
+			Node:       core.NodeID(fmt.Sprint("n", first+i)),
+			DataCentre: dataCentre,
+			Service:    "s",
+			Release:    release,
+			Slots:      9,
+			State:      state,
+		})
+	}
+	return endpoints
+}
+
+// Guards against a share that cold or missing backend servers cannot carry, and against blame for their slowness.
+func TestSlowStartAndCapacity(t *testing.T) {
+	c := qt.New(t)
+	const readyAt = 60
+	r := newCourse(c, 10*time.Minute, func(second int) map[core.RouteName]load {
+		l := load{calls: 200, oldSlow: 0.02, newSlow: 0.02}
+		if second >= readyAt && second < readyAt+10 {
+			l.newSlow = 0.6
+		}
+		return map[core.RouteName]load{"read": l}
+	})
+	r.endpoints = func(second int) []core.Endpoint {
+		all := backends("v1", "a", 1, 4, core.EndpointReady)
+		if second < readyAt {
+			return all
+		}
+		return append(all, backends("v2", "a", 5, 2, core.EndpointReady)...)
+	}
+	r.run(func() bool { return r.second == readyAt+9 })
+	c.Assert(r.share(), qt.Equals, core.PerMille(5), qt.Commentf("probing goes on until the slow start has ended"))
+	r.run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveExpired, qt.Commentf("%+v", r.move))
+	c.Assert(r.move.Cause, qt.Contains, "backend servers for 500 per mille only")
+	c.Assert(r.steps[len(r.steps)-2].Share <= 500, qt.IsTrue)
+}
+
+// Guards against blame for an overloaded data centre in which only the new release runs.
+func TestDataCentreWithOneReleaseIsNotCompared(t *testing.T) {
+	c := qt.New(t)
+	run := func(known bool) core.MoveState {
+		r := newCourse(c, 10*time.Minute, func(int) map[core.RouteName]load {
+			return map[core.RouteName]load{"read": {calls: 200, newFail: 0.2}}
+		})
+		r.endpoints = func(int) []core.Endpoint {
+			here := core.DataCentre("a")
+			if known {
+				here = "overloaded"
+			}
+			return slices.Concat(backends("v1", "a", 10, 4, core.EndpointReady), backends("v2", "a", 20, 2, core.EndpointReady),
+				backends("v2", here, 1, 2, core.EndpointReady))
+		}
+		return r.run(func() bool { return r.second == 60 }).move.State
+	}
+	c.Assert(run(true), qt.Equals, core.MoveProbing)
+	c.Assert(run(false), qt.Equals, core.MoveTakenBack)
+}
+
+// Guards against a step that the chart does not have and against an abort of a closed move.
+func TestChartAndAbort(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(rollout.Allowed(core.MoveProposed, core.MoveDone), qt.IsFalse)
+	c.Assert(rollout.Allowed(core.MoveGrowing, core.MoveProbing), qt.IsFalse)
+	move := core.Move{State: core.MoveGrowing, Step: 4, Share: 80}
+	step, ok := rollout.Abort(start, move, "amina")
+	c.Assert(ok && step.State == core.MoveTakenBack && step.Step == 5 && step.Share == 0 && step.Cause == "operator", qt.IsTrue)
+	c.Assert(step.Evidence, qt.Equals, "aborted by amina at 80 per mille")
+	for _, closed := range []core.MoveState{core.MoveDone, core.MoveTakenBack, core.MoveExpired} {
+		move.State = closed
+		_, ok = rollout.Abort(start, move, "amina")
+		c.Assert(ok, qt.IsFalse)
+		_, due := rollout.NewJudge(move, "v1", "v2").Decide(start, move, nil)
+		c.Assert(due, qt.IsFalse)
+	}
+}
