Assemble the control instance and wire the process commands

The catalog names the two upstreams of a move in the override, so that a node's guard knows which release is new while the move is open.

--- a/core/catalog/moves.go
+++ b/core/catalog/moves.go
@@ -185,6 +185,9 @@
 		return append(overrides, core.Override{
 			Service: request.Service,
 			Move:    m.Move.MoveID,
+			From:    request.From,
+			To:      request.To,
+			Open:    !Ended(m.Move.State),
 			Weights: movedWeights(m.Move.Original, request, m.Move.Share),
 		})
 	}
--- /dev/null
+++ b/e2e/convergence_test.go
@@ -0,0 +1,37 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// Guards against an accepted configuration that takes longer than the stated 1 s to be in force on 50 nodes.
+func TestConfigurationIsInForceOnFiftyNodes(t *testing.T) {
+	c := qt.New(t)
+	d := newDeployment(c)
+	const nodes = 50
+	d.startControls()
+	client := d.client(d.leader())
+	for i := 1; i <= nodes; i++ {
+		d.startNode(i)
+	}
+	names := lo.Map(lo.RangeFrom(1, nodes), func(i, _ int) string { return fmt.Sprintf("n%d", i) })
+	d.eventually("all nodes are ready", 30*time.Second, func() bool { return lo.EveryBy(names, d.ready) })
+	for version := 1; version <= 5; version++ {
+		verdict := d.submit(client, transcripts(1))
+		if version > 1 {
+			verdict = d.submit(client, service("extra", core.RecordVersion(version)))
+		}
+		took := d.eventually("the revision is in force on all nodes", time.Second, func() bool {
+			status, err := d.status(client)
+			return err == nil && status.Fleet.Nodes == nodes && status.Fleet.LowestInForce >= verdict.Revision
+		})
+		c.Logf("revision %d in force on %d nodes after %v", verdict.Revision, nodes, took)
+	}
+}
--- /dev/null
+++ b/e2e/deployment_test.go
@@ -0,0 +1,263 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// programs are the built binaries, made once for all tests.
+var programs struct {
+	parsleyport string
+	standin     string
+}
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "parsleyport-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	programs.parsleyport = filepath.Join(folder, "parsleyport")
+	programs.standin = filepath.Join(folder, "standin")
+	for program, source := range map[string]string{programs.parsleyport: "parsleyport", programs.standin: "parsleyport/standin"} {
+		if output, err := exec.Command("go", "build", "-o", program, source).CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", source, err, output)
+			return 1
+		}
+	}
+	return m.Run()
+}
+
+const controls = 3
+
+// nextPort starts at a random port, so that two runs at the same time seldom try the same ones.
+var nextPort = func() *atomic.Uint32 {
+	port := &atomic.Uint32{}
+	port.Store(rand.Uint32N(20_000))
+	return port
+}()
+
+// deployment is a set of processes on loopback; all of them end with the test.
+type deployment struct {
+	c         *qt.C
+	folder    string
+	addresses map[string]string
+	processes map[string]*exec.Cmd
+}
+
+func newDeployment(c *qt.C) *deployment {
+	d := &deployment{
+		c:         c,
+		folder:    c.TempDir(),
+		addresses: make(map[string]string),
+		processes: make(map[string]*exec.Cmd),
+	}
+	c.Cleanup(func() {
+		for name := range d.processes {
+			d.kill(name)
+		}
+		if c.Failed() {
+			d.logFiles()
+		}
+	})
+	return d
+}
+
+func (d *deployment) logFiles() {
+	files, _ := filepath.Glob(filepath.Join(d.folder, "*.log"))
+	for _, file := range files {
+		content, _ := os.ReadFile(file)
+		lines := strings.Split(strings.TrimSpace(string(content)), "\n")
+		d.c.Logf("%s:\n%s", filepath.Base(file), strings.Join(lines[max(0, len(lines)-8):], "\n"))
+	}
+}
+
+// address returns a free loopback address that stays the same for a name.
+func (d *deployment) address(name string) string {
+	if known, exists := d.addresses[name]; exists {
+		return known
+	}
+	for {
+		// Below the range from which the system takes the ports of outgoing connections, so that the address stays free.
+		address := fmt.Sprintf("127.0.0.1:%d", 10_000+nextPort.Add(1)%20_000)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		d.addresses[name] = address
+		return address
+	}
+}
+
+func dataCentre(i int) string {
+	return fmt.Sprintf("dc-%c", 'a'+(i-1)%3)
+}
+
+func (d *deployment) write(name string, settings map[string]any) string {
+	text, err := json.Marshal(settings)
+	d.c.Assert(err, qt.IsNil)
+	path := filepath.Join(d.folder, name+".jsonc")
+	d.c.Assert(os.WriteFile(path, text, 0o600), qt.IsNil)
+	return path
+}
+
+func (d *deployment) startControl(i int) {
+	var members []map[string]any
+	for m := 1; m <= controls; m++ {
+		members = append(members, map[string]any{
+			"id":               fmt.Sprintf("c%d", m),
+			"data-centre":      dataCentre(m),
+			"operator-address": d.operator(m),
+			"peer-address":     d.address(fmt.Sprintf("c%d-peer", m)),
+			"node-address":     d.address(fmt.Sprintf("c%d-node", m)),
+		})
+	}
+	settings := map[string]any{
+		"data-folder": d.dataFolder(i),
+		"bootstrap":   true,
+		"members":     members,
+	}
+	for key, value := range members[i-1] {
+		settings[key] = value
+	}
+	name := fmt.Sprintf("c%d", i)
+	d.start(name, programs.parsleyport, "control", "--settings", d.write(name, settings))
+}
+
+func (d *deployment) startControls() {
+	for i := 1; i <= controls; i++ {
+		d.startControl(i)
+	}
+}
+
+func (d *deployment) dataFolder(i int) string {
+	return filepath.Join(d.folder, fmt.Sprintf("data-%d", i))
+}
+
+func (d *deployment) operator(i int) string {
+	return d.address(fmt.Sprintf("c%d-operator", i))
+}
+
+func (d *deployment) startNode(i int) {
+	var control []string
+	for m := 1; m <= controls; m++ {
+		control = append(control, d.address(fmt.Sprintf("c%d-node", m)))
+	}
+	name := fmt.Sprintf("n%d", i)
+	d.start(name, programs.parsleyport, "node", "--settings", d.write(name, map[string]any{
+		"id":                name,
+		"data-centre":       dataCentre(i),
+		"caller-address":    d.address(name + "-caller"),
+		"peer-address":      d.address(name + "-peer"),
+		"relay-address":     d.address(name + "-relay"),
+		"backend-address":   d.address(name + "-backend"),
+		"admin-address":     d.address(name + "-admin"),
+		"control-addresses": control,
+	}))
+}
+
+func (d *deployment) startBackend(i int, release string) {
+	name := fmt.Sprintf("b%d", i)
+	d.start(name, programs.standin, "backend",
+		"--listen", d.address(name), "--announce", d.address(fmt.Sprintf("n%d-backend", i)),
+		"--service", "transcripts", "--release", release,
+		"--run-log", filepath.Join(d.folder, "runs-"+name+".runs"))
+}
+
+func (d *deployment) start(name, program string, args ...string) {
+	log, err := os.OpenFile(filepath.Join(d.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	d.c.Assert(err, qt.IsNil)
+	defer log.Close()
+	process := exec.Command(program, args...)
+	process.Stdout, process.Stderr = log, log
+	d.c.Assert(process.Start(), qt.IsNil)
+	d.processes[name] = process
+}
+
+// kill ends a process as a power failure of its instance would.
+func (d *deployment) kill(name string) {
+	process := d.processes[name]
+	delete(d.processes, name)
+	_ = process.Process.Kill()
+	_ = process.Wait()
+}
+
+func (d *deployment) signal(name string, signal syscall.Signal) {
+	d.c.Assert(d.processes[name].Process.Signal(signal), qt.IsNil)
+}
+
+// stop is a planned stop; the process must end with status 0.
+func (d *deployment) stop(name string) {
+	process := d.processes[name]
+	d.signal(name, syscall.SIGTERM)
+	delete(d.processes, name)
+	d.c.Assert(process.Wait(), qt.IsNil, qt.Commentf("planned stop of %s", name))
+}
+
+// eventually polls until the condition holds.
+func (d *deployment) eventually(what string, limit time.Duration, condition func() bool) time.Duration {
+	began := time.Now()
+	for !condition() {
+		if time.Since(began) > limit {
+			d.c.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(10 * time.Millisecond) // between two polls of another process
+	}
+	return time.Since(began)
+}
+
+func (d *deployment) get(url string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	d.c.Assert(err, qt.IsNil)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, bytes.TrimSpace(body)
+}
+
+func (d *deployment) ready(node string) bool {
+	status, _ := d.get("http://" + d.address(node+"-admin") + "/ready")
+	return status == http.StatusOK
+}
+
+// nodeRevision returns the revision that a node has in force.
+func (d *deployment) nodeRevision(node string) uint64 {
+	_, body := d.get("http://" + d.address(node+"-admin") + "/state")
+	var state struct {
+		Distribution struct {
+			Revision uint64 `json:"revision"`
+		} `json:"distribution"`
+	}
+	_ = json.Unmarshal(body, &state)
+	return state.Distribution.Revision
+}
--- /dev/null
+++ b/e2e/failures_test.go
@@ -0,0 +1,202 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+)
+
+// Guards against an accepted record that is lost or reverted when control instances are killed at any moment, one after
+// another and two at a time, and against a submission id whose verdict changes.
+func TestAcceptedRecordsSurviveKills(t *testing.T) {
+	c := qt.New(t)
+	d := newDeployment(c)
+	d.startControls()
+	d.leader()
+	random := rand.New(rand.NewPCG(4, 4))
+	client := d.client()
+	accepted := make(map[core.SubmissionID]core.Revision)
+	version := core.RecordVersion(0)
+	for round := range 6 {
+		victims := lo.Samples([]int{1, 2, 3}, 1+round%2)
+		killed := make(chan struct{})
+		delay := time.Duration(random.IntN(200)) * time.Millisecond
+		go func() {
+			defer close(killed)
+			time.Sleep(delay) // the kill hits the submissions at a random moment
+			for _, i := range victims {
+				_ = d.processes[fmt.Sprintf("c%d", i)].Process.Kill()
+			}
+		}()
+		for range 5 {
+			version++
+			submission := service("survivor", version)
+			if len(victims) == 1 {
+				verdict := d.submit(client, submission)
+				c.Assert(verdict.Result, qt.Equals, catalog.Accepted, qt.Commentf("%+v", verdict))
+				accepted[submission.ID] = verdict.Revision
+				continue
+			}
+			<-killed
+		}
+		<-killed
+		for _, i := range victims {
+			name := fmt.Sprintf("c%d", i)
+			_ = d.processes[name].Wait()
+			delete(d.processes, name)
+			d.startControl(i)
+		}
+		d.leader()
+		for id, revision := range accepted {
+			var repeated core.RecordVersion
+			_, err := fmt.Sscanf(string(id), "survivor-%d", &repeated)
+			c.Assert(err, qt.IsNil)
+			c.Assert(d.submit(client, service("survivor", repeated)).Revision, qt.Equals, revision, qt.Commentf("round %d, submission %s", round, id))
+		}
+	}
+	c.Assert(accepted, qt.HasLen, 15)
+}
+
+// Guards against a leader that was frozen and, once it runs again, serves what it knew as current.
+func TestFrozenLeaderServesNothingStale(t *testing.T) {
+	c := qt.New(t)
+	d := newDeployment(c)
+	d.startControls()
+	frozen := d.leader()
+	others := lo.Without([]int{1, 2, 3}, frozen)
+	name := fmt.Sprintf("c%d", frozen)
+	d.signal(name, syscall.SIGSTOP)
+	verdict := d.submit(d.client(others...), service("while-frozen", 1))
+	c.Assert(verdict.Result, qt.Equals, catalog.Accepted)
+	d.signal(name, syscall.SIGCONT)
+	for range 20 {
+		status, err := d.status(d.client(frozen))
+		if err == nil && status.Current {
+			c.Assert(status.Revision >= verdict.Revision, qt.IsTrue, qt.Commentf("%+v", status))
+		}
+	}
+	d.eventually("the thawed instance has caught up", 10*time.Second, func() bool {
+		status, err := d.status(d.client(frozen))
+		return err == nil && status.Current && status.Revision >= verdict.Revision
+	})
+}
+
+// Guards against nodes that stop serving while the control instances are away, and against a fresh node that serves a
+// configuration which may be older than the one of its earlier run.
+func TestNodesServeOnWithoutControlInstances(t *testing.T) {
+	c := qt.New(t)
+	d := newDeployment(c)
+	d.startServing(3)
+	for i := 1; i <= controls; i++ {
+		d.kill(fmt.Sprintf("c%d", i))
+	}
+	calls := d.startCalls("without-control", 6*time.Second, 200, []int{1, 2})
+	d.kill("n3")
+	d.kill("b3")
+	d.startNode(3)
+	d.startBackend(3, "v1")
+	calls.verify()
+	// The calls that ran on the killed node may be lost, 9 slots at most; all others are answered.
+	c.Assert(calls.summary()["ok"].(float64) >= calls.summary()["calls"].(float64)-9, qt.IsTrue, qt.Commentf("%v", calls.summary()))
+	c.Assert(d.ready("n3"), qt.IsFalse)
+
+	d.startControls()
+	d.eventually("the fresh node is confirmed", 20*time.Second, func() bool { return d.ready("n3") })
+}
+
+// Guards against calls that are cut off or refused while every node and backend server is restarted in turn under load.
+func TestRollingRestartCutsOffNothing(t *testing.T) {
+	d := newDeployment(qt.New(t))
+	const nodes = 4
+	d.startServing(nodes)
+	calls := d.startCalls("rolling", 24*time.Second, 200, []int{1, 2, 3, 4})
+	for i := 1; i <= nodes; i++ {
+		node, backend := fmt.Sprintf("n%d", i), fmt.Sprintf("b%d", i)
+		d.stop(node)
+		d.stop(backend)
+		d.startNode(i)
+		d.startBackend(i, "v1")
+		d.eventually("the restarted node is ready", 10*time.Second, func() bool {
+			status, err := d.status(d.client())
+			return err == nil && status.Fleet.Endpoints["transcripts"] == nodes && d.ready(node)
+		})
+	}
+	calls.verify("--all-answered")
+}
+
+// Guards against calls that run twice or get a false refusal when backend servers and nodes are killed under load.
+func TestKilledNodesRunNothingTwice(t *testing.T) {
+	d := newDeployment(qt.New(t))
+	d.startServing(4)
+	calls := d.startCalls("killed", 10*time.Second, 300, []int{1, 2, 3, 4}, "--post-per-mille", "700")
+	for i := 1; i <= 3; i++ {
+		time.Sleep(time.Second) // calls are under way when the next process dies
+		d.kill(fmt.Sprintf("b%d", i))
+		d.startBackend(i, "v1")
+		d.kill(fmt.Sprintf("n%d", i))
+		d.startNode(i)
+	}
+	calls.verify()
+}
+
+// Guards against a control instance that lost its disk and votes as if it remembered.
+func TestWipedDiskDoesNotVote(t *testing.T) {
+	c := qt.New(t)
+	d := newDeployment(c)
+	d.startControls()
+	verdict := d.submit(d.client(), service("kept", 1))
+	wiped := d.leader()
+	others := lo.Without([]int{1, 2, 3}, wiped)
+	name := fmt.Sprintf("c%d", wiped)
+	d.kill(name)
+	c.Assert(os.RemoveAll(d.dataFolder(wiped)), qt.IsNil)
+	d.startControl(wiped)
+	d.leader()
+	d.submit(d.client(others...), service("kept", 2))
+
+	// With one more instance gone, the wiped one must not complete a majority.
+	d.kill(fmt.Sprintf("c%d", others[0]))
+	end := time.Now().Add(5 * time.Second) // several election timeouts
+	for time.Now().Before(end) {
+		status, err := d.status(d.client(others[1]))
+		if err == nil && status.Replica.Leader == core.ControlID(fmt.Sprintf("c%d", others[1])) && status.Current {
+			c.Fatalf("the wiped instance has voted: %+v", status)
+		}
+	}
+	d.startControl(others[0])
+	d.leader()
+	c.Assert(d.submit(d.client(), service("kept", 1)).Revision, qt.Equals, verdict.Revision)
+}
+
+// Guards against a restart that replays the whole history or loses a part of it.
+func TestRestartAfterTwoThousandChanges(t *testing.T) {
+	c := qt.New(t)
+	d := newDeployment(c)
+	d.startControls()
+	client := d.client(d.leader())
+	for version := core.RecordVersion(1); version <= 2000; version++ {
+		d.submit(client, service("busy", version))
+	}
+	for i := 1; i <= controls; i++ {
+		d.kill(fmt.Sprintf("c%d", i))
+	}
+	snapshots, err := filepath.Glob(filepath.Join(d.dataFolder(1), "*snapshot*"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(snapshots, qt.Not(qt.HasLen), 0)
+	d.startControls()
+	took := d.eventually("all changes are there again", 10*time.Second, func() bool {
+		status, err := d.status(d.client())
+		return err == nil && status.Current && status.Revision == 2000
+	})
+	c.Logf("restart after 2,000 changes: %v until a leader has confirmed them", took)
+}
--- /dev/null
+++ b/e2e/records_test.go
@@ -0,0 +1,156 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+	"parsleyport/io/operatorhttp"
+)
+
+const operatorTimeout = 20 * time.Second
+
+// client returns a client of the given control instances, or of all of them.
+func (d *deployment) client(instances ...int) *operatorhttp.Client {
+	if len(instances) == 0 {
+		instances = []int{1, 2, 3}
+	}
+	client := operatorhttp.NewClient(operatorhttp.ClientOptions{
+		Servers: lo.Map(instances, func(i, _ int) string { return d.operator(i) }),
+	})
+	d.c.Cleanup(client.Close)
+	return client
+}
+
+func (d *deployment) submit(client *operatorhttp.Client, submission core.Submission) catalog.Verdict {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	verdict, err := client.Submit(ctx, submission)
+	d.c.Assert(err, qt.IsNil, qt.Commentf("submission %s", submission.ID))
+	return verdict
+}
+
+func (d *deployment) status(client *operatorhttp.Client) (operatorhttp.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return client.Status(ctx)
+}
+
+// leader waits until a control instance leads and returns its number.
+func (d *deployment) leader() int {
+	leader := 0
+	d.eventually("a leader is known", 15*time.Second, func() bool {
+		for i := 1; i <= controls; i++ {
+			if _, running := d.processes[fmt.Sprintf("c%d", i)]; !running {
+				continue
+			}
+			status, err := d.status(d.client(i))
+			if err == nil && status.Current && status.Replica.Leader == status.Replica.Self {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func body(v any) json.RawMessage {
+	return lo.Must(json.Marshal(v))
+}
+
+// transcripts is one service with two releases; all traffic goes to v1.
+func transcripts(version core.RecordVersion) core.Submission {
+	record := func(kind core.Kind, name string, v any) core.Record {
+		return core.Record{Kind: kind, Name: name, SchemaVersion: 1, Version: version, Body: body(v)}
+	}
+	return core.Submission{
+		ID:       core.SubmissionID(fmt.Sprintf("transcripts-%d", version)),
+		Operator: "test",
+		Records: []core.Record{
+			record(core.KindService, "transcripts", core.ServiceBody{Tenant: "platform"}),
+			record(core.KindUpstream, "transcripts-v1", core.UpstreamBody{Service: "transcripts", Release: "v1", Slots: 9}),
+			record(core.KindUpstream, "transcripts-v2", core.UpstreamBody{Service: "transcripts", Release: "v2", Slots: 9}),
+			record(core.KindPolicy, "transcripts", core.PolicyBody{Service: "transcripts", Weights: []core.Weight{{Upstream: "transcripts-v1", PerMille: 1000}}}),
+			record(core.KindRoute, "read", core.RouteBody{PathPrefix: "/transcripts", Methods: []string{"GET"}, Service: "transcripts", Idempotent: true, TimeoutMS: 2000}),
+			record(core.KindRoute, "lodge", core.RouteBody{PathPrefix: "/transcripts", Methods: []string{"POST"}, Service: "transcripts", TimeoutMS: 2000}),
+		},
+	}
+}
+
+// service is a submission of one service record.
+func service(name string, version core.RecordVersion) core.Submission {
+	return core.Submission{
+		ID:       core.SubmissionID(fmt.Sprintf("%s-%d", name, version)),
+		Operator: "test",
+		Records: []core.Record{
+			{Kind: core.KindService, Name: name, SchemaVersion: 1, Version: version, Body: body(core.ServiceBody{Tenant: core.TenantID(fmt.Sprintf("t%d", version))})},
+		},
+	}
+}
+
+// startServing starts control instances, nodes and backend servers of release v1 and waits until all nodes are ready.
+func (d *deployment) startServing(nodes int) {
+	d.startControls()
+	d.submit(d.client(), transcripts(1))
+	for i := 1; i <= nodes; i++ {
+		d.startNode(i)
+		d.startBackend(i, "v1")
+	}
+	d.eventually("all nodes are ready and all endpoints known", 20*time.Second, func() bool {
+		status, err := d.status(d.client())
+		return err == nil && status.Fleet.Endpoints["transcripts"] == nodes && lo.EveryBy(lo.RangeFrom(1, nodes), func(i int) bool { return d.ready(fmt.Sprintf("n%d", i)) })
+	})
+}
+
+// calls is a running caller stand-in.
+type calls struct {
+	d       *deployment
+	name    string
+	process *exec.Cmd
+}
+
+// startCalls starts callers at the given nodes for a while.
+func (d *deployment) startCalls(name string, duration time.Duration, rate int, nodes []int, flags ...string) *calls {
+	args := []string{
+		"caller", "--path", "/transcripts/1", "--path", "/transcripts/2", "--workers", "32",
+		"--rate", fmt.Sprint(rate), "--duration-ms", fmt.Sprint(duration.Milliseconds()),
+		"--log", filepath.Join(d.folder, name+".calls"), "--summary", filepath.Join(d.folder, name+".summary"),
+	}
+	for _, i := range nodes {
+		args = append(args, "--target", d.address(fmt.Sprintf("n%d-caller", i)))
+	}
+	d.start(name, programs.standin, append(args, flags...)...)
+	return &calls{d: d, name: name, process: d.processes[name]}
+}
+
+// verify waits for the end of the calls and checks the logs; flags are those of the stand-in's verify command.
+func (k *calls) verify(flags ...string) {
+	delete(k.d.processes, k.name)
+	k.d.c.Assert(k.process.Wait(), qt.IsNil)
+	args := []string{"verify", "--calls", filepath.Join(k.d.folder, k.name+".calls")}
+	runs, _ := filepath.Glob(filepath.Join(k.d.folder, "*.runs"))
+	for _, file := range runs {
+		args = append(args, "--runs", file)
+	}
+	output, err := exec.Command(programs.standin, append(args, flags...)...).CombinedOutput()
+	k.d.c.Assert(err, qt.IsNil, qt.Commentf("%s: %s", k.name, output))
+}
+
+// summary reads what the caller stand-in has counted.
+func (k *calls) summary() map[string]any {
+	text, err := os.ReadFile(filepath.Join(k.d.folder, k.name+".summary"))
+	k.d.c.Assert(err, qt.IsNil)
+	var counts map[string]any
+	k.d.c.Assert(json.Unmarshal(text, &counts), qt.IsNil)
+	return counts
+}
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -13,6 +13,8 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"parsleyport/io/control"
+	nodeprocess "parsleyport/io/node"
 	"parsleyport/io/operatorhttp"
 	"parsleyport/io/settings"
 )
@@ -25,11 +27,11 @@
 	StatusUnknown = 3
 )
 
-// The functions of the process commands; a command is registered only if its function is set. They return once the
-// context has ended and everything is stopped.
+// The functions of the process commands; tests replace them. They return once the context has ended and everything is
+// stopped.
 var (
-	runControl func(context.Context, settings.Control, zerolog.Logger) error
-	runNode    func(context.Context, settings.Node, zerolog.Logger) error
+	runControl = control.Run
+	runNode    = nodeprocess.Run
 )
 
 // program is one run of the command line.
--- /dev/null
+++ b/io/control/control.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"parsleyport/core/catalog"
+	"parsleyport/io/distribution"
+	"parsleyport/io/operatorhttp"
+	"parsleyport/io/raftpeer"
+	"parsleyport/io/settings"
+)
+
+// process holds what the parts of one control instance share.
+type process struct {
+	settings settings.Control
+	log      zerolog.Logger
+	metrics  *metrics.Set
+	cleanups []func()
+}
+
+// Run runs a control instance until the context ends; it returns an error if an address or the data folder cannot be
+// used, or after a fault of the disk.
+func Run(ctx context.Context, s settings.Control, log zerolog.Logger) error {
+	p := &process{
+		settings: s,
+		log:      log.With().Str("control", string(s.ID)).Logger(),
+		metrics:  metrics.NewSet(),
+	}
+	defer p.cleanup()
+	injector := do.New()
+	do.ProvideValue(injector, catalog.New())
+	do.Provide(injector, p.newReplica)
+	do.Provide(injector, p.newSource)
+	do.Provide(injector, p.newOperators)
+	replica, err := do.Invoke[*raftpeer.Replica](injector)
+	if err != nil {
+		return errors.Annotate(err, "replicated log")
+	}
+	if _, err := do.Invoke[*operatorhttp.Server](injector); err != nil {
+		return errors.Annotate(err, "operators' API")
+	}
+	p.startMover(injector)
+	p.log.Info().Str("event", "started").Msg("control instance started")
+	select {
+	case <-ctx.Done():
+		p.log.Info().Str("event", "stopping").Msg("control instance stops")
+		return nil
+	case err := <-replica.Failed():
+		return errors.Annotate(err, "replicated log")
+	}
+}
+
+// cleanup runs the clean-up functions in reverse order.
+func (p *process) cleanup() {
+	for _, cleanup := range lo.Reverse(p.cleanups) {
+		cleanup()
+	}
+}
+
+func (p *process) newReplica(injector do.Injector) (*raftpeer.Replica, error) {
+	replica, cleanup, err := raftpeer.New(raftpeer.Options{
+		Self:       p.settings.ID,
+		DataFolder: p.settings.DataFolder,
+		Listen:     p.settings.PeerAddress,
+		Members: lo.Map(p.settings.Members, func(m settings.Member, _ int) raftpeer.Member {
+			return raftpeer.Member{
+				ID:         m.ID,
+				Address:    m.PeerAddress,
+				DataCentre: m.DataCentre,
+			}
+		}),
+		Bootstrap: p.settings.Bootstrap,
+		Logger:    p.log,
+		Metrics:   p.metrics,
+	}, do.MustInvoke[*catalog.Catalog](injector))
+	if err != nil {
+		return nil, err
+	}
+	p.cleanups = append(p.cleanups, cleanup)
+	return replica, nil
+}
+
+func (p *process) newSource(injector do.Injector) (*distribution.Source, error) {
+	replica, err := do.Invoke[*raftpeer.Replica](injector)
+	if err != nil {
+		return nil, err
+	}
+	others := lo.Filter(p.settings.Members, func(m settings.Member, _ int) bool { return m.ID != p.settings.ID })
+	source, cleanup, err := distribution.NewSource(distribution.SourceOptions{
+		ID:            p.settings.ID,
+		ListenAddress: p.settings.NodeAddress,
+		Peers: lo.Map(others, func(m settings.Member, _ int) distribution.Peer {
+			return distribution.Peer{
+				ID:      m.ID,
+				Address: m.NodeAddress,
+			}
+		}),
+		Catalog:    do.MustInvoke[*catalog.Catalog](injector),
+		Replicator: replica,
+		Logger:     p.log,
+		Metrics:    p.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.cleanups = append(p.cleanups, cleanup)
+	return source, nil
+}
+
+// startMover starts the duty that steps the open moves.
+func (p *process) startMover(injector do.Injector) {
+	m := &mover{
+		catalog:    do.MustInvoke[*catalog.Catalog](injector),
+		source:     do.MustInvoke[*distribution.Source](injector),
+		replicator: do.MustInvoke[*raftpeer.Replica](injector),
+		log:        p.log,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		m.run(ctx)
+	}()
+	p.cleanups = append(p.cleanups, func() {
+		cancel()
+		<-stopped
+	})
+}
--- /dev/null
+++ b/io/control/moves.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"parsleyport/core"
+	"parsleyport/core/catalog"
+	"parsleyport/core/rollout"
+	"parsleyport/io/distribution"
+)
+
+const (
+	// stepEvery is how often open moves are judged.
+	stepEvery = 200 * time.Millisecond
+	// proposeTimeout bounds the wait for one step; the judge proposes an unanswered step again with the same number.
+	proposeTimeout = 2 * time.Second
+)
+
+// mover steps the open moves while this control instance leads.
+type mover struct {
+	catalog    *catalog.Catalog
+	source     *distribution.Source
+	replicator core.Replicator
+	log        zerolog.Logger
+	judges     map[core.MoveID]*rollout.Judge
+}
+
+func (m *mover) run(ctx context.Context) {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			m.judgeAll(ctx, now)
+		}
+	}
+}
+
+func (m *mover) judgeAll(ctx context.Context, now time.Time) {
+	status := m.replicator.Status()
+	if status.Leader != status.Self {
+		m.judges = make(map[core.MoveID]*rollout.Judge) // another leader judges; what was learned here goes stale
+		return
+	}
+	open := make(map[core.MoveID]*rollout.Judge)
+	for _, move := range m.catalog.Moves() {
+		if rollout.IsFinal(move.State) {
+			continue
+		}
+		judge := m.judge(move)
+		if judge == nil {
+			continue
+		}
+		open[move.MoveID] = judge
+		judge.ObserveEndpoints(now, m.source.Endpoints(move.Request.Service))
+		if step, due := judge.Decide(now, move, m.source.Evidence()); due {
+			m.propose(ctx, step)
+		}
+	}
+	m.judges = open
+}
+
+// judge returns the judge of a move, or nil if the configuration does not know the move's upstreams.
+func (m *mover) judge(move core.Move) *rollout.Judge {
+	if judge, exists := m.judges[move.MoveID]; exists {
+		return judge
+	}
+	configuration := m.catalog.Current()
+	from, fromExists := configuration.Upstream(move.Request.From)
+	to, toExists := configuration.Upstream(move.Request.To)
+	if !fromExists || !toExists {
+		return nil
+	}
+	return rollout.NewJudge(move, from.Release, to.Release)
+}
+
+func (m *mover) propose(ctx context.Context, step core.MoveStep) {
+	command, err := catalog.EncodeStep(step)
+	if err != nil {
+		m.log.Error().Err(err).Str("move", string(step.MoveID)).Msg("step of a move cannot be encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := m.replicator.Propose(ctx, command); err != nil {
+		m.log.Warn().Err(err).Str("event", "step-not-confirmed").Str("move", string(step.MoveID)).Uint64("step", step.Step).Msg("step of a move not confirmed")
+		return
+	}
+	m.log.Info().Str("event", "move-stepped").Str("move", string(step.MoveID)).Str("state", string(step.State)).
+		Uint32("share-per-mille", uint32(step.Share)).Str("cause", step.Cause).Msg("move stepped")
+}
