Bound names in commands and keep metrics readable under overload

The audit trail keeps what it records for good, so the encoders refuse names of more than 128 bytes in deletes, moves and aborts as well. An empty list of deletes is encoded as none: a client that resends with the empty list was told that its submission id was used for other content.

/metrics is outside the limit of requests, because it is needed most when that limit is reached. PARSLEYPORT_OPERATOR no longer overrides the operator in a record file.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -151,6 +151,8 @@
 	for _, each := range []*replica{r, r.restored(c)} {
 		trail := len(each.Audit(catalog.AuditFilter{}))
 		c.Assert(each.submit(c, second), qt.DeepEquals, accepted)
+		second.Deletes = []core.Deletion{}
+		c.Assert(each.submit(c, second), qt.DeepEquals, accepted)
 		c.Assert(each.submit(c, stale), qt.DeepEquals, refused)
 		c.Assert(each.weights(), qt.Equals, "v1=1000")
 		c.Assert(each.Audit(catalog.AuditFilter{}), qt.HasLen, trail)
@@ -298,6 +300,7 @@
 		submission("a", newRecord(core.KindService, "x", 1, `{"tenant": `)),
 		submission("a", newRecord("planet", "x", 1, `{}`)),
 		submission(core.SubmissionID(strings.Repeat("a", 200)), policy(2, "v2")),
+		{ID: "a", Operator: "b", Deletes: []core.Deletion{{Kind: core.KindRoute, Name: strings.Repeat("a", 200), SchemaVersion: 1, Version: 1}}},
 	} {
 		_, err := catalog.EncodeSubmit(start, 1, s)
 		c.Assert(errors.Is(err, catalog.ErrMalformed), qt.IsTrue, qt.Commentf("%v", s))
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -68,9 +68,17 @@
 		records = append(records, r)
 	}
 	s.Records = records
+	if len(s.Deletes) == 0 {
+		s.Deletes = nil // an empty list is the same content as none
+	}
 	if err := checkKeys(s); err != nil {
 		return nil, errors.WithType(err, ErrMalformed)
 	}
+	for _, d := range s.Deletes { // CheckRecord has checked the names of the records
+		if err := checkNames(string(d.Kind), d.Name); err != nil {
+			return nil, err
+		}
+	}
 	return encode(ActionSubmit, at, floor, s)
 }
 
@@ -79,6 +87,9 @@
 	if err := checkSender(request.ID, request.Operator); err != nil {
 		return nil, err
 	}
+	if err := checkNames(string(request.Service), string(request.From), string(request.To)); err != nil {
+		return nil, err
+	}
 	request.Deadline = request.Deadline.UTC()
 	return encode(ActionMove, at, 0, request)
 }
@@ -88,6 +99,9 @@
 	if err := checkSender(abort.ID, abort.Operator); err != nil {
 		return nil, err
 	}
+	if err := checkNames(string(abort.MoveID)); err != nil {
+		return nil, err
+	}
 	return encode(ActionAbort, at, 0, abort)
 }
 
@@ -129,6 +143,16 @@
 	return nil
 }
 
+// checkNames bounds what the audit trail keeps for good.
+func checkNames(names ...string) error {
+	for _, name := range names {
+		if len(name) > maxIDBytes {
+			return errors.Annotatef(ErrMalformed, "a name has %d bytes, expected at most %d", len(name), maxIDBytes)
+		}
+	}
+	return nil
+}
+
 func checkKeys(s core.Submission) error {
 	if len(s.Records)+len(s.Deletes) == 0 {
 		return errors.New("a submission needs records or deletes")
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -191,6 +191,7 @@
 	load := func(content, operator string) core.SubmissionID {
 		submission, derived, err := loadSubmission(f.file("records.jsonc", content), options{
 			operator: core.Operator(operator),
+			fallback: core.Operator(os.Getenv(operatorVariable)),
 		})
 		f.c.Assert(err, qt.IsNil)
 		f.c.Assert(derived, qt.IsTrue)
@@ -198,6 +199,8 @@
 	}
 	f.c.Assert(load(records, ""), qt.Equals, load(strings.ReplaceAll(records, "  ", "\t"), ""))
 	f.c.Assert(load(records, ""), qt.Not(qt.Equals), load(records, "lars"))
+	f.c.Setenv(operatorVariable, "lars")
+	f.c.Assert(load(records, ""), qt.Equals, load(records, "amina"), qt.Commentf("the environment overrides the file"))
 	f.c.Assert(load(records, ""), qt.Not(qt.Equals), load(strings.Replace(records, `"slots": 9`, `"slots": 8`, 1), ""))
 }
 
--- a/io/cli/operator.go
+++ b/io/cli/operator.go
@@ -48,7 +48,7 @@
 	if submission, err = parseRecords(file, source); err != nil {
 		return submission, false, err
 	}
-	submission.Operator = lo.CoalesceOrEmpty(o.operator, submission.Operator)
+	submission.Operator = lo.CoalesceOrEmpty(o.operator, submission.Operator, o.fallback)
 	submission.ID = lo.CoalesceOrEmpty(o.submissionID, submission.ID)
 	if submission.Operator == "" {
 		return submission, false, errors.Errorf("%s: operator is missing: name it in the file or with --operator", file)
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -51,6 +51,7 @@
 	timeout      time.Duration // how long one request is repeated until it has an answer
 	json         bool
 	operator     core.Operator
+	fallback     core.Operator // operator if neither an option nor the file names one
 	submissionID core.SubmissionID
 	service      core.ServiceName
 	from         core.UpstreamName
@@ -167,7 +168,7 @@
 }
 
 func addOperator(command *kingpin.CmdClause, r *raw) {
-	command.Flag("operator", "Who submits; "+operatorVariable+" and a record file may name the operator as well.").StringVar((*string)(&r.operator))
+	command.Flag("operator", "Who submits. Otherwise the record file names the operator, or "+operatorVariable+" does.").StringVar((*string)(&r.operator))
 	command.Flag("submission-id", "Id that makes a resend harmless; derived from the content if there is none.").StringVar((*string)(&r.submissionID))
 }
 
@@ -186,7 +187,9 @@
 	o := r.options
 	o.json = r.output == "json"
 	switch o.command {
-	case commandApply, commandMove, commandAbort:
+	case commandApply:
+		o.fallback = core.Operator(os.Getenv(operatorVariable))
+	case commandMove, commandAbort:
 		if o.operator == "" {
 			o.operator = core.Operator(os.Getenv(operatorVariable))
 		}
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -17,6 +17,7 @@
 	statusTimeout     = time.Second // status is also for times without a leader
 	headerTimeout     = 5 * time.Second
 	bodyTimeout       = 30 * time.Second
+	answerTimeout     = time.Minute // from the end of the header
 	idleTimeout       = time.Minute
 	stopTimeout       = 5 * time.Second
 	attemptTimeout    = 6 * time.Second
--- a/io/operatorhttp/operatorhttp_test.go
+++ b/io/operatorhttp/operatorhttp_test.go
@@ -348,8 +348,12 @@
 	case first = <-statuses: // the other requests wait for the release
 	case <-within(c, 10*time.Second).Done():
 	}
+	response, err := http.Get("http://" + f.address + "/metrics")
 	close(release)
 	c.Assert(first, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("no metrics under overload"))
 	for range 64 {
 		c.Assert(<-statuses, qt.Equals, http.StatusOK)
 	}
--- a/io/operatorhttp/server.go
+++ b/io/operatorhttp/server.go
@@ -56,6 +56,7 @@
 		Handler:           s.handler(),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
+		WriteTimeout:      answerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
@@ -92,11 +93,13 @@
 	config.CreateHooks = nil                     // no schema links in answers
 	api := humago.New(mux, config)
 	s.register(api)
-	mux.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+	open := http.NewServeMux() // metrics need no token and are read under overload too
+	open.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		s.options.Metrics.WritePrometheus(w)
 	})
-	return s.bounded(s.authorized(s.whole(mux)))
+	open.Handle("/", s.bounded(s.authorized(s.whole(mux))))
+	return open
 }
 
 // whole reads the body before anything else looks at it: huma answers a cut body with status 500, which would tell the
@@ -138,7 +141,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		got := sha256.Sum256([]byte(token))
-		if s.options.Token != "" && r.URL.Path != metricsPath && subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		if s.options.Token != "" && subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
 			s.countError("unauthorized")
 			http.Error(w, "the operators' token is missing or wrong", http.StatusUnauthorized)
 			return
