Keep the replica's loop free while the applier is busy

The loop now joins results and waits only once 8,192 entries are left.

A membership change that gives an instance another address replaces the connection. Adds a test that grows and shrinks the membership, and one that removes the leader.

--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -139,7 +139,7 @@
 }
 
 func (n *Node) receiveAppend(m Message) {
-	if !n.followLeader(m, KindAppendAnswer) {
+	if !contiguous(m) || !n.followLeader(m, KindAppendAnswer) {
 		return
 	}
 	answer := Message{
@@ -159,6 +159,16 @@
 	n.sendSynced(m.From, answer)
 }
 
+// contiguous reports whether the entries of a message follow its index without a gap.
+func contiguous(m Message) bool {
+	for i := range m.Entries {
+		if m.Entries[i].Index != m.Index+core.LogIndex(i)+1 {
+			return false
+		}
+	}
+	return true
+}
+
 // store appends the entries that are new and returns the last index at which the log matches the leader's.
 func (n *Node) store(m Message) core.LogIndex {
 	for i, entry := range m.Entries {
--- a/core/raft/snapshot.go
+++ b/core/raft/snapshot.go
@@ -7,7 +7,7 @@
 )
 
 func (n *Node) receiveChunk(m Message) {
-	if m.Snapshot == nil || !n.followLeader(m, KindSnapshotChunkAnswer) {
+	if m.Snapshot == nil || m.Size > maxSnapshotBytes || !n.followLeader(m, KindSnapshotChunkAnswer) {
 		return
 	}
 	if m.Snapshot.Index <= n.commit {
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -26,6 +26,7 @@
 	maxAppendEntries = 512       // entries in one message
 	maxAppendBytes   = 1 << 20   // command bytes in one message, apart from its first entry
 	chunkBytes       = 256 << 10 // snapshot bytes in one message
+	maxSnapshotBytes = 1 << 30   // a greater snapshot is not received
 	trailingEntries  = 512       // entries kept in memory behind a snapshot for members that lag a little
 )
 
--- a/io/raftpeer/engine.go
+++ b/io/raftpeer/engine.go
@@ -123,12 +123,27 @@
 }
 
 func (o *outcome) add(out raft.Output) {
-	if out.Install != nil {
-		o.install = out.Install
+	o.join(outcome{
+		install:   out.Install,
+		committed: out.Committed,
+		reads:     out.Reads,
+		refused:   out.Refused,
+	})
+}
+
+// join adds later results. Nothing is committed between an installed snapshot and the report that it is stored, so the
+// snapshot stays the last thing to be applied.
+func (o *outcome) join(later outcome) {
+	if later.install != nil {
+		o.install = later.install
 	}
-	o.committed = append(o.committed, out.Committed...)
-	o.reads = append(o.reads, out.Reads...)
-	o.refused = append(o.refused, out.Refused...)
+	o.committed = append(o.committed, later.committed...)
+	o.reads = append(o.reads, later.reads...)
+	o.refused = append(o.refused, later.refused...)
+}
+
+func (o *outcome) isEmpty() bool {
+	return o.install == nil && len(o.committed) == 0 && len(o.reads) == 0
 }
 
 // compact removes what a stored snapshot replaces on the disk.
--- a/io/raftpeer/failure_test.go
+++ b/io/raftpeer/failure_test.go
@@ -109,6 +109,33 @@
 	c.Assert(leader.engine.node.Describe().Voters, qt.HasLen, 3)
 }
 
+// Guards against an added instance that does not count, and a removed one that leads on or disturbs the others.
+func TestMembershipGrowsAndShrinks(t *testing.T) {
+	c := qt.New(t)
+	w, leader := startedWorld(t, 3)
+	for _, id := range []core.ControlID{"c4", "c5"} {
+		w.ids = append(w.ids, id)
+		w.add(id, false)
+		w.change(raft.ChangeAdd, id)
+		w.change(raft.ChangePromote, id)
+	}
+	old := w.others(leader.options.Self, "c4", "c5")
+	w.instances[old[0]].crash()
+	w.instances[old[1]].crash()
+	w.write("majority=with the added ones")
+	w.heal()
+	w.converge()
+
+	w.change(raft.ChangeRemove, leader.options.Self)
+	w.until(5*time.Second, "new leader", func() bool { return w.leader() != nil && w.leader() != leader })
+	w.write("after=1")
+	next := w.leader()
+	w.advance(10 * time.Second)
+	c.Assert(w.leader(), qt.Equals, next)
+	c.Assert(next.engine.node.Describe().Voters, qt.DeepEquals, w.others(leader.options.Self))
+	c.Assert(leader.machine["after"], qt.Equals, "")
+}
+
 // Guards against a second membership change while one is not committed: their majorities need not overlap.
 func TestOneMembershipChangeAtATime(t *testing.T) {
 	c := qt.New(t)
--- a/io/raftpeer/link.go
+++ b/io/raftpeer/link.go
@@ -37,19 +37,29 @@
 type link struct {
 	address string
 	queue   *ring.Ring[outgoing]
+	context context.Context
+	cancel  context.CancelFunc
 }
 
-// connect starts the sender of an instance that has none yet.
+// connect starts the sender of an instance, and replaces one to another address.
 func (r *Replica) connect(id core.ControlID, address string) {
 	r.linksMu.Lock()
 	defer r.linksMu.Unlock()
-	if _, exists := r.links[id]; exists || id == r.options.Self || address == "" || len(r.links) >= maxMembers {
+	old := r.links[id]
+	if id == r.options.Self || address == "" || old == nil && len(r.links) >= maxMembers {
 		return
 	}
+	if old != nil && old.address == address {
+		return
+	}
+	if old != nil {
+		old.cancel()
+	}
 	l := &link{
 		address: address,
 		queue:   ring.New[outgoing](sendCapacity),
 	}
+	l.context, l.cancel = context.WithCancel(r.context)
 	r.links[id] = l
 	r.running.Go(func() { r.sendLoop(l) })
 }
@@ -96,8 +106,8 @@
 }
 
 func (r *Replica) sendLoop(l *link) {
-	for r.context.Err() == nil {
-		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(r.context, "tcp", l.address)
+	for l.context.Err() == nil {
+		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(l.context, "tcp", l.address)
 		if err == nil {
 			r.useConnection(l, frame.New(conn))
 			_ = conn.Close()
@@ -105,7 +115,7 @@
 		r.discard(l)
 		select {
 		case <-time.After(redialPause):
-		case <-r.context.Done():
+		case <-l.context.Done():
 		}
 	}
 }
@@ -131,7 +141,7 @@
 
 // useConnection sends until the connection fails or does not answer pings.
 func (r *Replica) useConnection(l *link, conn *frame.Conn) {
-	ctx, cancel := context.WithCancel(r.context)
+	ctx, cancel := context.WithCancel(l.context)
 	defer cancel()
 	r.running.Go(func() {
 		defer cancel()
--- a/io/raftpeer/options.go
+++ b/io/raftpeer/options.go
@@ -23,6 +23,7 @@
 	maxOutstanding     = 4096 // proposals and reads that wait at one instance
 	maxBatch           = 512  // events that share one sync
 	inputCapacity      = 1024
+	maxPendingEntries  = 8192 // committed entries that wait for the applier
 	applyCapacity      = 256
 	sendCapacity       = 1024
 	defaultTimeout     = 10 * time.Second // of a request whose context has no deadline
--- a/io/raftpeer/replica.go
+++ b/io/raftpeer/replica.go
@@ -45,6 +45,7 @@
 	heard   map[core.ControlID]raft.Identity
 
 	introducedAt time.Time // of the loop
+	pending      outcome   // of the loop: results that the applier has not taken
 
 	status  atomic.Pointer[core.ReplicatorStatus]
 	members atomic.Pointer[[]raft.Member]
@@ -236,14 +237,26 @@
 			refused: refusal.Reason,
 		})
 	}
+	result.refused = nil
 	r.publish()
-	if result.install == nil && len(result.committed) == 0 && len(result.reads) == 0 {
-		return nil
+	r.handOver(result)
+	return nil
+}
+
+// handOver gives results to the applier. While that is busy, as during a snapshot, they are joined and the loop goes on,
+// so that heartbeats are not late; it waits only once very many entries are left.
+func (r *Replica) handOver(result outcome) {
+	r.pending.join(result)
+	if r.pending.isEmpty() {
+		return
 	}
-	if err := r.applies.Push(r.context, result); err != nil {
-		return nil // the replica is being stopped
+	if r.pending.install == nil && len(r.pending.committed) < maxPendingEntries && r.applies.Len() == applyCapacity {
+		return
 	}
-	return nil
+	if err := r.applies.Push(r.context, r.pending); err != nil {
+		return // the replica is being stopped
+	}
+	r.pending = outcome{}
 }
 
 func (r *Replica) snapshotStored(snapshot raft.Snapshot) error {
@@ -276,7 +289,7 @@
 	status := r.engine.node.Describe()
 	before := r.status.Swap(&status)
 	members := r.engine.node.Members()
-	r.members.Store(&members)
+	previous := r.members.Swap(&members)
 	if before == nil || before.Role != status.Role || before.Leader != status.Leader {
 		r.options.Logger.Info().
 			Str("role", status.Role).
@@ -284,7 +297,7 @@
 			Uint64("term", uint64(status.Term)).
 			Msg("role or leader changed")
 	}
-	if before == nil || len(before.Voters) != len(status.Voters) || len(before.Learners) != len(status.Learners) {
+	if previous == nil || !sameSlice(*previous, members) {
 		r.options.Logger.Info().
 			Interface("voters", status.Voters).
 			Interface("learners", status.Learners).
@@ -295,6 +308,11 @@
 	}
 }
 
+// sameSlice is enough to see a change, since a membership is never changed in place.
+func sameSlice(a, b []raft.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // Status implements core.Replicator.
 func (r *Replica) Status() core.ReplicatorStatus {
 	status := *r.status.Load()
@@ -329,15 +347,14 @@
 	return strangers
 }
 
-func (r *Replica) introduced(id core.ControlID) raft.Identity {
-	r.mu.Lock()
-	identity := r.heard[id]
-	r.mu.Unlock()
-	if identity != "" {
-		return identity
+func (r *Replica) identityFor(change raft.Change) raft.Identity {
+	if change.Kind == raft.ChangePromote || change.Kind == raft.ChangeRemove {
+		member, _ := lo.Find(r.Members(), func(m raft.Member) bool { return m.Peer.ID == change.Peer.ID })
+		return member.Peer.Identity
 	}
-	member, _ := lo.Find(r.Members(), func(m raft.Member) bool { return m.Peer.ID == id })
-	return member.Peer.Identity
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.heard[change.Peer.ID]
 }
 
 func randomNumber() uint64 {
--- a/io/raftpeer/replica_test.go
+++ b/io/raftpeer/replica_test.go
@@ -42,6 +42,7 @@
 	replicas map[core.ControlID]*raftpeer.Replica
 	journals map[core.ControlID]*journal
 	stops    map[core.ControlID]func()
+	topics   chan string
 }
 
 func newDeployment(t testing.TB, ids ...core.ControlID) *deployment {
@@ -51,6 +52,7 @@
 		replicas: make(map[core.ControlID]*raftpeer.Replica),
 		journals: make(map[core.ControlID]*journal),
 		stops:    make(map[core.ControlID]func()),
+		topics:   make(chan string, 1),
 	}
 	var members []raftpeer.Member
 	for _, id := range ids {
@@ -73,6 +75,9 @@
 			Members:    members,
 			Bootstrap:  true,
 			Logger:     zerolog.New(zerolog.NewTestWriter(t)),
+			Receive: func(from core.ControlID, topic string, payload []byte) {
+				d.topics <- string(from) + " " + topic + " " + string(payload)
+			},
 		}
 		d.start(member.ID)
 	}
@@ -136,6 +141,8 @@
 	d.propose("c2", "b")
 	d.propose("c3", "c")
 	c.Assert(d.replicas["c2"].ConfirmRead(t.Context()), qt.IsNil)
+	c.Assert(d.replicas["c1"].Send("c2", "topic", []byte("payload")), qt.IsTrue)
+	c.Assert(<-d.topics, qt.Equals, "c1 topic payload")
 
 	d.stop("c3")
 	d.propose("c1", "d")
--- a/io/raftpeer/requests.go
+++ b/io/raftpeer/requests.go
@@ -85,10 +85,11 @@
 }
 
 // Change commits a membership change; a promotion waits for the learner to catch up. An empty identity stands for the
-// one with which that instance introduced itself last. It returns ErrNoLeader, ErrOutcomeUnknown or why it was refused.
+// member's, or for the one with which a new or replaced instance introduced itself last. It returns ErrNoLeader,
+// ErrOutcomeUnknown or why it was refused.
 func (r *Replica) Change(ctx context.Context, change raft.Change) error {
 	if change.Peer.Identity == "" {
-		change.Peer.Identity = r.introduced(change.Peer.ID)
+		change.Peer.Identity = r.identityFor(change)
 	}
 	if change.Peer.Identity == "" {
 		return errors.NotFoundf("identity of instance %q", change.Peer.ID)
--- a/io/raftpeer/world_test.go
+++ b/io/raftpeer/world_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/samber/lo"
 
 	"parsleyport/core"
@@ -87,29 +86,30 @@
 		applied:   make(map[core.LogIndex]raft.Entry),
 		done:      make(map[raft.RequestID]func(string)),
 	}
-	members := lo.Times(size, func(i int) Member {
-		return Member{
-			ID: core.ControlID(fmt.Sprintf("c%d", i+1)),
-		}
-	})
-	for _, member := range members {
-		w.ids = append(w.ids, member.ID)
-		w.instances[member.ID] = &instance{
-			world: w,
-			options: Options{
-				Self:      member.ID,
-				Members:   members,
-				Bootstrap: true,
-				Logger:    zerolog.Nop(),
-			},
-			folder:   disktest.NewMemory(),
-			interval: 25,
-		}
-		w.instances[member.ID].start()
+	for n := range size {
+		w.ids = append(w.ids, core.ControlID(fmt.Sprintf("c%d", n+1)))
+	}
+	for _, id := range w.ids {
+		w.add(id, true)
 	}
 	return w
 }
 
+func (w *world) add(id core.ControlID, bootstrap bool) {
+	i := &instance{
+		world: w,
+		options: Options{
+			Self:      id,
+			Members:   lo.Map(w.ids, func(id core.ControlID, _ int) Member { return Member{ID: id} }),
+			Bootstrap: bootstrap,
+		},
+		folder:   disktest.NewMemory(),
+		interval: 25,
+	}
+	w.instances[id] = i
+	i.start()
+}
+
 func (i *instance) start() {
 	w := i.world
 	var err error
