Bound the memory of requests in progress and do not dial leaving peers again

A node holds at most 1024 requests of callers, 32 MiB of their bodies and 64 KiB of each unread answer, so that slow or large callers stay within the memory target of a node. A peer that has said goaway is not dialled for each further call; those calls are refused as leaving without a message. A request is checked against the crash suspects before each attempt and not only before the first, so that the attempts of one call cannot end three backend servers.

--- a/core/idempotency/keys.go
+++ b/core/idempotency/keys.go
@@ -11,7 +11,7 @@
 	maxKeys = 131_072 // 218 keys a second over the window
 	// MaxRecordedBytes bounds the body of one recorded answer.
 	MaxRecordedBytes = 64 << 10
-	maxRecordedTotal = 32 << 20
+	maxRecordedTotal = 16 << 20
 )
 
 // Key identifies what a caller wants to happen at most once.
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -120,6 +121,7 @@
 		ReadHeaderTimeout: headerLimit,
 		ReadTimeout:       headerLimit,
 		MaxHeaderBytes:    maxAnnouncementBytes,
+		ErrorLog:          log.New(options.Logger, "", 0),
 	}
 	s.tasks.Go(func() { _ = s.http.Serve(listener) }) // ends with http.ErrServerClosed
 	s.tasks.Go(s.watch)
--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -116,6 +116,7 @@
 		cause  core.RefusalCause
 	}{
 		{path: "/nowhere", cause: core.CauseNoRoute},
+		{path: "/orders/%2e%2e/nowhere", cause: core.CauseMalformedCall},
 		{path: "/orders", header: []string{"Parsleyport-Depth", "12"}, cause: core.CauseTooDeep},
 		{path: "/orders", header: []string{"Parsleyport-Depth", "-1"}, cause: core.CauseMalformedCall},
 		{path: "/orders", header: []string{"Parsleyport-Attempts", "many"}, cause: core.CauseMalformedCall},
@@ -185,6 +186,35 @@
 	}
 }
 
+// Guards against bodies that fill the node's memory, and against memory that is not given back.
+func TestBodiesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	e := newEntry(c, allV1, nil)
+	finish := make(chan struct{})
+	e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) {
+		<-finish
+		return answer(200, strings.NewReader(""))
+	}
+	post := func() string {
+		response, err := http.Post("http://"+e.Address()+"/orders", "", io.MultiReader(bytes.NewReader(make([]byte, 8<<20)))) // chunked
+		c.Check(err, qt.IsNil)
+		response.Body.Close()
+		return response.Header.Get("Parsleyport-Outcome") + response.Header.Get("Parsleyport-Cause")
+	}
+	for range 2 {
+		results := make(chan string)
+		for range 5 { // 40 MiB
+			go func() { results <- post() }()
+		}
+		c.Assert(<-results, qt.Equals, "not-run"+string(core.CauseQueueFull))
+		close(finish)
+		for range 4 {
+			<-results
+		}
+		finish = make(chan struct{})
+	}
+}
+
 // Guards against a call that circles around a lone node which takes no calls.
 func TestLoneLeavingNodeIsAskedOnce(t *testing.T) {
 	c := qt.New(t)
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -1,11 +1,14 @@
 package callerhttp
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/hex"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -56,6 +59,9 @@
 
 // parse checks everything but the body; nothing of the request has been run when it returns a refusal.
 func parse(r *http.Request, configuration *record.Configuration, now time.Time) (*request, *core.Refusal) {
+	if slices.Contains(strings.Split(r.URL.Path, "/"), "..") {
+		return nil, refusal(core.CauseMalformedCall, "path has a parent segment, which could lead to another route")
+	}
 	route, matched := configuration.Match(r.Host, r.Method, r.URL.Path)
 	if !matched {
 		return nil, refusal(core.CauseNoRoute, "")
@@ -166,20 +172,33 @@
 	return core.CallID(hex.EncodeToString(id[:]))
 }
 
-// readBody buffers the body so that an attempt can be repeated; it returns a refusal if it is cut or too long.
-func readBody(r *http.Request, limit int64) ([]byte, *core.Refusal) {
+// readBody buffers the body so that an attempt can be repeated; it returns a refusal if the body is cut or too long, or
+// if reserve allows no more memory.
+func readBody(r *http.Request, limit int64, reserve func(bytes int64) bool) ([]byte, *core.Refusal) {
 	if r.ContentLength > limit {
 		return nil, refusal(core.CauseMalformedCall, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, refusal(core.CauseMalformedCall, errors.Annotate(err, "read body").Error())
+	if r.ContentLength > 0 && !reserve(r.ContentLength) {
+		return nil, refusal(core.CauseQueueFull, "no memory for more request bodies")
 	}
-	if int64(len(body)) > limit {
-		return nil, refusal(core.CauseMalformedCall, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
+	var body bytes.Buffer
+	body.Grow(int(max(r.ContentLength, 0)))
+	for {
+		if r.ContentLength < 0 && !reserve(core.MaxChunkBytes) {
+			return nil, refusal(core.CauseQueueFull, "no memory for more request bodies")
+		}
+		_, err := io.CopyN(&body, r.Body, core.MaxChunkBytes)
+		if int64(body.Len()) > limit {
+			return nil, refusal(core.CauseMalformedCall, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
+		}
+		if err == io.EOF {
+			return body.Bytes(), nil
+		}
+		if err != nil {
+			return nil, refusal(core.CauseMalformedCall, errors.Annotate(err, "read body").Error())
+		}
 	}
-	return body, nil
 }
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -30,6 +30,11 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer s.active.Add(-1)
+	if s.active.Add(1) > maxRequests {
+		s.refuse(w, refusal(core.CauseQueueFull, ""))
+		return
+	}
 	now := time.Now()
 	configuration := s.options.Source.Current()
 	w.Header().Set(headerRevision, strconv.FormatUint(uint64(configuration.Revision()), 10))
@@ -42,7 +47,13 @@
 		s.refuse(w, refused)
 		return
 	}
-	if q.call.Body, refused = readBody(r, s.options.MaxBodyBytes); refused != nil {
+	buffered := int64(0)
+	defer func() { s.bodies.Add(-buffered) }()
+	reserve := func(bytes int64) bool {
+		buffered += bytes
+		return s.bodies.Add(bytes) <= maxBufferedBodies
+	}
+	if q.call.Body, refused = readBody(r, s.options.MaxBodyBytes, reserve); refused != nil {
 		s.refuse(w, refused)
 		return
 	}
@@ -110,6 +121,10 @@
 		if !placed || ctx.Err() != nil || !q.attempts.Another(class, s.takeBudget) {
 			break
 		}
+		if s.options.Suspected(idempotency.FingerprintOf(q.call)) {
+			last.outcome, last.err = core.OutcomeNotRun, refusal(core.CauseCrashSuspect, "")
+			break // it has become a suspect, perhaps by its own earlier attempts
+		}
 		earlier.tried = append(earlier.tried, last.endpoint.Node)
 		if class == retry.RepeatFree {
 			earlier.gone = append(earlier.gone, last.endpoint.Node)
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -27,6 +28,10 @@
 	// them to close the connection; closing at once could cut off a request that is on its way.
 	lingerLimit = time.Second
 	lingerCheck = 20 * time.Millisecond
+	// maxRequests in progress hold at most 64 MiB of unread answers (64 KiB each, see io/nodepeer).
+	maxRequests = 1024
+	// maxBufferedBodies bounds the request bodies in memory, in bytes.
+	maxBufferedBodies = 32 << 20
 	// writeGrace is how long after the deadline a caller may take to read what it gets.
 	writeGrace = time.Second
 )
@@ -65,6 +70,8 @@
 	tasks    sync.WaitGroup
 	leaving  atomic.Bool
 	open     atomic.Int64 // callers' connections
+	active   atomic.Int64 // requests in progress
+	bodies   atomic.Int64 // bytes of request bodies in memory
 
 	mu     sync.Mutex
 	budget retry.Budget
@@ -116,6 +123,7 @@
 		ReadTimeout:       bodyLimit,
 		IdleTimeout:       idleLimit,
 		ConnState:         s.count,
+		ErrorLog:          log.New(options.Logger, "", 0),
 	}
 	s.tasks.Go(func() { _ = s.http.Serve(listener) }) // ends with http.ErrServerClosed
 	return s, s.close, nil
--- a/io/nodepeer/claims.go
+++ b/io/nodepeer/claims.go
@@ -222,7 +222,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, holderLimit)
 	defer cancel()
-	conn, err := c.options.Dialer.connection(ctx, holder.Address, 0)
+	conn, err := c.options.Dialer.connectionAfter(ctx, holder.Address, 0)
 	if err != nil {
 		return keyReply{}, err
 	}
--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -13,7 +13,10 @@
 	"parsleyport/io/frame"
 )
 
-const errDialerClosed = errors.ConstError("dialer is closed")
+const (
+	errDialerClosed = errors.ConstError("dialer is closed")
+	errLeaving      = errors.ConstError("peer is leaving")
+)
 
 // suspectAfter is the silence after which a connection gets no new calls while it may still turn out to be alive.
 const suspectAfter = pingInterval + checkEvery
@@ -69,11 +72,17 @@
 	return len(c.streams)
 }
 
+func (c *clientConn) saidGoaway() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.goaway && !c.lost
+}
+
 func (c *clientConn) usable(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	busy := c.isBusy()
-	return !c.lost && !c.goaway && !(busy && now.Sub(c.heard) > suspectAfter)
+	return !c.lost && !(busy && now.Sub(c.heard) > suspectAfter)
 }
 
 // fail ends the connection; its streams and revocations learn of it from done.
--- a/io/nodepeer/dialer.go
+++ b/io/nodepeer/dialer.go
@@ -105,6 +105,11 @@
 
 func (d *Dialer) forward(ctx context.Context, cancel context.CancelFunc, address string, call *core.Call) (*core.Answer, core.Outcome, error) {
 	s, err := d.register(ctx, cancel, address)
+	if errors.Is(err, errLeaving) {
+		return nil, core.OutcomeNotRun, &core.Refusal{
+			Cause: core.CauseLeaving,
+		}
+	}
 	if err != nil {
 		return nil, core.OutcomeNotRun, &core.Refusal{
 			Cause:  core.CauseConnectFailed,
@@ -134,7 +139,7 @@
 // register takes a sequence on a live connection; an error means that nothing has been sent.
 func (d *Dialer) register(ctx context.Context, cancel context.CancelFunc, address string) (*stream, error) {
 	for {
-		c, err := d.connection(ctx, address, 0)
+		c, err := d.connection(ctx, address)
 		if err != nil {
 			return nil, err
 		}
@@ -151,7 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, revokeLimit)
 	defer cancel()
 	<-s.conn.done
-	c, err := d.connection(ctx, address, s.conn.lostBefore)
+	c, err := d.connectionAfter(ctx, address, s.conn.lostBefore)
 	if err != nil {
 		return nil, core.OutcomeUnknown, errors.Annotate(errConnectionLost, err.Error())
 	}
@@ -168,8 +173,21 @@
 	}
 }
 
-// connection returns a connection whose dial has a greater number than the given one, dialling if need be.
-func (d *Dialer) connection(ctx context.Context, address string, after uint64) (*clientConn, error) {
+// connection returns a connection for a call, or errLeaving if the peer has said that it takes none.
+func (d *Dialer) connection(ctx context.Context, address string) (*clientConn, error) {
+	d.mu.Lock()
+	p := d.peers[address]
+	leaving := p != nil && p.leaving()
+	d.mu.Unlock()
+	if leaving {
+		return nil, errLeaving
+	}
+	return d.connectionAfter(ctx, address, 0)
+}
+
+// connectionAfter returns a connection whose dial has a greater number than the given one, dialling if need be. A
+// leaving peer still answers revocations and claims.
+func (d *Dialer) connectionAfter(ctx context.Context, address string, after uint64) (*clientConn, error) {
 	for {
 		d.mu.Lock()
 		p, err := d.peer(address)
@@ -247,6 +265,16 @@
 	return best, usable
 }
 
+// leaving says whether the peer has sent goaway and its connections still live.
+func (p *peer) leaving() bool {
+	for _, c := range p.connections {
+		if c.saidGoaway() {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dialer) dial(address string, p *peer, number uint64) {
 	ctx, cancel := context.WithTimeout(d.ctx, connectLimit)
 	defer cancel()
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -20,11 +20,11 @@
 	// verdictLimit is how long a cancelled attempt waits for the server's word whether it had run.
 	verdictLimit = 100 * time.Millisecond
 
-	answerWindow       = 256 << 10 // bytes of one answer that may be on the way or unread
-	maxBodyBytes       = 8 << 20   // of one call
-	maxBufferedBodies  = 64 << 20  // of all calls whose body is incomplete or queued at a server
-	defaultMaxCalls    = 4096      // at one server
-	maxConnections     = 4096      // at one server
-	maxPeers           = 8192      // at one dialer
-	defaultConnections = 2         // to one peer
+	answerWindow       = 64 << 10 // bytes of one answer that may be on the way or unread; 64 MiB for 1024 slow readers
+	maxBodyBytes       = 8 << 20  // of one call
+	maxBufferedBodies  = 32 << 20 // of all calls whose body is incomplete or queued at a server
+	defaultMaxCalls    = 4096     // at one server
+	maxConnections     = 4096     // at one server
+	maxPeers           = 8192     // at one dialer
+	defaultConnections = 2        // to one peer
 )
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -381,6 +381,7 @@
 		_, outcome, err := b.forward(callFor("new", nil))
 		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
 		c.Assert(err, qt.ErrorMatches, "not run: leaving")
+		c.Assert(b.network.dials, qt.Equals, 1) // a leaving peer is not dialled for each call
 		c.Assert(<-begun, qt.IsNil)
 		c.Assert(<-drained, qt.IsNil)
 	})
