Leave a control instance that knows no leader

A control instance on the far side of a partition goes on answering pings, so its nodes stayed with it and missed every revision that the others accepted, although they could reach these. The accept message now says when the control instance has known no leader for 3 s. Its direct children then try all other control instances and move with their subtrees. If none is better, for example after the loss of the majority, they stay, since announcements still travel through it, and look again after 30 s.

The reconnect wait doubles once all control addresses have been tried and no longer with each attempt. With one instance dead and the other without a leader, the growing waits took longer than the 2 s for which the endpoint of a broken link stays listed.

--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -208,9 +208,10 @@
 	}
 }
 
-// backOff sets a wait with full jitter: any time up to a bound that doubles, so that nodes that lost a parent together spread out.
+// backOff sets a wait with full jitter: any time up to a bound that doubles once all targets have been tried, so that
+// nodes that lost a parent together spread out, and still find another control instance before they are given up.
 func (a *attachment) backOff() {
-	bound := min(minBackoff<<min(a.attempts, 10), maxBackoff)
+	bound := min(minBackoff<<min(a.attempts/len(a.targets), 10), maxBackoff)
 	a.attempts++
 	a.wait = time.Duration(a.random() * float64(bound))
 }
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -463,6 +463,7 @@
 	return accept{
 		Path:    path,
 		Control: h.control,
+		Stale:   h.stale,
 	}
 }
 
--- a/io/distribution/distribution_test.go
+++ b/io/distribution/distribution_test.go
@@ -483,6 +483,42 @@
 	})
 }
 
+// Guards against nodes that stay behind for as long as their control instance is cut off from the others, and against
+// nodes that stay detached because no control instance has a leader.
+func TestControlInstanceCutOff(t *testing.T) {
+	run(t, func(c *qt.C, w *world) {
+		cutOff := newFakeCatalog()
+		cutOff.set(revision(1))
+		w.source("c1", w.catalog, "c2")
+		w.source("c2", cutOff, "c1")
+		var nodes []*Subscriber
+		for i := range 20 {
+			nodes = append(nodes, w.subscriberWith(core.NodeID(fmt.Sprintf("n%03d", i)), func(o *SubscriberOptions) {
+				o.ControlAddresses = []string{"c1", "c2"}
+			}))
+			nodes[i].Announce(endpoint("service-0", core.EndpointReady))
+		}
+		w.eventually(inForce, "endpoints at all nodes", allHave(nodes, "service-0", 20))
+		cutOff.leaderless.Store(true)
+		w.catalog.set(revision(2))
+		w.eventually(inForce, "revision 2 everywhere", allAt(nodes, 2))
+
+		w.catalog.leaderless.Store(true)
+		w.stop("c2")
+		for range 1200 {
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(allHave(nodes, "service-0", 20)(), qt.IsTrue)
+		}
+		nodes[0].Announce(endpoint("service-0", core.EndpointLeaving))
+		w.eventually(3*time.Second, "leaving known", func() bool {
+			return nodes[19].Endpoints("service-0")[0].State == core.EndpointLeaving
+		})
+		w.catalog.leaderless.Store(false)
+		w.catalog.set(revision(3))
+		w.eventually(inForce+staleLinkLimit, "revision 3 everywhere", allAt(nodes, 3))
+	})
+}
+
 // Guards against a child that does not read and so delays its siblings.
 func TestSlowChildDelaysNobody(t *testing.T) {
 	run(t, func(c *qt.C, w *world) {
--- a/io/distribution/fakes_test.go
+++ b/io/distribution/fakes_test.go
@@ -225,11 +225,12 @@
 
 // fakeCatalog is a record.Source and core.Replicator whose confirmed reads the test can hold up.
 type fakeCatalog struct {
-	mu      sync.Mutex
-	newest  *record.Configuration
-	changed chan struct{}
-	reads   atomic.Int64
-	read    func(ctx context.Context) error
+	mu         sync.Mutex
+	newest     *record.Configuration
+	changed    chan struct{}
+	reads      atomic.Int64
+	leaderless atomic.Bool
+	read       func(ctx context.Context) error
 }
 
 func newFakeCatalog() *fakeCatalog {
@@ -269,7 +270,12 @@
 
 func (f *fakeCatalog) Propose(context.Context, []byte) ([]byte, error) { return nil, core.ErrNoLeader }
 
-func (f *fakeCatalog) Status() core.ReplicatorStatus { return core.ReplicatorStatus{} }
+func (f *fakeCatalog) Status() core.ReplicatorStatus {
+	if f.leaderless.Load() {
+		return core.ReplicatorStatus{}
+	}
+	return core.ReplicatorStatus{Leader: "c1"}
+}
 
 // testRecords are services with an upstream, a policy and a route each.
 func testRecords(services int, version core.RecordVersion) []core.Record {
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -40,6 +40,7 @@
 	uplinks   map[*uplink]bool
 	path      []core.NodeID // from the parent up
 	control   core.ControlID
+	stale     bool   // the control instance knows no leader
 	pathTurn  uint64 // counts changes of the path
 	attached  bool
 	all       bool // this node wants the endpoints of all services
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -47,10 +47,12 @@
 	Hash         core.Hash          `msgpack:"hash"`
 }
 
-// accept names the nodes from the parent up to the control instance; it is sent again when they change.
+// accept names the nodes from the parent up to the control instance; it is sent again when they change. Stale says that the
+// control instance knows no leader, so that it may be cut off from the others and miss new revisions.
 type accept struct {
 	Path    []core.NodeID  `msgpack:"path"`
 	Control core.ControlID `msgpack:"control"`
+	Stale   bool           `msgpack:"stale,omitempty"`
 }
 
 type redirect struct {
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -38,6 +38,12 @@
 	// controlGrace is how long the nodes of a lost control instance stay listed while they attach elsewhere.
 	controlGrace = 30 * time.Second
 
+	// leaderlessLimit is how long a control instance may know no leader before its children look for another one: a few
+	// election timeouts of 1 s.
+	leaderlessLimit = 3 * time.Second
+	// staleLinkLimit is how long a node stays with a control instance without a leader, if it found no better one, before it looks again.
+	staleLinkLimit = 30 * time.Second
+
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 5 * time.Second
 	// assignedWindow is how long a redirected node counts as a child of the relay that it was sent to.
@@ -70,7 +76,7 @@
 	ListenAddress string // nodes and other control instances attach here
 	Peers         []Peer
 	Catalog       record.Source
-	Replicator    core.Replicator
+	Replicator    core.Replicator // its status must name the leader while there is one
 	Logger        zerolog.Logger
 	Metrics       *metrics.Set // optional
 	Network       Network      // optional, TCP by default
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -22,6 +22,8 @@
 	Schema core.SchemaVersion `json:"schema-floor"` // zero without nodes
 }
 
+var _ core.EndpointSource = (*Source)(nil)
+
 // Source is the root of a tree on a control instance.
 type Source struct {
 	options  SourceOptions
@@ -61,6 +63,7 @@
 	s.hub.start(func() { s.hub.serve(ctx, listener) })
 	s.hub.start(func() { s.follow(ctx) })
 	s.hub.start(func() { s.confirmReads(ctx) })
+	s.hub.start(func() { s.watchLeader(ctx) })
 	s.hub.start(func() { s.hub.tick(ctx, func(now time.Time) { s.tick(now, began) }) })
 	return s, func() {
 		cancel()
@@ -80,6 +83,30 @@
 	}
 }
 
+// watchLeader tells the children when this control instance has known no leader for a while, and when it does again.
+func (s *Source) watchLeader(ctx context.Context) {
+	known := time.Now()
+	for ctx.Err() == nil {
+		if s.options.Replicator.Status().Leader != "" {
+			known = time.Now()
+		}
+		s.setStale(time.Since(known) >= leaderlessLimit)
+		pauseFor(ctx, tickInterval)
+	}
+}
+
+func (s *Source) setStale(stale bool) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	if s.hub.stale == stale {
+		return
+	}
+	s.hub.stale = stale
+	s.hub.pathTurn++
+	s.hub.changed()
+	s.options.Logger.Info().Bool("stale", stale).Msg("knowledge of a leader changed")
+}
+
 // follow passes on each configuration that the catalog accepts; children that are slow skip some.
 func (s *Source) follow(ctx context.Context) {
 	for {
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -41,6 +41,11 @@
 	Endpoints    int            `json:"endpoints"`
 }
 
+var (
+	_ record.Source       = (*Subscriber)(nil)
+	_ core.EndpointSource = (*Subscriber)(nil)
+)
+
 // Subscriber keeps a node's configuration and endpoints up to date and passes them on to the nodes below it.
 type Subscriber struct {
 	options   SubscriberOptions
@@ -50,6 +55,7 @@
 	newest    atomic.Pointer[record.Configuration]
 	confirmed chan struct{}
 	confirm   sync.Once
+	staleFrom int // the attachment's turn at the first control instance without a leader, negative after any other parent
 
 	change   sync.Mutex // guards changeCh
 	changeCh chan struct{}
@@ -77,6 +83,7 @@
 		logger:    options.Logger,
 		confirmed: make(chan struct{}),
 		changeCh:  make(chan struct{}),
+		staleFrom: -1,
 	}
 	s.newest.Store(record.Empty())
 	s.hub.relay = options.ID
@@ -139,6 +146,11 @@
 	}
 	s.parent = address
 	s.hub.attached = true
+	if s.hub.stale && len(s.hub.path) == 0 {
+		s.staleFrom = -1 // after the limit, all are tried again
+		expiry := time.AfterFunc(staleLinkLimit, func() { s.leaveStale(conn) })
+		defer expiry.Stop()
+	}
 	s.hub.changed()
 	s.hub.mu.Unlock()
 	s.logger.Info().Str("parent", address).Msg("attached")
@@ -154,6 +166,15 @@
 	return err
 }
 
+// leaveStale ends a link to a control instance that still has no leader, so that the others are tried again.
+func (s *Subscriber) leaveStale(conn *frame.Conn) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	if s.hub.stale {
+		_ = conn.Close()
+	}
+}
+
 func (s *Subscriber) receive(u *uplink) error {
 	for {
 		received, err := s.hub.receive(u.conn, silenceLimit)
@@ -211,12 +232,32 @@
 	}
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
+	if err := s.checkStale(message); err != nil {
+		return err
+	}
+	s.hub.stale = message.Stale
 	s.hub.path, s.hub.control = message.Path, message.Control
 	s.hub.pathTurn++
 	s.hub.changed()
 	return nil
 }
 
+// checkStale refuses a control instance without a leader until all others have been tried, since it may be the only one
+// that is cut off. Relays stay with their parent, which looks for another control instance on behalf of its subtree.
+func (s *Subscriber) checkStale(message accept) error {
+	if !message.Stale {
+		s.staleFrom = -1
+		return nil
+	}
+	if s.staleFrom < 0 {
+		s.staleFrom = s.attach.turn
+	}
+	if len(message.Path) > 0 || s.attach.turn-s.staleFrom >= len(s.options.ControlAddresses) {
+		return nil
+	}
+	return errors.Errorf("control instance %q knows no leader", message.Control)
+}
+
 func (s *Subscriber) takeFull(message record.Full) {
 	if message.Revision <= s.newest.Load().Revision() {
 		return
