Acknowledge on every new link, also without nodes

A control instance that restarted within the grace period of 30 s and had no nodes yet sent no acknowledgement, because its first word equalled the zero value of the link. The others kept its words from before the restart, so the demo showed 8 nodes instead of 6 and a lowest revision of 1 for good.

--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -34,12 +34,19 @@
 	endpointsRequest bool
 }
 
+// nothingSent makes the first acknowledgement of a link differ from what was sent, also if it counts no nodes: the other
+// end may hold one from before a restart.
+const nothingSent = -1
+
 func newUplink(conn *frame.Conn, kind linkKind) *uplink {
 	return &uplink{
 		conn:     conn,
 		wake:     ring.New[struct{}](1),
 		kind:     kind,
 		services: make(map[core.ServiceName]bool),
+		acknowledged: acknowledge{
+			Nodes: nothingSent,
+		},
 		batch: pacer{
 			interval: batchInterval,
 		},
