Let attempts at dead nodes cost neither attempts nor budget

A connect that failed, a backend server that refused the connection and a call that was revoked from a queue have put no load on any backend server. With them in the budget of a tenth of the calls, one dead node of three would have made the entry node refuse most calls that chose it, until the balancer ejects it.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -15,7 +15,9 @@
 	Final Class = iota
 	// Repeat means that another attempt is allowed at the cost of one attempt and of the budget.
 	Repeat
-	// RepeatFree means that another attempt costs nothing: the node has refused before its backend server had any load.
+	// RepeatFree means that another attempt costs nothing: the call met no overload and no backend server had any load of
+	// it. If such attempts counted, the death of one node in three would use up the budget and refuse calls that the
+	// other two can serve.
 	RepeatFree
 )
 
@@ -34,7 +36,7 @@
 
 func classifyRefusal(cause core.RefusalCause) Class {
 	switch cause {
-	case core.CauseLeaving, core.CauseNoBackend:
+	case core.CauseLeaving, core.CauseNoBackend, core.CauseConnectFailed, core.CauseBackendRefused, core.CauseRevoked:
 		return RepeatFree
 	case core.CauseCrashSuspect, core.CauseTooDeep, core.CauseMalformedCall, core.CauseDuplicateCall, core.CauseNoRoute, core.CauseNotConfirmed, core.CauseTenantShare:
 		return Final
@@ -42,6 +44,12 @@
 	return Repeat
 }
 
+// Gone reports whether a refusal means that its node is of no use to the call. After a revocation it still is: the call
+// had lost its connection, and a new one may work.
+func Gone(cause core.RefusalCause) bool {
+	return classifyRefusal(cause) == RepeatFree && cause != core.CauseRevoked
+}
+
 // Attempts counts the attempts of one call.
 type Attempts struct {
 	left int
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -126,7 +126,7 @@
 			break // it has become a suspect, perhaps by its own earlier attempts
 		}
 		earlier.tried = append(earlier.tried, last.endpoint.Node)
-		if class == retry.RepeatFree {
+		if retry.Gone(causeOf(last.err)) {
 			earlier.gone = append(earlier.gone, last.endpoint.Node)
 		}
 		s.retries.Inc()
