Count no silence for the time in which the process itself stood still

On a machine with more runnable processes than cores, a node that got no processor for 1.5 s took its peer for silent and ended running calls as unknown although the pong was waiting unread.

--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -46,6 +46,7 @@
 	used      time.Time // latest time with an outstanding call
 	startedBy time.Time // the peer's process has started before this time
 	pinged    time.Time // latest ping
+	checked   time.Time // latest check
 }
 
 func newClientConn(d *Dialer, p *peer, conn net.Conn, dialled time.Time, number uint64) *clientConn {
@@ -63,6 +64,7 @@
 		claims:  make(map[uint64]chan keyReply),
 		heard:   time.Now(),
 		used:    time.Now(),
+		checked: time.Now(),
 	}
 }
 
@@ -347,14 +349,19 @@
 		select {
 		case <-c.done:
 			return
-		case now := <-ticker.C:
-			c.check(now)
+		case <-ticker.C:
+			c.check(time.Now())
 		}
 	}
 }
 
+// check counts no silence for the time in which this process itself stood still: what the peer sent is waiting unread.
 func (c *clientConn) check(now time.Time) {
 	c.mu.Lock()
+	if now.Sub(c.checked) > 2*checkEvery {
+		c.heard = now
+	}
+	c.checked = now
 	busy := c.isBusy()
 	silent := busy && now.Sub(c.heard) >= silenceLimit
 	ping := busy && now.Sub(c.pinged) >= pingInterval
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -180,6 +180,26 @@
 	}
 }
 
+// Guards against taking a pause of this process for a silent peer, and its running calls for unknown.
+func TestOwnPauseIsNoSilence(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	defer far.Close()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	dialer, stop, err := NewDialer(DialerOptions{})
+	c.Assert(err, qt.IsNil)
+	defer stop()
+	conn := newClientConn(dialer, &peer{}, near, time.Now(), 1)
+	_, err = conn.register(context.Background(), func() {})
+	c.Assert(err, qt.IsNil)
+	now := time.Now().Add(5 * time.Second)
+	for conn.check(now); !conn.lost && now.Before(time.Now().Add(10*time.Second)); conn.check(now) {
+		now = now.Add(checkEvery)
+	}
+	c.Assert(conn.lost, qt.IsTrue)
+	c.Assert(time.Until(now) > 6*time.Second, qt.IsTrue) // 5 s of pause and 1.5 s of silence
+}
+
 // Guards against a revocation over an idle connection of the pool that has gone silent together with the lost one.
 func TestRevocationTakesANewConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
