Open a node's address for callers once its configuration is confirmed

In the rolling restart under load, 1 of 4,801 calls reached a node that had just started and was refused as not confirmed, although other nodes could have served it. Ruled out: letting the call wait, since it would hang for its whole deadline while the control instances are away. A refused connection sends the caller to another node at once.

--- /dev/null
+++ b/e2e/capacity_test.go
@@ -0,0 +1,141 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+const (
+	clockTicksPerSecond = 100 // USER_HZ on Linux
+	measuredSpan        = 10 * time.Second
+)
+
+// usage is what a process has used since its start.
+type usage struct {
+	processor time.Duration
+	resident  int64 // bytes
+}
+
+func (d *deployment) usage(name string) usage {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.processes[name].Process.Pid))
+	d.c.Assert(err, qt.IsNil)
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	number := func(i int) int64 {
+		value, err := strconv.ParseInt(fields[i], 10, 64)
+		d.c.Assert(err, qt.IsNil)
+		return value
+	}
+	return usage{
+		processor: time.Duration(number(11)+number(12)) * time.Second / clockTicksPerSecond,
+		resident:  number(21) * int64(os.Getpagesize()),
+	}
+}
+
+// controlBytes returns what a process has sent and received for distribution.
+func (d *deployment) controlBytes(address string) float64 {
+	_, body := d.get("http://" + address + "/metrics")
+	sum := 0.0
+	lines := bufio.NewScanner(bytes.NewReader(body))
+	for lines.Scan() {
+		name, value, found := strings.Cut(lines.Text(), " ")
+		if found && (name == "parsleyport_distribution_sent_bytes_total" || name == "parsleyport_distribution_received_bytes_total") {
+			parsed, err := strconv.ParseFloat(value, 64)
+			d.c.Assert(err, qt.IsNil)
+			sum += parsed
+		}
+	}
+	return sum
+}
+
+// planned is a configuration of the given number of services, each with two upstreams, a policy and two routes.
+func planned(services int, version core.RecordVersion) core.Submission {
+	submission := core.Submission{
+		ID:       core.SubmissionID(fmt.Sprintf("planned-%d-%d", services, version)),
+		Operator: "test",
+	}
+	for i := range services {
+		for _, r := range transcripts(version).Records {
+			name := fmt.Sprintf("service-%d", i)
+			r.Name = strings.Replace(r.Name, "transcripts", name, 1) + lo.Ternary(r.Kind == core.KindRoute, "-"+name, "")
+			r.Body = bytes.ReplaceAll(r.Body, []byte("transcripts"), []byte(name))
+			submission.Records = append(submission.Records, r)
+		}
+	}
+	return submission
+}
+
+// BenchmarkFleet prints the slopes that docs/CAPACITY.md is worked out from: what a node and a control instance use
+// while nothing changes, against the number of nodes and the size of the configuration.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []struct{ nodes, services int }{{10, 10}, {25, 10}, {50, 10}, {50, 170}} {
+		b.Run(fmt.Sprintf("nodes=%d/services=%d", size.nodes, size.services), func(b *testing.B) {
+			for b.Loop() {
+				measureFleet(b, size.nodes, size.services)
+			}
+		})
+	}
+}
+
+func measureFleet(b *testing.B, nodes, services int) {
+	d := newDeployment(qt.New(b))
+	d.startControls()
+	client := d.client(d.leader())
+	verdict := d.submit(client, planned(services, 1))
+	names := lo.Map(lo.RangeFrom(1, nodes), func(i, _ int) string { return fmt.Sprintf("n%d", i) })
+	for i := 1; i <= nodes; i++ {
+		d.startNode(i)
+		d.startBackendOf(i, fmt.Sprintf("service-%d", i%services), "v1")
+	}
+	d.eventually("all nodes are ready", 60*time.Second, func() bool { return lo.EveryBy(names, d.ready) })
+	inForce := func(revision core.Revision) func() bool {
+		return func() bool {
+			status, err := d.status(client)
+			return err == nil && status.Fleet.Nodes == nodes && status.Fleet.LowestInForce >= revision
+		}
+	}
+	d.eventually("all endpoints are known", 60*time.Second, func() bool {
+		status, err := d.status(client)
+		return err == nil && lo.Sum(lo.Values(status.Fleet.Endpoints)) == nodes
+	})
+	d.eventually("the configuration is in force", 60*time.Second, inForce(verdict.Revision))
+
+	before := lo.SliceToMap(names, func(name string) (string, usage) { return name, d.usage(name) })
+	bytesBefore := lo.SumBy(names, func(name string) float64 { return d.controlBytes(d.address(name + "-admin")) })
+	began := time.Now()
+	time.Sleep(measuredSpan) // the measured span of a fleet in which nothing changes
+	span := time.Since(began).Seconds()
+	bytesAfter := lo.SumBy(names, func(name string) float64 { return d.controlBytes(d.address(name + "-admin")) })
+	processor, resident := 0.0, int64(0)
+	for _, name := range names {
+		now := d.usage(name)
+		processor += (now.processor - before[name].processor).Seconds()
+		resident = max(resident, now.resident)
+	}
+	b.ReportMetric((bytesAfter-bytesBefore)/span/float64(nodes), "control-B/s/node")
+	b.ReportMetric(processor/span/float64(nodes)*100, "idle-%core/node")
+	b.ReportMetric(float64(resident)/(1<<20), "max-node-MiB")
+	b.ReportMetric(float64(d.usage("c1").resident)/(1<<20), "control-MiB")
+
+	bytesBefore = lo.SumBy(names, func(name string) float64 { return d.controlBytes(d.address(name + "-admin")) })
+	const changes = 10
+	var slowest time.Duration
+	for version := range changes {
+		verdict = d.submit(client, service("service-0", core.RecordVersion(version+2)))
+		slowest = max(slowest, d.eventually("the change is in force", 14*time.Second, inForce(verdict.Revision)))
+	}
+	bytesAfter = lo.SumBy(names, func(name string) float64 { return d.controlBytes(d.address(name + "-admin")) })
+	b.ReportMetric(float64(slowest.Milliseconds()), "slowest-change-ms")
+	b.ReportMetric((bytesAfter-bytesBefore)/changes/float64(nodes), "B/change/node")
+	d.end()
+}
--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -73,17 +73,20 @@
 		addresses: make(map[string]string),
 		processes: make(map[string]*exec.Cmd),
 	}
-	c.Cleanup(func() {
-		for name := range d.processes {
-			d.kill(name)
-		}
-		if c.Failed() {
-			d.logFiles()
-		}
-	})
+	c.Cleanup(d.end)
 	return d
 }
 
+// end ends all processes.
+func (d *deployment) end() {
+	for name := range d.processes {
+		d.kill(name)
+	}
+	if d.c.Failed() {
+		d.logFiles()
+	}
+}
+
 func (d *deployment) logFiles() {
 	files, _ := filepath.Glob(filepath.Join(d.folder, "*.log"))
 	for _, file := range files {
@@ -179,10 +182,14 @@
 }
 
 func (d *deployment) startBackend(i int, release string) {
+	d.startBackendOf(i, "transcripts", release)
+}
+
+func (d *deployment) startBackendOf(i int, service, release string) {
 	name := fmt.Sprintf("b%d", i)
 	d.start(name, programs.standin, "backend",
 		"--listen", d.address(name), "--announce", d.address(fmt.Sprintf("n%d-backend", i)),
-		"--service", "transcripts", "--release", release,
+		"--service", service, "--release", release,
 		"--run-log", filepath.Join(d.folder, "runs-"+name+".runs"))
 }
 
@@ -249,15 +256,3 @@
 	status, _ := d.get("http://" + d.address(node+"-admin") + "/ready")
 	return status == http.StatusOK
 }
-
-// nodeRevision returns the revision that a node has in force.
-func (d *deployment) nodeRevision(node string) uint64 {
-	_, body := d.get("http://" + d.address(node+"-admin") + "/state")
-	var state struct {
-		Distribution struct {
-			Revision uint64 `json:"revision"`
-		} `json:"distribution"`
-	}
-	_ = json.Unmarshal(body, &state)
-	return state.Distribution.Revision
-}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -34,6 +34,8 @@
 	guard       *rollout.Guard
 	recorder    *rollout.Recorder
 	cleanups    cleanups
+	// drainCallers does nothing until the node takes callers.
+	drainCallers func(context.Context) error
 }
 
 // Run runs a node until the context ends, then finishes the calls that have begun; it returns an error if an address
@@ -47,6 +49,8 @@
 		metrics:     metrics.NewSet(),
 		guard:       rollout.NewGuard(),
 		recorder:    rollout.NewRecorder(s.ID, incarnation),
+
+		drainCallers: func(context.Context) error { return nil },
 	}
 	defer p.cleanups.run()
 	injector := p.injector()
@@ -54,12 +58,32 @@
 		return err
 	}
 	p.log.Info().Str("event", "started").Msg("node started")
+	if err := p.openForCallers(ctx, injector); err != nil {
+		return errors.Annotate(err, "callers")
+	}
 	<-ctx.Done()
 	p.log.Info().Str("event", "draining").Msg("node is leaving")
 	p.drain(injector)
 	return nil
 }
 
+// openForCallers waits until the configuration is confirmed. A caller that cannot connect tries another node at once,
+// while one that gets a refusal here may not.
+func (p *process) openForCallers(ctx context.Context, injector do.Injector) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-do.MustInvoke[*distribution.Subscriber](injector).ConfirmedSignal():
+	}
+	callers, err := do.Invoke[*callerhttp.Server](injector)
+	if err != nil {
+		return err
+	}
+	p.drainCallers = callers.Drain
+	p.log.Info().Str("event", "serving").Msg("node takes callers")
+	return nil
+}
+
 // injector registers how each part is made; parts are made when they are first asked for.
 func (p *process) injector() do.Injector {
 	injector := do.New()
@@ -80,9 +104,6 @@
 	if _, err := do.Invoke[*nodepeer.Server](injector); err != nil {
 		return errors.Annotate(err, "calls from other nodes")
 	}
-	if _, err := do.Invoke[*callerhttp.Server](injector); err != nil {
-		return errors.Annotate(err, "callers")
-	}
 	if err := p.startAdmin(injector, subscriber); err != nil {
 		return err
 	}
@@ -109,7 +130,7 @@
 	defer cancel()
 	for _, drain := range []func(context.Context) error{
 		do.MustInvoke[*backendhttp.Server](injector).Drain,
-		do.MustInvoke[*callerhttp.Server](injector).Drain,
+		p.drainCallers,
 		do.MustInvoke[*nodepeer.Server](injector).Drain,
 	} {
 		if err := drain(ctx); err != nil {
