Serve an empty status before the replica has opened its folder

Metrics are registered before the data folder is read, and a scrape in between met a missing status.

--- a/io/raftpeer/replica.go
+++ b/io/raftpeer/replica.go
@@ -108,6 +108,11 @@
 		failed:   make(chan error, 1),
 	}
 	r.options.Logger = options.Logger.With().Str("instance", string(options.Self)).Logger()
+	r.status.Store(&core.ReplicatorStatus{
+		Self: options.Self,
+		Role: string(raft.Learner),
+	})
+	r.members.Store(&[]raft.Member{})
 	r.counters = newCounters(options.Metrics, r)
 	return r
 }
@@ -290,14 +295,14 @@
 	before := r.status.Swap(&status)
 	members := r.engine.node.Members()
 	previous := r.members.Swap(&members)
-	if before == nil || before.Role != status.Role || before.Leader != status.Leader {
+	if before.Role != status.Role || before.Leader != status.Leader {
 		r.options.Logger.Info().
 			Str("role", status.Role).
 			Str("leader", string(status.Leader)).
 			Uint64("term", uint64(status.Term)).
 			Msg("role or leader changed")
 	}
-	if previous == nil || !sameSlice(*previous, members) {
+	if !sameSlice(*previous, members) {
 		r.options.Logger.Info().
 			Interface("voters", status.Voters).
 			Interface("learners", status.Learners).
