--- a/io/raftpeer/failure_test.go
+++ b/io/raftpeer/failure_test.go
@@ -325,6 +325,7 @@
 	w, leader := startedWorld(t, 3)
 	away := w.others(leader.options.Self)[0]
 	w.instances[away].crash()
+	leader.applier.interval = 300
 	for n := range 700 {
 		w.write(fmt.Sprintf("n%d=%01000d", n, n))
 	}
