Keep twelve call traces that were recorded from running processes

Arrivals come from the caller stand-in against four nodes, at the sizes of both users; the events and the stated outcome are in each trace's header.

--- /dev/null
+++ b/core/callreplay/file.go
@@ -0,0 +1,58 @@
+package callreplay
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core/balancer"
+)
+
+// ErrOutcome means that the default policy did not meet the stated outcome of a trace.
+const ErrOutcome = errors.ConstError("outcome differs from the stated one")
+
+// fileSeed fixes the durations and failures of the runs of a replayed file.
+const fileSeed = 1
+
+// ReadFile reads a trace file.
+func ReadFile(path string) (Trace, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return Trace{}, errors.Trace(err)
+	}
+	defer file.Close()
+	trace, err := Read(file)
+	return trace, errors.Annotatef(err, "%s", path)
+}
+
+// RunFile replays a trace file with each policy and prints the measures; it returns ErrOutcome if the default policy
+// does not meet the stated outcome.
+func RunFile(path string, out io.Writer) error {
+	trace, err := ReadFile(path)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: expected at least %d per mille answered, at most %d run twice\n", trace.Name,
+		trace.Expectations.MinAnsweredPerMille, trace.Expectations.MaxRunTwice)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "POLICY\tCALLS\tANSWERED\tFAILED\tREFUSED\tUNKNOWN\tLATE\tRUN TWICE\tP50 MS\tP99 MS")
+	met := true
+	for i, policy := range balancer.Policies() {
+		m := Run(trace, policy, fileSeed)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", m.Policy, m.Calls, m.Answered, m.Failed,
+			m.Refused, m.Unknown, m.Late, m.RunTwice, float64(m.P50US)/1000, float64(m.P99US)/1000)
+		if i == 0 {
+			met = m.Meets(trace.Expectations)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	if !met {
+		return errors.Annotatef(ErrOutcome, "%s with policy %s", path, balancer.Policies()[0])
+	}
+	return nil
+}
--- a/core/callreplay/replay_test.go
+++ b/core/callreplay/replay_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -133,3 +135,15 @@
 		}
 	}
 }
+
+// Guards against a change of balancer, limiter or retry rules that breaks the stated outcome of a kept trace. The arrivals
+// were recorded from running processes, at the sizes of both users.
+func TestKeptTracesMeetTheirStatedOutcome(t *testing.T) {
+	c := qt.New(t)
+	files, err := filepath.Glob("testdata/*.calls")
+	c.Assert(err, qt.IsNil)
+	c.Assert(files, qt.HasLen, 12)
+	for _, file := range files {
+		c.Check(callreplay.RunFile(file, io.Discard), qt.IsNil)
+	}
+}
--- a/core/callreplay/trace.go
+++ b/core/callreplay/trace.go
@@ -185,6 +185,9 @@
 		if session == "" {
 			session = "-"
 		}
+		if call.Tenant == "" {
+			call.Tenant = "-"
+		}
 		fmt.Fprintf(buffered, "%d %d %s %s %s\n", call.At.Microseconds(), call.Entry, class, call.Tenant, session)
 	}
 	return errors.Trace(buffered.Flush())
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -33,7 +33,8 @@
 	ratePerSec int
 	durationMS int
 	timeoutMS  int
-	tenant     string
+	tenants    []string
+	sessions   int
 	keyed      bool
 	crash      bool
 	log        string
@@ -50,7 +51,8 @@
 	command.Flag("rate", "Calls a second; 0 for as fast as the workers can.").Default("200").IntVar(&o.ratePerSec)
 	command.Flag("duration-ms", "How long to call.").Default("5000").IntVar(&o.durationMS)
 	command.Flag("timeout-ms", "Deadline of each call.").Default("2000").IntVar(&o.timeoutMS)
-	command.Flag("tenant", "Tenant header.").Default("").StringVar(&o.tenant)
+	command.Flag("tenant", "Tenant header; repeatable, each call takes one.").StringsVar(&o.tenants)
+	command.Flag("sessions", "Number of sticky sessions that calls belong to; 0 for none.").Default("0").IntVar(&o.sessions)
 	command.Flag("keyed", "Send an idempotency key with calls that are not idempotent.").BoolVar(&o.keyed)
 	command.Flag("crash", "Ask backend servers to crash.").BoolVar(&o.crash)
 	command.Flag("log", "File that gets one JSON line for each call.").Default("").StringVar(&o.log)
@@ -63,6 +65,8 @@
 	Key       string    `json:"key"`
 	Method    string    `json:"method"`
 	Path      string    `json:"path"`
+	Tenant    string    `json:"tenant,omitempty"`
+	Session   string    `json:"session,omitempty"`
 	Target    string    `json:"target"`
 	At        time.Time `json:"at"`
 	LatencyUS int64     `json:"latency-us"`
@@ -155,9 +159,13 @@
 		Key:    fmt.Sprintf("%s-%d", c.prefix, c.sequence.Add(1)),
 		Method: lo.Ternary(rand.IntN(1000) < c.options.postShare, http.MethodPost, http.MethodGet),
 		Path:   lo.Sample(c.options.paths),
+		Tenant: lo.Sample(c.options.tenants),
 		Target: lo.Sample(c.options.targets),
 		At:     time.Now(),
 	}
+	if c.options.sessions > 0 {
+		entry.Session = fmt.Sprintf("s%d", rand.IntN(c.options.sessions))
+	}
 	err := c.attempt(&entry)
 	for range len(c.options.targets) {
 		if !refusedConnection(err) {
@@ -189,8 +197,11 @@
 	}
 	request.Header.Set("Standin-Key", entry.Key)
 	request.Header.Set("Parsleyport-Deadline-Ms", strconv.Itoa(c.options.timeoutMS))
-	if c.options.tenant != "" {
-		request.Header.Set("Parsleyport-Tenant", c.options.tenant)
+	if entry.Tenant != "" {
+		request.Header.Set("Parsleyport-Tenant", entry.Tenant)
+	}
+	if entry.Session != "" {
+		request.Header.Set("Parsleyport-Session", entry.Session)
 	}
 	if c.options.keyed && entry.Method == http.MethodPost {
 		request.Header.Set("Idempotency-Key", entry.Key)
--- a/standin/main.go
+++ b/standin/main.go
@@ -25,6 +25,7 @@
 	backendCommand, backend := backendFlags(app)
 	callerCommand, caller := callerFlags(app)
 	verifyCommand, verify := verifyFlags(app)
+	traceCommand, trace := traceFlags(app)
 	command, err := app.Parse(args)
 	if err != nil {
 		return err
@@ -36,6 +37,8 @@
 		return runCaller(ctx, *caller)
 	case verifyCommand.FullCommand():
 		return runVerify(*verify, os.Stdout)
+	case traceCommand.FullCommand():
+		return runTrace(*trace)
 	}
 	return nil
 }
