Find a key's earlier holders after nodes have joined

The two holders of a key are the first two nodes in rendezvous order. If two nodes that had been running for long, but joined the service recently, took both places, their memory counted as whole although they had never heard of the key, and a resend would have run again. A holder now states for how long it has been one of the service's nodes, and a claim asks further nodes in rendezvous order until one has been a member for the whole window, or since before the first call; the earlier holders are then among those asked.

--- a/core/idempotency/holders.go
+++ b/core/idempotency/holders.go
@@ -1,6 +1,8 @@
 package idempotency
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,7 +11,7 @@
 )
 
 const (
-	holderCount      = 2
+	maxAsked         = 8    // nodes for one key
 	maxHolderNodes   = 8192 // for all services
 	maxServicesKnown = 4096
 )
@@ -72,31 +74,23 @@
 	}
 }
 
-// Choose returns the two nodes with the highest hash of node and key, the first holder first; there may be fewer.
+// Choose returns the nodes with the highest hash of node and key, in that order. The first two hold the key; the others
+// are asked as well when those have joined the service too recently to know.
 func (h *Holders) Choose(key Key) []core.Endpoint {
 	type scored struct {
 		endpoint core.Endpoint
 		score    uint64
 	}
-	var best [holderCount]scored
-	found := 0
+	ranked := make([]scored, 0, len(h.services[key.Service]))
 	for id, node := range h.services[key.Service] {
-		next := scored{
+		ranked = append(ranked, scored{
 			endpoint: node.endpoint,
 			score:    xxhash.Sum64String(string(id) + "\x00" + string(key.Tenant) + "\x00" + string(key.Name)),
-		}
-		for i := range best {
-			if i >= found || next.score > best[i].score {
-				best[i], next = next, best[i]
-			}
-			if i >= found {
-				found++
-				break
-			}
-		}
+		})
 	}
-	chosen := make([]core.Endpoint, 0, found)
-	for _, each := range best[:found] {
+	slices.SortFunc(ranked, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	chosen := make([]core.Endpoint, 0, maxAsked)
+	for _, each := range ranked[:min(len(ranked), maxAsked)] {
 		chosen = append(chosen, each.endpoint)
 	}
 	return chosen
--- a/core/idempotency/keys.go
+++ b/core/idempotency/keys.go
@@ -153,21 +153,41 @@
 	k.order = k.order[expired:]
 }
 
+// HolderCount is the number of nodes that hold each key.
+const HolderCount = 2
+
 // Reply is what one holder said about a claim.
 type Reply struct {
 	Reached bool
-	Whole   bool // the holder remembers the whole window
+	Whole   bool // the holder has been one of the service's nodes for as long as a claim may be remembered
 	Verdict Verdict
 	Answer  *Recorded
 }
 
-// Combine decides a claim from its holders' replies: the claim must have won at each holder that was reached, and one
-// of them must remember the whole window.
-func Combine(replies []Reply) (Verdict, *Recorded) {
+// Enough reports whether the replies so far, in the order of Holders.Choose, decide a claim: someone else has the key, or
+// both holders and a node with a whole memory were asked. The nodes that held the key at an earlier time are then among
+// those asked, because nodes that have joined since can only have pushed them down as far as the first old node.
+func Enough(replies []Reply) bool {
 	whole := false
+	for _, reply := range replies {
+		if reply.Reached && reply.Verdict != VerdictGranted {
+			return true
+		}
+		whole = whole || (reply.Reached && reply.Whole)
+	}
+	return whole && len(replies) >= HolderCount
+}
+
+// Combine decides a claim from the replies in the order of Holders.Choose: the claim must have won at each node that was
+// reached, one of them must have a whole memory, and fewer nodes than hold a key may be out of reach before it.
+func Combine(replies []Reply) (Verdict, *Recorded) {
+	whole, missing := false, 0
 	verdict, answer := VerdictGranted, (*Recorded)(nil)
 	for _, reply := range replies {
 		if !reply.Reached {
+			if !whole {
+				missing++
+			}
 			continue
 		}
 		whole = whole || reply.Whole
@@ -175,7 +195,7 @@
 			verdict, answer = reply.Verdict, reply.Answer
 		}
 	}
-	if !whole && verdict == VerdictGranted {
+	if verdict == VerdictGranted && (!whole || missing >= HolderCount) {
 		return VerdictUnknown, nil
 	}
 	return verdict, answer
--- a/io/nodepeer/claims.go
+++ b/io/nodepeer/claims.go
@@ -20,6 +20,8 @@
 	// runningPoll is how often a resend asks whether the running call has been answered.
 	runningPoll  = 50 * time.Millisecond
 	observeEvery = time.Second
+	// maxMemberships bounds the services that one node has announced within the window.
+	maxMemberships = 64
 )
 
 // keyMessage claims a key or settles it. Verdict is empty in a claim.
@@ -35,10 +37,51 @@
 
 // keyReply answers a keyMessage.
 type keyReply struct {
-	Token     uint64                `msgpack:"token"`
-	RunningUS int64                 `msgpack:"running-us"`
-	Verdict   idempotency.Verdict   `msgpack:"verdict"`
-	Answer    *idempotency.Recorded `msgpack:"answer"`
+	Token    uint64                `msgpack:"token"`
+	MemberUS int64                 `msgpack:"member-us"` // how long the holder has been one of the service's nodes
+	Verdict  idempotency.Verdict   `msgpack:"verdict"`
+	Answer   *idempotency.Recorded `msgpack:"answer"`
+}
+
+// membership is the time in which this node has announced a service; other nodes ask it for keys until the window after
+// it has left.
+type membership struct {
+	since time.Time
+	left  time.Time // zero while it announces the service
+}
+
+// Announced tells the server, as a holder of idempotency keys, that this node announces a service or no longer does so.
+// A node that was never told is taken for one that has just joined.
+func (s *Server) Announced(service core.ServiceName, present bool) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, m := range s.members {
+		if !m.left.IsZero() && now.Sub(m.left) > idempotency.Window {
+			delete(s.members, name)
+		}
+	}
+	m, known := s.members[service]
+	switch {
+	case present && known:
+		m.left = time.Time{}
+	case present && len(s.members) < maxMemberships:
+		m.since = now
+	case known && m.left.IsZero():
+		m.left = now
+	default:
+		return
+	}
+	s.members[service] = m
+}
+
+// memberFor needs the lock.
+func (s *Server) memberFor(now time.Time, service core.ServiceName) time.Duration {
+	m, known := s.members[service]
+	if !known || (!m.left.IsZero() && now.Sub(m.left) > idempotency.Window) {
+		return 0
+	}
+	return now.Sub(m.since)
 }
 
 // keepKey is the holder's side of a claim.
@@ -47,8 +90,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := keyReply{
-		Token:     message.Token,
-		RunningUS: now.Sub(s.started).Microseconds(),
+		Token:    message.Token,
+		MemberUS: s.memberFor(now, message.Key.Service).Microseconds(),
 	}
 	if message.Verdict != "" {
 		s.keys.Settle(now, message.Key, message.Owner, message.Verdict, message.Answer)
@@ -64,8 +107,9 @@
 	return nil
 }
 
-// ClaimsOptions configures Claims. Server is this node's own memory of keys. ServiceSince returns the time before which
-// a service is known to have had no endpoint anywhere; it may be nil.
+// ClaimsOptions configures Claims. Server is this node's own memory of keys. ServiceSince returns a time before which no
+// call of the service can have been made; it may be nil. Without it, keyed calls are answered with unknown until some
+// node has announced the service for the window.
 type ClaimsOptions struct {
 	Self         core.NodeID
 	Server       *Server
@@ -84,6 +128,7 @@
 
 	mu      sync.Mutex
 	holders *idempotency.Holders
+	asked   map[core.CallID][]core.Endpoint // of calls whose claim was granted, until they are settled
 }
 
 // NewClaims starts to observe the endpoints of all services; the clean-up function ends that.
@@ -99,6 +144,7 @@
 		granted: options.Metrics.GetOrCreateCounter(`parsleyport_key_claims_total{verdict="granted"}`),
 		denied:  options.Metrics.GetOrCreateCounter(`parsleyport_key_claims_total{verdict="denied"}`),
 		holders: idempotency.NewHolders(),
+		asked:   make(map[core.CallID][]core.Endpoint),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -161,30 +207,24 @@
 		RemainingUS: time.Until(call.Deadline).Microseconds(),
 	}
 	var replies []idempotency.Reply
+	var asked []core.Endpoint
 	for _, holder := range c.holdersOf(message.Key) {
-		reply := c.reply(ctx, holder, call.Service, message)
-		replies = append(replies, reply)
-		if reply.Reached && reply.Verdict != idempotency.VerdictGranted {
+		if idempotency.Enough(replies) {
 			break
 		}
+		asked = append(asked, holder)
+		replies = append(replies, c.reply(ctx, holder, call.Service, message))
 	}
 	verdict, answer := idempotency.Combine(replies)
+	c.mu.Lock()
+	c.asked[call.ID] = asked
+	c.mu.Unlock()
 	if verdict != idempotency.VerdictGranted {
-		c.giveBack(ctx, call, replies)
+		c.Settle(ctx, call, idempotency.VerdictGranted, nil) // gives back what was won
 	}
 	return verdict, answer
 }
 
-// giveBack returns what a claim won that failed as a whole, so that it does not block the call that has the key.
-func (c *Claims) giveBack(ctx context.Context, call *core.Call, replies []idempotency.Reply) {
-	for _, reply := range replies {
-		if reply.Verdict == idempotency.VerdictGranted {
-			c.Settle(ctx, call, idempotency.VerdictGranted, nil)
-			return
-		}
-	}
-}
-
 func (c *Claims) holdersOf(key idempotency.Key) []core.Endpoint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -196,9 +236,9 @@
 	if err != nil {
 		return idempotency.Reply{}
 	}
-	running := time.Duration(reply.RunningUS) * time.Microsecond
-	whole := running >= idempotency.Window
-	if since, known := c.since(service); known && !time.Now().Add(-running).After(since) {
+	member := time.Duration(reply.MemberUS) * time.Microsecond
+	whole := member >= idempotency.Window
+	if since, known := c.since(service); known && member > 0 && !time.Now().Add(-member).After(since) {
 		whole = true
 	}
 	return idempotency.Reply{
@@ -229,8 +269,8 @@
 	return conn.askKey(ctx, message)
 }
 
-// Settle records at the holders what became of a call whose claim was granted: VerdictAnswered with the answer,
-// VerdictUnknown, or VerdictGranted if the call was not run.
+// Settle records at the nodes that were asked what became of a call whose claim was granted: VerdictAnswered with the
+// answer, VerdictUnknown, or VerdictGranted if the call was not run.
 func (c *Claims) Settle(ctx context.Context, call *core.Call, verdict idempotency.Verdict, answer *idempotency.Recorded) {
 	message := keyMessage{
 		Key:     idempotency.KeyOf(call),
@@ -238,7 +278,11 @@
 		Verdict: verdict,
 		Answer:  answer,
 	}
-	for _, holder := range c.holdersOf(message.Key) {
+	c.mu.Lock()
+	asked := c.asked[call.ID]
+	delete(c.asked, call.ID)
+	c.mu.Unlock()
+	for _, holder := range asked {
 		_, _ = c.ask(ctx, holder, message) // a holder that does not learn of it answers a resend with unknown
 	}
 }
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -7,8 +7,9 @@
 	silenceLimit = 1500 * time.Millisecond
 	checkEvery   = 250 * time.Millisecond
 
-	// writeLimit bounds one write; a peer that takes nothing for so long is as good as silent.
-	writeLimit = 1500 * time.Millisecond
+	// writeLimit bounds one write and includes the wait for other senders of a busy connection. Pings find a silent peer
+	// much earlier.
+	writeLimit = 10 * time.Second
 	// idleLimit ends a connection without calls at the dialer, before serverIdleLimit ends it at the server.
 	idleLimit       = time.Minute
 	serverIdleLimit = 2 * time.Minute // far below idempotency.Window, so that no open arrives after its revocation is forgotten
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -49,6 +49,7 @@
 	mu          sync.Mutex
 	attempts    *idempotency.AttemptLog
 	keys        *idempotency.Keys
+	members     map[core.ServiceName]membership
 	calls       map[idempotency.AttemptKey]*serverCall
 	connections map[*serverConn]struct{}
 	bodyBytes   int
@@ -82,6 +83,7 @@
 		tooLate:     options.Metrics.GetOrCreateCounter(`parsleyport_peer_revocations_total{verdict="unknown"}`),
 		attempts:    idempotency.NewAttemptLog(),
 		keys:        idempotency.NewKeys(),
+		members:     make(map[core.ServiceName]membership),
 		calls:       make(map[idempotency.AttemptKey]*serverCall),
 		connections: make(map[*serverConn]struct{}),
 		idle:        make(chan struct{}),
