--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -249,15 +249,3 @@
 	status, _ := d.get("http://" + d.address(node+"-admin") + "/ready")
 	return status == http.StatusOK
 }
-
-// nodeRevision returns the revision that a node has in force.
-func (d *deployment) nodeRevision(node string) uint64 {
-	_, body := d.get("http://" + d.address(node+"-admin") + "/state")
-	var state struct {
-		Distribution struct {
-			Revision uint64 `json:"revision"`
-		} `json:"distribution"`
-	}
-	_ = json.Unmarshal(body, &state)
-	return state.Distribution.Revision
-}
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
@@ -58,7 +59,7 @@
 
 // cleanup runs the clean-up functions in reverse order.
 func (p *process) cleanup() {
-	for _, cleanup := range lo.Reverse(p.cleanups) {
+	for _, cleanup := range slices.Backward(p.cleanups) {
 		cleanup()
 	}
 }
