Add commands for the membership of control instances

'members' lists voters, learners and introduced instances, and names the changes that are missing; replace, add, promote and remove ask the leader.

A change names the identity that the list showed, so a resend after a lost answer, or a second loss of the disk in between, changes nothing else. The leader answers a repeated change that is in force with success. A follower answers 503 with the leader's id, although raft could forward the change: only the leader knows whether a refusal is about a committed membership. Refusals that do not lie in the request are raft.ErrTransient and are asked again, so a promotion can follow a replacement at once.

--- a/core/raft/requests.go
+++ b/core/raft/requests.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"github.com/juju/errors"
 	"github.com/samber/lo"
 
 	"parsleyport/core"
@@ -28,8 +29,21 @@
 	reasonNotLeader   = "not the leader"
 	reasonBusy        = "too many requests are outstanding"
 	reasonSteppedDown = "the leader has stepped down"
+	reasonUnderWay    = "another membership change is under way"
 )
 
+// ErrTransient means that a request was not appended and that the same request may succeed later.
+const ErrTransient = errors.ConstError("request is not possible now")
+
+// RefusalError returns the reason of a Refusal as an error, ErrTransient if it does not lie in the request.
+func RefusalError(reason string) error {
+	switch reason {
+	case reasonNoLeader, reasonNotLeader, reasonBusy, reasonSteppedDown, reasonUnderWay:
+		return errors.Annotate(ErrTransient, reason)
+	}
+	return errors.New(reason)
+}
+
 func (n *Node) proposed(p Proposed, origin Peer) {
 	switch {
 	case n.role != Leader && origin != n.self:
@@ -60,7 +74,7 @@
 // membership of an earlier term that the instance has not seen could otherwise form another majority.
 func (n *Node) changeMembers(p Proposed, origin Peer) {
 	if n.current().index > n.commit || !n.committedInTerm() {
-		n.refuse(origin, p.Request, "another membership change is under way")
+		n.refuse(origin, p.Request, reasonUnderWay)
 		return
 	}
 	if n.promote != nil {
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
+	"parsleyport/core/raft"
 	"parsleyport/io/control"
 	nodeprocess "parsleyport/io/node"
 	"parsleyport/io/operatorhttp"
@@ -88,6 +89,16 @@
 		return p.status(ctx, o, client)
 	case commandAudit:
 		return p.audit(ctx, o, client)
+	case commandMembersList:
+		return p.members(ctx, o, client)
+	case commandMembersReplace:
+		return p.changeMembers(ctx, o, client, raft.ChangeReplace)
+	case commandMembersAdd:
+		return p.changeMembers(ctx, o, client, raft.ChangeAdd)
+	case commandMembersPromote:
+		return p.changeMembers(ctx, o, client, raft.ChangePromote)
+	case commandMembersRemove:
+		return p.changeMembers(ctx, o, client, raft.ChangeRemove)
 	}
 	return p.fail(StatusUsage, errors.Errorf("command %q does not exist", o.command))
 }
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -19,6 +19,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/catalog"
+	"parsleyport/core/raft"
 	"parsleyport/io/operatorhttp"
 	"parsleyport/io/settings"
 )
@@ -30,6 +31,10 @@
 	steps   []core.MoveState
 	step    uint64
 	err     error
+
+	leader    core.ControlID
+	members   []raft.Member
+	strangers []raft.Peer
 }
 
 func (f *fakeReplicator) Propose(_ context.Context, command []byte) ([]byte, error) {
@@ -53,7 +58,27 @@
 	return err
 }
 
-func (f *fakeReplicator) Status() core.ReplicatorStatus { return core.ReplicatorStatus{} }
+func (f *fakeReplicator) Status() core.ReplicatorStatus {
+	return core.ReplicatorStatus{
+		Self:   "c1",
+		Leader: f.leader,
+	}
+}
+
+func (f *fakeReplicator) Members() []raft.Member { return f.members }
+
+func (f *fakeReplicator) Strangers() []raft.Peer { return f.strangers }
+
+// Change replaces and promotes as raft does.
+func (f *fakeReplicator) Change(_ context.Context, change raft.Change) error {
+	for i, member := range f.members {
+		if member.Peer.ID == change.Peer.ID && (change.Kind == raft.ChangePromote) == (member.Peer == change.Peer) && !(change.Kind == raft.ChangePromote && member.Voter) {
+			f.members[i].Peer, f.members[i].Voter, f.strangers = change.Peer, change.Kind == raft.ChangePromote, nil
+			return f.err
+		}
+	}
+	return errors.NotValidf("change")
+}
 
 func (f *fakeReplicator) Fleet() operatorhttp.FleetStatus { return operatorhttp.FleetStatus{} }
 
@@ -89,6 +114,7 @@
 	server, stop, err := operatorhttp.New(operatorhttp.Options{
 		Listen:     "127.0.0.1:0",
 		Replicator: f.replicator,
+		Membership: f.replicator,
 		Catalog:    f.replicator.catalog,
 		Fleet:      f.replicator,
 		Log:        zerolog.Nop(),
--- /dev/null
+++ b/io/cli/members_test.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"encoding/json"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core/raft"
+	"parsleyport/io/operatorhttp"
+)
+
+// Guards against a repair that stops halfway because the output does not say what is missing, and against an exit status
+// that takes a refused or unanswered change for a success.
+func TestMembersCommands(t *testing.T) {
+	f := newFixture(t)
+	f.replicator.leader = "c1"
+	f.replicator.members = []raft.Member{
+		{Peer: raft.Peer{ID: "c1", Identity: "a"}, Voter: true},
+		{Peer: raft.Peer{ID: "c2", Identity: "b"}, Voter: true},
+		{Peer: raft.Peer{ID: "c3", Identity: "c"}, Voter: true},
+	}
+	f.c.Assert(f.run(StatusRefused, "members", "replace", "c2"), qt.Contains, "no instance of that name has introduced itself")
+	f.replicator.strangers = []raft.Peer{{ID: "c2", Identity: "new"}}
+	text := f.run(StatusOK, "members")
+	f.c.Assert(text, qt.Contains, "run: parsleyport members replace c2")
+	f.c.Assert(text, qt.Contains, "tolerated failures: 1")
+
+	text = f.run(StatusOK, "members", "replace", "c2")
+	f.c.Assert(text, qt.Contains, "run: parsleyport members promote c2")
+	f.c.Assert(text, qt.Contains, "tolerated failures: 0")
+	var members operatorhttp.Members
+	f.c.Assert(json.Unmarshal([]byte(f.run(StatusOK, "members", "promote", "--output", "json", "c2")), &members), qt.IsNil)
+	f.c.Assert(members.Members[1], qt.DeepEquals, raft.Member{Peer: raft.Peer{ID: "c2", Identity: "new"}, Voter: true})
+	f.c.Assert(members.Missing, qt.HasLen, 0)
+
+	f.c.Assert(f.run(StatusRefused, "members", "remove", "c9"), qt.Contains, "not a member")
+	f.run(StatusUsage, "members", "promote")
+	f.replicator.leader = "c3"
+	f.c.Assert(f.run(StatusUnknown, "members", "promote", "--timeout", "100ms", "c2"), qt.Contains, "c1 is not the leader; the leader is c3")
+}
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -38,6 +38,13 @@
 	commandAudit   = "audit"
 	commandCheck   = "check"
 	commandVersion = "version"
+
+	commandMembers        = "members"
+	commandMembersList    = "members list"
+	commandMembersReplace = "members replace"
+	commandMembersAdd     = "members add"
+	commandMembersPromote = "members promote"
+	commandMembersRemove  = "members remove"
 )
 
 // options holds every option and argument of all commands, checked.
@@ -59,6 +66,7 @@
 	by           time.Time
 	maxRisk      core.PerMille
 	moveID       core.MoveID
+	member       core.ControlID
 	wait         bool
 	since        time.Time
 	limit        int
@@ -91,6 +99,7 @@
 	addProcessCommands(app, &r)
 	addSubmissionCommands(app, &r)
 	addReadCommands(app, &r)
+	addMemberCommands(app, &r)
 	addOfflineCommands(app, &r)
 	command, err := app.Parse(args)
 	if helped {
@@ -157,6 +166,21 @@
 	}
 }
 
+func addMemberCommands(app *kingpin.Application, r *raw) {
+	members := app.Command(commandMembers, "List the control instances, or change which of them are members.\n\nAfter the loss of a disk: members replace ID makes the instance with the new disk a learner and takes the vote from the old identity; members promote ID gives the learner its vote once it has caught up. Until then, one instance less may be lost.")
+	addRemote(members, r)
+	members.Command("list", "List voters, learners, and instances that have introduced themselves without being members; say which changes are missing. The default.\n\nExample: parsleyport members --server 127.0.0.1:7101").Default()
+	for _, each := range []struct{ name, help string }{
+		{"replace", "Replace a member that lost its disk by the instance of the same name that has introduced itself."},
+		{"add", "Make an instance that has introduced itself a learner; it must be in the settings of the leader."},
+		{"promote", "Give a learner a vote once it has caught up with the leader."},
+		{"remove", "Remove a voter or a learner."},
+	} {
+		change := members.Command(each.name, each.help+"\n\nExample: parsleyport members "+each.name+" --server 127.0.0.1:7101 c2")
+		change.Arg("id", "Control instance as in the settings.").Required().StringVar((*string)(&r.member))
+	}
+}
+
 func addOfflineCommands(app *kingpin.Application, r *raw) {
 	check := app.Command(commandCheck, "Check settings and record files without a control instance.\n\nExample: parsleyport check c1.jsonc n1.jsonc orders.jsonc")
 	check.Arg("file", "Settings or record file, JSON with comments.").Required().StringsVar(&r.files)
@@ -194,6 +218,7 @@
 			o.operator = core.Operator(os.Getenv(operatorVariable))
 		}
 	case commandMoves, commandStatus, commandAudit:
+	case commandMembersList, commandMembersReplace, commandMembersAdd, commandMembersPromote, commandMembersRemove:
 	default:
 		return o, nil
 	}
--- a/io/control/operators.go
+++ b/io/control/operators.go
@@ -1,14 +1,19 @@
 package control
 
 import (
+	"context"
+
 	"github.com/juju/errors"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/catalog"
+	"parsleyport/core/raft"
 	"parsleyport/io/distribution"
 	"parsleyport/io/operatorhttp"
 	"parsleyport/io/raftpeer"
+	"parsleyport/io/settings"
 )
 
 func (p *process) newOperators(injector do.Injector) (*operatorhttp.Server, error) {
@@ -24,8 +29,12 @@
 	server, cleanup, err := operatorhttp.New(operatorhttp.Options{
 		Listen:     p.settings.OperatorAddress,
 		Replicator: do.MustInvoke[*raftpeer.Replica](injector),
-		Catalog:    records,
-		Token:      token,
+		Membership: membership{
+			Replica: do.MustInvoke[*raftpeer.Replica](injector),
+			members: p.settings.Members,
+		},
+		Catalog: records,
+		Token:   token,
 		Fleet: fleet{
 			source:  source,
 			catalog: records,
@@ -40,6 +49,22 @@
 	return server, nil
 }
 
+// membership completes changes with what the settings say of an instance.
+type membership struct {
+	*raftpeer.Replica
+	members []settings.Member
+}
+
+// Change implements operatorhttp.Membership.
+func (m membership) Change(ctx context.Context, change raft.Change) error {
+	member, exists := lo.Find(m.members, func(member settings.Member) bool { return member.ID == change.Peer.ID })
+	if change.Kind == raft.ChangeAdd && !exists {
+		return errors.NotFoundf("instance %q in the settings of %q", change.Peer.ID, m.Self().ID)
+	}
+	change.Address, change.DataCentre = member.PeerAddress, member.DataCentre
+	return m.Replica.Change(ctx, change)
+}
+
 // fleet shows the attached nodes to the operators' API.
 type fleet struct {
 	source  *distribution.Source
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -37,6 +37,8 @@
 	abortPath       = "/v1/moves/{id}/abort"
 	statusPath      = "/v1/status"
 	auditPath       = "/v1/audit"
+	membersPath     = "/v1/members"
+	changePath      = "/v1/members/{id}/{change}"
 	metricsPath     = "/metrics"
 )
 
--- a/io/operatorhttp/client.go
+++ b/io/operatorhttp/client.go
@@ -16,6 +16,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/catalog"
+	"parsleyport/core/raft"
 )
 
 // Errors of a Client; core.ErrOutcomeUnknown means that a command may have been committed.
@@ -61,18 +62,18 @@
 
 // Submit sends a submission until it has a verdict; it returns core.ErrOutcomeUnknown, ErrUnreachable or ErrRejected.
 func (c *Client) Submit(ctx context.Context, submission core.Submission) (catalog.Verdict, error) {
-	return c.command(ctx, submissionsPath, submission)
+	return command[catalog.Verdict](ctx, c, submissionsPath, submission)
 }
 
 // Move requests a move; its errors are those of Submit.
 func (c *Client) Move(ctx context.Context, request core.MoveRequest) (catalog.Verdict, error) {
-	return c.command(ctx, movesPath, request)
+	return command[catalog.Verdict](ctx, c, movesPath, request)
 }
 
 // Abort takes a move back; its errors are those of Submit.
 func (c *Client) Abort(ctx context.Context, abort catalog.Abort) (catalog.Verdict, error) {
 	path := strings.Replace(abortPath, "{id}", url.PathEscape(string(abort.MoveID)), 1)
-	return c.command(ctx, path, abortBody{
+	return command[catalog.Verdict](ctx, c, path, abortBody{
 		ID:       abort.ID,
 		Operator: abort.Operator,
 	})
@@ -114,17 +115,31 @@
 	return read[[]catalog.AuditEntry](ctx, c, auditPath+"?"+query.Encode())
 }
 
-func (c *Client) command(ctx context.Context, path string, body any) (catalog.Verdict, error) {
+// Members describes the membership as the first reachable member knows it; its errors are those of Moves.
+func (c *Client) Members(ctx context.Context) (Members, error) {
+	return read[Members](ctx, c, membersPath)
+}
+
+// ChangeMembers asks the leader for a membership change, whose address and data centre it knows itself; a promotion
+// waits until the learner has caught up. Its errors are those of Submit.
+func (c *Client) ChangeMembers(ctx context.Context, kind raft.ChangeKind, peer raft.Peer) (Members, error) {
+	path := strings.NewReplacer("{id}", url.PathEscape(string(peer.ID)), "{change}", string(kind)).Replace(changePath)
+	return command[Members](ctx, c, path, changeBody{
+		Identity: peer.Identity,
+	})
+}
+
+func command[T any](ctx context.Context, c *Client, path string, body any) (T, error) {
+	var answer, none T
 	encoded, err := json.Marshal(body)
 	if err != nil {
-		return catalog.Verdict{}, errors.Trace(err)
+		return none, errors.Trace(err)
 	}
-	var verdict catalog.Verdict
-	mayHaveRun, err := c.persist(ctx, http.MethodPost, path, encoded, &verdict)
+	mayHaveRun, err := c.persist(ctx, http.MethodPost, path, encoded, &answer)
 	if err != nil && mayHaveRun { // a rejection by one server does not undo what another one may have proposed
-		return catalog.Verdict{}, errors.Annotatef(core.ErrOutcomeUnknown, "%v", err)
+		return none, errors.Annotatef(core.ErrOutcomeUnknown, "%v", err)
 	}
-	return verdict, err
+	return answer, err
 }
 
 func read[T any](ctx context.Context, c *Client, path string) (T, error) {
--- /dev/null
+++ b/io/operatorhttp/members.go
@@ -0,0 +1,170 @@
+package operatorhttp
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/juju/errors"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+)
+
+// Membership is the membership of the control instances as the local replica knows it.
+type Membership interface {
+	// Members returns the newest membership; the slice must not be changed.
+	Members() []raft.Member
+	// Strangers returns the instances that have introduced themselves and are not members.
+	Strangers() []raft.Peer
+	// Change commits a change, or returns core.ErrNoLeader, raft.ErrTransient, core.ErrOutcomeUnknown or why it was refused.
+	Change(ctx context.Context, change raft.Change) error
+}
+
+// Members is the answer of the operations on the membership.
+type Members struct {
+	Current           bool            `json:"current"` // false if no leader confirmed that the rest is up to date
+	Leader            core.ControlID  `json:"leader"`
+	Members           []raft.Member   `json:"members"`
+	Strangers         []raft.Peer     `json:"strangers"` // introduced, but not members
+	ToleratedFailures int             `json:"tolerated-failures"`
+	Missing           []MissingChange `json:"missing"`
+}
+
+// MissingChange is a change that an operator has still to ask for, unless the instance is meant to stay as it is.
+type MissingChange struct {
+	ID     core.ControlID  `json:"id"`
+	Change raft.ChangeKind `json:"change"`
+	Reason string          `json:"reason"`
+}
+
+type changeBody struct {
+	Identity raft.Identity `json:"identity" minLength:"1"` // makes a resend harmless
+}
+
+type changeInput struct {
+	ID     string `path:"id"`
+	Change string `path:"change" enum:"replace,add,promote,remove"`
+	Body   changeBody
+}
+
+// missing lists what separates the membership from one in which every known instance votes.
+func missing(members []raft.Member, strangers []raft.Peer) []MissingChange {
+	changes := []MissingChange{}
+	for _, stranger := range strangers {
+		change := MissingChange{
+			ID:     stranger.ID,
+			Change: raft.ChangeAdd,
+			Reason: "has introduced itself and is not a member",
+		}
+		if lo.ContainsBy(members, func(m raft.Member) bool { return m.Peer.ID == stranger.ID }) {
+			change.Change, change.Reason = raft.ChangeReplace, "has introduced itself with a new identity, as after the loss of its disk"
+		}
+		changes = append(changes, change)
+	}
+	for _, member := range members {
+		if replaced := lo.ContainsBy(strangers, func(p raft.Peer) bool { return p.ID == member.Peer.ID }); !member.Voter && !replaced {
+			changes = append(changes, MissingChange{
+				ID:     member.Peer.ID,
+				Change: raft.ChangePromote,
+				Reason: "is a learner and has no vote",
+			})
+		}
+	}
+	return changes
+}
+
+func (s *Server) describeMembers(ctx context.Context) *output[Members] {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	current := s.options.Replicator.ConfirmRead(ctx) == nil
+	members, strangers := s.options.Membership.Members(), s.options.Membership.Strangers()
+	voters := lo.CountBy(members, func(m raft.Member) bool { return m.Voter })
+	return &output[Members]{
+		Body: Members{
+			Current:           current,
+			Leader:            s.options.Replicator.Status().Leader,
+			Members:           members,
+			Strangers:         append([]raft.Peer{}, strangers...), // never null in JSON
+			ToleratedFailures: max(voters-1, 0) / 2,
+			Missing:           missing(members, strangers),
+		},
+	}
+}
+
+// listMembers is also for times without a leader. An instance outside the membership knows none or an old one.
+func (s *Server) listMembers(ctx context.Context, _ *struct{}) (*output[Members], error) {
+	self := s.options.Replicator.Status().Self
+	if !lo.ContainsBy(s.options.Membership.Members(), func(m raft.Member) bool { return m.Peer.ID == self }) {
+		s.countError("not-a-member")
+		return nil, huma.Error503ServiceUnavailable(fmt.Sprintf("%s is not a member", self))
+	}
+	return s.describeMembers(ctx), nil
+}
+
+func (s *Server) changeMembers(ctx context.Context, input *changeInput) (*output[Members], error) {
+	if err := s.checkLeader(); err != nil {
+		return nil, err
+	}
+	term := s.options.Replicator.Status().Term
+	change := raft.Change{
+		Kind: raft.ChangeKind(input.Change),
+		Peer: raft.Peer{
+			ID:       core.ControlID(input.ID),
+			Identity: input.Body.Identity,
+		},
+	}
+	proposing, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	switch err := s.options.Membership.Change(proposing, change); {
+	case errors.Is(err, raft.ErrTransient):
+		s.countError("membership-busy")
+		return nil, huma.Error503ServiceUnavailable(err.Error())
+	case errors.Is(err, core.ErrNoLeader) || errors.Is(err, core.ErrOutcomeUnknown):
+		return nil, s.unavailable(err)
+	case err != nil && !(isInForce(change, s.options.Membership.Members()) && s.leadsSince(term)):
+		s.countError("membership-refused")
+		return nil, huma.Error422UnprocessableEntity(err.Error())
+	}
+	s.options.Log.Info().Str("change", input.Change).Str("id", input.ID).Msg("membership change accepted")
+	return s.describeMembers(ctx), nil
+}
+
+// checkLeader keeps membership changes at the leader, which alone knows whether a learner has caught up.
+func (s *Server) checkLeader() error {
+	status := s.options.Replicator.Status()
+	if status.Leader == status.Self && status.Self != "" {
+		return nil
+	}
+	s.countError("not-leader")
+	if status.Leader == "" {
+		return huma.Error503ServiceUnavailable(fmt.Sprintf("%s is not the leader, and no leader is known", status.Self))
+	}
+	return huma.Error503ServiceUnavailable(fmt.Sprintf("%s is not the leader; the leader is %s", status.Self, status.Leader))
+}
+
+// leadsSince reports whether the membership that was read last is that of the leader which refused a change.
+func (s *Server) leadsSince(term core.Term) bool {
+	status := s.options.Replicator.Status()
+	return status.Leader == status.Self && status.Term == term
+}
+
+// isInForce reports whether a refused change has been made before, as when the client did not get the first answer. A
+// leader refuses a change for its content only if its newest membership is committed.
+func isInForce(change raft.Change, members []raft.Member) bool {
+	member, exists := lo.Find(members, func(m raft.Member) bool { return m.Peer == change.Peer })
+	switch change.Kind {
+	case raft.ChangeRemove:
+		return !exists
+	case raft.ChangePromote:
+		return exists && member.Voter
+	}
+	return exists
+}
+
+func (s *Server) registerMembers(api huma.API) {
+	huma.Register(api, operation("list-members", http.MethodGet, membersPath), s.listMembers)
+	huma.Register(api, operation("change-members", http.MethodPost, changePath), s.changeMembers)
+}
--- /dev/null
+++ b/io/operatorhttp/members_test.go
@@ -0,0 +1,100 @@
+package operatorhttp_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+	"parsleyport/io/operatorhttp"
+)
+
+// fakeMembership returns the next of the errors for each change.
+type fakeMembership struct {
+	members []raft.Member
+	errors  []error
+	changes []raft.Change
+}
+
+func (f *fakeMembership) Members() []raft.Member { return f.members }
+
+func (f *fakeMembership) Strangers() []raft.Peer { return []raft.Peer{{ID: "c4", Identity: "d"}} }
+
+func (f *fakeMembership) Change(_ context.Context, change raft.Change) error {
+	f.changes = append(f.changes, change)
+	err := f.errors[0]
+	f.errors = f.errors[1:]
+	return err
+}
+
+func voter(id core.ControlID) raft.Member {
+	return raft.Member{
+		Peer: raft.Peer{
+			ID:       id,
+			Identity: raft.Identity(id),
+		},
+		Voter: true,
+	}
+}
+
+// Guards against a change that a follower takes, and against a client that gives up there.
+func TestMembershipChangesGoToTheLeader(t *testing.T) {
+	c := qt.New(t)
+	follower := &fakeReplicator{leader: "c2"}
+	rejecting := &fakeMembership{members: []raft.Member{voter("c1")}}
+	follower.membership = rejecting
+	first := start(c, "", follower)
+	_, err := first.client.ChangeMembers(within(c, 300*time.Millisecond), raft.ChangePromote, raft.Peer{ID: "c2", Identity: "b"})
+	c.Assert(errors.Is(err, operatorhttp.ErrUnreachable), qt.IsTrue)
+	c.Assert(err, qt.ErrorMatches, ".*c1 is not the leader; the leader is c2")
+
+	taken := &fakeMembership{members: []raft.Member{voter("c1")}, errors: []error{nil}}
+	second := start(c, "", &fakeReplicator{leader: "c1", membership: taken}, first.address)
+	members, err := second.client.ChangeMembers(within(c, 5*time.Second), raft.ChangeAdd, raft.Peer{ID: "c4", Identity: "d"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(members.Missing, qt.HasLen, 1)
+	c.Assert(rejecting.changes, qt.HasLen, 0)
+	c.Assert(taken.changes, qt.HasLen, 1)
+}
+
+// Guards against a resend that reports a refusal of a change that was made, and against a real refusal that passes for
+// the repetition of a change.
+func TestMembershipChangeIsResent(t *testing.T) {
+	c := qt.New(t)
+	membership := &fakeMembership{
+		members: []raft.Member{voter("c1"), voter("c2")},
+		errors: []error{
+			raft.RefusalError("another membership change is under way"), // resent, not a verdict
+			core.ErrOutcomeUnknown,
+			errors.NotValidf("promotion"),
+			errors.NotValidf("promotion"),
+		},
+	}
+	f := start(c, "", &fakeReplicator{leader: "c1", membership: membership})
+	_, err := f.client.ChangeMembers(within(c, 5*time.Second), raft.ChangePromote, voter("c2").Peer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(membership.changes, qt.HasLen, 3)
+	_, err = f.client.ChangeMembers(within(c, 5*time.Second), raft.ChangePromote, raft.Peer{ID: "c2", Identity: "other"})
+	c.Assert(errors.Is(err, operatorhttp.ErrRejected), qt.IsTrue)
+}
+
+// Guards against a list from an instance without its disk, which knows of no member, and against a list that hides a
+// missing leader.
+func TestMembersAreListedByAMember(t *testing.T) {
+	c := qt.New(t)
+	wiped := start(c, "", &fakeReplicator{membership: &fakeMembership{}})
+	_, err := wiped.client.Members(within(c, 300*time.Millisecond))
+	c.Assert(err, qt.ErrorMatches, ".*c1 is not a member")
+	member := start(c, "", &fakeReplicator{
+		unread:     core.ErrNoLeader,
+		membership: &fakeMembership{members: []raft.Member{voter("c1"), voter("c2"), voter("c3")}},
+	}, wiped.address)
+	members, err := member.client.Members(within(c, 5*time.Second))
+	c.Assert(err, qt.IsNil)
+	c.Assert(members.Current, qt.IsFalse)
+	c.Assert(members.ToleratedFailures, qt.Equals, 1)
+}
--- a/io/operatorhttp/operations.go
+++ b/io/operatorhttp/operations.go
@@ -60,6 +60,7 @@
 	huma.Register(api, operation("show-move", http.MethodGet, movePath), s.showMove)
 	huma.Register(api, operation("status", http.MethodGet, statusPath), s.status)
 	huma.Register(api, operation("audit", http.MethodGet, auditPath), s.audit)
+	s.registerMembers(api)
 }
 
 func operation(id, method, path string) huma.Operation {
--- a/io/operatorhttp/operatorhttp_test.go
+++ b/io/operatorhttp/operatorhttp_test.go
@@ -32,6 +32,9 @@
 	applied   core.LogIndex
 	fail      func(proposal int, apply func()) error
 	unread    error
+	leader    core.ControlID
+
+	membership *fakeMembership
 }
 
 func (f *fakeReplicator) Propose(_ context.Context, command []byte) ([]byte, error) {
@@ -62,6 +65,7 @@
 func (f *fakeReplicator) Status() core.ReplicatorStatus {
 	return core.ReplicatorStatus{
 		Self:   "c1",
+		Leader: f.leader,
 		Voters: []core.ControlID{"c1"},
 	}
 }
@@ -87,6 +91,7 @@
 	server, stop, err := operatorhttp.New(operatorhttp.Options{
 		Listen:     "127.0.0.1:0",
 		Replicator: replicator,
+		Membership: replicator.membership,
 		Catalog:    replicator.catalog,
 		Token:      token,
 		Fleet:      fakeFleet{},
--- a/io/operatorhttp/server.go
+++ b/io/operatorhttp/server.go
@@ -26,6 +26,7 @@
 type Options struct {
 	Listen     string
 	Replicator core.Replicator
+	Membership Membership
 	Catalog    *catalog.Catalog
 	Token      string
 	Fleet      FleetView
--- a/io/raftpeer/requests.go
+++ b/io/raftpeer/requests.go
@@ -86,7 +86,7 @@
 
 // Change commits a membership change; a promotion waits for the learner to catch up. An empty identity stands for the
 // member's, or for the one with which a new or replaced instance introduced itself last. It returns ErrNoLeader,
-// ErrOutcomeUnknown or why it was refused.
+// raft.ErrTransient, ErrOutcomeUnknown or why it was refused.
 func (r *Replica) Change(ctx context.Context, change raft.Change) error {
 	if change.Peer.Identity == "" {
 		change.Peer.Identity = r.identityFor(change)
@@ -116,7 +116,7 @@
 			return a.result, nil
 		}
 		if !retry && r.Status().Leader != "" {
-			return nil, errors.New(a.refused)
+			return nil, raft.RefusalError(a.refused)
 		}
 		if !r.pause(ctx) {
 			return nil, errors.Annotate(core.ErrNoLeader, a.refused)
