Turn a panic of the msgpack library into ErrMalformed

The library panics on nil in the place of a time.Time (reflect: IsNil on a struct), so one message from a peer could end the process.

--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -39,8 +39,14 @@
 	body []byte
 }
 
-// Decode decodes the message into target, a pointer; it returns ErrMalformed.
-func (f Frame) Decode(target any) error {
+// Decode decodes the message into target, a pointer; it returns ErrMalformed. The msgpack library panics on some input,
+// such as nil in the place of a time, which must not end the process.
+func (f Frame) Decode(target any) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Annotatef(ErrMalformed, "message type %d: %v", f.Type, cause)
+		}
+	}()
 	if err := msgpack.Unmarshal(f.body, target); err != nil {
 		return errors.Annotatef(ErrMalformed, "message type %d: %v", f.Type, err)
 	}
--- a/io/frame/frame_test.go
+++ b/io/frame/frame_test.go
@@ -78,3 +78,16 @@
 		_ = received.Decode(&message) // must not panic
 	})
 }
+
+// Guards against a peer that ends the process with a message on which the msgpack library panics.
+func TestDecodeTurnsPanicsIntoErrors(t *testing.T) {
+	c := qt.New(t)
+	body := []byte{0x81, 0xa2, 'a', 't', 0xc0} // {"at": nil}
+	input := append(binary.BigEndian.AppendUint32(nil, uint32(2+len(body))), 0, 1)
+	received, _, err := frame.Read(bytes.NewReader(append(input, body...)))
+	c.Assert(err, qt.IsNil)
+	var message struct {
+		At time.Time `msgpack:"at"`
+	}
+	c.Assert(errors.Is(received.Decode(&message), frame.ErrMalformed), qt.IsTrue)
+}
