Send crash reports to every node and wire idempotency keys

A node knew only of the crashes of its own backend server, so a caller that resent a crashing request through other nodes could take two backend servers for each of them. Reports now travel up the tree and down to all nodes, once each, for 10 min. Ruled out: reports in the evidence, which only control instances keep. With four nodes and eight resends, two backend servers crash and the request is refused from then on.

Entry nodes claim idempotency keys at their holders. The catalog notes when a service's record was first accepted, so that the nodes of a new service need not wait for the window of 10 min.

--- a/core/catalog/submit.go
+++ b/core/catalog/submit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
@@ -16,6 +17,7 @@
 type plan struct {
 	catalog  *Catalog
 	author   core.Submission
+	at       time.Time
 	upserts  map[core.RecordKey]core.Record
 	deletes  map[core.RecordKey]bool
 	stamps   map[core.RecordKey]stamp
@@ -29,6 +31,7 @@
 	p := &plan{
 		catalog:  c,
 		author:   s,
+		at:       e.At,
 		upserts:  make(map[core.RecordKey]core.Record),
 		deletes:  make(map[core.RecordKey]bool),
 		stamps:   make(map[core.RecordKey]stamp),
@@ -69,6 +72,7 @@
 	if refusal := p.checkVersion(key, r.Version); refusal != nil {
 		return refusal
 	}
+	r.SinceMS = p.since(key)
 	p.upserts[key] = r
 	p.stamp(key, r.Version, core.Hash(xxhash.Sum64(r.Body)), false)
 	p.notePolicy(r)
@@ -76,6 +80,22 @@
 	return nil
 }
 
+// since returns the time of the first acceptance for the record's SinceMS.
+func (p *plan) since(key core.RecordKey) int64 {
+	seen := false
+	for key.SchemaVersion = 1; key.SchemaVersion <= record.NewestSchema; key.SchemaVersion++ {
+		if held, exists := p.catalog.configuration.Record(key); exists {
+			return held.SinceMS
+		}
+		_, deleted := p.catalog.stamps[key]
+		seen = seen || deleted
+	}
+	if seen {
+		return 0
+	}
+	return p.at.UnixMilli()
+}
+
 func (p *plan) delete(d core.Deletion) *Verdict {
 	key := deletionKey(d)
 	s, exists := p.catalog.stamps[key]
--- a/core/endpoint.go
+++ b/core/endpoint.go
@@ -30,3 +30,11 @@
 	}
 	return e.Sequence > other.Sequence
 }
+
+// CrashReport says that a request was running when the process of a backend server ended; Run is the run that the
+// backend server had announced, Fingerprint identifies requests that are the same to a backend server.
+type CrashReport struct {
+	Node        NodeID `msgpack:"node"`
+	Run         string `msgpack:"run"`
+	Fingerprint uint64 `msgpack:"fingerprint"`
+}
--- a/core/record.go
+++ b/core/record.go
@@ -20,6 +20,9 @@
 	SchemaVersion SchemaVersion   `json:"schema-version" msgpack:"schema-version"`
 	Version       RecordVersion   `json:"version" msgpack:"version"`
 	Body          json.RawMessage `json:"body" msgpack:"body"`
+	// SinceMS is when a record of this kind and name was first accepted, in Unix milliseconds on the proposer's clock; zero
+	// if one was deleted before. The catalog sets it.
+	SinceMS int64 `json:"-" msgpack:"since-ms,omitempty"`
 }
 
 // RecordKey identifies a record; records of one kind and name may exist in several schema versions.
--- a/core/record/configuration.go
+++ b/core/record/configuration.go
@@ -384,6 +384,7 @@
 		writeNumber(digest, uint64(r.SchemaVersion))
 		writeNumber(digest, uint64(r.Version))
 		writeText(digest, string(r.Body))
+		writeNumber(digest, uint64(r.SinceMS))
 	}
 	for _, o := range c.Overrides() {
 		writeText(digest, string(o.Service))
--- /dev/null
+++ b/e2e/crash_test.go
@@ -0,0 +1,77 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// crashOnHeader makes a backend server end its process on a request with the header Standin-Crash.
+func (d *deployment) crashOnHeader(i int) {
+	d.eventually("the backend server takes its faults", 5*time.Second, func() bool {
+		request, err := http.NewRequest(http.MethodPut, "http://"+d.address(fmt.Sprintf("b%d", i))+"/standin/faults", strings.NewReader(`{"crash-on-header": true}`))
+		d.c.Assert(err, qt.IsNil)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil && response.StatusCode == http.StatusNoContent
+	})
+}
+
+// restartCrashed starts the backend servers again whose process has ended and returns how many there were.
+func (d *deployment) restartCrashed(backends int) int {
+	crashed := 0
+	for i := 1; i <= backends; i++ {
+		status, _ := d.get("http://" + d.address(fmt.Sprintf("b%d", i)) + "/standin/health")
+		if status != 0 {
+			continue
+		}
+		crashed++
+		d.kill(fmt.Sprintf("b%d", i))
+		d.startBackend(i, "v1")
+		d.crashOnHeader(i)
+	}
+	return crashed
+}
+
+// Guards against a request that crashes each backend server that runs it while its caller resends it through all nodes:
+// two crashes are the most that it may cause over the whole fleet.
+func TestCrashingRequestIsStoppedFleetWide(t *testing.T) {
+	c := qt.New(t)
+	d := newDeployment(c)
+	const nodes = 4
+	d.startServing(nodes)
+	for i := 1; i <= nodes; i++ {
+		d.crashOnHeader(i)
+	}
+	crashes, cause := 0, ""
+	for attempt := range 8 {
+		entry := fmt.Sprintf("n%d-caller", attempt%nodes+1)
+		request, err := http.NewRequest(http.MethodPost, "http://"+d.address(entry)+"/transcripts/1", strings.NewReader("the same body"))
+		c.Assert(err, qt.IsNil)
+		request.Header.Set("Standin-Crash", "1")
+		response, err := http.DefaultClient.Do(request)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+		c.Assert(response.StatusCode, qt.Not(qt.Equals), http.StatusOK)
+		cause = response.Header.Get("Parsleyport-Cause")
+		time.Sleep(500 * time.Millisecond) // a process that crashes ends within this time
+		crashes += d.restartCrashed(nodes)
+		d.eventually("all backend servers are announced", 10*time.Second, func() bool {
+			status, err := d.status(d.client())
+			return err == nil && status.Fleet.Endpoints["transcripts"] == nodes
+		})
+		time.Sleep(time.Second) // reports reach all nodes within this time
+	}
+	c.Assert(crashes, qt.Equals, 2)
+	c.Assert(cause, qt.Equals, "suspected-to-crash-backend-servers")
+
+	// Other requests are served.
+	calls := d.startCalls("others", 2*time.Second, 100, []int{1, 2, 3, 4})
+	calls.verify("--all-answered")
+}
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -29,6 +29,7 @@
 	held         position
 	wantsFull    bool
 	pongs        int
+	crashesAt    uint64
 	pathTurn     uint64
 	subscribed   bool
 	all          bool
@@ -208,6 +209,14 @@
 			h.evidence.merge(message.Counts, c.owner.Remote)
 			h.changed()
 		})
+	case typeCrashes:
+		var message crashes
+		return h.withChild(received, &message, func() {
+			h.crashed(now, message, crashOrigin{
+				link:   c.id,
+				remote: c.owner.Remote,
+			})
+		})
 	case typeSubscribe:
 		var message subscribe
 		return h.withChild(received, &message, func() { h.subscribed(now, c, message) })
@@ -328,6 +337,7 @@
 			message: answer,
 		})
 	}
+	due = append(due, h.crashesDown(c, now)...)
 	list, again := h.endpointsDue(c, now)
 	return append(due, list...), again
 }
--- /dev/null
+++ b/io/distribution/crashes_test.go
@@ -0,0 +1,58 @@
+package distribution
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"parsleyport/core"
+)
+
+// Guards against a request that crashes backend servers again and again because only one node knows of the crashes, and
+// against reports that are counted twice or sent round for ever.
+func TestCrashReportsReachEveryNodeOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.close()
+		w.source("c1", w.catalog, "c2")
+		w.source("c2", w.catalog, "c1")
+		var mu sync.Mutex // guards heard
+		heard := make(map[core.NodeID]int)
+		start := func(id core.NodeID, control string) *Subscriber {
+			return w.subscriberWith(id, func(o *SubscriberOptions) {
+				o.ControlAddresses = []string{control}
+				o.OnCrash = func(time.Time, core.CrashReport) {
+					mu.Lock()
+					defer mu.Unlock()
+					heard[id]++
+				}
+			})
+		}
+		reporter := start("n1", "c1")
+		for _, id := range []core.NodeID{"n2", "n3", "n4"} {
+			start(id, "c1") // the fourth node of the data centre is below a relay
+		}
+		start("n5", "c2")
+		everybody := func(nodes int) func() bool {
+			return func() bool {
+				mu.Lock()
+				defer mu.Unlock()
+				for _, count := range heard {
+					if count != 1 {
+						return false
+					}
+				}
+				return len(heard) == nodes
+			}
+		}
+		report := core.CrashReport{Node: "n1", Run: "r1", Fingerprint: 7}
+		w.eventually(5*time.Second, "attached", reporter.Confirmed)
+		reporter.ReportCrash(report)
+		reporter.ReportCrash(report)
+		w.eventually(3*time.Second, "every node has heard once", everybody(5))
+		time.Sleep(5 * time.Second)
+		start("n6", "c2")
+		w.eventually(5*time.Second, "a node that starts later has heard too", everybody(6))
+	})
+}
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -32,6 +32,7 @@
 	mu        sync.Mutex // guards what follows
 	table     *lease.Table
 	evidence  *evidenceStore
+	crashes   *crashStore
 	confirmer *confirmer
 	history   *history
 	current   *record.Configuration
@@ -65,6 +66,7 @@
 		handshakes: make(chan struct{}, maxHandshakes),
 		table:      lease.New(),
 		evidence:   newEvidenceStore(),
+		crashes:    newCrashStore(),
 		confirmer:  newConfirmer(),
 		history:    &history{},
 		children:   make(map[uint64]*child),
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -26,6 +26,7 @@
 	typeAcknowledge
 	typePing
 	typePong
+	typeCrashes
 )
 
 type linkKind string
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -89,7 +89,8 @@
 	DataCentre       core.DataCentre
 	RelayAddress     string // nodes below attach here
 	ControlAddresses []string
-	OnRequest        bool // receive only the endpoints of services given to Subscribe; default is all services
+	OnCrash          func(at time.Time, report core.CrashReport) // optional; gets each report once and must not block
+	OnRequest        bool                                        // receive only the endpoints of services given to Subscribe; default is all services
 	Logger           zerolog.Logger
 	Metrics          *metrics.Set       // optional
 	Network          Network            // optional, TCP by default
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -89,6 +89,7 @@
 	s.hub.relay = options.ID
 	s.hub.schema = options.Schema
 	s.hub.all = !options.OnRequest
+	s.hub.crashes.heard = options.OnCrash
 	s.hub.services = make(map[core.ServiceName]bool)
 	s.hub.hold(record.Empty())
 	s.hub.watch(options.Metrics)
@@ -218,6 +219,13 @@
 			s.checkConfirmed()
 			s.hub.changed()
 		})
+	case typeCrashes:
+		var message crashes
+		return s.hub.withChild(received, &message, func() {
+			s.hub.crashed(time.Now(), message, crashOrigin{
+				above: true,
+			})
+		})
 	case typeEndpoints:
 		var message endpoints
 		return s.hub.withChild(received, &message, func() { s.takeEndpoints(time.Now(), u, message) })
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -24,6 +24,7 @@
 	acknowledging pacer
 	evidenceAt    uint64
 	evidencing    pacer
+	crashesAt     uint64
 	pinging       pacer
 
 	subscribed       bool
@@ -117,6 +118,7 @@
 	if last || u.evidencing.ready(now) {
 		due = append(due, h.evidenceDue(u, now)...)
 	}
+	due = append(due, h.crashesUp(u, now)...)
 	if u.kind == kindNode {
 		due = append(due, h.requestsDue(u)...)
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -33,6 +33,7 @@
 	metrics     *metrics.Set
 	guard       *rollout.Guard
 	recorder    *rollout.Recorder
+	suspects    *suspects
 	cleanups    cleanups
 	// drainCallers does nothing until the node takes callers.
 	drainCallers func(context.Context) error
@@ -49,6 +50,7 @@
 		metrics:     metrics.NewSet(),
 		guard:       rollout.NewGuard(),
 		recorder:    rollout.NewRecorder(s.ID, incarnation),
+		suspects:    newSuspects(),
 
 		drainCallers: func(context.Context) error { return nil },
 	}
@@ -146,6 +148,7 @@
 		DataCentre:       p.settings.DataCentre,
 		RelayAddress:     p.settings.RelayAddress,
 		ControlAddresses: p.settings.ControlAddresses,
+		OnCrash:          p.suspects.crashed,
 		Logger:           p.log,
 		Metrics:          p.metrics,
 	})
@@ -175,7 +178,7 @@
 				State:   a.State,
 			})
 		},
-		OnCrash: p.recordCrash,
+		OnCrash: func(crash backendhttp.Crash) { p.reportCrash(subscriber, crash) },
 		Logger:  p.log,
 		Metrics: p.metrics,
 	})
@@ -186,8 +189,15 @@
 	return server, nil
 }
 
-// recordCrash is a state change of the backend server, so it is logged; the entry nodes count the lost calls.
-func (p *process) recordCrash(crash backendhttp.Crash) {
+// reportCrash tells the fleet which requests were running, so that none of them can crash many backend servers.
+func (p *process) reportCrash(subscriber *distribution.Subscriber, crash backendhttp.Crash) {
+	for _, call := range crash.Calls {
+		subscriber.ReportCrash(core.CrashReport{
+			Node:        p.settings.ID,
+			Run:         crash.Run,
+			Fingerprint: uint64(call.Fingerprint),
+		})
+	}
 	p.log.Warn().Str("event", "backend-server-crashed").Str("run", crash.Run).Int("lost-calls", len(crash.Calls)).Msg("backend server crashed")
 }
 
@@ -240,6 +250,19 @@
 		return nil, err
 	}
 	subscriber := do.MustInvoke[*distribution.Subscriber](injector)
+	keys, stopKeys, err := nodepeer.NewClaims(nodepeer.ClaimsOptions{
+		Self:         p.settings.ID,
+		Server:       do.MustInvoke[*nodepeer.Server](injector),
+		Dialer:       dialer,
+		Endpoints:    subscriber,
+		Services:     func() []core.ServiceName { return subscriber.Current().Services() },
+		ServiceSince: func(service core.ServiceName) (time.Time, bool) { return serviceSince(subscriber.Current(), service) },
+		Metrics:      p.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.cleanups.add(stopKeys)
 	counts := &evidence{
 		recorder: p.recorder,
 		guard:    p.guard,
@@ -254,6 +277,8 @@
 		Forwarder:      dialer,
 		Evidence:       counts,
 		ReleaseAllowed: counts.releaseAllowed,
+		Suspected:      p.suspects.suspected,
+		Keys:           keys,
 		Logger:         p.log,
 		Metrics:        p.metrics,
 	})
