--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -45,10 +45,11 @@
 
 // Node decides for one control instance; it is not safe for concurrent use.
 type Node struct {
-	self   Peer
-	random *rand.Rand
-	now    time.Time
-	out    Output
+	self     Peer
+	random   *rand.Rand
+	trailing core.LogIndex
+	now      time.Time
+	out      Output
 
 	role    statechart.State
 	hard    HardState
@@ -76,11 +77,13 @@
 	installed *Snapshot // complete, being stored
 }
 
-// NewNode returns a node with the state that its data folder held; random is used for election timeouts only.
-func NewNode(now time.Time, self Peer, restored Restored, random *rand.Rand) *Node {
+// NewNode returns a node with the state that its data folder held. It keeps trailing entries in memory behind a snapshot
+// (see TrailingEntries) and uses random for election timeouts only.
+func NewNode(now time.Time, self Peer, restored Restored, trailing core.LogIndex, random *rand.Rand) *Node {
 	n := &Node{
 		self:        self,
 		random:      random,
+		trailing:    trailing,
 		now:         now,
 		role:        roles.Initial(),
 		hard:        restored.HardState,
@@ -390,8 +393,3 @@
 func (n *Node) Members() []Member {
 	return n.current().members
 }
-
-// LeaderPeer returns the leader that is known, or a zero Peer.
-func (n *Node) LeaderPeer() Peer {
-	return n.leader
-}
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -36,7 +36,7 @@
 	node := raft.NewNode(start, peer("a"), raft.Restored{
 		HardState: hard,
 		Entries:   entries,
-	}, rand.New(rand.NewPCG(1, 1)))
+	}, raft.TrailingEntries, rand.New(rand.NewPCG(1, 1)))
 	now := start.Add(raft.ElectionTimeout + raft.ElectionJitter)
 	node.Step(now)
 	out := node.Step(now, answer("b", raft.KindPreVoteAnswer, hard.Term+1, 0))
@@ -99,7 +99,7 @@
 // Guards against an entry that is appended at two places because its proposal was sent to an instance that does not lead.
 func TestFollowerRefusesForwardedProposal(t *testing.T) {
 	c := qt.New(t)
-	node := raft.NewNode(start, peer("a"), raft.Restored{}, rand.New(rand.NewPCG(1, 1)))
+	node := raft.NewNode(start, peer("a"), raft.Restored{}, raft.TrailingEntries, rand.New(rand.NewPCG(1, 1)))
 	proposal := answer("b", raft.KindPropose, 0, 0)
 	got := node.Step(start, proposal)
 	c.Assert(got.Entries, qt.HasLen, 0)
@@ -110,13 +110,13 @@
 // Guards against a second vote in one term after a restart, and against a vote that leaves before it is synced.
 func TestVoteIsSyncedAndKept(t *testing.T) {
 	c := qt.New(t)
-	node := raft.NewNode(start, peer("a"), raft.Restored{}, rand.New(rand.NewPCG(1, 1)))
+	node := raft.NewNode(start, peer("a"), raft.Restored{}, raft.TrailingEntries, rand.New(rand.NewPCG(1, 1)))
 	got := node.Step(start, answer("b", raft.KindVote, 5, 0))
 	c.Assert(got.Messages, qt.HasLen, 0)
 	c.Assert(got.AfterSync[0].Reject, qt.IsFalse)
 	node = raft.NewNode(start, peer("a"), raft.Restored{
 		HardState: *got.HardState,
-	}, rand.New(rand.NewPCG(1, 1)))
+	}, raft.TrailingEntries, rand.New(rand.NewPCG(1, 1)))
 	got = node.Step(start, answer("c", raft.KindVote, 5, 0))
 	c.Assert(got.AfterSync[0].Reject, qt.IsTrue)
 }
--- a/core/raft/snapshot.go
+++ b/core/raft/snapshot.go
@@ -73,8 +73,8 @@
 		return
 	}
 	n.snapshot = stored
-	if stored.Index > n.log.base+trailingEntries {
-		n.compact(stored.Index - trailingEntries)
+	if stored.Index > n.log.base+n.trailing {
+		n.compact(stored.Index - n.trailing)
 	}
 }
 
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -20,6 +20,8 @@
 const (
 	// SnapshotInterval is the number of applied entries between two snapshots.
 	SnapshotInterval = 1000
+	// TrailingEntries is the number of entries kept in memory behind a snapshot, for members that lag a little.
+	TrailingEntries  = 512
 	maxUncommitted   = 4096      // entries; further proposals are refused
 	maxPendingReads  = 4096      // further reads are refused
 	maxInFlight      = 2048      // entries sent to one member and not acknowledged
@@ -27,7 +29,6 @@
 	maxAppendBytes   = 1 << 20   // command bytes in one message, apart from its first entry
 	chunkBytes       = 256 << 10 // snapshot bytes in one message
 	maxSnapshotBytes = 1 << 30   // a greater snapshot is not received
-	trailingEntries  = 512       // entries kept in memory behind a snapshot for members that lag a little
 )
 
 // Identity is the random identity of one data folder; it distinguishes an instance from a later one with a new disk.
--- a/io/raftpeer/engine.go
+++ b/io/raftpeer/engine.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/samber/lo"
 
+	"parsleyport/core"
 	"parsleyport/core/raft"
 	"parsleyport/io/disk"
 )
@@ -18,6 +20,7 @@
 	restored  raft.Restored
 	node      *raft.Node
 	bootstrap *raft.Bootstrap
+	trailing  core.LogIndex
 	send      func(raft.Message)
 }
 
@@ -41,9 +44,10 @@
 		identity:  found.Identity,
 		restored:  found.Restored,
 		bootstrap: raft.NewBootstrap(found.Identity.Self, options.wanted(), found.Identity.Initial, found.Used),
+		trailing:  lo.CoalesceOrEmpty(options.trailing, raft.TrailingEntries),
 		send:      send,
 	}
-	e.node = raft.NewNode(now, found.Identity.Self, found.Restored, random)
+	e.node = raft.NewNode(now, found.Identity.Self, found.Restored, e.trailing, random)
 	return e, e.hear(now, nil, random)
 }
 
@@ -64,7 +68,7 @@
 		return errors.Trace(err)
 	}
 	e.restored.HardState, e.restored.Entries = hard, entries
-	e.node = raft.NewNode(now, e.identity.Self, e.restored, random)
+	e.node = raft.NewNode(now, e.identity.Self, e.restored, e.trailing, random)
 	return nil
 }
 
--- a/io/raftpeer/failure_test.go
+++ b/io/raftpeer/failure_test.go
@@ -325,14 +325,13 @@
 	w, leader := startedWorld(t, 3)
 	away := w.others(leader.options.Self)[0]
 	w.instances[away].crash()
-	leader.applier.interval = 300
-	for n := range 700 {
-		w.write(fmt.Sprintf("n%d=%01000d", n, n))
+	for n := range 60 {
+		w.write(fmt.Sprintf("n%d=%010000d", n, n)) // the snapshot needs more than one chunk
 	}
 	restored := w.instances[away].machine
 	w.heal()
 	w.converge()
 	c.Assert(len(restored), qt.Equals, 1)
-	c.Assert(len(w.instances[away].machine), qt.Equals, 702)
+	c.Assert(len(w.instances[away].machine), qt.Equals, 62)
 	c.Assert(w.instances[away].applier.snapshot > 0, qt.IsTrue)
 }
--- a/io/raftpeer/options.go
+++ b/io/raftpeer/options.go
@@ -61,6 +61,8 @@
 	Receive func(from core.ControlID, topic string, payload []byte)
 	// Folder replaces the data folder on the disk, for tests.
 	Folder disk.Folder
+
+	trailing core.LogIndex // replaces raft.TrailingEntries, for tests
 }
 
 func (o *Options) check() error {
--- a/io/raftpeer/world_test.go
+++ b/io/raftpeer/world_test.go
@@ -102,6 +102,7 @@
 			Self:      id,
 			Members:   lo.Map(w.ids, func(id core.ControlID, _ int) Member { return Member{ID: id} }),
 			Bootstrap: bootstrap,
+			trailing:  10,
 		},
 		folder:   disktest.NewMemory(),
 		interval: 25,
