--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -33,7 +33,19 @@
 			}
 		}
 	}
-	return traces
+	// Traces that an earlier version of the judge decided wrongly.
+	return append(traces,
+		replay.Generate(2, replay.UserPamoja, "good-shared-failures"),   // expired: a burst blocked the accepting test
+		replay.Generate(3, replay.UserVavlaget, "good-shared-failures"), // the same
+		replay.Generate(3, replay.UserPamoja, "good-shared-slow"),       // the same with slow calls
+		replay.Generate(3, replay.UserPamoja, "good-leader-loss"),       // expired: the earlier verdict was lost
+		replay.Generate(2, replay.UserPamoja, "good-leader-loss"),       // taken back for 3 slow calls
+		replay.Generate(1, replay.UserPamoja, "good-crash-both"),        // taken back for cold backend servers
+		replay.Generate(8, replay.UserVavlaget, "good-crash-both"),      // expired: slow start held the last step
+		replay.Generate(5, replay.UserPamoja, "bad-flaky"),              // expired instead of taken back
+		replay.Generate(1, replay.UserPamoja, "bad-late-flaky"),         // found too late at a large share
+		replay.Generate(1, replay.UserPamoja, "bad-crash"),              // found too late
+	)
 }
 
 // Guards against a change of the decision modules that misses the targets of design 1.5 in a kept trace.
--- a/core/rollout/judge_test.go
+++ b/core/rollout/judge_test.go
@@ -150,6 +150,7 @@
 	for name, test := range map[string]struct {
 		loads     func(second int) map[core.RouteName]load
 		faultFrom int
+		minutes   time.Duration // until the deadline; 10 if not given
 		cause     string
 	}{
 		"at once":  {loads: steady(failing), cause: `.*"read": calls failed`},
@@ -159,6 +160,9 @@
 		"late": {faultFrom: 300, cause: `.*: calls failed`, loads: func(second int) map[core.RouteName]load {
 			return map[core.RouteName]load{"read": []load{good, flaky}[min(1, second/300)]}
 		}},
+		"after a long good past": {faultFrom: 960, minutes: 30, cause: `.*: calls failed`, loads: func(second int) map[core.RouteName]load {
+			return map[core.RouteName]load{"read": []load{good, with(func(l *load) { l.newFail = 0.012 })}[min(1, second/960)]}
+		}},
 		"one route": {cause: `.*route "write": calls failed`, loads: func(int) map[core.RouteName]load {
 			return map[core.RouteName]load{"read": good, "write": {calls: 10, newFail: 0.5}}
 		}},
@@ -172,7 +176,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			r := newCourse(c, 10*time.Minute, test.loads)
+			r := newCourse(c, max(test.minutes, 10)*time.Minute, test.loads)
 			r.faultFrom = test.faultFrom
 			r.run(nil)
 			c.Assert(r.move.State, qt.Equals, core.MoveTakenBack, qt.Commentf("%+v", r.move))
@@ -248,6 +252,23 @@
 	restarted.run(nil)
 	c.Assert(restarted.move.State, qt.Equals, core.MoveDone)
 	c.Assert(len(restarted.steps), qt.Equals, len(plain.steps))
+
+	failing := newCourse(c, 10*time.Minute, func(second int) map[core.RouteName]load {
+		return map[core.RouteName]load{"read": {calls: 200, newFail: []float64{0, 0.2}[min(1, second/301)]}}
+	})
+	failing.faultFrom = 301
+	failing.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
+		if failing.second == 300 {
+			failing.rates = make(map[string]float64)
+		}
+		for i := range evidence {
+			evidence[i].Incarnation = core.Incarnation(1 + failing.second/301)
+		}
+		return evidence
+	}
+	failing.run(nil)
+	c.Assert(failing.move.State, qt.Equals, core.MoveTakenBack, qt.Commentf("the second run of the node was not counted"))
+	c.Assert(failing.badCalls < 0.02*failing.calls, qt.IsTrue)
 }
 
 // Guards against blame for failures of the same release in an earlier move.
@@ -257,25 +278,36 @@
 	for _, key := range []string{"calls", "failures", "slow"} {
 		r.rates["readv2"+key] = 5000
 	}
+	r.run(func() bool { return r.second == 120 })
+	r.judge = rollout.NewJudge(r.move, "v1", "v2")
 	c.Assert(r.run(nil).move.State, qt.Equals, core.MoveDone, qt.Commentf("%+v", r.move))
+
+	// After a leader change, the first report of a node that started within the move is no baseline.
+	move := core.Move{State: core.MoveProbing, StartedAt: start, SteppedAt: start, Request: core.MoveRequest{Service: "s", Deadline: start.Add(time.Hour)}}
+	count := core.EvidenceCount{Node: "n2", Incarnation: core.Incarnation(start.UnixNano() + 1), Service: "s", Route: "read", Release: "v1", Calls: 500}
+	failing := count
+	failing.Release, failing.Calls, failing.Failures = "v2", 50, 50
+	step, due := rollout.NewJudge(move, "v1", "v2").Decide(start.Add(time.Minute), move, []core.EvidenceCount{count, failing})
+	c.Assert(due && step.State == core.MoveTakenBack, qt.IsTrue, qt.Commentf("%+v", step))
 }
 
 // Guards against a share above the limit before the evidence passes, and against a share that grows without evidence.
 func TestShareAtRiskIsHonouredUntilTheEvidencePasses(t *testing.T) {
 	c := qt.New(t)
-	limited := func(calls float64) *course {
-		r := newCourse(c, 5*time.Minute, steady(load{calls: calls, oldFail: 0.001, newFail: 0.001}))
+	limited := func(calls, newCrash float64) *course {
+		r := newCourse(c, 5*time.Minute, steady(load{calls: calls, oldFail: 0.001, newFail: 0.001, newCrash: newCrash}))
 		r.move.Request.MaxRiskShare = 30
 		return r
 	}
-	r := limited(200).run(func() bool { return false })
+	r := limited(200, 0).run(nil)
 	c.Assert(r.move.State, qt.Equals, core.MoveDone)
 	for _, step := range r.steps {
 		if step.Share > 30 {
 			c.Assert(step.Evidence, qt.Contains, `routes judged: "read"`)
 		}
 	}
-	r = limited(2).run(func() bool { return false })
+	r = limited(2, 0.05).run(nil)
+	c.Assert(r.rates["readv2crashes"] >= 1 && r.rates["readv2crashes"] < 2, qt.IsTrue, qt.Commentf("the course must have a single crash, which must not be blamed: %v", r.rates))
 	c.Assert(r.move.State, qt.Equals, core.MoveExpired)
 	c.Assert(r.move.Cause, qt.Contains, "largest share at risk is 30 per mille")
 	for _, step := range r.steps {
@@ -348,11 +380,11 @@
 // Guards against a share that cold or missing backend servers cannot carry, and against blame for their slowness.
 func TestSlowStartAndCapacity(t *testing.T) {
 	c := qt.New(t)
-	const readyAt = 60
+	const readyAt = 85 // just before the first step is due
 	r := newCourse(c, 10*time.Minute, func(second int) map[core.RouteName]load {
 		l := load{calls: 200, oldSlow: 0.02, newSlow: 0.02}
 		if second >= readyAt && second < readyAt+10 {
-			l.newSlow = 0.6
+			l.newSlow = 1
 		}
 		return map[core.RouteName]load{"read": l}
 	})
