--- a/core/rollout/fleet.go
+++ b/core/rollout/fleet.go
@@ -18,6 +18,7 @@
 	observedAt  time.Time
 	warmed      time.Duration // total time in which slow start held the move
 	muted       time.Duration // total time in which latency told nothing
+	coldUntil   time.Time     // when the answers of cold backend servers have been reported
 }
 
 func (f *fleet) observe(now time.Time, endpoints []core.Endpoint, service core.ServiceName, from, to core.Release) {
@@ -37,6 +38,7 @@
 		observedAt:  now,
 		warmed:      f.warmed,
 		muted:       f.muted,
+		coldUntil:   f.coldUntil,
 	}
 	for _, e := range endpoints {
 		f.dataCentres[e.Node] = e.DataCentre
@@ -63,6 +65,9 @@
 			f.readySince[key] = since
 		}
 	}
+	if since := now.Add(-slowStart); 10*max(f.coldSince(true, since), f.coldSince(false, since)) >= 1 {
+		f.coldUntil = now.Add(evidenceDelay + time.Second)
+	}
 }
 
 func (f *fleet) dataCentreOf(node core.NodeID) core.DataCentre {
@@ -94,10 +99,9 @@
 }
 
 // latencyTells reports whether latency compares the releases. If a tenth of either one's backend servers are cold, they
-// are slow by themselves, and their answers are still reported a while later.
+// are slow by themselves, and their answers are still reported a while later, even if they have left.
 func (f *fleet) latencyTells(now time.Time) bool {
-	since := now.Add(-slowStart - evidenceDelay - time.Second)
-	return 10*max(f.coldSince(true, since), f.coldSince(false, since)) < 1
+	return !now.Before(f.coldUntil)
 }
 
 // coldSince returns the part of a release's ready backend servers that became ready after a point in time.
--- a/core/rollout/judge_test.go
+++ b/core/rollout/judge_test.go
@@ -403,6 +403,26 @@
 	c.Assert(r.steps[len(r.steps)-2].Share <= 500, qt.IsTrue)
 }
 
+// Guards against blame for a cold backend server that has left before its answers are reported.
+func TestAnswersOfAColdBackendServerThatHasLeft(t *testing.T) {
+	c := qt.New(t)
+	r := newCourse(c, 10*time.Minute, func(second int) map[core.RouteName]load {
+		l := load{calls: 200, oldSlow: 0.02, newSlow: 0.02}
+		if second > 200 && second <= 206 {
+			l.newSlow = 1
+		}
+		return map[core.RouteName]load{"read": l}
+	})
+	r.endpoints = func(second int) []core.Endpoint {
+		all := append(backends("v1", "a", 1, 4, core.EndpointReady), backends("v2", "a", 5, 4, core.EndpointReady)...)
+		if second >= 200 && second < 204 {
+			all = append(all, backends("v2", "a", 9, 1, core.EndpointReady)...)
+		}
+		return all
+	}
+	c.Assert(r.run(nil).move.State, qt.Equals, core.MoveDone, qt.Commentf("%+v", r.move))
+}
+
 // Guards against blame for an overloaded data centre in which only the new release runs.
 func TestDataCentreWithOneReleaseIsNotCompared(t *testing.T) {
 	c := qt.New(t)
