--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -62,6 +62,8 @@
 		return StatusOK
 	case commandCheck:
 		return p.check(o)
+	case commandReplay:
+		return p.replay(o)
 	case commandControl:
 		return p.control(ctx, o)
 	case commandNode:
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -293,7 +293,7 @@
 	f := newFixture(t)
 	f.c.Patch(&runNode, func(context.Context, settings.Node, zerolog.Logger) error { return nil })
 	f.c.Patch(&runControl, func(context.Context, settings.Control, zerolog.Logger) error { return nil })
-	for _, command := range []string{commandControl, commandNode, commandApply, commandMove, commandMoves, commandAbort, commandStatus, commandAudit, commandCheck, commandVersion} {
+	for _, command := range []string{commandControl, commandNode, commandApply, commandMove, commandMoves, commandAbort, commandStatus, commandAudit, commandCheck, commandReplay, commandVersion} {
 		f.c.Assert(f.run(StatusOK, command, "--help"), qt.Contains, "Example: parsleyport "+command)
 	}
 }
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -37,6 +37,7 @@
 	commandStatus  = "status"
 	commandAudit   = "audit"
 	commandCheck   = "check"
+	commandReplay  = "replay"
 	commandVersion = "version"
 
 	commandMembers        = "members"
@@ -182,6 +183,9 @@
 }
 
 func addOfflineCommands(app *kingpin.Application, r *raw) {
+	replay := app.Command(commandReplay, "Replay recorded traces: moves (*.trace) through the decision rules, calls (*.calls) through the balancing policies.\n\nExample: parsleyport replay core/replay/testdata/good-calm-pamoja-101.trace")
+	replay.Arg("file", "Trace file.").Required().StringsVar(&r.files)
+
 	check := app.Command(commandCheck, "Check settings and record files without a control instance.\n\nExample: parsleyport check c1.jsonc n1.jsonc orders.jsonc")
 	check.Arg("file", "Settings or record file, JSON with comments.").Required().StringsVar(&r.files)
 	check.Flag("as", "Kind of the files; auto goes by their keys.").Default(kindAuto).EnumVar(&r.as, kindAuto, kindControl, kindNode, kindRecords)
--- a/io/control/moves.go
+++ b/io/control/moves.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/catalog"
@@ -48,6 +49,7 @@
 		return
 	}
 	open := make(map[core.MoveID]*rollout.Judge)
+	endpoints := m.endpoints()
 	for _, move := range m.catalog.Moves() {
 		if rollout.IsFinal(move.State) {
 			continue
@@ -57,7 +59,7 @@
 			continue
 		}
 		open[move.MoveID] = judge
-		judge.ObserveEndpoints(now, m.source.Endpoints(move.Request.Service))
+		judge.ObserveEndpoints(now, endpoints)
 		if step, due := judge.Decide(now, move, m.source.Evidence()); due {
 			m.propose(ctx, step)
 		}
@@ -65,6 +67,13 @@
 	m.judges = open
 }
 
+// endpoints returns those of all services, since any node may take the calls of the service that moves.
+func (m *mover) endpoints() []core.Endpoint {
+	return lo.FlatMap(m.catalog.Current().Services(), func(service core.ServiceName, _ int) []core.Endpoint {
+		return m.source.Endpoints(service)
+	})
+}
+
 // judge returns the judge of a move, or nil if the configuration does not know the move's upstreams.
 func (m *mover) judge(move core.Move) *rollout.Judge {
 	if judge, exists := m.judges[move.MoveID]; exists {
