--- a/e2e/failures_test.go
+++ b/e2e/failures_test.go
@@ -149,6 +149,37 @@
 	calls.verify()
 }
 
+// Guards against a keyed call that runs twice when its caller sends it again through other nodes, after answers were lost
+// with killed backend servers and nodes.
+func TestResentKeyedCallsRunOnce(t *testing.T) {
+	c := qt.New(t)
+	d := newDeployment(c)
+	const nodes = 4
+	d.startControls()
+	d.leader()
+	for i := 1; i <= nodes; i++ {
+		d.startNode(i)
+		d.startBackend(i, "v1")
+	}
+	time.Sleep(3 * time.Second) // nodes must know each other before the service's records are accepted, with a margin for clocks
+	d.submit(d.client(), transcripts(1))
+	d.eventually("all nodes are ready and all endpoints known", 20*time.Second, func() bool {
+		status, err := d.status(d.client())
+		return err == nil && status.Fleet.Endpoints["transcripts"] == nodes && lo.EveryBy(lo.RangeFrom(1, nodes), func(i int) bool { return d.ready(fmt.Sprintf("n%d", i)) })
+	})
+	calls := d.startCalls("keyed", 10*time.Second, 200, []int{1, 2, 3, 4}, "--post-per-mille", "1000", "--keyed", "--resends", "3")
+	for i := 1; i <= 2; i++ {
+		time.Sleep(2 * time.Second) // calls are under way when the next process dies
+		d.kill(fmt.Sprintf("b%d", i))
+		d.startBackend(i, "v1")
+		d.kill(fmt.Sprintf("n%d", i))
+		d.startNode(i)
+	}
+	calls.verify()
+	// Only what ran in the 9 slots of a killed process may stay without an answer.
+	c.Assert(calls.summary()["ok"].(float64) >= calls.summary()["calls"].(float64)-4*9, qt.IsTrue, qt.Commentf("%v", calls.summary()))
+}
+
 // Guards against a control instance that lost its disk and votes as if it remembered.
 func TestWipedDiskDoesNotVote(t *testing.T) {
 	c := qt.New(t)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,6 +35,7 @@
 	guard       *rollout.Guard
 	recorder    *rollout.Recorder
 	suspects    *suspects
+	peerServer  atomic.Pointer[nodepeer.Server]
 	cleanups    cleanups
 	// drainCallers does nothing until the node takes callers.
 	drainCallers func(context.Context) error
@@ -169,18 +171,10 @@
 	server, cleanup, err := backendhttp.New(backendhttp.Options{
 		Address:   p.settings.BackendAddress,
 		Admission: admission,
-		OnChange: func(a backendhttp.Announcement) {
-			subscriber.Announce(core.Endpoint{
-				Address: p.settings.PeerAddress,
-				Service: a.Service,
-				Release: a.Release,
-				Slots:   a.Slots,
-				State:   a.State,
-			})
-		},
-		OnCrash: func(crash backendhttp.Crash) { p.reportCrash(subscriber, crash) },
-		Logger:  p.log,
-		Metrics: p.metrics,
+		OnChange:  func(a backendhttp.Announcement) { p.announce(subscriber, a) },
+		OnCrash:   func(crash backendhttp.Crash) { p.reportCrash(subscriber, crash) },
+		Logger:    p.log,
+		Metrics:   p.metrics,
 	})
 	if err != nil {
 		return nil, err
@@ -189,6 +183,21 @@
 	return server, nil
 }
 
+// announce tells the fleet of the local backend server, and the memory of idempotency keys since when this node is one of
+// the service's nodes.
+func (p *process) announce(subscriber *distribution.Subscriber, a backendhttp.Announcement) {
+	subscriber.Announce(core.Endpoint{
+		Address: p.settings.PeerAddress,
+		Service: a.Service,
+		Release: a.Release,
+		Slots:   a.Slots,
+		State:   a.State,
+	})
+	if server := p.peerServer.Load(); server != nil {
+		server.Announced(a.Service, a.State != core.EndpointLeaving)
+	}
+}
+
 // reportCrash tells the fleet which requests were running, so that none of them can crash many backend servers.
 func (p *process) reportCrash(subscriber *distribution.Subscriber, crash backendhttp.Crash) {
 	for _, call := range crash.Calls {
@@ -216,6 +225,10 @@
 		return nil, err
 	}
 	p.cleanups.add(cleanup)
+	p.peerServer.Store(server)
+	if announced, exists := backend.Current(); exists { // before the server could be told
+		server.Announced(announced.Service, announced.State != core.EndpointLeaving)
+	}
 	return server, nil
 }
 
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -36,6 +36,7 @@
 	tenants    []string
 	sessions   int
 	keyed      bool
+	resends    int
 	crash      bool
 	log        string
 	summary    string
@@ -54,6 +55,7 @@
 	command.Flag("tenant", "Tenant header; repeatable, each call takes one.").StringsVar(&o.tenants)
 	command.Flag("sessions", "Number of sticky sessions that calls belong to; 0 for none.").Default("0").IntVar(&o.sessions)
 	command.Flag("keyed", "Send an idempotency key with calls that are not idempotent.").BoolVar(&o.keyed)
+	command.Flag("resends", "How often a keyed call without a certain outcome is sent again, through any target.").Default("0").IntVar(&o.resends)
 	command.Flag("crash", "Ask backend servers to crash.").BoolVar(&o.crash)
 	command.Flag("log", "File that gets one JSON line for each call.").Default("").StringVar(&o.log)
 	command.Flag("summary", "File that gets the summary; empty for standard output.").Default("").StringVar(&o.summary)
@@ -174,6 +176,13 @@
 		entry.Target = lo.Sample(c.options.targets) // callers may enter at any node, and nothing was sent
 		err = c.attempt(&entry)
 	}
+	for range c.options.resends {
+		if !c.keyed(entry) || err == nil && entry.Outcome != "unknown" {
+			break
+		}
+		entry.Target = lo.Sample(c.options.targets)
+		err = c.attempt(&entry)
+	}
 	if err != nil {
 		entry.Error = err.Error()
 	}
@@ -181,6 +190,11 @@
 	c.record(entry)
 }
 
+// keyed reports whether the call carries an idempotency key.
+func (c *caller) keyed(entry callEntry) bool {
+	return c.options.keyed && entry.Method == http.MethodPost
+}
+
 // refusedConnection reports whether no connection could be opened, so that the target has seen nothing of the call.
 func refusedConnection(err error) bool {
 	var operation *net.OpError
@@ -203,7 +217,7 @@
 	if entry.Session != "" {
 		request.Header.Set("Parsleyport-Session", entry.Session)
 	}
-	if c.options.keyed && entry.Method == http.MethodPost {
+	if c.keyed(*entry) {
 		request.Header.Set("Idempotency-Key", entry.Key)
 	}
 	if c.options.crash {
