Keep endpoints under a relay that has not asked for them

A node that moved to a relay which did not have its services yet was told that these services have no endpoints, and dropped them until the relay's own parent had answered. A relay now treats its answers to a child as partial until it has been sent the services that the child wants.

TestEndpointsKeptUnderARelayWithoutThem failed before the change, with 200 ms between the relay and the control instance.

--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -293,9 +293,41 @@
 			c.leftSince = now.Add(-time.Duration(message.AwayMS)*time.Millisecond - subtreeGrace)
 		}
 	}
+	h.awaitServices(c, message)
 	h.changed() // a relay may have to subscribe to more services itself
 }
 
+// awaitServices notes what a relay has to subscribe to for a child; until it has been sent the endpoints, it must not
+// pass for a parent that knows there to be none.
+func (h *hub) awaitServices(c *child, message subscribe) {
+	for u := range h.uplinks {
+		if u.kind != kindNode {
+			continue
+		}
+		if message.All && !u.all {
+			h.unsyncedAll, c.digestFinal = true, false
+		}
+		for _, service := range message.Services {
+			if !u.wants(service) {
+				h.unsynced[service], c.digestFinal = false, false
+			}
+		}
+	}
+}
+
+// completeFor reports whether what a child is sent is final.
+func (h *hub) completeFor(c *child) bool {
+	if !h.complete || h.unsyncedAll {
+		return false
+	}
+	for service := range h.unsynced {
+		if c.wants(service) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *child) wants(service core.ServiceName) bool {
 	return c.all || c.services[service]
 }
@@ -356,12 +388,12 @@
 	if !c.subscribed {
 		return nil, idle
 	}
-	if h.complete && !c.digestFinal {
+	if h.completeFor(c) && !c.digestFinal {
 		c.digestDue = true
 	}
 	var due []outgoing
 	if c.digestDue {
-		c.digestDue, c.digestFinal = false, h.complete
+		c.digestDue, c.digestFinal = false, h.completeFor(c)
 		due = append(due, h.digestMessage(c, now))
 	}
 	if c.digests != nil {
@@ -382,7 +414,7 @@
 		return due, now
 	}
 	c.cursor = changes.Next
-	if !h.complete {
+	if !h.completeFor(c) {
 		changes.Removals = nil // the digest that ends the grace period shows what left
 	}
 	if changes.Empty() {
@@ -401,7 +433,7 @@
 func (h *hub) digestMessage(c *child, now time.Time) outgoing {
 	message := endpoints{
 		HasDigest: true,
-		Partial:   !h.complete,
+		Partial:   !h.completeFor(c),
 	}
 	for _, digest := range h.table.Digests(c.wants) {
 		message.Digest ^= digest
@@ -412,7 +444,7 @@
 			AgeMS:    now.Sub(each.At).Milliseconds(),
 		})
 	}
-	if h.complete {
+	if h.completeFor(c) {
 		c.leftSince = now
 	}
 	return outgoing{
@@ -443,7 +475,7 @@
 	message := endpoints{
 		Answer:  answer,
 		Reset:   services,
-		Partial: !h.complete,
+		Partial: !h.completeFor(c),
 	}
 	for _, service := range services {
 		message.Upserts = append(message.Upserts, h.table.EndpointsFor(c.owner, service)...)
--- a/io/distribution/distribution_test.go
+++ b/io/distribution/distribution_test.go
@@ -499,3 +499,32 @@
 		}
 	})
 }
+
+// Guards against a relay that has not asked for a service itself and passes for one that knows it to have no endpoints.
+func TestEndpointsKeptUnderARelayWithoutThem(t *testing.T) {
+	run(t, func(c *qt.C, w *world) {
+		source := w.source("c1", w.catalog)
+		onRequest := func(_ int, o *SubscriberOptions) { o.OnRequest = true }
+		w.nodes(2, onRequest)
+		leaf := w.subscriberWith("leaf", func(o *SubscriberOptions) {
+			o.OnRequest, o.ControlAddresses = true, []string{"relay-n000", "relay-n001"}
+		})
+		w.eventually(inForce, "announced", func() bool { return source.Fleet().Nodes == 3 })
+		leaf.Subscribe("service-0")
+		w.eventually(2*time.Second, "endpoints of the service", allHave([]*Subscriber{leaf}, 2))
+		time.Sleep(startGrace)
+		for _, conn := range w.net.between("c1") {
+			conn.lag.Store(int64(200 * time.Millisecond))
+		}
+		before := leaf.Status().Parent
+		w.net.block(before, true)
+		for _, conn := range w.net.between("relay-leaf") {
+			_ = conn.Close()
+		}
+		for range 3000 {
+			time.Sleep(time.Millisecond)
+			c.Assert(allHave([]*Subscriber{leaf}, 2)(), qt.IsTrue)
+		}
+		c.Assert(leaf.Status().Parent, qt.Not(qt.Equals), before)
+	})
+}
--- a/io/distribution/fakes_test.go
+++ b/io/distribution/fakes_test.go
@@ -75,6 +75,7 @@
 	deadline, writeBy atomic.Value // time.Time
 	silent            atomic.Bool  // loses what is written, as a dead host does
 	stalled           atomic.Bool  // its process does not read
+	lag               atomic.Int64 // added to the delay
 }
 
 func expiry(deadline *atomic.Value) <-chan time.Time {
@@ -118,7 +119,7 @@
 		return 0, net.ErrClosed
 	case <-c.peer.closed:
 		return 0, io.ErrClosedPipe
-	case c.peer.in <- packet{at: time.Now().Add(fakeDelay), data: append([]byte(nil), p...)}:
+	case c.peer.in <- packet{at: time.Now().Add(fakeDelay + time.Duration(c.lag.Load())), data: append([]byte(nil), p...)}:
 		return len(p), nil
 	case <-expiry(&c.writeBy):
 		return 0, os.ErrDeadlineExceeded
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -46,8 +46,12 @@
 	all       bool // this node wants the endpoints of all services
 	services  map[core.ServiceName]bool
 	complete  bool // the table has all endpoints, so that digests and removals are final
-	peerWords map[core.ControlID]peerWord
-	peers     map[core.ControlID]bool
+	// unsynced are services that children want and whose endpoints the parent has not sent yet; the value says that the
+	// parent's next digest covers the service. unsyncedAll stands for all services.
+	unsynced    map[core.ServiceName]bool
+	unsyncedAll bool
+	peerWords   map[core.ControlID]peerWord
+	peers       map[core.ControlID]bool
 }
 
 // peerWord is the last acknowledgement of another control instance; until is set once its link is lost.
@@ -68,6 +72,7 @@
 		confirmer:  newConfirmer(),
 		history:    &history{},
 		children:   make(map[uint64]*child),
+		unsynced:   make(map[core.ServiceName]bool),
 		uplinks:    make(map[*uplink]bool),
 		peerWords:  make(map[core.ControlID]peerWord),
 		peers:      make(map[core.ControlID]bool),
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -334,10 +335,30 @@
 	if message.HasDigest {
 		s.compare(u, message)
 	}
-	s.hub.complete = s.hub.complete || (message.Answer && !message.Partial)
+	s.noteReset(message)
 	s.hub.changed()
 }
 
+func (s *Subscriber) noteReset(message endpoints) {
+	for _, service := range message.Reset {
+		if _, awaited := s.hub.unsynced[service]; awaited {
+			s.hub.unsynced[service] = true // a parent that has only a part sends a digest later
+		}
+		if !message.Partial {
+			delete(s.hub.unsynced, service)
+		}
+	}
+	if message.Answer && !message.Partial {
+		s.synced()
+	}
+}
+
+// synced notes that all endpoints of the subscription are the same as the parent's.
+func (s *Subscriber) synced() {
+	s.hub.complete, s.hub.unsyncedAll = true, false
+	maps.DeleteFunc(s.hub.unsynced, func(_ core.ServiceName, covered bool) bool { return covered })
+}
+
 // compare asks for the services that differ, unless all endpoints are the same as the parent's.
 func (s *Subscriber) compare(u *uplink, message endpoints) {
 	var own core.Hash
@@ -348,7 +369,9 @@
 		u.endpointsRequest = true
 		return
 	}
-	s.hub.complete = s.hub.complete || !message.Partial
+	if !message.Partial {
+		s.synced()
+	}
 }
 
 // Current implements record.Source.
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -255,6 +255,11 @@
 			message.Services = append(message.Services, service)
 		}
 	}
+	if !u.subscribed {
+		for service := range h.unsynced {
+			h.unsynced[service] = true // the first subscription is answered with a digest, later ones with the endpoints
+		}
+	}
 	needed := !u.subscribed || message.All || len(message.Services) > 0
 	u.subscribed, u.all = true, u.all || all
 	return message, needed
