Close gaps that the tests of the call path had when a mechanism was taken out

Three mechanisms had no test that failed: asking further nodes for a key, giving back the memory of bodies, and acting on goaway. They have one now.

--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -131,6 +131,11 @@
 func TestClaimNeedsEachReachedHolderAndAWholeMemory(t *testing.T) {
 	c := qt.New(t)
 	reply := func(verdict Verdict, whole bool) Reply { return Reply{Reached: true, Whole: whole, Verdict: verdict} }
+	newcomers := []Reply{reply(VerdictGranted, false), reply(VerdictGranted, false)}
+	c.Assert(Enough(newcomers), qt.IsFalse) // else such a key would stay unknown although an old node can be asked
+	c.Assert(Enough(append(newcomers, reply(VerdictGranted, true))), qt.IsTrue)
+	c.Assert(Enough([]Reply{reply(VerdictGranted, true)}), qt.IsFalse)
+	c.Assert(Enough([]Reply{reply(VerdictRunning, false)}), qt.IsTrue)
 	for _, test := range []struct {
 		replies []Reply
 		want    Verdict
--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -209,9 +209,13 @@
 		}
 		c.Assert(<-results, qt.Equals, "not-run"+string(core.CauseQueueFull))
 		close(finish)
+		answered := 0
 		for range 4 {
-			<-results
+			if <-results == "answered" {
+				answered++
+			}
 		}
+		c.Assert(answered > 0, qt.IsTrue)
 		finish = make(chan struct{})
 	}
 }
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -381,6 +381,13 @@
 			time.Sleep(3 * time.Second)
 			return answerWith(long("abc")), core.OutcomeAnswered, nil
 		}
+		var opens atomic.Int64
+		b.network.decide = func(_ int, _ bool, kind frame.Type) action {
+			if kind == typeOpen {
+				opens.Add(1)
+			}
+			return pass
+		}
 		begun := make(chan error, 1)
 		go func() {
 			answer, outcome, err := b.forward(callFor("begun", nil))
@@ -402,6 +409,7 @@
 		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
 		c.Assert(err, qt.ErrorMatches, "not run: leaving")
 		c.Assert(b.network.dials, qt.Equals, 1) // a leaving peer is not dialled for each call
+		c.Assert(opens.Load(), qt.Equals, int64(1))
 		c.Assert(<-begun, qt.IsNil)
 		c.Assert(<-drained, qt.IsNil)
 	})
