--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -220,6 +220,20 @@
 	}
 }
 
+// Guards against one call whose own attempts end a third backend server after two.
+func TestSuspectIsNotAttemptedAgain(t *testing.T) {
+	c := qt.New(t)
+	var e entry
+	e = newEntry(c, allV1, func(o *callerhttp.Options) {
+		o.Suspected = func(idempotency.Fingerprint) bool { return e.forwarder != nil && e.forwarder.attempts() == 2 }
+	})
+	e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) { return unknown() }
+	response, _, err := e.send(c, "GET", "/orders")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Header.Get("Parsleyport-Outcome"), qt.Equals, "unknown")
+	c.Assert(e.forwarder.attempts(), qt.Equals, 2)
+}
+
 // Guards against a call that circles around a lone node which takes no calls.
 func TestLoneLeavingNodeIsAskedOnce(t *testing.T) {
 	c := qt.New(t)
