Report evidence of quiet services every 30 s and correct the manual

By estimate a relay with 75 nodes, two routes and two releases would send about 36 KB/s of evidence upwards if all counts change each second; the target for control traffic is 4 KB/s. Counts of services with an open move still go up every second. /ready has status 503 while a node drains.

--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -135,7 +135,7 @@
 	move.Flag("from", "Upstream that has the traffic.").Required().StringVar((*string)(&r.from))
 	move.Flag("to", "Upstream that gets the traffic.").Required().StringVar((*string)(&r.to))
 	move.Flag("by", "Time by which traffic must have moved: 2026-12-04T10:00:00Z, or from now: 10m.").Required().StringVar(&r.by)
-	move.Flag("max-risk", "Largest share at risk, per mille; 0 for no limit.").Uint32Var(&r.maxRisk)
+	move.Flag("max-risk", "Largest share at risk before the evidence passes, per mille; 0 for the default of 15.").Uint32Var(&r.maxRisk)
 	move.Flag("wait", "Wait until the move has ended; exit status 1 unless it is done.").BoolVar(&r.wait)
 	addOperator(move, r)
 
--- a/io/node/moves.go
+++ b/io/node/moves.go
@@ -4,13 +4,21 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
 	"parsleyport/core"
 	"parsleyport/core/record"
 	"parsleyport/core/rollout"
 )
 
-// evidenceEvery is how often a node reports its counts; a move reacts to a fault within a few of these periods.
-const evidenceEvery = time.Second
+const (
+	// evidenceEvery is how often a node reports its counts of services with an open move; a move reacts to a fault within a
+	// few of these periods.
+	evidenceEvery = time.Second
+	// quietEvidenceEvery is how often it reports all counts. They are the baseline of the next move, and every second they
+	// would use most of a relay's control traffic.
+	quietEvidenceEvery = 30 * time.Second
+)
 
 // evidence counts the calls of this node and lets the guard see them.
 type evidence struct {
@@ -63,16 +71,32 @@
 }
 
 // reportEvidence passes the counts towards the control instances, also once at the end.
-func reportEvidence(ctx context.Context, recorder *rollout.Recorder, report func([]core.EvidenceCount)) {
+func reportEvidence(ctx context.Context, source record.Source, recorder *rollout.Recorder, report func([]core.EvidenceCount)) {
 	ticker := time.NewTicker(evidenceEvery)
 	defer ticker.Stop()
+	var quietUntil time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			report(recorder.Counts())
 			return
-		case <-ticker.C:
-			report(recorder.Counts())
+		case now := <-ticker.C:
+			counts := recorder.Counts()
+			if now.Before(quietUntil) {
+				counts = countsOfMoves(source.Current(), counts)
+			} else {
+				quietUntil = now.Add(quietEvidenceEvery)
+			}
+			report(counts)
 		}
 	}
 }
+
+// countsOfMoves keeps the counts of services with an open move.
+func countsOfMoves(configuration *record.Configuration, counts []core.EvidenceCount) []core.EvidenceCount {
+	open := make(map[core.ServiceName]bool)
+	for _, override := range configuration.Overrides() {
+		open[override.Service] = override.Open
+	}
+	return lo.Filter(counts, func(count core.EvidenceCount, _ int) bool { return open[count.Service] })
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -36,6 +36,7 @@
 	recorder    *rollout.Recorder
 	suspects    *suspects
 	peerServer  atomic.Pointer[nodepeer.Server]
+	draining    atomic.Bool
 	cleanups    cleanups
 	// drainCallers does nothing until the node takes callers.
 	drainCallers func(context.Context) error
@@ -66,6 +67,7 @@
 		return errors.Annotate(err, "callers")
 	}
 	<-ctx.Done()
+	p.draining.Store(true)
 	p.log.Info().Str("event", "draining").Msg("node is leaving")
 	p.drain(injector)
 	return nil
@@ -120,7 +122,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties sync.WaitGroup
 	duties.Go(func() { watchMoves(ctx, subscriber, p.guard) })
-	duties.Go(func() { reportEvidence(ctx, p.recorder, subscriber.ReportEvidence) })
+	duties.Go(func() { reportEvidence(ctx, subscriber, p.recorder, subscriber.ReportEvidence) })
 	p.cleanups.add(func() {
 		cancel()
 		duties.Wait()
@@ -321,7 +323,7 @@
 func (p *process) startAdmin(injector do.Injector, subscriber *distribution.Subscriber) error {
 	cleanup, err := adminhttp.New(adminhttp.Options{
 		Address: p.settings.AdminAddress,
-		Ready:   subscriber.Confirmed,
+		Ready:   func() bool { return subscriber.Confirmed() && !p.draining.Load() },
 		State:   func() any { return p.dump(injector, subscriber, subscriber.Current()) },
 		Metrics: p.metrics,
 		Logger:  p.log,
