--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -127,7 +127,7 @@
 	c.Assert(verdict, qt.Equals, VerdictGranted)
 }
 
-// Guards against a run on the word of holders that cannot know, or against the word of one that does.
+// Guards against a run on the replies of holders that cannot know, or against the reply of one that does.
 func TestClaimNeedsEachReachedHolderAndAWholeMemory(t *testing.T) {
 	c := qt.New(t)
 	reply := func(verdict Verdict, whole bool) Reply { return Reply{Reached: true, Whole: whole, Verdict: verdict} }
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -18,7 +18,7 @@
 	MaxEntries = 16_384
 	// maxNameBytes bounds the names in an announcement, so that MaxEntries bounds the memory too.
 	maxNameBytes = 256
-	// elsewhereGrace is how long an owner's word outlives its end while the endpoint moves to another owner, whose word may
+	// elsewhereGrace is how long an owner's claim outlives its end while the endpoint moves to another owner, whose claim may
 	// arrive later because it takes another way.
 	elsewhereGrace = 5 * time.Second
 )
@@ -30,7 +30,7 @@
 }
 
 // Removal says that a node no longer serves a service as of its announcement with the given sequence. Elsewhere says that
-// the sender only stopped vouching for it, and knows the endpoint to be live by the word of others.
+// the sender only stopped vouching for it, and knows the endpoint to be live by the claim of others.
 type Removal struct {
 	Elsewhere   bool             `msgpack:"elsewhere,omitempty"`
 	Node        core.NodeID      `msgpack:"node"`
@@ -55,7 +55,7 @@
 	service core.ServiceName
 }
 
-type fadingWord struct {
+type fadingClaim struct {
 	owner Owner
 	node  core.NodeID
 }
@@ -72,7 +72,7 @@
 	services map[core.ServiceName]map[core.NodeID]bool
 	left     map[leftKey]Left
 	lost     map[Owner]lostOwner
-	fading   map[fadingWord]time.Time
+	fading   map[fadingClaim]time.Time
 	dirty    map[core.ServiceName]bool
 	logs     [views]changeLog
 	refused  uint64
@@ -85,7 +85,7 @@
 		services: make(map[core.ServiceName]map[core.NodeID]bool),
 		left:     make(map[leftKey]Left),
 		lost:     make(map[Owner]lostOwner),
-		fading:   make(map[fadingWord]time.Time),
+		fading:   make(map[fadingClaim]time.Time),
 		dirty:    make(map[core.ServiceName]bool),
 	}
 }
@@ -122,7 +122,7 @@
 		}
 		held.owners[owner] = true
 	})
-	delete(t.fading, fadingWord{
+	delete(t.fading, fadingClaim{
 		owner: owner,
 		node:  endpoint.Node,
 	})
@@ -136,8 +136,8 @@
 		len(endpoint.DataCentre) <= maxNameBytes
 }
 
-// Remove ends an owner's word for an endpoint. A removal that is older than the held announcement changes nothing, and one
-// that is newer ends the word of all owners, since they vouched for what the node announced before.
+// Remove ends an owner's claim for an endpoint. A removal that is older than the held announcement changes nothing, and one
+// that is newer ends the claim of all owners, since they vouched for what the node announced before.
 func (t *Table) Remove(now time.Time, owner Owner, removal Removal) {
 	held := t.entries[removal.Node]
 	gone := core.Endpoint{
@@ -166,12 +166,12 @@
 	if !held.owners[owner] {
 		return
 	}
-	word := fadingWord{
+	claim := fadingClaim{
 		owner: owner,
 		node:  held.endpoint.Node,
 	}
-	if _, begun := t.fading[word]; !begun {
-		t.fading[word] = now.Add(elsewhereGrace)
+	if _, begun := t.fading[claim]; !begun {
+		t.fading[claim] = now.Add(elsewhereGrace)
 	}
 }
 
@@ -191,7 +191,7 @@
 	delete(t.lost, owner)
 }
 
-// Retain ends an owner's word for all endpoints that it does not name, in the services for which covers returns true.
+// Retain ends an owner's claim for all endpoints that it does not name, in the services for which covers returns true.
 func (t *Table) Retain(now time.Time, owner Owner, named []core.Endpoint, covers func(core.ServiceName) bool) {
 	kept := make(map[core.NodeID]bool, len(named))
 	for _, endpoint := range named {
@@ -215,14 +215,14 @@
 			delete(t.lost, owner)
 		}
 	}
-	for word, until := range t.fading {
+	for claim, until := range t.fading {
 		if now.Before(until) {
 			continue
 		}
-		if held := t.entries[word.node]; held != nil {
-			t.update(now, held, func() { delete(held.owners, word.owner) })
+		if held := t.entries[claim.node]; held != nil {
+			t.update(now, held, func() { delete(held.owners, claim.owner) })
 		}
-		delete(t.fading, word)
+		delete(t.fading, claim)
 	}
 	for key, left := range t.left {
 		if now.Sub(left.At) >= TombstoneAge {
@@ -273,7 +273,7 @@
 	return now
 }
 
-// seenBy reports whether an owner is sent the endpoint: not if nobody else vouches for it, since its own word coming back
+// seenBy reports whether an owner is sent the endpoint: not if nobody else vouches for it, since its own claim coming back
 // would keep the endpoint alive after the owner lost it.
 func (s standing) seenBy(owner Owner) bool {
 	return s.live && s.sole != owner
--- a/core/lease/table_test.go
+++ b/core/lease/table_test.go
@@ -88,8 +88,8 @@
 	c.Assert(names(10*time.Second), qt.DeepEquals, []core.NodeID{"both", "moved"})
 }
 
-// Guards against an endpoint that lives for ever because two owners tell each other their own word.
-func TestOwnWordDoesNotComeBack(t *testing.T) {
+// Guards against an endpoint that lives for ever because two owners tell each other their own claim.
+func TestOwnClaimDoesNotComeBack(t *testing.T) {
 	c := qt.New(t)
 	table := lease.New()
 	table.Announce(start, left, announced("n", 1, 1, "s"))
@@ -107,7 +107,7 @@
 }
 
 // Guards against a removal that outruns the announcement by the endpoint's new owner.
-func TestWordThatMovedElsewhereFades(t *testing.T) {
+func TestClaimThatMovedElsewhereFades(t *testing.T) {
 	c := qt.New(t)
 	table := lease.New()
 	e := announced("n", 1, 1, "s")
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -90,9 +90,9 @@
 func TestAnswersOfAnotherIdentityDoNotCount(t *testing.T) {
 	c := qt.New(t)
 	node, out := elected(c)
-	stranger := answer("b", raft.KindAppendAnswer, 2, 2)
-	stranger.Message.From.Identity = "new-disk"
-	got := node.Step(start.Add(2*time.Second), raft.Synced{Token: out.Token}, stranger)
+	nonMember := answer("b", raft.KindAppendAnswer, 2, 2)
+	nonMember.Message.From.Identity = "new-disk"
+	got := node.Step(start.Add(2*time.Second), raft.Synced{Token: out.Token}, nonMember)
 	c.Assert(got.Committed, qt.HasLen, 0)
 }
 
--- a/core/replay/replay.go
+++ b/core/replay/replay.go
@@ -197,12 +197,12 @@
 }
 
 func (m *Measures) print(w io.Writer, rule RuleName, want Outcome) {
-	word := "as stated"
+	result := "as stated"
 	if !m.Matches(want) {
-		word = "NOT AS STATED"
+		result = "NOT AS STATED"
 	}
 	fmt.Fprintf(w, "  %-16s %-10s %-13s after %4.0f s, %d calls, %.2f%% on the new release, %.2f%% after its fault showed",
-		rule, m.Move.State, word, m.Move.SteppedAt.Sub(epoch).Seconds(), m.Calls,
+		rule, m.Move.State, result, m.Move.SteppedAt.Sub(epoch).Seconds(), m.Calls,
 		100*float64(m.NewCalls)/float64(max(1, m.Calls)), 100*m.BadShare())
 	if m.TakeBack > 0 {
 		fmt.Fprintf(w, ", taken back %.0f s after it", m.TakeBack.Seconds())
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -32,9 +32,9 @@
 	step    uint64
 	err     error
 
-	leader    core.ControlID
-	members   []raft.Member
-	strangers []raft.Peer
+	leader     core.ControlID
+	members    []raft.Member
+	nonMembers []raft.Peer
 }
 
 func (f *fakeReplicator) Propose(_ context.Context, command []byte) ([]byte, error) {
@@ -67,13 +67,13 @@
 
 func (f *fakeReplicator) Members() []raft.Member { return f.members }
 
-func (f *fakeReplicator) Strangers() []raft.Peer { return f.strangers }
+func (f *fakeReplicator) NonMembers() []raft.Peer { return f.nonMembers }
 
 // Change replaces and promotes as raft does.
 func (f *fakeReplicator) Change(_ context.Context, change raft.Change) error {
 	for i, member := range f.members {
 		if member.Peer.ID == change.Peer.ID && (change.Kind == raft.ChangePromote) == (member.Peer == change.Peer) && !(change.Kind == raft.ChangePromote && member.Voter) {
-			f.members[i].Peer, f.members[i].Voter, f.strangers = change.Peer, change.Kind == raft.ChangePromote, nil
+			f.members[i].Peer, f.members[i].Voter, f.nonMembers = change.Peer, change.Kind == raft.ChangePromote, nil
 			return f.err
 		}
 	}
--- a/io/cli/members.go
+++ b/io/cli/members.go
@@ -51,7 +51,7 @@
 		}
 		return member.Peer, nil
 	}
-	peer, exists := lo.Find(members.Strangers, func(p raft.Peer) bool { return p.ID == id })
+	peer, exists := lo.Find(members.NonMembers, func(p raft.Peer) bool { return p.ID == id })
 	if !exists {
 		return raft.Peer{}, errors.Errorf("%s %s: no instance of that name has introduced itself without being a member", kind, id)
 	}
@@ -72,7 +72,7 @@
 		}
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", m.Peer.ID, role, m.DataCentre, m.Address, m.Peer.Identity)
 	}
-	for _, peer := range members.Strangers {
+	for _, peer := range members.NonMembers {
 		fmt.Fprintf(table, "%s\tnot a member\t\t\t%s\n", peer.ID, peer.Identity)
 	}
 	_ = table.Flush() // a broken standard output has no other place to be reported
--- a/io/cli/members_test.go
+++ b/io/cli/members_test.go
@@ -21,7 +21,7 @@
 		{Peer: raft.Peer{ID: "c3", Identity: "c"}, Voter: true},
 	}
 	f.c.Assert(f.run(StatusRefused, "members", "replace", "c2"), qt.Contains, "no instance of that name has introduced itself")
-	f.replicator.strangers = []raft.Peer{{ID: "c2", Identity: "new"}}
+	f.replicator.nonMembers = []raft.Peer{{ID: "c2", Identity: "new"}}
 	text := f.run(StatusOK, "members")
 	f.c.Assert(text, qt.Contains, "run: parsleyport members replace c2")
 	f.c.Assert(text, qt.Contains, "tolerated failures: 1")
--- a/io/distribution/admission.go
+++ b/io/distribution/admission.go
@@ -65,8 +65,8 @@
 	h.replace(greeting.ID)
 	c := h.newChild(greeting, conn)
 	h.table.Regain(c.owner)
-	h.peerWords[id] = peerWord{
-		acknowledge: h.peerWords[id].acknowledge,
+	h.peerReports[id] = peerReport{
+		acknowledge: h.peerReports[id].acknowledge,
 		link:        c.id,
 	}
 	return c, outgoing{}
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -66,7 +66,7 @@
 // turnAway answers without reading, so that a crowd of reconnecting nodes costs one small frame for each attempt.
 func (h *hub) turnAway(conn *frame.Conn) {
 	h.meters.retryAfters.Inc()
-	_ = h.send(conn, farewellTimeout/10, outgoing{
+	_ = h.send(conn, finalTimeout/10, outgoing{
 		kind: typeRetryAfter,
 		message: retryAfter{
 			Milliseconds: retryLater.Milliseconds(),
@@ -175,12 +175,12 @@
 
 func (h *hub) losePeer(now time.Time, c *child) {
 	id := core.ControlID(c.hello.ID)
-	word := h.peerWords[id]
-	if word.link != c.id {
+	report := h.peerReports[id]
+	if report.link != c.id {
 		return // it is back on another link
 	}
-	word.until = now.Add(controlGrace)
-	h.peerWords[id] = word
+	report.until = now.Add(controlGrace)
+	h.peerReports[id] = report
 	h.table.Lose(now, c.owner, "", controlGrace, controlGrace)
 }
 
@@ -270,7 +270,7 @@
 
 func (h *hub) acknowledged(c *child, message acknowledge) {
 	if c.hello.Kind == kindControl {
-		h.peerWords[core.ControlID(c.hello.ID)] = peerWord{
+		h.peerReports[core.ControlID(c.hello.ID)] = peerReport{
 			acknowledge: message,
 			link:        c.id,
 		}
--- a/io/distribution/distribution_test.go
+++ b/io/distribution/distribution_test.go
@@ -394,7 +394,7 @@
 }
 
 // Guards against endpoints that vanish from the rest of the fleet while the nodes of a lost control instance attach elsewhere,
-// and against the words of that instance that stay for ever.
+// and against the acknowledgements of that instance that stay for ever.
 func TestControlInstanceDies(t *testing.T) {
 	run(t, func(c *qt.C, w *world) {
 		source := w.source("c1", w.catalog, "c2")
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -51,12 +51,12 @@
 	// parent's next digest covers the service. unsyncedAll stands for all services.
 	unsynced    map[core.ServiceName]bool
 	unsyncedAll bool
-	peerWords   map[core.ControlID]peerWord
+	peerReports map[core.ControlID]peerReport
 	peers       map[core.ControlID]bool
 }
 
-// peerWord is the last acknowledgement of another control instance; until is set once its link is lost.
-type peerWord struct {
+// peerReport is the last acknowledgement of another control instance; until is set once its link is lost.
+type peerReport struct {
 	acknowledge acknowledge
 	link        uint64
 	until       time.Time
@@ -64,20 +64,20 @@
 
 func newHub(logger zerolog.Logger, meters *meters, network Network) *hub {
 	h := &hub{
-		logger:     logger,
-		meters:     meters,
-		network:    network,
-		handshakes: make(chan struct{}, maxHandshakes),
-		table:      lease.New(),
-		evidence:   newEvidenceStore(),
-		crashes:    newCrashStore(),
-		confirmer:  newConfirmer(),
-		history:    &history{},
-		children:   make(map[uint64]*child),
-		unsynced:   make(map[core.ServiceName]bool),
-		uplinks:    make(map[*uplink]bool),
-		peerWords:  make(map[core.ControlID]peerWord),
-		peers:      make(map[core.ControlID]bool),
+		logger:      logger,
+		meters:      meters,
+		network:     network,
+		handshakes:  make(chan struct{}, maxHandshakes),
+		table:       lease.New(),
+		evidence:    newEvidenceStore(),
+		crashes:     newCrashStore(),
+		confirmer:   newConfirmer(),
+		history:     &history{},
+		children:    make(map[uint64]*child),
+		unsynced:    make(map[core.ServiceName]bool),
+		uplinks:     make(map[*uplink]bool),
+		peerReports: make(map[core.ControlID]peerReport),
+		peers:       make(map[core.ControlID]bool),
 	}
 	h.views.Store(&map[core.ServiceName][]core.Endpoint{})
 	return h
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -16,13 +16,13 @@
 
 // Intervals and limits of the protocol; the design page gives the reasons for those that it names.
 const (
-	pingInterval    = time.Second
-	silenceLimit    = 3 * time.Second
-	writeTimeout    = silenceLimit
-	helloTimeout    = time.Second
-	dialTimeout     = 2 * time.Second
-	farewellTimeout = 500 * time.Millisecond
-	tickInterval    = 200 * time.Millisecond
+	pingInterval = time.Second
+	silenceLimit = 3 * time.Second
+	writeTimeout = silenceLimit
+	helloTimeout = time.Second
+	dialTimeout  = 2 * time.Second
+	finalTimeout = 500 * time.Millisecond
+	tickInterval = 200 * time.Millisecond
 
 	// A change that follows another one waits this long, so that a burst goes out in one frame. One endpoint change costs
 	// each node that sees it about 140 bytes.
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -76,9 +76,9 @@
 		s.hub.complete = true
 		s.hub.changed()
 	}
-	for id, word := range s.hub.peerWords {
-		if !word.until.IsZero() && !now.Before(word.until) {
-			delete(s.hub.peerWords, id)
+	for id, report := range s.hub.peerReports {
+		if !report.until.IsZero() && !now.Before(report.until) {
+			delete(s.hub.peerReports, id)
 		}
 	}
 }
@@ -200,11 +200,11 @@
 func (s *Source) Fleet() Fleet {
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
-	word := s.hub.subtree()
-	for _, other := range s.hub.peerWords {
-		word = word.and(other.acknowledge)
+	report := s.hub.subtree()
+	for _, other := range s.hub.peerReports {
+		report = report.and(other.acknowledge)
 	}
-	return Fleet(word)
+	return Fleet(report)
 }
 
 // Evidence returns the newest count of each node run, service, route and release.
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -497,7 +497,7 @@
 		Children:  s.hub.childIDs(),
 		Endpoints: endpoints,
 	}
-	word := s.hub.ownWord().and(s.hub.subtree())
-	status.SubtreeNodes, status.Lowest = word.Nodes, word.Lowest
+	report := s.hub.ownAcknowledgement().and(s.hub.subtree())
+	status.SubtreeNodes, status.Lowest = report.Nodes, report.Lowest
 	return status
 }
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -80,7 +80,7 @@
 			return h.dueUp(u, now, false)
 		})
 		if ctx.Err() != nil {
-			h.farewell(u)
+			h.sendFinal(u)
 		}
 	})
 	err := receive()
@@ -92,11 +92,11 @@
 	return err
 }
 
-// farewell sends what waits for its interval, above all the node's withdrawal.
-func (h *hub) farewell(u *uplink) {
+// sendFinal sends what waits for its interval, above all the node's withdrawal.
+func (h *hub) sendFinal(u *uplink) {
 	messages, _ := h.dueUp(u, time.Now(), true)
 	for _, m := range messages {
-		if err := h.send(u.conn, farewellTimeout, m); err != nil {
+		if err := h.send(u.conn, finalTimeout, m); err != nil {
 			return
 		}
 	}
@@ -107,12 +107,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	due := h.announcementsDue(u, now, last)
-	if word := h.ownWord().and(h.subtree()); word != u.acknowledged && (last || u.acknowledging.ready(now)) {
-		u.acknowledged = word
+	if report := h.ownAcknowledgement().and(h.subtree()); report != u.acknowledged && (last || u.acknowledging.ready(now)) {
+		u.acknowledged = report
 		u.acknowledging.sent(now)
 		due = append(due, outgoing{
 			kind:    typeAcknowledge,
-			message: word,
+			message: report,
 		})
 	}
 	if last || u.evidencing.ready(now) {
@@ -137,14 +137,14 @@
 	if u.cursor != h.table.Position(lease.Local) && u.batch.next.Before(next) {
 		next = u.batch.next
 	}
-	if u.acknowledged != h.ownWord().and(h.subtree()) && u.acknowledging.next.Before(next) {
+	if u.acknowledged != h.ownAcknowledgement().and(h.subtree()) && u.acknowledging.next.Before(next) {
 		next = u.acknowledging.next
 	}
 	return next
 }
 
-// ownWord is a node's word for itself; a control instance does not count as a node.
-func (h *hub) ownWord() acknowledge {
+// ownAcknowledgement counts the node itself; a control instance does not count as a node.
+func (h *hub) ownAcknowledgement() acknowledge {
 	if h.relay == "" {
 		return acknowledge{}
 	}
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -18,7 +18,7 @@
 	// redialAfter is the pause before a pool that still has a connection tries to grow again after a failed dial.
 	redialAfter = time.Second
 	revokeLimit = time.Second
-	// verdictLimit is how long a cancelled attempt waits for the server's word whether it had run.
+	// verdictLimit is how long a cancelled attempt waits for the server's reply whether it had run.
 	verdictLimit = 100 * time.Millisecond
 
 	answerWindow       = 64 << 10 // bytes of one answer that may be on the way or unread; 64 MiB for 1024 slow readers
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -140,7 +140,7 @@
 	return s.head != nil || s.refused != nil
 }
 
-// abandon cancels the attempt and waits a short time for the peer's word that it had not run.
+// abandon cancels the attempt and waits a short time for the peer's reply that it had not run.
 func (s *stream) abandon(cause error) (*refusedMessage, error) {
 	defer s.conn.remove(s.sequence)
 	s.conn.send(typeCancel, sequenceMessage{
--- a/io/operatorhttp/members.go
+++ b/io/operatorhttp/members.go
@@ -17,8 +17,8 @@
 type Membership interface {
 	// Members returns the newest membership; the slice must not be changed.
 	Members() []raft.Member
-	// Strangers returns the instances that have introduced themselves and are not members.
-	Strangers() []raft.Peer
+	// NonMembers returns the instances that have introduced themselves and are not members.
+	NonMembers() []raft.Peer
 	// Change commits a change, or returns core.ErrNoLeader, raft.ErrTransient, core.ErrOutcomeUnknown or why it was refused.
 	Change(ctx context.Context, change raft.Change) error
 }
@@ -28,7 +28,7 @@
 	Current           bool            `json:"current"` // false if no leader confirmed that the rest is up to date
 	Leader            core.ControlID  `json:"leader"`
 	Members           []raft.Member   `json:"members"`
-	Strangers         []raft.Peer     `json:"strangers"` // introduced, but not members
+	NonMembers        []raft.Peer     `json:"non-members"` // introduced, but not members
 	ToleratedFailures int             `json:"tolerated-failures"`
 	Missing           []MissingChange `json:"missing"`
 }
@@ -51,21 +51,21 @@
 }
 
 // missing lists what separates the membership from one in which every known instance votes.
-func missing(members []raft.Member, strangers []raft.Peer) []MissingChange {
+func missing(members []raft.Member, nonMembers []raft.Peer) []MissingChange {
 	changes := []MissingChange{}
-	for _, stranger := range strangers {
+	for _, nonMember := range nonMembers {
 		change := MissingChange{
-			ID:     stranger.ID,
+			ID:     nonMember.ID,
 			Change: raft.ChangeAdd,
 			Reason: "has introduced itself and is not a member",
 		}
-		if lo.ContainsBy(members, func(m raft.Member) bool { return m.Peer.ID == stranger.ID }) {
+		if lo.ContainsBy(members, func(m raft.Member) bool { return m.Peer.ID == nonMember.ID }) {
 			change.Change, change.Reason = raft.ChangeReplace, "has introduced itself with a new identity, as after the loss of its disk"
 		}
 		changes = append(changes, change)
 	}
 	for _, member := range members {
-		if replaced := lo.ContainsBy(strangers, func(p raft.Peer) bool { return p.ID == member.Peer.ID }); !member.Voter && !replaced {
+		if replaced := lo.ContainsBy(nonMembers, func(p raft.Peer) bool { return p.ID == member.Peer.ID }); !member.Voter && !replaced {
 			changes = append(changes, MissingChange{
 				ID:     member.Peer.ID,
 				Change: raft.ChangePromote,
@@ -80,16 +80,16 @@
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	current := s.options.Replicator.ConfirmRead(ctx) == nil
-	members, strangers := s.options.Membership.Members(), s.options.Membership.Strangers()
+	members, nonMembers := s.options.Membership.Members(), s.options.Membership.NonMembers()
 	voters := lo.CountBy(members, func(m raft.Member) bool { return m.Voter })
 	return &output[Members]{
 		Body: Members{
 			Current:           current,
 			Leader:            s.options.Replicator.Status().Leader,
 			Members:           members,
-			Strangers:         append([]raft.Peer{}, strangers...), // never null in JSON
+			NonMembers:        append([]raft.Peer{}, nonMembers...), // never null in JSON
 			ToleratedFailures: max(voters-1, 0) / 2,
-			Missing:           missing(members, strangers),
+			Missing:           missing(members, nonMembers),
 		},
 	}
 }
--- a/io/operatorhttp/members_test.go
+++ b/io/operatorhttp/members_test.go
@@ -22,7 +22,7 @@
 
 func (f *fakeMembership) Members() []raft.Member { return f.members }
 
-func (f *fakeMembership) Strangers() []raft.Peer { return []raft.Peer{{ID: "c4", Identity: "d"}} }
+func (f *fakeMembership) NonMembers() []raft.Peer { return []raft.Peer{{ID: "c4", Identity: "d"}} }
 
 func (f *fakeMembership) Change(_ context.Context, change raft.Change) error {
 	f.changes = append(f.changes, change)
--- a/io/raftpeer/failure_test.go
+++ b/io/raftpeer/failure_test.go
@@ -45,7 +45,7 @@
 	w.advance(10 * time.Second)
 	c.Assert(lagging.leads(), qt.IsFalse)
 
-	// With the old leader back, the entry is still there, and the wiped instance is known as a stranger.
+	// With the old leader back, the entry is still there, and the wiped instance is known as a nonMember.
 	leader.start()
 	w.until(5*time.Second, "leader after restart", leader.leads)
 	w.until(5*time.Second, "entry is kept", func() bool { return lagging.machine["kept"] == "1" })
--- a/io/raftpeer/replica.go
+++ b/io/raftpeer/replica.go
@@ -335,21 +335,21 @@
 	return r.engine.identity.Self
 }
 
-// Strangers returns the instances that have introduced themselves and are not members: those to add or to replace.
-func (r *Replica) Strangers() []raft.Peer {
+// NonMembers returns the instances that have introduced themselves and are not members: those to add or to replace.
+func (r *Replica) NonMembers() []raft.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var strangers []raft.Peer
+	var nonMembers []raft.Peer
 	for id, identity := range r.heard {
 		peer := raft.Peer{
 			ID:       id,
 			Identity: identity,
 		}
 		if !lo.ContainsBy(r.Members(), func(m raft.Member) bool { return m.Peer == peer }) {
-			strangers = append(strangers, peer)
+			nonMembers = append(nonMembers, peer)
 		}
 	}
-	return strangers
+	return nonMembers
 }
 
 func (r *Replica) identityFor(change raft.Change) raft.Identity {
