Open a node for callers only once it knows the endpoints

On a loaded machine the rolling restart had one call refused as no-endpoint. Cause: the confirmation can arrive before the parent's endpoints, and the node took callers at once. Ruled out: a lost announcement, since the other nodes listed all endpoints. The crash test waits for the reports at all nodes instead of one second.

--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
 )
 
 // crashOnHeader makes a backend server end its process on a request with the header Standin-Crash.
@@ -39,6 +41,18 @@
 	return crashed
 }
 
+// crashReports returns how many crash reports a node holds.
+func (d *deployment) crashReports(node int) int {
+	_, body := d.get("http://" + d.address(fmt.Sprintf("n%d-admin", node)) + "/state")
+	var state struct {
+		Distribution struct {
+			CrashReports int `json:"crash-reports"`
+		} `json:"distribution"`
+	}
+	_ = json.Unmarshal(body, &state) // an unreachable node holds none
+	return state.Distribution.CrashReports
+}
+
 // Guards against a request that crashes each backend server that runs it while its caller resends it through all nodes:
 // two crashes are the most that it may cause over the whole fleet.
 func TestCrashingRequestIsStoppedFleetWide(t *testing.T) {
@@ -66,7 +80,9 @@
 			status, err := d.status(d.client())
 			return err == nil && status.Fleet.Endpoints["transcripts"] == nodes
 		})
-		time.Sleep(time.Second) // reports reach all nodes within this time
+		d.eventually("all nodes have heard of the crashes", 10*time.Second, func() bool {
+			return lo.EveryBy(lo.RangeFrom(1, nodes), func(i int) bool { return d.crashReports(i) == crashes })
+		})
 	}
 	c.Assert(crashes, qt.Equals, 2)
 	c.Assert(cause, qt.Equals, "suspected-to-crash-backend-servers")
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -40,6 +40,7 @@
 	SubtreeNodes int            `json:"subtree-nodes"`
 	Lowest       core.Revision  `json:"subtree-lowest-revision"`
 	Endpoints    int            `json:"endpoints"`
+	CrashReports int            `json:"crash-reports"`
 }
 
 var (
@@ -56,6 +57,8 @@
 	newest    atomic.Pointer[record.Configuration]
 	confirmed chan struct{}
 	confirm   sync.Once
+	filledCh  chan struct{}
+	fill      sync.Once
 	staleFrom int // the attachment's turn at the first control instance without a leader, negative after any other parent
 
 	change   sync.Mutex // guards changeCh
@@ -83,6 +86,7 @@
 		hub:       newHub(options.Logger, newMeters(options.Metrics), options.Network),
 		logger:    options.Logger,
 		confirmed: make(chan struct{}),
+		filledCh:  make(chan struct{}),
 		changeCh:  make(chan struct{}),
 		staleFrom: -1,
 	}
@@ -343,6 +347,9 @@
 	if message.HasDigest {
 		s.compare(u, message)
 	}
+	if message.Answer {
+		s.filled()
+	}
 	s.noteReset(message)
 	s.hub.changed()
 }
@@ -361,6 +368,16 @@
 	}
 }
 
+// filled notes that the parent's endpoints have arrived for the first time.
+func (s *Subscriber) filled() {
+	s.fill.Do(func() { close(s.filledCh) })
+}
+
+// EndpointsSignal returns a channel that is closed once the endpoints that the parent knew at the attachment have arrived.
+func (s *Subscriber) EndpointsSignal() <-chan struct{} {
+	return s.filledCh
+}
+
 // synced notes that all endpoints of the subscription are the same as the parent's.
 func (s *Subscriber) synced() {
 	s.hub.complete, s.hub.unsyncedAll = true, false
@@ -377,6 +394,7 @@
 		u.endpointsRequest = true
 		return
 	}
+	s.filled()
 	if !message.Partial {
 		s.synced()
 	}
@@ -496,6 +514,8 @@
 		Confirmed: s.Confirmed(),
 		Children:  s.hub.childIDs(),
 		Endpoints: endpoints,
+
+		CrashReports: len(s.hub.crashes.items),
 	}
 	report := s.hub.ownAcknowledgement().and(s.hub.subtree())
 	status.SubtreeNodes, status.Lowest = report.Nodes, report.Lowest
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -36,7 +36,7 @@
 	recorder    *rollout.Recorder
 	suspects    *suspects
 	peerServer  atomic.Pointer[nodepeer.Server]
-	draining    atomic.Bool
+	serving     atomic.Bool // takes callers
 	cleanups    cleanups
 	// drainCallers does nothing until the node takes callers.
 	drainCallers func(context.Context) error
@@ -67,25 +67,29 @@
 		return errors.Annotate(err, "callers")
 	}
 	<-ctx.Done()
-	p.draining.Store(true)
+	p.serving.Store(false)
 	p.log.Info().Str("event", "draining").Msg("node is leaving")
 	p.drain(injector)
 	return nil
 }
 
-// openForCallers waits until the configuration is confirmed. A caller that cannot connect tries another node at once,
-// while one that gets a refusal here may not.
+// openForCallers waits until the configuration is confirmed and the endpoints are known. A caller that cannot connect
+// tries another node at once, while one that gets a refusal here may not.
 func (p *process) openForCallers(ctx context.Context, injector do.Injector) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-do.MustInvoke[*distribution.Subscriber](injector).ConfirmedSignal():
+	subscriber := do.MustInvoke[*distribution.Subscriber](injector)
+	for _, signal := range []<-chan struct{}{subscriber.ConfirmedSignal(), subscriber.EndpointsSignal()} {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signal:
+		}
 	}
 	callers, err := do.Invoke[*callerhttp.Server](injector)
 	if err != nil {
 		return err
 	}
 	p.drainCallers = callers.Drain
+	p.serving.Store(true)
 	p.log.Info().Str("event", "serving").Msg("node takes callers")
 	return nil
 }
@@ -323,7 +327,7 @@
 func (p *process) startAdmin(injector do.Injector, subscriber *distribution.Subscriber) error {
 	cleanup, err := adminhttp.New(adminhttp.Options{
 		Address: p.settings.AdminAddress,
-		Ready:   func() bool { return subscriber.Confirmed() && !p.draining.Load() },
+		Ready:   p.serving.Load,
 		State:   func() any { return p.dump(injector, subscriber, subscriber.Current()) },
 		Metrics: p.metrics,
 		Logger:  p.log,
