--- a/core/call.go
+++ b/core/call.go
@@ -36,7 +36,6 @@
 	CauseCrashSuspect   RefusalCause = "suspected-to-crash-backend-servers"
 	CauseTooDeep        RefusalCause = "too-deep"
 	CauseConnectFailed  RefusalCause = "connect-failed"
-	CauseRetryBudget    RefusalCause = "retry-budget-used"
 	CauseMalformedCall  RefusalCause = "malformed-call"
 	CauseDuplicateCall  RefusalCause = "duplicate-call"
 	CauseBackendRefused RefusalCause = "backend-server-refused"
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -265,7 +265,7 @@
 	switch cause {
 	case core.CauseNoRoute, core.CauseNoEndpoint, core.CauseNotConfirmed, core.CauseLeaving, core.CauseNoBackend,
 		core.CauseDeadline, core.CauseQueueFull, core.CauseTenantShare, core.CauseRevoked, core.CauseCrashSuspect,
-		core.CauseTooDeep, core.CauseConnectFailed, core.CauseRetryBudget, core.CauseMalformedCall,
+		core.CauseTooDeep, core.CauseConnectFailed, core.CauseMalformedCall,
 		core.CauseDuplicateCall, core.CauseBackendRefused:
 		return cause
 	}
--- /dev/null
+++ b/io/node/parts.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"parsleyport/core"
+	"parsleyport/core/balancer"
+	"parsleyport/io/backendhttp"
+	"parsleyport/io/callerhttp"
+	"parsleyport/io/distribution"
+	"parsleyport/io/nodepeer"
+)
+
+// keep registers the clean-up function of a part that could be made.
+func keep[T any](p *process, part T, cleanup func(), err error) (T, error) {
+	if err == nil {
+		p.cleanups.add(cleanup)
+	}
+	return part, err
+}
+
+func (p *process) newSubscriber(do.Injector) (*distribution.Subscriber, error) {
+	subscriber, cleanup, err := distribution.NewSubscriber(distribution.SubscriberOptions{
+		ID:               p.settings.ID,
+		Incarnation:      p.incarnation,
+		DataCentre:       p.settings.DataCentre,
+		RelayAddress:     p.settings.RelayAddress,
+		ControlAddresses: p.settings.ControlAddresses,
+		OnCrash:          p.suspects.crashed,
+		Logger:           p.log,
+		Metrics:          p.metrics,
+	})
+	return keep(p, subscriber, cleanup, err)
+}
+
+func (p *process) newBackend(injector do.Injector) (*backendhttp.Server, error) {
+	subscriber, err := do.Invoke[*distribution.Subscriber](injector)
+	if err != nil {
+		return nil, err
+	}
+	admission, stopAdmission := newAdmission()
+	p.cleanups.add(stopAdmission)
+	server, cleanup, err := backendhttp.New(backendhttp.Options{
+		Address:   p.settings.BackendAddress,
+		Admission: admission,
+		OnChange:  func(a backendhttp.Announcement) { p.announce(subscriber, a) },
+		OnCrash:   func(crash backendhttp.Crash) { p.reportCrash(subscriber, crash) },
+		Logger:    p.log,
+		Metrics:   p.metrics,
+	})
+	return keep(p, server, cleanup, err)
+}
+
+// announce tells the fleet of the local backend server, and the memory of idempotency keys since when this node is one of
+// the service's nodes.
+func (p *process) announce(subscriber *distribution.Subscriber, a backendhttp.Announcement) {
+	subscriber.Announce(core.Endpoint{
+		Address: p.settings.PeerAddress,
+		Service: a.Service,
+		Release: a.Release,
+		Slots:   a.Slots,
+		State:   a.State,
+	})
+	if server := p.peerServer.Load(); server != nil {
+		server.Announced(a.Service, a.State != core.EndpointLeaving)
+	}
+}
+
+// reportCrash tells the fleet which requests were running, so that none of them can crash many backend servers.
+func (p *process) reportCrash(subscriber *distribution.Subscriber, crash backendhttp.Crash) {
+	for _, call := range crash.Calls {
+		subscriber.ReportCrash(core.CrashReport{
+			Node:        p.settings.ID,
+			Run:         crash.Run,
+			Fingerprint: uint64(call.Fingerprint),
+		})
+	}
+	p.log.Warn().Str("event", "backend-server-crashed").Str("run", crash.Run).Int("lost-calls", len(crash.Calls)).Msg("backend server crashed")
+}
+
+func (p *process) newPeerServer(injector do.Injector) (*nodepeer.Server, error) {
+	backend, err := do.Invoke[*backendhttp.Server](injector)
+	if err != nil {
+		return nil, err
+	}
+	server, cleanup, err := nodepeer.NewServer(nodepeer.ServerOptions{
+		Address: p.settings.PeerAddress,
+		Backend: backend,
+		Logger:  p.log,
+		Metrics: p.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.cleanups.add(cleanup)
+	p.peerServer.Store(server)
+	if announced, exists := backend.Current(); exists { // before the server could be told
+		server.Announced(announced.Service, announced.State != core.EndpointLeaving)
+	}
+	return server, nil
+}
+
+func (p *process) newDialer(injector do.Injector) (*nodepeer.Dialer, error) {
+	backend, err := do.Invoke[*backendhttp.Server](injector)
+	if err != nil {
+		return nil, err
+	}
+	dialer, cleanup, err := nodepeer.NewDialer(nodepeer.DialerOptions{
+		Self:    p.settings.ID,
+		Local:   backend,
+		Logger:  p.log,
+		Metrics: p.metrics,
+	})
+	return keep(p, dialer, cleanup, err)
+}
+
+func (p *process) newBalancer(do.Injector) (*balancer.Balancer, error) {
+	return balancer.New(balancer.Options{
+		DataCentre: p.settings.DataCentre,
+		Seed:       uint64(p.incarnation),
+	}), nil
+}
+
+func (p *process) newCallers(injector do.Injector) (*callerhttp.Server, error) {
+	dialer, err := do.Invoke[*nodepeer.Dialer](injector)
+	if err != nil {
+		return nil, err
+	}
+	subscriber := do.MustInvoke[*distribution.Subscriber](injector)
+	keys, stopKeys, err := nodepeer.NewClaims(nodepeer.ClaimsOptions{
+		Self:         p.settings.ID,
+		Server:       do.MustInvoke[*nodepeer.Server](injector),
+		Dialer:       dialer,
+		Endpoints:    subscriber,
+		Services:     func() []core.ServiceName { return subscriber.Current().Services() },
+		ServiceSince: func(service core.ServiceName) (time.Time, bool) { return serviceSince(subscriber.Current(), service) },
+		Metrics:      p.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.cleanups.add(stopKeys)
+	counts := &evidence{
+		recorder: p.recorder,
+		guard:    p.guard,
+		tripped:  p.logTripped,
+	}
+	server, cleanup, err := callerhttp.New(callerhttp.Options{
+		Address:        p.settings.CallerAddress,
+		Source:         subscriber,
+		Confirmed:      subscriber.Confirmed,
+		Endpoints:      subscriber,
+		Picker:         do.MustInvoke[*balancer.Balancer](injector),
+		Forwarder:      dialer,
+		Evidence:       counts,
+		ReleaseAllowed: counts.releaseAllowed,
+		Suspected:      p.suspects.suspected,
+		Keys:           keys,
+		Logger:         p.log,
+		Metrics:        p.metrics,
+	})
+	return keep(p, server, cleanup, err)
+}
+
+func (p *process) logTripped(service core.ServiceName, route core.RouteName, release core.Release) {
+	p.log.Warn().Str("event", "release-stopped").Str("service", string(service)).Str("route", string(route)).
+		Str("release", string(release)).Msg("this node sends no more calls to the release")
+}
