--- a/core/raft/bootstrap.go
+++ b/core/raft/bootstrap.go
@@ -128,14 +128,16 @@
 // InitialState returns what the data folder of an initial member holds at its start. The initial membership is the
 // first entry, so that learners receive it with the log.
 func InitialState(initial []Member) (HardState, []Entry) {
-	return HardState{
+	state := HardState{
 		Term: 1,
-	}, []Entry{{
+	}
+	first := Entry{
 		Index:   1,
 		Term:    1,
 		Kind:    EntryMembers,
 		Members: initial,
-	}}
+	}
+	return state, []Entry{first}
 }
 
 func peers(members []Member) []Peer {
