Wait for the end of a crashed backend server instead of a fixed time

The crash test slept 500 ms and could miss a process that ends later on a loaded machine. It now waits for the process whenever the outcome is unknown.

--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -74,8 +74,13 @@
 		c.Assert(response.Body.Close(), qt.IsNil)
 		c.Assert(response.StatusCode, qt.Not(qt.Equals), http.StatusOK)
 		cause = response.Header.Get("Parsleyport-Cause")
-		time.Sleep(500 * time.Millisecond) // a process that crashes ends within this time
-		crashes += d.restartCrashed(nodes)
+		if response.Header.Get("Parsleyport-Outcome") == "unknown" {
+			d.eventually("the crashed backend server is down", 10*time.Second, func() bool {
+				down := d.restartCrashed(nodes)
+				crashes += down
+				return down > 0
+			})
+		}
 		d.eventually("all backend servers are announced", 10*time.Second, func() bool {
 			status, err := d.status(d.client())
 			return err == nil && status.Fleet.Endpoints["transcripts"] == nodes
