Give up idle connections when the backend server goes silent

Cause: a backend server that goes silent on its open connections, while new ones work, cost one call for each idle connection in the pool, since the next call always took the next idle one and waited for its whole deadline.

Once a call has waited for 1 s on a reused connection, idle connections that were last used before it was sent are closed. Those that have answered since stay, so a service with some slow calls keeps its pool. A fixed limit on idle time was ruled out: it either closes the pool of a service with little traffic or leaves a busy one on silent connections.

Test with 4 idle connections, all silent, and one call waiting for 1 s: before, 0 of the next 3 calls were answered; after, 3 of 3 over new connections, which the 3 calls after that use again.

--- a/io/backendhttp/backendhttp_test.go
+++ b/io/backendhttp/backendhttp_test.go
@@ -340,6 +340,48 @@
 	}
 }
 
+// Guards against calls that each wait on one more idle connection after the backend server has gone silent on all that
+// were open, and against idle connections that are given up although they have answered since.
+func TestSilentIdleConnectionsAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := start(t)
+		a := ready("1")
+		a.Slots = 4
+		f.announce(time.Now(), a)
+		var open sync.Map // connections that go silent
+		f.backend.respond = func(conn net.Conn, _ *http.Request) {
+			if _, silent := open.Load(conn); !silent {
+				time.Sleep(time.Millisecond)
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+		parallel := func(n int) int64 {
+			var answered atomic.Int64
+			var calls sync.WaitGroup
+			for range n {
+				calls.Go(func() {
+					if _, outcome, _ := f.handle(c, callFor("body")); outcome == core.OutcomeAnswered {
+						answered.Add(1)
+					}
+				})
+			}
+			calls.Wait()
+			return answered.Load()
+		}
+		c.Assert(parallel(4), qt.Equals, int64(4))
+		for _, conn := range f.backend.conns {
+			open.Store(conn, true)
+		}
+		go f.handle(c, callFor("waits on a silent connection"))
+		time.Sleep(silenceLimit)
+		c.Assert(parallel(3), qt.Equals, int64(3))
+		c.Assert(f.backend.conns, qt.HasLen, 4+3)
+		c.Assert(parallel(3), qt.Equals, int64(3))
+		c.Assert(f.backend.conns, qt.HasLen, 4+3, qt.Commentf("connections that have answered since are used again"))
+	})
+}
+
 // Guards against a malformed announcement that changes the announced state.
 func TestBadAnnouncementsChangeNothing(t *testing.T) {
 	c := qt.New(t)
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -144,6 +144,7 @@
 	if readErr != nil {
 		return nil, core.OutcomeUnknown, x.fail(readErr)
 	}
+	x.server.pool.answered(x.conn)
 	x.reusable = err == nil && !response.Close
 	return x.answer(response), core.OutcomeAnswered, nil
 }
--- a/io/backendhttp/pool.go
+++ b/io/backendhttp/pool.go
@@ -14,11 +14,15 @@
 	// idleLimit is below the usual keep-alive limit of backend servers (5 s and more), so that the pool closes first.
 	idleLimit = 4 * time.Second
 	maxIdle   = 256
+	// silenceLimit is how long a call may wait on a reused connection before idle connections that have shown no sign of
+	// life since then are given up. A new one costs about 1 ms, so a backend server that is only slow loses little by it.
+	silenceLimit = time.Second
 )
 
 // backendConn is one HTTP/1.1 connection to the backend server.
 type backendConn struct {
 	net.Conn
+	pool    *pool
 	address string
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -29,8 +33,9 @@
 type pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
 
-	mu   sync.Mutex
-	idle []*backendConn
+	mu      sync.Mutex // guards the fields below
+	idle    []*backendConn
+	waiting map[*backendConn]time.Time // reused connections without an answer yet, by the time they were taken
 }
 
 func newPool(dial func(ctx context.Context, address string) (net.Conn, error)) *pool {
@@ -40,7 +45,8 @@
 		}
 	}
 	return &pool{
-		dial: dial,
+		dial:    dial,
+		waiting: make(map[*backendConn]time.Time),
 	}
 }
 
@@ -60,6 +66,7 @@
 	}
 	return &backendConn{
 		Conn:    conn,
+		pool:    p,
 		address: address,
 		reader:  bufio.NewReader(conn),
 		writer:  bufio.NewWriter(nil),
@@ -67,22 +74,62 @@
 }
 
 func (p *pool) take() *backendConn {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dropSilent(now)
 	if len(p.idle) == 0 {
 		return nil
 	}
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
+	p.waiting[c] = now
 	return c
 }
 
+// dropSilent closes the idle connections that were last used before a call that has waited for too long: the backend
+// server may have gone silent on all connections that were open then.
+func (p *pool) dropSilent(now time.Time) {
+	for _, taken := range p.waiting {
+		if now.Sub(taken) >= silenceLimit {
+			p.keepIdle(func(c *backendConn) bool { return c.idle.After(taken) })
+		}
+	}
+}
+
+// keepIdle closes the idle connections that are not to be kept.
+func (p *pool) keepIdle(keep func(*backendConn) bool) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if keep(c) {
+			kept = append(kept, c)
+		} else {
+			_ = c.Conn.Close()
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// answered notes that a connection has shown a sign of life.
+func (p *pool) answered(c *backendConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, c)
+}
+
+// Close implements io.Closer.
+func (c *backendConn) Close() error {
+	c.pool.answered(c)
+	return c.Conn.Close()
+}
+
 func (p *pool) put(c *backendConn) {
 	c.idle = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) >= maxIdle {
-		_ = c.Close()
+		_ = c.Conn.Close()
 		return
 	}
 	p.idle = append(p.idle, c)
@@ -93,15 +140,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if now.Sub(c.idle) < limit {
-			kept = append(kept, c)
-		} else {
-			_ = c.Close()
-		}
-	}
-	p.idle = kept
+	p.keepIdle(func(c *backendConn) bool { return now.Sub(c.idle) < limit })
 }
 
 // alive looks for an end of the connection, or for bytes that nobody asked for, without waiting. Without it, a call on
