Hand the leadership over in a planned stop

A vote asked for by the leader passes the rule that protects leaders which are still heard; without that exception the successor's votes were ignored in the test.

--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -1,37 +1,41 @@
 package raft
 
-import "parsleyport/core"
+import "parsleyport/core/statechart"
 
 // startPreVote asks whether a majority would vote, without raising the term.
 func (n *Node) startPreVote() {
 	n.fire(onElectionTimeout)
 	n.leave()
 	n.votes = make(map[Peer]bool)
-	n.askForVotes(KindPreVote, n.hard.Term+1)
+	n.askForVotes(Message{
+		Kind: KindPreVote,
+		Term: n.hard.Term + 1,
+	})
 	n.countVote(n.self) // a pre-vote changes nothing that would have to be synced
 }
 
 // startVote raises the term. The own vote counts once it is synced.
-func (n *Node) startVote() {
-	n.fire(onPreVoteWon)
+func (n *Node) startVote(cause statechart.Event, handover bool) {
+	n.fire(cause)
+	n.leader = Peer{}
 	n.hard = HardState{
 		Term: n.hard.Term + 1,
 		Vote: n.self,
 	}
 	n.votes = make(map[Peer]bool)
 	n.resetTimeout()
-	n.askForVotes(KindVote, n.hard.Term)
+	n.askForVotes(Message{
+		Kind:     KindVote,
+		Term:     n.hard.Term,
+		Handover: handover,
+	})
 }
 
-func (n *Node) askForVotes(kind Kind, term core.Term) {
+func (n *Node) askForVotes(m Message) {
+	m.Index, m.LogTerm = n.log.last(), n.log.lastTerm()
 	for _, member := range n.current().voters() {
 		if member.Peer != n.self {
-			n.sendSynced(member.Peer, Message{
-				Kind:    kind,
-				Term:    term,
-				Index:   n.log.last(),
-				LogTerm: n.log.lastTerm(),
-			})
+			n.sendSynced(member.Peer, m)
 		}
 	}
 }
@@ -41,9 +45,10 @@
 	return n.role == Leader || n.leader != Peer{} && n.now.Before(n.contact.Add(ElectionTimeout))
 }
 
-// ignoresVote keeps a candidate that cannot hear the leader from raising the term of those that can.
+// ignoresVote keeps a candidate that cannot hear the leader from raising the term of those that can. A leader that hands
+// over has asked for the vote itself.
 func (n *Node) ignoresVote(m Message) bool {
-	return m.Kind == KindVote && m.Term > n.hard.Term && n.hearsLeader()
+	return m.Kind == KindVote && !m.Handover && m.Term > n.hard.Term && n.hearsLeader()
 }
 
 func (n *Node) upToDate(m Message) bool {
@@ -96,7 +101,7 @@
 		return
 	}
 	if n.role == PreCandidate {
-		n.startVote()
+		n.startVote(onPreVoteWon, false)
 		return
 	}
 	n.lead()
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -34,6 +34,7 @@
 	onPreVoteWon      statechart.Event = "pre-vote-won"
 	onVoteWon         statechart.Event = "vote-won"
 	onQuorumLost      statechart.Event = "quorum-lost"
+	onHandover        statechart.Event = "handover"
 )
 
 // Restored is what an instance found in its data folder; Snapshot has no members in a folder that was never a member's.
@@ -72,6 +73,7 @@
 	round    uint64
 	reads    []pendingRead
 	promote  *promotion
+	handover *handover
 
 	incoming  *Snapshot // chunks received so far
 	installed *Snapshot // complete, being stored
@@ -146,6 +148,8 @@
 		n.synced(e.Token)
 	case SnapshotStored:
 		n.snapshotStored(e.Snapshot)
+	case HandOverRequested:
+		n.handOver()
 	}
 }
 
@@ -158,7 +162,11 @@
 	case n.now.Before(n.timeout):
 	case n.role == Leader:
 		n.timeout = n.now.Add(HeartbeatInterval)
+		if n.handover != nil && !n.now.Before(n.handover.until) {
+			n.handover = nil
+		}
 		n.broadcast()
+		n.tryHandover()
 	case n.role == Learner:
 		n.leader = Peer{}
 		n.resetTimeout()
@@ -182,7 +190,7 @@
 	if n.promote != nil {
 		n.refuse(n.promote.origin, n.promote.request, reasonSteppedDown)
 	}
-	n.progress, n.votes, n.promote = nil, nil, nil
+	n.progress, n.votes, n.promote, n.handover = nil, nil, nil, nil
 	n.resetTimeout()
 	n.followMembership()
 }
@@ -219,6 +227,8 @@
 		n.receiveChunk(m)
 	case KindSnapshotChunkAnswer:
 		n.receiveChunkAnswer(m)
+	case KindElect:
+		n.receiveElect(m)
 	default:
 		n.receiveRequest(m)
 	}
--- a/core/raft/replication.go
+++ b/core/raft/replication.go
@@ -230,6 +230,9 @@
 	}
 	n.advanceCommit()
 	n.tryPromotion()
+	if n.handover != nil && m.From == n.handover.to {
+		n.tryHandover()
+	}
 }
 
 // advanceCommit commits what a majority has synced, the leader's own disk included, if it ends with an own entry.
--- a/core/raft/requests.go
+++ b/core/raft/requests.go
@@ -29,6 +29,7 @@
 	reasonNotLeader   = "not the leader"
 	reasonBusy        = "too many requests are outstanding"
 	reasonSteppedDown = "the leader has stepped down"
+	reasonHandingOver = "the leader hands over"
 	reasonUnderWay    = "another membership change is under way"
 )
 
@@ -38,7 +39,7 @@
 // RefusalError returns the reason of a Refusal as an error, ErrTransient if it does not lie in the request.
 func RefusalError(reason string) error {
 	switch reason {
-	case reasonNoLeader, reasonNotLeader, reasonBusy, reasonSteppedDown, reasonUnderWay:
+	case reasonNoLeader, reasonNotLeader, reasonBusy, reasonSteppedDown, reasonUnderWay, reasonHandingOver:
 		return errors.Annotate(ErrTransient, reason)
 	}
 	return errors.New(reason)
@@ -57,6 +58,8 @@
 			Command: p.Command,
 			Change:  p.Change,
 		})
+	case n.handover != nil:
+		n.refuse(origin, p.Request, reasonHandingOver)
 	case n.log.last() >= n.commit+maxUncommitted:
 		n.refuse(origin, p.Request, reasonBusy)
 	case p.Change != nil:
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -105,6 +105,7 @@
 	KindRead
 	KindReadAnswer
 	KindRefused
+	KindElect // from a leader that hands over: start an election at once
 )
 
 // Message is one message between control instances; which fields are set depends on its kind.
@@ -119,6 +120,7 @@
 	Commit   core.LogIndex `msgpack:"commit,omitempty"`
 	Round    uint64        `msgpack:"round,omitempty"` // heartbeat round, echoed by the answer
 	Reject   bool          `msgpack:"reject,omitempty"`
+	Handover bool          `msgpack:"handover,omitempty"` // a vote that the leader itself has asked for
 	Snapshot *Snapshot     `msgpack:"snapshot,omitempty"` // Data holds one chunk
 	Offset   uint64        `msgpack:"offset,omitempty"`   // of the chunk, or of the next chunk that is expected
 	Size     uint64        `msgpack:"size,omitempty"`     // of the whole snapshot
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -140,8 +141,18 @@
 	d.end()
 }
 
-// BenchmarkLeaderLoss measures how long no submission is accepted after the leading control instance was killed.
+// BenchmarkLeaderLoss measures how long no submission is accepted after the leading control instance was killed, and
+// after its planned stop began.
 func BenchmarkLeaderLoss(b *testing.B) {
+	b.Run("kill", func(b *testing.B) {
+		measureLeaderLoss(b, func(d *deployment, name string) { d.kill(name) })
+	})
+	b.Run("stop", func(b *testing.B) {
+		measureLeaderLoss(b, func(d *deployment, name string) { d.signal(name, syscall.SIGTERM) })
+	})
+}
+
+func measureLeaderLoss(b *testing.B, end func(d *deployment, name string)) {
 	d := newDeployment(qt.New(b))
 	d.startControls()
 	var longest, sum time.Duration
@@ -150,11 +161,14 @@
 		leading := d.leader()
 		others := lo.Without([]int{1, 2, 3}, leading)
 		rounds++
-		d.kill(fmt.Sprintf("c%d", leading))
+		name := fmt.Sprintf("c%d", leading)
+		process := d.processes[name]
 		began := time.Now()
+		end(d, name)
 		d.submit(d.client(others...), service("after-loss", core.RecordVersion(rounds)))
 		took := time.Since(began)
 		longest, sum = max(longest, took), sum+took
+		_ = process.Wait() // its addresses and data folder are free again
 		d.startControl(leading)
 	}
 	b.ReportMetric(float64(longest.Milliseconds()), "longest-ms")
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"parsleyport/core/catalog"
+	"parsleyport/core/raft"
 	"parsleyport/io/disk"
 	"parsleyport/io/distribution"
 	"parsleyport/io/operatorhttp"
@@ -18,6 +19,9 @@
 	"parsleyport/io/settings"
 )
 
+// handOverTimeout leaves room for three attempts; without a successor, as after the loss of a majority, the stop goes on.
+const handOverTimeout = 3 * raft.HandoverTimeout
+
 // process holds what the parts of one control instance share.
 type process struct {
 	settings settings.Control
@@ -57,12 +61,23 @@
 	select {
 	case <-ctx.Done():
 		p.log.Info().Str("event", "stopping").Msg("control instance stops")
+		p.handOver(replica)
 		return nil
 	case err := <-replica.Failed():
 		return errors.Annotate(err, "replicated log")
 	}
 }
 
+// handOver gives the leadership away before anything else stops, so that the operators' requests which are under way go on
+// at the new leader.
+func (p *process) handOver(replica *raftpeer.Replica) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := replica.HandOver(ctx); err != nil {
+		p.log.Warn().Err(err).Str("event", "not-handed-over").Msg("leadership not handed over")
+	}
+}
+
 // cleanup runs the clean-up functions in reverse order.
 func (p *process) cleanup() {
 	for _, cleanup := range slices.Backward(p.cleanups) {
--- /dev/null
+++ b/io/raftpeer/handover_test.go
@@ -0,0 +1,55 @@
+package raftpeer
+
+import (
+	"testing"
+	"time"
+
+	"parsleyport/core/raft"
+)
+
+func (i *instance) handOver() {
+	i.own = append(i.own, raft.HandOverRequested{})
+}
+
+// Guards against operators who wait for an election timeout because a leader was stopped as planned, and against a
+// submission that is lost while the leadership changes hands.
+func TestHandoverNeedsNoElectionTimeout(t *testing.T) {
+	w, leader := startedWorld(t, 5)
+	w.write("x=1")
+	term := leader.engine.node.Describe().Term
+	committed := 0
+	for range 20 {
+		leader.propose("x=2", func(refused string) {
+			if refused == "" {
+				committed++
+			}
+		})
+	}
+	leader.handOver()
+	w.until(100*time.Millisecond, "another instance leads", func() bool {
+		next := w.leader()
+		return next != nil && next != leader && !leader.leads() && next.engine.node.Describe().Term == term+1
+	})
+	w.until(100*time.Millisecond, "the proposals are answered", func() bool { return committed == 20 })
+	w.converge()
+}
+
+// Guards against a leader that stays closed for proposals when its successor cannot be elected.
+func TestHandoverThatFailsEnds(t *testing.T) {
+	w, leader := startedWorld(t, 3)
+	w.write("x=1")
+	w.lose = func(m raft.Message) bool { return m.Kind == raft.KindElect }
+	leader.handOver()
+	refusal := ""
+	w.advance(2 * tick)
+	leader.propose("x=2", func(refused string) { refusal = refused })
+	w.advance(2 * tick)
+	if refusal != "the leader hands over" {
+		t.Fatalf("a proposal during the handover was not refused: %q", refusal)
+	}
+	w.advance(raft.HandoverTimeout + raft.HeartbeatInterval)
+	if !leader.leads() {
+		t.Fatalf("the leader does not lead on: %s", w.describe())
+	}
+	w.write("x=3")
+}
--- a/io/raftpeer/requests.go
+++ b/io/raftpeer/requests.go
@@ -202,3 +202,23 @@
 		}
 	}
 }
+
+// HandOver gives the leadership, if this instance has it, to the most advanced voter, and returns once another instance
+// leads. It returns ErrNoLeader if the context ends before; a sole voter has nobody to hand over to.
+func (r *Replica) HandOver(ctx context.Context) error {
+	if r.Status().Role != string(raft.Leader) || len(r.Status().Voters) < 2 {
+		return nil
+	}
+	for {
+		status := r.Status()
+		if status.Leader != "" && status.Leader != status.Self {
+			return nil
+		}
+		if status.Role == string(raft.Leader) { // an attempt that is under way is not disturbed
+			_ = r.inputs.Push(ctx, input{event: raft.HandOverRequested{}})
+		}
+		if !r.pause(ctx) {
+			return errors.Annotate(core.ErrNoLeader, "no other instance leads")
+		}
+	}
+}
--- a/io/raftpeer/schedule_test.go
+++ b/io/raftpeer/schedule_test.go
@@ -161,7 +161,7 @@
 	id := w.ids[w.random.IntN(len(w.ids))]
 	other := w.ids[w.random.IntN(len(w.ids))]
 	i := w.instances[id]
-	switch w.random.IntN(11) {
+	switch w.random.IntN(12) {
 	case 0:
 		w.isolate(id, true, false)
 		return "outgoing cut of " + string(id)
@@ -197,6 +197,11 @@
 			o.repairs = id
 			return "wiped disk of " + string(id)
 		}
+	case 10:
+		if leader := w.leader(); leader != nil {
+			leader.own = append(leader.own, raft.HandOverRequested{})
+		}
+		return "handover"
 	}
 	for _, id := range w.ids {
 		if !w.instances[id].up {
