Limit operators' tokens to tenants

One token gave all rights, so tenants who share a platform could not be given one. A token file can now name several tokens, each with all rights or limited to tenants. The owner of a service is the tenant of its service record; the state machine checks it when it applies a command, because a check before that could see an owner which an earlier entry of the log changes.

A check in the API alone was ruled out for that reason, and an owner field beside the tenant because nodes that do not know it would need a new schema version.

--- a/core/catalog/audit.go
+++ b/core/catalog/audit.go
@@ -14,9 +14,11 @@
 type AuditEntry struct {
 	Index      core.LogIndex     `json:"index" msgpack:"index"`
 	At         time.Time         `json:"at" msgpack:"at"`
-	Operator   core.Operator     `json:"operator,omitempty" msgpack:"operator"` // empty for the steps of a move
+	Operator   core.Operator     `json:"operator,omitempty" msgpack:"operator"`     // empty for the steps of a move
+	Token      string            `json:"token,omitempty" msgpack:"token,omitempty"` // name of the operators' token
 	Action     Action            `json:"action" msgpack:"action"`
 	What       []string          `json:"what" msgpack:"what"`
+	Owners     []core.TenantID   `json:"tenants,omitempty" msgpack:"owners,omitempty"` // tenant of each of What
 	Submission core.SubmissionID `json:"submission-id,omitempty" msgpack:"submission-id"`
 	Move       core.MoveID       `json:"move-id,omitempty" msgpack:"move-id"`
 	Result     Result            `json:"result" msgpack:"result"`
@@ -32,6 +34,25 @@
 	Move       core.MoveID
 	Since      time.Time
 	Limit      int // the latest entries up to this number
+	By         Principal
+}
+
+// view returns the entry as the principal may see it: without the lines of other tenants.
+func (f AuditFilter) view(e AuditEntry) (AuditEntry, bool) {
+	if !f.By.IsLimited() || len(e.Owners) != len(e.What) {
+		return e, !f.By.IsLimited() // an entry from before there were owners is the platform's
+	}
+	what, owners := make([]string, 0, len(e.What)), make([]core.TenantID, 0, len(e.What))
+	for i, owner := range e.Owners {
+		if f.By.Sees(owner) {
+			what, owners = append(what, e.What[i]), append(owners, owner)
+		}
+	}
+	if len(what) < len(e.What) {
+		e.Detail, e.Submission = "", "" // they may tell of the rest
+	}
+	e.What, e.Owners = what, owners
+	return e, len(what) > 0
 }
 
 func (f AuditFilter) matches(e AuditEntry) bool {
@@ -126,8 +147,8 @@
 // collect adds matching entries, the newest first.
 func (f AuditFilter) collect(found, trail []AuditEntry) []AuditEntry {
 	for i := len(trail) - 1; i >= 0 && !f.isFull(found); i-- {
-		if f.matches(trail[i]) {
-			found = append(found, trail[i])
+		if entry, visible := f.view(trail[i]); visible && f.matches(entry) {
+			found = append(found, entry)
 		}
 	}
 	return found
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,7 @@
 	Operator   core.Operator      `msgpack:"operator"`
 	Hash       core.Hash          `msgpack:"hash"`
 	Deleted    bool               `msgpack:"deleted"`
+	Owner      core.TenantID      `msgpack:"owner,omitempty"` // of a record that a token of its tenant deleted
 }
 
 // New returns a catalog with revision 0 and no records.
@@ -113,6 +115,7 @@
 	id       core.SubmissionID
 	operator core.Operator
 	what     []string
+	owners   []core.TenantID // of each of what; empty for what concerns the whole deployment
 }
 
 type operatorCommand interface {
@@ -125,12 +128,13 @@
 	if err := decode(e.Body, &body); err != nil {
 		return c.complete(refused(CauseMalformed, "%s: %v", e.Action, err))
 	}
-	from := senderOf(body)
+	by := e.principal()
+	from := c.senderOf(by, body)
 	if from.id == "" || from.operator == "" {
 		return c.complete(refused(CauseMalformed, "%s: submission-id and operator are needed", e.Action))
 	}
 	hash := core.Hash(xxhash.Sum64(append([]byte(e.Action), e.Body...)))
-	if earlier, exists := c.verdicts.byID[from.id]; exists {
+	if earlier, exists := c.verdicts.byID[memoryKey{scope: by.scope(), id: from.id}]; exists {
 		return c.resent(earlier, from, hash)
 	}
 	verdict := run(e, body)
@@ -141,7 +145,11 @@
 		Verdict:  verdict,
 		Operator: from.operator,
 		Hash:     hash,
+		Scope:    by.scope(),
 	})
+	if verdict.Cause == CauseNotPermitted { // what it names may be another tenant's, who must not read of the attempt
+		from.owners = slices.Repeat(by.Tenants[:1], len(from.what))
+	}
 	c.record(index, e, from, verdict)
 	return verdict
 }
@@ -171,8 +179,10 @@
 		Index:      index,
 		At:         e.At,
 		Operator:   from.operator,
+		Token:      e.Token,
 		Action:     e.Action,
 		What:       from.what,
+		Owners:     from.owners,
 		Submission: from.id,
 		Move:       verdict.Move,
 		Result:     verdict.Result,
@@ -201,30 +211,54 @@
 	return nil, &refusal
 }
 
-func senderOf(body any) sender {
+func (c *Catalog) senderOf(by Principal, body any) sender {
 	switch b := body.(type) {
 	case core.Submission:
 		return sender{
 			id:       b.ID,
 			operator: b.Operator,
 			what:     describeSubmission(b),
+			owners:   c.ownersOf(b),
 		}
 	case core.MoveRequest:
 		return sender{
 			id:       b.ID,
 			operator: b.Operator,
 			what:     []string{fmt.Sprintf("move service %s from %s to %s by %s", b.Service, b.From, b.To, b.Deadline.UTC().Format(time.RFC3339))},
+			owners:   []core.TenantID{ServiceTenant(c.configuration, b.Service)},
 		}
 	case Abort:
 		return sender{
 			id:       b.ID,
 			operator: b.Operator,
 			what:     []string{fmt.Sprintf("abort %s", b.MoveID)},
+			owners:   []core.TenantID{c.abortOwner(by, b)},
 		}
 	}
 	return sender{}
 }
 
+// abortOwner leaves the entry to a limited token that names a move which it does not see.
+func (c *Catalog) abortOwner(by Principal, abort Abort) core.TenantID {
+	if owner := ServiceTenant(c.configuration, c.moves[abort.MoveID].Move.Request.Service); by.Sees(owner) {
+		return owner
+	}
+	return by.Tenants[0]
+}
+
+// ownersOf returns the tenant of each line of describeSubmission, as it is before the submission.
+func (c *Catalog) ownersOf(s core.Submission) []core.TenantID {
+	o := newOwners(c.configuration, s.Records)
+	tenants := make([]core.TenantID, 0, len(s.Records)+len(s.Deletes))
+	for _, r := range s.Records {
+		tenants = append(tenants, o.current(r.Kind, r.Name, &r))
+	}
+	for _, d := range s.Deletes {
+		tenants = append(tenants, o.current(d.Kind, d.Name, nil))
+	}
+	return tenants
+}
+
 func describeSubmission(s core.Submission) []string {
 	what := make([]string, 0, len(s.Records)+len(s.Deletes))
 	for _, r := range s.Records {
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -47,6 +47,9 @@
 	At     time.Time          `msgpack:"at"`
 	Floor  core.SchemaVersion `msgpack:"floor"`
 	Body   []byte             `msgpack:"body"`
+
+	Token   string          `msgpack:"token,omitempty"`
+	Tenants []core.TenantID `msgpack:"tenants,omitempty"` // to which the token is limited
 }
 
 // EncodeSubmit checks each record by itself and encodes the submission; floor is the highest schema version that every
--- a/core/catalog/moves.go
+++ b/core/catalog/moves.go
@@ -46,6 +46,9 @@
 }
 
 func (c *Catalog) startMove(e envelope, request core.MoveRequest) Verdict {
+	if !e.principal().Sees(ServiceTenant(c.configuration, request.Service)) {
+		return *notPermitted("service %q does not belong to a tenant of this token", request.Service)
+	}
 	if refusal := c.checkRequest(e.At, request); refusal != nil {
 		return *refusal
 	}
@@ -103,7 +106,7 @@
 
 func (c *Catalog) abortMove(e envelope, abort Abort) Verdict {
 	m, exists := c.moves[abort.MoveID]
-	if !exists {
+	if !exists || !e.principal().Sees(ServiceTenant(c.configuration, m.Move.Request.Service)) {
 		return refused(CauseNotFound, "there is no move %q", abort.MoveID)
 	}
 	verdict := c.advance(m, core.MoveStep{
@@ -134,7 +137,8 @@
 	verdict = c.complete(verdict)
 	if verdict.Result == Accepted {
 		c.record(index, e, sender{
-			what: []string{describeStep(s)},
+			what:   []string{describeStep(s)},
+			owners: []core.TenantID{ServiceTenant(c.configuration, c.moves[s.MoveID].Move.Request.Service)},
 		}, verdict)
 	}
 	return verdict
--- /dev/null
+++ b/core/catalog/principal.go
@@ -0,0 +1,219 @@
+package catalog
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyport/core"
+	"parsleyport/core/record"
+)
+
+// Principal is the operators' token with which a command or a query came. Its secret is not part of it.
+type Principal struct {
+	Token   string          // name of the token, empty if operators need none
+	Tenants []core.TenantID // the tenants to which the token is limited; empty for all rights
+}
+
+// IsLimited reports whether the principal has the rights of some tenants only.
+func (p Principal) IsLimited() bool {
+	return len(p.Tenants) > 0
+}
+
+// Sees reports whether the principal may read and change what belongs to a tenant; an empty tenant stands for the whole
+// deployment.
+func (p Principal) Sees(tenant core.TenantID) bool {
+	return !p.IsLimited() || (tenant != "" && slices.Contains(p.Tenants, tenant))
+}
+
+// scope separates the submission ids of different tenants, so that none learns of or uses up the ids of another.
+func (p Principal) scope() string {
+	names := make([]string, 0, len(p.Tenants))
+	for _, tenant := range p.Tenants {
+		names = append(names, string(tenant))
+	}
+	slices.Sort(names)
+	return strings.Join(names, "\x00")
+}
+
+// WithPrincipal adds the principal to an encoded command; the state machine checks its rights when it applies the
+// command, since the owner of a record may change until then. It returns ErrMalformed for a command that becomes too long.
+func WithPrincipal(command []byte, by Principal) ([]byte, error) {
+	var e envelope
+	if err := decode(command, &e); err != nil {
+		return nil, errors.WithType(err, ErrMalformed)
+	}
+	e.Token, e.Tenants = by.Token, by.Tenants
+	encoded, err := msgpack.Marshal(e)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(encoded) > MaxCommandBytes {
+		return nil, errors.Annotatef(ErrMalformed, "%d bytes, at most %d are allowed", len(encoded), MaxCommandBytes)
+	}
+	return encoded, nil
+}
+
+func (e envelope) principal() Principal {
+	return Principal{
+		Token:   e.Token,
+		Tenants: e.Tenants,
+	}
+}
+
+// owners looks up the tenants of records in a configuration, and in a submission for what the configuration does not have.
+type owners struct {
+	configuration *record.Configuration
+	submitted     map[core.ServiceName]core.TenantID
+}
+
+func newOwners(configuration *record.Configuration, records []core.Record) owners {
+	o := owners{
+		configuration: configuration,
+		submitted:     make(map[core.ServiceName]core.TenantID),
+	}
+	for _, r := range records {
+		if r.Kind == core.KindService {
+			o.submitted[core.ServiceName(r.Name)] = decodeOwner(r).Tenant
+		}
+	}
+	return o
+}
+
+// ownership has the fields of a body that say to whom a record belongs; all schema versions have them.
+type ownership struct {
+	Tenant  core.TenantID    `json:"tenant"`
+	Service core.ServiceName `json:"service"`
+}
+
+func decodeOwner(r core.Record) (o ownership) {
+	if err := json.Unmarshal(r.Body, &o); err != nil {
+		return ownership{} // belongs to no tenant
+	}
+	return o
+}
+
+// service returns the tenant that a service record names, or none if there is no such service.
+func (o owners) service(name core.ServiceName) core.TenantID {
+	if body, exists := o.configuration.Service(name); exists {
+		return body.Tenant
+	}
+	return o.submitted[name]
+}
+
+// record returns the tenant of a record: that of the service to which it refers.
+func (o owners) record(r core.Record) core.TenantID {
+	body := decodeOwner(r)
+	if r.Kind == core.KindService {
+		return body.Tenant
+	}
+	return o.service(body.Service)
+}
+
+// held returns the record of a kind and name in the highest schema version that is in force.
+func (o owners) held(kind core.Kind, name string) (core.Record, bool) {
+	for version := record.NewestSchema; version > 0; version-- {
+		if r, exists := o.configuration.Record(core.RecordKey{Kind: kind, Name: name, SchemaVersion: version}); exists {
+			return r, true
+		}
+	}
+	return core.Record{}, false
+}
+
+// current returns the tenant of what a submitted record or deletion changes.
+func (o owners) current(kind core.Kind, name string, submitted *core.Record) core.TenantID {
+	if held, exists := o.held(kind, name); exists {
+		return o.record(held)
+	}
+	if submitted != nil {
+		return o.record(*submitted)
+	}
+	return ""
+}
+
+// Records returns the records of a configuration that a principal may read.
+func Records(configuration *record.Configuration, by Principal) []core.Record {
+	o := newOwners(configuration, nil)
+	return slices.DeleteFunc(configuration.Records(), func(r core.Record) bool { return !by.Sees(o.record(r)) })
+}
+
+// ServiceTenant returns the tenant to which a service belongs, or none if there is no such service.
+func ServiceTenant(configuration *record.Configuration, service core.ServiceName) core.TenantID {
+	return newOwners(configuration, nil).service(service)
+}
+
+// permit refuses a submission of a limited principal that changes or refers to what belongs to another tenant. The
+// refusals name nothing that the submission does not name.
+func (c *Catalog) permit(by Principal, s core.Submission) *Verdict {
+	if !by.IsLimited() {
+		return nil
+	}
+	o := newOwners(c.configuration, s.Records)
+	for _, r := range s.Records {
+		if !c.permitsRecord(by, o, r) {
+			return notPermitted("%s: the name, or the service that the record names, does not belong to a tenant of this token", describe(r.Key(), r.Version))
+		}
+		if r.Kind == core.KindRoute && c.captures(by, o, r) {
+			return notPermitted("%s: it would take calls from a route of another tenant", describe(r.Key(), r.Version))
+		}
+		if r.Kind == core.KindPolicy && !o.weighsOwn(s.Records, r) {
+			return notPermitted("%s: its weights name an upstream that its service does not have", describe(r.Key(), r.Version))
+		}
+	}
+	for _, d := range s.Deletes {
+		held, exists := o.held(d.Kind, d.Name)
+		if (exists && !by.Sees(o.record(held))) || (!exists && !by.Sees(c.stamps[deletionKey(d)].Owner)) {
+			return notPermitted("%s: there is no such record of a tenant of this token", describe(deletionKey(d), d.Version))
+		}
+	}
+	return nil
+}
+
+// permitsRecord checks the owner before and after the change. The name of a deleted record stays with its last owner, so
+// that no other tenant gets the calls that still refer to it.
+func (c *Catalog) permitsRecord(by Principal, o owners, r core.Record) bool {
+	if held, exists := o.held(r.Kind, r.Name); exists {
+		return by.Sees(o.record(held)) && by.Sees(o.record(r))
+	}
+	for version := core.SchemaVersion(1); version <= record.NewestSchema; version++ {
+		if s, deleted := c.stamps[core.RecordKey{Kind: r.Kind, Name: r.Name, SchemaVersion: version}]; deleted && !by.Sees(s.Owner) {
+			return false
+		}
+	}
+	return by.Sees(o.record(r))
+}
+
+// captures reports whether a route would be chosen for calls that match a route of another tenant now.
+func (c *Catalog) captures(by Principal, o owners, r core.Record) bool {
+	var body core.RouteBody
+	if err := json.Unmarshal(r.Body, &body); err != nil {
+		return true
+	}
+	return slices.ContainsFunc(c.configuration.Overtaken(core.RouteName(r.Name), body), func(other record.Route) bool {
+		return !by.Sees(o.service(other.Service))
+	})
+}
+
+// weighsOwn reports whether each upstream in the weights of a policy belongs to the policy's service.
+func (o owners) weighsOwn(records []core.Record, policy core.Record) bool {
+	var body core.PolicyBody
+	if err := json.Unmarshal(policy.Body, &body); err != nil {
+		return false
+	}
+	return !slices.ContainsFunc(body.Weights, func(w core.Weight) bool {
+		at := slices.IndexFunc(records, func(r core.Record) bool { return r.Kind == core.KindUpstream && r.Name == string(w.Upstream) })
+		if at >= 0 {
+			return decodeOwner(records[at]).Service != body.Service
+		}
+		upstream, exists := o.configuration.Upstream(w.Upstream)
+		return !exists || upstream.Service != body.Service
+	})
+}
+
+func notPermitted(format string, args ...any) *Verdict {
+	refusal := refused(CauseNotPermitted, format, args...)
+	return &refusal
+}
--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -46,7 +46,7 @@
 		Format:    snapshotFormat,
 		Full:      c.configuration.Full(),
 		Stamps:    sortedStamps(c.stamps),
-		Verdicts:  lo.Map(c.verdicts.order, func(id core.SubmissionID, _ int) remembered { return c.verdicts.byID[id] }),
+		Verdicts:  lo.Map(c.verdicts.order, func(key memoryKey, _ int) remembered { return c.verdicts.byID[key] }),
 		Moves:     lo.Map(c.moveOrder, func(id core.MoveID, _ int) move { return c.moves[id] }),
 		MoveCount: c.moveCount,
 		Audit:     c.audit,
--- a/core/catalog/submit.go
+++ b/core/catalog/submit.go
@@ -17,6 +17,7 @@
 type plan struct {
 	catalog  *Catalog
 	author   core.Submission
+	by       Principal
 	at       time.Time
 	upserts  map[core.RecordKey]core.Record
 	deletes  map[core.RecordKey]bool
@@ -28,9 +29,13 @@
 	if err := checkKeys(s); err != nil {
 		return refused(CauseMalformed, "%v", err)
 	}
+	if refusal := c.permit(e.principal(), s); refusal != nil {
+		return *refusal
+	}
 	p := &plan{
 		catalog:  c,
 		author:   s,
+		by:       e.principal(),
 		at:       e.At,
 		upserts:  make(map[core.RecordKey]core.Record),
 		deletes:  make(map[core.RecordKey]bool),
@@ -112,6 +117,7 @@
 	p.deletes[key] = true
 	p.stamp(key, d.Version, 0, true)
 	held, _ := p.catalog.configuration.Record(key)
+	p.keepName(key, held)
 	p.notePolicy(held)
 	return nil
 }
@@ -139,6 +145,20 @@
 	}
 }
 
+// keepName leaves the name of a deleted record to its tenant. It does so only for limited tokens, which are in use once all
+// control instances know owners, so that their states stay equal while the program is being upgraded.
+func (p *plan) keepName(key core.RecordKey, held core.Record) {
+	if !p.by.IsLimited() {
+		return
+	}
+	s := p.stamps[key]
+	s.Owner = newOwners(p.catalog.configuration, nil).record(held)
+	if held.Body == nil {
+		s.Owner = p.catalog.stamps[key].Owner
+	}
+	p.stamps[key] = s
+}
+
 func (p *plan) notePolicy(r core.Record) {
 	if r.Kind != core.KindPolicy {
 		return
--- a/core/catalog/verdict.go
+++ b/core/catalog/verdict.go
@@ -33,6 +33,7 @@
 	CauseMoveOpen     Cause = "move-open"
 	CauseMoveEnded    Cause = "move-ended"
 	CauseWrongStep    Cause = "wrong-step"
+	CauseNotPermitted Cause = "not-permitted" // the token is limited to other tenants
 )
 
 // Winner names the submission that a refused one lost against.
@@ -96,23 +97,37 @@
 	Verdict  Verdict       `msgpack:"verdict"`
 	Operator core.Operator `msgpack:"operator"`
 	Hash     core.Hash     `msgpack:"hash"`
+	Scope    string        `msgpack:"scope,omitempty"`
+}
+
+func (r remembered) key() memoryKey {
+	return memoryKey{
+		scope: r.Scope,
+		id:    r.Verdict.Submission,
+	}
+}
+
+// memoryKey identifies a submission; each set of tenants to which a token is limited has its own ids.
+type memoryKey struct {
+	scope string
+	id    core.SubmissionID
 }
 
 // memory holds the latest verdicts, oldest first in order.
 type memory struct {
-	byID  map[core.SubmissionID]remembered
-	order []core.SubmissionID
+	byID  map[memoryKey]remembered
+	order []memoryKey
 }
 
 func newMemory() memory {
 	return memory{
-		byID: make(map[core.SubmissionID]remembered),
+		byID: make(map[memoryKey]remembered),
 	}
 }
 
 func (m *memory) add(r remembered) {
-	m.byID[r.Verdict.Submission] = r
-	m.order = append(m.order, r.Verdict.Submission)
+	m.byID[r.key()] = r
+	m.order = append(m.order, r.key())
 	if len(m.order) > maxVerdicts {
 		delete(m.byID, m.order[0])
 		m.order = m.order[1:]
--- a/core/record/configuration.go
+++ b/core/record/configuration.go
@@ -3,12 +3,9 @@
 import (
 	"encoding/binary"
 	"encoding/json"
-	"net"
 	"slices"
 	"sort"
 	"strconv"
-	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -40,12 +37,6 @@
 	routes    []Route // longest path prefix first
 }
 
-// Route is a route with its name, ready for matching.
-type Route struct {
-	core.RouteBody
-	Name core.RouteName
-}
-
 // Full is the transferable form of a configuration; records and overrides are sorted.
 type Full struct {
 	Revision  core.Revision   `msgpack:"revision"`
@@ -290,51 +281,6 @@
 	return names
 }
 
-// Match returns the route for a request: the longest path prefix whose host and method fit.
-func (c *Configuration) Match(host, method, path string) (Route, bool) {
-	if bare, _, err := net.SplitHostPort(host); err == nil {
-		host = bare
-	}
-	for _, route := range c.routes {
-		if route.Host != "" && !strings.EqualFold(route.Host, host) {
-			continue
-		}
-		if len(route.Methods) > 0 && !contains(route.Methods, method) {
-			continue
-		}
-		if prefixMatches(path, route.PathPrefix) {
-			return route, true
-		}
-	}
-	return Route{}, false
-}
-
-// Timeout returns the route's timeout.
-func (r Route) Timeout() time.Duration {
-	return time.Duration(r.TimeoutMS) * time.Millisecond
-}
-
-// prefixMatches compares whole path segments, so that /orders does not match /orders-archive.
-func prefixMatches(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
-}
-
-func routeBefore(a, b Route) bool {
-	if len(a.PathPrefix) != len(b.PathPrefix) {
-		return len(a.PathPrefix) > len(b.PathPrefix)
-	}
-	if (a.Host != "") != (b.Host != "") {
-		return a.Host != ""
-	}
-	if (len(a.Methods) > 0) != (len(b.Methods) > 0) {
-		return len(a.Methods) > 0
-	}
-	return a.Name < b.Name
-}
-
 // Records returns all records, sorted by kind, name and schema version.
 func (c *Configuration) Records() []core.Record {
 	records := make([]core.Record, 0, len(c.records))
--- /dev/null
+++ b/core/record/route.go
@@ -0,0 +1,87 @@
+package record
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"parsleyport/core"
+)
+
+// Route is a route with its name, ready for matching.
+type Route struct {
+	core.RouteBody
+	Name core.RouteName
+}
+
+// Match returns the route for a request: the longest path prefix whose host and method fit.
+func (c *Configuration) Match(host, method, path string) (Route, bool) {
+	if bare, _, err := net.SplitHostPort(host); err == nil {
+		host = bare
+	}
+	for _, route := range c.routes {
+		if route.Host != "" && !strings.EqualFold(route.Host, host) {
+			continue
+		}
+		if len(route.Methods) > 0 && !contains(route.Methods, method) {
+			continue
+		}
+		if prefixMatches(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Overtaken returns the other routes that match some of the calls for which a route of this name and body would be chosen.
+func (c *Configuration) Overtaken(name core.RouteName, body core.RouteBody) []Route {
+	added := Route{
+		RouteBody: body,
+		Name:      name,
+	}
+	var overtaken []Route
+	for _, route := range c.routes {
+		if route.Name != name && routeBefore(added, route) && prefixMatches(body.PathPrefix, route.PathPrefix) && sharesCalls(added, route) {
+			overtaken = append(overtaken, route)
+		}
+	}
+	return overtaken
+}
+
+// sharesCalls reports whether two routes have a host and a method in common.
+func sharesCalls(a, b Route) bool {
+	if a.Host != "" && b.Host != "" && !strings.EqualFold(a.Host, b.Host) {
+		return false
+	}
+	if len(a.Methods) == 0 || len(b.Methods) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a.Methods, func(method string) bool { return contains(b.Methods, method) })
+}
+
+// Timeout returns the route's timeout.
+func (r Route) Timeout() time.Duration {
+	return time.Duration(r.TimeoutMS) * time.Millisecond
+}
+
+// prefixMatches compares whole path segments, so that /orders does not match /orders-archive.
+func prefixMatches(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+func routeBefore(a, b Route) bool {
+	if len(a.PathPrefix) != len(b.PathPrefix) {
+		return len(a.PathPrefix) > len(b.PathPrefix)
+	}
+	if (a.Host != "") != (b.Host != "") {
+		return a.Host != ""
+	}
+	if (len(a.Methods) > 0) != (len(b.Methods) > 0) {
+		return len(a.Methods) > 0
+	}
+	return a.Name < b.Name
+}
--- a/io/control/operators.go
+++ b/io/control/operators.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "distribution")
 	}
-	token, err := operatorhttp.ReadToken(p.settings.TokenFile)
+	tokens, err := settings.LoadTokens(p.settings.TokenFile)
 	if err != nil {
 		return nil, errors.Annotate(err, "token-file")
 	}
@@ -34,7 +34,15 @@
 			members: p.settings.Members,
 		},
 		Catalog: records,
-		Token:   token,
+		Tokens: lo.Map(tokens, func(t settings.Token, _ int) operatorhttp.Token {
+			return operatorhttp.Token{
+				Principal: catalog.Principal{
+					Token:   t.Name,
+					Tenants: t.Tenants,
+				},
+				Secret: t.Secret,
+			}
+		}),
 		Fleet: fleet{
 			source:  source,
 			catalog: records,
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -1,12 +1,8 @@
 package operatorhttp
 
 import (
-	"os"
-	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"parsleyport/core"
 )
 
@@ -58,26 +54,11 @@
 
 // Status is the answer of the status operation.
 type Status struct {
-	Current   bool                  `json:"current"` // false if no leader confirmed that the rest is up to date
+	Tenants   []core.TenantID       `json:"tenants,omitempty"` // if the token is limited to them, and so is the rest
+	Current   bool                  `json:"current"`           // false if no leader confirmed that the rest is up to date
 	Revision  core.Revision         `json:"revision"`
 	Hash      string                `json:"hash"`
 	OpenMoves []core.MoveID         `json:"open-moves"`
 	Fleet     FleetStatus           `json:"fleet"`
 	Replica   core.ReplicatorStatus `json:"replica"`
 }
-
-// ReadToken reads the operators' token from a file, without white space around it; an empty path gives no token.
-func ReadToken(path string) (string, error) {
-	if path == "" {
-		return "", nil
-	}
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return "", errors.Annotate(err, "token file")
-	}
-	token := strings.TrimSpace(string(content))
-	if token == "" || len(token) > maxTokenFileBytes {
-		return "", errors.Errorf("token file %s: expected a token of 1 to %d bytes", path, maxTokenFileBytes)
-	}
-	return token, nil
-}
--- a/io/operatorhttp/members.go
+++ b/io/operatorhttp/members.go
@@ -96,6 +96,9 @@
 
 // listMembers is also for times without a leader. An instance outside the membership knows none or an old one.
 func (s *Server) listMembers(ctx context.Context, _ *struct{}) (*output[Members], error) {
+	if err := s.wholeDeployment(ctx); err != nil {
+		return nil, err
+	}
 	self := s.options.Replicator.Status().Self
 	if !lo.ContainsBy(s.options.Membership.Members(), func(m raft.Member) bool { return m.Peer.ID == self }) {
 		s.countError("not-a-member")
@@ -105,6 +108,9 @@
 }
 
 func (s *Server) changeMembers(ctx context.Context, input *changeInput) (*output[Members], error) {
+	if err := s.wholeDeployment(ctx); err != nil {
+		return nil, err
+	}
 	if err := s.checkLeader(); err != nil {
 		return nil, err
 	}
--- a/io/operatorhttp/operations.go
+++ b/io/operatorhttp/operations.go
@@ -95,6 +95,9 @@
 
 // propose takes the command and the error of its encoder; nothing malformed is proposed.
 func (s *Server) propose(ctx context.Context, action catalog.Action, operator core.Operator, command []byte, err error) (*verdictOutput, error) {
+	if err == nil {
+		command, err = catalog.WithPrincipal(command, principalOf(ctx))
+	}
 	if err != nil {
 		s.countError("malformed")
 		return nil, huma.Error422UnprocessableEntity(err.Error())
@@ -116,7 +119,7 @@
 			Body:   verdict,
 		}, nil
 	}
-	s.options.Log.Info().Str("action", string(action)).Str("operator", string(operator)).
+	s.options.Log.Info().Str("action", string(action)).Str("operator", string(operator)).Str("token", principalOf(ctx).Token).
 		Str("submission-id", string(verdict.Submission)).Uint64("revision", uint64(verdict.Revision)).Msg("accepted")
 	return &verdictOutput{
 		Status: http.StatusOK,
@@ -150,7 +153,7 @@
 		return nil, err
 	}
 	return &output[[]core.Move]{
-		Body: s.options.Catalog.Moves(),
+		Body: s.moves(principalOf(ctx)),
 	}, nil
 }
 
@@ -159,7 +162,7 @@
 		return nil, err
 	}
 	move, exists := s.options.Catalog.Move(core.MoveID(input.MoveID))
-	if !exists {
+	if !exists || !principalOf(ctx).Sees(s.tenant(move.Request.Service)) {
 		return nil, huma.Error404NotFound(fmt.Sprintf("there is no move %q", input.MoveID))
 	}
 	return &output[core.Move]{
@@ -168,19 +171,21 @@
 }
 
 func (s *Server) status(ctx context.Context, _ *struct{}) (*output[Status], error) {
+	by := principalOf(ctx)
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	current := s.options.Replicator.ConfirmRead(ctx) == nil
 	configuration := s.options.Catalog.Current()
+	status := Status{
+		Current:   current,
+		Revision:  configuration.Revision(),
+		Hash:      fmt.Sprintf("%016x", uint64(configuration.Hash())),
+		OpenMoves: s.openMoves(by),
+		Fleet:     s.options.Fleet.Fleet(),
+		Replica:   s.options.Replicator.Status(),
+	}
 	return &output[Status]{
-		Body: Status{
-			Current:   current,
-			Revision:  configuration.Revision(),
-			Hash:      fmt.Sprintf("%016x", uint64(configuration.Hash())),
-			OpenMoves: s.openMoves(),
-			Fleet:     s.options.Fleet.Fleet(),
-			Replica:   s.options.Replicator.Status(),
-		},
+		Body: status.visible(by, s.tenant),
 	}, nil
 }
 
@@ -194,6 +199,7 @@
 		Move:       core.MoveID(input.Move),
 		Since:      input.Since,
 		Limit:      input.Limit,
+		By:         principalOf(ctx),
 	})
 	if err != nil { // another instance may hold them
 		s.countError("audit-incomplete")
--- a/io/operatorhttp/operatorhttp_test.go
+++ b/io/operatorhttp/operatorhttp_test.go
@@ -76,6 +76,7 @@
 	return operatorhttp.FleetStatus{
 		Nodes:       3,
 		SchemaFloor: 1,
+		Endpoints:   map[core.ServiceName]int{"a": 1, "b": 2},
 	}
 }
 
@@ -88,12 +89,16 @@
 func start(c *qt.C, token string, replicator *fakeReplicator, otherServers ...string) fixture {
 	c.Helper()
 	replicator.catalog = catalog.New()
+	var tokens []operatorhttp.Token
+	if token != "" {
+		tokens = append(tokens, operatorhttp.Token{Secret: token})
+	}
 	server, stop, err := operatorhttp.New(operatorhttp.Options{
 		Listen:     "127.0.0.1:0",
 		Replicator: replicator,
 		Membership: replicator.membership,
 		Catalog:    replicator.catalog,
-		Token:      token,
+		Tokens:     tokens,
 		Fleet:      fakeFleet{},
 		Log:        zerolog.Nop(),
 		Metrics:    metrics.NewSet(),
--- a/io/operatorhttp/server.go
+++ b/io/operatorhttp/server.go
@@ -3,13 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/danielgtaylor/huma/v2"
@@ -22,13 +19,13 @@
 	"parsleyport/core/catalog"
 )
 
-// Options are what a Server works with; Token is empty if operators need none.
+// Options are what a Server works with; Tokens is empty if operators need none.
 type Options struct {
 	Listen     string
 	Replicator core.Replicator
 	Membership Membership
 	Catalog    *catalog.Catalog
-	Token      string
+	Tokens     []Token
 	Fleet      FleetView
 	Log        zerolog.Logger
 	Metrics    *metrics.Set
@@ -37,6 +34,7 @@
 // Server is the operators' API of one control instance.
 type Server struct {
 	options  Options
+	guard    guard
 	listener net.Listener
 	requests chan struct{} // one item for each request under way
 }
@@ -50,6 +48,7 @@
 	}
 	s := &Server{
 		options:  options,
+		guard:    newGuard(options.Tokens),
 		listener: listener,
 		requests: make(chan struct{}, maxRequests),
 	}
@@ -94,13 +93,22 @@
 	config.CreateHooks = nil                     // no schema links in answers
 	api := humago.New(mux, config)
 	s.register(api)
-	open := http.NewServeMux() // metrics need no token and are read under overload too
-	open.HandleFunc("GET "+metricsPath, func(w http.ResponseWriter, _ *http.Request) {
+	open := http.NewServeMux()
+	open.Handle("GET "+metricsPath, s.metrics())
+	open.Handle("/", s.bounded(s.authorized(s.whole(mux))))
+	return open
+}
+
+// metrics are read under overload too. They are of all tenants together, so they need a token once tokens are limited.
+func (s *Server) metrics() http.Handler {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		s.options.Metrics.WritePrometheus(w)
 	})
-	open.Handle("/", s.bounded(s.authorized(s.whole(mux))))
-	return open
+	if s.guard.hasLimited() {
+		return s.unlimited(handler)
+	}
+	return handler
 }
 
 // whole reads the body before anything else looks at it: huma answers a cut body with status 500, which would tell the
@@ -136,21 +144,6 @@
 	})
 }
 
-// authorized compares hashes, so that the time of the comparison tells nothing of the token, not even its length.
-func (s *Server) authorized(next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte(s.options.Token))
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		got := sha256.Sum256([]byte(token))
-		if s.options.Token != "" && subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
-			s.countError("unauthorized")
-			http.Error(w, "the operators' token is missing or wrong", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (s *Server) countError(cause string) {
 	s.options.Metrics.GetOrCreateCounter(fmt.Sprintf("parsleyport_operator_errors_total{cause=%q}", cause)).Inc()
 }
@@ -165,11 +158,19 @@
 	gauge("parsleyport_revision", func() float64 { return float64(s.options.Catalog.Current().Revision()) })
 	gauge("parsleyport_revision_lowest_in_force", func() float64 { return float64(s.options.Fleet.Fleet().LowestInForce) })
 	gauge("parsleyport_nodes", func() float64 { return float64(s.options.Fleet.Fleet().Nodes) })
-	gauge("parsleyport_moves_open", func() float64 { return float64(len(s.openMoves())) })
+	gauge("parsleyport_moves_open", func() float64 { return float64(len(s.openMoves(catalog.Principal{}))) })
 }
 
-func (s *Server) openMoves() []core.MoveID {
-	return lo.FilterMap(s.options.Catalog.Moves(), func(m core.Move, _ int) (core.MoveID, bool) {
+func (s *Server) openMoves(by catalog.Principal) []core.MoveID {
+	return lo.FilterMap(s.moves(by), func(m core.Move, _ int) (core.MoveID, bool) {
 		return m.MoveID, !catalog.Ended(m.State)
 	})
 }
+
+func (s *Server) moves(by catalog.Principal) []core.Move {
+	return lo.Filter(s.options.Catalog.Moves(), func(m core.Move, _ int) bool { return by.Sees(s.tenant(m.Request.Service)) })
+}
+
+func (s *Server) tenant(service core.ServiceName) core.TenantID {
+	return catalog.ServiceTenant(s.options.Catalog.Current(), service)
+}
--- a/io/settings/node.go
+++ b/io/settings/node.go
@@ -71,7 +71,7 @@
 	for _, e := range elements {
 		text, isText := literal(e.value)
 		if !isText || !isAddress(text) {
-			r.fault(e.line, e.path, expectAddress, shown(e.value))
+			r.fault(e.line, e.path, expectAddress, r.shown(e.value))
 			continue
 		}
 		if slices.Contains(addresses, text) {
--- a/io/settings/reader.go
+++ b/io/settings/reader.go
@@ -38,6 +38,7 @@
 	file   string
 	source []byte
 	faults []Fault
+	hidden bool // values are secret and not shown in faults
 }
 
 // object is one JSON object; take removes the keys that are known, so that the rest is unknown.
@@ -126,7 +127,7 @@
 func (r *reader) object(e element) (*object, bool) {
 	parsed, isObject := e.value.Value.(*hujson.Object)
 	if !isObject {
-		r.fault(e.line, e.path, "an object", shown(e.value))
+		r.fault(e.line, e.path, "an object", r.shown(e.value))
 		return nil, false
 	}
 	o := &object{
@@ -191,7 +192,7 @@
 	}
 	text, isText := literal(value)
 	if !isText || !valid(text) {
-		o.fault(name, expected, shown(value))
+		o.fault(name, expected, o.reader.shown(value))
 		return ""
 	}
 	return text
@@ -222,7 +223,7 @@
 	}
 	text, isLiteral := value.Value.(hujson.Literal)
 	if !isLiteral || (text.Kind() != 't' && text.Kind() != 'f') {
-		o.fault(name, "true or false", shown(value))
+		o.fault(name, "true or false", o.reader.shown(value))
 		return false
 	}
 	return text.Bool()
@@ -247,7 +248,7 @@
 	}
 	array, isArray := value.Value.(*hujson.Array)
 	if !isArray || len(array.Elements) == 0 {
-		o.fault(name, expected, shown(value))
+		o.fault(name, expected, o.reader.shown(value))
 		return nil
 	}
 	return lo.Map(array.Elements, func(each hujson.Value, i int) element {
@@ -277,7 +278,11 @@
 	return text.String(), true
 }
 
-func shown(value hujson.Value) string {
+// shown returns the value for a message.
+func (r *reader) shown(value hujson.Value) string {
+	if r.hidden {
+		return "something else"
+	}
 	clone := value.Clone()
 	clone.BeforeExtra, clone.AfterExtra = nil, nil
 	clone.Minimize()
