Enter membership changes into the audit trail

Membership changes are entries of the replicated log that the state machine does not see, so they were in the local logs only. The leader now commits an entry before it proposes a change and one with the result after the decision, both under the submission id of the request; resends add none. The change commands need an operator.

One entry after the change was ruled out: an instance that is lost in between would leave a change without a trace. Before, the new test found no entries; without the recorded result, a refused change was tried again under its id.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -104,6 +104,8 @@
 		return decodeAndRun(c, index, e, c.startMove)
 	case ActionAbort:
 		return decodeAndRun(c, index, e, c.abortMove)
+	case ActionMembers:
+		return decodeAndRun(c, index, e, c.recordMembership)
 	case ActionStep:
 		return c.step(index, e)
 	}
@@ -119,7 +121,7 @@
 }
 
 type operatorCommand interface {
-	core.Submission | core.MoveRequest | Abort
+	core.Submission | core.MoveRequest | Abort | MembershipChange
 }
 
 // decodeAndRun answers a resend from memory, and otherwise runs the command and remembers its verdict.
@@ -134,7 +136,8 @@
 		return c.complete(refused(CauseMalformed, "%s: submission-id and operator are needed", e.Action))
 	}
 	hash := core.Hash(xxhash.Sum64(append([]byte(e.Action), e.Body...)))
-	if earlier, exists := c.verdicts.byID[memoryKey{scope: by.scope(), id: from.id}]; exists {
+	scope := scopeOf(by, body)
+	if earlier, exists := c.verdicts.byID[memoryKey{scope: scope, id: from.id}]; exists {
 		return c.resent(earlier, from, hash)
 	}
 	verdict := run(e, body)
@@ -145,7 +148,7 @@
 		Verdict:  verdict,
 		Operator: from.operator,
 		Hash:     hash,
-		Scope:    by.scope(),
+		Scope:    scope,
 	})
 	if verdict.Cause == CauseNotPermitted { // what it names may be another tenant's, who must not read of the attempt
 		from.owners = slices.Repeat(by.Tenants[:1], len(from.what))
@@ -234,6 +237,8 @@
 			what:     []string{fmt.Sprintf("abort %s", b.MoveID)},
 			owners:   []core.TenantID{c.abortOwner(by, b)},
 		}
+	case MembershipChange:
+		return b.sender()
 	}
 	return sender{}
 }
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -28,10 +28,11 @@
 
 // The actions.
 const (
-	ActionSubmit Action = "submit"
-	ActionMove   Action = "move"
-	ActionStep   Action = "step"
-	ActionAbort  Action = "abort"
+	ActionSubmit  Action = "submit"
+	ActionMove    Action = "move"
+	ActionStep    Action = "step"
+	ActionAbort   Action = "abort"
+	ActionMembers Action = "members"
 )
 
 // Abort asks to take an open move back.
--- /dev/null
+++ b/core/catalog/members.go
@@ -0,0 +1,74 @@
+package catalog
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// MembershipChange is an entry about a change of the control instances. The change itself is in the replicated log, not in
+// this state: the entry with the result Requested comes before it, and one with the result Accepted or Refused after it.
+// A request without a result is one whose outcome no instance could record.
+type MembershipChange struct {
+	ID       core.SubmissionID `msgpack:"submission-id"`
+	Operator core.Operator     `msgpack:"operator"`
+	Change   string            `msgpack:"change"`
+	Instance core.ControlID    `msgpack:"instance"`
+	Identity string            `msgpack:"identity"`
+	Result   Result            `msgpack:"result"`
+	Detail   string            `msgpack:"detail,omitempty"`
+}
+
+// resultScope keeps the result of a membership change apart from its request, which has the same submission id.
+const resultScope = "members-result\x00"
+
+// EncodeMembershipChange encodes an entry about a membership change; it returns ErrMalformed.
+func EncodeMembershipChange(at time.Time, change MembershipChange) ([]byte, error) {
+	if err := checkSender(change.ID, change.Operator); err != nil {
+		return nil, err
+	}
+	if err := checkNames(change.Change, string(change.Instance), change.Identity); err != nil {
+		return nil, err
+	}
+	if len(change.Detail) > maxTextBytes {
+		return nil, errors.Annotatef(ErrMalformed, "detail of a membership change has more than %d bytes", maxTextBytes)
+	}
+	return encode(ActionMembers, at, 0, change)
+}
+
+// MembershipResult returns the recorded result of a membership change.
+func (c *Catalog) MembershipResult(by Principal, id core.SubmissionID) (Verdict, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	earlier, exists := c.verdicts.byID[memoryKey{scope: resultScope + by.scope(), id: id}]
+	return earlier.Verdict, exists
+}
+
+func (c *Catalog) recordMembership(e envelope, change MembershipChange) Verdict {
+	if e.principal().IsLimited() {
+		return *notPermitted("membership changes need a token with all rights")
+	}
+	return Verdict{
+		Result: change.Result,
+		Detail: change.Detail,
+	}
+}
+
+func (m MembershipChange) sender() sender {
+	return sender{
+		id:       m.ID,
+		operator: m.Operator,
+		what:     []string{fmt.Sprintf("%s member %s identity %s", m.Change, m.Instance, m.Identity)},
+		owners:   []core.TenantID{""},
+	}
+}
+
+func scopeOf(by Principal, body any) string {
+	if change, is := body.(MembershipChange); is && change.Result != Requested {
+		return resultScope + by.scope()
+	}
+	return by.scope()
+}
--- a/core/catalog/verdict.go
+++ b/core/catalog/verdict.go
@@ -16,6 +16,8 @@
 const (
 	Accepted Result = "accepted"
 	Refused  Result = "refused"
+	// Requested is the result of a membership change in the audit trail before it is decided.
+	Requested Result = "requested"
 )
 
 // Cause is the kind of a refusal.
--- a/e2e/members_test.go
+++ b/e2e/members_test.go
@@ -23,7 +23,9 @@
 	for i := 1; i <= controls; i++ {
 		args = append(args, "--server", d.operator(i))
 	}
-	output, err := exec.Command(programs.parsleyport, args...).CombinedOutput()
+	command := exec.Command(programs.parsleyport, args...)
+	command.Env = append(os.Environ(), "PARSLEYPORT_OPERATOR=e2e")
+	output, err := command.CombinedOutput()
 	return string(output), err == nil
 }
 
--- a/io/cli/members.go
+++ b/io/cli/members.go
@@ -34,7 +34,12 @@
 		return p.fail(StatusRefused, err)
 	}
 	members, err = request(ctx, o, func(ctx context.Context) (operatorhttp.Members, error) {
-		return client.ChangeMembers(ctx, kind, peer)
+		return client.ChangeMembers(ctx, operatorhttp.MemberChange{
+			ID:       o.submissionID,
+			Operator: o.operator,
+			Kind:     kind,
+			Peer:     peer,
+		})
 	})
 	if err != nil {
 		return p.failRequest(err)
--- a/io/cli/members_test.go
+++ b/io/cli/members_test.go
@@ -14,6 +14,8 @@
 // that takes a refused or unanswered change for a success.
 func TestMembersCommands(t *testing.T) {
 	f := newFixture(t)
+	f.c.Assert(f.run(StatusUsage, "members", "replace", "c2"), qt.Contains, "--operator or PARSLEYPORT_OPERATOR is needed")
+	f.c.Setenv(operatorVariable, "amina")
 	f.replicator.leader = "c1"
 	f.replicator.members = []raft.Member{
 		{Peer: raft.Peer{ID: "c1", Identity: "a"}, Voter: true},
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"crypto/rand"
 	"io"
 	"net/netip"
 	"os"
@@ -48,6 +49,8 @@
 	commandMembersRemove  = "members remove"
 )
 
+const derivedID = "derived from the content"
+
 // options holds every option and argument of all commands, checked.
 type options struct {
 	command      string
@@ -128,7 +131,7 @@
 func addSubmissionCommands(app *kingpin.Application, r *raw) {
 	apply := app.Command(commandApply, "Submit record files, each as one submission, up to the first that is refused.\n\nExample: parsleyport apply --server 127.0.0.1:7101 orders.jsonc")
 	apply.Arg("file", "Record file, JSON with comments.").Required().StringsVar(&r.files)
-	addOperator(apply, r)
+	addOperator(apply, r, derivedID)
 
 	move := app.Command(commandMove, "Move a service's traffic from one upstream to another.\n\nExample: parsleyport move --server 127.0.0.1:7101 --operator amina --service orders --from orders-v1 --to orders-v2 --by 10m")
 	move.Flag("service", "Service whose traffic moves.").Required().StringVar((*string)(&r.service))
@@ -137,11 +140,11 @@
 	move.Flag("by", "Time by which traffic must have moved: 2026-12-04T10:00:00Z, or from now: 10m.").Required().StringVar(&r.by)
 	move.Flag("max-risk", "Largest share at risk before the evidence passes, per mille; 0 for the default of 15.").Uint32Var(&r.maxRisk)
 	move.Flag("wait", "Wait until the move has ended; exit status 1 unless it is done.").BoolVar(&r.wait)
-	addOperator(move, r)
+	addOperator(move, r, derivedID)
 
 	abort := app.Command(commandAbort, "Take an open move back.\n\nExample: parsleyport abort --server 127.0.0.1:7101 --operator amina m3")
 	abort.Arg("move-id", "Move to take back.").Required().StringVar((*string)(&r.moveID))
-	addOperator(abort, r)
+	addOperator(abort, r, derivedID)
 
 	for _, command := range []*kingpin.CmdClause{apply, move, abort} {
 		addRemote(command, r)
@@ -178,6 +181,7 @@
 		{"remove", "Remove a voter or a learner."},
 	} {
 		change := members.Command(each.name, each.help+"\n\nExample: parsleyport members "+each.name+" --server 127.0.0.1:7101 c2")
+		addOperator(change, r, "new for each run")
 		change.Arg("id", "Control instance as in the settings.").Required().StringVar((*string)(&r.member))
 	}
 }
@@ -195,9 +199,10 @@
 	app.Command(commandVersion, "Print the version from the build information.\n\nExample: parsleyport version")
 }
 
-func addOperator(command *kingpin.CmdClause, r *raw) {
+// addOperator describes the submission id that is used if none is given.
+func addOperator(command *kingpin.CmdClause, r *raw, otherwise string) {
 	command.Flag("operator", "Who submits. Otherwise the record file names the operator, or "+operatorVariable+" does.").StringVar((*string)(&r.operator))
-	command.Flag("submission-id", "Id that makes a resend harmless; derived from the content if there is none.").StringVar((*string)(&r.submissionID))
+	command.Flag("submission-id", "Id that makes a resend harmless; "+otherwise+" if there is none.").StringVar((*string)(&r.submissionID))
 }
 
 func addRemote(command *kingpin.CmdClause, r *raw) {
@@ -217,12 +222,12 @@
 	switch o.command {
 	case commandApply:
 		o.fallback = core.Operator(os.Getenv(operatorVariable))
-	case commandMove, commandAbort:
+	case commandMove, commandAbort, commandMembersReplace, commandMembersAdd, commandMembersPromote, commandMembersRemove:
 		if o.operator == "" {
 			o.operator = core.Operator(os.Getenv(operatorVariable))
 		}
 	case commandMoves, commandStatus, commandAudit:
-	case commandMembersList, commandMembersReplace, commandMembersAdd, commandMembersPromote, commandMembersRemove:
+	case commandMembersList:
 	default:
 		return o, nil
 	}
@@ -256,10 +261,14 @@
 
 func (r raw) checkSender(o *options, _ time.Time) error {
 	switch o.command {
-	case commandMove, commandAbort:
+	case commandMove, commandAbort, commandMembersReplace, commandMembersAdd, commandMembersPromote, commandMembersRemove:
 		if o.operator == "" {
 			return errors.Errorf("--operator or %s is needed", operatorVariable)
 		}
+		if o.submissionID == "" && strings.HasPrefix(o.command, commandMembers) {
+			// The same change may be wanted again later, so its content does not identify it.
+			o.submissionID = core.SubmissionID("members-" + strings.ToLower(rand.Text()))
+		}
 	case commandApply:
 		if o.submissionID != "" && len(o.files) > 1 {
 			return errors.Errorf("--submission-id fits one file, but %d are given", len(o.files))
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -8,7 +8,8 @@
 
 // Limits of the API.
 const (
-	proposeTimeout    = 4 * time.Second // below the client's attempt, so that the client reads the reason
+	proposeTimeout    = 4 * time.Second         // below the client's attempt, so that the client reads the reason
+	recordTimeout     = 1500 * time.Millisecond // of an entry about a membership change, beside proposeTimeout
 	confirmTimeout    = 4 * time.Second
 	statusTimeout     = time.Second // status is also for times without a leader
 	headerTimeout     = 5 * time.Second
--- a/io/operatorhttp/client.go
+++ b/io/operatorhttp/client.go
@@ -16,7 +16,6 @@
 
 	"parsleyport/core"
 	"parsleyport/core/catalog"
-	"parsleyport/core/raft"
 )
 
 // Errors of a Client; core.ErrOutcomeUnknown means that a command may have been committed.
@@ -122,10 +121,12 @@
 
 // ChangeMembers asks the leader for a membership change, whose address and data centre it knows itself; a promotion
 // waits until the learner has caught up. Its errors are those of Submit.
-func (c *Client) ChangeMembers(ctx context.Context, kind raft.ChangeKind, peer raft.Peer) (Members, error) {
-	path := strings.NewReplacer("{id}", url.PathEscape(string(peer.ID)), "{change}", string(kind)).Replace(changePath)
+func (c *Client) ChangeMembers(ctx context.Context, change MemberChange) (Members, error) {
+	path := strings.NewReplacer("{id}", url.PathEscape(string(change.Peer.ID)), "{change}", string(change.Kind)).Replace(changePath)
 	return command[Members](ctx, c, path, changeBody{
-		Identity: peer.Identity,
+		Submission: change.ID,
+		Operator:   change.Operator,
+		Identity:   change.Peer.Identity,
 	})
 }
 
--- a/io/operatorhttp/members.go
+++ b/io/operatorhttp/members.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 	"github.com/juju/errors"
 	"github.com/samber/lo"
 
 	"parsleyport/core"
+	"parsleyport/core/catalog"
 	"parsleyport/core/raft"
 )
 
@@ -40,8 +42,19 @@
 	Reason string          `json:"reason"`
 }
 
+// MemberChange asks for a membership change; the identity of the peer makes a resend harmless, and the id keeps it to one
+// request in the audit trail.
+type MemberChange struct {
+	ID       core.SubmissionID
+	Operator core.Operator
+	Kind     raft.ChangeKind
+	Peer     raft.Peer
+}
+
 type changeBody struct {
-	Identity raft.Identity `json:"identity" minLength:"1"` // makes a resend harmless
+	Submission core.SubmissionID `json:"submission-id"`
+	Operator   core.Operator     `json:"operator"`
+	Identity   raft.Identity     `json:"identity" minLength:"1"`
 }
 
 type changeInput struct {
@@ -50,6 +63,16 @@
 	Body   changeBody
 }
 
+func (c *changeInput) change() raft.Change {
+	return raft.Change{
+		Kind: raft.ChangeKind(c.Change),
+		Peer: raft.Peer{
+			ID:       core.ControlID(c.ID),
+			Identity: c.Body.Identity,
+		},
+	}
+}
+
 // missing lists what separates the membership from one in which every known instance votes.
 func missing(members []raft.Member, nonMembers []raft.Peer) []MissingChange {
 	changes := []MissingChange{}
@@ -114,16 +137,13 @@
 	if err := s.checkLeader(); err != nil {
 		return nil, err
 	}
-	term := s.options.Replicator.Status().Term
-	change := raft.Change{
-		Kind: raft.ChangeKind(input.Change),
-		Peer: raft.Peer{
-			ID:       core.ControlID(input.ID),
-			Identity: input.Body.Identity,
-		},
-	}
 	proposing, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	if earlier, err := s.requestMembership(proposing, input); err != nil || earlier != nil {
+		return earlier, err
+	}
+	term := s.options.Replicator.Status().Term
+	change := input.change()
 	switch err := s.options.Membership.Change(proposing, change); {
 	case errors.Is(err, raft.ErrTransient):
 		s.countError("membership-busy")
@@ -132,12 +152,77 @@
 		return nil, s.unavailable(err)
 	case err != nil && !(isInForce(change, s.options.Membership.Members()) && s.leadsSince(term)):
 		s.countError("membership-refused")
+		if err := s.recordResult(ctx, input, catalog.Refused, err.Error()); err != nil {
+			return nil, err
+		}
 		return nil, huma.Error422UnprocessableEntity(err.Error())
 	}
-	s.options.Log.Info().Str("change", input.Change).Str("id", input.ID).Msg("membership change accepted")
+	if err := s.recordResult(ctx, input, catalog.Accepted, ""); err != nil {
+		return nil, err
+	}
+	s.options.Log.Info().Str("change", input.Change).Str("id", input.ID).Str("operator", string(input.Body.Operator)).
+		Str("token", principalOf(ctx).Token).Msg("membership change accepted")
 	return s.describeMembers(ctx), nil
 }
 
+// requestMembership enters the request into the audit trail before anything is changed. It returns an answer if the
+// submission has a result already.
+func (s *Server) requestMembership(ctx context.Context, input *changeInput) (*output[Members], error) {
+	verdict, err := s.recordMembership(ctx, input, catalog.Requested, "")
+	if err != nil {
+		return nil, err
+	}
+	if earlier, exists := s.options.Catalog.MembershipResult(principalOf(ctx), input.Body.Submission); exists && verdict.Result != catalog.Refused {
+		if earlier.Result == catalog.Accepted {
+			return s.describeMembers(ctx), nil
+		}
+		verdict = earlier
+	}
+	if verdict.Result == catalog.Refused {
+		return nil, huma.Error422UnprocessableEntity(verdict.Detail)
+	}
+	return nil, nil
+}
+
+// recordResult fails if the result is not in the audit trail for sure; the client then sends the change again.
+func (s *Server) recordResult(ctx context.Context, input *changeInput, result catalog.Result, detail string) error {
+	if _, err := s.recordMembership(ctx, input, result, detail); err != nil {
+		s.countError("membership-not-recorded")
+		return huma.Error504GatewayTimeout(fmt.Sprintf("%s of %s was %s, but the audit trail does not have this yet: %v", input.Change, input.ID, result, err))
+	}
+	return nil
+}
+
+func (s *Server) recordMembership(ctx context.Context, input *changeInput, result catalog.Result, detail string) (catalog.Verdict, error) {
+	command, err := catalog.EncodeMembershipChange(time.Now(), catalog.MembershipChange{
+		ID:       input.Body.Submission,
+		Operator: input.Body.Operator,
+		Change:   input.Change,
+		Instance: core.ControlID(input.ID),
+		Identity: string(input.Body.Identity),
+		Result:   result,
+		Detail:   detail,
+	})
+	if err == nil {
+		command, err = catalog.WithPrincipal(command, principalOf(ctx))
+	}
+	if err != nil {
+		s.countError("malformed")
+		return catalog.Verdict{}, huma.Error422UnprocessableEntity(err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	answer, err := s.options.Replicator.Propose(ctx, command)
+	if err != nil {
+		return catalog.Verdict{}, s.unavailable(err)
+	}
+	verdict, err := catalog.DecodeVerdict(answer)
+	if err != nil {
+		return catalog.Verdict{}, s.unavailable(err)
+	}
+	return verdict, nil
+}
+
 // checkLeader keeps membership changes at the leader, which alone knows whether a learner has caught up.
 func (s *Server) checkLeader() error {
 	status := s.options.Replicator.Status()
--- a/io/operatorhttp/members_test.go
+++ b/io/operatorhttp/members_test.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/catalog"
 	"parsleyport/core/raft"
 	"parsleyport/io/operatorhttp"
 )
@@ -41,6 +42,10 @@
 	}
 }
 
+func change(kind raft.ChangeKind, peer raft.Peer) operatorhttp.MemberChange {
+	return operatorhttp.MemberChange{ID: core.SubmissionID(kind) + core.SubmissionID(peer.Identity), Operator: "amina", Kind: kind, Peer: peer}
+}
+
 // Guards against a change that a follower takes, and against a client that gives up there.
 func TestMembershipChangesGoToTheLeader(t *testing.T) {
 	c := qt.New(t)
@@ -48,13 +53,13 @@
 	rejecting := &fakeMembership{members: []raft.Member{voter("c1")}}
 	follower.membership = rejecting
 	first := start(c, "", follower)
-	_, err := first.client.ChangeMembers(within(c, 300*time.Millisecond), raft.ChangePromote, raft.Peer{ID: "c2", Identity: "b"})
+	_, err := first.client.ChangeMembers(within(c, 300*time.Millisecond), change(raft.ChangePromote, raft.Peer{ID: "c2", Identity: "b"}))
 	c.Assert(errors.Is(err, operatorhttp.ErrUnreachable), qt.IsTrue)
 	c.Assert(err, qt.ErrorMatches, ".*c1 is not the leader; the leader is c2")
 
 	taken := &fakeMembership{members: []raft.Member{voter("c1")}, errors: []error{nil}}
 	second := start(c, "", &fakeReplicator{leader: "c1", membership: taken}, first.address)
-	members, err := second.client.ChangeMembers(within(c, 5*time.Second), raft.ChangeAdd, raft.Peer{ID: "c4", Identity: "d"})
+	members, err := second.client.ChangeMembers(within(c, 5*time.Second), change(raft.ChangeAdd, raft.Peer{ID: "c4", Identity: "d"}))
 	c.Assert(err, qt.IsNil)
 	c.Assert(members.Missing, qt.HasLen, 1)
 	c.Assert(rejecting.changes, qt.HasLen, 0)
@@ -75,10 +80,10 @@
 		},
 	}
 	f := start(c, "", &fakeReplicator{leader: "c1", membership: membership})
-	_, err := f.client.ChangeMembers(within(c, 5*time.Second), raft.ChangePromote, voter("c2").Peer)
+	_, err := f.client.ChangeMembers(within(c, 5*time.Second), change(raft.ChangePromote, voter("c2").Peer))
 	c.Assert(err, qt.IsNil)
 	c.Assert(membership.changes, qt.HasLen, 3)
-	_, err = f.client.ChangeMembers(within(c, 5*time.Second), raft.ChangePromote, raft.Peer{ID: "c2", Identity: "other"})
+	_, err = f.client.ChangeMembers(within(c, 5*time.Second), change(raft.ChangePromote, raft.Peer{ID: "c2", Identity: "other"}))
 	c.Assert(errors.Is(err, operatorhttp.ErrRejected), qt.IsTrue)
 }
 
@@ -98,3 +103,47 @@
 	c.Assert(members.Current, qt.IsFalse)
 	c.Assert(members.ToleratedFailures, qt.Equals, 1)
 }
+
+// Guards against a membership change that leaves no trace in the audit trail, or several for one request.
+func TestMembershipChangesAreInTheAuditTrail(t *testing.T) {
+	c := qt.New(t)
+	membership := &fakeMembership{
+		members: []raft.Member{voter("c1"), voter("c2")},
+		errors: []error{
+			raft.RefusalError("another membership change is under way"), // resent, not a result
+			nil,
+			errors.NotValidf("promotion"), // the resend, since the result is not recorded; it is in force
+			errors.NotValidf("removal"),
+		},
+	}
+	replicator := &fakeReplicator{leader: "c1", membership: membership}
+	replicator.fail = func(proposal int, _ func()) error {
+		if proposal == 3 { // the result of the first change, after the request and its resend
+			return core.ErrNoLeader
+		}
+		return nil
+	}
+	f := start(c, "", replicator)
+	ctx := within(c, 10*time.Second)
+	_, err := f.client.ChangeMembers(ctx, change(raft.ChangePromote, voter("c2").Peer))
+	c.Assert(err, qt.IsNil)
+	refused := change(raft.ChangeRemove, voter("c1").Peer)
+	for range 2 {
+		_, err = f.client.ChangeMembers(ctx, refused)
+		c.Assert(err, qt.ErrorMatches, ".*removal not valid")
+	}
+	c.Assert(membership.errors, qt.HasLen, 0, qt.Commentf("the change was not tried, or a refused one was tried again"))
+	entries, err := f.client.Audit(ctx, catalog.AuditFilter{Operator: "amina"})
+	c.Assert(err, qt.IsNil)
+	results := make([]catalog.Result, 0, len(entries))
+	for _, entry := range entries {
+		c.Assert(entry.Action, qt.Equals, catalog.ActionMembers)
+		results = append(results, entry.Result)
+	}
+	c.Assert(results, qt.DeepEquals, []catalog.Result{catalog.Requested, catalog.Accepted, catalog.Requested, catalog.Refused})
+	c.Assert(entries[1].What, qt.DeepEquals, []string{"promote member c2 identity c2"})
+	entries, err = f.client.Audit(ctx, catalog.AuditFilter{Submission: refused.ID})
+	c.Assert(err, qt.IsNil)
+	c.Assert(entries, qt.HasLen, 2)
+	c.Assert(entries[1].Detail, qt.Equals, "removal not valid")
+}
