--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -28,10 +28,11 @@
 
 // The actions.
 const (
-	ActionSubmit Action = "submit"
-	ActionMove   Action = "move"
-	ActionStep   Action = "step"
-	ActionAbort  Action = "abort"
+	ActionSubmit  Action = "submit"
+	ActionMove    Action = "move"
+	ActionStep    Action = "step"
+	ActionAbort   Action = "abort"
+	ActionMembers Action = "members"
 )
 
 // Abort asks to take an open move back.
@@ -47,6 +48,9 @@
 	At     time.Time          `msgpack:"at"`
 	Floor  core.SchemaVersion `msgpack:"floor"`
 	Body   []byte             `msgpack:"body"`
+
+	Token   string          `msgpack:"token,omitempty"`
+	Tenants []core.TenantID `msgpack:"tenants,omitempty"` // to which the token is limited
 }
 
 // EncodeSubmit checks each record by itself and encodes the submission; floor is the highest schema version that every
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -1,18 +1,15 @@
 package operatorhttp
 
 import (
-	"os"
-	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"parsleyport/core"
 )
 
 // Limits of the API.
 const (
-	proposeTimeout    = 4 * time.Second // below the client's attempt, so that the client reads the reason
+	proposeTimeout    = 4 * time.Second         // below the client's attempt, so that the client reads the reason
+	recordTimeout     = 1500 * time.Millisecond // of an entry about a membership change, beside proposeTimeout
 	confirmTimeout    = 4 * time.Second
 	statusTimeout     = time.Second // status is also for times without a leader
 	headerTimeout     = 5 * time.Second
@@ -58,26 +55,11 @@
 
 // Status is the answer of the status operation.
 type Status struct {
-	Current   bool                  `json:"current"` // false if no leader confirmed that the rest is up to date
+	Tenants   []core.TenantID       `json:"tenants,omitempty"` // if the token is limited to them, and so is the rest
+	Current   bool                  `json:"current"`           // false if no leader confirmed that the rest is up to date
 	Revision  core.Revision         `json:"revision"`
 	Hash      string                `json:"hash"`
 	OpenMoves []core.MoveID         `json:"open-moves"`
 	Fleet     FleetStatus           `json:"fleet"`
 	Replica   core.ReplicatorStatus `json:"replica"`
 }
-
-// ReadToken reads the operators' token from a file, without white space around it; an empty path gives no token.
-func ReadToken(path string) (string, error) {
-	if path == "" {
-		return "", nil
-	}
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return "", errors.Annotate(err, "token file")
-	}
-	token := strings.TrimSpace(string(content))
-	if token == "" || len(token) > maxTokenFileBytes {
-		return "", errors.Errorf("token file %s: expected a token of 1 to %d bytes", path, maxTokenFileBytes)
-	}
-	return token, nil
-}
