--- a/standin/caller.go
+++ b/standin/caller.go
@@ -202,6 +202,7 @@
 }
 
 func (c *caller) attempt(entry *callEntry) error {
+	entry.Revision = 0 // what an earlier attempt saw belongs to another target
 	timeout := time.Duration(c.options.timeoutMS) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
 	defer cancel()
