Follow answers of overload in limiter and retries

A backend server that answered 503 or 429 was only "failed" for its node's limiter, which ignores failures, so the limit stayed at the announced slots and call after call was shed. The answer went to the caller even if the call was idempotent and other endpoints had room.

Overload is now an ending of its own. The limit falls at once to what was served beside the shed call and is held for 1 s; a 503 at a concurrency that was served a moment ago lowers it by a fifth only. An idempotent call whose answer was 503 or 502 is attempted at another endpoint within attempts and budget. 504, relayed refusals and long answers stay final.

The replay now tells the limiter which runs failed, as a node does.

--- a/core/callreplay/replay.go
+++ b/core/callreplay/replay.go
@@ -51,6 +51,7 @@
 	outcome core.Outcome
 	cause   core.RefusalCause
 	failed  bool
+	status  int // of a failed answer
 }
 
 // result collects what happens to one call over its attempts.
@@ -164,6 +165,7 @@
 	deadline time.Time
 	attempts retry.Attempts
 	tried    []core.NodeID
+	failed   bool // an attempt was answered with a failure
 	result   result
 }
 
@@ -204,12 +206,18 @@
 		return
 	}
 	class := retry.Classify(r.outcome, r.cause, c.call.Idempotent)
+	if r.outcome == core.OutcomeAnswered {
+		class = retry.ClassifyAnswer(r.status, false, c.call.Idempotent)
+	}
+	c.failed = c.failed || r.outcome == core.OutcomeAnswered && r.failed
 	if c.attempts.Another(class, func() bool { return c.entry.budget.Take(now) }) {
 		c.attempt()
 		return
 	}
 	m := &c.replay.measures
 	switch {
+	case r.outcome != core.OutcomeAnswered && c.failed:
+		c.end(&m.Failed) // the caller gets the earlier answer
 	case r.outcome == core.OutcomeNotRun:
 		c.end(&m.Refused)
 	case r.outcome == core.OutcomeUnknown:
--- a/core/callreplay/replay_test.go
+++ b/core/callreplay/replay_test.go
@@ -142,7 +142,7 @@
 	c := qt.New(t)
 	files, err := filepath.Glob("testdata/*.calls")
 	c.Assert(err, qt.IsNil)
-	c.Assert(files, qt.HasLen, 12)
+	c.Assert(files, qt.HasLen, 14)
 	for _, file := range files {
 		c.Check(callreplay.RunFile(file, io.Discard), qt.IsNil)
 	}
--- a/core/callreplay/server.go
+++ b/core/callreplay/server.go
@@ -1,11 +1,14 @@
 package callreplay
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"parsleyport/core"
 	"parsleyport/core/limiter"
+	"parsleyport/core/retry"
 )
 
 // coldFactor is how much longer the runs of a cold backend server take.
@@ -24,7 +27,9 @@
 	leaving      bool
 	slowPerMille int64
 	failPerMille int64
+	failStatus   int
 	slots        int
+	shedStatus   int // answer to a call beyond the slots; 0 refuses the connection
 	coldUntil    time.Time
 	incarnation  core.Incarnation
 }
@@ -64,9 +69,9 @@
 	case EventSlow:
 		s.slowPerMille = event.Value
 	case EventFail:
-		s.failPerMille = event.Value
+		s.failPerMille, s.failStatus = event.Value, cmp.Or(event.Status, http.StatusInternalServerError)
 	case EventShrink:
-		s.slots = int(event.Value)
+		s.slots, s.shedStatus = int(event.Value), event.Status
 	case EventLeaving:
 		s.leaving = true
 	case EventCrash:
@@ -127,10 +132,7 @@
 	a := s.pending[ticket]
 	a.started = true
 	if s.limiter.Running() > s.slots {
-		// The backend server sheds the call itself: its slots are fewer than announced.
-		s.clock.after(0, func() {
-			s.finish(s.run, ticket, 0, reply{outcome: core.OutcomeNotRun, cause: core.CauseBackendRefused})
-		})
+		s.clock.after(0, func() { s.finish(s.run, ticket, 0, s.shed()) })
 		return
 	}
 	a.result.runs++
@@ -140,11 +142,21 @@
 		took *= coldFactor
 	}
 	failed := s.random.Int64N(1000) < s.failPerMille
+	end := reply{outcome: core.OutcomeAnswered, failed: failed}
 	if failed {
 		took /= 10 // a broken backend server often fails fast
+		end.status = s.failStatus
 	}
 	run := s.run
-	s.clock.after(took, func() { s.finish(run, ticket, took, reply{outcome: core.OutcomeAnswered, failed: failed}) })
+	s.clock.after(took, func() { s.finish(run, ticket, took, end) })
+}
+
+// shed is what a backend server says to a call beyond its slots, which are fewer than announced.
+func (s *server) shed() reply {
+	if s.shedStatus == 0 {
+		return reply{outcome: core.OutcomeNotRun, cause: core.CauseBackendRefused}
+	}
+	return reply{outcome: core.OutcomeAnswered, failed: true, status: s.shedStatus}
 }
 
 func (s *server) finish(run int, ticket limiter.Ticket, took time.Duration, r reply) {
@@ -156,6 +168,7 @@
 	a.reply(r)
 	s.follow(s.limiter.Finish(s.clock.now, ticket, limiter.Result{
 		Latency:    took,
-		Overloaded: r.cause == core.CauseBackendRefused,
+		Overloaded: r.cause == core.CauseBackendRefused || retry.Overloaded(r.status),
+		Failed:     r.failed,
 	}))
 }
--- a/core/callreplay/trace.go
+++ b/core/callreplay/trace.go
@@ -59,8 +59,8 @@
 // The kinds of events.
 const (
 	EventSlow    EventKind = "slow"    // runs take Value per mille of their time
-	EventFail    EventKind = "fail"    // Value per mille of the runs fail
-	EventShrink  EventKind = "shrink"  // only Value slots are left, the announcement still says more
+	EventFail    EventKind = "fail"    // Value per mille of the runs fail and answer with Status (500 if it is 0)
+	EventShrink  EventKind = "shrink"  // only Value slots are left; further calls get no connection, or Status if it is set
 	EventCrash   EventKind = "crash"   // the process ends; running calls are lost
 	EventStart   EventKind = "start"   // a new process starts, cold for Value milliseconds
 	EventLeaving EventKind = "leaving" // no new calls are taken
@@ -72,6 +72,8 @@
 	Node  core.NodeID `json:"node"`
 	Kind  EventKind   `json:"kind"`
 	Value int64       `json:"value,omitempty"`
+
+	Status int `json:"status,omitempty"`
 }
 
 // Expectations are the stated outcome of a trace.
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -16,6 +16,12 @@
 	// calls that began under the old limit are not counted against the new one.
 	decreaseFactor = 0.8
 	decreasePause  = 100 * time.Millisecond
+	// shedPause is how long the limit does not rise after it fell to what the backend server can run; each rise above that
+	// costs a call that is shed.
+	shedPause = time.Second
+	// servedSpan is half the time for which the concurrency of a served call counts as possible. With 1 s instead, the
+	// limit stayed for 2 s at what the backend server could run before it lost slots (docs/measurements.md).
+	servedSpan = 200 * time.Millisecond
 	// overloadRatio is how many times the uncongested latency counts as overload.
 	overloadRatio = 4.0
 	// fastestDecay lets the uncongested latency rise slowly when a backend server has become slower for good.
@@ -68,13 +74,22 @@
 type Limiter struct {
 	slots       int
 	limit       float64
-	running     map[Ticket]core.TenantID
+	running     map[Ticket]started
 	tenants     map[core.TenantID]*tenant
 	waiting     int
 	lastTicket  Ticket
 	average     float64 // seconds
 	fastest     float64 // seconds, 0 before the first sample
 	decreasedAt time.Time
+	holdUntil   time.Time // the limit does not rise before
+	served      [2]int    // greatest concurrency of a served call, in this span and the one before
+	servedUntil time.Time // end of this span
+}
+
+// started is a running call.
+type started struct {
+	tenant core.TenantID
+	beside int // calls that ran when it started, itself included
 }
 
 // New returns a limiter that starts at the announced number of slots; slots below 1 count as 1.
@@ -83,7 +98,7 @@
 	return &Limiter{
 		slots:   slots,
 		limit:   float64(slots),
-		running: make(map[Ticket]core.TenantID),
+		running: make(map[Ticket]started),
 		tenants: make(map[core.TenantID]*tenant),
 	}
 }
@@ -135,15 +150,16 @@
 
 // Finish ends a started call.
 func (l *Limiter) Finish(now time.Time, ticket Ticket, result Result) Change {
-	name, exists := l.running[ticket]
+	ended, exists := l.running[ticket]
 	if !exists {
 		return Change{}
 	}
+	name := ended.tenant
 	full := len(l.running) >= l.Limit()
 	delete(l.running, ticket)
 	l.tenants[name].running--
 	l.forgetIdle(name)
-	l.adapt(now, result, full)
+	l.adapt(now, result, ended.beside, full)
 	return l.dispatch(now)
 }
 
@@ -195,7 +211,10 @@
 			continue
 		}
 		t.running++
-		l.running[next.ticket] = name
+		l.running[next.ticket] = started{
+			tenant: name,
+			beside: len(l.running) + 1,
+		}
 		change.Start = append(change.Start, next.ticket)
 	}
 	return change
@@ -241,14 +260,16 @@
 }
 
 // adapt lowers the limit in proportion on overload and raises it by about one for each round of a full limit.
-func (l *Limiter) adapt(now time.Time, result Result, full bool) {
+func (l *Limiter) adapt(now time.Time, result Result, beside int, full bool) {
+	l.advanceServed(now)
 	if result.Overloaded {
-		l.decrease(now)
+		l.shed(now, beside)
 		return
 	}
 	if result.Failed {
 		return
 	}
+	l.served[0] = max(l.served[0], beside)
 	latency := result.Latency.Seconds()
 	if l.fastest == 0 {
 		l.fastest, l.average = latency, latency
@@ -259,11 +280,36 @@
 		l.decrease(now)
 		return
 	}
-	if full {
+	if full && !now.Before(l.holdUntil) {
 		l.limit = min(l.limit+1/l.limit, float64(l.slots))
 	}
 }
 
+// shed follows a call that the backend server shed. If no call was served at such a concurrency lately, the limit falls at
+// once to the calls that ran beside it or to the greatest concurrency that was served. Otherwise the answer says little
+// about concurrency (a broken dependency also answers 503), and the limit falls in proportion as for slow answers.
+func (l *Limiter) shed(now time.Time, beside int) {
+	possible := max(l.served[0], l.served[1])
+	if beside <= max(possible, 1) {
+		l.decrease(now)
+		return
+	}
+	l.limit = max(1, min(l.limit, float64(max(possible, beside-1))))
+	l.holdUntil = now.Add(shedPause)
+}
+
+func (l *Limiter) advanceServed(now time.Time) {
+	if now.Before(l.servedUntil) {
+		return
+	}
+	l.served[1] = l.served[0]
+	if !now.Before(l.servedUntil.Add(servedSpan)) {
+		l.served[1] = 0
+	}
+	l.served[0] = 0
+	l.servedUntil = now.Add(servedSpan)
+}
+
 func (l *Limiter) decrease(now time.Time) {
 	if now.Sub(l.decreasedAt) < decreasePause {
 		return
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -113,6 +113,40 @@
 	c.Assert(l.Limit(), qt.Equals, 10)
 }
 
+// Guards against a backend server with fewer slots than announced that sheds call after call, and against a limit that
+// collapses because answers of overload have another cause than concurrency.
+func TestLimitFallsAtOnceToWhatIsServed(t *testing.T) {
+	c := qt.New(t)
+	run := func(shed func(running, n int) bool) (limit, sheds int) {
+		l := limiter.New(20)
+		now := start
+		var running []limiter.Ticket
+		for n := range 2000 {
+			now = now.Add(time.Millisecond)
+			_, change := l.Arrive(now, limiter.Request{Deadline: now.Add(time.Minute)})
+			starts := change.Start
+			if n%3 == 0 && len(running) > 0 {
+				starts = append(starts, l.Finish(now, running[0], limiter.Result{Latency: 10 * time.Millisecond}).Start...)
+				running = running[1:]
+			}
+			for ; len(starts) > 0; starts = starts[1:] {
+				if !shed(len(running)+1, n) {
+					running = append(running, starts[0])
+					continue
+				}
+				sheds++
+				starts = append(starts, l.Finish(now, starts[0], limiter.Result{Overloaded: true}).Start...)
+			}
+		}
+		return l.Limit(), sheds
+	}
+	limit, sheds := run(func(running, _ int) bool { return running > 5 })
+	c.Assert(limit, qt.Equals, 5)
+	c.Assert(sheds <= 3, qt.IsTrue, qt.Commentf("%d calls were shed", sheds))
+	limit, _ = run(func(_, n int) bool { return n%100 == 0 })
+	c.Assert(limit >= 15, qt.IsTrue, qt.Commentf("limit %d", limit))
+}
+
 // Guards against a call that is lost in the limiter, started twice, or started above the slots.
 func TestEachCallEndsExactlyOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -1,6 +1,10 @@
 package retry
 
-import "parsleyport/core"
+import (
+	"net/http"
+
+	"parsleyport/core"
+)
 
 // MaxFreeTries bounds the attempts of one call that cost nothing, so that a fleet in which every node is leaving
 // cannot keep a call going round.
@@ -34,6 +38,22 @@
 	return Final
 }
 
+// ClassifyAnswer returns what may follow an answer with a status; relayed says that a node further down refused and that
+// the backend server passed this on. A 503 or 502 of the backend server's own may be better elsewhere. A 504 has used up
+// time that a further attempt would use up again, and any other 5xx is as likely to be caused by the call itself. A
+// relayed answer is final, because the node further down has made the attempts that were left.
+func ClassifyAnswer(status int, relayed, repeatable bool) Class {
+	if repeatable && !relayed && (status == http.StatusServiceUnavailable || status == http.StatusBadGateway) {
+		return Repeat
+	}
+	return Final
+}
+
+// Overloaded reports whether a status of a backend server's own says that it has too much to do.
+func Overloaded(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 func classifyRefusal(cause core.RefusalCause) Class {
 	switch cause {
 	case core.CauseLeaving, core.CauseNoBackend, core.CauseConnectFailed, core.CauseBackendRefused, core.CauseRevoked:
--- a/io/backendhttp/admission.go
+++ b/io/backendhttp/admission.go
@@ -12,11 +12,24 @@
 type Admission interface {
 	// Acquire waits until the call may run, or returns a *core.Refusal; a call whose context ends while it waits is
 	// removed and refused. The returned function must be called once, when the call has ended.
-	Acquire(ctx context.Context, call *core.Call) (release func(failed bool), refusal *core.Refusal)
+	Acquire(ctx context.Context, call *core.Call) (release func(Ending), refusal *core.Refusal)
 	// SetSlots states how many calls the backend server runs at the same time.
 	SetSlots(slots int)
 }
 
+// Ending says how a call at the backend server ended.
+type Ending int
+
+// The endings of a call.
+const (
+	// EndingServed means that its duration is that of a complete run.
+	EndingServed Ending = iota
+	// EndingFailed means that its duration says nothing about the backend server's load.
+	EndingFailed
+	// EndingOverloaded means that the backend server answered that it has too much to do.
+	EndingOverloaded
+)
+
 const (
 	maxWaiting    = 1024
 	durationShare = 8 // weight of one call in the average of durations is 1/8
@@ -52,7 +65,7 @@
 }
 
 // Acquire implements Admission.
-func (q *queue) Acquire(ctx context.Context, call *core.Call) (func(bool), *core.Refusal) {
+func (q *queue) Acquire(ctx context.Context, call *core.Call) (func(Ending), *core.Refusal) {
 	w, refusal := q.enter(time.Now(), call.Deadline)
 	if refusal != nil {
 		return nil, refusal
@@ -133,9 +146,9 @@
 	return true
 }
 
-func (q *queue) releaser() func(bool) {
+func (q *queue) releaser() func(Ending) {
 	began := time.Now()
-	return func(bool) { q.release(time.Since(began)) }
+	return func(Ending) { q.release(time.Since(began)) }
 }
 
 func (q *queue) release(held time.Duration) {
--- a/io/backendhttp/backendhttp_test.go
+++ b/io/backendhttp/backendhttp_test.go
@@ -124,6 +124,35 @@
 	return ""
 }
 
+// endings is an Admission that admits every call and notes how it ended.
+type endings []Ending
+
+func (e *endings) Acquire(context.Context, *core.Call) (func(Ending), *core.Refusal) {
+	return func(ending Ending) { *e = append(*e, ending) }, nil
+}
+
+func (e *endings) SetSlots(int) {}
+
+// Guards against a limiter that takes an overload answer for any failure, or the refusal of another node for overload.
+func TestOverloadIsAnEndingOfItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var got endings
+		f := start(t)
+		f.admission = &got
+		f.announce(time.Now(), ready("1"))
+		for _, head := range []string{"200 OK", "503 Busy", "429 Busy", "503 Busy\r\nParsleyport-Outcome: not-run", "500 Bad", "404 None"} {
+			f.backend.respond = func(conn net.Conn, _ *http.Request) {
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 2\r\n\r\nno", head)
+			}
+			_, outcome, err := f.handle(c, callFor(""))
+			c.Assert(err, qt.IsNil)
+			c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+		}
+		c.Assert(got, qt.DeepEquals, endings{EndingServed, EndingOverloaded, EndingOverloaded, EndingFailed, EndingFailed, EndingServed})
+	})
+}
+
 // Guards against a call that is reported as not run although the backend server has seen it, and the reverse.
 func TestOutcomesAreTrue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/retry"
 )
 
 // Errors of an answer.
@@ -31,6 +32,7 @@
 	HeaderAttempts       = "Parsleyport-Attempts"
 	HeaderDepth          = "Parsleyport-Depth"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderOutcome        = "Parsleyport-Outcome" // only of answers
 )
 
 // Handle implements core.Backend. The context must live until the answer's body is closed.
@@ -51,7 +53,7 @@
 	}
 	answer, outcome, err := x.run()
 	if outcome != core.OutcomeAnswered {
-		x.end(true)
+		x.end(EndingFailed)
 	}
 	return answer, outcome, err
 }
@@ -61,7 +63,7 @@
 	server   *Server
 	ctx      context.Context
 	call     *core.Call
-	release  func(failed bool)
+	release  func(Ending)
 	ended    sync.Once
 	conn     *backendConn
 	runID    string
@@ -70,9 +72,9 @@
 	reusable bool
 }
 
-func (x *exchange) end(failed bool) {
+func (x *exchange) end(ending Ending) {
 	x.ended.Do(func() {
-		x.release(failed)
+		x.release(ending)
 		x.server.end()
 	})
 }
@@ -184,7 +186,7 @@
 	body := &answerBody{
 		exchange: x,
 		reader:   response.Body,
-		failed:   response.StatusCode >= 500,
+		ending:   endingOf(response),
 		noLength: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
 	}
 	return &core.Answer{
@@ -194,11 +196,23 @@
 	}
 }
 
+// endingOf tells the backend server's own overload from its other failures. An answer with HeaderOutcome is a refusal of
+// a node that the backend server called and passes on; it says nothing about this backend server's load.
+func endingOf(response *http.Response) Ending {
+	switch {
+	case retry.Overloaded(response.StatusCode) && response.Header.Get(HeaderOutcome) == "":
+		return EndingOverloaded
+	case response.StatusCode >= 500:
+		return EndingFailed
+	}
+	return EndingServed
+}
+
 // answerBody gives the slot back at the end of the body and keeps the connection if it can be used again.
 type answerBody struct {
 	exchange *exchange
 	reader   io.ReadCloser
-	failed   bool
+	ending   Ending
 	noLength bool
 	err      error
 }
@@ -228,7 +242,10 @@
 	default:
 		_ = x.conn.Close()
 	}
-	x.end(b.failed || err != io.EOF)
+	if err != io.EOF && b.ending == EndingServed {
+		b.ending = EndingFailed
+	}
+	x.end(b.ending)
 	return err
 }
 
@@ -237,7 +254,7 @@
 	if b.err == nil {
 		b.err = errors.New("body is closed")
 		_ = b.exchange.abort()
-		b.exchange.end(b.failed)
+		b.exchange.end(b.ending)
 	}
 	return nil
 }
--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -144,14 +144,24 @@
 	c.Assert(time.Until(e.forwarder.calls[0].Deadline) <= 900*time.Millisecond, qt.IsTrue)
 }
 
-// Guards against a second run of a call that is not idempotent, and against "not run" after an attempt that may have run.
+// Guards against a second run of a call that is not idempotent, against "not run" after an attempt that may have run, and
+// against a caller that gets a 503 while other endpoints could serve it, or no answer where there was one.
 func TestOutcomeOfSeveralAttempts(t *testing.T) {
 	type script []func() (*core.Answer, core.Outcome, error)
 	ok := func() (*core.Answer, core.Outcome, error) { return answer(200, strings.NewReader("ok")) }
 	refused := func() (*core.Answer, core.Outcome, error) { return notRun(core.CauseQueueFull) }
 	dead := func() (*core.Answer, core.Outcome, error) { return notRun(core.CauseConnectFailed) }
 	leaving := func() (*core.Answer, core.Outcome, error) { return notRun(core.CauseLeaving) }
-	failing := func() (*core.Answer, core.Outcome, error) { return answer(500, strings.NewReader("bad")) }
+	answers := func(status int, body io.Reader, header ...string) func() (*core.Answer, core.Outcome, error) {
+		return func() (*core.Answer, core.Outcome, error) {
+			a, outcome, err := answer(status, body)
+			for i := 0; i < len(header); i += 2 {
+				a.Header.Set(header[i], header[i+1])
+			}
+			return a, outcome, err
+		}
+	}
+	failing, busy, gateway := answers(500, strings.NewReader("bad")), answers(503, strings.NewReader("busy")), answers(502, strings.NewReader("bad"))
 	for _, test := range []struct {
 		method   string
 		script   script
@@ -168,6 +178,13 @@
 		{method: "GET", script: script{unknown, ok}, status: 200, outcome: "answered", attempts: 2},
 		{method: "GET", script: script{unknown, refused, refused}, status: 502, outcome: "unknown", attempts: 3},
 		{method: "GET", script: script{failing, ok}, status: 500, outcome: "answered", attempts: 1},
+		{method: "GET", script: script{busy, gateway, ok}, status: 200, outcome: "answered", attempts: 3},
+		{method: "GET", script: script{answers(504, strings.NewReader("late")), ok}, status: 504, outcome: "answered", attempts: 1},
+		{method: "GET", script: script{busy, refused, unknown}, status: 503, outcome: "answered", attempts: 3},
+		{method: "GET", script: script{answers(503, strings.NewReader(""), "Parsleyport-Outcome", "not-run"), ok}, status: 503, outcome: "answered", attempts: 1},
+		{method: "GET", script: script{answers(503, strings.NewReader(strings.Repeat("x", 40_000))), ok}, status: 503, outcome: "answered", attempts: 1},
+		{method: "GET", script: script{answers(503, &failingReader{left: 10}), ok}, status: 200, outcome: "answered", attempts: 2},
+		{method: "POST", script: script{busy, ok}, status: 503, outcome: "answered", attempts: 1},
 	} {
 		c := qt.New(t)
 		e := newEntry(c, allV1, nil)
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -85,7 +85,7 @@
 // past names the nodes that earlier attempts of a call went to.
 type past struct {
 	tried []core.NodeID
-	gone  []core.NodeID // those of tried that take no calls
+	gone  []core.NodeID // those of tried that take no calls or have answered
 }
 
 // candidatesOf prefers endpoints that this call has not tried; one that takes no calls is not tried again.
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -1,6 +1,7 @@
 package callerhttp
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -23,6 +24,7 @@
 	outcome  core.Outcome
 	err      error
 	latency  time.Duration // to the head of the answer
+	recorded bool          // the picker and the evidence know of it
 }
 
 // ServeHTTP implements http.Handler.
@@ -103,21 +105,24 @@
 }
 
 // attempt makes attempts until one is answered or no other is allowed. A call of which one attempt may have run never
-// ends as not-run.
+// ends as not-run, and if an attempt was answered with a failure, the caller gets that answer rather than none.
 func (s *Server) attempt(ctx context.Context, q *request) result {
 	var earlier past
 	mayHaveRun := error(nil)
-	var last result
+	var last, answered result
 	for {
 		next, placed := s.place(ctx, q, earlier)
 		if !placed && last.outcome != "" {
 			break // the earlier attempt's cause says more than the lack of an endpoint
 		}
 		last = next
-		if last.outcome == core.OutcomeUnknown {
+		class := s.classify(ctx, q, &last)
+		switch last.outcome {
+		case core.OutcomeUnknown:
 			mayHaveRun = last.err
+		case core.OutcomeAnswered:
+			answered = last
 		}
-		class := retry.Classify(last.outcome, causeOf(last.err), q.call.Idempotent)
 		if !placed || ctx.Err() != nil || !q.attempts.Another(class, s.takeBudget) {
 			break
 		}
@@ -126,17 +131,55 @@
 			break // it has become a suspect, perhaps by its own earlier attempts
 		}
 		earlier.tried = append(earlier.tried, last.endpoint.Node)
-		if retry.Gone(causeOf(last.err)) {
+		if last.outcome == core.OutcomeAnswered || retry.Gone(causeOf(last.err)) {
 			earlier.gone = append(earlier.gone, last.endpoint.Node)
 		}
 		s.retries.Inc()
 	}
+	if last.outcome != core.OutcomeAnswered && answered.answer != nil {
+		return answered
+	}
 	if last.outcome == core.OutcomeNotRun && mayHaveRun != nil {
 		last.outcome, last.err = core.OutcomeUnknown, mayHaveRun
 	}
 	return last
 }
 
+// classify returns what may follow an attempt. An answer after which another attempt is allowed is read first, so that it
+// holds no slot meanwhile; one that is too long for that is final.
+func (s *Server) classify(ctx context.Context, q *request, last *result) retry.Class {
+	if last.outcome != core.OutcomeAnswered {
+		return retry.Classify(last.outcome, causeOf(last.err), q.call.Idempotent)
+	}
+	class := retry.ClassifyAnswer(last.answer.Status, last.answer.Header.Get(headerOutcome) != "", q.call.Idempotent)
+	if class == retry.Final {
+		return class
+	}
+	body := last.answer.Body
+	prefix, err := io.ReadAll(io.LimitReader(body, core.MaxChunkBytes+1))
+	if err == nil && len(prefix) > core.MaxChunkBytes {
+		last.answer.Body = &prefixed{
+			Reader: io.MultiReader(bytes.NewReader(prefix), body),
+			Closer: body,
+		}
+		return retry.Final
+	}
+	_ = body.Close()
+	s.done(ctx, q, *last, true)
+	last.recorded = true
+	last.answer.Body = io.NopCloser(bytes.NewReader(prefix))
+	if err != nil {
+		last.outcome, last.answer, last.err = core.OutcomeUnknown, nil, err
+	}
+	return class
+}
+
+// prefixed is a body of which a part has been read already.
+type prefixed struct {
+	io.Reader
+	io.Closer
+}
+
 func causeOf(err error) core.RefusalCause {
 	var refused *core.Refusal
 	if errors.As(err, &refused) {
@@ -207,7 +250,9 @@
 	header.Set(headerRelease, string(last.release))
 	w.WriteHeader(last.answer.Status)
 	fromBackend, err := copyBody(w, last.answer.Body, recorder)
-	s.done(ctx, q, last, last.answer.Status >= 500 || fromBackend)
+	if !last.recorded {
+		s.done(ctx, q, last, last.answer.Status >= 500 || fromBackend)
+	}
 	if err != nil {
 		s.aborted.Inc()
 		s.outcomes[core.OutcomeUnknown].Inc()
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -82,7 +82,7 @@
 }
 
 // Acquire implements backendhttp.Admission.
-func (a *admission) Acquire(ctx context.Context, call *core.Call) (func(failed bool), *core.Refusal) {
+func (a *admission) Acquire(ctx context.Context, call *core.Call) (func(backendhttp.Ending), *core.Refusal) {
 	ticket, turn := a.arrive(call)
 	select {
 	case refusal := <-turn:
@@ -112,21 +112,22 @@
 	return ticket, turn
 }
 
-func (a *admission) admitted(ticket limiter.Ticket, refusal *core.Refusal) (func(failed bool), *core.Refusal) {
+func (a *admission) admitted(ticket limiter.Ticket, refusal *core.Refusal) (func(backendhttp.Ending), *core.Refusal) {
 	if refusal != nil {
 		return nil, refusal
 	}
 	startedAt := time.Now()
-	return func(failed bool) { a.finish(ticket, startedAt, failed) }, nil
+	return func(ending backendhttp.Ending) { a.finish(ticket, startedAt, ending) }, nil
 }
 
-func (a *admission) finish(ticket limiter.Ticket, startedAt time.Time, failed bool) {
+func (a *admission) finish(ticket limiter.Ticket, startedAt time.Time, ending backendhttp.Ending) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	a.follow(a.limiter.Finish(now, ticket, limiter.Result{
-		Latency: now.Sub(startedAt),
-		Failed:  failed,
+		Latency:    now.Sub(startedAt),
+		Overloaded: ending == backendhttp.EndingOverloaded,
+		Failed:     ending == backendhttp.EndingFailed,
 	}))
 }
 
--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"parsleyport/core"
+	"parsleyport/io/backendhttp"
 )
 
 // Guards against a call that waits beyond its deadline because nothing wakes the queue, and against a call that is refused
@@ -38,9 +39,9 @@
 		_, refusal = a.Acquire(ctx, call(time.Minute))
 		c.Assert(refusal.Cause, qt.Equals, core.CauseRevoked)
 
-		time.AfterFunc(time.Second, func() { release(false) })
+		time.AfterFunc(time.Second, func() { release(backendhttp.EndingServed) })
 		second, refusal := a.Acquire(context.Background(), call(time.Minute))
 		c.Assert(refusal == nil, qt.IsTrue)
-		second(false)
+		second(backendhttp.EndingServed)
 	})
 }
