Hedge idempotent calls of the first level

A call waited for the endpoint it was first sent to, however slow that had become; only the next calls learned from it. An idempotent call of the first level now gets a second attempt at another endpoint after the 95th percentile of its service's latency, and the attempt that is no longer needed is cancelled. It costs one of the call's attempts, takes at most half of the retry budget, starts only in a free slot, and is left out for 1 s after the service has shed a call. Deeper levels do not hedge.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -114,6 +114,12 @@
 		return // an attempt at an earlier run says nothing about this one
 	}
 	m.outstanding = max(0, m.outstanding-1)
+	if result.Unneeded {
+		if result.Latency.Seconds() > m.latency {
+			m.observeLatency(now, result.Latency) // it would have taken even longer
+		}
+		return
+	}
 	if result.Outcome == core.OutcomeNotRun && !result.Failed {
 		m.avoidUntil = now.Add(avoidAfterRefusal)
 		return
--- a/core/call.go
+++ b/core/call.go
@@ -60,6 +60,7 @@
 	Deadline       time.Time
 	Depth          int
 	AttemptsLeft   int
+	Hedge          bool // a second attempt beside a first: refused unless it can start at once
 }
 
 // Answer is a backend server's answer; Body returns io.EOF only after length and checksum were verified.
--- a/core/callreplay/file.go
+++ b/core/callreplay/file.go
@@ -38,14 +38,18 @@
 	fmt.Fprintf(out, "%s: expected at least %d per mille answered, at most %d run twice\n", trace.Name,
 		trace.Expectations.MinAnsweredPerMille, trace.Expectations.MaxRunTwice)
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "POLICY\tCALLS\tANSWERED\tFAILED\tREFUSED\tUNKNOWN\tLATE\tRUN TWICE\tP50 MS\tP99 MS")
+	fmt.Fprintln(table, "POLICY\tCALLS\tANSWERED\tFAILED\tREFUSED\tUNKNOWN\tLATE\tRUN TWICE\tP50 MS\tP99 MS\tHEDGES\tBUSY S")
 	met := true
+	line := func(name string, m Measures) {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%d\t%.1f\n", name, m.Calls, m.Answered, m.Failed,
+			m.Refused, m.Unknown, m.Late, m.RunTwice, float64(m.P50US)/1000, float64(m.P99US)/1000, m.Hedges, m.BusyMS/1000)
+	}
 	for i, policy := range balancer.Policies() {
-		m := Run(trace, policy, fileSeed)
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", m.Policy, m.Calls, m.Answered, m.Failed,
-			m.Refused, m.Unknown, m.Late, m.RunTwice, float64(m.P50US)/1000, float64(m.P99US)/1000)
+		m := Run(trace, Options{Policy: policy, Seed: fileSeed})
+		line(string(policy), m)
 		if i == 0 {
 			met = m.Meets(trace.Expectations)
+			line("(no hedging)", Run(trace, Options{Policy: policy, Seed: fileSeed, NoHedging: true}))
 		}
 	}
 	if err := table.Flush(); err != nil {
--- a/core/callreplay/replay.go
+++ b/core/callreplay/replay.go
@@ -30,6 +30,8 @@
 	Late     int
 	RunTwice int // calls that are not idempotent and ran more than once
 	Runs     int
+	Hedges   int
+	BusyMS   float64 // time of all backend servers' slots
 	P50US    int64
 	P99US    int64
 }
@@ -61,11 +63,20 @@
 }
 
 type attempt struct {
-	call     Call
-	deadline time.Time
-	started  bool
-	result   *result
-	reply    func(reply)
+	call      Call
+	deadline  time.Time
+	hedge     bool
+	started   bool
+	startedAt time.Time // of the run
+	result    *result
+	measures  *Measures
+	reply     func(reply)
+
+	began  time.Time // at the entry node
+	to     core.Endpoint
+	oneWay time.Duration
+	server *server // nil until the attempt has arrived
+	ticket limiter.Ticket
 }
 
 // entryNode is a node at which callers enter, with its own view of the endpoints.
@@ -73,10 +84,12 @@
 	spec     Entry
 	balancer *balancer.Balancer
 	budget   retry.Budget
+	hedging  retry.Hedging
 	known    []core.Endpoint
 }
 
 type replay struct {
+	options  Options
 	trace    Trace
 	clock    *schedule
 	entries  []*entryNode
@@ -85,10 +98,18 @@
 	measures Measures
 }
 
-// Run replays a trace with one policy.
-func Run(trace Trace, policy balancer.Policy, seed uint64) Measures {
-	start := time.Unix(0, 0)
+// Options configure a replay.
+type Options struct {
+	Policy    balancer.Policy
+	Seed      uint64 // equal seeds give equal measures
+	NoHedging bool
+}
+
+// Run replays a trace.
+func Run(trace Trace, options Options) Measures {
+	start, policy, seed := time.Unix(0, 0), options.Policy, options.Seed
 	r := &replay{
+		options:  options,
 		trace:    trace,
 		clock:    &schedule{now: start},
 		servers:  make(map[core.NodeID]*server),
@@ -165,11 +186,35 @@
 	deadline time.Time
 	attempts retry.Attempts
 	tried    []core.NodeID
+	open     []*attempt
 	failed   bool // an attempt was answered with a failure
 	result   result
 }
 
 func (c *callState) attempt() {
+	if !c.place(false) {
+		c.end(&c.replay.measures.Refused)
+		return
+	}
+	delay, known := c.entry.hedging.Delay(c.replay.clock.now)
+	if known && c.call.Idempotent && !c.replay.options.NoHedging {
+		c.replay.clock.after(delay, c.hedge)
+	}
+}
+
+// hedge makes a second attempt if the first one of the call still runs.
+func (c *callState) hedge() {
+	now := c.replay.clock.now
+	allowed := func() bool { return c.entry.hedging.Allowed(now) && c.entry.budget.TakeHedge(now) }
+	if c.result.ended || len(c.tried) > 1 || !c.attempts.Another(retry.Repeat, allowed) {
+		return
+	}
+	if c.place(true) {
+		c.replay.measures.Hedges++
+	}
+}
+
+func (c *callState) place(hedge bool) bool {
 	now := c.replay.clock.now
 	chosen, ok := c.entry.balancer.Pick(now, core.PickRequest{
 		Service: "replayed",
@@ -177,33 +222,49 @@
 		Session: c.call.Session,
 	}, c.entry.known)
 	if !ok {
-		c.end(&c.replay.measures.Refused)
-		return
+		return false
 	}
 	c.attempts.Start()
 	c.tried = append(c.tried, chosen.Node)
-	oneWay := c.replay.oneWay(c.entry.spec.DataCentre, chosen.DataCentre)
 	a := &attempt{
 		call:     c.call,
 		deadline: c.deadline,
+		hedge:    hedge,
 		result:   &c.result,
+		measures: &c.replay.measures,
+		began:    now,
+		to:       chosen,
+		oneWay:   c.replay.oneWay(c.entry.spec.DataCentre, chosen.DataCentre),
 	}
 	a.reply = func(r reply) {
-		c.replay.clock.after(oneWay, func() { c.replied(now, chosen, r) })
+		c.replay.clock.after(a.oneWay, func() { c.replied(a, r) })
 	}
-	c.replay.clock.after(oneWay, func() { c.replay.servers[chosen.Node].arrive(a) })
+	c.open = append(c.open, a)
+	c.replay.clock.after(a.oneWay, func() { c.replay.servers[chosen.Node].arrive(a) })
+	return true
 }
 
-func (c *callState) replied(began time.Time, from core.Endpoint, r reply) {
+func (c *callState) replied(a *attempt, r reply) {
+	if !lo.Contains(c.open, a) {
+		return // it was cancelled
+	}
 	now := c.replay.clock.now
+	c.open = lo.Without(c.open, a)
 	c.entry.balancer.Done(now, core.PickResult{
-		Endpoint: from,
+		Endpoint: a.to,
 		Outcome:  r.outcome,
 		Failed:   r.failed,
-		Latency:  now.Sub(began),
+		Unneeded: a.hedge && r.outcome == core.OutcomeNotRun,
+		Latency:  now.Sub(a.began),
 	})
-	if c.result.ended {
-		return
+	switch {
+	case r.outcome == core.OutcomeNotRun || retry.Overloaded(r.status):
+		c.entry.hedging.Shed(now)
+	case r.outcome == core.OutcomeAnswered:
+		c.entry.hedging.Answered(now, now.Sub(a.began))
+	}
+	if len(c.open) > 0 && (r.outcome != core.OutcomeAnswered || r.failed) {
+		return // the other attempt decides
 	}
 	class := retry.Classify(r.outcome, r.cause, c.call.Idempotent)
 	if r.outcome == core.OutcomeAnswered {
@@ -236,8 +297,8 @@
 	}
 	c.result.ended = true
 	*counter++
+	c.cancel()
 	m := &c.replay.measures
-	m.Runs += c.result.runs
 	if c.result.runs > 1 && !c.call.Idempotent {
 		m.RunTwice++
 	}
@@ -245,6 +306,25 @@
 	_ = c.replay.latency.RecordValue(min(max(took, 1), maxLatencyUS))
 }
 
+// cancel ends the attempts that have not been answered.
+func (c *callState) cancel() {
+	now := c.replay.clock.now
+	for _, a := range c.open {
+		c.entry.balancer.Done(now, core.PickResult{
+			Endpoint: a.to,
+			Outcome:  core.OutcomeUnknown,
+			Unneeded: true,
+			Latency:  now.Sub(a.began),
+		})
+		c.replay.clock.after(a.oneWay, func() {
+			if a.server != nil {
+				a.server.cancel(a)
+			}
+		})
+	}
+	c.open = nil
+}
+
 func (r *replay) oneWay(from, to core.DataCentre) time.Duration {
 	if from == to {
 		return time.Duration(r.trace.LocalUS) * time.Microsecond
--- a/core/callreplay/server.go
+++ b/core/callreplay/server.go
@@ -111,7 +111,9 @@
 	ticket, change := s.limiter.Arrive(s.clock.now, limiter.Request{
 		Tenant:   a.call.Tenant,
 		Deadline: a.deadline,
+		NoWait:   a.hedge,
 	})
+	a.server, a.ticket = s, ticket
 	s.pending[ticket] = a
 	s.follow(change)
 }
@@ -136,6 +138,8 @@
 		return
 	}
 	a.result.runs++
+	a.measures.Runs++
+	a.startedAt = s.clock.now
 	took := time.Duration(s.spec.WorkUS*s.slowPerMille/1000) * time.Microsecond
 	took = time.Duration(float64(took) * (0.5 + s.random.ExpFloat64()/2))
 	if s.clock.now.Before(s.coldUntil) {
@@ -159,12 +163,30 @@
 	return reply{outcome: core.OutcomeAnswered, failed: true, status: s.shedStatus}
 }
 
+// cancel ends an attempt that nobody waits for; the backend server gives up its run.
+func (s *server) cancel(a *attempt) {
+	if s.pending[a.ticket] != a {
+		return
+	}
+	if s.limiter.Cancel(a.ticket) {
+		delete(s.pending, a.ticket)
+		return
+	}
+	s.finish(s.run, a.ticket, 0, reply{outcome: core.OutcomeUnknown, failed: true})
+}
+
 func (s *server) finish(run int, ticket limiter.Ticket, took time.Duration, r reply) {
 	if run != s.run {
 		return
 	}
 	a := s.pending[ticket]
+	if a == nil {
+		return // cancelled
+	}
 	delete(s.pending, ticket)
+	if !a.startedAt.IsZero() {
+		a.measures.BusyMS += float64(s.clock.now.Sub(a.startedAt)) / float64(time.Millisecond)
+	}
 	a.reply(r)
 	s.follow(s.limiter.Finish(s.clock.now, ticket, limiter.Result{
 		Latency:    took,
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -79,6 +79,7 @@
 	Endpoint Endpoint
 	Outcome  Outcome
 	Failed   bool // the backend server failed; a refusal by the limiter is no failure
+	Unneeded bool // it was cancelled after Latency, or was a hedge that could not start
 	Latency  time.Duration
 }
 
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -38,6 +38,7 @@
 	Tenant   core.TenantID
 	Priority core.Priority
 	Deadline time.Time
+	NoWait   bool // it is refused unless it can start at once
 }
 
 // Result describes how a started call ended.
@@ -139,6 +140,11 @@
 			Shed: []Shed{{Ticket: added.ticket, Cause: core.CauseDeadline}},
 		}
 	}
+	if request.NoWait && (l.waiting > 0 || len(l.running) >= l.Limit()) {
+		return added.ticket, Change{
+			Shed: []Shed{{Ticket: added.ticket, Cause: core.CauseQueueFull}},
+		}
+	}
 	l.tenant(request.Tenant).insert(added)
 	l.waiting++
 	change := l.dispatch(now)
--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -147,6 +147,21 @@
 	c.Assert(limit >= 15, qt.IsTrue, qt.Commentf("limit %d", limit))
 }
 
+// Guards against hedges that wait in the queues of a busy service and take the turn of first attempts.
+func TestNoWaitStartsAtOnceOrNotAtAll(t *testing.T) {
+	c := qt.New(t)
+	l := limiter.New(2)
+	hedge := request("a", 9, time.Second)
+	hedge.NoWait = true
+	_, change := l.Arrive(start, hedge)
+	c.Assert(change.Start, qt.HasLen, 1)
+	l.Arrive(start, request("a", 0, time.Second))
+	_, change = l.Arrive(start, hedge)
+	c.Assert(change.Shed, qt.HasLen, 1)
+	c.Assert(change.Shed[0].Cause, qt.Equals, core.CauseQueueFull)
+	c.Assert(l.Waiting(), qt.Equals, 0)
+}
+
 // Guards against a call that is lost in the limiter, started twice, or started above the slots.
 func TestEachCallEndsExactlyOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -7,6 +7,7 @@
 	bucketCount    = 10 // one second
 	budgetDivisor  = 10 // repetitions are at most a tenth of the calls
 	budgetMinimum  = 3  // repetitions a second that are always allowed
+	hedgeDivisor   = 2  // hedges are at most this part of the budget
 	bucketsPerTurn = int64(bucketCount)
 )
 
@@ -25,13 +26,22 @@
 
 // Take counts one repetition and returns true, or returns false if the budget is used up.
 func (b *Budget) Take(now time.Time) bool {
+	return b.take(now, 1)
+}
+
+// TakeHedge is like Take, but leaves half of the budget to attempts that follow a failure.
+func (b *Budget) TakeHedge(now time.Time) bool {
+	return b.take(now, hedgeDivisor)
+}
+
+func (b *Budget) take(now time.Time, divisor int) bool {
 	at := b.advance(now)
 	calls, repeats := 0, 0
 	for i := range bucketCount {
 		calls += b.calls[i]
 		repeats += b.repeats[i]
 	}
-	if repeats >= max(calls/budgetDivisor, budgetMinimum) {
+	if repeats*divisor >= max(calls/budgetDivisor, budgetMinimum) {
 		return false
 	}
 	b.repeats[at]++
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -91,3 +91,52 @@
 	}
 	c.Assert(tries, qt.Equals, 1+retry.MaxFreeTries)
 }
+
+// Guards against hedges before the latency is known, against a delay that is not the 95th percentile, against old latencies,
+// and against hedges right after the service has shed calls.
+func TestHedgesFollowTheLatency(t *testing.T) {
+	c := qt.New(t)
+	var h retry.Hedging
+	now := time.Unix(1_000_000, 0)
+	for n := range 1000 {
+		_, known := h.Delay(now)
+		c.Assert(known, qt.Equals, n >= 100)
+		took := 10 * time.Millisecond
+		if n%25 == 0 { // 4%
+			took = time.Second
+		}
+		h.Answered(now, took)
+	}
+	delay, _ := h.Delay(now)
+	c.Assert(delay >= 10*time.Millisecond && delay <= 12500*time.Microsecond, qt.IsTrue, qt.Commentf("%v", delay))
+	for range 20 { // together 6%
+		h.Answered(now, time.Second)
+	}
+	delay, _ = h.Delay(now)
+	c.Assert(delay >= time.Second && delay <= 1250*time.Millisecond, qt.IsTrue, qt.Commentf("%v", delay))
+	_, known := h.Delay(now.Add(10 * time.Second))
+	c.Assert(known, qt.IsFalse)
+
+	c.Assert(h.Allowed(now), qt.IsTrue)
+	h.Shed(now)
+	c.Assert(h.Allowed(now.Add(999*time.Millisecond)), qt.IsFalse)
+	c.Assert(h.Allowed(now.Add(time.Second)), qt.IsTrue)
+}
+
+// Guards against hedges that leave no budget to attempts that follow a failure.
+func TestHedgesLeaveHalfOfTheBudget(t *testing.T) {
+	c := qt.New(t)
+	var budget retry.Budget
+	now := time.Unix(1_000_000, 0)
+	for range 1000 {
+		budget.Call(now)
+	}
+	count := func(take func(time.Time) bool) (n int) {
+		for take(now) {
+			n++
+		}
+		return n
+	}
+	c.Assert(count(budget.TakeHedge), qt.Equals, 50)
+	c.Assert(count(budget.Take), qt.Equals, 50)
+}
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -25,6 +25,7 @@
 	err      error
 	latency  time.Duration // to the head of the answer
 	recorded bool          // the picker and the evidence know of it
+	beside   core.NodeID   // of another attempt that was made at the same time
 }
 
 // ServeHTTP implements http.Handler.
@@ -131,6 +132,9 @@
 			break // it has become a suspect, perhaps by its own earlier attempts
 		}
 		earlier.tried = append(earlier.tried, last.endpoint.Node)
+		if last.beside != "" {
+			earlier.tried = append(earlier.tried, last.beside)
+		}
 		if last.outcome == core.OutcomeAnswered || retry.Gone(causeOf(last.err)) {
 			earlier.gone = append(earlier.gone, last.endpoint.Node)
 		}
@@ -204,10 +208,29 @@
 			err:     refusal(core.CauseNoEndpoint, ""),
 		}, false
 	}
+	var last result
+	if delay, hedged := s.hedgeDelay(q, began); hedged {
+		last = s.placeHedged(ctx, q, earlier, endpoint, delay)
+	} else {
+		last = s.forward(ctx, q, callTo(q, endpoint), endpoint)
+	}
+	if last.outcome != core.OutcomeAnswered {
+		s.failed(ctx, q, last)
+	}
+	return last, true
+}
+
+// callTo starts an attempt of the request's call.
+func callTo(q *request, endpoint core.Endpoint) *core.Call {
 	call := *q.call
 	call.Release = endpoint.Release
 	call.AttemptsLeft = q.attempts.Start()
-	answer, outcome, err := s.options.Forwarder.Forward(ctx, endpoint, &call)
+	return &call
+}
+
+func (s *Server) forward(ctx context.Context, q *request, call *core.Call, endpoint core.Endpoint) result {
+	began := time.Now()
+	answer, outcome, err := s.options.Forwarder.Forward(ctx, endpoint, call)
 	last := result{
 		answer:   answer,
 		endpoint: endpoint,
@@ -216,10 +239,14 @@
 		err:      err,
 		latency:  time.Since(began),
 	}
-	if outcome != core.OutcomeAnswered {
-		s.done(ctx, q, last, outcome == core.OutcomeUnknown || causeOf(err) == core.CauseConnectFailed || causeOf(err) == core.CauseBackendRefused)
-	}
-	return last, true
+	s.learn(q.route.Service, last)
+	return last
+}
+
+// failed tells picker and evidence of an attempt that brought the caller no answer.
+func (s *Server) failed(ctx context.Context, q *request, last result) {
+	cause := causeOf(last.err)
+	s.done(ctx, q, last, last.outcome != core.OutcomeNotRun || cause == core.CauseConnectFailed || cause == core.CauseBackendRefused)
 }
 
 // done tells the picker and, unless the backend server has seen nothing of it, the evidence about one attempt. A caller
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -34,6 +34,8 @@
 	maxBufferedBodies = 32 << 20
 	// writeGrace is how long after the deadline a caller may take to read what it gets.
 	writeGrace = time.Second
+	// maxHedging bounds the services whose latencies are known, at 1 KiB each.
+	maxHedging = 4096
 )
 
 // KeyClaimer settles idempotency keys with the nodes that hold them, as nodepeer.Claims does.
@@ -73,13 +75,17 @@
 	active   atomic.Int64 // requests in progress
 	bodies   atomic.Int64 // bytes of request bodies in memory
 
-	mu     sync.Mutex
-	budget retry.Budget
+	mu      sync.Mutex
+	budget  retry.Budget
+	hedging map[core.ServiceName]*retry.Hedging
+	closed  bool
 
-	retries  *metrics.Counter
-	aborted  *metrics.Counter
-	latency  *metrics.Histogram
-	outcomes map[core.Outcome]*metrics.Counter
+	hedges    *metrics.Counter
+	hedgesWon *metrics.Counter
+	retries   *metrics.Counter
+	aborted   *metrics.Counter
+	latency   *metrics.Histogram
+	outcomes  map[core.Outcome]*metrics.Counter
 }
 
 // New listens and starts to take requests; the clean-up function closes all connections and waits for the goroutines.
@@ -107,12 +113,15 @@
 		options.Suspected = func(idempotency.Fingerprint) bool { return false }
 	}
 	s := &Server{
-		options:  options,
-		listener: listener,
-		retries:  options.Metrics.GetOrCreateCounter("parsleyport_caller_retries_total"),
-		aborted:  options.Metrics.GetOrCreateCounter("parsleyport_caller_answers_aborted_total"),
-		latency:  options.Metrics.GetOrCreateHistogram("parsleyport_caller_latency_seconds"),
-		outcomes: make(map[core.Outcome]*metrics.Counter),
+		options:   options,
+		listener:  listener,
+		hedging:   make(map[core.ServiceName]*retry.Hedging),
+		hedges:    options.Metrics.GetOrCreateCounter("parsleyport_caller_hedges_total"),
+		retries:   options.Metrics.GetOrCreateCounter("parsleyport_caller_retries_total"),
+		aborted:   options.Metrics.GetOrCreateCounter("parsleyport_caller_answers_aborted_total"),
+		latency:   options.Metrics.GetOrCreateHistogram("parsleyport_caller_latency_seconds"),
+		hedgesWon: options.Metrics.GetOrCreateCounter("parsleyport_caller_hedges_won_total"),
+		outcomes:  make(map[core.Outcome]*metrics.Counter),
 	}
 	for _, outcome := range []core.Outcome{core.OutcomeAnswered, core.OutcomeNotRun, core.OutcomeUnknown} {
 		s.outcomes[outcome] = options.Metrics.GetOrCreateCounter(`parsleyport_caller_calls_total{outcome="` + string(outcome) + `"}`)
@@ -132,7 +141,21 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// startTask counts a goroutine that the clean-up function waits for; it is false if that has begun.
+func (s *Server) startTask() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.tasks.Add(1)
+	return true
+}
+
 func (s *Server) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	_ = s.http.Close()
 	s.tasks.Wait()
 }
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -105,6 +105,7 @@
 		Tenant:   call.Tenant,
 		Priority: call.Priority,
 		Deadline: call.Deadline,
+		NoWait:   call.Hedge,
 	})
 	a.waiting[ticket] = turn
 	a.follow(change)
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -58,6 +58,7 @@
 	RemainingUS    int64               `msgpack:"remaining-us"`
 	Depth          int                 `msgpack:"depth"`
 	Attempts       int                 `msgpack:"attempts"`
+	Hedge          bool                `msgpack:"hedge"`
 	Length         int                 `msgpack:"length"`
 	Sum            uint64              `msgpack:"sum"`
 	Body           []byte              `msgpack:"body"`
@@ -136,6 +137,7 @@
 		RemainingUS:    call.Deadline.Sub(now).Microseconds(),
 		Depth:          call.Depth,
 		Attempts:       call.AttemptsLeft,
+		Hedge:          call.Hedge,
 		Length:         len(call.Body),
 		Sum:            xxhash.Sum64(call.Body),
 	}
@@ -163,5 +165,6 @@
 		Deadline:       now.Add(time.Duration(message.RemainingUS) * time.Microsecond),
 		Depth:          message.Depth,
 		AttemptsLeft:   message.Attempts,
+		Hedge:          message.Hedge,
 	}
 }
