Wait for the last announcement before a test node is closed

TestCallPassesTwoNodes failed now and then on an overloaded machine. The test node's goroutine that repeats the announcement each second was told to end but not waited for. A test that takes about 1 s (under the race detector with other tests beside it) was often in the middle of an announcement when its node was closed, and the failed request counted as an error of the test, or panicked after its end.

Found with -count=40 -cpu 1,2,10 of the package: 2 failures and the panic in the first 4 minutes, all from the repeated announcement (connection refused or reset, "Fail in goroutine after TestCallPassesTwoNodes has completed"). With an interval of 1 ms instead of 1 s, each of 5 runs of 12 failed before and 0 of 60 after. The package's -count=30 -cpu 1,2,10 passes. No fault of the product was involved.

--- a/io/callerhttp/path_test.go
+++ b/io/callerhttp/path_test.go
@@ -118,8 +118,12 @@
 	n := node{backend: handler, peer: peer}
 	announceReady(t, backend, n, state, "a1")
 	done := make(chan struct{})
-	t.Cleanup(func() { close(done) })
-	go func() { // repeats the announcement, as a backend server does
+	var repeats sync.WaitGroup
+	t.Cleanup(func() { // before the node is closed, to which an announcement may be on its way
+		close(done)
+		repeats.Wait()
+	})
+	repeats.Go(func() { // repeats the announcement, as a backend server does
 		ticker := time.NewTicker(time.Second)
 		defer ticker.Stop()
 		for {
@@ -132,7 +136,7 @@
 				return
 			}
 		}
-	}()
+	})
 	return n
 }
 
