Wait for a silent key holder once

Each keyed call whose key was held by a node that had gone silent (frozen or cut off, so that nothing refuses the connection) waited 500 ms for it, in the claim and again in the settlement. The first call now notes the holder, the following ones count it as out of reach at once, and the holder is asked in the background until it answers. The question lasts 2 s, because 500 ms are too short for the dialer to find a connection dead and replace it.

In the new test (virtual time) every claim took 500 ms before; now the first takes 500 ms and the others none.

--- a/io/nodepeer/claims.go
+++ b/io/nodepeer/claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
+	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/idempotency"
@@ -22,8 +23,16 @@
 	observeEvery = time.Second
 	// maxMemberships bounds the services that one node has announced within the window.
 	maxMemberships = 64
+	// silentLimit bounds the question whether a silent holder answers again. It exceeds silenceLimit, so that a connection
+	// that has gone silent is found dead and replaced.
+	silentLimit = 2 * time.Second
+	// maxSilent bounds the holders that are not waited for.
+	maxSilent = 1024
 )
 
+// errSilent means that a holder did not answer an earlier call in time and has not been heard since.
+const errSilent = errors.ConstError("holder is silent")
+
 // keyMessage claims a key or settles it. Verdict is empty in a claim.
 type keyMessage struct {
 	Token       uint64                  `msgpack:"token"`
@@ -129,6 +138,7 @@
 	mu      sync.Mutex
 	holders *idempotency.Holders
 	asked   map[core.CallID][]core.Endpoint // of calls whose claim was granted, until they are settled
+	silent  map[string]time.Time            // address of a holder that did not answer in time, and since when
 }
 
 // NewClaims starts to observe the endpoints of all services; the clean-up function ends that.
@@ -145,10 +155,12 @@
 		denied:  options.Metrics.GetOrCreateCounter(`parsleyport_key_claims_total{verdict="denied"}`),
 		holders: idempotency.NewHolders(),
 		asked:   make(map[core.CallID][]core.Endpoint),
+		silent:  make(map[string]time.Time),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.observe(ctx) })
+	tasks.Go(func() { c.watchSilent(ctx) })
 	return c, func() { cancel(); tasks.Wait() }, nil
 }
 
@@ -260,13 +272,74 @@
 	if holder.Node == c.options.Self {
 		return c.options.Server.keepKey(message), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, holderLimit)
+	if c.isSilent(holder.Address) {
+		return keyReply{}, errSilent
+	}
+	return c.askRemote(ctx, holder.Address, message, holderLimit)
+}
+
+func (c *Claims) askRemote(ctx context.Context, address string, message keyMessage, limit time.Duration) (keyReply, error) {
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	conn, err := c.options.Dialer.connectionAfter(ctx, holder.Address, 0)
-	if err != nil {
-		return keyReply{}, err
+	conn, err := c.options.Dialer.connectionAfter(limited, address, 0)
+	var reply keyReply
+	if err == nil {
+		reply, err = conn.askKey(limited, message)
+	}
+	switch {
+	case err == nil:
+		c.setSilent(address, false)
+	case ctx.Err() == nil: // not just the end of the call
+		c.setSilent(address, true)
+	}
+	return reply, err
+}
+
+func (c *Claims) isSilent(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, silent := c.silent[address]
+	return silent
+}
+
+func (c *Claims) setSilent(address string, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !silent {
+		delete(c.silent, address)
+	} else if since, known := c.silent[address]; !known && len(c.silent) < maxSilent {
+		c.silent[address] = time.Now()
+	} else if known && time.Since(since) > idempotency.Window {
+		delete(c.silent, address) // it is no longer a holder
+	}
+}
+
+func (c *Claims) watchSilent(ctx context.Context) {
+	ticker := time.NewTicker(observeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.askSilent(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askSilent asks the holders that did not answer in time whether they do now, so that no call waits to find out.
+func (c *Claims) askSilent(ctx context.Context) {
+	c.mu.Lock()
+	addresses := lo.Keys(c.silent)
+	c.mu.Unlock()
+	var asked sync.WaitGroup
+	for _, address := range addresses {
+		asked.Go(func() {
+			nothing := keyMessage{Verdict: idempotency.VerdictUnknown} // settles a key that nobody has claimed
+			_, _ = c.askRemote(ctx, address, nothing, silentLimit)
+		})
 	}
-	return conn.askKey(ctx, message)
+	asked.Wait()
 }
 
 // Settle records at the nodes that were asked what became of a call whose claim was granted: VerdictAnswered with the
--- /dev/null
+++ b/io/nodepeer/claims_test.go
@@ -0,0 +1,86 @@
+package nodepeer
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/io/frame"
+)
+
+// listed is a core.EndpointSource with one list.
+type listed []core.Endpoint
+
+func (l listed) Endpoints(core.ServiceName) []core.Endpoint { return l }
+
+// claimsOf returns the claims of an entry node that is itself a holder.
+func claimsOf(t *testing.T, b *bench, endpoints listed) *Claims {
+	own := newNetwork()
+	server, stop, err := NewServer(ServerOptions{Listener: own, Backend: b.backend})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	server.Announced("orders", true)
+	claims, stopClaims, err := NewClaims(ClaimsOptions{
+		Self: "entry", Server: server, Dialer: b.dialer, Endpoints: endpoints,
+		Services:     func() []core.ServiceName { return []core.ServiceName{"orders"} },
+		ServiceSince: func(core.ServiceName) (time.Time, bool) { return time.Now(), true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopClaims)
+	return claims
+}
+
+func keyed(n int) *core.Call {
+	call := callFor(fmt.Sprint(n), nil)
+	call.Service, call.IdempotencyKey = "orders", core.IdempotencyKey(fmt.Sprint("key-", n))
+	return call
+}
+
+// Guards against each keyed call waiting anew for a holder that has gone silent, and against a holder that is left out for
+// good although it answers again.
+func TestOnlyTheFirstCallWaitsForASilentHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := newBench(t, 1)
+		b.server.Announced("orders", true)
+		var silent, asked atomic.Int64
+		b.network.decide = func(_ int, direction bool, kind frame.Type) action {
+			if direction == toServer && kind == typeKey {
+				asked.Add(1)
+			}
+			if direction == toDialer && silent.Load() > 0 {
+				return swallow
+			}
+			return pass
+		}
+		claims := claimsOf(t, b, listed{{Node: "entry", Service: "orders"}, {Node: "b", Address: "b", Service: "orders"}})
+		claim := func(n int) time.Duration {
+			began := time.Now()
+			_, _ = claims.Claim(context.Background(), keyed(n))
+			return time.Since(began)
+		}
+		time.Sleep(time.Second)
+		c.Assert(claim(0), qt.Equals, time.Duration(0))
+		silent.Store(1)
+		c.Assert(claim(1) >= holderLimit, qt.IsTrue)
+		for n := range 20 {
+			c.Assert(claim(2+n), qt.Equals, time.Duration(0))
+			time.Sleep(300 * time.Millisecond) // the holder is asked again meanwhile
+		}
+		silent.Store(0)
+		time.Sleep(5 * time.Second)
+		before := asked.Load()
+		c.Assert(claim(30), qt.Equals, time.Duration(0))
+		c.Assert(asked.Load() > before, qt.IsTrue)
+	})
+}
