--- a/core/callreplay/server.go
+++ b/core/callreplay/server.go
@@ -1,11 +1,14 @@
 package callreplay
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"parsleyport/core"
 	"parsleyport/core/limiter"
+	"parsleyport/core/retry"
 )
 
 // coldFactor is how much longer the runs of a cold backend server take.
@@ -24,7 +27,9 @@
 	leaving      bool
 	slowPerMille int64
 	failPerMille int64
+	failStatus   int
 	slots        int
+	shedStatus   int // answer to a call beyond the slots; 0 refuses the connection
 	coldUntil    time.Time
 	incarnation  core.Incarnation
 }
@@ -64,9 +69,9 @@
 	case EventSlow:
 		s.slowPerMille = event.Value
 	case EventFail:
-		s.failPerMille = event.Value
+		s.failPerMille, s.failStatus = event.Value, cmp.Or(event.Status, http.StatusInternalServerError)
 	case EventShrink:
-		s.slots = int(event.Value)
+		s.slots, s.shedStatus = int(event.Value), event.Status
 	case EventLeaving:
 		s.leaving = true
 	case EventCrash:
@@ -106,7 +111,9 @@
 	ticket, change := s.limiter.Arrive(s.clock.now, limiter.Request{
 		Tenant:   a.call.Tenant,
 		Deadline: a.deadline,
+		NoWait:   a.hedge,
 	})
+	a.server, a.ticket = s, ticket
 	s.pending[ticket] = a
 	s.follow(change)
 }
@@ -127,24 +134,45 @@
 	a := s.pending[ticket]
 	a.started = true
 	if s.limiter.Running() > s.slots {
-		// The backend server sheds the call itself: its slots are fewer than announced.
-		s.clock.after(0, func() {
-			s.finish(s.run, ticket, 0, reply{outcome: core.OutcomeNotRun, cause: core.CauseBackendRefused})
-		})
+		s.clock.after(0, func() { s.finish(s.run, ticket, 0, s.shed()) })
 		return
 	}
 	a.result.runs++
+	a.measures.Runs++
+	a.startedAt = s.clock.now
 	took := time.Duration(s.spec.WorkUS*s.slowPerMille/1000) * time.Microsecond
 	took = time.Duration(float64(took) * (0.5 + s.random.ExpFloat64()/2))
 	if s.clock.now.Before(s.coldUntil) {
 		took *= coldFactor
 	}
 	failed := s.random.Int64N(1000) < s.failPerMille
+	end := reply{outcome: core.OutcomeAnswered, failed: failed}
 	if failed {
 		took /= 10 // a broken backend server often fails fast
+		end.status = s.failStatus
 	}
 	run := s.run
-	s.clock.after(took, func() { s.finish(run, ticket, took, reply{outcome: core.OutcomeAnswered, failed: failed}) })
+	s.clock.after(took, func() { s.finish(run, ticket, took, end) })
+}
+
+// shed is what a backend server says to a call beyond its slots, which are fewer than announced.
+func (s *server) shed() reply {
+	if s.shedStatus == 0 {
+		return reply{outcome: core.OutcomeNotRun, cause: core.CauseBackendRefused}
+	}
+	return reply{outcome: core.OutcomeAnswered, failed: true, status: s.shedStatus}
+}
+
+// cancel ends an attempt that nobody waits for; the backend server gives up its run.
+func (s *server) cancel(a *attempt) {
+	if s.pending[a.ticket] != a {
+		return
+	}
+	if s.limiter.Cancel(a.ticket) {
+		delete(s.pending, a.ticket)
+		return
+	}
+	s.finish(s.run, a.ticket, 0, reply{outcome: core.OutcomeUnknown, failed: true})
 }
 
 func (s *server) finish(run int, ticket limiter.Ticket, took time.Duration, r reply) {
@@ -152,10 +180,17 @@
 		return
 	}
 	a := s.pending[ticket]
+	if a == nil {
+		return // cancelled
+	}
 	delete(s.pending, ticket)
+	if !a.startedAt.IsZero() {
+		a.measures.BusyMS += float64(s.clock.now.Sub(a.startedAt)) / float64(time.Millisecond)
+	}
 	a.reply(r)
 	s.follow(s.limiter.Finish(s.clock.now, ticket, limiter.Result{
 		Latency:    took,
-		Overloaded: r.cause == core.CauseBackendRefused,
+		Overloaded: r.cause == core.CauseBackendRefused || retry.Overloaded(r.status),
+		Failed:     r.failed,
 	}))
 }
