Let a call wait at the entry node while no endpoint is usable

Cause of refusals in a rolling restart: a restarted node is ready before its backend server has announced itself, whose first announcement may fail and is repeated after a second. If all nodes restart within that second, the others know only old endpoints, which answer "no-backend-server" or "leaving" or are gone, and the entry node refused the call at once.

The call now waits until an endpoint is announced, within three quarters of its time and a bounded number of waiting calls. An endpoint that took no calls is usable again once its node announces something newer, and is tried again every 250 ms, since a backend server that is back within its lease announces nothing new. Calls that met overload do not wait. Only a release with the largest share ends a wait, so that waiting calls do not raise the share of a release under trial.

TestRollingRestartCutsOffNothing now asks each other node for the new endpoint of the restarted one.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -68,6 +68,11 @@
 	}
 }
 
+// Waited gives one free try back to a call that has waited, since the wait bounds the rate of its tries.
+func (a *Attempts) Waited() {
+	a.free = min(a.free+1, MaxFreeTries)
+}
+
 // Start takes one attempt and returns how many attempts the calls below this one may make. The number falls with each
 // level, so that n attempts at the top become at most 2^(n-1) at any depth instead of n to the power of the depth.
 func (a *Attempts) Start() int {
--- a/e2e/failures_test.go
+++ b/e2e/failures_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -121,19 +122,53 @@
 	d.startServing(nodes)
 	calls := d.startCalls("rolling", 24*time.Second, 200, []int{1, 2, 3, 4})
 	for i := 1; i <= nodes; i++ {
-		node, backend := fmt.Sprintf("n%d", i), fmt.Sprintf("b%d", i)
+		node := fmt.Sprintf("n%d", i)
+		others := lo.Without(lo.RangeFrom(1, nodes), i)
+		before := core.Incarnation(time.Now().UnixNano()) // a run is named by its start
 		d.stop(node)
-		d.stop(backend)
+		d.stop(fmt.Sprintf("b%d", i))
 		d.startNode(i)
 		d.startBackend(i, "v1")
-		d.eventually("the restarted node is ready", 10*time.Second, func() bool {
+		d.eventually("the restarted node is ready and all know its new endpoint", 10*time.Second, func() bool {
 			status, err := d.status(d.client())
-			return err == nil && status.Fleet.Endpoints["transcripts"] == nodes && d.ready(node)
+			return err == nil && status.Fleet.Endpoints["transcripts"] == nodes && d.ready(node) &&
+				lo.EveryBy(others, func(other int) bool { return d.incarnation(other, node) > before })
 		})
 	}
 	calls.verify("--all-answered")
 }
 
+// Guards against callers who are refused while all nodes and backend servers restart within about a second, so that for a
+// while no node knows a usable endpoint.
+func TestRestartOfAllWithinASecondRefusesNobody(t *testing.T) {
+	d := newDeployment(qt.New(t))
+	const nodes = 4
+	d.startServing(nodes)
+	calls := d.startCalls("all-at-once", 8*time.Second, 200, []int{1, 2, 3, 4})
+	for i := 1; i <= nodes; i++ {
+		d.stop(fmt.Sprintf("n%d", i))
+		d.stop(fmt.Sprintf("b%d", i))
+		d.startBackend(i, "v1") // before its node, so that its first announcement fails and the next one follows after a second
+		time.Sleep(100 * time.Millisecond)
+		d.startNode(i)
+		d.eventually("the restarted node takes callers", 10*time.Second, func() bool { return d.ready(fmt.Sprintf("n%d", i)) })
+	}
+	calls.verify("--all-answered")
+}
+
+// incarnation returns the run of a node whose ready endpoint another node knows, zero without one.
+func (d *deployment) incarnation(at int, of string) core.Incarnation {
+	_, body := d.get("http://" + d.address(fmt.Sprintf("n%d-admin", at)) + "/state")
+	var state struct {
+		Endpoints map[core.ServiceName][]core.Endpoint `json:"endpoints"`
+	}
+	_ = json.Unmarshal(body, &state) // an answer that is not a dump names no endpoint
+	known, _ := lo.Find(state.Endpoints["transcripts"], func(e core.Endpoint) bool {
+		return string(e.Node) == of && e.State == core.EndpointReady
+	})
+	return known.Incarnation
+}
+
 // Guards against calls that run twice or get a false refusal when backend servers and nodes are killed under load.
 func TestKilledNodesRunNothingTwice(t *testing.T) {
 	d := newDeployment(qt.New(t))
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"parsleyport/core"
 )
 
@@ -28,7 +30,7 @@
 				Call:    q.call.ID,
 				Service: q.route.Service,
 				Release: chosen.release,
-				Tried:   past.tried,
+				Tried:   past.triedOf(candidates),
 				Session: q.session,
 			}, candidates)
 			if found {
@@ -84,19 +86,59 @@
 
 // past names the nodes that earlier attempts of a call went to.
 type past struct {
-	tried []core.NodeID
-	gone  []core.NodeID // those of tried that take no calls
+	tried []core.Endpoint // as announced at that time; a node that has announced something since counts as new
+	gone  []core.Endpoint // those of tried that took no calls
+}
+
+// among reports whether the list has the endpoint's node and the node has announced nothing since.
+func among(list []core.Endpoint, endpoint core.Endpoint) bool {
+	return slices.ContainsFunc(list, func(each core.Endpoint) bool {
+		return each.Node == endpoint.Node && !endpoint.Newer(each)
+	})
+}
+
+// forgetFirstGone has the endpoint that was found gone first tried again.
+func (p *past) forgetFirstGone() {
+	if len(p.gone) == 0 {
+		return
+	}
+	node := p.gone[0].Node
+	same := func(each core.Endpoint) bool { return each.Node == node }
+	p.gone, p.tried = slices.DeleteFunc(p.gone, same), slices.DeleteFunc(p.tried, same)
+}
+
+// triedOf names the candidates that the call has tried.
+func (p past) triedOf(candidates []core.Endpoint) []core.NodeID {
+	var nodes []core.NodeID
+	for _, endpoint := range candidates {
+		if among(p.tried, endpoint) {
+			nodes = append(nodes, endpoint.Node)
+		}
+	}
+	return nodes
+}
+
+// usable reports whether choose is certain to find an endpoint. A release with a smaller share does not count, since a call
+// that draws again until it gets that release would raise its share.
+func (s *Server) usable(q *request, past past) bool {
+	ready := s.ready(q.route.Service)
+	shares := s.shares(q)
+	largest := lo.MaxBy(shares, func(a, b share) bool { return a.perMille > b.perMille }).perMille
+	return slices.ContainsFunc(shares, func(each share) bool {
+		candidates := candidatesOf(ready, each.release, past)
+		return each.perMille == largest && len(past.triedOf(candidates)) < len(candidates)
+	})
 }
 
 // candidatesOf prefers endpoints that this call has not tried; one that takes no calls is not tried again.
 func candidatesOf(ready []core.Endpoint, release core.Release, past past) []core.Endpoint {
 	var fresh, all []core.Endpoint
 	for _, endpoint := range ready {
-		if endpoint.Release != release || slices.Contains(past.gone, endpoint.Node) {
+		if endpoint.Release != release || among(past.gone, endpoint) {
 			continue
 		}
 		all = append(all, endpoint)
-		if !slices.Contains(past.tried, endpoint.Node) {
+		if !among(past.tried, endpoint) {
 			fresh = append(fresh, endpoint)
 		}
 	}
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -48,6 +48,7 @@
 	attempts      retry.Attempts
 	began         time.Time
 	weights       []core.Weight
+	waiting       bool // is counted among the calls that wait for an endpoint
 }
 
 func refusal(cause core.RefusalCause, detail string) *core.Refusal {
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -75,6 +75,7 @@
 	s.budget.Call(q.began)
 	s.mu.Unlock()
 	defer s.latency.UpdateDuration(q.began)
+	defer s.endWait(q)
 	if s.options.Keys != nil && q.call.IdempotencyKey != "" && !q.call.Idempotent {
 		s.serveKeyed(ctx, w, q)
 		return
@@ -110,6 +111,9 @@
 	var last result
 	for {
 		next, placed := s.place(ctx, q, earlier)
+		if !placed && mayWait(last) && s.awaitEndpoint(ctx, q, &earlier) {
+			continue
+		}
 		if !placed && last.outcome != "" {
 			break // the earlier attempt's cause says more than the lack of an endpoint
 		}
@@ -118,16 +122,16 @@
 			mayHaveRun = last.err
 		}
 		class := retry.Classify(last.outcome, causeOf(last.err), q.call.Idempotent)
-		if !placed || ctx.Err() != nil || !q.attempts.Another(class, s.takeBudget) {
+		if !placed || ctx.Err() != nil || !s.another(ctx, q, class) {
 			break
 		}
 		if s.options.Suspected(idempotency.FingerprintOf(q.call)) {
 			last.outcome, last.err = core.OutcomeNotRun, refusal(core.CauseCrashSuspect, "")
 			break // it has become a suspect, perhaps by its own earlier attempts
 		}
-		earlier.tried = append(earlier.tried, last.endpoint.Node)
+		earlier.tried = append(earlier.tried, last.endpoint)
 		if retry.Gone(causeOf(last.err)) {
-			earlier.gone = append(earlier.gone, last.endpoint.Node)
+			earlier.gone = append(earlier.gone, last.endpoint)
 		}
 		s.retries.Inc()
 	}
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -42,24 +42,26 @@
 	Settle(ctx context.Context, call *core.Call, verdict idempotency.Verdict, answer *idempotency.Recorded)
 }
 
-// Options configures a Server. Listener replaces Address; ReleaseAllowed, Suspected and Keys may be nil, and without
-// Keys a call with an idempotency key is like one without; MaxBodyBytes zero means 8 MiB, the most that io/nodepeer
+// Options configures a Server. Listener replaces Address; ReleaseAllowed, Suspected, Keys and EndpointsChanged may be nil.
+// Without Keys a call with an idempotency key is like one without; without EndpointsChanged, whose channel is closed at the
+// next change of a service's endpoints, no call waits for one. MaxBodyBytes zero means 8 MiB, the most that io/nodepeer
 // carries.
 type Options struct {
-	Address        string
-	Listener       net.Listener
-	Source         record.Source
-	Confirmed      func() bool
-	Endpoints      core.EndpointSource
-	Picker         core.Picker
-	Forwarder      core.Forwarder
-	Evidence       core.EvidenceRecorder
-	ReleaseAllowed func(core.ServiceName, core.Release) bool
-	Suspected      func(idempotency.Fingerprint) bool
-	Keys           KeyClaimer
-	MaxBodyBytes   int64
-	Logger         zerolog.Logger
-	Metrics        *metrics.Set
+	Address          string
+	Listener         net.Listener
+	Source           record.Source
+	Confirmed        func() bool
+	Endpoints        core.EndpointSource
+	EndpointsChanged func(core.ServiceName) <-chan struct{}
+	Picker           core.Picker
+	Forwarder        core.Forwarder
+	Evidence         core.EvidenceRecorder
+	ReleaseAllowed   func(core.ServiceName, core.Release) bool
+	Suspected        func(idempotency.Fingerprint) bool
+	Keys             KeyClaimer
+	MaxBodyBytes     int64
+	Logger           zerolog.Logger
+	Metrics          *metrics.Set
 }
 
 // Server takes callers' requests.
@@ -73,12 +75,14 @@
 	active   atomic.Int64 // requests in progress
 	bodies   atomic.Int64 // bytes of request bodies in memory
 
-	mu     sync.Mutex
-	budget retry.Budget
+	mu      sync.Mutex // guards budget and waiting
+	budget  retry.Budget
+	waiting waiting
 
 	retries  *metrics.Counter
 	aborted  *metrics.Counter
 	latency  *metrics.Histogram
+	waits    *metrics.Counter
 	outcomes map[core.Outcome]*metrics.Counter
 }
 
@@ -112,7 +116,11 @@
 		retries:  options.Metrics.GetOrCreateCounter("parsleyport_caller_retries_total"),
 		aborted:  options.Metrics.GetOrCreateCounter("parsleyport_caller_answers_aborted_total"),
 		latency:  options.Metrics.GetOrCreateHistogram("parsleyport_caller_latency_seconds"),
+		waits:    options.Metrics.GetOrCreateCounter("parsleyport_caller_waits_total"),
 		outcomes: make(map[core.Outcome]*metrics.Counter),
+		waiting: waiting{
+			services: make(map[core.ServiceName]int),
+		},
 	}
 	for _, outcome := range []core.Outcome{core.OutcomeAnswered, core.OutcomeNotRun, core.OutcomeUnknown} {
 		s.outcomes[outcome] = options.Metrics.GetOrCreateCounter(`parsleyport_caller_calls_total{outcome="` + string(outcome) + `"}`)
--- /dev/null
+++ b/io/callerhttp/wait.go
@@ -0,0 +1,129 @@
+package callerhttp
+
+import (
+	"context"
+	"time"
+
+	"parsleyport/core"
+	"parsleyport/core/retry"
+)
+
+const (
+	// maxWaiting bounds the calls that wait for an endpoint to half of those in progress, and maxWaitingForService those of
+	// one service, so that a service without backend servers does not take the place of others. A node gets about 144 calls
+	// a second at the planned size.
+	maxWaiting           = maxRequests / 2
+	maxWaitingForService = maxWaiting / 2
+	// A call waits until waitNumerator/waitDenominator of its time are used up; the rest is left to run it.
+	waitNumerator   = 3
+	waitDenominator = 4
+	// probeEvery is how often a waiting call tries an endpoint again that took no calls: a backend server that is back
+	// within its lease announces nothing new.
+	probeEvery = 250 * time.Millisecond
+)
+
+// waiting counts the calls that wait for an endpoint.
+type waiting struct {
+	all      int
+	services map[core.ServiceName]int
+}
+
+// beginWait returns false if too many calls wait already. A call counts until it has ended, so that it does not lose its
+// place between two waits.
+func (s *Server) beginWait(q *request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	service := q.route.Service
+	if q.waiting {
+		return true
+	}
+	if s.waiting.all >= maxWaiting || s.waiting.services[service] >= maxWaitingForService {
+		return false
+	}
+	q.waiting = true
+	s.waiting.all++
+	s.waiting.services[service]++
+	s.waits.Inc()
+	return true
+}
+
+func (s *Server) endWait(q *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !q.waiting {
+		return
+	}
+	q.waiting = false
+	s.waiting.all--
+	if s.waiting.services[q.route.Service]--; s.waiting.services[q.route.Service] == 0 {
+		delete(s.waiting.services, q.route.Service)
+	}
+}
+
+// waitUntil is when a call that has found no endpoint is refused.
+func (q *request) waitUntil() time.Time {
+	return q.began.Add(q.call.Deadline.Sub(q.began) / waitDenominator * waitNumerator)
+}
+
+// mayWait reports whether a call may wait after its last attempt, if there was one. After a refusal for overload it may
+// not: it would only be refused later.
+func mayWait(last result) bool {
+	return last.outcome == "" || (last.outcome == core.OutcomeNotRun && retry.Gone(causeOf(last.err)))
+}
+
+// awaitEndpoint waits while no endpoint is usable; it returns false if the call is to be refused. The endpoints of nodes
+// and backend servers that all restart at once are unknown for about a second.
+func (s *Server) awaitEndpoint(ctx context.Context, q *request, earlier *past) bool {
+	if s.options.EndpointsChanged == nil || !s.beginWait(q) {
+		return false
+	}
+	for ctx.Err() == nil && time.Now().Before(q.waitUntil()) {
+		changed := s.options.EndpointsChanged(q.route.Service)
+		if s.usable(q, *earlier) {
+			q.attempts.Waited()
+			return true
+		}
+		over, woken := pause(ctx, q, changed)
+		if over {
+			return false
+		}
+		if !woken {
+			earlier.forgetFirstGone()
+		}
+	}
+	return false
+}
+
+// pause waits for a change, but not longer than probeEvery; over says that the call's time to wait has ended.
+func pause(ctx context.Context, q *request, changed <-chan struct{}) (over, woken bool) {
+	left := time.Until(q.waitUntil())
+	if left <= 0 {
+		return true, false
+	}
+	timer := time.NewTimer(min(left, probeEvery))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return true, false
+	case <-changed:
+		return false, true
+	case <-timer.C:
+		return false, false
+	}
+}
+
+// another reports whether one more attempt may be made. A call whose free tries all met nodes that take no calls goes on
+// at the pace of a waiting call.
+func (s *Server) another(ctx context.Context, q *request, class retry.Class) bool {
+	if q.attempts.Another(class, s.takeBudget) {
+		return true
+	}
+	if class != retry.RepeatFree || s.options.EndpointsChanged == nil || !s.beginWait(q) {
+		return false
+	}
+	if over, _ := pause(ctx, q, nil); over {
+		return false
+	}
+	q.attempts.Waited()
+	return q.attempts.Another(class, s.takeBudget)
+}
--- /dev/null
+++ b/io/callerhttp/wait_test.go
@@ -0,0 +1,151 @@
+package callerhttp_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/core/balancer"
+	"parsleyport/io/callerhttp"
+)
+
+// noListener accepts nothing.
+type noListener struct {
+	net.Listener
+	closed chan struct{}
+	close  func()
+}
+
+func (l *noListener) Accept() (net.Conn, error) { <-l.closed; return nil, net.ErrClosed }
+func (l *noListener) Close() error              { l.close(); return nil }
+
+// waitingEntry is an entry without sockets, whose endpoints the test announces.
+type waitingEntry struct {
+	entry
+	c       *qt.C
+	changed chan struct{}
+	calls   sync.WaitGroup
+}
+
+func waitingWorld(t *testing.T, test func(c *qt.C, e *waitingEntry)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		listener := &noListener{closed: make(chan struct{})}
+		listener.close = sync.OnceFunc(func() { close(listener.closed) })
+		e := &waitingEntry{c: c, changed: make(chan struct{})}
+		e.entry = newEntry(c, allV1, func(o *callerhttp.Options) {
+			o.Listener = listener
+			o.Picker = balancer.New(balancer.Options{Seed: 1})
+			o.EndpointsChanged = func(core.ServiceName) <-chan struct{} {
+				e.endpoints.mu.Lock()
+				defer e.endpoints.mu.Unlock()
+				return e.changed
+			}
+		})
+		e.forwarder.forward = func(_ int, to core.Endpoint) (*core.Answer, core.Outcome, error) {
+			if to.Sequence == 0 {
+				return notRun(core.CauseNoBackend)
+			}
+			return answer(200, strings.NewReader(""))
+		}
+		test(c, e)
+		e.calls.Wait()
+	})
+}
+
+func (e *waitingEntry) announce(endpoints ...core.Endpoint) {
+	e.endpoints.mu.Lock()
+	defer e.endpoints.mu.Unlock()
+	e.endpoints.endpoints = endpoints
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// call returns the answer and how long it took.
+func (e *waitingEntry) call(header ...string) (*http.Response, time.Duration) {
+	request := httptest.NewRequest("POST", "/orders", nil)
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	recorder, began := httptest.NewRecorder(), time.Now()
+	e.ServeHTTP(recorder, request)
+	return recorder.Result(), time.Since(began)
+}
+
+func restarted(node core.NodeID) core.Endpoint {
+	return core.Endpoint{Node: node, Sequence: 1, Service: "orders", Release: "v1", State: core.EndpointReady}
+}
+
+// Guards against callers who are refused while all nodes of a service restart within a second: the old endpoints answer
+// "no-backend-server" or are gone, and the new ones are not yet known.
+func TestCallWaitsForAnEndpoint(t *testing.T) {
+	for name, old := range map[string][]core.Endpoint{
+		"none known": nil,
+		"old known":  {{Node: "a", Service: "orders", Release: "v1", State: core.EndpointReady}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			waitingWorld(t, func(c *qt.C, e *waitingEntry) {
+				e.announce(old...)
+				e.calls.Go(func() {
+					response, took := e.call()
+					c.Check(response.StatusCode, qt.Equals, 200, qt.Commentf("%v", response.Header))
+					c.Check(took, qt.Equals, 1100*time.Millisecond)
+				})
+				time.Sleep(1100 * time.Millisecond)
+				e.announce(restarted("a"))
+			})
+		})
+	}
+}
+
+// Guards against a backend server that is back within its lease, announces nothing new, and gets no call that waits; and
+// against a service with more dead endpoints than a call has free tries.
+func TestWaitingCallTriesAgain(t *testing.T) {
+	waitingWorld(t, func(c *qt.C, e *waitingEntry) {
+		var dead []core.Endpoint
+		for node := range 16 {
+			dead = append(dead, core.Endpoint{Node: core.NodeID(rune('a' + node)), Service: "orders", Release: "v1", State: core.EndpointReady})
+		}
+		e.announce(dead...)
+		began := time.Now()
+		e.forwarder.forward = func(_ int, to core.Endpoint) (*core.Answer, core.Outcome, error) {
+			if time.Since(began) < time.Second {
+				return notRun(core.CauseNoBackend)
+			}
+			return answer(200, strings.NewReader(""))
+		}
+		response, took := e.call()
+		c.Assert(response.StatusCode, qt.Equals, 200, qt.Commentf("%v", response.Header))
+		c.Assert(took < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", took))
+		c.Assert(e.forwarder.attempts() <= 16, qt.IsTrue, qt.Commentf("%d", e.forwarder.attempts()))
+	})
+}
+
+// Guards against a call that waits until its deadline, and against a service without backend servers whose waiting calls
+// take up the node.
+func TestWaitsAreBounded(t *testing.T) {
+	waitingWorld(t, func(c *qt.C, e *waitingEntry) {
+		e.announce()
+		response, took := e.call("Parsleyport-Deadline-Ms", "2000")
+		c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, "no-endpoint")
+		c.Assert(took, qt.Equals, 1500*time.Millisecond)
+		for range 256 {
+			e.calls.Go(func() { e.call("Parsleyport-Deadline-Ms", "2000") })
+		}
+		synctest.Wait()
+		response, took = e.call("Parsleyport-Deadline-Ms", "2000")
+		c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, "no-endpoint")
+		c.Assert(took, qt.Equals, time.Duration(0))
+		e.calls.Wait()
+		_, took = e.call("Parsleyport-Deadline-Ms", "2000")
+		c.Assert(took, qt.Equals, 1500*time.Millisecond)
+	})
+}
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -40,13 +40,15 @@
 	lastLink  uint64
 	uplinks   map[*uplink]bool
 	path      []core.NodeID // from the parent up
-	control   core.ControlID
-	stale     bool   // the control instance knows no leader
-	pathTurn  uint64 // counts changes of the path
-	attached  bool
-	all       bool // this node wants the endpoints of all services
-	services  map[core.ServiceName]bool
-	complete  bool // the table has all endpoints, so that digests and removals are final
+	// watchers are closed at the next change of a service's endpoints.
+	watchers map[core.ServiceName]chan struct{}
+	control  core.ControlID
+	stale    bool   // the control instance knows no leader
+	pathTurn uint64 // counts changes of the path
+	attached bool
+	all      bool // this node wants the endpoints of all services
+	services map[core.ServiceName]bool
+	complete bool // the table has all endpoints, so that digests and removals are final
 	// unsynced are services that children want and whose endpoints the parent has not sent yet; the value says that the
 	// parent's next digest covers the service. unsyncedAll stands for all services.
 	unsynced    map[core.ServiceName]bool
@@ -75,6 +77,7 @@
 		history:     &history{},
 		children:    make(map[uint64]*child),
 		unsynced:    make(map[core.ServiceName]bool),
+		watchers:    make(map[core.ServiceName]chan struct{}),
 		uplinks:     make(map[*uplink]bool),
 		peerReports: make(map[core.ControlID]peerReport),
 		peers:       make(map[core.ControlID]bool),
@@ -119,6 +122,28 @@
 		}
 	}
 	h.views.Store(&next)
+	for _, service := range dirty {
+		h.signal(service)
+	}
+}
+
+// signal wakes those who wait for a change of a service's endpoints; mu is held.
+func (h *hub) signal(service core.ServiceName) {
+	if watcher, exists := h.watchers[service]; exists {
+		close(watcher)
+		delete(h.watchers, service)
+	}
+}
+
+func (h *hub) endpointsChanged(service core.ServiceName) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	watcher, exists := h.watchers[service]
+	if !exists {
+		watcher = make(chan struct{})
+		h.watchers[service] = watcher
+	}
+	return watcher
 }
 
 // hold makes a configuration the one that children get; mu is held.
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -410,6 +410,11 @@
 	return s.hub.endpoints(service)
 }
 
+// EndpointsChanged returns a channel that is closed at the next change of a service's endpoints.
+func (s *Subscriber) EndpointsChanged(service core.ServiceName) <-chan struct{} {
+	return s.hub.endpointsChanged(service)
+}
+
 // Tombstones returns the endpoints of a service that left within the last 10 min, sorted by node.
 func (s *Subscriber) Tombstones(service core.ServiceName) []core.Endpoint {
 	return s.hub.tombstones(service)
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -148,18 +148,19 @@
 		tripped:  p.logTripped,
 	}
 	server, cleanup, err := callerhttp.New(callerhttp.Options{
-		Address:        p.settings.CallerAddress,
-		Source:         subscriber,
-		Confirmed:      subscriber.Confirmed,
-		Endpoints:      subscriber,
-		Picker:         do.MustInvoke[*balancer.Balancer](injector),
-		Forwarder:      dialer,
-		Evidence:       counts,
-		ReleaseAllowed: counts.releaseAllowed,
-		Suspected:      p.suspects.suspected,
-		Keys:           keys,
-		Logger:         p.log,
-		Metrics:        p.metrics,
+		Address:          p.settings.CallerAddress,
+		Source:           subscriber,
+		Confirmed:        subscriber.Confirmed,
+		Endpoints:        subscriber,
+		EndpointsChanged: subscriber.EndpointsChanged,
+		Picker:           do.MustInvoke[*balancer.Balancer](injector),
+		Forwarder:        dialer,
+		Evidence:         counts,
+		ReleaseAllowed:   counts.releaseAllowed,
+		Suspected:        p.suspects.suspected,
+		Keys:             keys,
+		Logger:           p.log,
+		Metrics:          p.metrics,
 	})
 	return keep(p, server, cleanup, err)
 }
