Subscribe a node to the endpoints of a service at its first use

Each running node got the endpoints of all services, so a relay with 16 children exceeded 4 KB/s above 1.5 endpoint changes a second in the whole fleet. A node now asks for the endpoints of a service at the first call for it and keeps the subscription for 10 min after the last one; a relay asks for what its children want, and keeps that of a lost child for 10 s. The first call waits for the endpoints as any call without a usable endpoint does.

A keyed call must not be granted by a node that lacks endpoints of the key's holders. It waits until the endpoints of its service are known, those that left within 10 min included, and is unknown otherwise. These now come with the answer to a later subscription too, again until the parent knows all, and a control instance that has restarted gets them from its children and peers. A relay without a parent no longer passes for one that knows a service to have no endpoints.

Endpoints of a subscription that has ended are forgotten without a tombstone, since they have not left. Messages that cross with the end of a subscription are left out, as nothing would bring them up to date later.

--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -204,6 +204,50 @@
 	}
 }
 
+// Forget ends an owner's claims for the endpoints of a service of which it sends no more word. Those without another owner
+// vanish without a tombstone, since they have not left.
+func (t *Table) Forget(owner Owner, service core.ServiceName) {
+	for node := range t.services[service] {
+		if held := t.entries[node]; held.owners[owner] {
+			t.forgetClaim(owner, held)
+		}
+	}
+	if len(t.services[service]) == 0 {
+		delete(t.services, service)
+	}
+}
+
+func (t *Table) forgetClaim(owner Owner, held *entry) {
+	before := held.standing()
+	delete(held.owners, owner)
+	delete(t.fading, fadingClaim{
+		owner: owner,
+		node:  held.endpoint.Node,
+	})
+	if len(held.owners) > 0 {
+		t.logs[All].addFor(before.sole, held.endpoint)
+		t.logs[All].addFor(held.standing().sole, held.endpoint)
+		return
+	}
+	delete(t.services[held.endpoint.Service], held.endpoint.Node)
+	delete(t.entries, held.endpoint.Node)
+	t.dirty[held.endpoint.Service] = true
+}
+
+// ServicesOf returns the services with endpoints that an owner vouches for.
+func (t *Table) ServicesOf(owner Owner) []core.ServiceName {
+	var services []core.ServiceName
+	for service, members := range t.services {
+		for node := range members {
+			if t.entries[node].owners[owner] {
+				services = append(services, service)
+				break
+			}
+		}
+	}
+	return services
+}
+
 // Expire ends grace periods that are over and forgets endpoints that left more than TombstoneAge ago.
 func (t *Table) Expire(now time.Time) {
 	for owner, lost := range t.lost {
--- a/io/callerhttp/keyed.go
+++ b/io/callerhttp/keyed.go
@@ -17,9 +17,16 @@
 // errKeyUnknown is the error of a resend whose first call may have run.
 const errKeyUnknown = errors.ConstError("an earlier call with this idempotency key may have run")
 
+// errHoldersUnknown is the error of a call whose key may be held by nodes that this one has not heard of.
+const errHoldersUnknown = errors.ConstError("the holders of the idempotency key are not known yet, so an earlier call with it may have run")
+
 // serveKeyed serves a call with an idempotency key. Once the key is claimed, the call no longer ends with its caller's
 // connection, so that a resend gets the answer.
 func (s *Server) serveKeyed(ctx context.Context, w http.ResponseWriter, q *request) {
+	if !s.awaitKnown(ctx, q) {
+		s.unknown(w, q, "", errHoldersUnknown)
+		return
+	}
 	verdict, recorded := s.options.Keys.Claim(ctx, q.call)
 	switch verdict {
 	case idempotency.VerdictGranted:
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -76,6 +76,7 @@
 	s.mu.Unlock()
 	defer s.latency.UpdateDuration(q.began)
 	defer s.endWait(q)
+	s.options.Use(q.route.Service)
 	if s.options.Keys != nil && q.call.IdempotencyKey != "" && !q.call.Idempotent {
 		s.serveKeyed(ctx, w, q)
 		return
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -44,7 +44,8 @@
 
 // Options configures a Server. Listener replaces Address; ReleaseAllowed, Suspected, Keys and EndpointsChanged may be nil.
 // Without Keys a call with an idempotency key is like one without; without EndpointsChanged, whose channel is closed at the
-// next change of a service's endpoints, no call waits for one. MaxBodyBytes zero means 8 MiB, the most that io/nodepeer
+// next change of a service's endpoints, no call waits for one. Use is told which services are called, and EndpointsKnown
+// whether all endpoints of such a service are known, those that left included; both may be nil. MaxBodyBytes zero means 8 MiB, the most that io/nodepeer
 // carries.
 type Options struct {
 	Address          string
@@ -53,6 +54,8 @@
 	Confirmed        func() bool
 	Endpoints        core.EndpointSource
 	EndpointsChanged func(core.ServiceName) <-chan struct{}
+	Use              func(core.ServiceName)
+	EndpointsKnown   func(core.ServiceName) bool
 	Picker           core.Picker
 	Forwarder        core.Forwarder
 	Evidence         core.EvidenceRecorder
@@ -107,6 +110,12 @@
 	if options.ReleaseAllowed == nil {
 		options.ReleaseAllowed = func(core.ServiceName, core.Release) bool { return true }
 	}
+	if options.Use == nil {
+		options.Use = func(core.ServiceName) {}
+	}
+	if options.EndpointsKnown == nil {
+		options.EndpointsKnown = func(core.ServiceName) bool { return true }
+	}
 	if options.Suspected == nil {
 		options.Suspected = func(idempotency.Fingerprint) bool { return false }
 	}
--- a/io/callerhttp/wait.go
+++ b/io/callerhttp/wait.go
@@ -78,6 +78,7 @@
 		return false
 	}
 	for ctx.Err() == nil && time.Now().Before(q.waitUntil()) {
+		s.options.Use(q.route.Service) // its subscription may have ended when the call began
 		changed := s.options.EndpointsChanged(q.route.Service)
 		if s.usable(q, *earlier) {
 			q.attempts.Waited()
@@ -94,6 +95,28 @@
 	return false
 }
 
+// awaitKnown waits until all endpoints of the call's service are known: a node that lacks some takes others for the holders
+// of a key, and the call could run twice.
+func (s *Server) awaitKnown(ctx context.Context, q *request) bool {
+	service := q.route.Service
+	if s.options.EndpointsKnown(service) {
+		return true
+	}
+	if s.options.EndpointsChanged == nil || !s.beginWait(q) {
+		return false
+	}
+	for {
+		s.options.Use(service)
+		changed := s.options.EndpointsChanged(service)
+		if s.options.EndpointsKnown(service) {
+			return true
+		}
+		if over, _ := pause(ctx, q, changed); over {
+			return false
+		}
+	}
+}
+
 // pause waits for a change, but not longer than probeEvery; over says that the call's time to wait has ended.
 func pause(ctx context.Context, q *request, changed <-chan struct{}) (over, woken bool) {
 	left := time.Until(q.waitUntil())
--- a/io/callerhttp/wait_test.go
+++ b/io/callerhttp/wait_test.go
@@ -1,11 +1,13 @@
 package callerhttp_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/balancer"
+	"parsleyport/core/idempotency"
 	"parsleyport/io/callerhttp"
 )
 
@@ -33,6 +36,17 @@
 	c       *qt.C
 	changed chan struct{}
 	calls   sync.WaitGroup
+	known   atomic.Bool // the endpoints, to keyed calls
+	claims  atomic.Int64
+}
+
+// Claim and Settle implement callerhttp.KeyClaimer.
+func (e *waitingEntry) Claim(context.Context, *core.Call) (idempotency.Verdict, *idempotency.Recorded) {
+	e.claims.Add(1)
+	return idempotency.VerdictGranted, nil
+}
+
+func (*waitingEntry) Settle(context.Context, *core.Call, idempotency.Verdict, *idempotency.Recorded) {
 }
 
 func waitingWorld(t *testing.T, test func(c *qt.C, e *waitingEntry)) {
@@ -42,7 +56,8 @@
 		listener.close = sync.OnceFunc(func() { close(listener.closed) })
 		e := &waitingEntry{c: c, changed: make(chan struct{})}
 		e.entry = newEntry(c, allV1, func(o *callerhttp.Options) {
-			o.Listener = listener
+			o.Listener, o.Keys = listener, e
+			o.EndpointsKnown = func(core.ServiceName) bool { return e.known.Load() }
 			o.Picker = balancer.New(balancer.Options{Seed: 1})
 			o.EndpointsChanged = func(core.ServiceName) <-chan struct{} {
 				e.endpoints.mu.Lock()
@@ -149,3 +164,25 @@
 		c.Assert(took, qt.Equals, 1500*time.Millisecond)
 	})
 }
+
+// Guards against a keyed call whose entry node does not know all holders of the key: it could be granted and run twice. It
+// must not be claimed, and must not be refused as not run, since an earlier call with the key may have run.
+func TestKeyedCallWaitsForTheHolders(t *testing.T) {
+	waitingWorld(t, func(c *qt.C, e *waitingEntry) {
+		e.announce(restarted("a"))
+		e.calls.Go(func() {
+			response, took := e.call("Idempotency-Key", "k")
+			c.Check(response.StatusCode, qt.Equals, 200)
+			c.Check(took, qt.Equals, time.Second)
+		})
+		response, took := e.call("Idempotency-Key", "k", "Parsleyport-Deadline-Ms", "800")
+		c.Assert(response.Header.Get("Parsleyport-Outcome"), qt.Equals, "unknown")
+		c.Assert(took, qt.Equals, 600*time.Millisecond)
+		c.Assert(e.claims.Load(), qt.Equals, int64(0))
+		time.Sleep(400 * time.Millisecond)
+		e.known.Store(true)
+		e.announce(restarted("a"))
+		e.calls.Wait()
+		c.Assert(e.claims.Load(), qt.Equals, int64(1))
+	})
+}
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -41,6 +41,8 @@
 	leftSince    time.Time
 	digests      map[core.ServiceName]core.Hash // of an unanswered request for endpoints
 	newServices  []core.ServiceName
+	// leftPending are services subscribed to later, whose endpoints that left have not been sent by a parent that knows all.
+	leftPending map[core.ServiceName]bool
 }
 
 // serve answers a listener until the context ends.
@@ -170,6 +172,7 @@
 		grace = 0
 	}
 	h.table.Lose(now, c.owner, c.hello.ID, grace, subtreeGrace)
+	h.loseSubscriptions(now, c)
 	h.changed()
 }
 
@@ -265,6 +268,7 @@
 	for _, removal := range message.Removals {
 		h.table.Remove(now, c.owner, removal)
 	}
+	h.rememberLeft(now, message.Left)
 	h.changed()
 }
 
@@ -280,50 +284,6 @@
 	h.changed()
 }
 
-func (h *hub) subscribed(now time.Time, c *child, message subscribe) {
-	first := !c.subscribed
-	c.subscribed = true
-	c.all = c.all || message.All
-	for _, service := range message.Services {
-		if c.services[service] || len(c.services) >= maxSubscriptions {
-			continue
-		}
-		c.services[service] = true
-		if !first {
-			c.newServices = append(c.newServices, service)
-		}
-	}
-	if first || message.All {
-		c.cursor = h.table.Position(lease.All)
-		c.digestDue = true
-		c.leftSince = now.Add(-lease.TombstoneAge)
-		if message.AwayMS >= 0 {
-			// The child saw what left before its link broke; the margin covers the time until it noticed.
-			c.leftSince = now.Add(-time.Duration(message.AwayMS)*time.Millisecond - subtreeGrace)
-		}
-	}
-	h.awaitServices(c, message)
-	h.changed() // a relay may have to subscribe to more services itself
-}
-
-// awaitServices notes what a relay has to subscribe to for a child; until it has been sent the endpoints, it must not
-// pass for a parent that knows there to be none.
-func (h *hub) awaitServices(c *child, message subscribe) {
-	for u := range h.uplinks {
-		if u.kind != kindNode {
-			continue
-		}
-		if message.All && !u.all {
-			h.unsyncedAll, c.digestFinal = true, false
-		}
-		for _, service := range message.Services {
-			if !u.wants(service) {
-				h.unsynced[service], c.digestFinal = false, false
-			}
-		}
-	}
-}
-
 // completeFor reports whether what a child is sent is final.
 func (h *hub) completeFor(c *child) bool {
 	if !h.complete || h.unsyncedAll {
@@ -411,7 +371,7 @@
 		c.digests = nil
 	}
 	if len(c.newServices) > 0 {
-		due = append(due, h.resetMessage(c, c.newServices, false))
+		due = append(due, h.newServicesMessage(c, now))
 		c.newServices = nil
 	}
 	if !c.batch.ready(now) {
@@ -448,14 +408,10 @@
 	for _, digest := range h.table.Digests(c.wants) {
 		message.Digest ^= digest
 	}
-	for _, each := range h.table.Tombstones(c.leftSince, c.wants) {
-		message.Left = append(message.Left, left{
-			Endpoint: each.Endpoint,
-			AgeMS:    now.Sub(each.At).Milliseconds(),
-		})
-	}
+	message.Left = h.leftFor(c, now, c.wants)
 	if h.completeFor(c) {
 		c.leftSince = now
+		clear(c.leftPending)
 	}
 	return outgoing{
 		kind:    typeEndpoints,
@@ -496,6 +452,18 @@
 	}
 }
 
+// newServicesMessage answers a later subscription.
+func (h *hub) newServicesMessage(c *child, now time.Time) outgoing {
+	reset := h.resetMessage(c, c.newServices, false)
+	message := reset.message.(endpoints)
+	message.Left = h.leftFor(c, now, func(service core.ServiceName) bool { return c.leftPending[service] })
+	if !message.Partial {
+		clear(c.leftPending)
+	}
+	reset.message = message
+	return reset
+}
+
 // acceptance is the path that a child gets; mu is held.
 func (h *hub) acceptance() accept {
 	path := h.path
@@ -523,7 +491,8 @@
 			revision: greeting.Revision,
 			hash:     greeting.Hash,
 		},
-		services: make(map[core.ServiceName]bool),
+		services:    make(map[core.ServiceName]bool),
+		leftPending: make(map[core.ServiceName]bool),
 		batch: pacer{
 			interval: batchInterval,
 		},
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -48,8 +48,11 @@
 	attached bool
 	all      bool // this node wants the endpoints of all services
 	services map[core.ServiceName]bool
-	complete bool // the table has all endpoints, so that digests and removals are final
-	// unsynced are services that children want and whose endpoints the parent has not sent yet; the value says that the
+	// linger has the subscriptions of lost children and when they end.
+	linger        map[core.ServiceName]time.Time
+	subscriptions uint64 // counts changes of what this node and its children want
+	complete      bool   // the table has all endpoints, so that digests and removals are final
+	// unsynced are services that this node or its children want and whose endpoints the parent has not sent yet; the value says that the
 	// parent's next digest covers the service. unsyncedAll stands for all services.
 	unsynced    map[core.ServiceName]bool
 	unsyncedAll bool
@@ -78,6 +81,8 @@
 		children:    make(map[uint64]*child),
 		unsynced:    make(map[core.ServiceName]bool),
 		watchers:    make(map[core.ServiceName]chan struct{}),
+		services:    make(map[core.ServiceName]bool),
+		linger:      make(map[core.ServiceName]time.Time),
 		uplinks:     make(map[*uplink]bool),
 		peerReports: make(map[core.ControlID]peerReport),
 		peers:       make(map[core.ControlID]bool),
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -1,6 +1,8 @@
 package distribution
 
 import (
+	"github.com/samber/lo"
+
 	"parsleyport/core"
 	"parsleyport/core/lease"
 	"parsleyport/core/record"
@@ -75,15 +77,20 @@
 	Number uint64 `msgpack:"number"`
 }
 
-// subscribe adds services, or all of them; AwayMS is how long the child was without a parent, negative for a fresh child.
+// subscribe adds services, or all of them, and ends the subscription of the dropped ones; AwayMS is how long the child was
+// without a parent, negative for a fresh child. Fresh names those of the services whose endpoints the child has never had.
 type subscribe struct {
+	Drop     []core.ServiceName `msgpack:"drop,omitempty"`
+	Fresh    []core.ServiceName `msgpack:"fresh,omitempty"`
 	All      bool               `msgpack:"all"`
 	Services []core.ServiceName `msgpack:"services"`
 	AwayMS   int64              `msgpack:"away-ms"`
 }
 
-// announce carries changes upwards; Complete says that the upserts are all endpoints that the sender vouches for.
+// announce carries changes upwards; Complete says that the upserts are all endpoints that the sender vouches for. Left
+// comes with the first announcement of a link, for a control instance that has restarted.
 type announce struct {
+	Left     []left          `msgpack:"left,omitempty"`
 	Complete bool            `msgpack:"complete,omitempty"`
 	Upserts  []core.Endpoint `msgpack:"upserts,omitempty"`
 	Removals []lease.Removal `msgpack:"removals,omitempty"`
@@ -103,6 +110,14 @@
 	Left      []left             `msgpack:"left,omitempty"`
 }
 
+// keep leaves out what crossed with the end of a subscription: no later message would bring it up to date.
+func (e *endpoints) keep(wanted func(core.ServiceName) bool) {
+	e.Reset = lo.Filter(e.Reset, func(service core.ServiceName, _ int) bool { return wanted(service) })
+	e.Upserts = lo.Filter(e.Upserts, func(endpoint core.Endpoint, _ int) bool { return wanted(endpoint.Service) })
+	e.Removals = lo.Filter(e.Removals, func(removal lease.Removal, _ int) bool { return wanted(removal.Service) })
+	e.Left = lo.Filter(e.Left, func(each left, _ int) bool { return wanted(each.Endpoint.Service) })
+}
+
 // left is an endpoint that left its service some time ago; an age needs no common clock.
 type left struct {
 	Endpoint core.Endpoint `msgpack:"endpoint"`
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyport/core"
+	"parsleyport/core/lease"
 	"parsleyport/core/record"
 )
 
@@ -39,6 +40,13 @@
 	// controlGrace is how long the nodes of a lost control instance stay listed while they attach elsewhere.
 	controlGrace = 30 * time.Second
 
+	// subscriptionAge is how long a node gets the endpoints of a service after its last use: the window of the idempotency
+	// keys, so that it sees the holders of every key that it claimed.
+	subscriptionAge = lease.TombstoneAge
+	// lostChildAge is how long a relay keeps the subscriptions of a child whose link broke, which is likely to come back or
+	// to have moved to another relay.
+	lostChildAge = subtreeGrace
+
 	// leaderlessLimit is how long a control instance may know no leader before its children look for another one: a few
 	// election timeouts of 1 s.
 	leaderlessLimit = 3 * time.Second
@@ -91,7 +99,7 @@
 	RelayAddress     string // nodes below attach here
 	ControlAddresses []string
 	OnCrash          func(at time.Time, report core.CrashReport) // optional; gets each report once and must not block
-	OnRequest        bool                                        // receive only the endpoints of services given to Subscribe; default is all services
+	OnRequest        bool                                        // receive only the endpoints of services in use, see Subscribe; default is all services
 	Logger           zerolog.Logger
 	Metrics          *metrics.Set       // optional
 	Network          Network            // optional, TCP by default
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -55,6 +55,7 @@
 	logger    zerolog.Logger
 	attach    *attachment
 	newest    atomic.Pointer[record.Configuration]
+	uses      atomic.Pointer[map[core.ServiceName]*lastUse] // replaced as a whole, with hub.mu held
 	confirmed chan struct{}
 	confirm   sync.Once
 	filledCh  chan struct{}
@@ -91,11 +92,11 @@
 		staleFrom: -1,
 	}
 	s.newest.Store(record.Empty())
+	s.uses.Store(&map[core.ServiceName]*lastUse{})
 	s.hub.relay = options.ID
 	s.hub.schema = options.Schema
 	s.hub.all = !options.OnRequest
 	s.hub.crashes.heard = options.OnCrash
-	s.hub.services = make(map[core.ServiceName]bool)
 	s.hub.hold(record.Empty())
 	s.hub.watch(options.Metrics)
 	s.hub.confirmer.request(ownLink, 1)
@@ -111,7 +112,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	s.hub.start(func() { s.hub.serve(ctx, listener) })
-	s.hub.start(func() { s.hub.tick(ctx, func(time.Time) {}) })
+	s.hub.start(func() { s.hub.tick(ctx, s.tick) })
 	s.hub.start(func() { s.attach.run(ctx) })
 	return s, func() {
 		s.Withdraw()
@@ -120,6 +121,11 @@
 	}, nil
 }
 
+func (s *Subscriber) tick(now time.Time) {
+	s.expireUses(now)
+	s.hub.expireLinger(now)
+}
+
 func (s *Subscriber) hello() hello {
 	held := s.newest.Load()
 	return hello{
@@ -152,6 +158,7 @@
 	}
 	s.parent = address
 	s.hub.attached = true
+	s.hub.releaseUnwanted()
 	if s.hub.stale && len(s.hub.path) == 0 {
 		s.staleFrom = -1 // after the limit, all are tried again
 		expiry := time.AfterFunc(staleLinkLimit, func() { s.leaveStale(conn) })
@@ -327,12 +334,8 @@
 }
 
 func (s *Subscriber) takeEndpoints(now time.Time, u *uplink, message endpoints) {
-	for _, each := range message.Left {
-		s.hub.table.Remember(now, lease.Left{
-			Endpoint: each.Endpoint,
-			At:       now.Add(-time.Duration(each.AgeMS) * time.Millisecond),
-		})
-	}
+	message.keep(u.wants)
+	s.hub.rememberLeft(now, message.Left)
 	if len(message.Reset) > 0 && !message.Partial {
 		s.hub.table.Retain(now, parentOwner, message.Upserts, func(service core.ServiceName) bool {
 			return slices.Contains(message.Reset, service)
@@ -359,6 +362,7 @@
 		}
 		if !message.Partial {
 			delete(s.hub.unsynced, service)
+			s.hub.signal(service)
 		}
 	}
 	if message.Answer && !message.Partial {
@@ -375,6 +379,9 @@
 func (s *Subscriber) synced() {
 	s.hub.complete, s.hub.unsyncedAll = true, false
 	maps.DeleteFunc(s.hub.unsynced, func(_ core.ServiceName, covered bool) bool { return covered })
+	for service := range s.hub.watchers {
+		s.hub.signal(service)
+	}
 }
 
 // compare asks for the services that differ, and returns true if all endpoints are the same as the parent's.
@@ -472,17 +479,6 @@
 	s.hub.changed()
 }
 
-// Subscribe adds a service whose endpoints the node needs; it has no effect unless the options say OnRequest.
-func (s *Subscriber) Subscribe(service core.ServiceName) {
-	s.hub.mu.Lock()
-	defer s.hub.mu.Unlock()
-	if s.hub.all || s.hub.services[service] || len(s.hub.services) >= maxSubscriptions {
-		return
-	}
-	s.hub.services[service] = true
-	s.hub.changed()
-}
-
 // ReportEvidence passes the node's cumulative counts towards the control instances; counts that did not change send nothing.
 func (s *Subscriber) ReportEvidence(counts []core.EvidenceCount) {
 	s.hub.mu.Lock()
--- /dev/null
+++ b/io/distribution/subscriptions.go
@@ -0,0 +1,272 @@
+package distribution
+
+import (
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"parsleyport/core"
+	"parsleyport/core/lease"
+)
+
+// useResolution is how exactly the last use of a service is noted, so that calls on many cores seldom write to one place.
+const useResolution = time.Second
+
+// lastUse is the time of the last use of a service, in nanoseconds since the Unix epoch.
+type lastUse = atomic.Int64
+
+// Subscribe notes that the node uses a service, and asks for its endpoints at the first use and after 10 min without one.
+// It is cheap enough for each call, and has no effect unless the options say OnRequest.
+func (s *Subscriber) Subscribe(service core.ServiceName) {
+	if !s.options.OnRequest {
+		return
+	}
+	now := time.Now().UnixNano()
+	if used, known := (*s.uses.Load())[service]; known {
+		if now-used.Load() >= int64(useResolution) {
+			used.Store(now)
+		}
+		return
+	}
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	held := *s.uses.Load()
+	if held[service] != nil || len(held) >= maxSubscriptions {
+		return
+	}
+	next := maps.Clone(held)
+	next[service] = &lastUse{}
+	next[service].Store(now)
+	s.uses.Store(&next)
+	s.hub.await(service)
+	s.hub.services[service] = true
+	s.hub.subscriptions++
+	s.hub.changed()
+}
+
+// EndpointsKnown reports whether the node has all endpoints of a service and those that left within the last 10 min, as far
+// as its control instance knows them. Without OnRequest it returns true.
+func (s *Subscriber) EndpointsKnown(service core.ServiceName) bool {
+	if !s.options.OnRequest {
+		return true
+	}
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	_, awaited := s.hub.unsynced[service]
+	return s.hub.complete && s.hub.services[service] && !awaited
+}
+
+// expireUses ends the subscriptions of services that have not been used for subscriptionAge; hub.mu is held.
+func (s *Subscriber) expireUses(now time.Time) {
+	held := *s.uses.Load()
+	next := maps.Clone(held)
+	maps.DeleteFunc(next, func(_ core.ServiceName, used *lastUse) bool {
+		return now.Sub(time.Unix(0, used.Load())) >= subscriptionAge
+	})
+	if len(next) == len(held) {
+		return
+	}
+	s.uses.Store(&next)
+	for service := range held {
+		if next[service] == nil {
+			delete(s.hub.services, service)
+			s.hub.release(service)
+		}
+	}
+}
+
+// expireLinger ends the subscriptions of lost children.
+func (h *hub) expireLinger(now time.Time) {
+	for service, until := range h.linger {
+		if !now.Before(until) {
+			delete(h.linger, service)
+			h.release(service)
+		}
+	}
+}
+
+// wanted reports whether this node or one of its children wants the endpoints of a service.
+func (h *hub) wanted(service core.ServiceName) bool {
+	if _, lingers := h.linger[service]; lingers || h.all || h.services[service] {
+		return true
+	}
+	for _, c := range h.children {
+		if c.wants(service) {
+			return true
+		}
+	}
+	return false
+}
+
+// await notes that a service which nobody has wanted so far has to be asked for. Until the parent has sent its endpoints,
+// a relay must not pass for one that knows there to be none.
+func (h *hub) await(service core.ServiceName) {
+	if h.relay != "" && !h.wanted(service) {
+		h.unsynced[service] = false
+	}
+}
+
+// release forgets the endpoints of a service that nobody wants any more, since the parent will send no more word of them.
+func (h *hub) release(service core.ServiceName) {
+	if h.relay == "" || h.wanted(service) {
+		return
+	}
+	delete(h.unsynced, service)
+	h.table.Forget(parentOwner, service)
+	h.subscriptions++
+	h.changed()
+}
+
+// releaseUnwanted is for a new parent, which sends only what is wanted now.
+func (h *hub) releaseUnwanted() {
+	for _, service := range h.table.ServicesOf(parentOwner) {
+		h.release(service)
+	}
+}
+
+// loseSubscriptions keeps what a lost child wanted for a while.
+func (h *hub) loseSubscriptions(now time.Time, c *child) {
+	if h.relay == "" {
+		return
+	}
+	for service := range c.services {
+		h.linger[service] = now.Add(lostChildAge)
+	}
+	h.subscriptions++
+}
+
+// subscriptionDue names what this node and its children want, or no longer want, and the parent has not been told.
+func (h *hub) subscriptionDue(u *uplink) (subscribe, bool) {
+	if u.subscribed && u.subscriptionsAt == h.subscriptions {
+		return subscribe{}, false
+	}
+	u.subscriptionsAt = h.subscriptions
+	message := subscribe{
+		AwayMS: u.awayMS,
+	}
+	wanted, all := h.allWanted()
+	message.All = all && !u.all
+	for service := range wanted {
+		if u.services[service] || len(u.services) >= maxSubscriptions {
+			continue
+		}
+		u.services[service] = true
+		message.Services = append(message.Services, service)
+		if _, awaited := h.unsynced[service]; awaited {
+			message.Fresh = append(message.Fresh, service)
+		}
+	}
+	for service := range u.services {
+		if !wanted[service] {
+			delete(u.services, service)
+			message.Drop = append(message.Drop, service)
+		}
+	}
+	if !u.subscribed {
+		for service := range h.unsynced {
+			h.unsynced[service] = true // the first subscription is answered with a digest, later ones with the endpoints
+		}
+	}
+	needed := !u.subscribed || message.All || len(message.Services)+len(message.Drop) > 0
+	u.subscribed, u.all = true, u.all || all
+	return message, needed
+}
+
+func (h *hub) allWanted() (wanted map[core.ServiceName]bool, all bool) {
+	wanted, all = maps.Clone(h.services), h.all
+	for service := range h.linger {
+		wanted[service] = true
+	}
+	for _, c := range h.children {
+		all = all || c.all
+		for service := range c.services {
+			wanted[service] = true
+		}
+	}
+	return wanted, all
+}
+
+// subscribed is the parent's side.
+func (h *hub) subscribed(now time.Time, c *child, message subscribe) {
+	first := !c.subscribed
+	c.subscribed = true
+	h.awaitServices(c, message)
+	c.all = c.all || message.All
+	for _, service := range message.Drop {
+		delete(c.services, service)
+		delete(c.leftPending, service)
+		c.newServices = slices.DeleteFunc(c.newServices, func(each core.ServiceName) bool { return each == service })
+		h.release(service)
+	}
+	for _, service := range message.Services {
+		if c.services[service] || len(c.services) >= maxSubscriptions {
+			continue
+		}
+		c.services[service] = true
+		if !first {
+			c.newServices = append(c.newServices, service)
+			c.leftPending[service] = true
+		}
+	}
+	if first || message.All {
+		c.cursor = h.table.Position(lease.All)
+		c.digestDue = true
+		c.leftSince = now.Add(-lease.TombstoneAge)
+		if message.AwayMS >= 0 {
+			// The child saw what left before its link broke; the margin covers the time until it noticed.
+			c.leftSince = now.Add(-time.Duration(message.AwayMS)*time.Millisecond - subtreeGrace)
+		}
+		for _, service := range message.Fresh {
+			c.leftPending[service] = c.services[service]
+		}
+	}
+	h.subscriptions++
+	h.changed() // a relay may have to subscribe to more services itself
+}
+
+// awaitServices notes what a relay has to subscribe to for a child.
+func (h *hub) awaitServices(c *child, message subscribe) {
+	for u := range h.uplinks {
+		if u.kind == kindNode && message.All && !u.all {
+			h.unsyncedAll, c.digestFinal = true, false
+		}
+	}
+	for _, service := range message.Services {
+		h.await(service)
+		if _, awaited := h.unsynced[service]; awaited {
+			c.digestFinal = false
+		}
+	}
+}
+
+// leftFor lists the endpoints that left and that a child has not been told of; pending ones are told again until what the
+// child gets is final.
+func (h *hub) leftFor(c *child, now time.Time, wanted func(core.ServiceName) bool) []left {
+	list := h.leftWithin(now, wanted)
+	return slices.DeleteFunc(list, func(each left) bool {
+		at := now.Add(-time.Duration(each.AgeMS) * time.Millisecond)
+		return at.Before(c.leftSince) && !c.leftPending[each.Endpoint.Service]
+	})
+}
+
+// leftWithin lists the endpoints that left within lease.TombstoneAge.
+func (h *hub) leftWithin(now time.Time, wanted func(core.ServiceName) bool) []left {
+	var list []left
+	for _, each := range h.table.Tombstones(now.Add(-lease.TombstoneAge), wanted) {
+		list = append(list, left{
+			Endpoint: each.Endpoint,
+			AgeMS:    now.Sub(each.At).Milliseconds(),
+		})
+	}
+	return list
+}
+
+func (h *hub) rememberLeft(now time.Time, list []left) {
+	for _, each := range list {
+		h.table.Remember(now, lease.Left{
+			Endpoint: each.Endpoint,
+			At:       now.Add(-time.Duration(each.AgeMS) * time.Millisecond),
+		})
+	}
+}
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -28,6 +28,7 @@
 	pinging       pacer
 
 	subscribed       bool
+	subscriptionsAt  uint64
 	all              bool
 	services         map[core.ServiceName]bool
 	awayMS           int64
@@ -164,6 +165,7 @@
 			message: announce{
 				Complete: u.kind == kindControl && h.complete,
 				Upserts:  h.table.LocalEndpoints(),
+				Left:     h.leftWithin(now, everything),
 			},
 		}}
 	}
@@ -239,41 +241,6 @@
 	return due
 }
 
-// subscriptionDue names what this node and its children want and the parent has not been told.
-func (h *hub) subscriptionDue(u *uplink) (subscribe, bool) {
-	message := subscribe{
-		AwayMS: u.awayMS,
-	}
-	wanted := make(map[core.ServiceName]bool, len(h.services))
-	all := h.all
-	for service := range h.services {
-		wanted[service] = true
-	}
-	for _, c := range h.children {
-		all = all || c.all
-		for service := range c.services {
-			wanted[service] = true
-		}
-	}
-	if all && !u.all {
-		message.All = true
-	}
-	for service := range wanted {
-		if !u.services[service] && len(u.services) < maxSubscriptions {
-			u.services[service] = true
-			message.Services = append(message.Services, service)
-		}
-	}
-	if !u.subscribed {
-		for service := range h.unsynced {
-			h.unsynced[service] = true // the first subscription is answered with a digest, later ones with the endpoints
-		}
-	}
-	needed := !u.subscribed || message.All || len(message.Services) > 0
-	u.subscribed, u.all = true, u.all || all
-	return message, needed
-}
-
 func (u *uplink) wants(service core.ServiceName) bool {
 	return u.all || u.services[service]
 }
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -29,6 +29,7 @@
 		RelayAddress:     p.settings.RelayAddress,
 		ControlAddresses: p.settings.ControlAddresses,
 		OnCrash:          p.suspects.crashed,
+		OnRequest:        true,
 		Logger:           p.log,
 		Metrics:          p.metrics,
 	})
@@ -153,6 +154,8 @@
 		Confirmed:        subscriber.Confirmed,
 		Endpoints:        subscriber,
 		EndpointsChanged: subscriber.EndpointsChanged,
+		Use:              subscriber.Subscribe,
+		EndpointsKnown:   subscriber.EndpointsKnown,
 		Picker:           do.MustInvoke[*balancer.Balancer](injector),
 		Forwarder:        dialer,
 		Evidence:         counts,
