--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -30,7 +30,7 @@
 	won    bool // it was answered before the first attempt
 	over   bool // its result is of no use any more
 	cancel context.CancelFunc
-	node   core.NodeID
+	to     core.Endpoint
 }
 
 // placeHedged makes an attempt, and another one beside it if the first is not answered within the delay.
@@ -43,8 +43,8 @@
 		cancelFirst: cancelFirst,
 		ended:       make(chan result, 1),
 		earlier: past{
-			tried: append(slices.Clone(earlier.tried), endpoint.Node),
-			gone:  append(slices.Clone(earlier.gone), endpoint.Node),
+			tried: append(slices.Clone(earlier.tried), endpoint),
+			gone:  append(slices.Clone(earlier.gone), endpoint),
 		},
 	}
 	call := callTo(q, endpoint)
@@ -74,7 +74,7 @@
 	call := callTo(q, endpoint)
 	call.Hedge = true
 	ctx, cancel := context.WithCancel(h.ctx)
-	h.begun, h.cancel, h.node = true, cancel, endpoint.Node
+	h.begun, h.cancel, h.to = true, cancel, endpoint
 	h.mu.Unlock()
 	s.hedges.Inc()
 	h.finish(s.forward(ctx, q, call, endpoint))
@@ -154,13 +154,13 @@
 		} else {
 			s.failed(h.ctx, h.q, second)
 		}
-		first.beside = h.node
+		first.beside = &h.to
 		return first
 	}
 	if first.answer != nil {
 		_ = first.answer.Body.Close()
 	}
-	second.beside = first.endpoint.Node
+	second.beside = &first.endpoint
 	return second
 }
 
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -23,9 +23,9 @@
 	release  core.Release
 	outcome  core.Outcome
 	err      error
-	latency  time.Duration // to the head of the answer
-	recorded bool          // the picker and the evidence know of it
-	beside   core.NodeID   // of another attempt that was made at the same time
+	latency  time.Duration  // to the head of the answer
+	recorded bool           // the picker and the evidence know of it
+	beside   *core.Endpoint // of another attempt that was made at the same time
 }
 
 // ServeHTTP implements http.Handler.
@@ -78,6 +78,8 @@
 	s.budget.Call(q.began)
 	s.mu.Unlock()
 	defer s.latency.UpdateDuration(q.began)
+	defer s.endWait(q)
+	s.options.Use(q.route.Service)
 	if s.options.Keys != nil && q.call.IdempotencyKey != "" && !q.call.Idempotent {
 		s.serveKeyed(ctx, w, q)
 		return
@@ -113,6 +115,9 @@
 	var last, answered result
 	for {
 		next, placed := s.place(ctx, q, earlier)
+		if !placed && mayWait(last) && s.awaitEndpoint(ctx, q, &earlier) {
+			continue
+		}
 		if !placed && last.outcome != "" {
 			break // the earlier attempt's cause says more than the lack of an endpoint
 		}
@@ -124,19 +129,19 @@
 		case core.OutcomeAnswered:
 			answered = last
 		}
-		if !placed || ctx.Err() != nil || !q.attempts.Another(class, s.takeBudget) {
+		if !placed || ctx.Err() != nil || !s.another(ctx, q, class) {
 			break
 		}
 		if s.options.Suspected(idempotency.FingerprintOf(q.call)) {
 			last.outcome, last.err = core.OutcomeNotRun, refusal(core.CauseCrashSuspect, "")
 			break // it has become a suspect, perhaps by its own earlier attempts
 		}
-		earlier.tried = append(earlier.tried, last.endpoint.Node)
-		if last.beside != "" {
-			earlier.tried = append(earlier.tried, last.beside)
+		earlier.tried = append(earlier.tried, last.endpoint)
+		if last.beside != nil {
+			earlier.tried = append(earlier.tried, *last.beside)
 		}
 		if last.outcome == core.OutcomeAnswered || retry.Gone(causeOf(last.err)) {
-			earlier.gone = append(earlier.gone, last.endpoint.Node)
+			earlier.gone = append(earlier.gone, last.endpoint)
 		}
 		s.retries.Inc()
 	}
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -44,24 +44,29 @@
 	Settle(ctx context.Context, call *core.Call, verdict idempotency.Verdict, answer *idempotency.Recorded)
 }
 
-// Options configures a Server. Listener replaces Address; ReleaseAllowed, Suspected and Keys may be nil, and without
-// Keys a call with an idempotency key is like one without; MaxBodyBytes zero means 8 MiB, the most that io/nodepeer
+// Options configures a Server. Listener replaces Address; ReleaseAllowed, Suspected, Keys and EndpointsChanged may be nil.
+// Without Keys a call with an idempotency key is like one without; without EndpointsChanged, whose channel is closed at the
+// next change of a service's endpoints, no call waits for one. Use is told which services are called, and EndpointsKnown
+// whether all endpoints of such a service are known, those that left included; both may be nil. MaxBodyBytes zero means 8 MiB, the most that io/nodepeer
 // carries.
 type Options struct {
-	Address        string
-	Listener       net.Listener
-	Source         record.Source
-	Confirmed      func() bool
-	Endpoints      core.EndpointSource
-	Picker         core.Picker
-	Forwarder      core.Forwarder
-	Evidence       core.EvidenceRecorder
-	ReleaseAllowed func(core.ServiceName, core.Release) bool
-	Suspected      func(idempotency.Fingerprint) bool
-	Keys           KeyClaimer
-	MaxBodyBytes   int64
-	Logger         zerolog.Logger
-	Metrics        *metrics.Set
+	Address          string
+	Listener         net.Listener
+	Source           record.Source
+	Confirmed        func() bool
+	Endpoints        core.EndpointSource
+	EndpointsChanged func(core.ServiceName) <-chan struct{}
+	Use              func(core.ServiceName)
+	EndpointsKnown   func(core.ServiceName) bool
+	Picker           core.Picker
+	Forwarder        core.Forwarder
+	Evidence         core.EvidenceRecorder
+	ReleaseAllowed   func(core.ServiceName, core.Release) bool
+	Suspected        func(idempotency.Fingerprint) bool
+	Keys             KeyClaimer
+	MaxBodyBytes     int64
+	Logger           zerolog.Logger
+	Metrics          *metrics.Set
 }
 
 // Server takes callers' requests.
@@ -75,15 +80,17 @@
 	active   atomic.Int64 // requests in progress
 	bodies   atomic.Int64 // bytes of request bodies in memory
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards the fields up to closed
 	budget  retry.Budget
 	hedging map[core.ServiceName]*retry.Hedging
+	waiting waiting
 	closed  bool
 
 	hedges    *metrics.Counter
 	hedgesWon *metrics.Counter
 	retries   *metrics.Counter
 	aborted   *metrics.Counter
+	waits     *metrics.Counter
 	latency   *metrics.Histogram
 	outcomes  map[core.Outcome]*metrics.Counter
 }
@@ -109,6 +116,12 @@
 	if options.ReleaseAllowed == nil {
 		options.ReleaseAllowed = func(core.ServiceName, core.Release) bool { return true }
 	}
+	if options.Use == nil {
+		options.Use = func(core.ServiceName) {}
+	}
+	if options.EndpointsKnown == nil {
+		options.EndpointsKnown = func(core.ServiceName) bool { return true }
+	}
 	if options.Suspected == nil {
 		options.Suspected = func(idempotency.Fingerprint) bool { return false }
 	}
@@ -122,6 +135,10 @@
 		latency:   options.Metrics.GetOrCreateHistogram("parsleyport_caller_latency_seconds"),
 		hedgesWon: options.Metrics.GetOrCreateCounter("parsleyport_caller_hedges_won_total"),
 		outcomes:  make(map[core.Outcome]*metrics.Counter),
+		waits:     options.Metrics.GetOrCreateCounter("parsleyport_caller_waits_total"),
+		waiting: waiting{
+			services: make(map[core.ServiceName]int),
+		},
 	}
 	for _, outcome := range []core.Outcome{core.OutcomeAnswered, core.OutcomeNotRun, core.OutcomeUnknown} {
 		s.outcomes[outcome] = options.Metrics.GetOrCreateCounter(`parsleyport_caller_calls_total{outcome="` + string(outcome) + `"}`)
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -29,6 +29,7 @@
 		RelayAddress:     p.settings.RelayAddress,
 		ControlAddresses: p.settings.ControlAddresses,
 		OnCrash:          p.suspects.crashed,
+		OnRequest:        true,
 		Logger:           p.log,
 		Metrics:          p.metrics,
 	})
@@ -148,18 +149,21 @@
 		tripped:  p.logTripped,
 	}
 	server, cleanup, err := callerhttp.New(callerhttp.Options{
-		Address:        p.settings.CallerAddress,
-		Source:         subscriber,
-		Confirmed:      subscriber.Confirmed,
-		Endpoints:      subscriber,
-		Picker:         do.MustInvoke[*balancer.Balancer](injector),
-		Forwarder:      dialer,
-		Evidence:       counts,
-		ReleaseAllowed: counts.releaseAllowed,
-		Suspected:      p.suspects.suspected,
-		Keys:           keys,
-		Logger:         p.log,
-		Metrics:        p.metrics,
+		Address:          p.settings.CallerAddress,
+		Source:           subscriber,
+		Confirmed:        subscriber.Confirmed,
+		Endpoints:        subscriber,
+		EndpointsChanged: subscriber.EndpointsChanged,
+		Use:              subscriber.Subscribe,
+		EndpointsKnown:   subscriber.EndpointsKnown,
+		Picker:           do.MustInvoke[*balancer.Balancer](injector),
+		Forwarder:        dialer,
+		Evidence:         counts,
+		ReleaseAllowed:   counts.releaseAllowed,
+		Suspected:        p.suspects.suspected,
+		Keys:             keys,
+		Logger:           p.log,
+		Metrics:          p.metrics,
 	})
 	return keep(p, server, cleanup, err)
 }
