Refuse the promotion of a learner that lacks log or audit entries

A promotion waited for the log, but not for the archive of the audit trail, so the last disk with older entries could be replaced by instances that lack them. The list of members shows the same figures of each learner.

--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -65,6 +65,8 @@
 	}
 }
 
+func (f *fakeReplicator) CatchUp() []operatorhttp.CatchUp { return nil }
+
 func (f *fakeReplicator) Members() []raft.Member { return f.members }
 
 func (f *fakeReplicator) NonMembers() []raft.Peer { return f.nonMembers }
--- a/io/control/audit.go
+++ b/io/control/audit.go
@@ -7,7 +7,6 @@
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 	"github.com/samber/do/v2"
-	"github.com/samber/lo"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyport/core"
@@ -15,7 +14,6 @@
 	"parsleyport/core/ring"
 	"parsleyport/io/disk"
 	"parsleyport/io/raftpeer"
-	"parsleyport/io/settings"
 )
 
 const (
@@ -56,7 +54,7 @@
 	}
 }
 
-// receive implements raftpeer.Options.Receive.
+// receive takes a message of another instance.
 func (b *backfill) receive(from core.ControlID, topic string, payload []byte) {
 	b.inbox.TryPush(auditMessage{
 		from:    from,
@@ -170,16 +168,6 @@
 	b := p.backfill
 	b.catalog, b.archive = do.MustInvoke[*catalog.Catalog](injector), do.MustInvoke[*disk.Archive](injector)
 	b.send, b.log = replica.Send, p.log
-	others := lo.Filter(p.settings.Members, func(m settings.Member, _ int) bool { return m.ID != p.settings.ID })
-	b.peers = lo.Map(others, func(m settings.Member, _ int) core.ControlID { return m.ID })
-	ctx, cancel := context.WithCancel(context.Background())
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		b.run(ctx)
-	}()
-	p.cleanups = append(p.cleanups, func() {
-		cancel()
-		<-stopped
-	})
+	b.peers = p.otherIDs()
+	p.startDuty(b.run)
 }
--- /dev/null
+++ b/io/control/catchup_test.go
@@ -0,0 +1,45 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+)
+
+// Guards against a promoted learner that lacks the log or the older audit entries, and against a report of the disk that
+// it has lost.
+func TestPromotionIsRefusedUntilCaughtUp(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	held := newCatchUp([]core.ControlID{"c2"})
+	learner := raft.Peer{ID: "c2", Identity: "new"}
+	report := func(from core.ControlID, r catchUpReport) {
+		payload, err := msgpack.Marshal(r)
+		c.Assert(err, qt.IsNil)
+		held.receive(now, from, payload)
+	}
+	refused := func(text string) {
+		err := held.check(now, learner, 5000)
+		c.Assert(err, qt.ErrorMatches, `promotion of "c2": `+text+`: .*`)
+		c.Assert(errors.Is(err, raft.ErrTransient), qt.IsTrue) // so that the client asks again
+	}
+	refused("it has not reported what it holds")
+	report("c2", catchUpReport{Identity: "old", Applied: 5000})
+	refused("it has not reported what it holds")
+	report("c2", catchUpReport{Identity: "new", Applied: 4000})
+	refused("it holds entry 4000 of 5000")
+	report("c2", catchUpReport{Identity: "new", Applied: 4990, MissingAudit: 12})
+	refused("it lacks 12 entries of the audit trail")
+	report("c2", catchUpReport{Identity: "new", Applied: 4990})
+	c.Assert(held.check(now, learner, 5000), qt.IsNil)
+	now = now.Add(catchUpAge + 1)
+	refused("it has not reported what it holds")
+	report("stranger", catchUpReport{})
+	c.Assert(held.reports, qt.HasLen, 1)
+}
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
@@ -10,6 +11,7 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 
+	"parsleyport/core"
 	"parsleyport/core/catalog"
 	"parsleyport/core/raft"
 	"parsleyport/io/disk"
@@ -28,6 +30,7 @@
 	log      zerolog.Logger
 	metrics  *metrics.Set
 	backfill *backfill
+	catchUp  *catchUp
 	cleanups []func()
 }
 
@@ -40,6 +43,7 @@
 		metrics:  metrics.NewSet(),
 		backfill: newBackfill(),
 	}
+	p.catchUp = newCatchUp(p.otherIDs())
 	defer p.cleanup()
 	injector := do.New()
 	do.Provide(injector, p.newFolder)
@@ -57,6 +61,7 @@
 	}
 	p.startMover(injector)
 	p.startBackfill(injector)
+	p.startCatchUp(injector)
 	p.log.Info().Str("event", "started").Msg("control instance started")
 	select {
 	case <-ctx.Done():
@@ -105,7 +110,7 @@
 		Bootstrap: p.settings.Bootstrap,
 		Logger:    p.log,
 		Metrics:   p.metrics,
-		Receive:   p.backfill.receive,
+		Receive:   p.receive,
 	}, records)
 	if err != nil {
 		return nil, err
@@ -149,14 +154,34 @@
 		replicator: do.MustInvoke[*raftpeer.Replica](injector),
 		log:        p.log,
 	}
+	p.startDuty(m.run)
+}
+
+// startDuty runs a duty until the clean-up.
+func (p *process) startDuty(run func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		m.run(ctx)
+		run(ctx)
 	}()
 	p.cleanups = append(p.cleanups, func() {
 		cancel()
 		<-stopped
 	})
 }
+
+// receive implements raftpeer.Options.Receive.
+func (p *process) receive(from core.ControlID, topic string, payload []byte) {
+	if topic == catchUpTopic {
+		p.catchUp.receive(time.Now(), from, payload)
+		return
+	}
+	p.backfill.receive(from, topic, payload)
+}
+
+// otherIDs names the other control instances.
+func (p *process) otherIDs() []core.ControlID {
+	others := lo.Filter(p.settings.Members, func(m settings.Member, _ int) bool { return m.ID != p.settings.ID })
+	return lo.Map(others, func(m settings.Member, _ int) core.ControlID { return m.ID })
+}
--- a/io/control/operators.go
+++ b/io/control/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/samber/do/v2"
@@ -32,6 +33,7 @@
 		Membership: membership{
 			Replica: do.MustInvoke[*raftpeer.Replica](injector),
 			members: p.settings.Members,
+			catchUp: p.catchUp,
 		},
 		Catalog: records,
 		Token:   token,
@@ -53,6 +55,7 @@
 type membership struct {
 	*raftpeer.Replica
 	members []settings.Member
+	catchUp *catchUp
 }
 
 // Change implements operatorhttp.Membership.
@@ -61,6 +64,11 @@
 	if change.Kind == raft.ChangeAdd && !exists {
 		return errors.NotFoundf("instance %q in the settings of %q", change.Peer.ID, m.Self().ID)
 	}
+	if change.Kind == raft.ChangePromote {
+		if err := m.catchUp.check(time.Now(), change.Peer, m.Status().Commit); err != nil {
+			return err
+		}
+	}
 	change.Address, change.DataCentre = member.PeerAddress, member.DataCentre
 	return m.Replica.Change(ctx, change)
 }
--- a/io/operatorhttp/members.go
+++ b/io/operatorhttp/members.go
@@ -19,6 +19,8 @@
 	Members() []raft.Member
 	// NonMembers returns the instances that have introduced themselves and are not members.
 	NonMembers() []raft.Peer
+	// CatchUp returns what each learner holds.
+	CatchUp() []CatchUp
 	// Change commits a change, or returns core.ErrNoLeader, raft.ErrTransient, core.ErrOutcomeUnknown or why it was refused.
 	Change(ctx context.Context, change raft.Change) error
 }
@@ -31,6 +33,27 @@
 	NonMembers        []raft.Peer     `json:"non-members"` // introduced, but not members
 	ToleratedFailures int             `json:"tolerated-failures"`
 	Missing           []MissingChange `json:"missing"`
+	CatchUp           []CatchUp       `json:"catch-up"` // of each learner
+}
+
+// CatchUp says how far a learner is; Known is false if it has not reported within the last seconds.
+type CatchUp struct {
+	ID           core.ControlID `json:"id"`
+	Known        bool           `json:"known"`
+	Applied      core.LogIndex  `json:"applied"`
+	Committed    core.LogIndex  `json:"committed"`     // by the leader, as the answering instance knows it
+	MissingAudit uint64         `json:"missing-audit"` // entries of the audit trail that only others hold
+}
+
+func (c CatchUp) text() string {
+	if !c.Known {
+		return "it has not reported what it holds"
+	}
+	text := fmt.Sprintf("it holds entry %d of %d", c.Applied, c.Committed)
+	if c.MissingAudit > 0 {
+		text += fmt.Sprintf(" and lacks %d entries of the audit trail", c.MissingAudit)
+	}
+	return text
 }
 
 // MissingChange is a change that an operator has still to ask for, unless the instance is meant to stay as it is.
@@ -51,7 +74,7 @@
 }
 
 // missing lists what separates the membership from one in which every known instance votes.
-func missing(members []raft.Member, nonMembers []raft.Peer) []MissingChange {
+func missing(members []raft.Member, nonMembers []raft.Peer, catchUp []CatchUp) []MissingChange {
 	changes := []MissingChange{}
 	for _, nonMember := range nonMembers {
 		change := MissingChange{
@@ -69,18 +92,27 @@
 			changes = append(changes, MissingChange{
 				ID:     member.Peer.ID,
 				Change: raft.ChangePromote,
-				Reason: "is a learner and has no vote",
+				Reason: learnerReason(member.Peer.ID, catchUp),
 			})
 		}
 	}
 	return changes
 }
 
+func learnerReason(id core.ControlID, catchUp []CatchUp) string {
+	reason := "is a learner and has no vote"
+	if c, exists := lo.Find(catchUp, func(c CatchUp) bool { return c.ID == id }); exists {
+		reason += "; " + c.text()
+	}
+	return reason
+}
+
 func (s *Server) describeMembers(ctx context.Context) *output[Members] {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	current := s.options.Replicator.ConfirmRead(ctx) == nil
 	members, nonMembers := s.options.Membership.Members(), s.options.Membership.NonMembers()
+	catchUp := append([]CatchUp{}, s.options.Membership.CatchUp()...) // never null in JSON
 	voters := lo.CountBy(members, func(m raft.Member) bool { return m.Voter })
 	return &output[Members]{
 		Body: Members{
@@ -89,7 +121,8 @@
 			Members:           members,
 			NonMembers:        append([]raft.Peer{}, nonMembers...), // never null in JSON
 			ToleratedFailures: max(voters-1, 0) / 2,
-			Missing:           missing(members, nonMembers),
+			Missing:           missing(members, nonMembers, catchUp),
+			CatchUp:           catchUp,
 		},
 	}
 }
--- a/io/operatorhttp/members_test.go
+++ b/io/operatorhttp/members_test.go
@@ -18,10 +18,13 @@
 	members []raft.Member
 	errors  []error
 	changes []raft.Change
+	catchUp []operatorhttp.CatchUp
 }
 
 func (f *fakeMembership) Members() []raft.Member { return f.members }
 
+func (f *fakeMembership) CatchUp() []operatorhttp.CatchUp { return f.catchUp }
+
 func (f *fakeMembership) NonMembers() []raft.Peer { return []raft.Peer{{ID: "c4", Identity: "d"}} }
 
 func (f *fakeMembership) Change(_ context.Context, change raft.Change) error {
@@ -98,3 +101,17 @@
 	c.Assert(members.Current, qt.IsFalse)
 	c.Assert(members.ToleratedFailures, qt.Equals, 1)
 }
+
+// Guards against an operator who cannot see why a learner is not promoted.
+func TestMembersShowTheCatchUpOfALearner(t *testing.T) {
+	c := qt.New(t)
+	learner := raft.Member{Peer: raft.Peer{ID: "c2", Identity: "b"}}
+	f := start(c, "", &fakeReplicator{leader: "c1", membership: &fakeMembership{
+		members: []raft.Member{voter("c1"), learner},
+		catchUp: []operatorhttp.CatchUp{{ID: "c2", Known: true, Applied: 812, Committed: 4031, MissingAudit: 1200}},
+	}})
+	members, err := f.client.Members(within(c, 5*time.Second))
+	c.Assert(err, qt.IsNil)
+	c.Assert(members.CatchUp[0].Applied, qt.Equals, core.LogIndex(812))
+	c.Assert(members.Missing[1].Reason, qt.Equals, "is a learner and has no vote; it holds entry 812 of 4031 and lacks 1200 entries of the audit trail")
+}
