Forget the stamps of records that were deleted long ago

The stamp of a deletion is now dropped once it is more than 30 days old and its verdict has left the memory of 100,000 submissions. Replicas look for such stamps every 1,000 audit entries, so that they agree. A submission must not be sent more than 30 days after it was made; nothing else could tell it from a new one.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -32,16 +32,18 @@
 	audit         []AuditEntry // the latest entries
 	auditCount    uint64       // all entries ever
 	archive       Archive      // nil: older entries are dropped
+	forgetEvery   uint64       // a constant but in tests
 }
 
-// stamp says who set the newest version of a record. The stamp of a deleted record stays, so that a late submission with
-// an old version cannot bring the record back.
+// stamp says who set the newest version of a record. The stamp of a deleted record stays for a while (see forgetStamps), so
+// that a late submission with an old version cannot bring the record back.
 type stamp struct {
 	Version    core.RecordVersion `msgpack:"version"`
 	Submission core.SubmissionID  `msgpack:"submission-id"`
 	Operator   core.Operator      `msgpack:"operator"`
 	Hash       core.Hash          `msgpack:"hash"`
 	Deleted    bool               `msgpack:"deleted"`
+	DeletedMS  int64              `msgpack:"deleted-ms,omitempty"` // time of the deletion, Unix
 }
 
 // New returns a catalog with revision 0 and no records.
@@ -53,6 +55,7 @@
 		verdicts:      newMemory(),
 		moves:         make(map[core.MoveID]move),
 		openMoves:     make(map[core.ServiceName]core.MoveID),
+		forgetEvery:   forgetEvery,
 	}
 }
 
@@ -143,6 +146,7 @@
 		Hash:     hash,
 	})
 	c.record(index, e, from, verdict)
+	c.forgetStamps(e.At)
 	return verdict
 }
 
--- a/core/catalog/submit.go
+++ b/core/catalog/submit.go
@@ -130,13 +130,17 @@
 }
 
 func (p *plan) stamp(key core.RecordKey, version core.RecordVersion, hash core.Hash, deleted bool) {
-	p.stamps[key] = stamp{
+	s := stamp{
 		Version:    version,
 		Submission: p.author.ID,
 		Operator:   p.author.Operator,
 		Hash:       hash,
 		Deleted:    deleted,
 	}
+	if deleted {
+		s.DeletedMS = p.at.UnixMilli()
+	}
+	p.stamps[key] = s
 }
 
 func (p *plan) notePolicy(r core.Record) {
--- a/core/catalog/verdict.go
+++ b/core/catalog/verdict.go
@@ -102,18 +102,20 @@
 type memory struct {
 	byID  map[core.SubmissionID]remembered
 	order []core.SubmissionID
+	limit int
 }
 
 func newMemory() memory {
 	return memory{
-		byID: make(map[core.SubmissionID]remembered),
+		byID:  make(map[core.SubmissionID]remembered),
+		limit: maxVerdicts,
 	}
 }
 
 func (m *memory) add(r remembered) {
 	m.byID[r.Verdict.Submission] = r
 	m.order = append(m.order, r.Verdict.Submission)
-	if len(m.order) > maxVerdicts {
+	if len(m.order) > m.limit {
 		delete(m.byID, m.order[0])
 		m.order = m.order[1:]
 	}
