--- a/core/catalog/verdict.go
+++ b/core/catalog/verdict.go
@@ -119,18 +119,20 @@
 type memory struct {
 	byID  map[memoryKey]remembered
 	order []memoryKey
+	limit int
 }
 
 func newMemory() memory {
 	return memory{
-		byID: make(map[memoryKey]remembered),
+		byID:  make(map[memoryKey]remembered),
+		limit: maxVerdicts,
 	}
 }
 
 func (m *memory) add(r remembered) {
 	m.byID[r.key()] = r
 	m.order = append(m.order, r.key())
-	if len(m.order) > maxVerdicts {
+	if len(m.order) > m.limit {
 		delete(m.byID, m.order[0])
 		m.order = m.order[1:]
 	}
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -29,6 +29,7 @@
 	typePing
 	typePong
 	typeCrashes
+	typeSums
 )
 
 type linkKind string
@@ -129,6 +130,7 @@
 	Digests map[core.ServiceName]core.Hash `msgpack:"digests"`
 }
 
+// evidence carries a control instance's own cumulative sums to the others.
 type evidence struct {
 	Counts []core.EvidenceCount `msgpack:"counts"`
 }
