Report each node to the control instances

Acknowledgements add up the nodes of a subtree, so nobody could see which node is behind or missing.

Without the merge of reports, the new test listed no nodes; without the expiry, nodes that had gone stayed in the list.

--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -217,6 +217,13 @@
 				remote: c.owner.Remote,
 			})
 		})
+	case typeNodes:
+		var message nodes
+		return h.withChild(received, &message, func() {
+			for _, report := range message.Reports {
+				h.nodes.merge(now, report, c.owner.Remote)
+			}
+		})
 	case typeSubscribe:
 		var message subscribe
 		return h.withChild(received, &message, func() { h.subscribed(now, c, message) })
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -22,6 +22,9 @@
 	network Network
 	relay   core.NodeID // empty on a control instance
 	schema  core.SchemaVersion
+	// incarnation and dataCentre are a node's own.
+	incarnation core.Incarnation
+	dataCentre  core.DataCentre
 	// confirms wakes the goroutine that runs confirmed reads; nil on a node, which asks its parent instead.
 	confirms *ring.Ring[struct{}]
 
@@ -32,6 +35,7 @@
 	mu        sync.Mutex // guards what follows
 	table     *lease.Table
 	evidence  *evidenceStore
+	nodes     *nodeStore
 	crashes   *crashStore
 	confirmer *confirmer
 	history   *history
@@ -70,6 +74,7 @@
 		handshakes:  make(chan struct{}, maxHandshakes),
 		table:       lease.New(),
 		evidence:    newEvidenceStore(),
+		nodes:       newNodeStore(),
 		crashes:     newCrashStore(),
 		confirmer:   newConfirmer(),
 		history:     &history{},
@@ -164,6 +169,8 @@
 			h.mu.Lock()
 			before := h.table.Position(lease.All) + h.table.Position(lease.Local)
 			h.table.Expire(now)
+			h.nodes.expire(now)
+			h.reportSelf(now)
 			if before != h.table.Position(lease.All)+h.table.Position(lease.Local) {
 				h.changed()
 			}
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -27,6 +27,7 @@
 	typePing
 	typePong
 	typeCrashes
+	typeNodes
 )
 
 type linkKind string
--- /dev/null
+++ b/io/distribution/nodes_test.go
@@ -0,0 +1,48 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// Guards against a list of nodes that misses those deep in the tree or attached to another control instance, and against one
+// that shows a node which went away as if it were there, or hides it at once.
+func TestNodesAreListed(t *testing.T) {
+	run(t, func(c *qt.C, w *world) {
+		source := w.source("c1", w.catalog, "c2")
+		other := w.source("c2", w.catalog, "c1")
+		nodes := w.nodes(40, func(i int, o *SubscriberOptions) {
+			o.ControlAddresses = []string{[]string{"c1", "c2"}[i%2]}
+			o.Schema = core.SchemaVersion(42 - i)
+		})
+		w.eventually(inForce, "first revision in force", allAt(nodes, 1))
+		w.catalog.set(revision(2))
+		listed := func(s *Source, count int, number core.Revision) func() bool {
+			return func() bool {
+				return lo.CountBy(s.Nodes(), func(r NodeReport) bool { return r.Revision == number }) == count
+			}
+		}
+		for _, each := range []*Source{source, other} {
+			w.eventually(inForce, "all nodes at revision 2", listed(each, 40, 2))
+		}
+		time.Sleep(2 * nodeReportInterval)
+		list := source.Nodes()
+		c.Assert(list[3].Node, qt.Equals, core.NodeID("n003"))
+		c.Assert(list[3].Schema, qt.Equals, core.SchemaVersion(39))
+		c.Assert(list[3].DataCentre, qt.Equals, core.DataCentre("dc-a"))
+		oldest := lo.MaxBy(list, func(a, b NodeReport) bool { return a.AgeMS > b.AgeMS })
+		c.Assert(oldest.AgeMS < (2*nodeReportInterval).Milliseconds(), qt.IsTrue, qt.Commentf("%+v", oldest))
+
+		w.stop("n003")
+		time.Sleep(nodeReportKept / 2)
+		gone := source.Nodes()[3]
+		c.Assert(gone.Node == "n003" && gone.AgeMS > (nodeReportKept/2-nodeReportInterval).Milliseconds(), qt.IsTrue, qt.Commentf("%+v", gone))
+		time.Sleep(nodeReportKept / 2)
+		c.Assert(source.Nodes(), qt.HasLen, 39)
+	})
+}
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -92,6 +92,7 @@
 	}
 	s.newest.Store(record.Empty())
 	s.hub.relay = options.ID
+	s.hub.incarnation, s.hub.dataCentre = options.Incarnation, options.DataCentre
 	s.hub.schema = options.Schema
 	s.hub.all = !options.OnRequest
 	s.hub.crashes.heard = options.OnCrash
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -24,6 +24,8 @@
 	acknowledging pacer
 	evidenceAt    uint64
 	evidencing    pacer
+	nodesAt       uint64
+	reporting     pacer
 	crashesAt     uint64
 	pinging       pacer
 
@@ -57,6 +59,9 @@
 		evidencing: pacer{
 			interval: evidenceInterval,
 		},
+		reporting: pacer{
+			interval: nodesInterval,
+		},
 		pinging: pacer{
 			interval: pingInterval,
 			next:     time.Now().Add(pingInterval),
@@ -119,6 +124,7 @@
 		due = append(due, h.evidenceDue(u, now)...)
 	}
 	due = append(due, h.crashesUp(u, now)...)
+	due = append(due, h.nodesDue(u, now)...)
 	if u.kind == kindNode {
 		due = append(due, h.requestsDue(u)...)
 	}
