--- a/core/catalog/principal.go
+++ b/core/catalog/principal.go
@@ -140,6 +140,14 @@
 	return slices.DeleteFunc(configuration.Records(), func(r core.Record) bool { return !by.Sees(o.record(r)) })
 }
 
+// ServiceOf returns the service to which a record belongs: for a service record, itself.
+func ServiceOf(r core.Record) core.ServiceName {
+	if r.Kind == core.KindService {
+		return core.ServiceName(r.Name)
+	}
+	return decodeOwner(r).Service
+}
+
 // ServiceTenant returns the tenant to which a service belongs, or none if there is no such service.
 func ServiceTenant(configuration *record.Configuration, service core.ServiceName) core.TenantID {
 	return newOwners(configuration, nil).service(service)
--- a/io/adminhttp/server.go
+++ b/io/adminhttp/server.go
@@ -58,6 +58,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		options.Metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
+		metrics.WriteFDMetrics(w)
 	})
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !options.Ready() {
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -91,6 +91,8 @@
 		return p.status(ctx, o, client)
 	case commandAudit:
 		return p.audit(ctx, o, client)
+	case commandRecords:
+		return p.records(ctx, o, client)
 	case commandMembersList:
 		return p.members(ctx, o, client)
 	case commandMembersReplace:
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -80,6 +80,12 @@
 	return errors.NotValidf("change")
 }
 
+func (f *fakeReplicator) Endpoints(core.ServiceName) []core.Endpoint { return nil }
+
+func (f *fakeReplicator) Nodes() []operatorhttp.NodeStatus {
+	return []operatorhttp.NodeStatus{{Node: "n1", DataCentre: "dc-a", Revision: 7, Schema: 1, LastReport: time.Unix(0, 0).UTC()}}
+}
+
 func (f *fakeReplicator) Fleet() operatorhttp.FleetStatus { return operatorhttp.FleetStatus{} }
 
 const records = `{
@@ -230,6 +236,32 @@
 	f.c.Assert(load(records, ""), qt.Not(qt.Equals), load(strings.Replace(records, `"slots": 9`, `"slots": 8`, 1), ""))
 }
 
+// Guards against filters of the records that show others or hide some, and against a list without the nodes.
+func TestRecordsAndNodes(t *testing.T) {
+	f := newFixture(t)
+	f.run(StatusOK, "apply", f.file("records.jsonc", records))
+	f.run(StatusOK, "apply", f.file("other.jsonc", `{"operator": "a", "records": [{"kind": "service", "name": "v1", "schema-version": 1, "version": 1, "body": {"tenant": "b"}}]}`))
+	for _, test := range []struct {
+		want int
+		args []string
+	}{
+		{5, nil},
+		{2, []string{"v1"}},
+		{1, []string{"v1", "--kind", "upstream"}},
+		{4, []string{"--service", "orders"}},
+		{0, []string{"--service", "none"}},
+	} {
+		var answer operatorhttp.Records
+		f.c.Assert(json.Unmarshal([]byte(f.run(StatusOK, append([]string{"records", "--output", "json"}, test.args...)...)), &answer), qt.IsNil)
+		f.c.Assert(answer.Records, qt.HasLen, test.want, qt.Commentf("%v", test.args))
+		f.c.Assert(answer.Revision, qt.Equals, core.Revision(2))
+	}
+	f.c.Assert(f.run(StatusOK, "records", "--kind", "policy"), qt.Matches, `(?s)KIND .*policy +orders +1 +1 +\{"service":"orders",.*revision: 2\n`)
+	f.run(StatusUsage, "records", "--kind", "colour")
+	f.c.Assert(f.run(StatusOK, "status", "--nodes"), qt.Matches, `(?s).*n1 +dc-a +7 +1 +1970-01-01T00:00:00Z\n`)
+	f.c.Assert(f.run(StatusOK, "status"), qt.Not(qt.Contains), "n1")
+}
+
 // Guards against a script that takes a move for done while it is open or after it was taken back.
 func TestWaitForMoves(t *testing.T) {
 	for end, want := range map[core.MoveState]int{
@@ -293,7 +325,7 @@
 	f := newFixture(t)
 	f.c.Patch(&runNode, func(context.Context, settings.Node, zerolog.Logger) error { return nil })
 	f.c.Patch(&runControl, func(context.Context, settings.Control, zerolog.Logger) error { return nil })
-	for _, command := range []string{commandControl, commandNode, commandApply, commandMove, commandMoves, commandAbort, commandStatus, commandAudit, commandCheck, commandReplay, commandVersion} {
+	for _, command := range []string{commandControl, commandNode, commandApply, commandMove, commandMoves, commandAbort, commandStatus, commandAudit, commandRecords, commandCheck, commandReplay, commandVersion} {
 		f.c.Assert(f.run(StatusOK, command, "--help"), qt.Contains, "Example: parsleyport "+command)
 	}
 }
--- a/io/cli/operator.go
+++ b/io/cli/operator.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -197,65 +195,6 @@
 	_ = table.Flush() // a broken standard output has no other place to be reported
 }
 
-func (p *program) status(ctx context.Context, o options, client *operatorhttp.Client) int {
-	status, err := request(ctx, o, client.Status)
-	if err != nil {
-		return p.failRequest(err)
-	}
-	if o.json {
-		p.printJSON(status)
-		return StatusOK
-	}
-	p.printStatus(status)
-	return StatusOK
-}
-
-func (p *program) printStatus(status operatorhttp.Status) {
-	fmt.Fprintf(p.stdout, "current:          %t\n", status.Current)
-	if len(status.Tenants) > 0 {
-		fmt.Fprintf(p.stdout, "limited to:       %v\n", status.Tenants)
-		fmt.Fprintf(p.stdout, "accepted:         revision %d\n", status.Revision)
-		fmt.Fprintf(p.stdout, "in force:         revision %d or later on all nodes\n", status.Fleet.LowestInForce)
-	} else {
-		fmt.Fprintf(p.stdout, "accepted:         revision %d, hash %s\n", status.Revision, status.Hash)
-		fmt.Fprintf(p.stdout, "in force:         revision %d or later on %d nodes\n", status.Fleet.LowestInForce, status.Fleet.Nodes)
-	}
-	fmt.Fprintf(p.stdout, "schema floor:     %d\n", status.Fleet.SchemaFloor)
-	fmt.Fprintf(p.stdout, "open moves:       %v\n", status.OpenMoves)
-	if len(status.Tenants) == 0 {
-		fmt.Fprintf(p.stdout, "control instance: %s, %s, term %d, leader %q\n", status.Replica.Self, status.Replica.Role, status.Replica.Term, status.Replica.Leader)
-		fmt.Fprintf(p.stdout, "members:          %v, learners %v\n", status.Replica.Voters, status.Replica.Learners)
-	}
-	services := lo.Keys(status.Fleet.Endpoints)
-	slices.Sort(services)
-	for _, service := range services {
-		fmt.Fprintf(p.stdout, "endpoints:        %s %d\n", service, status.Fleet.Endpoints[service])
-	}
-}
-
-func (p *program) audit(ctx context.Context, o options, client *operatorhttp.Client) int {
-	entries, err := request(ctx, o, func(ctx context.Context) ([]catalog.AuditEntry, error) { return client.Audit(ctx, o.auditFilter()) })
-	if err != nil {
-		return p.failRequest(err)
-	}
-	if o.json {
-		p.printJSON(entries)
-		return StatusOK
-	}
-	table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "TIME\tOPERATOR\tTOKEN\tACTION\tRESULT\tREVISION\tMOVE\tSUBMISSION\tWHAT")
-	for _, e := range entries {
-		result := string(e.Result)
-		if e.Cause != "" {
-			result += " (" + string(e.Cause) + ")"
-		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", e.At.Format(time.RFC3339), e.Operator, e.Token, e.Action, result, e.Revision,
-			e.Move, e.Submission, strings.Join(e.What, "; "))
-	}
-	_ = table.Flush() // a broken standard output has no other place to be reported
-	return StatusOK
-}
-
 func (p *program) failRequest(err error) int {
 	if errors.Is(err, operatorhttp.ErrRejected) && !errors.Is(err, core.ErrOutcomeUnknown) {
 		return p.fail(StatusRefused, err)
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -37,6 +37,7 @@
 	commandAbort   = "abort"
 	commandStatus  = "status"
 	commandAudit   = "audit"
+	commandRecords = "records"
 	commandCheck   = "check"
 	commandReplay  = "replay"
 	commandVersion = "version"
@@ -49,6 +50,8 @@
 	commandMembersRemove  = "members remove"
 )
 
+var recordKinds = []string{string(core.KindService), string(core.KindUpstream), string(core.KindPolicy), string(core.KindRoute)}
+
 const derivedID = "derived from the content"
 
 // options holds every option and argument of all commands, checked.
@@ -74,6 +77,8 @@
 	wait         bool
 	since        time.Time
 	limit        int
+	nodes        bool
+	records      operatorhttp.RecordFilter
 	as           string
 	complete     bool
 }
@@ -157,6 +162,12 @@
 	moves.Flag("wait", "Wait until the open moves have ended; exit status 1 unless all of them are done.").BoolVar(&r.wait)
 
 	status := app.Command(commandStatus, "Show accepted and in-force revisions, nodes and control instances.\n\nExample: parsleyport status --server 127.0.0.1:7101 --output json")
+	status.Flag("nodes", "List each node with its newest report.").BoolVar(&r.nodes)
+
+	records := app.Command(commandRecords, "Show the accepted records.\n\nExample: parsleyport records --server 127.0.0.1:7101 --service orders --kind policy")
+	records.Arg("name", "Only records of this name.").StringVar(&r.records.Name)
+	records.Flag("kind", "Only records of this kind: service, upstream, policy or route.").EnumVar((*string)(&r.records.Kind), recordKinds...)
+	records.Flag("service", "Only this service and the records that belong to it.").StringVar((*string)(&r.records.Service))
 
 	audit := app.Command(commandAudit, "Show the latest entries of the audit trail.\n\nExample: parsleyport audit --server 127.0.0.1:7101 --operator amina --limit 20")
 	audit.Flag("operator", "Only this operator's entries.").StringVar((*string)(&r.operator))
@@ -165,7 +176,7 @@
 	audit.Flag("since", "Only entries from this time on, such as 2026-12-04T10:00:00Z.").StringVar(&r.since)
 	audit.Flag("limit", "Number of entries, from 1 to 10000.").Default("100").IntVar(&r.limit)
 
-	for _, command := range []*kingpin.CmdClause{moves, status, audit} {
+	for _, command := range []*kingpin.CmdClause{moves, status, records, audit} {
 		addRemote(command, r)
 	}
 }
@@ -226,7 +237,7 @@
 		if o.operator == "" {
 			o.operator = core.Operator(os.Getenv(operatorVariable))
 		}
-	case commandMoves, commandStatus, commandAudit:
+	case commandMoves, commandStatus, commandAudit, commandRecords:
 	case commandMembersList:
 	default:
 		return o, nil
--- /dev/null
+++ b/io/cli/show.go
@@ -0,0 +1,109 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/samber/lo"
+
+	"parsleyport/core/catalog"
+	"parsleyport/io/operatorhttp"
+)
+
+func (p *program) status(ctx context.Context, o options, client *operatorhttp.Client) int {
+	ask := client.Status
+	if o.nodes {
+		ask = client.StatusWithNodes
+	}
+	status, err := request(ctx, o, ask)
+	if err != nil {
+		return p.failRequest(err)
+	}
+	if o.json {
+		p.printJSON(status)
+		return StatusOK
+	}
+	p.printStatus(status)
+	if o.nodes {
+		p.printNodes(status.Nodes)
+	}
+	return StatusOK
+}
+
+func (p *program) printStatus(status operatorhttp.Status) {
+	fmt.Fprintf(p.stdout, "current:          %t\n", status.Current)
+	if len(status.Tenants) > 0 {
+		fmt.Fprintf(p.stdout, "limited to:       %v\n", status.Tenants)
+		fmt.Fprintf(p.stdout, "accepted:         revision %d\n", status.Revision)
+		fmt.Fprintf(p.stdout, "in force:         revision %d or later on all nodes\n", status.Fleet.LowestInForce)
+	} else {
+		fmt.Fprintf(p.stdout, "accepted:         revision %d, hash %s\n", status.Revision, status.Hash)
+		fmt.Fprintf(p.stdout, "in force:         revision %d or later on %d nodes\n", status.Fleet.LowestInForce, status.Fleet.Nodes)
+	}
+	fmt.Fprintf(p.stdout, "schema floor:     %d\n", status.Fleet.SchemaFloor)
+	fmt.Fprintf(p.stdout, "open moves:       %v\n", status.OpenMoves)
+	if len(status.Tenants) == 0 {
+		fmt.Fprintf(p.stdout, "control instance: %s, %s, term %d, leader %q\n", status.Replica.Self, status.Replica.Role, status.Replica.Term, status.Replica.Leader)
+		fmt.Fprintf(p.stdout, "members:          %v, learners %v\n", status.Replica.Voters, status.Replica.Learners)
+	}
+	services := lo.Keys(status.Fleet.Endpoints)
+	slices.Sort(services)
+	for _, service := range services {
+		fmt.Fprintf(p.stdout, "endpoints:        %s %d\n", service, status.Fleet.Endpoints[service])
+	}
+}
+
+func (p *program) audit(ctx context.Context, o options, client *operatorhttp.Client) int {
+	entries, err := request(ctx, o, func(ctx context.Context) ([]catalog.AuditEntry, error) { return client.Audit(ctx, o.auditFilter()) })
+	if err != nil {
+		return p.failRequest(err)
+	}
+	if o.json {
+		p.printJSON(entries)
+		return StatusOK
+	}
+	table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "TIME\tOPERATOR\tTOKEN\tACTION\tRESULT\tREVISION\tMOVE\tSUBMISSION\tWHAT")
+	for _, e := range entries {
+		result := string(e.Result)
+		if e.Cause != "" {
+			result += " (" + string(e.Cause) + ")"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", e.At.Format(time.RFC3339), e.Operator, e.Token, e.Action, result, e.Revision,
+			e.Move, e.Submission, strings.Join(e.What, "; "))
+	}
+	_ = table.Flush() // a broken standard output has no other place to be reported
+	return StatusOK
+}
+
+func (p *program) printNodes(nodes []operatorhttp.NodeStatus) {
+	table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "NODE\tDATA CENTRE\tIN FORCE\tSCHEMA\tLAST REPORT")
+	for _, n := range nodes {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\n", n.Node, n.DataCentre, n.Revision, n.Schema, n.LastReport.Format(time.RFC3339))
+	}
+	_ = table.Flush() // a broken standard output has no other place to be reported
+}
+
+func (p *program) records(ctx context.Context, o options, client *operatorhttp.Client) int {
+	records, err := request(ctx, o, func(ctx context.Context) (operatorhttp.Records, error) { return client.Records(ctx, o.records) })
+	if err != nil {
+		return p.failRequest(err)
+	}
+	if o.json {
+		p.printJSON(records)
+		return StatusOK
+	}
+	table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "KIND\tNAME\tSCHEMA\tVERSION\tBODY")
+	for _, r := range records.Records {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\n", r.Kind, r.Name, r.SchemaVersion, r.Version, r.Body)
+	}
+	_ = table.Flush() // a broken standard output has no other place to be reported
+	fmt.Fprintf(p.stdout, "revision: %d\n", records.Revision)
+	return StatusOK
+}
--- a/io/control/operators.go
+++ b/io/control/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/samber/do/v2"
@@ -79,6 +80,25 @@
 	catalog *catalog.Catalog
 }
 
+// Endpoints implements operatorhttp.FleetView.
+func (f fleet) Endpoints(service core.ServiceName) []core.Endpoint {
+	return f.source.Endpoints(service)
+}
+
+// Nodes implements operatorhttp.FleetView.
+func (f fleet) Nodes() []operatorhttp.NodeStatus {
+	now := time.Now().UTC()
+	return lo.Map(f.source.Nodes(), func(report distribution.NodeReport, _ int) operatorhttp.NodeStatus {
+		return operatorhttp.NodeStatus{
+			Node:       report.Node,
+			DataCentre: report.DataCentre,
+			Revision:   report.Revision,
+			Schema:     report.Schema,
+			LastReport: now.Add(-time.Duration(report.AgeMS) * time.Millisecond),
+		}
+	})
+}
+
 // Fleet implements operatorhttp.FleetView.
 func (f fleet) Fleet() operatorhttp.FleetStatus {
 	state := f.source.Fleet()
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -36,7 +36,10 @@
 	auditPath       = "/v1/audit"
 	membersPath     = "/v1/members"
 	changePath      = "/v1/members/{id}/{change}"
+	recordsPath     = "/v1/records"
 	metricsPath     = "/metrics"
+	readyPath       = "/ready"
+	statePath       = "/state"
 )
 
 // FleetStatus describes the nodes that are attached to the control instances.
@@ -47,8 +50,21 @@
 	SchemaFloor   core.SchemaVersion       `json:"schema-floor"` // zero if no node is attached
 }
 
+// NodeStatus is the newest report of one node.
+type NodeStatus struct {
+	Node       core.NodeID        `json:"node"`
+	DataCentre core.DataCentre    `json:"data-centre"`
+	Revision   core.Revision      `json:"revision-in-force"`
+	Schema     core.SchemaVersion `json:"schema-version"`
+	LastReport time.Time          `json:"last-report"` // on this control instance's clock
+}
+
 // FleetView gives the state of the fleet as this control instance knows it; it may be called from any goroutine.
 type FleetView interface {
+	// Nodes returns the newest report of each node, sorted by name.
+	Nodes() []NodeStatus
+	// Endpoints returns the endpoints of a service; the slice must not be changed.
+	Endpoints(service core.ServiceName) []core.Endpoint
 	// Fleet returns the state of the fleet now.
 	Fleet() FleetStatus
 }
@@ -61,5 +77,6 @@
 	Hash      string                `json:"hash"`
 	OpenMoves []core.MoveID         `json:"open-moves"`
 	Fleet     FleetStatus           `json:"fleet"`
+	Nodes     []NodeStatus          `json:"nodes,omitempty"` // only if asked for
 	Replica   core.ReplicatorStatus `json:"replica"`
 }
--- a/io/operatorhttp/client.go
+++ b/io/operatorhttp/client.go
@@ -93,6 +93,21 @@
 	return read[Status](ctx, c, statusPath)
 }
 
+// StatusWithNodes adds the newest report of each node; its errors are those of Moves.
+func (c *Client) StatusWithNodes(ctx context.Context) (Status, error) {
+	return read[Status](ctx, c, statusPath+"?nodes=true")
+}
+
+// Records returns the accepted records that match a filter; its errors are those of Moves.
+func (c *Client) Records(ctx context.Context, filter RecordFilter) (Records, error) {
+	query := url.Values{
+		"kind":    {string(filter.Kind)},
+		"service": {string(filter.Service)},
+		"name":    {filter.Name},
+	}
+	return read[Records](ctx, c, recordsPath+"?"+query.Encode())
+}
+
 // Audit returns the matching entries of the audit trail, oldest first; its errors are those of Moves.
 func (c *Client) Audit(ctx context.Context, filter catalog.AuditFilter) ([]catalog.AuditEntry, error) {
 	query := url.Values{}
--- a/io/operatorhttp/operations.go
+++ b/io/operatorhttp/operations.go
@@ -44,6 +44,10 @@
 	MoveID string `path:"id"`
 }
 
+type statusInput struct {
+	Nodes bool `query:"nodes"`
+}
+
 type auditInput struct {
 	Operator   string    `query:"operator"`
 	Submission string    `query:"submission-id"`
@@ -60,6 +64,7 @@
 	huma.Register(api, operation("show-move", http.MethodGet, movePath), s.showMove)
 	huma.Register(api, operation("status", http.MethodGet, statusPath), s.status)
 	huma.Register(api, operation("audit", http.MethodGet, auditPath), s.audit)
+	huma.Register(api, operation("records", http.MethodGet, recordsPath), s.records)
 	s.registerMembers(api)
 }
 
@@ -170,8 +175,13 @@
 	}, nil
 }
 
-func (s *Server) status(ctx context.Context, _ *struct{}) (*output[Status], error) {
+func (s *Server) status(ctx context.Context, input *statusInput) (*output[Status], error) {
 	by := principalOf(ctx)
+	if input.Nodes {
+		if err := s.wholeDeployment(ctx); err != nil {
+			return nil, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	current := s.options.Replicator.ConfirmRead(ctx) == nil
@@ -184,6 +194,9 @@
 		Fleet:     s.options.Fleet.Fleet(),
 		Replica:   s.options.Replicator.Status(),
 	}
+	if input.Nodes {
+		status.Nodes = s.options.Fleet.Nodes()
+	}
 	return &output[Status]{
 		Body: status.visible(by, s.tenant),
 	}, nil
--- a/io/operatorhttp/operatorhttp_test.go
+++ b/io/operatorhttp/operatorhttp_test.go
@@ -80,6 +80,14 @@
 	}
 }
 
+func (fakeFleet) Nodes() []operatorhttp.NodeStatus {
+	return []operatorhttp.NodeStatus{{Node: "n1"}}
+}
+
+func (fakeFleet) Endpoints(core.ServiceName) []core.Endpoint {
+	return []core.Endpoint{{Node: "n1"}}
+}
+
 type fixture struct {
 	replicator *fakeReplicator
 	address    string
--- a/io/operatorhttp/server.go
+++ b/io/operatorhttp/server.go
@@ -95,22 +95,12 @@
 	s.register(api)
 	open := http.NewServeMux()
 	open.Handle("GET "+metricsPath, s.metrics())
+	open.Handle("GET "+readyPath, s.bounded(http.HandlerFunc(s.ready)))
+	open.Handle("GET "+statePath, s.bounded(s.unlimited(http.HandlerFunc(s.state))))
 	open.Handle("/", s.bounded(s.authorized(s.whole(mux))))
 	return open
 }
 
-// metrics are read under overload too. They are of all tenants together, so they need a token once tokens are limited.
-func (s *Server) metrics() http.Handler {
-	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		s.options.Metrics.WritePrometheus(w)
-	})
-	if s.guard.hasLimited() {
-		return s.unlimited(handler)
-	}
-	return handler
-}
-
 // whole reads the body before anything else looks at it: huma answers a cut body with status 500, which would tell the
 // client that the command may have been proposed.
 func (s *Server) whole(next http.Handler) http.Handler {
--- a/io/operatorhttp/tokens_test.go
+++ b/io/operatorhttp/tokens_test.go
@@ -20,6 +20,19 @@
 	"parsleyport/io/operatorhttp"
 )
 
+func get(c *qt.C, address, token string) (status int, body string) {
+	c.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+	c.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	c.Assert(err, qt.IsNil)
+	content, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	return response.StatusCode, string(content)
+}
+
 const secretOf = "secret-of-%s-0123456789"
 
 // startTenants serves three tenants, each with a token and one service of its name, and an operator with all rights.
@@ -93,14 +106,18 @@
 	_, err = clients["a"].Members(ctx)
 	c.Assert(err, qt.ErrorMatches, ".*"+"needs a token with all rights")
 
+	_, err = clients["a"].StatusWithNodes(ctx)
+	c.Assert(err, qt.ErrorMatches, ".*needs a token with all rights")
+	seen, err := clients["a"].Records(ctx, operatorhttp.RecordFilter{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(seen.Records, qt.HasLen, 4)
+
 	for name, want := range map[string]int{"": http.StatusUnauthorized, "a": http.StatusForbidden, "all": http.StatusOK} {
-		request, err := http.NewRequest(http.MethodGet, "http://"+address+"/metrics", nil)
-		c.Assert(err, qt.IsNil)
-		request.Header.Set("Authorization", "Bearer "+fmt.Sprintf(secretOf, name))
-		response, err := http.DefaultClient.Do(request)
-		c.Assert(err, qt.IsNil)
-		c.Assert(response.Body.Close(), qt.IsNil)
-		c.Assert(response.StatusCode, qt.Equals, want, qt.Commentf("metrics for %q", name))
+		for _, path := range []string{"/metrics", "/state"} {
+			status, body := get(c, address+path, fmt.Sprintf(secretOf, name))
+			c.Assert(status, qt.Equals, want, qt.Commentf("%s for %q", path, name))
+			c.Assert(body, qt.Not(qt.Contains), "secret-of")
+		}
 	}
 	all, err := clients["all"].Audit(ctx, catalog.AuditFilter{})
 	c.Assert(err, qt.IsNil)
