Give each refusal its time, and none the hash of a deletion

The verdict submission-id-used had a zero time, and equal-version against a deleted record named the hash, which looked like a content. The winner of the latter now says that it deleted the record.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -138,7 +138,7 @@
 	hash := core.Hash(xxhash.Sum64(append([]byte(e.Action), e.Body...)))
 	scope := scopeOf(by, body)
 	if earlier, exists := c.verdicts.byID[memoryKey{scope: scope, id: from.id}]; exists {
-		return c.resent(earlier, from, hash)
+		return c.resent(e, earlier, from, hash)
 	}
 	verdict := run(e, body)
 	verdict.Submission = from.id
@@ -158,12 +158,12 @@
 }
 
 // resent refuses another content under a known id, because the first verdict would be untrue for it.
-func (c *Catalog) resent(earlier remembered, from sender, hash core.Hash) Verdict {
+func (c *Catalog) resent(e envelope, earlier remembered, from sender, hash core.Hash) Verdict {
 	if earlier.Hash == hash {
 		return earlier.Verdict
 	}
 	verdict := refused(CauseIDUsed, "submission-id %q was used for another content at %s", from.id, earlier.Verdict.At.Format(time.RFC3339))
-	verdict.Submission = from.id
+	verdict.Submission, verdict.At = from.id, e.At
 	return c.complete(verdict.against(stamp{
 		Submission: from.id,
 		Operator:   earlier.Operator,
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -159,6 +159,7 @@
 
 		verdict := each.submit(c, submission("second", policy(4, "v3")))
 		c.Assert(verdict.Cause, qt.Equals, catalog.CauseIDUsed)
+		c.Assert(verdict.At, qt.Equals, start)
 		c.Assert(verdict.Winner.Operator, qt.Equals, core.Operator("amina"))
 	}
 }
@@ -255,6 +256,9 @@
 	c.Assert(deletion("d", "v3", 3).Result, qt.Equals, catalog.Accepted)
 	r = r.restored(c)
 	c.Assert(deletion("e", "v3", 3).Unchanged, qt.IsTrue)
+	equal := r.submit(c, submission("equal", upstream(3, "v3", "r3")))
+	c.Assert(equal.Cause, qt.Equals, catalog.CauseEqualVersion)
+	c.Assert(*equal.Winner, qt.Equals, catalog.Winner{Submission: "d", Operator: "amina", Version: 3, Deleted: true}) // no hash of nothing
 	c.Assert(r.submit(c, submission("f", upstream(2, "v3", "r3"))).Cause, qt.Equals, catalog.CauseStaleVersion)
 	c.Assert(r.submit(c, submission("g", upstream(4, "v3", "r3"))).Result, qt.Equals, catalog.Accepted)
 }
--- a/core/catalog/submit.go
+++ b/core/catalog/submit.go
@@ -130,6 +130,9 @@
 	refusal := refused(CauseStaleVersion, "%s: version %d is newer", describe(key, version), s.Version)
 	if version == s.Version {
 		refusal = refused(CauseEqualVersion, "%s: submission %q by %q set this version first with other content", describe(key, version), s.Submission, s.Operator)
+		if s.Deleted {
+			refusal = refused(CauseEqualVersion, "%s: submission %q by %q deleted the record with this version", describe(key, version), s.Submission, s.Operator)
+		}
 	}
 	refusal = refusal.against(s)
 	return &refusal
--- a/core/catalog/verdict.go
+++ b/core/catalog/verdict.go
@@ -43,7 +43,8 @@
 	Submission core.SubmissionID  `json:"submission-id" msgpack:"submission-id"`
 	Operator   core.Operator      `json:"operator" msgpack:"operator"`
 	Version    core.RecordVersion `json:"version,omitempty" msgpack:"version"`
-	Hash       string             `json:"hash" msgpack:"hash"` // xxhash64 of the content in hexadecimal digits
+	Hash       string             `json:"hash,omitempty" msgpack:"hash"` // xxhash64 of the content in hexadecimal digits
+	Deleted    bool               `json:"deleted,omitempty" msgpack:"deleted,omitempty"`
 }
 
 // Verdict is the result of a command; resends of a submission get the same one.
@@ -82,7 +83,10 @@
 		Submission: s.Submission,
 		Operator:   s.Operator,
 		Version:    s.Version,
-		Hash:       formatHash(s.Hash),
+		Deleted:    s.Deleted,
+	}
+	if !s.Deleted { // a deletion has no content
+		v.Winner.Hash = formatHash(s.Hash)
 	}
 	return v
 }
