Bound the work of an audit query and page it by a cursor

A request now reads the latest entries and at most 10 archive files, and its answer has the number from which the next one goes on. The client asks for the next page until it has enough entries.

--- a/core/catalog/audit.go
+++ b/core/catalog/audit.go
@@ -35,6 +35,7 @@
 	Since      time.Time
 	Limit      int // the latest entries up to this number
 	By         Principal
+	Before     uint64 // only entries with a lower number, zero for all
 }
 
 // view returns the entry as the principal may see it: without the lines of other tenants.
@@ -83,6 +84,8 @@
 	maxAudit          = 10_000
 	maxArchiveEntries = 1_000
 	maxArchiveBytes   = 1 << 20 // of one batch, apart from its last entry
+	// maxBatchesPerPage bounds what one query reads of the archive: at most 10,000 entries, of 10 MB or so.
+	maxBatchesPerPage = 10
 )
 
 // ErrAuditIncomplete means that this instance does not hold all older entries of the audit trail, or not yet.
@@ -90,26 +93,64 @@
 
 // Audit returns the matching entries among the latest ones, oldest first.
 func (c *Catalog) Audit(filter AuditFilter) []AuditEntry {
-	trail, _ := c.latestAudit()
-	found := filter.collect(make([]AuditEntry, 0), trail)
+	trail, number := c.latestAudit()
+	found, _ := filter.collect(make([]AuditEntry, 0), trail, number)
 	slices.Reverse(found)
 	return found
 }
 
-// AuditAll returns the matching entries among all, oldest first, or ErrAuditIncomplete.
+// AuditPage is what one query found, oldest first. Next is the Before of the query that goes on with older entries, zero
+// if there are none; a page may be empty and have a next one.
+type AuditPage struct {
+	Entries []AuditEntry `json:"entries"`
+	Next    uint64       `json:"next,omitempty"`
+}
+
+// AuditAll returns the matching entries among all, oldest first, or ErrAuditIncomplete. Its work has no bound.
 func (c *Catalog) AuditAll(filter AuditFilter) ([]AuditEntry, error) {
-	trail, number := c.latestAudit()
-	found := filter.collect(make([]AuditEntry, 0), trail)
-	for number > 0 && !filter.isFull(found) {
-		first, entries, err := c.archivedAudit(number - 1)
+	limit := filter.Limit
+	var found []AuditEntry
+	for {
+		page, err := c.AuditPage(filter)
 		if err != nil {
 			return nil, err
 		}
-		found = filter.collect(found, entries[:number-first])
-		number = first
+		found = append(page.Entries, found...)
+		filter.Before, filter.Limit = page.Next, limit-len(found)
+		if page.Next == 0 || (limit > 0 && filter.Limit == 0) {
+			return found, nil
+		}
+		filter.Limit = max(filter.Limit, 0) // no limit stays none
+	}
+}
+
+// AuditPage goes through the entries from the newest on, up to the filter's limit and a bounded number of archived ones;
+// it returns ErrAuditIncomplete.
+func (c *Catalog) AuditPage(filter AuditFilter) (AuditPage, error) {
+	entries, first := c.latestAudit()
+	last := first + uint64(len(entries))
+	if filter.Before > 0 {
+		last = min(last, filter.Before)
+	}
+	found, next := make([]AuditEntry, 0), last
+	if last > first {
+		found, next = filter.collect(found, entries[:last-first], first)
+	}
+	for range maxBatchesPerPage {
+		if next == 0 || filter.isFull(found) {
+			break
+		}
+		first, entries, err := c.archivedAudit(next - 1)
+		if err != nil {
+			return AuditPage{}, err
+		}
+		found, next = filter.collect(found, entries[:next-first], first)
 	}
 	slices.Reverse(found)
-	return found, nil
+	return AuditPage{
+		Entries: found,
+		Next:    next,
+	}, nil
 }
 
 // latestAudit returns the entries that are held in memory and the number of the first one.
@@ -144,14 +185,18 @@
 	return f.Limit > 0 && len(found) >= f.Limit
 }
 
-// collect adds matching entries, the newest first.
-func (f AuditFilter) collect(found, trail []AuditEntry) []AuditEntry {
-	for i := len(trail) - 1; i >= 0 && !f.isFull(found); i-- {
+// collect adds matching entries, the newest first, and returns the number of the last entry that it looked at; first is
+// the number of the first one.
+func (f AuditFilter) collect(found, trail []AuditEntry, first uint64) ([]AuditEntry, uint64) {
+	for i := len(trail) - 1; i >= 0; i-- {
+		if f.isFull(found) {
+			return found, first + uint64(i) + 1
+		}
 		if entry, visible := f.view(trail[i]); visible && f.matches(entry) {
 			found = append(found, entry)
 		}
 	}
-	return found
+	return found, first
 }
 
 // MissingAudit returns the lowest numbers, from first to before end, of entries that only other instances hold.
--- a/io/cli/show.go
+++ b/io/cli/show.go
@@ -58,17 +58,22 @@
 }
 
 func (p *program) audit(ctx context.Context, o options, client *operatorhttp.Client) int {
-	entries, err := request(ctx, o, func(ctx context.Context) ([]catalog.AuditEntry, error) { return client.Audit(ctx, o.auditFilter()) })
+	page, err := client.AuditPages(o.auditFilter(), func(filter catalog.AuditFilter) (catalog.AuditPage, error) {
+		return request(ctx, o, func(ctx context.Context) (catalog.AuditPage, error) { return client.AuditPage(ctx, filter) })
+	})
 	if err != nil {
 		return p.failRequest(err)
 	}
+	if page.Next > 0 {
+		fmt.Fprintf(p.stderr, "There are older entries; to look through them, use the same command with --before %d.\n", page.Next)
+	}
 	if o.json {
-		p.printJSON(entries)
+		p.printJSON(page.Entries)
 		return StatusOK
 	}
 	table := tabwriter.NewWriter(p.stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "TIME\tOPERATOR\tTOKEN\tACTION\tRESULT\tREVISION\tMOVE\tSUBMISSION\tWHAT")
-	for _, e := range entries {
+	for _, e := range page.Entries {
 		result := string(e.Result)
 		if e.Cause != "" {
 			result += " (" + string(e.Cause) + ")"
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -26,6 +26,9 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// DefaultAuditLimit is the number of entries that a query of the audit trail finds if it names none.
+const DefaultAuditLimit = 100
+
 // Paths of the API.
 const (
 	submissionsPath = "/v1/submissions"
--- a/io/operatorhttp/client.go
+++ b/io/operatorhttp/client.go
@@ -108,8 +108,36 @@
 	return read[Records](ctx, c, recordsPath+"?"+query.Encode())
 }
 
-// Audit returns the matching entries of the audit trail, oldest first; its errors are those of Moves.
+// Audit returns the latest matching entries of the audit trail up to the filter's limit, oldest first, and asks for as many
+// pages as that takes; its errors are those of Moves.
 func (c *Client) Audit(ctx context.Context, filter catalog.AuditFilter) ([]catalog.AuditEntry, error) {
+	page, err := c.AuditPages(filter, func(filter catalog.AuditFilter) (catalog.AuditPage, error) { return c.AuditPage(ctx, filter) })
+	return page.Entries, err
+}
+
+// AuditPages puts pages together until the filter's limit is reached or there are no more; Next goes on from there.
+func (c *Client) AuditPages(filter catalog.AuditFilter, ask func(catalog.AuditFilter) (catalog.AuditPage, error)) (catalog.AuditPage, error) {
+	limit := filter.Limit
+	if limit == 0 {
+		limit = DefaultAuditLimit
+	}
+	all := catalog.AuditPage{}
+	for {
+		filter.Limit = limit - len(all.Entries)
+		page, err := ask(filter)
+		if err != nil {
+			return catalog.AuditPage{}, err
+		}
+		all.Entries = append(page.Entries, all.Entries...)
+		all.Next, filter.Before = page.Next, page.Next
+		if page.Next == 0 || len(all.Entries) >= limit {
+			return all, nil
+		}
+	}
+}
+
+// AuditPage asks for one page; its errors are those of Moves.
+func (c *Client) AuditPage(ctx context.Context, filter catalog.AuditFilter) (catalog.AuditPage, error) {
 	query := url.Values{}
 	for key, value := range map[string]string{
 		"operator":      string(filter.Operator),
@@ -126,7 +154,10 @@
 	if filter.Limit > 0 {
 		query.Set("limit", strconv.Itoa(filter.Limit))
 	}
-	return read[[]catalog.AuditEntry](ctx, c, auditPath+"?"+query.Encode())
+	if filter.Before > 0 {
+		query.Set("before", strconv.FormatUint(filter.Before, 10))
+	}
+	return read[catalog.AuditPage](ctx, c, auditPath+"?"+query.Encode())
 }
 
 // Members describes the membership as the first reachable member knows it; its errors are those of Moves.
--- a/io/operatorhttp/operations.go
+++ b/io/operatorhttp/operations.go
@@ -54,6 +54,7 @@
 	Move       string    `query:"move-id"`
 	Since      time.Time `query:"since"`
 	Limit      int       `query:"limit" minimum:"1" maximum:"10000" default:"100"`
+	Before     uint64    `query:"before"`
 }
 
 func (s *Server) register(api huma.API) {
@@ -202,23 +203,24 @@
 	}, nil
 }
 
-func (s *Server) audit(ctx context.Context, input *auditInput) (*output[[]catalog.AuditEntry], error) {
+func (s *Server) audit(ctx context.Context, input *auditInput) (*output[catalog.AuditPage], error) {
 	if err := s.confirm(ctx); err != nil {
 		return nil, err
 	}
-	entries, err := s.options.Catalog.AuditAll(catalog.AuditFilter{
+	page, err := s.options.Catalog.AuditPage(catalog.AuditFilter{
 		Operator:   core.Operator(input.Operator),
 		Submission: core.SubmissionID(input.Submission),
 		Move:       core.MoveID(input.Move),
 		Since:      input.Since,
 		Limit:      input.Limit,
 		By:         principalOf(ctx),
+		Before:     input.Before,
 	})
 	if err != nil { // another instance may hold them
 		s.countError("audit-incomplete")
 		return nil, huma.Error503ServiceUnavailable(err.Error())
 	}
-	return &output[[]catalog.AuditEntry]{
-		Body: entries,
+	return &output[catalog.AuditPage]{
+		Body: page,
 	}, nil
 }
