Print the usage once, the revision in version, and how to resend a move

kingpin goes on after help and completion scripts unless the process ends there, and printed the usage a second time, also behind a completion script, which no shell could load. version printed (devel) for builds from a working copy. move --by 10m had another deadline, and so another submission id, at each run; it now prints the id and the deadline to send again. An id derived from the typed period was ruled out, since the same command a week later would get the verdict of the first move.

Before, the new tests counted two usages, saw (devel), and found no id.

--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"parsleyport/core/raft"
 	"parsleyport/io/control"
@@ -58,7 +59,11 @@
 	defer stop()
 	switch o.command {
 	case commandVersion:
-		fmt.Fprintln(stdout, buildVersion())
+		info, known := debug.ReadBuildInfo()
+		if !known {
+			return p.fail(StatusRefused, errors.New("the program has no build information"))
+		}
+		fmt.Fprintln(stdout, describeBuild(info))
 		return StatusOK
 	case commandCheck:
 		return p.check(o)
@@ -144,10 +149,21 @@
 	_ = encoder.Encode(value) // a broken standard output has no other place to be reported
 }
 
-func buildVersion() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
+// describeBuild names the module version, or the revision of the source code if it was built from a working copy.
+func describeBuild(info *debug.BuildInfo) string {
+	setting := func(key string) string {
+		found, _ := lo.Find(info.Settings, func(s debug.BuildSetting) bool { return s.Key == key })
+		return found.Value
 	}
-	return fmt.Sprintf("parsleyport %s (%s)", info.Main.Version, info.GoVersion)
+	version := info.Main.Version
+	if revision := setting("vcs.revision"); (version == "" || version == "(devel)") && revision != "" {
+		version = fmt.Sprintf("revision %s of %s", revision, setting("vcs.time"))
+		if setting("vcs.modified") == "true" {
+			version += ", changed"
+		}
+	}
+	if version == "" || version == "(devel)" {
+		version = "without version or revision"
+	}
+	return fmt.Sprintf("parsleyport %s (%s)", version, info.GoVersion)
 }
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -330,6 +332,43 @@
 	}
 }
 
+// Guards against help whose usage is printed twice, and against a completion script with the usage behind it, which a shell
+// cannot run.
+func TestHelpAndCompletionArePrintedOnce(t *testing.T) {
+	f := newFixture(t)
+	for _, args := range [][]string{{"--help"}, {"status", "--help"}, {"help", "status"}} {
+		f.c.Assert(strings.Count(f.run(StatusOK, args...), "usage: "), qt.Equals, 1, qt.Commentf("%v", args))
+	}
+	for _, script := range []string{"--completion-script-bash", "--completion-script-zsh"} {
+		f.c.Assert(f.run(StatusOK, script), qt.Equals, "") // kingpin writes the script to the process's own output
+	}
+}
+
+// Guards against a version that does not tell two builds apart.
+func TestVersionNamesTheRevision(t *testing.T) {
+	c := qt.New(t)
+	info := &debug.BuildInfo{GoVersion: "go1", Main: debug.Module{Version: "v1.2.3"}}
+	c.Assert(describeBuild(info), qt.Equals, "parsleyport v1.2.3 (go1)")
+	info.Main.Version = "(devel)"
+	c.Assert(describeBuild(info), qt.Equals, "parsleyport without version or revision (go1)")
+	info.Settings = []debug.BuildSetting{{Key: "vcs.revision", Value: "abc"}, {Key: "vcs.time", Value: "2026-12-04T10:00:00Z"}, {Key: "vcs.modified", Value: "true"}}
+	c.Assert(describeBuild(info), qt.Equals, "parsleyport revision abc of 2026-12-04T10:00:00Z, changed (go1)")
+}
+
+// Guards against a second move when a command with a period is sent again after a lost answer.
+func TestMoveByAPeriodCanBeSentAgain(t *testing.T) {
+	f := newFixture(t)
+	f.run(StatusOK, "apply", f.file("records.jsonc", records))
+	move := []string{"move", "--operator", "amina", "--service", "orders", "--from", "v1", "--to", "v2"}
+	f.replicator.err = core.ErrOutcomeUnknown
+	lost := f.run(StatusUnknown, append(move, "--by", "10m", "--timeout", "100ms")...)
+	again := regexp.MustCompile(`--submission-id \S+ --by \S+`).FindString(lost)
+	f.c.Assert(again, qt.Not(qt.Equals), "", qt.Commentf("%s", lost))
+	f.replicator.err = nil
+	f.c.Assert(f.run(StatusOK, append(move, strings.Fields(again)...)...), qt.Contains, "move m1")
+	f.c.Assert(f.replicator.catalog.Moves(), qt.HasLen, 1)
+}
+
 func FuzzParseRecords(f *testing.F) {
 	f.Add([]byte(records))
 	f.Add([]byte(`{"records": [{"kind": "service", "body": {"tenant": }}]}`))
--- a/io/cli/operator.go
+++ b/io/cli/operator.go
@@ -75,6 +75,9 @@
 		}
 		move.ID = id
 	}
+	if o.period {
+		fmt.Fprintf(p.stderr, "To send the same move again after a lost answer, use --submission-id %s --by %s in the same command.\n", move.ID, move.Deadline.Format(time.RFC3339Nano))
+	}
 	verdict, err := request(ctx, o, func(ctx context.Context) (catalog.Verdict, error) { return client.Move(ctx, move) })
 	status := p.verdict(o, verdict, o.submissionID == "", err)
 	if status != StatusOK || !o.wait {
@@ -130,7 +133,10 @@
 	if v.Result == catalog.Refused {
 		text := fmt.Sprintf("refused (%s): %s", v.Cause, v.Detail)
 		if v.Winner != nil {
-			text += fmt.Sprintf("; submission %s by %s won, content hash %s", v.Winner.Submission, v.Winner.Operator, v.Winner.Hash)
+			text += fmt.Sprintf("; submission %s by %s won", v.Winner.Submission, v.Winner.Operator)
+			if !v.Winner.Deleted {
+				text += ", content hash " + v.Winner.Hash
+			}
 		}
 		return text
 	}
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -71,12 +71,14 @@
 	from         core.UpstreamName
 	to           core.UpstreamName
 	by           time.Time
+	period       bool // --by was given from now on, so that a second run has another deadline
 	maxRisk      core.PerMille
 	moveID       core.MoveID
 	member       core.ControlID
 	wait         bool
 	since        time.Time
 	limit        int
+	before       uint64
 	nodes        bool
 	records      operatorhttp.RecordFilter
 	as           string
@@ -101,8 +103,7 @@
 		return options{}, errors.New("a command is needed; parsleyport --help lists them")
 	}
 	app := kingpin.New("parsleyport", "Configuration distribution for a service mesh.\n\nExit status: 0 success, 1 refused or failed, 2 wrong usage or settings, 3 unreachable or outcome unknown.")
-	helped := false
-	app.UsageWriter(usage).Terminate(func(int) { helped = true })
+	app.UsageWriter(usage).Terminate(func(int) { panic(errHelp) }) // kingpin goes on if this returns, and prints the usage again
 	app.HelpFlag.Short('h')
 	var r raw
 	addProcessCommands(app, &r)
@@ -110,10 +111,7 @@
 	addReadCommands(app, &r)
 	addMemberCommands(app, &r)
 	addOfflineCommands(app, &r)
-	command, err := app.Parse(args)
-	if helped {
-		return options{}, errHelp
-	}
+	command, err := parse(app, args)
 	if err != nil {
 		return options{}, err
 	}
@@ -121,6 +119,20 @@
 	return r.check(now)
 }
 
+// parse returns errHelp if kingpin has printed help or a completion script.
+func parse(app *kingpin.Application, args []string) (command string, err error) {
+	defer func() {
+		switch cause := recover(); cause {
+		case nil:
+		case errHelp:
+			err = errHelp
+		default:
+			panic(cause)
+		}
+	}()
+	return app.Parse(args)
+}
+
 // addProcessCommands leaves out a process that this program cannot run.
 func addProcessCommands(app *kingpin.Application, r *raw) {
 	if runControl != nil {
@@ -175,6 +187,7 @@
 	audit.Flag("move", "Only entries of this move.").StringVar((*string)(&r.moveID))
 	audit.Flag("since", "Only entries from this time on, such as 2026-12-04T10:00:00Z.").StringVar(&r.since)
 	audit.Flag("limit", "Number of entries, from 1 to 10000.").Default("100").IntVar(&r.limit)
+	audit.Flag("before", "Only entries before this number, which a command whose limit was reached prints.").Uint64Var(&r.before)
 
 	for _, command := range []*kingpin.CmdClause{moves, status, records, audit} {
 		addRemote(command, r)
@@ -297,7 +310,7 @@
 	}
 	o.maxRisk = core.PerMille(r.maxRisk)
 	if period, err := time.ParseDuration(r.by); err == nil {
-		o.by = now.Add(period)
+		o.by, o.period = now.Add(period).Truncate(time.Millisecond), true
 	} else if o.by, err = time.Parse(time.RFC3339, r.by); err != nil {
 		return errors.Errorf("--by is %q, expected a time such as 2026-12-04T10:00:00Z or a period such as 10m", r.by)
 	}
@@ -332,5 +345,6 @@
 		Move:       o.moveID,
 		Since:      o.since,
 		Limit:      o.limit,
+		Before:     o.before,
 	}
 }
