--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -332,16 +332,32 @@
 	}
 }
 
-// Guards against help whose usage is printed twice, and against a completion script with the usage behind it, which a shell
-// cannot run.
-func TestHelpAndCompletionArePrintedOnce(t *testing.T) {
+// Guards against help whose usage is printed twice.
+func TestHelpIsPrintedOnce(t *testing.T) {
 	f := newFixture(t)
 	for _, args := range [][]string{{"--help"}, {"status", "--help"}, {"help", "status"}} {
 		f.c.Assert(strings.Count(f.run(StatusOK, args...), "usage: "), qt.Equals, 1, qt.Commentf("%v", args))
 	}
-	for _, script := range []string{"--completion-script-bash", "--completion-script-zsh"} {
-		f.c.Assert(f.run(StatusOK, script), qt.Equals, "") // kingpin writes the script to the process's own output
+}
+
+// Guards against a completion script with the usage behind it, which a shell cannot load, and against a completion that
+// offers nothing.
+func TestCompletion(t *testing.T) {
+	f := newFixture(t)
+	printed := func(args ...string) string {
+		own, err := os.Create(filepath.Join(f.folder, "stdout")) // kingpin writes completions to the process's own output
+		f.c.Assert(err, qt.IsNil)
+		defer own.Close()
+		f.c.Patch(&os.Stdout, own)
+		f.c.Assert(f.run(StatusOK, args...), qt.Equals, "")
+		content, err := os.ReadFile(own.Name())
+		f.c.Assert(err, qt.IsNil)
+		return string(content)
 	}
+	f.c.Assert(printed("--completion-script-bash"), qt.Matches, `(?s).*complete -F _parsleyport_bash_autocomplete -o default parsleyport\s*`)
+	f.c.Assert(printed("--completion-script-zsh"), qt.Matches, `(?s)#compdef parsleyport.*`)
+	f.c.Assert(strings.Fields(printed("--completion-bash", "rec")), qt.Contains, "records")
+	f.c.Assert(strings.Fields(printed("--completion-bash", "status", "--")), qt.Contains, "--nodes")
 }
 
 // Guards against a version that does not tell two builds apart.
