--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -104,10 +104,12 @@
 	f.Add([]byte(node))
 	f.Add([]byte(`{"members": [1, {"id": "\ud800"}], "control-addresses": "x", "id": 1e999,}`))
 	f.Add([]byte(`{"a": /* cut`))
+	f.Add([]byte(tokens))
 	f.Fuzz(func(t *testing.T, source []byte) {
 		_, controlErr := settings.ParseControl("f", source)
 		_, nodeErr := settings.ParseNode("f", source)
-		for _, err := range []error{controlErr, nodeErr} {
+		_, tokenErr := settings.ParseTokens("f", source)
+		for _, err := range []error{controlErr, nodeErr, tokenErr} {
 			var faults *settings.Error
 			if err != nil && (!errors.As(err, &faults) || len(faults.Faults) == 0) {
 				t.Fatalf("error without faults: %v", err)
