--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -82,6 +84,12 @@
 	return errors.NotValidf("change")
 }
 
+func (f *fakeReplicator) Endpoints(core.ServiceName) []core.Endpoint { return nil }
+
+func (f *fakeReplicator) Nodes() []operatorhttp.NodeStatus {
+	return []operatorhttp.NodeStatus{{Node: "n1", DataCentre: "dc-a", Revision: 7, Schema: 1, LastReport: time.Unix(0, 0).UTC()}}
+}
+
 func (f *fakeReplicator) Fleet() operatorhttp.FleetStatus { return operatorhttp.FleetStatus{} }
 
 const records = `{
@@ -232,6 +240,32 @@
 	f.c.Assert(load(records, ""), qt.Not(qt.Equals), load(strings.Replace(records, `"slots": 9`, `"slots": 8`, 1), ""))
 }
 
+// Guards against filters of the records that show others or hide some, and against a list without the nodes.
+func TestRecordsAndNodes(t *testing.T) {
+	f := newFixture(t)
+	f.run(StatusOK, "apply", f.file("records.jsonc", records))
+	f.run(StatusOK, "apply", f.file("other.jsonc", `{"operator": "a", "records": [{"kind": "service", "name": "v1", "schema-version": 1, "version": 1, "body": {"tenant": "b"}}]}`))
+	for _, test := range []struct {
+		want int
+		args []string
+	}{
+		{5, nil},
+		{2, []string{"v1"}},
+		{1, []string{"v1", "--kind", "upstream"}},
+		{4, []string{"--service", "orders"}},
+		{0, []string{"--service", "none"}},
+	} {
+		var answer operatorhttp.Records
+		f.c.Assert(json.Unmarshal([]byte(f.run(StatusOK, append([]string{"records", "--output", "json"}, test.args...)...)), &answer), qt.IsNil)
+		f.c.Assert(answer.Records, qt.HasLen, test.want, qt.Commentf("%v", test.args))
+		f.c.Assert(answer.Revision, qt.Equals, core.Revision(2))
+	}
+	f.c.Assert(f.run(StatusOK, "records", "--kind", "policy"), qt.Matches, `(?s)KIND .*policy +orders +1 +1 +\{"service":"orders",.*revision: 2\n`)
+	f.run(StatusUsage, "records", "--kind", "colour")
+	f.c.Assert(f.run(StatusOK, "status", "--nodes"), qt.Matches, `(?s).*n1 +dc-a +7 +1 +1970-01-01T00:00:00Z\n`)
+	f.c.Assert(f.run(StatusOK, "status"), qt.Not(qt.Contains), "n1")
+}
+
 // Guards against a script that takes a move for done while it is open or after it was taken back.
 func TestWaitForMoves(t *testing.T) {
 	for end, want := range map[core.MoveState]int{
@@ -295,11 +329,64 @@
 	f := newFixture(t)
 	f.c.Patch(&runNode, func(context.Context, settings.Node, zerolog.Logger) error { return nil })
 	f.c.Patch(&runControl, func(context.Context, settings.Control, zerolog.Logger) error { return nil })
-	for _, command := range []string{commandControl, commandNode, commandApply, commandMove, commandMoves, commandAbort, commandStatus, commandAudit, commandCheck, commandReplay, commandVersion} {
+	for _, command := range []string{commandControl, commandNode, commandApply, commandMove, commandMoves, commandAbort, commandStatus, commandAudit, commandRecords, commandCheck, commandReplay, commandVersion} {
 		f.c.Assert(f.run(StatusOK, command, "--help"), qt.Contains, "Example: parsleyport "+command)
 	}
 }
 
+// Guards against help whose usage is printed twice.
+func TestHelpIsPrintedOnce(t *testing.T) {
+	f := newFixture(t)
+	for _, args := range [][]string{{"--help"}, {"status", "--help"}, {"help", "status"}} {
+		f.c.Assert(strings.Count(f.run(StatusOK, args...), "usage: "), qt.Equals, 1, qt.Commentf("%v", args))
+	}
+}
+
+// Guards against a completion script with the usage behind it, which a shell cannot load, and against a completion that
+// offers nothing.
+func TestCompletion(t *testing.T) {
+	f := newFixture(t)
+	printed := func(args ...string) string {
+		own, err := os.Create(filepath.Join(f.folder, "stdout")) // kingpin writes completions to the process's own output
+		f.c.Assert(err, qt.IsNil)
+		defer own.Close()
+		f.c.Patch(&os.Stdout, own)
+		f.c.Assert(f.run(StatusOK, args...), qt.Equals, "")
+		content, err := os.ReadFile(own.Name())
+		f.c.Assert(err, qt.IsNil)
+		return string(content)
+	}
+	f.c.Assert(printed("--completion-script-bash"), qt.Matches, `(?s).*complete -F _parsleyport_bash_autocomplete -o default parsleyport\s*`)
+	f.c.Assert(printed("--completion-script-zsh"), qt.Matches, `(?s)#compdef parsleyport.*`)
+	f.c.Assert(strings.Fields(printed("--completion-bash", "rec")), qt.Contains, "records")
+	f.c.Assert(strings.Fields(printed("--completion-bash", "status", "--")), qt.Contains, "--nodes")
+}
+
+// Guards against a version that does not tell two builds apart.
+func TestVersionNamesTheRevision(t *testing.T) {
+	c := qt.New(t)
+	info := &debug.BuildInfo{GoVersion: "go1", Main: debug.Module{Version: "v1.2.3"}}
+	c.Assert(describeBuild(info), qt.Equals, "parsleyport v1.2.3 (go1)")
+	info.Main.Version = "(devel)"
+	c.Assert(describeBuild(info), qt.Equals, "parsleyport without version or revision (go1)")
+	info.Settings = []debug.BuildSetting{{Key: "vcs.revision", Value: "abc"}, {Key: "vcs.time", Value: "2026-12-04T10:00:00Z"}, {Key: "vcs.modified", Value: "true"}}
+	c.Assert(describeBuild(info), qt.Equals, "parsleyport revision abc of 2026-12-04T10:00:00Z, changed (go1)")
+}
+
+// Guards against a second move when a command with a period is sent again after a lost answer.
+func TestMoveByAPeriodCanBeSentAgain(t *testing.T) {
+	f := newFixture(t)
+	f.run(StatusOK, "apply", f.file("records.jsonc", records))
+	move := []string{"move", "--operator", "amina", "--service", "orders", "--from", "v1", "--to", "v2"}
+	f.replicator.err = core.ErrOutcomeUnknown
+	lost := f.run(StatusUnknown, append(move, "--by", "10m", "--timeout", "100ms")...)
+	again := regexp.MustCompile(`--submission-id \S+ --by \S+`).FindString(lost)
+	f.c.Assert(again, qt.Not(qt.Equals), "", qt.Commentf("%s", lost))
+	f.replicator.err = nil
+	f.c.Assert(f.run(StatusOK, append(move, strings.Fields(again)...)...), qt.Contains, "move m1")
+	f.c.Assert(f.replicator.catalog.Moves(), qt.HasLen, 1)
+}
+
 func FuzzParseRecords(f *testing.F) {
 	f.Add([]byte(records))
 	f.Add([]byte(`{"records": [{"kind": "service", "body": {"tenant": }}]}`))
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -22,6 +22,9 @@
 	network Network
 	relay   core.NodeID // empty on a control instance
 	schema  core.SchemaVersion
+	// incarnation and dataCentre are a node's own.
+	incarnation core.Incarnation
+	dataCentre  core.DataCentre
 	// confirms wakes the goroutine that runs confirmed reads; nil on a node, which asks its parent instead.
 	confirms *ring.Ring[struct{}]
 
@@ -35,6 +38,7 @@
 	evidence  *evidenceStore   // of a control instance
 	pending   pendingSums
 	ownMoves  []core.MoveID // on which this node reports
+	nodes     *nodeStore
 	crashes   *crashStore
 	confirmer *confirmer
 	history   *history
@@ -81,6 +85,7 @@
 		pending: pendingSums{
 			counts: make(map[series]core.EvidenceCount),
 		},
+		nodes:       newNodeStore(),
 		crashes:     newCrashStore(),
 		confirmer:   newConfirmer(),
 		history:     &history{},
@@ -200,6 +205,8 @@
 			h.mu.Lock()
 			before := h.table.Position(lease.All) + h.table.Position(lease.Local)
 			h.table.Expire(now)
+			h.nodes.expire(now)
+			h.reportSelf(now)
 			if before != h.table.Position(lease.All)+h.table.Position(lease.Local) {
 				h.changed()
 			}
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -30,6 +30,7 @@
 	typePong
 	typeCrashes
 	typeSums
+	typeNodes
 )
 
 type linkKind string
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -28,6 +28,8 @@
 	reporting     map[core.MoveID]int
 	inDoubt       uint64   // calls sent after the last ping
 	awaiting      []uint64 // calls sent before each unanswered ping
+	nodesAt       uint64
+	nodesPacer    pacer
 	crashesAt     uint64
 	pinging       pacer
 
@@ -63,6 +65,9 @@
 		evidencing: pacer{
 			interval: evidenceInterval,
 		},
+		nodesPacer: pacer{
+			interval: nodesInterval,
+		},
 		pinging: pacer{
 			interval: pingInterval,
 			next:     time.Now().Add(pingInterval),
@@ -126,6 +131,7 @@
 		due = append(due, h.evidenceDue(u, now)...)
 	}
 	due = append(due, h.crashesUp(u, now)...)
+	due = append(due, h.nodesDue(u, now)...)
 	if u.kind == kindNode {
 		due = append(due, h.requestsDue(u)...)
 	}
--- a/io/operatorhttp/operations.go
+++ b/io/operatorhttp/operations.go
@@ -44,12 +44,17 @@
 	MoveID string `path:"id"`
 }
 
+type statusInput struct {
+	Nodes bool `query:"nodes"`
+}
+
 type auditInput struct {
 	Operator   string    `query:"operator"`
 	Submission string    `query:"submission-id"`
 	Move       string    `query:"move-id"`
 	Since      time.Time `query:"since"`
 	Limit      int       `query:"limit" minimum:"1" maximum:"10000" default:"100"`
+	Before     uint64    `query:"before"`
 }
 
 func (s *Server) register(api huma.API) {
@@ -60,6 +65,7 @@
 	huma.Register(api, operation("show-move", http.MethodGet, movePath), s.showMove)
 	huma.Register(api, operation("status", http.MethodGet, statusPath), s.status)
 	huma.Register(api, operation("audit", http.MethodGet, auditPath), s.audit)
+	huma.Register(api, operation("records", http.MethodGet, recordsPath), s.records)
 	s.registerMembers(api)
 }
 
@@ -170,8 +176,13 @@
 	}, nil
 }
 
-func (s *Server) status(ctx context.Context, _ *struct{}) (*output[Status], error) {
+func (s *Server) status(ctx context.Context, input *statusInput) (*output[Status], error) {
 	by := principalOf(ctx)
+	if input.Nodes {
+		if err := s.wholeDeployment(ctx); err != nil {
+			return nil, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	current := s.options.Replicator.ConfirmRead(ctx) == nil
@@ -184,28 +195,32 @@
 		Fleet:     s.options.Fleet.Fleet(),
 		Replica:   s.options.Replicator.Status(),
 	}
+	if input.Nodes {
+		status.Nodes = s.options.Fleet.Nodes()
+	}
 	return &output[Status]{
 		Body: status.visible(by, s.tenant),
 	}, nil
 }
 
-func (s *Server) audit(ctx context.Context, input *auditInput) (*output[[]catalog.AuditEntry], error) {
+func (s *Server) audit(ctx context.Context, input *auditInput) (*output[catalog.AuditPage], error) {
 	if err := s.confirm(ctx); err != nil {
 		return nil, err
 	}
-	entries, err := s.options.Catalog.AuditAll(catalog.AuditFilter{
+	page, err := s.options.Catalog.AuditPage(catalog.AuditFilter{
 		Operator:   core.Operator(input.Operator),
 		Submission: core.SubmissionID(input.Submission),
 		Move:       core.MoveID(input.Move),
 		Since:      input.Since,
 		Limit:      input.Limit,
 		By:         principalOf(ctx),
+		Before:     input.Before,
 	})
 	if err != nil { // another instance may hold them
 		s.countError("audit-incomplete")
 		return nil, huma.Error503ServiceUnavailable(err.Error())
 	}
-	return &output[[]catalog.AuditEntry]{
-		Body: entries,
+	return &output[catalog.AuditPage]{
+		Body: page,
 	}, nil
 }
