Estimate the traffic of a move from the time that its leader has

After a change of leader the evidence of most nodes is counted anew, but the traffic was still held to be enough for a verdict by the time of the whole move. Moves of good releases stayed at the share at risk and expired although the rest of the time could not give a verdict. The estimate now covers the time from the leader's first decision to the deadline.

Two traces of the difference are kept; both expired before.

--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -47,6 +47,8 @@
 		replay.Generate(1, replay.UserPamoja, "bad-crash"),              // found too late
 		replay.Generate(108, replay.UserVavlaget, "good-rushed"),        // expired: slow start used up the time
 		replay.Generate(112, replay.UserPamoja, "good-rushed"),          // the same
+		replay.Generate(111, replay.UserVavlaget, "good-leader-loss"),   // expired: no verdict in the time after the loss
+		replay.Generate(124, replay.UserPamoja, "good-leader-loss"),     // the same
 	)
 }
 
--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -171,7 +171,7 @@
 	if observed <= 0 {
 		return false
 	}
-	total := move.Request.Deadline.Sub(move.StartedAt)
+	total := move.Request.Deadline.Sub(j.began)
 	expected := g.calls() * float64(total) / float64(observed)
 	return expected*float64(risk(move))/float64(core.FullShare) >= littleFactor*g.callsToPass()
 }
@@ -211,6 +211,9 @@
 // missing reports whether far fewer calls of the new release have arrived than its share and the traffic so far let
 // expect: reports are lost or late, or nodes do not use the new release.
 func (j *Judge) missing(now time.Time, move core.Move) bool {
+	if j.fleet.capacity() == 0 {
+		return false // no backend server of the new release could be used; the capacity is the cause then
+	}
 	share := float64(move.Share) / float64(core.FullShare)
 	arrived := j.all.failures.stage
 	expected := 0.0
