--- a/core/rollout/judge_test.go
+++ b/core/rollout/judge_test.go
@@ -403,6 +403,27 @@
 	}
 }
 
+// Guards against blame for calls from before the move: nodes report a service every second only while its move has a
+// share, so the first reports after the first step hold older calls.
+func TestLateReportsFromBeforeTheMove(t *testing.T) {
+	c := qt.New(t)
+	r := newCourse(c, 10*time.Minute, steady(load{calls: 200, oldFail: 0.001, newFail: 0.001}))
+	r.rates["readv2calls"] = 1000
+	var before []core.EvidenceCount
+	r.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
+		if before == nil {
+			before = slices.Clone(evidence)
+			r.rates["readv2calls"] += 20
+			r.rates["readv2failures"] += 20
+		}
+		if r.second <= 5 {
+			return before
+		}
+		return evidence
+	}
+	c.Assert(r.run(nil).move.State, qt.Equals, core.MoveDone, qt.Commentf("%+v", r.move))
+}
+
 // Guards against a new leader that begins again, that loses the verdict that the share shows, or that misses a fault.
 func TestLeaderChangeInTheMiddle(t *testing.T) {
 	c := qt.New(t)
