Test good and bad moves with real processes

Four deployments side by side: a good release, one that fails 3 calls in 10 at once, one that begins to at 20 per mille, and one that fails every second call of one route; the backend servers of the new release have just started.

--- a/e2e/crash_test.go
+++ b/e2e/crash_test.go
@@ -14,15 +14,7 @@
 
 // crashOnHeader makes a backend server end its process on a request with the header Standin-Crash.
 func (d *deployment) crashOnHeader(i int) {
-	d.eventually("the backend server takes its faults", 5*time.Second, func() bool {
-		request, err := http.NewRequest(http.MethodPut, "http://"+d.address(fmt.Sprintf("b%d", i))+"/standin/faults", strings.NewReader(`{"crash-on-header": true}`))
-		d.c.Assert(err, qt.IsNil)
-		response, err := http.DefaultClient.Do(request)
-		if err != nil {
-			return false
-		}
-		return response.Body.Close() == nil && response.StatusCode == http.StatusNoContent
-	})
+	d.setFaults(i, `{"crash-on-header": true}`)
 }
 
 // restartCrashed starts the backend servers again whose process has ended and returns how many there were.
--- /dev/null
+++ b/e2e/move_test.go
@@ -0,0 +1,154 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/rollout"
+	"parsleyport/io/operatorhttp"
+)
+
+// setFaults switches faults of a backend server stand-in on.
+func (d *deployment) setFaults(i int, faults string) {
+	d.eventually("the backend server takes its faults", 5*time.Second, func() bool {
+		request, err := http.NewRequest(http.MethodPut, "http://"+d.address(fmt.Sprintf("b%d", i))+"/standin/faults", strings.NewReader(faults))
+		d.c.Assert(err, qt.IsNil)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return false
+		}
+		return response.Body.Close() == nil && response.StatusCode == http.StatusNoContent
+	})
+}
+
+func (d *deployment) startMove(client *operatorhttp.Client, request core.MoveRequest) core.MoveID {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	verdict, err := client.Move(ctx, request)
+	d.c.Assert(err, qt.IsNil)
+	return verdict.Move
+}
+
+// moveUntil polls a move until a condition holds.
+func (d *deployment) moveUntil(client *operatorhttp.Client, id core.MoveID, limit time.Duration, condition func(core.Move) bool) core.Move {
+	var move core.Move
+	d.eventually("the move goes on", limit, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		current, err := client.ShowMove(ctx, id)
+		if err == nil {
+			move = current
+		}
+		return err == nil && condition(move)
+	})
+	return move
+}
+
+// callsBetween counts the calls of the caller's log that began within a time, and those among them with an answer of v2.
+func (k *calls) callsBetween(from, to time.Time) (all, ofV2 int) {
+	file, err := os.Open(filepath.Join(k.d.folder, k.name+".calls"))
+	k.d.c.Assert(err, qt.IsNil)
+	defer file.Close()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		var call struct {
+			At      time.Time `json:"at"`
+			Release string    `json:"release"`
+		}
+		k.d.c.Assert(json.Unmarshal(lines.Bytes(), &call), qt.IsNil)
+		if call.At.Before(from) || call.At.After(to) {
+			continue
+		}
+		all++
+		if call.Release == "v2" {
+			ofV2++
+		}
+	}
+	return all, ofV2
+}
+
+// runsOfV2 counts the runs of the backend servers of v2, which are those beside nodes 3 and 4.
+func (d *deployment) runsOfV2() int {
+	runs := 0
+	for _, name := range []string{"b3", "b4"} {
+		text, err := os.ReadFile(filepath.Join(d.folder, "runs-"+name+".runs"))
+		d.c.Assert(err, qt.IsNil)
+		runs += strings.Count(string(text), "\n")
+	}
+	return runs
+}
+
+// Guards against a bad release that is moved to all traffic or meets more than 2% of the calls, with real processes, and
+// against a good one that is not done in time. The backend servers of v2 have just started, as in the fault that this was
+// written for.
+func TestMovesOfGoodAndBadReleases(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults string
+		from   core.PerMille // the fault appears at this share
+		want   core.MoveState
+	}{
+		"good":      {want: core.MoveDone},
+		"bad":       {faults: `{"fail-per-mille": 300}`, want: core.MoveTakenBack},
+		"late":      {faults: `{"fail-per-mille": 300}`, from: 20, want: core.MoveTakenBack},
+		"one route": {faults: `{"fail-per-mille": 500, "path-prefix": "/transcripts/2"}`, want: core.MoveTakenBack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			d := newDeployment(c)
+			d.startServing(2)
+			client := d.client()
+			route := core.Record{Kind: core.KindRoute, Name: "second", SchemaVersion: 1, Version: 1, Body: body(core.RouteBody{PathPrefix: "/transcripts/2", Service: "transcripts", TimeoutMS: 2000})}
+			d.submit(client, core.Submission{ID: "second", Operator: "test", Records: []core.Record{route}})
+			for i := 3; i <= 4; i++ {
+				d.startNode(i)
+				d.startBackend(i, "v2")
+			}
+			d.eventually("all nodes are ready and all endpoints known", 20*time.Second, func() bool {
+				status, err := d.status(client)
+				return err == nil && status.Fleet.Endpoints["transcripts"] == 4 && lo.EveryBy(lo.RangeFrom(1, 4), func(i int) bool { return d.ready(fmt.Sprintf("n%d", i)) })
+			})
+			fail := func() {
+				for i := 3; test.faults != "" && i <= 4; i++ {
+					d.setFaults(i, test.faults)
+				}
+			}
+			if test.from == 0 {
+				fail()
+			}
+			faultAt, limit := time.Now(), 24*time.Second
+			calls := d.startCalls("calls", limit, 400, []int{1, 2, 3, 4})
+			id := d.startMove(client, core.MoveRequest{ID: "move", Operator: "test", Service: "transcripts", From: "transcripts-v1", To: "transcripts-v2", Deadline: faultAt.Add(limit)})
+			runsBefore := 0
+			if test.from > 0 {
+				d.moveUntil(client, id, limit, func(m core.Move) bool { return m.Share >= test.from })
+				faultAt, runsBefore = time.Now(), d.runsOfV2()
+				fail()
+			}
+			move := d.moveUntil(client, id, limit+2*time.Second, func(m core.Move) bool { return rollout.IsFinal(m.State) })
+			c.Assert(move.State, qt.Equals, test.want, qt.Commentf("%+v", move))
+			if test.want == core.MoveDone {
+				c.Assert(move.SteppedAt.Before(move.Request.Deadline), qt.IsTrue)
+				calls.verify("--all-answered")
+				return
+			}
+			calls.verify()
+			all, _ := calls.callsBetween(move.StartedAt, move.SteppedAt.Add(time.Second))
+			_, bad := calls.callsBetween(faultAt, move.SteppedAt.Add(time.Minute))
+			t.Logf("%s; %d of %d calls, %d runs", move.Cause, bad, all, d.runsOfV2()-runsBefore)
+			c.Assert(bad < all*2/100, qt.IsTrue, qt.Commentf("%d of %d calls met the bad release: %+v", bad, all, move))
+			c.Assert(d.runsOfV2()-runsBefore < all*2/100, qt.IsTrue)
+		})
+	}
+}
