--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -20,7 +20,9 @@
 	began         time.Time // of the first decision
 	baselineUntil time.Time
 	step          uint64
-	passedBefore  bool // under an earlier leader, as the replicated share shows
+	passedBefore  bool      // under an earlier leader, as the replicated share shows
+	rateSince     time.Time // from which the rate of calls is measured
+	rateBase      float64   // calls until then
 	merge         *merge
 	routes        map[core.RouteName]*group
 	latency       map[core.RouteName]*[core.LatencyBuckets]float64 // of the old release
@@ -109,12 +111,15 @@
 }
 
 func (j *Judge) worse(atDeadline bool) (cause, evidence string, found bool) {
-	groups := j.groups()
-	for _, g := range groups {
-		cause, evidence, found = g.verdict(func(c *comparison) bool {
-			return c.worse(len(groups)*len(g.comparisons())) || atDeadline && c.worseAtDeadline()
-		})
-		if found {
+	return j.verdict(func(c *comparison) bool {
+		return c.worse(len(j.groups())*len(j.all.comparisons())) || atDeadline && c.worseAtDeadline()
+	})
+}
+
+// verdict names the first group and measure in which the new release is worse.
+func (j *Judge) verdict(worse func(*comparison) bool) (cause, evidence string, found bool) {
+	for _, g := range j.groups() {
+		if cause, evidence, found = g.verdict(worse); found {
 			return cause, evidence, true
 		}
 	}
@@ -138,7 +143,7 @@
 			j.merge.fresh = false
 		}
 		added, counted := j.merge.advance(c, c.Release == j.to, baseline, move.StartedAt)
-		if !counted || move.State == core.MoveProposed && c.Release == j.to {
+		if !counted || j.late(now, move, c.Release) {
 			continue
 		}
 		at := place{
@@ -154,6 +159,9 @@
 	for _, at := range order {
 		j.addSample(now, move, at, *samples[at])
 	}
+	if j.rateSince.IsZero() && move.State != core.MoveProposed && !now.Before(j.shareSince(move).Add(evidenceTime)) {
+		j.rateSince, j.rateBase = now, j.all.calls()
+	}
 	early := now.Before(move.SteppedAt.Add(evidenceDelay))
 	for _, g := range j.groups() {
 		g.closeWindows(now)
@@ -163,6 +171,15 @@
 	}
 }
 
+// late reports whether a count may hold calls from before the move. Nodes report a service every second only while its
+// move has a share, so the first reports after the first step still hold such calls.
+func (j *Judge) late(now time.Time, move core.Move, release core.Release) bool {
+	if move.State == core.MoveProposed {
+		return release == j.to
+	}
+	return move.State == core.MoveProbing && now.Before(move.SteppedAt.Add(evidenceTime)) && !(release == j.to && j.merge.fresh)
+}
+
 // addTo adds a difference to a sample; the boundary of slow calls is set by the calls of the old release before it.
 func (j *Judge) addTo(s *sample, added core.EvidenceCount) {
 	side := func(p *pair) *tally {
