--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -64,6 +64,7 @@
 	folder    string
 	addresses map[string]string
 	processes map[string]*exec.Cmd
+	tokenFile string // of the control instances, empty for none
 }
 
 func newDeployment(c *qt.C) *deployment {
@@ -141,6 +142,7 @@
 		"data-folder": d.dataFolder(i),
 		"bootstrap":   true,
 		"members":     members,
+		"token-file":  d.tokenFile,
 	}
 	for key, value := range members[i-1] {
 		settings[key] = value
