Refuse a limited token any route that overlaps another tenant's

The check refused only a route that would be chosen at once. A shorter prefix, or an equal route that is sorted behind, lies in wait until the other tenant changes its route, and then gets its calls. The cost: a tenant that takes a wide prefix first keeps others out until an operator with all rights removes it.

--- a/core/catalog/principal.go
+++ b/core/catalog/principal.go
@@ -164,8 +164,8 @@
 		if !c.permitsRecord(by, o, r) {
 			return notPermitted("%s: the name, or the service that the record names, does not belong to a tenant of this token", describe(r.Key(), r.Version))
 		}
-		if r.Kind == core.KindRoute && c.captures(by, o, r) {
-			return notPermitted("%s: it would take calls from a route of another tenant", describe(r.Key(), r.Version))
+		if r.Kind == core.KindRoute && c.overlapsOthers(by, o, r) {
+			return notPermitted("%s: it matches calls that a route of another tenant matches too", describe(r.Key(), r.Version))
 		}
 		if r.Kind == core.KindPolicy && !o.weighsOwn(s.Records, r) {
 			return notPermitted("%s: its weights name an upstream that its service does not have", describe(r.Key(), r.Version))
@@ -194,13 +194,14 @@
 	return by.Sees(o.record(r))
 }
 
-// captures reports whether a route would be chosen for calls that match a route of another tenant now.
-func (c *Catalog) captures(by Principal, o owners, r core.Record) bool {
+// overlapsOthers reports whether a route has calls in common with a route of another tenant. A route that does not get them
+// now counts too: it would get them as soon as the other one is changed.
+func (c *Catalog) overlapsOthers(by Principal, o owners, r core.Record) bool {
 	var body core.RouteBody
 	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return true
 	}
-	return slices.ContainsFunc(c.configuration.Overtaken(core.RouteName(r.Name), body), func(other record.Route) bool {
+	return slices.ContainsFunc(c.configuration.Overlapping(core.RouteName(r.Name), body), func(other record.Route) bool {
 		return !by.Sees(o.service(other.Service))
 	})
 }
--- a/core/catalog/principal_test.go
+++ b/core/catalog/principal_test.go
@@ -47,6 +47,8 @@
 		newRecord(core.KindPolicy, "a", 2, `{"service": "a", "weights": [{"upstream": "b-v1", "per-mille": 1000}]}`),
 		newRecord(core.KindRoute, "a", 2, `{"path-prefix": "/b", "service": "a", "timeout-ms": 1}`),
 		newRecord(core.KindRoute, "new", 1, `{"path-prefix": "/b/x", "methods": ["GET"], "service": "a", "timeout-ms": 1}`),
+		newRecord(core.KindRoute, "last", 1, `{"path-prefix": "/b", "service": "a", "timeout-ms": 1}`),
+		newRecord(core.KindRoute, "last", 1, `{"path-prefix": "/", "service": "a", "timeout-ms": 1}`),
 	} {
 		verdict := r.submitBy(c, core.SubmissionID(fmt.Sprint(i)), a, []core.Record{record})
 		c.Assert(verdict.Cause, qt.Equals, catalog.CauseNotPermitted, qt.Commentf("%d: %+v", i, verdict))
--- a/core/record/route.go
+++ b/core/record/route.go
@@ -34,23 +34,21 @@
 	return Route{}, false
 }
 
-// Overtaken returns the other routes that match some of the calls for which a route of this name and body would be chosen.
-func (c *Configuration) Overtaken(name core.RouteName, body core.RouteBody) []Route {
-	added := Route{
-		RouteBody: body,
-		Name:      name,
-	}
-	var overtaken []Route
+// Overlapping returns the routes of other names that match some of the calls which a route of this body matches.
+func (c *Configuration) Overlapping(name core.RouteName, body core.RouteBody) []Route {
+	var overlapping []Route
 	for _, route := range c.routes {
-		if route.Name != name && routeBefore(added, route) && prefixMatches(body.PathPrefix, route.PathPrefix) && sharesCalls(added, route) {
-			overtaken = append(overtaken, route)
+		if route.Name != name && sharesCalls(route.RouteBody, body) {
+			overlapping = append(overlapping, route)
 		}
 	}
-	return overtaken
+	return overlapping
 }
 
-// sharesCalls reports whether two routes have a host and a method in common.
-func sharesCalls(a, b Route) bool {
+func sharesCalls(a, b core.RouteBody) bool {
+	if !prefixMatches(a.PathPrefix, b.PathPrefix) && !prefixMatches(b.PathPrefix, a.PathPrefix) {
+		return false
+	}
 	if a.Host != "" && b.Host != "" && !strings.EqualFold(a.Host, b.Host) {
 		return false
 	}
