Let a tenant change the rest of a route that an operator has placed

With the rule against overlaps alone, a tenant could not even change the timeout of its route below the prefix of another tenant, or above one, that an operator with all rights had divided. The extended test was refused before.

--- a/core/catalog/principal.go
+++ b/core/catalog/principal.go
@@ -195,17 +195,28 @@
 }
 
 // overlapsOthers reports whether a route has calls in common with a route of another tenant. A route that does not get them
-// now counts too: it would get them as soon as the other one is changed.
+// now counts too: it would get them as soon as the other one is changed. A route that keeps the calls it matches may change
+// otherwise: a principal with all rights has divided them.
 func (c *Catalog) overlapsOthers(by Principal, o owners, r core.Record) bool {
 	var body core.RouteBody
 	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return true
 	}
+	if held, exists := o.held(core.KindRoute, r.Name); exists {
+		var before core.RouteBody
+		if err := json.Unmarshal(held.Body, &before); err == nil && matchesAlike(before, body) {
+			return false
+		}
+	}
 	return slices.ContainsFunc(c.configuration.Overlapping(core.RouteName(r.Name), body), func(other record.Route) bool {
 		return !by.Sees(o.service(other.Service))
 	})
 }
 
+func matchesAlike(a, b core.RouteBody) bool {
+	return a.PathPrefix == b.PathPrefix && a.Host == b.Host && slices.Equal(a.Methods, b.Methods)
+}
+
 // weighsOwn reports whether each upstream in the weights of a policy belongs to the policy's service.
 func (o owners) weighsOwn(records []core.Record, policy core.Record) bool {
 	var body core.PolicyBody
--- a/core/catalog/principal_test.go
+++ b/core/catalog/principal_test.go
@@ -53,6 +53,12 @@
 		verdict := r.submitBy(c, core.SubmissionID(fmt.Sprint(i)), a, []core.Record{record})
 		c.Assert(verdict.Cause, qt.Equals, catalog.CauseNotPermitted, qt.Commentf("%d: %+v", i, verdict))
 	}
+	divided := newRecord(core.KindRoute, "divided", 1, `{"path-prefix": "/b/x", "service": "a", "timeout-ms": 1}`)
+	c.Assert(r.submitBy(c, "divide", nil, []core.Record{divided}).Result, qt.Equals, catalog.Accepted)
+	divided.Version, divided.Body = 2, []byte(`{"path-prefix": "/b/x", "service": "a", "timeout-ms": 2}`)
+	c.Assert(r.submitBy(c, "keep", a, []core.Record{divided}).Result, qt.Equals, catalog.Accepted)
+	divided.Version, divided.Body = 3, []byte(`{"path-prefix": "/b/xy", "service": "a", "timeout-ms": 2}`)
+	c.Assert(r.submitBy(c, "widen", a, []core.Record{divided}).Cause, qt.Equals, catalog.CauseNotPermitted)
 	gone := core.Deletion{Kind: core.KindRoute, Name: "b", SchemaVersion: 1, Version: 2}
 	c.Assert(r.submitBy(c, "delete", a, nil, gone).Cause, qt.Equals, catalog.CauseNotPermitted)
 	c.Assert(r.submitBy(c, "delete", b, nil, gone).Result, qt.Equals, catalog.Accepted)
