--- a/io/distribution/bench_test.go
+++ b/io/distribution/bench_test.go
@@ -94,3 +94,89 @@
 		})
 	}
 }
+
+const (
+	usedServices = 10 // of the planned services, by each node
+	dataCentres  = 18
+)
+
+// newPlannedFleet has nodes in the planned data centres, whose backend servers belong to the planned services in turn. With
+// onRequest, each node uses usedServices services; otherwise it gets all endpoints.
+func newPlannedFleet(b *testing.B, count int, onRequest bool) *fleet {
+	w := newWorld(b)
+	w.loopback()
+	w.catalog.set(planned(1))
+	f := &fleet{world: w, source: w.source("c1", w.catalog)}
+	services := planned(1).Services()
+	f.nodes = w.nodes(count, func(i int, o *SubscriberOptions) {
+		o.OnRequest, o.DataCentre = onRequest, core.DataCentre(fmt.Sprintf("dc-%d", i%dataCentres))
+	})
+	for i, n := range f.nodes {
+		n.Announce(endpoint(services[i%len(services)], core.EndpointReady))
+		for use := range usedServices {
+			n.Subscribe(services[(i*7+use*17)%len(services)])
+		}
+	}
+	known := func(n *Subscriber) bool { return n.Confirmed() && n.Status().Endpoints == count }
+	if onRequest {
+		known = func(n *Subscriber) bool {
+			return n.Confirmed() && n.EndpointsKnown(services[0]) == n.hub.services[services[0]]
+		}
+	}
+	w.eventually(5*time.Minute, "endpoints known", func() bool { return f.source.Fleet().Nodes == count && every(f.nodes, known)() })
+	return f
+}
+
+// BenchmarkControlTrafficByUse measures the control bytes of a node and of the busiest relay at the planned size against
+// the endpoint changes a second in the whole fleet, with the endpoints of all services and with those of 10 of 170; run it
+// with -benchtime=1x.
+func BenchmarkControlTrafficByUse(b *testing.B) {
+	const seconds = 10
+	states := []core.EndpointState{core.EndpointLeaving, core.EndpointStarting, core.EndpointReady}
+	for _, count := range []int{450, 900, 2700} {
+		for _, onRequest := range []bool{false, true} {
+			if count > 900 && !onRequest {
+				continue // 2,700 tables of 2,700 endpoints in one process need more than 13 GB
+			}
+			b.Run(fmt.Sprintf("nodes=%d/by-use=%t", count, onRequest), func(b *testing.B) {
+				f := newPlannedFleet(b, count, onRequest)
+				defer f.close()
+				time.Sleep(startGrace) // the digests at the end of the grace period are not idle traffic
+				services := planned(1).Services()
+				for b.Loop() {
+					for _, rate := range []int{0, 1, 5, 10} {
+						before := f.bytesByNode()
+						ticker := time.NewTicker(time.Second / time.Duration(max(rate, 1)))
+						for i := range seconds * max(rate, 1) {
+							<-ticker.C
+							if node := i / len(states) * 37 % count; rate > 0 { // each node's backend server restarts in turn
+								f.nodes[node].Announce(endpoint(services[node%len(services)], states[i%len(states)]))
+							}
+						}
+						time.Sleep(time.Second) // until the last change is everywhere
+						f.report(b, rate, seconds+1, before)
+					}
+				}
+			})
+		}
+	}
+}
+
+func (f *fleet) bytesByNode() []uint64 {
+	var list []uint64
+	for _, n := range f.nodes {
+		sent, received := n.Bytes()
+		list = append(list, sent+received)
+	}
+	return list
+}
+
+func (f *fleet) report(b *testing.B, rate, seconds int, before []uint64) {
+	sum, busiest := uint64(0), uint64(0)
+	for i, after := range f.bytesByNode() {
+		sum += after - before[i]
+		busiest = max(busiest, after-before[i])
+	}
+	b.ReportMetric(float64(sum)/float64(len(before)*seconds), fmt.Sprintf("B/s-mean-churn%d", rate))
+	b.ReportMetric(float64(busiest)/float64(seconds), fmt.Sprintf("B/s-busiest-churn%d", rate))
+}
