--- a/io/callerhttp/wait.go
+++ b/io/callerhttp/wait.go
@@ -74,7 +74,7 @@
 // awaitEndpoint waits while no endpoint is usable; it returns false if the call is to be refused. The endpoints of nodes
 // and backend servers that all restart at once are unknown for about a second.
 func (s *Server) awaitEndpoint(ctx context.Context, q *request, earlier *past) bool {
-	if s.options.EndpointsChanged == nil || !s.beginWait(q) {
+	if s.options.EndpointsChanged == nil || len(s.shares(q)) == 0 || !s.beginWait(q) {
 		return false
 	}
 	for ctx.Err() == nil && time.Now().Before(q.waitUntil()) {
