Send endpoints without the names of their fields

The field names were two thirds of a message about one endpoint.

Arrays in place of maps are read by earlier programs as they are, and this one still reads maps and skips fields that a later one appends; the test failed without each of the two.

--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -92,7 +92,7 @@
 type announce struct {
 	Left     []left          `msgpack:"left,omitempty"`
 	Complete bool            `msgpack:"complete,omitempty"`
-	Upserts  []core.Endpoint `msgpack:"upserts,omitempty"`
+	Upserts  upserts         `msgpack:"upserts,omitempty"`
 	Removals []lease.Removal `msgpack:"removals,omitempty"`
 }
 
@@ -105,7 +105,7 @@
 	Partial   bool               `msgpack:"partial,omitempty"`
 	HasDigest bool               `msgpack:"has-digest,omitempty"`
 	Digest    core.Hash          `msgpack:"digest,omitempty"`
-	Upserts   []core.Endpoint    `msgpack:"upserts,omitempty"`
+	Upserts   upserts            `msgpack:"upserts,omitempty"`
 	Removals  []lease.Removal    `msgpack:"removals,omitempty"`
 	Left      []left             `msgpack:"left,omitempty"`
 }
