--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -164,7 +164,7 @@
 
 // BenchmarkReconnect measures what it costs the control instances when all of them restart and all nodes attach again.
 func BenchmarkReconnect(b *testing.B) {
-	for _, nodes := range []int{10, 25, 50} {
+	for _, nodes := range []int{10, 25, 50, 100} {
 		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
 			for b.Loop() {
 				measureReconnect(b, nodes)
