Keep endpoints without a parent when their subscription ends

A subscription that ended while the control instances were away took the endpoints with it, and nobody could send them again: calls were refused that could be served. They are now kept until some time after there is a parent again. The new test could not get the endpoints back without this.

--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -48,7 +48,7 @@
 	attached bool
 	all      bool // this node wants the endpoints of all services
 	services map[core.ServiceName]bool
-	// linger has the subscriptions of lost children and when they end.
+	// linger has the subscriptions of lost children, and those that ended while there was no parent, and when they end.
 	linger        map[core.ServiceName]time.Time
 	subscriptions uint64 // counts changes of what this node and its children want
 	complete      bool   // the table has all endpoints, so that digests and removals are final
--- a/io/distribution/subscriptions.go
+++ b/io/distribution/subscriptions.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// expireLinger ends the subscriptions of lost children.
+// expireLinger ends the subscriptions of lost children, and those that ended while there was no parent.
 func (h *hub) expireLinger(now time.Time) {
 	for service, until := range h.linger {
 		if !now.Before(until) {
@@ -112,6 +112,10 @@
 	if h.relay == "" || h.wanted(service) {
 		return
 	}
+	if !h.attached { // nobody could send the endpoints again
+		h.linger[service] = time.Now().Add(lostChildAge)
+		return
+	}
 	delete(h.unsynced, service)
 	h.table.Forget(parentOwner, service)
 	h.subscriptions++
--- a/io/distribution/subscriptions_test.go
+++ b/io/distribution/subscriptions_test.go
@@ -84,13 +84,7 @@
 		w.source("c1", w.catalog)
 		_, relay, leaf := relayed(w)
 		time.Sleep(startGrace)
-		w.net.block("c1", true)
-		for _, conn := range w.net.between("relay-relay") {
-			if conn.to == "c1" {
-				_ = conn.Close()
-			}
-		}
-		w.eventually(time.Second, "detached", func() bool { return relay.Status().Parent == "" })
+		w.detach(relay)
 		leaf.Subscribe("service-0")
 		w.always(2*time.Second, "unknown", func() bool { return !leaf.EndpointsKnown("service-0") })
 		w.net.block("c1", false)
@@ -98,3 +92,34 @@
 		c.Assert(allHave([]*Subscriber{leaf}, 1)(), qt.IsTrue)
 	})
 }
+
+// detach cuts a relay off from the control instance.
+func (w *world) detach(relay *Subscriber) {
+	w.net.block("c1", true)
+	for _, conn := range w.net.between(relay.options.RelayAddress) {
+		if conn.to == "c1" {
+			_ = conn.Close()
+		}
+	}
+	w.eventually(time.Second, "detached", func() bool { return relay.Status().Parent == "" })
+}
+
+// Guards against endpoints that are given up while the control instances are away, so that nobody can send them again.
+func TestEndpointsAreKeptWithoutAParent(t *testing.T) {
+	run(t, func(c *qt.C, w *world) {
+		w.source("c1", w.catalog)
+		_, relay, leaf := relayed(w)
+		time.Sleep(startGrace)
+		leaf.Subscribe("service-0")
+		w.eventually(time.Second, "known", func() bool { return leaf.EndpointsKnown("service-0") })
+		w.detach(relay)
+		time.Sleep(subscriptionAge + lostChildAge + time.Second)
+		leaf.Subscribe("service-0")
+		w.eventually(time.Second, "known again", func() bool { return leaf.EndpointsKnown("service-0") })
+		c.Assert(allHave([]*Subscriber{leaf}, 1)(), qt.IsTrue)
+		w.net.block("c1", false)
+		w.eventually(inForce, "attached again", func() bool { return relay.Status().Parent != "" })
+		time.Sleep(subscriptionAge + lostChildAge + time.Second)
+		c.Assert(allHave([]*Subscriber{leaf, relay}, 0)(), qt.IsTrue)
+	})
+}
