--- a/io/callerhttp/wait.go
+++ b/io/callerhttp/wait.go
@@ -31,12 +31,12 @@
 // beginWait returns false if too many calls wait already. A call counts until it has ended, so that it does not lose its
 // place between two waits.
 func (s *Server) beginWait(q *request) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	service := q.route.Service
 	if q.waiting {
 		return true
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	service := q.route.Service
 	if s.waiting.all >= maxWaiting || s.waiting.services[service] >= maxWaitingForService {
 		return false
 	}
@@ -48,11 +48,11 @@
 }
 
 func (s *Server) endWait(q *request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if !q.waiting {
 		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	q.waiting = false
 	s.waiting.all--
 	if s.waiting.services[q.route.Service]--; s.waiting.services[q.route.Service] == 0 {
