--- a/core/rollout/group.go
+++ b/core/rollout/group.go
@@ -54,15 +54,6 @@
 	}
 }
 
-func (g *group) suspicious(groups int) bool {
-	for _, c := range g.comparisons() {
-		if c.suspicious(groups * len(g.comparisons())) {
-			return true
-		}
-	}
-	return false
-}
-
 // passesMove reports whether the evidence of the move has accepted the new release, by latency as well unless it does
 // not tell anything.
 func (g *group) passesMove(latencyTells bool) bool {
--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -98,7 +98,7 @@
 
 func (j *Judge) pace(now time.Time, move core.Move) (core.MoveStep, bool) {
 	target, limit := j.target(now, move)
-	if target <= move.Share || limit != "" || now.Sub(j.shareSince(move)) < evidenceTime || j.missing(now, move) || j.suspicious() {
+	if target <= move.Share || limit != "" || now.Sub(j.shareSince(move)) < evidenceTime || j.missing(now, move) {
 		return core.MoveStep{}, false
 	}
 	planned, elapsed := dwell(move), now.Sub(move.SteppedAt)
@@ -180,16 +180,6 @@
 	return !j.enoughTraffic(now, move, j.all)
 }
 
-func (j *Judge) suspicious() bool {
-	groups := j.groups()
-	for _, g := range groups {
-		if g.suspicious(len(groups)) {
-			return true
-		}
-	}
-	return false
-}
-
 // shareSince is the time from which evidence about the present share counts; a new leader has seen none from before.
 func (j *Judge) shareSince(move core.Move) time.Time {
 	if j.began.After(move.SteppedAt) {
--- a/core/rollout/sequential.go
+++ b/core/rollout/sequential.go
@@ -180,12 +180,6 @@
 	return math.Log((1 - miss) / rate * float64(tests))
 }
 
-// suspicious reports whether the restarting test is halfway to its alarm.
-func (c *comparison) suspicious(tests int) bool {
-	_, restarting := c.current()
-	return restarting >= alarm(restartAlarm, tests)/2
-}
-
 // acceptRatio is the log likelihood ratio of "the new release is worse by delta" to "it is as good as the old one". It
 // takes the old release's rate from the same window, so that a burst that meets both releases does not count against
 // the new one, and leans on the rate of the whole move where the window has few calls.
