Test the ceiling and the latch of the accepting test and the minimum of two failures

Three of these moves are kept as traces; they expire without the mechanism. Without the minimum of two failures the replays show no difference, but a release with little traffic and a single crash is taken back at its deadline, which is now tested.

--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -35,22 +35,25 @@
 	}
 	// Traces that an earlier version of the judge decided wrongly.
 	return append(traces,
-		replay.Generate(2, replay.UserPamoja, "good-shared-failures"),     // expired: a burst blocked the accepting test
-		replay.Generate(3, replay.UserVavlaget, "good-shared-failures"),   // the same
-		replay.Generate(3, replay.UserPamoja, "good-shared-slow"),         // the same with slow calls
-		replay.Generate(3, replay.UserPamoja, "good-leader-loss"),         // expired: the earlier verdict was lost
-		replay.Generate(2, replay.UserPamoja, "good-leader-loss"),         // taken back for 3 slow calls
-		replay.Generate(1, replay.UserPamoja, "good-crash-both"),          // taken back for cold backend servers
-		replay.Generate(8, replay.UserVavlaget, "good-crash-both"),        // expired: slow start held the last step
-		replay.Generate(5, replay.UserPamoja, "bad-flaky"),                // expired instead of taken back
-		replay.Generate(1, replay.UserPamoja, "bad-late-flaky"),           // found too late at a large share
-		replay.Generate(1, replay.UserPamoja, "bad-crash"),                // found too late
-		replay.Generate(108, replay.UserVavlaget, "good-rushed"),          // expired: slow start used up the time
-		replay.Generate(112, replay.UserPamoja, "good-rushed"),            // the same
-		replay.Generate(305, replay.UserPamoja, "good-shared-failures"),   // taken back without the mixture for bursts
-		replay.Generate(330, replay.UserVavlaget, "good-shared-failures"), // the same
-		replay.Generate(111, replay.UserVavlaget, "good-leader-loss"),     // expired: no verdict in the time after the loss
-		replay.Generate(124, replay.UserPamoja, "good-leader-loss"),       // the same
+		replay.Generate(2, replay.UserPamoja, "good-shared-failures"),       // expired: a burst blocked the accepting test
+		replay.Generate(3, replay.UserVavlaget, "good-shared-failures"),     // the same
+		replay.Generate(3, replay.UserPamoja, "good-shared-slow"),           // the same with slow calls
+		replay.Generate(3, replay.UserPamoja, "good-leader-loss"),           // expired: the earlier verdict was lost
+		replay.Generate(2, replay.UserPamoja, "good-leader-loss"),           // taken back for 3 slow calls
+		replay.Generate(1, replay.UserPamoja, "good-crash-both"),            // taken back for cold backend servers
+		replay.Generate(8, replay.UserVavlaget, "good-crash-both"),          // expired: slow start held the last step
+		replay.Generate(5, replay.UserPamoja, "bad-flaky"),                  // expired instead of taken back
+		replay.Generate(1, replay.UserPamoja, "bad-late-flaky"),             // found too late at a large share
+		replay.Generate(1, replay.UserPamoja, "bad-crash"),                  // found too late
+		replay.Generate(108, replay.UserVavlaget, "good-rushed"),            // expired: slow start used up the time
+		replay.Generate(112, replay.UserPamoja, "good-rushed"),              // the same
+		replay.Generate(305, replay.UserPamoja, "good-shared-failures"),     // taken back without the mixture for bursts
+		replay.Generate(330, replay.UserVavlaget, "good-shared-failures"),   // the same
+		replay.Generate(332, replay.UserVavlaget, "good-failing-as-before"), // expired without the ceiling of the accepting test
+		replay.Generate(209, replay.UserPamoja, "good-risk-limit"),          // the same
+		replay.Generate(217, replay.UserVavlaget, "good-restarts"),          // expired if the accepting test forgets that it has passed
+		replay.Generate(111, replay.UserVavlaget, "good-leader-loss"),       // expired: no verdict in the time after the loss
+		replay.Generate(124, replay.UserPamoja, "good-leader-loss"),         // the same
 	)
 }
 
--- a/core/rollout/judge_test.go
+++ b/core/rollout/judge_test.go
@@ -333,6 +333,18 @@
 	r = newCourse(c, 5*time.Minute, steady(load{calls: 0.01, newFail: 1})).run(nil)
 	c.Assert(r.move.State, qt.Equals, core.MoveDone, qt.Commentf("a single failed call must not be blamed: %+v", r.move))
 
+	r = newCourse(c, 5*time.Minute, nil)
+	r.loads = func(second int) map[core.RouteName]load {
+		l := load{calls: 20}
+		if second == 100 {
+			l.newCrash = 0.999 / (l.calls * float64(r.move.Share) / 1000)
+		}
+		return map[core.RouteName]load{"read": l}
+	}
+	r.run(nil)
+	c.Assert(r.rates["readv2crashes"] >= 1 && r.rates["readv2crashes"] < 2, qt.IsTrue, qt.Commentf("%v", r.rates))
+	c.Assert(r.move.State, qt.Equals, core.MoveDone, qt.Commentf("a single crash must not be blamed: %+v", r.move))
+
 	r = newCourse(c, 10*time.Minute, steady(load{calls: 500, oldFail: 0.002, newFail: 0.002}))
 	r.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
 		return slices.DeleteFunc(evidence, func(count core.EvidenceCount) bool { return count.Release == "v2" })
