Compare the content of a revision and replace one that was not accepted

After control instances were restored from old copies, revision numbers are given out again, and a node could hold another content under a number for as long as no newer revision came: the acknowledgement had no hash. It now has the sender's revision and hash. A parent counts a difference, logs it once for each child and offers the full configuration. The node switches only to the content that a confirmed read saw, since the parent may be the wrong one; the confirmation carries the hash for this.

--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -27,7 +27,10 @@
 	acknowledged acknowledge
 	assigned     []time.Time // recent redirects to this child
 	held         position
+	reported     position // what the child has said that it holds
+	diverged     bool     // it holds another content of the same revision
 	wantsFull    bool
+	offerFull    bool // the child decides whether the content that it holds is the accepted one
 	pongs        int
 	crashesAt    uint64
 	series       []series
@@ -288,6 +291,11 @@
 		return
 	}
 	c.acknowledged = message
+	c.reported = position{
+		revision: message.Revision,
+		hash:     message.Hash,
+	}
+	h.compareContent(c)
 	h.changed()
 }
 
@@ -386,11 +394,11 @@
 }
 
 func (h *hub) configurationDue(c *child) []outgoing {
-	if !c.wantsFull && h.current.Revision() <= c.held.revision {
+	if !c.wantsFull && !c.offerFull && h.current.Revision() <= c.held.revision {
 		return nil // a child may hold a newer one than a parent that is behind
 	}
 	held := c.held
-	if c.wantsFull {
+	if c.wantsFull || c.offerFull {
 		held = position{}
 	}
 	message := configMessage(held, h.current, h.history)
@@ -399,7 +407,7 @@
 	} else {
 		h.meters.deltas.Inc()
 	}
-	c.wantsFull = false
+	c.wantsFull, c.offerFull = false, false
 	c.held = positionOf(h.current)
 	return []outgoing{message}
 }
@@ -543,6 +551,8 @@
 		c.owner = peerOwner(core.ControlID(greeting.ID))
 	}
 	h.children[c.id] = c
+	c.reported = c.held
+	h.compareContent(c)
 	return c
 }
 
--- a/io/distribution/confirmer.go
+++ b/io/distribution/confirmer.go
@@ -17,7 +17,7 @@
 	number    uint64 // the child's number
 	covered   uint64 // the number of the read that began after the request, zero for none yet
 	confirmed bool
-	revision  core.Revision
+	saw       position
 }
 
 func newConfirmer() *confirmer {
@@ -52,15 +52,15 @@
 	return c.number, true
 }
 
-// finish notes the revision that the read with the given number saw.
-func (c *confirmer) finish(number uint64, revision core.Revision) {
+// finish notes the configuration that the read with the given number saw.
+func (c *confirmer) finish(number uint64, saw position) {
 	if !c.inFlight || number != c.number {
 		return
 	}
 	c.inFlight = false
 	for _, w := range c.waiters {
 		if w.covered != 0 && w.covered <= number && !w.confirmed {
-			w.confirmed, w.revision = true, revision
+			w.confirmed, w.saw = true, saw
 		}
 	}
 }
@@ -78,13 +78,14 @@
 // take returns a link's answer once the given revision covers it.
 func (c *confirmer) take(link uint64, held core.Revision) (confirm, bool) {
 	w := c.waiters[link]
-	if w == nil || !w.confirmed || w.revision > held {
+	if w == nil || !w.confirmed || w.saw.revision > held {
 		return confirm{}, false
 	}
 	delete(c.waiters, link)
 	return confirm{
 		Number:   w.number,
-		Revision: w.revision,
+		Revision: w.saw.revision,
+		Hash:     w.saw.hash,
 	}, true
 }
 
--- a/io/distribution/history.go
+++ b/io/distribution/history.go
@@ -28,7 +28,10 @@
 }
 
 func (h *history) add(configuration *record.Configuration) {
-	if len(h.kept) > 0 && h.kept[len(h.kept)-1].Revision() >= configuration.Revision() {
+	if last := len(h.kept) - 1; last >= 0 && h.kept[last].Revision() == configuration.Revision() {
+		h.kept = h.kept[:last] // its content was not the accepted one
+	}
+	if last := len(h.kept) - 1; last >= 0 && h.kept[last].Revision() > configuration.Revision() {
 		return
 	}
 	if len(h.kept) == maxHistory {
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -131,6 +131,9 @@
 func (h *hub) hold(configuration *record.Configuration) {
 	h.current = configuration
 	h.history.add(configuration)
+	for _, c := range h.children {
+		h.compareContent(c)
+	}
 	h.changed()
 }
 
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -70,6 +70,7 @@
 type confirm struct {
 	Number   uint64        `msgpack:"number"`
 	Revision core.Revision `msgpack:"revision"`
+	Hash     core.Hash     `msgpack:"hash,omitempty"`
 }
 
 type confirmRequest struct {
@@ -120,14 +121,16 @@
 	Counts []core.EvidenceCount `msgpack:"counts"`
 }
 
-// acknowledge describes the sender's subtree, the sender included.
+// acknowledge describes the sender's subtree, the sender included; Revision and Hash are what the sender itself holds.
 type acknowledge struct {
-	Lowest core.Revision      `msgpack:"lowest"`
-	Nodes  int                `msgpack:"nodes"`
-	Schema core.SchemaVersion `msgpack:"schema-version"`
+	Revision core.Revision      `msgpack:"revision"`
+	Hash     core.Hash          `msgpack:"hash"`
+	Lowest   core.Revision      `msgpack:"lowest"`
+	Nodes    int                `msgpack:"nodes"`
+	Schema   core.SchemaVersion `msgpack:"schema-version"`
 }
 
-// and adds another subtree.
+// and adds another subtree and keeps the first one's sender.
 func (a acknowledge) and(other acknowledge) acknowledge {
 	if a.Nodes == 0 {
 		return other
@@ -135,11 +138,10 @@
 	if other.Nodes == 0 {
 		return a
 	}
-	return acknowledge{
-		Lowest: min(a.Lowest, other.Lowest),
-		Nodes:  a.Nodes + other.Nodes,
-		Schema: min(a.Schema, other.Schema),
-	}
+	a.Lowest = min(a.Lowest, other.Lowest)
+	a.Nodes += other.Nodes
+	a.Schema = min(a.Schema, other.Schema)
+	return a
 }
 
 type ping struct{}
--- a/io/distribution/meters.go
+++ b/io/distribution/meters.go
@@ -11,6 +11,8 @@
 	applied         *metrics.Counter
 	refused         *metrics.Counter
 	mismatches      *metrics.Counter
+	contents        *metrics.Counter
+	repairs         *metrics.Counter
 	unknownMessages *metrics.Counter
 	lostLinks       *metrics.Counter
 }
@@ -30,6 +32,8 @@
 		applied:         counter("configurations_applied"),
 		refused:         counter("configurations_refused"),
 		mismatches:      counter("delta_mismatches"),
+		contents:        counter("content_mismatches"),
+		repairs:         counter("content_repairs"),
 		unknownMessages: counter("unknown_messages"),
 		lostLinks:       counter("links_lost"),
 	}
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -155,7 +155,7 @@
 		time.AfterFunc(confirmRetry, func() { s.confirms.TryPush(struct{}{}) })
 		return false
 	}
-	s.hub.confirmer.finish(number, newest.Revision())
+	s.hub.confirmer.finish(number, positionOf(newest))
 	if newest.Revision() > s.hub.current.Revision() {
 		s.hub.hold(newest)
 	}
@@ -205,7 +205,11 @@
 	for _, other := range s.hub.peerReports {
 		report = report.and(other.acknowledge)
 	}
-	return Fleet(report)
+	return Fleet{
+		Lowest: report.Lowest,
+		Nodes:  report.Nodes,
+		Schema: report.Schema,
+	}
 }
 
 // Evidence returns the newest sum of each control instance's run, data centre, move, service, route and release.
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -66,7 +66,9 @@
 
 	// What follows is guarded by hub.mu.
 	sequence  uint64
-	own       core.Endpoint // zero if nothing is announced
+	own       core.Endpoint         // zero if nothing is announced
+	candidate *record.Configuration // other content of the revision in force, until a read says which one was accepted
+	accepted  position              // what the last confirmed read saw
 	parent    string
 	awaySince time.Time // zero until the first parent is lost
 }
@@ -220,11 +222,16 @@
 		return nil
 	case typeConfirm:
 		var message confirm
-		return s.hub.withChild(received, &message, func() {
-			s.hub.confirmer.finish(message.Number, message.Revision)
+		err := s.hub.withChild(received, &message, func() {
+			s.hub.confirmer.finish(message.Number, position{
+				revision: message.Revision,
+				hash:     message.Hash,
+			})
 			s.checkConfirmed()
 			s.hub.changed()
 		})
+		s.repair()
+		return err
 	case typeCrashes:
 		var message crashes
 		return s.hub.withChild(received, &message, func() {
@@ -273,7 +280,8 @@
 }
 
 func (s *Subscriber) takeFull(message record.Full) {
-	if message.Revision <= s.newest.Load().Revision() {
+	held := s.newest.Load()
+	if message.Revision < held.Revision() || positionOf(held) == (position{revision: message.Revision, hash: message.Hash}) {
 		return
 	}
 	next, err := record.FromFull(message)
@@ -281,6 +289,10 @@
 		s.refuse(message.Revision, err)
 		return
 	}
+	if message.Revision == held.Revision() {
+		s.consider(next)
+		return
+	}
 	s.switchTo(next)
 }
 
@@ -322,7 +334,11 @@
 }
 
 func (s *Subscriber) checkConfirmed() {
-	if _, ready := s.hub.confirmer.take(ownLink, s.newest.Load().Revision()); ready {
+	if read, ready := s.hub.confirmer.take(ownLink, s.newest.Load().Revision()); ready {
+		s.accepted = position{
+			revision: read.Revision,
+			hash:     read.Hash,
+		}
 		s.confirm.Do(func() { close(s.confirmed) })
 	}
 }
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -161,9 +161,11 @@
 		return acknowledge{}
 	}
 	return acknowledge{
-		Lowest: h.current.Revision(),
-		Nodes:  1,
-		Schema: h.schema,
+		Revision: h.current.Revision(),
+		Hash:     h.current.Hash(),
+		Lowest:   h.current.Revision(),
+		Nodes:    1,
+		Schema:   h.schema,
 	}
 }
 
