--- /dev/null
+++ b/io/disk/fuzz_batch_test.go
@@ -0,0 +1,26 @@
+package disk
+
+import (
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyport/core/raft"
+)
+
+// Guards against the content of a record that makes the decoder panic: a checksum protects from damage of the disk only.
+func FuzzDecodeBatch(f *testing.F) {
+	hard, entries := raft.InitialState([]raft.Member{{Peer: raft.Peer{ID: "c1", Identity: "x"}, Voter: true}})
+	payload, err := msgpack.Marshal(batch{HardState: &hard, Entries: entries})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(payload)
+	f.Add([]byte{0x80})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		var b batch
+		if msgpack.Unmarshal(payload, &b) == nil {
+			_ = (&replay{}).apply(b)
+		}
+	})
+}
--- /dev/null
+++ b/io/distribution/fuzz_test.go
@@ -0,0 +1,95 @@
+package distribution
+
+import (
+	"bytes"
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"parsleyport/core"
+	"parsleyport/core/lease"
+	"parsleyport/core/record"
+	"parsleyport/io/frame"
+)
+
+// framed returns a frame with a body that need not be what its type says.
+func framed(kind frame.Type, body []byte) (frame.Frame, error) {
+	head := binary.BigEndian.AppendUint16(binary.BigEndian.AppendUint32(nil, uint32(len(body)+2)), uint16(kind))
+	received, _, err := frame.Read(bytes.NewReader(append(head, body...)))
+	return received, err
+}
+
+func seeds(f *testing.F) {
+	for kind, message := range map[frame.Type]any{
+		typeAccept:           accept{Path: []core.NodeID{"a"}, Control: "c1"},
+		typeConfigFull:       revision(2).Full(),
+		typeConfigDelta:      revision(2).DeltaFrom(revision(1)),
+		typeConfirm:          confirm{Number: 1, Revision: 1},
+		typeConfirmRequest:   confirmRequest{Number: 1},
+		typeSubscribe:        subscribe{All: true},
+		typeAnnounce:         announce{Complete: true, Upserts: []core.Endpoint{endpoint("s", core.EndpointReady)}, Removals: []lease.Removal{{Node: "a"}}},
+		typeEndpoints:        endpoints{Answer: true, Reset: []core.ServiceName{"s"}, HasDigest: true, Upserts: []core.Endpoint{endpoint("s", core.EndpointReady)}},
+		typeEndpointsRequest: endpointsRequest{Digests: map[core.ServiceName]core.Hash{"s": 1}},
+		typeEvidence:         evidence{Counts: []core.EvidenceCount{{Move: "m1", Calls: 1}}},
+		typeAcknowledge:      acknowledge{Lowest: 1, Nodes: 1},
+		typeCrashes:          crashes{},
+		typeSums:             sums{Series: []series{{Move: "m1"}}, Counts: []byte{0, 2, 1, 0, 1, 2}, Reports: true},
+	} {
+		body, err := msgpack.Marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint16(kind), body)
+	}
+	f.Add(uint16(typeSums), []byte("\x81\xa6counts\xc4\x02\xff\xff"))
+}
+
+// Guards against a message of a child, or of another control instance, that makes a process panic or hang.
+func FuzzMessageFromChild(f *testing.F) {
+	seeds(f)
+	f.Fuzz(func(t *testing.T, kind uint16, body []byte) {
+		received, err := framed(frame.Type(kind), body)
+		if err != nil {
+			return
+		}
+		for _, from := range []linkKind{kindNode, kindControl} {
+			h := newHub(zerolog.Nop(), newMeters(orNewSet(nil)), Network{})
+			h.control, h.current = "c1", record.Empty()
+			h.peers["c2"] = true
+			c := h.newChild(hello{Kind: from, ID: "c2"}, nil)
+			now := time.Unix(1_700_000_000, 0)
+			_ = h.handleFromChild(now, c, received)
+			_ = h.handleFromChild(now, c, received)
+			_, _ = h.dueToChild(c, now)
+			h.table.Expire(now.Add(time.Hour))
+		}
+	})
+}
+
+// Guards against a message of a parent that makes a node panic or hang, or puts a broken configuration in force.
+func FuzzMessageFromParent(f *testing.F) {
+	seeds(f)
+	f.Fuzz(func(t *testing.T, kind uint16, body []byte) {
+		received, err := framed(frame.Type(kind), body)
+		if err != nil {
+			return
+		}
+		s := &Subscriber{
+			hub: newHub(zerolog.Nop(), newMeters(orNewSet(nil)), Network{}), logger: zerolog.Nop(),
+			confirmed: make(chan struct{}), filledCh: make(chan struct{}), changeCh: make(chan struct{}), staleFrom: -1,
+			options: SubscriberOptions{ID: "n", ControlAddresses: []string{"c1"}}, attach: &attachment{},
+		}
+		s.hub.relay = "n"
+		s.newest.Store(revision(1))
+		s.hub.hold(revision(1))
+		u := newUplink(nil, kindNode)
+		_ = s.handle(u, received)
+		_ = s.handle(u, received)
+		if _, err := record.FromFull(s.Current().Full()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
