--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -166,6 +166,9 @@
 func (h *hub) hold(configuration *record.Configuration) {
 	h.current = configuration
 	h.history.add(configuration)
+	for _, c := range h.children {
+		h.compareContent(c)
+	}
 	h.changed()
 }
 
