--- /dev/null
+++ b/core/rollout/pace_test.go
@@ -0,0 +1,155 @@
+package rollout_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/core/rollout"
+)
+
+// Guards against a share above the limit before the evidence passes, and against a share that grows without evidence.
+func TestShareAtRiskIsHonouredUntilTheEvidencePasses(t *testing.T) {
+	c := qt.New(t)
+	limited := func(calls, newCrash float64) *course {
+		r := newCourse(c, 5*time.Minute, steady(load{calls: calls, oldFail: 0.001, newFail: 0.001, newCrash: newCrash}))
+		r.move.Request.MaxRiskShare = 30
+		return r
+	}
+	r := limited(200, 0).run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveDone)
+	for _, step := range r.steps {
+		if step.Share > 30 {
+			c.Assert(step.Evidence, qt.Contains, `routes judged: "read"`)
+		}
+	}
+	r = limited(2, 0.05).run(nil)
+	c.Assert(r.rates["readv2crashes"] >= 1 && r.rates["readv2crashes"] < 2, qt.IsTrue, qt.Commentf("the course must have a single crash, which must not be blamed: %v", r.rates))
+	c.Assert(r.move.State, qt.Equals, core.MoveExpired)
+	c.Assert(r.move.Cause, qt.Contains, "largest share at risk is 30 per mille")
+	for _, step := range r.steps {
+		c.Assert(step.Share <= 30, qt.IsTrue)
+	}
+}
+
+// Guards against a move with little traffic that never ends or does not say that its evidence is thin, and against one
+// that is done although a route with enough traffic has no verdict.
+func TestLittleTrafficAndExpiry(t *testing.T) {
+	c := qt.New(t)
+	r := newCourse(c, 5*time.Minute, steady(load{calls: 0.5})).run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveDone)
+	c.Assert(r.move.Cause, qt.Equals, "evidence thin")
+
+	r = newCourse(c, 5*time.Minute, steady(load{calls: 0.01, newFail: 1})).run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveDone, qt.Commentf("a single failed call must not be blamed: %+v", r.move))
+
+	r = newCourse(c, 5*time.Minute, nil)
+	r.loads = func(second int) map[core.RouteName]load {
+		l := load{calls: 20}
+		if second == 100 {
+			l.newCrash = 0.999 / (l.calls * float64(r.move.Share) / 1000)
+		}
+		return map[core.RouteName]load{"read": l}
+	}
+	r.run(nil)
+	c.Assert(r.rates["readv2crashes"] >= 1 && r.rates["readv2crashes"] < 2, qt.IsTrue, qt.Commentf("%v", r.rates))
+	c.Assert(r.move.State, qt.Equals, core.MoveDone, qt.Commentf("a single crash must not be blamed: %+v", r.move))
+
+	r = newCourse(c, 10*time.Minute, steady(load{calls: 500, oldFail: 0.002, newFail: 0.002}))
+	r.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
+		return slices.DeleteFunc(evidence, func(count core.EvidenceCount) bool { return count.Release == "v2" })
+	}
+	r.run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveExpired)
+	c.Assert(r.move.Cause, qt.Equals, `evidence missing: only 0 calls of the new release have been reported at 5 per mille`)
+
+	// The same with too little traffic for a verdict, and with no reports at all from some time on.
+	for _, lost := range []string{"v2", "all"} {
+		r = newCourse(c, 5*time.Minute, steady(load{calls: 30}))
+		r.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
+			return slices.DeleteFunc(evidence, func(count core.EvidenceCount) bool {
+				return r.second > 150 && (lost == "all" || count.Release == "v2")
+			})
+		}
+		r.run(nil)
+		c.Assert(r.move.State, qt.Equals, core.MoveExpired, qt.Commentf("%s: %+v", lost, r.move))
+		c.Assert(r.move.Cause, qt.Contains, "evidence missing")
+	}
+}
+
+// Guards against shares that follow each other faster than their evidence arrives: when slow start or a new leader had
+// used up the time, the steps came every 0.2 s, and a release that failed 3 calls in 10 was done with 2 of 14 calls failed.
+func TestMoveWithoutTimeForAllSteps(t *testing.T) {
+	for name, test := range map[string]struct {
+		newFail float64
+		leader  int // second of a leader change
+		delay   int // seconds until a report arrives
+		calls   float64
+		want    core.MoveState
+	}{
+		"good":                     {delay: 1, calls: 400, want: core.MoveDone},
+		"good, with a new leader":  {delay: 1, calls: 400, leader: 4, want: core.MoveDone},
+		"bad":                      {delay: 1, calls: 400, newFail: 0.3, want: core.MoveTakenBack},
+		"bad, late reports":        {delay: 3, calls: 400, newFail: 0.3, want: core.MoveTakenBack},
+		"bad, with a new leader":   {delay: 2, calls: 400, newFail: 0.3, leader: 10, want: core.MoveTakenBack},
+		"bad, few calls":           {delay: 2, calls: 30, newFail: 0.2, want: core.MoveTakenBack},
+		"bad, doubtful at the end": {delay: 3, calls: 100, newFail: 0.08, want: core.MoveTakenBack},
+		"too few calls":            {delay: 2, calls: 5, want: core.MoveExpired},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newCourse(c, 20*time.Second, steady(load{calls: test.calls, newFail: test.newFail}))
+			r.decisions = 5
+			r.endpoints = func(int) []core.Endpoint {
+				return append(backends("v1", "a", 1, 3, core.EndpointReady), backends("v2", "a", 4, 3, core.EndpointReady)...)
+			}
+			var late [][]core.EvidenceCount
+			r.deliver = func(evidence []core.EvidenceCount) []core.EvidenceCount {
+				if r.second == test.leader {
+					r.judge = rollout.NewJudge(r.move, "v1", "v2")
+				}
+				late = append(late, evidence)
+				return late[max(0, len(late)-1-test.delay)]
+			}
+			r.run(nil)
+			c.Assert(r.move.State, qt.Equals, test.want, qt.Commentf("%+v", r.steps))
+			for i := range r.steps[1:] {
+				if r.steps[i+1].Share > 0 {
+					c.Assert(r.steps[i+1].At.Sub(r.steps[i].At) >= 3*time.Second, qt.IsTrue, qt.Commentf("%+v", r.steps))
+				}
+			}
+			if test.newFail > 0.2 {
+				c.Assert(r.badCalls < 0.02*400*20, qt.IsTrue, qt.Commentf("%.0f calls met the bad release: %+v", r.badCalls, r.steps))
+			}
+		})
+	}
+}
+
+// Guards against a share that cold or missing backend servers cannot carry, and against blame for their slowness.
+func TestSlowStartAndCapacity(t *testing.T) {
+	c := qt.New(t)
+	const readyAt = 85 // just before the first step is due
+	r := newCourse(c, 10*time.Minute, func(second int) map[core.RouteName]load {
+		l := load{calls: 200, oldSlow: 0.02, newSlow: 0.02}
+		if second >= readyAt && second < readyAt+10 {
+			l.newSlow = 1
+		}
+		return map[core.RouteName]load{"read": l}
+	})
+	r.endpoints = func(second int) []core.Endpoint {
+		all := backends("v1", "a", 1, 4, core.EndpointReady)
+		if second < readyAt {
+			return all
+		}
+		return append(all, backends("v2", "a", 5, 2, core.EndpointReady)...)
+	}
+	r.run(func() bool { return r.second == readyAt+9 })
+	c.Assert(r.share(), qt.Equals, core.PerMille(5), qt.Commentf("probing goes on until the slow start has ended"))
+	r.run(nil)
+	c.Assert(r.move.State, qt.Equals, core.MoveExpired, qt.Commentf("%+v", r.move))
+	c.Assert(r.move.Cause, qt.Contains, "backend servers for 500 per mille only")
+	c.Assert(r.steps[len(r.steps)-2].Share <= 500, qt.IsTrue)
+}
