Decode only changed bodies when the next configuration is built

A restart replays up to 1,000 entries, and each change decoded all 1,020 record bodies and sorted them three times. Building lazily during the replay was ruled out, since verdicts need each configuration's references. Nodes profit from it when they apply a delta.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -194,7 +194,7 @@
 
 // build returns the configuration of the next revision, or a refusal.
 func (c *Catalog) build(records []core.Record, overrides []core.Override) (*record.Configuration, *Verdict) {
-	next, err := record.New(c.configuration.Revision()+1, records, overrides)
+	next, err := c.configuration.Next(records, overrides)
 	if err == nil {
 		return next, nil
 	}
--- a/core/record/configuration.go
+++ b/core/record/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"net"
 	"slices"
 	"sort"
@@ -33,6 +32,8 @@
 	revision  core.Revision
 	hash      core.Hash
 	records   map[core.RecordKey]core.Record
+	sorted    []core.Record
+	decoded   map[core.RecordKey]any // bodies of the records in use
 	overrides map[core.ServiceName]core.Override
 	services  map[core.ServiceName]core.ServiceBody
 	upstreams map[core.UpstreamName]core.UpstreamBody
@@ -68,7 +69,7 @@
 
 // Empty returns the configuration with revision 0 and no records.
 func Empty() *Configuration {
-	configuration, err := build(0, nil, nil)
+	configuration, err := build(nil, 0, nil, nil)
 	if err != nil {
 		panic(err) // an empty set has no references
 	}
@@ -78,6 +79,15 @@
 // New builds a configuration; it returns ErrDangling or a decoding error and never a part of the configuration.
 // Schema versions that are unknown here are kept but not used.
 func New(revision core.Revision, records []core.Record, overrides []core.Override) (*Configuration, error) {
+	return newAfter(nil, revision, records, overrides)
+}
+
+// Next is New for a configuration whose records mostly are those of this one; their bodies are not decoded again.
+func (c *Configuration) Next(records []core.Record, overrides []core.Override) (*Configuration, error) {
+	return newAfter(c, c.revision+1, records, overrides)
+}
+
+func newAfter(previous *Configuration, revision core.Revision, records []core.Record, overrides []core.Override) (*Configuration, error) {
 	byKey := make(map[core.RecordKey]core.Record, len(records))
 	for _, r := range records {
 		byKey[r.Key()] = r
@@ -86,7 +96,7 @@
 	for _, o := range overrides {
 		byService[o.Service] = o
 	}
-	return build(revision, byKey, byService)
+	return build(previous, revision, byKey, byService)
 }
 
 // FromFull checks the stated hash and builds the configuration; it returns ErrHashMismatch or the errors of New.
@@ -101,7 +111,7 @@
 	return configuration, nil
 }
 
-func build(revision core.Revision, records map[core.RecordKey]core.Record, overrides map[core.ServiceName]core.Override) (*Configuration, error) {
+func build(previous *Configuration, revision core.Revision, records map[core.RecordKey]core.Record, overrides map[core.ServiceName]core.Override) (*Configuration, error) {
 	c := &Configuration{
 		revision:  revision,
 		records:   records,
@@ -109,9 +119,11 @@
 		services:  make(map[core.ServiceName]core.ServiceBody),
 		upstreams: make(map[core.UpstreamName]core.UpstreamBody),
 		policies:  make(map[core.ServiceName]core.PolicyBody),
+		decoded:   make(map[core.RecordKey]any, len(records)),
 	}
-	for _, r := range newestSupported(records) {
-		if err := c.index(r); err != nil {
+	c.sorted = sortedRecords(records, previous)
+	for _, r := range newestSupported(c.sorted) {
+		if err := c.index(r, previous); err != nil {
 			return nil, errors.Annotatef(err, "%s record %q", r.Kind, r.Name)
 		}
 	}
@@ -123,68 +135,6 @@
 	return c, nil
 }
 
-// newestSupported picks, for each kind and name, the record with the highest schema version that this program understands.
-func newestSupported(records map[core.RecordKey]core.Record) []core.Record {
-	type kindAndName struct {
-		kind core.Kind
-		name string
-	}
-	best := make(map[kindAndName]core.Record, len(records))
-	for _, r := range records {
-		id := kindAndName{
-			kind: r.Kind,
-			name: r.Name,
-		}
-		held, exists := best[id]
-		if r.SchemaVersion <= NewestSchema && (!exists || r.SchemaVersion > held.SchemaVersion) {
-			best[id] = r
-		}
-	}
-	chosen := make([]core.Record, 0, len(best))
-	for _, r := range best {
-		chosen = append(chosen, r)
-	}
-	sort.Slice(chosen, func(i, j int) bool { return keyBefore(chosen[i].Key(), chosen[j].Key()) })
-	return chosen
-}
-
-// index decodes leniently: a later program may have added fields to a schema version.
-func (c *Configuration) index(r core.Record) error {
-	switch r.Kind {
-	case core.KindService:
-		var body core.ServiceBody
-		if err := json.Unmarshal(r.Body, &body); err != nil {
-			return err
-		}
-		c.services[core.ServiceName(r.Name)] = body
-	case core.KindUpstream:
-		var body core.UpstreamBody
-		if err := json.Unmarshal(r.Body, &body); err != nil {
-			return err
-		}
-		c.upstreams[core.UpstreamName(r.Name)] = body
-	case core.KindPolicy:
-		var body core.PolicyBody
-		if err := json.Unmarshal(r.Body, &body); err != nil {
-			return err
-		}
-		if held, exists := c.policies[body.Service]; exists && held.Service != "" {
-			return errors.Errorf("service %q has two policies", body.Service)
-		}
-		c.policies[body.Service] = body
-	case core.KindRoute:
-		var body core.RouteBody
-		if err := json.Unmarshal(r.Body, &body); err != nil {
-			return err
-		}
-		c.routes = append(c.routes, Route{
-			RouteBody: body,
-			Name:      core.RouteName(r.Name),
-		})
-	}
-	return nil // a kind that a later program added is kept and forwarded
-}
-
 // checkReferences goes through the names in order, so that all replicas report the same one of several faults.
 func (c *Configuration) checkReferences() error {
 	for _, name := range sortedKeys(c.upstreams) {
@@ -337,12 +287,7 @@
 
 // Records returns all records, sorted by kind, name and schema version.
 func (c *Configuration) Records() []core.Record {
-	records := make([]core.Record, 0, len(c.records))
-	for _, r := range c.records {
-		records = append(records, r)
-	}
-	sort.Slice(records, func(i, j int) bool { return keyBefore(records[i].Key(), records[j].Key()) })
-	return records
+	return slices.Clone(c.sorted)
 }
 
 // Overrides returns all overrides, sorted by service.
@@ -378,7 +323,7 @@
 func (c *Configuration) computeHash() core.Hash {
 	digest := xxhash.New()
 	writeNumber(digest, uint64(c.revision))
-	for _, r := range c.Records() {
+	for _, r := range c.sorted {
 		writeText(digest, string(r.Kind))
 		writeText(digest, r.Name)
 		writeNumber(digest, uint64(r.SchemaVersion))
--- /dev/null
+++ b/core/record/decode.go
@@ -0,0 +1,116 @@
+package record
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+)
+
+// sortedRecords begins with the order of the previous configuration, since sorting what is nearly sorted is cheap.
+func sortedRecords(records map[core.RecordKey]core.Record, previous *Configuration) []core.Record {
+	sorted := make([]core.Record, 0, len(records))
+	held := map[core.RecordKey]core.Record{}
+	if previous != nil {
+		held = previous.records
+		for _, r := range previous.sorted {
+			if next, exists := records[r.Key()]; exists {
+				sorted = append(sorted, next)
+			}
+		}
+	}
+	for key, r := range records {
+		if _, exists := held[key]; !exists {
+			sorted = append(sorted, r)
+		}
+	}
+	slices.SortFunc(sorted, func(a, b core.Record) int {
+		if keyBefore(a.Key(), b.Key()) {
+			return -1
+		}
+		return 1
+	})
+	return sorted
+}
+
+// newestSupported picks from sorted records, for each kind and name, the one with the highest schema version that this
+// program understands.
+func newestSupported(sorted []core.Record) []core.Record {
+	chosen := make([]core.Record, 0, len(sorted))
+	for _, r := range sorted {
+		if r.SchemaVersion > NewestSchema {
+			continue
+		}
+		if last := len(chosen) - 1; last >= 0 && chosen[last].Kind == r.Kind && chosen[last].Name == r.Name {
+			chosen[last] = r
+		} else {
+			chosen = append(chosen, r)
+		}
+	}
+	return chosen
+}
+
+// index puts a record in use. Kinds that a later program added are kept and forwarded only.
+func (c *Configuration) index(r core.Record, previous *Configuration) error {
+	body, err := previous.bodyOf(r)
+	if err != nil || body == nil {
+		return err
+	}
+	c.decoded[r.Key()] = body
+	switch body := body.(type) {
+	case core.ServiceBody:
+		c.services[core.ServiceName(r.Name)] = body
+	case core.UpstreamBody:
+		c.upstreams[core.UpstreamName(r.Name)] = body
+	case core.PolicyBody:
+		if held, exists := c.policies[body.Service]; exists && held.Service != "" {
+			return errors.Errorf("service %q has two policies", body.Service)
+		}
+		c.policies[body.Service] = body
+	case core.RouteBody:
+		c.routes = append(c.routes, Route{
+			RouteBody: body,
+			Name:      core.RouteName(r.Name),
+		})
+	}
+	return nil
+}
+
+// bodyOf returns the decoded body of a record. One that this configuration holds is not decoded again: at 170 services, the
+// decoding took half of the time of a change.
+func (c *Configuration) bodyOf(r core.Record) (any, error) {
+	if c != nil {
+		if held, exists := c.records[r.Key()]; exists && sameBytes(held.Body, r.Body) {
+			if body, known := c.decoded[r.Key()]; known {
+				return body, nil
+			}
+		}
+	}
+	switch r.Kind {
+	case core.KindService:
+		return decodeBody[core.ServiceBody](r)
+	case core.KindUpstream:
+		return decodeBody[core.UpstreamBody](r)
+	case core.KindPolicy:
+		return decodeBody[core.PolicyBody](r)
+	case core.KindRoute:
+		return decodeBody[core.RouteBody](r)
+	}
+	return nil, nil
+}
+
+// sameBytes reports whether two bodies share their memory; bodies are never changed in place.
+func sameBytes(a, b []byte) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
+// decodeBody decodes leniently: a later program may have added fields to a schema version.
+func decodeBody[T any](r core.Record) (any, error) {
+	var body T
+	if err := json.Unmarshal(r.Body, &body); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
--- a/core/record/delta.go
+++ b/core/record/delta.go
@@ -50,7 +50,7 @@
 	if delta.FromRevision != c.revision || delta.FromHash != c.hash {
 		return nil, errors.Annotatef(ErrWrongBase, "delta from revision %d, held is %d", delta.FromRevision, c.revision)
 	}
-	next, err := build(delta.ToRevision, c.patchedRecords(delta), c.patchedOverrides(delta))
+	next, err := build(c, delta.ToRevision, c.patchedRecords(delta), c.patchedOverrides(delta))
 	if err != nil {
 		return nil, err
 	}
