--- /dev/null
+++ b/io/distribution/downlink.go
@@ -0,0 +1,176 @@
+package distribution
+
+import (
+	"sort"
+	"time"
+
+	"parsleyport/core"
+	"parsleyport/core/lease"
+)
+
+func (c *child) wants(service core.ServiceName) bool {
+	return c.all || c.services[service]
+}
+
+// dueToChild collects what the child should be sent now.
+func (h *hub) dueToChild(c *child, now time.Time) ([]outgoing, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var due []outgoing
+	if c.pathTurn != h.pathTurn {
+		c.pathTurn = h.pathTurn
+		due = append(due, outgoing{
+			kind:    typeAccept,
+			message: h.acceptance(),
+		})
+	}
+	for ; c.pongs > 0; c.pongs-- {
+		due = append(due, outgoing{
+			kind:    typePong,
+			message: ping{},
+		})
+	}
+	if c.hello.Kind == kindControl {
+		return due, now.Add(pingInterval)
+	}
+	due = append(due, h.configurationDue(c)...)
+	if answer, ready := h.confirmer.take(c.id, c.held.revision); ready {
+		due = append(due, outgoing{
+			kind:    typeConfirm,
+			message: answer,
+		})
+	}
+	due = append(due, h.crashesDown(c, now)...)
+	list, again := h.endpointsDue(c, now)
+	return append(due, list...), again
+}
+
+func (h *hub) configurationDue(c *child) []outgoing {
+	if !c.wantsFull && !c.offerFull && h.current.Revision() <= c.held.revision {
+		return nil // a child may hold a newer one than a parent that is behind
+	}
+	held := c.held
+	if c.wantsFull || c.offerFull {
+		held = position{}
+	}
+	message := configMessage(held, h.current, h.history)
+	if message.kind == typeConfigFull {
+		h.meters.fulls.Inc()
+	} else {
+		h.meters.deltas.Inc()
+	}
+	c.wantsFull, c.offerFull = false, false
+	c.held = positionOf(h.current)
+	return []outgoing{message}
+}
+
+func (h *hub) endpointsDue(c *child, now time.Time) ([]outgoing, time.Time) {
+	idle := now.Add(pingInterval)
+	if !c.subscribed {
+		return nil, idle
+	}
+	if h.completeFor(c) && !c.digestFinal {
+		c.digestDue = true
+	}
+	var due []outgoing
+	if c.digestDue {
+		c.digestDue, c.digestFinal = false, h.completeFor(c)
+		due = append(due, h.digestMessage(c, now))
+	}
+	if c.digests != nil {
+		due = append(due, h.resetMessage(c, h.differing(c), true))
+		c.digests = nil
+	}
+	if len(c.newServices) > 0 {
+		due = append(due, h.newServicesMessage(c, now))
+		c.newServices = nil
+	}
+	if !c.batch.ready(now) {
+		return due, c.batch.next
+	}
+	changes, reached := h.table.Changes(lease.All, c.cursor, c.owner, c.wants)
+	if !reached {
+		c.cursor, c.digestFinal = h.table.Position(lease.All), false
+		c.digestDue = true
+		return due, now
+	}
+	c.cursor = changes.Next
+	if !h.completeFor(c) {
+		changes.Removals = nil // the digest that ends the grace period shows what left
+	}
+	if changes.Empty() {
+		return due, idle
+	}
+	c.batch.sent(now)
+	return append(due, outgoing{
+		kind: typeEndpoints,
+		message: endpoints{
+			Upserts:  changes.Upserts,
+			Removals: changes.Removals,
+		},
+	}), c.batch.next
+}
+
+func (h *hub) digestMessage(c *child, now time.Time) outgoing {
+	message := endpoints{
+		HasDigest: true,
+		Partial:   !h.completeFor(c),
+	}
+	for _, digest := range h.table.Digests(c.wants) {
+		message.Digest ^= digest
+	}
+	message.Left = h.leftFor(c, now, c.wants)
+	if h.completeFor(c) {
+		c.leftSince = now
+		clear(c.leftPending)
+	}
+	return outgoing{
+		kind:    typeEndpoints,
+		message: message,
+	}
+}
+
+// differing names the services whose digests the child does not share, those that only one side has included.
+func (h *hub) differing(c *child) []core.ServiceName {
+	own := h.table.Digests(c.wants)
+	var services []core.ServiceName
+	for service, digest := range own {
+		if held, exists := c.digests[service]; !exists || held != digest {
+			services = append(services, service)
+		}
+	}
+	for service := range c.digests {
+		if _, exists := own[service]; !exists && c.wants(service) {
+			services = append(services, service)
+		}
+	}
+	sort.Slice(services, func(i, j int) bool { return services[i] < services[j] })
+	return services
+}
+
+func (h *hub) resetMessage(c *child, services []core.ServiceName, answer bool) outgoing {
+	message := endpoints{
+		Answer:  answer,
+		Reset:   services,
+		Partial: !h.completeFor(c),
+	}
+	for _, service := range services {
+		message.Upserts = append(message.Upserts, h.table.EndpointsFor(c.owner, service)...)
+	}
+	return outgoing{
+		kind:    typeEndpoints,
+		message: message,
+	}
+}
+
+// newServicesMessage answers a later subscription.
+func (h *hub) newServicesMessage(c *child, now time.Time) outgoing {
+	reset := h.resetMessage(c, c.newServices, false)
+	message := reset.message.(endpoints)
+	message.Left = h.leftFor(c, now, func(service core.ServiceName) bool { return c.leftPending[service] })
+	if !message.Partial {
+		clear(c.leftPending)
+	}
+	reset.message = message
+	return reset
+}
--- /dev/null
+++ b/io/distribution/parent.go
@@ -0,0 +1,240 @@
+package distribution
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/record"
+	"parsleyport/io/frame"
+)
+
+func (s *Subscriber) receive(u *uplink) error {
+	for {
+		received, err := s.hub.receive(u.conn, silenceLimit)
+		if err != nil {
+			return err
+		}
+		if err := s.handle(u, received); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Subscriber) handle(u *uplink, received frame.Frame) error {
+	switch received.Type {
+	case typePong:
+		s.hub.answered(u)
+		return nil
+	case typeAccept:
+		var message accept
+		if err := received.Decode(&message); err != nil {
+			return err
+		}
+		return s.takePath(message)
+	case typeConfigFull:
+		var message record.Full
+		if err := received.Decode(&message); err != nil {
+			return err
+		}
+		s.takeFull(message)
+		return nil
+	case typeConfigDelta:
+		var message record.Delta
+		if err := received.Decode(&message); err != nil {
+			return err
+		}
+		s.takeDelta(u, message)
+		return nil
+	case typeConfirm:
+		var message confirm
+		err := s.hub.withChild(received, &message, func() {
+			s.hub.confirmer.finish(message.Number, position{
+				revision: message.Revision,
+				hash:     message.Hash,
+			})
+			s.checkConfirmed()
+			s.hub.changed()
+		})
+		s.repair()
+		return err
+	case typeCrashes:
+		var message crashes
+		return s.hub.withChild(received, &message, func() {
+			s.hub.crashed(time.Now(), message, crashOrigin{
+				above: true,
+			})
+		})
+	case typeEndpoints:
+		var message endpoints
+		return s.hub.withChild(received, &message, func() { s.takeEndpoints(time.Now(), u, message) })
+	}
+	s.hub.meters.unknownMessages.Inc()
+	return nil
+}
+
+func (s *Subscriber) takePath(message accept) error {
+	if err := s.checkPath(message); err != nil {
+		return err
+	}
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	if err := s.checkStale(message); err != nil {
+		return err
+	}
+	s.hub.stale = message.Stale
+	s.hub.path, s.hub.control = message.Path, message.Control
+	s.hub.pathTurn++
+	s.hub.changed()
+	return nil
+}
+
+// checkStale refuses a control instance without a leader until all others have been tried, since it may be the only one
+// that is cut off. Relays stay with their parent, which looks for another control instance on behalf of its subtree.
+func (s *Subscriber) checkStale(message accept) error {
+	if !message.Stale {
+		s.staleFrom = -1
+		return nil
+	}
+	if s.staleFrom < 0 {
+		s.staleFrom = s.attach.turn
+	}
+	if len(message.Path) > 0 || s.attach.turn-s.staleFrom >= len(s.options.ControlAddresses) {
+		return nil
+	}
+	return errors.Errorf("control instance %q knows no leader", message.Control)
+}
+
+func (s *Subscriber) takeFull(message record.Full) {
+	held := s.newest.Load()
+	if message.Revision < held.Revision() || positionOf(held) == (position{revision: message.Revision, hash: message.Hash}) {
+		return
+	}
+	next, err := record.FromFull(message)
+	if err != nil {
+		s.refuse(message.Revision, err)
+		return
+	}
+	if message.Revision == held.Revision() {
+		s.consider(next)
+		return
+	}
+	s.switchTo(next)
+}
+
+func (s *Subscriber) takeDelta(u *uplink, message record.Delta) {
+	next, err := s.newest.Load().Apply(message)
+	switch {
+	case err == nil:
+		s.switchTo(next)
+	case errors.Is(err, record.ErrOlder):
+		// An update that crossed with a newer one.
+	case errors.Is(err, record.ErrWrongBase), errors.Is(err, record.ErrHashMismatch):
+		s.hub.meters.mismatches.Inc()
+		s.hub.mu.Lock()
+		defer s.hub.mu.Unlock()
+		u.configRequest = true
+		u.wake.TryPush(struct{}{})
+	default:
+		s.refuse(message.ToRevision, err)
+	}
+}
+
+func (s *Subscriber) refuse(revision core.Revision, err error) {
+	s.hub.meters.refused.Inc()
+	s.logger.Error().Err(err).Uint64("revision", uint64(revision)).Msg("configuration refused")
+}
+
+// switchTo puts a complete and checked configuration into force; only the attachment's goroutine calls it.
+func (s *Subscriber) switchTo(next *record.Configuration) {
+	s.hub.meters.applied.Inc()
+	s.change.Lock()
+	s.newest.Store(next)
+	close(s.changeCh)
+	s.changeCh = make(chan struct{})
+	s.change.Unlock()
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	s.hub.hold(next)
+	s.checkConfirmed()
+}
+
+func (s *Subscriber) checkConfirmed() {
+	if read, ready := s.hub.confirmer.take(ownLink, s.newest.Load().Revision()); ready {
+		s.accepted = position{
+			revision: read.Revision,
+			hash:     read.Hash,
+		}
+		s.confirm.Do(func() { close(s.confirmed) })
+	}
+}
+
+func (s *Subscriber) takeEndpoints(now time.Time, u *uplink, message endpoints) {
+	message.keep(u.wants)
+	s.hub.rememberLeft(now, message.Left)
+	if len(message.Reset) > 0 && !message.Partial {
+		s.hub.table.Retain(now, parentOwner, message.Upserts, func(service core.ServiceName) bool {
+			return slices.Contains(message.Reset, service)
+		})
+	}
+	for _, endpoint := range message.Upserts {
+		s.hub.table.Announce(now, parentOwner, endpoint)
+	}
+	for _, removal := range message.Removals {
+		s.hub.table.Remove(now, parentOwner, removal)
+	}
+	same := message.HasDigest && s.compare(u, message)
+	s.noteReset(message)
+	s.hub.changed()
+	if same || message.Answer { // after they were published
+		s.fill.Do(func() { close(s.filledCh) })
+	}
+}
+
+func (s *Subscriber) noteReset(message endpoints) {
+	for _, service := range message.Reset {
+		if _, awaited := s.hub.unsynced[service]; awaited {
+			s.hub.unsynced[service] = true // a parent that has only a part sends a digest later
+		}
+		if !message.Partial {
+			delete(s.hub.unsynced, service)
+			s.hub.signal(service)
+		}
+	}
+	if message.Answer && !message.Partial {
+		s.synced()
+	}
+}
+
+// EndpointsSignal returns a channel that is closed once the endpoints that the parent knew at the attachment have arrived.
+func (s *Subscriber) EndpointsSignal() <-chan struct{} {
+	return s.filledCh
+}
+
+// synced notes that all endpoints of the subscription are the same as the parent's.
+func (s *Subscriber) synced() {
+	s.hub.complete, s.hub.unsyncedAll = true, false
+	maps.DeleteFunc(s.hub.unsynced, func(_ core.ServiceName, covered bool) bool { return covered })
+	for service := range s.hub.watchers {
+		s.hub.signal(service)
+	}
+}
+
+// compare asks for the services that differ, and returns true if all endpoints are the same as the parent's.
+func (s *Subscriber) compare(u *uplink, message endpoints) bool {
+	var own core.Hash
+	for _, digest := range s.hub.table.Digests(u.wants) {
+		own ^= digest
+	}
+	if own != message.Digest {
+		u.endpointsRequest = true
+		return false
+	}
+	if !message.Partial {
+		s.synced()
+	}
+	return true
+}
--- /dev/null
+++ b/io/nodepeer/serverconn.go
@@ -0,0 +1,352 @@
+package nodepeer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/idempotency"
+	"parsleyport/io/frame"
+)
+
+// serverConn is one connection from a dialer; serve is its only reader.
+type serverConn struct {
+	server *Server
+	frames *frame.Conn
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	id     uint64 // zero until hello
+}
+
+// serverCall is one attempt; the fields below mu belong to the server's lock.
+type serverCall struct {
+	key    idempotency.AttemptKey
+	conn   *serverConn
+	call   *core.Call
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	credit *credit
+	length int
+	sum    uint64
+
+	body     []byte
+	reserved int
+	handed   bool         // Handle has been called
+	outcome  core.Outcome // empty until Handle has returned
+	revokers []revoker
+}
+
+// revoker waits for the verdict on an attempt.
+type revoker struct {
+	conn  *serverConn
+	token uint64
+}
+
+func (c *serverConn) fail(cause error) {
+	c.cancel(cause)
+	_ = c.frames.Close()
+}
+
+// send ends the connection if the message cannot be written.
+func (c *serverConn) send(kind frame.Type, message any) bool {
+	if err := c.frames.Send(time.Now().Add(writeLimit), kind, message); err != nil {
+		c.fail(errConnectionLost)
+		return false
+	}
+	return true
+}
+
+func (c *serverConn) serve() {
+	defer c.server.forget(c)
+	for {
+		received, err := c.frames.Receive(time.Now().Add(serverIdleLimit))
+		if err != nil {
+			c.fail(errConnectionLost)
+			return
+		}
+		if err := c.dispatch(received); err != nil {
+			c.fail(err)
+			return
+		}
+	}
+}
+
+func (c *serverConn) dispatch(received frame.Frame) error {
+	if (c.id == 0) != (received.Type == typeHello) {
+		return errors.Annotatef(errProtocol, "message type %d", received.Type)
+	}
+	switch received.Type {
+	case typeHello:
+		return decoded(received, c.hello)
+	case typeOpen:
+		return decoded(received, c.open)
+	case typeBody:
+		return decoded(received, c.body)
+	case typeBodyEnd:
+		return decoded(received, c.bodyEnd)
+	case typeCancel:
+		return decoded(received, c.cancelCall)
+	case typeCredit:
+		return decoded(received, c.grant)
+	case typeRevoke:
+		return decoded(received, c.revoke)
+	case typeKey:
+		return decoded(received, c.keepKey)
+	case typePing:
+		c.send(typePong, emptyMessage{})
+		return nil
+	}
+	return errors.Annotatef(errProtocol, "message type %d", received.Type)
+}
+
+func decoded[T any](received frame.Frame, handle func(T) error) error {
+	var message T
+	if err := received.Decode(&message); err != nil {
+		return err
+	}
+	return handle(message)
+}
+
+func (c *serverConn) hello(message helloMessage) error {
+	s := c.server
+	s.mu.Lock()
+	connected := message.Connection != 0 && s.attempts.Connected(time.Now(), message.Connection)
+	leaving := s.leaving
+	s.mu.Unlock()
+	if !connected {
+		return errors.Annotate(errProtocol, "hello")
+	}
+	c.id = message.Connection
+	c.send(typeWelcome, welcomeMessage{
+		RunningUS: time.Since(s.started).Microseconds(),
+	})
+	if leaving {
+		c.send(typeGoaway, emptyMessage{})
+	}
+	return nil
+}
+
+func (s *Server) forget(c *serverConn) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.connections, c)
+	if c.id == 0 {
+		return
+	}
+	s.attempts.Disconnected(now, c.id)
+	for key, call := range s.calls {
+		if call.conn == c && !call.handed {
+			s.end(call, false)
+			delete(s.calls, key)
+		}
+	}
+	s.signalIdle()
+}
+
+func (c *serverConn) key(sequence uint64) idempotency.AttemptKey {
+	return idempotency.AttemptKey{
+		Connection: c.id,
+		Sequence:   sequence,
+	}
+}
+
+func (c *serverConn) open(message openMessage) error {
+	s, now := c.server, time.Now()
+	key := c.key(message.Sequence)
+	if message.Length < 0 || message.Length > maxBodyBytes || len(message.Body) > message.Length {
+		return errors.Annotatef(errProtocol, "open with a body of %d bytes", message.Length)
+	}
+	s.mu.Lock()
+	cause, err := s.register(key, message, now)
+	if err != nil || cause != "" {
+		s.mu.Unlock()
+		if err == nil {
+			s.refused.Inc()
+			c.refuse(message.Sequence, core.OutcomeNotRun, cause, "")
+		}
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	call := &serverCall{
+		key:      key,
+		conn:     c,
+		call:     callOf(message, now),
+		ctx:      ctx,
+		cancel:   cancel,
+		credit:   newCredit(answerWindow),
+		length:   message.Length,
+		sum:      message.Sum,
+		body:     message.Body,
+		reserved: message.Length,
+	}
+	s.calls[key] = call
+	s.bodyBytes += call.reserved
+	s.mu.Unlock()
+	s.accepted.Inc()
+	if len(message.Body) == message.Length {
+		return c.hand(call)
+	}
+	return nil
+}
+
+// register needs the lock; it returns a cause to refuse the attempt or an error that ends the connection.
+func (s *Server) register(key idempotency.AttemptKey, message openMessage, now time.Time) (core.RefusalCause, error) {
+	switch s.attempts.Arrived(now, key) {
+	case idempotency.ArrivalRepeated:
+		return "", errors.Annotatef(errProtocol, "sequence %d arrived twice", key.Sequence)
+	case idempotency.ArrivalRevoked:
+		return core.CauseRevoked, nil
+	}
+	cause := core.RefusalCause("")
+	switch {
+	case s.leaving:
+		cause = core.CauseLeaving
+	case message.RemainingUS <= 0:
+		cause = core.CauseDeadline
+	case len(s.calls) >= s.options.MaxCalls, s.bodyBytes+message.Length > maxBufferedBodies:
+		cause = core.CauseQueueFull
+	}
+	if cause != "" {
+		s.attempts.Ended(key, false)
+	}
+	return cause, nil
+}
+
+func (c *serverConn) refuse(sequence uint64, outcome core.Outcome, cause core.RefusalCause, detail string) {
+	c.send(typeRefused, refusedMessage{
+		Sequence: sequence,
+		Outcome:  outcome,
+		Cause:    cause,
+		Detail:   detail,
+	})
+}
+
+func (c *serverConn) call(sequence uint64) *serverCall {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.server.calls[c.key(sequence)]
+}
+
+// body collects a long body; the attempt is handed over only when all of it is there and its sum is right.
+func (c *serverConn) body(message bodyMessage) error {
+	call := c.call(message.Sequence)
+	if call == nil || call.handed {
+		return nil // refused or cancelled while the body was on its way
+	}
+	if len(call.body)+len(message.Bytes) > call.length {
+		return errors.Annotatef(errProtocol, "body of sequence %d is too long", message.Sequence)
+	}
+	call.body = append(call.body, message.Bytes...)
+	return nil
+}
+
+func (c *serverConn) bodyEnd(message sequenceMessage) error {
+	call := c.call(message.Sequence)
+	if call == nil || call.handed {
+		return nil
+	}
+	return c.hand(call)
+}
+
+func (c *serverConn) hand(call *serverCall) error {
+	s := c.server
+	if len(call.body) != call.length || xxhash.Sum64(call.body) != call.sum {
+		return errors.Annotatef(errProtocol, "body of sequence %d is cut or corrupted", call.key.Sequence)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.calls[call.key] != call {
+		return nil
+	}
+	call.call.Body = call.body
+	call.handed = true
+	s.tasks.Go(func() { s.run(call) })
+	return nil
+}
+
+func (c *serverConn) cancelCall(message sequenceMessage) error {
+	s := c.server
+	s.mu.Lock()
+	call := s.calls[c.key(message.Sequence)]
+	waiting := call != nil && !call.handed
+	if waiting {
+		s.end(call, false)
+	}
+	s.mu.Unlock()
+	if waiting {
+		c.refuse(message.Sequence, core.OutcomeNotRun, core.CauseRevoked, errCancelled.Error())
+	} else if call != nil {
+		call.cancel(errCancelled)
+	}
+	return nil
+}
+
+func (c *serverConn) grant(message creditMessage) error {
+	if call := c.call(message.Sequence); call != nil {
+		call.credit.add(message.Bytes)
+	}
+	return nil
+}
+
+// revoke answers at once, unless the attempt is with the backend: then its end decides.
+func (c *serverConn) revoke(message revokeMessage) error {
+	s := c.server
+	key := idempotency.AttemptKey{
+		Connection: message.Connection,
+		Sequence:   message.Sequence,
+	}
+	s.mu.Lock()
+	verdict := s.attempts.Revoke(time.Now(), key)
+	call := s.calls[key]
+	if verdict == idempotency.RevocationPending && call != nil {
+		switch {
+		case !call.handed:
+			s.end(call, false)
+			verdict = idempotency.RevocationDone
+		case call.outcome == core.OutcomeNotRun:
+			verdict = idempotency.RevocationDone
+		case call.outcome != "":
+			verdict = idempotency.RevocationTooLate
+		default:
+			call.revokers = append(call.revokers, revoker{
+				conn:  c,
+				token: message.Token,
+			})
+		}
+	}
+	s.mu.Unlock()
+	if verdict == idempotency.RevocationPending {
+		call.cancel(errRevoked)
+		return nil
+	}
+	c.answerRevocation(message.Token, verdict == idempotency.RevocationDone)
+	return nil
+}
+
+func (c *serverConn) answerRevocation(token uint64, revoked bool) {
+	if revoked {
+		c.server.revoked.Inc()
+	} else {
+		c.server.tooLate.Inc()
+	}
+	c.send(typeRevoked, revokedMessage{
+		Token:   token,
+		Revoked: revoked,
+	})
+}
+
+// end needs the lock.
+func (s *Server) end(call *serverCall, ran bool) {
+	if s.calls[call.key] != call {
+		return
+	}
+	delete(s.calls, call.key)
+	s.attempts.Ended(call.key, ran)
+	s.bodyBytes -= call.reserved
+	call.cancel(nil)
+	s.signalIdle()
+}
