--- a/core/idempotency/quorum.go
+++ b/core/idempotency/quorum.go
@@ -41,11 +41,12 @@
 }
 
 // Combine decides a claim from the replies in the order of Holders.Choose: it must have won at each node that was reached,
-// and among them must be a majority of the key's holders and one node with a whole memory. A node
-// without a whole memory counts only if it is known to have been restarted; it may have joined after an earlier claim. Of two claims for one key, also
-// by entry nodes that reach different nodes, at most one has the majority; and a node with a whole memory knows the claims
-// that others have forgotten in a crash. A majority with whole memories would also withstand a crash between two claims
-// that miss different holders, but two crashes in 10 min would then refuse the calls of many keys.
+// and among them must be a majority of the key's holders and one node with a whole memory. A node without a whole memory
+// counts only if it is known to have been restarted, since it may otherwise have joined after an earlier claim.
+//
+// Of two claims for one key at most one has the majority, also if the entry nodes reach different nodes, and a node with a
+// whole memory knows the claims that others have forgotten in a crash. A majority with whole memories would also withstand
+// a crash between two claims that miss different holders, but two crashes in 10 min would then refuse many keys.
 func Combine(replies []Reply) (Verdict, *Recorded) {
 	holders, votes, whole := 0, 0, false
 	verdict, answer := VerdictGranted, (*Recorded)(nil)
--- a/io/nodepeer/claims.go
+++ b/io/nodepeer/claims.go
@@ -131,10 +131,9 @@
 	return nil
 }
 
-// ClaimsOptions configures Claims. Server is this node's own memory of keys. Incarnation
-// grows with each start of the node. ServiceSince returns a time before which no
-// call of the service can have been made; it may be nil. Without it, keyed calls are answered with unknown until some
-// node has announced the service for the window.
+// ClaimsOptions configures Claims. Server is this node's own memory of keys. Incarnation grows with each start of the node.
+// ServiceSince returns a time before which no call of the service can have been made; it may be nil. Without it, keyed calls
+// are answered with unknown until some node has announced the service for the window.
 type ClaimsOptions struct {
 	Self         core.NodeID
 	Incarnation  core.Incarnation
