Send what only a relay holds with its next ping

Since the acknowledgement names the revision and hash of its sender, a relay sent one when it had switched and another when the nodes below it had, and the second waited for the interval of 100 ms. The time until the nodes switch had not grown (in-process measurement: 17 ms at 50 nodes, 28 ms before), so the configuration path was ruled out.

The sum of a subtree no longer takes the position of whichever child comes first.

--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -191,7 +191,7 @@
 func (h *hub) subtree() acknowledge {
 	var sum acknowledge
 	for _, c := range h.children {
-		sum = sum.and(c.acknowledged)
+		sum = sum.and(c.acknowledged.subtree())
 	}
 	return sum
 }
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -146,6 +146,12 @@
 	Schema   core.SchemaVersion `msgpack:"schema-version"`
 }
 
+// subtree leaves out what only the sender holds.
+func (a acknowledge) subtree() acknowledge {
+	a.Revision, a.Hash = 0, 0
+	return a
+}
+
 // and adds another subtree and keeps the first one's sender.
 func (a acknowledge) and(other acknowledge) acknowledge {
 	if a.Nodes == 0 {
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -119,9 +119,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	due := h.announcementsDue(u, now, last)
-	if report := h.ownAcknowledgement().and(h.subtree()); report != u.acknowledged && (last || u.acknowledging.ready(now)) {
+	if report := h.ownAcknowledgement().and(h.subtree()); last && report != u.acknowledged || u.acknowledgementDue(report, now) {
+		if report.subtree() != u.acknowledged.subtree() {
+			u.acknowledging.sent(now)
+		}
 		u.acknowledged = report
-		u.acknowledging.sent(now)
 		due = append(due, outgoing{
 			kind:    typeAcknowledge,
 			message: report,
@@ -156,12 +158,21 @@
 	if u.cursor != h.table.Position(lease.Local) && u.batch.next.Before(next) {
 		next = u.batch.next
 	}
-	if u.acknowledged != h.ownAcknowledgement().and(h.subtree()) && u.acknowledging.next.Before(next) {
+	if u.acknowledged.subtree() != h.ownAcknowledgement().and(h.subtree()).subtree() && u.acknowledging.next.Before(next) {
 		next = u.acknowledging.next
 	}
 	return next
 }
 
+// acknowledgementDue sends what only this node holds with the next ping: sent at once, it would delay the acknowledgement of
+// the nodes below, which follows a moment later, by the whole interval.
+func (u *uplink) acknowledgementDue(report acknowledge, now time.Time) bool {
+	if report.subtree() != u.acknowledged.subtree() {
+		return u.acknowledging.ready(now)
+	}
+	return report != u.acknowledged && u.pinging.ready(now)
+}
+
 // ownAcknowledgement counts the node itself; a control instance does not count as a node.
 func (h *hub) ownAcknowledgement() acknowledge {
 	if h.relay == "" {
