--- a/e2e/failures_test.go
+++ b/e2e/failures_test.go
@@ -148,8 +148,8 @@
 	for i := 1; i <= nodes; i++ {
 		d.stop(fmt.Sprintf("n%d", i))
 		d.stop(fmt.Sprintf("b%d", i))
-		d.startBackend(i, "v1") // before its node, so that its first announcement fails and the next one follows after a second
-		time.Sleep(100 * time.Millisecond)
+		d.startBackend(i, "v1")            // before its node, so that its first announcement fails and the next one follows after a second
+		time.Sleep(100 * time.Millisecond) // the first announcement must fail before its node listens
 		d.startNode(i)
 		d.eventually("the restarted node takes callers", 10*time.Second, func() bool { return d.ready(fmt.Sprintf("n%d", i)) })
 	}
