Count only certain holders for an idempotency key

A node that takes its memory back after a planned stop lacks the claims that the other holders granted meanwhile, but it was taken for one that knows all claims. After a crash of the two others the key was granted again. Longer runs showed two more ways: a node out of reach filled the place of the third holder, so that a later holder was never told of the claim; and a newcomer that had been restarted voted although it does not count as a holder.

Ruled out: a fault of the fake fleet (its restored nodes keep their memory as the real ones do); a node that was restored without counting for the memory at all, since a rolling restart would then leave every key unknown.

Now a restored memory counts only if half of the holders have a whole one, a claim goes on until three certain holders have granted it, later nodes never vote, and an entry node must have known a holder for the window before it takes it for a restarted one. Two expectations of the rule test change: with a silent node among the first three the claim asks one node more, and the rule that nobody takes the place of a holder is now checked where the claim is decided.

--- a/core/idempotency/holders.go
+++ b/core/idempotency/holders.go
@@ -38,6 +38,7 @@
 type Holder struct {
 	core.Endpoint
 	First  time.Time // it has been known since then
+	Known  bool      // it has been known for the window
 	Joined bool      // it joined within the window, for the first time in it
 }
 
@@ -112,6 +113,7 @@
 			holder: Holder{
 				Endpoint: node.endpoint,
 				First:    node.first,
+				Known:    now.Sub(node.first) >= Window,
 				Joined:   node.late && now.Sub(node.first) < Window,
 			},
 			score: xxhash.Sum64String(string(id) + "\x00" + string(key.Tenant) + "\x00" + string(key.Name)),
--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -130,17 +130,22 @@
 // Guards against a run on the replies of holders that cannot know, or against the reply of one that does.
 func TestClaimNeedsEachReachedHolderAndAMajority(t *testing.T) {
 	c := qt.New(t)
-	reply := func(verdict Verdict, whole bool) Reply { return Reply{Reached: true, Whole: whole, Verdict: verdict} }
+	reply := func(verdict Verdict, whole bool) Reply {
+		return Reply{Reached: true, Whole: whole, Unbroken: whole, Verdict: verdict}
+	}
 	granted, unclear, silent := reply(VerdictGranted, true), reply(VerdictGranted, false), Reply{}
 	restarted := unclear
 	restarted.Before = true
+	restored := granted // after a planned stop
+	restored.Unbroken = false
 	joined := Reply{Reached: true, Joined: true, Verdict: VerdictGranted}
 	newcomers := []Reply{joined, joined, joined}
-	c.Assert(Enough(newcomers), qt.IsFalse) // else such a key would stay unknown although old nodes can be asked
-	c.Assert(Enough(append(newcomers, granted, granted, silent)), qt.IsTrue)
-	c.Assert(Enough([]Reply{granted, granted}), qt.IsFalse) // else a resend would miss it after one of them was restarted
+	c.Assert(Enough(newcomers), qt.IsFalse)                                   // else such a key would stay unknown although old nodes can be asked
+	c.Assert(Enough(append(newcomers, granted, granted, silent)), qt.IsFalse) // the silent one may be a newcomer too
+	c.Assert(Enough(append(newcomers, granted, granted, restarted)), qt.IsTrue)
+	c.Assert(Enough([]Reply{unclear, granted, granted}), qt.IsFalse) // only this entry node may take the first for a holder
+	c.Assert(Enough([]Reply{granted, granted}), qt.IsFalse)          // else a resend would miss it after one of them was restarted
 	c.Assert(Enough([]Reply{reply(VerdictRunning, false)}), qt.IsTrue)
-	c.Assert(Enough([]Reply{restarted, silent, granted}), qt.IsTrue) // else others would take the place of one that has forgotten
 	for _, test := range []struct {
 		replies []Reply
 		want    Verdict
@@ -150,8 +155,13 @@
 		{replies: []Reply{granted, granted, silent}, want: VerdictGranted},
 		{replies: []Reply{restarted, granted, granted}, want: VerdictGranted},
 		{replies: []Reply{joined, joined, granted, granted, silent}, want: VerdictGranted},
+		{replies: []Reply{restarted, silent, silent, granted, granted}, want: VerdictUnknown}, // others do not replace a holder
+		{replies: []Reply{silent, restarted, restarted, granted}, want: VerdictUnknown},
 		{replies: []Reply{silent, granted}, want: VerdictUnknown}, // another entry node may reach only the other one
 		{replies: []Reply{granted, restarted, silent}, want: VerdictGranted},
+		{replies: []Reply{restored, restarted, silent}, want: VerdictUnknown}, // the others may have granted it during the stop
+		{replies: []Reply{restored, restored, silent}, want: VerdictGranted},
+		{replies: []Reply{restored, restarted}, want: VerdictGranted},
 		{replies: []Reply{restarted, restarted, restarted}, want: VerdictUnknown},
 		{replies: []Reply{restarted, restarted, silent}, want: VerdictUnknown}, // the third may have held the key alone
 		{replies: []Reply{restarted, silent, silent}, want: VerdictUnknown},
@@ -198,7 +208,8 @@
 					verdict = VerdictUnknown
 				}
 				asked = append(asked, holder.Node)
-				replies = append(replies, Reply{Reached: true, Whole: joined[holder.Node] == 0, Joined: holder.Joined, Verdict: verdict})
+				whole := joined[holder.Node] == 0
+				replies = append(replies, Reply{Reached: true, Whole: whole, Unbroken: whole, Joined: holder.Joined, Verdict: verdict})
 			}
 			if verdict, _ := Combine(replies); verdict == VerdictGranted {
 				if claimed {
@@ -249,7 +260,7 @@
 	for i := range 1000 {
 		key := Key{Service: "s", Name: core.IdempotencyKey(fmt.Sprint(i))}
 		holders.Observe(epoch, "s", endpoints)
-		before := holders.Choose(epoch, key)
+		before := holders.Choose(epoch.Add(Window), key)
 		c.Assert(before, qt.HasLen, maxAsked)
 		c.Assert(before[0].Node, qt.Not(qt.Equals), before[1].Node)
 		spread[before[0].Node]++
--- a/core/idempotency/quorum.go
+++ b/core/idempotency/quorum.go
@@ -10,12 +10,13 @@
 
 // Reply is what one holder said about a claim.
 type Reply struct {
-	Reached bool
-	Whole   bool // the holder remembers all claims of the window that it has granted
-	Joined  bool // the holder is known to have joined the service within the window for the first time
-	Before  bool // the holder was known before it announced the service, so that it has been restarted
-	Verdict Verdict
-	Answer  *Recorded
+	Reached  bool
+	Whole    bool // the holder remembers all claims of the window that it has granted
+	Unbroken bool // and it could be asked for the whole window, so that it was not restarted in it
+	Joined   bool // the holder is known to have joined the service within the window for the first time
+	Before   bool // the holder was known before it announced the service, so that it has been restarted
+	Verdict  Verdict
+	Answer   *Recorded
 }
 
 // fixed reports whether the node is one of the key's holders as far as can be told. A node that has just joined is not, and
@@ -25,47 +26,56 @@
 	return !r.Reached || r.Whole || !r.Joined
 }
 
+// votes reports whether the node is certainly a holder. One without a whole memory may have joined after an earlier claim,
+// unless it is known to have been restarted.
+func (r Reply) votes() bool {
+	return r.Reached && r.fixed() && (r.Whole || r.Before)
+}
+
 // Enough reports whether the replies so far, in the order of Holders.Choose, decide a claim: someone else has the key, or
-// all its holders were asked.
+// HolderCount nodes that certainly hold it know of the claim. Others may stand before these for this entry node alone.
 func Enough(replies []Reply) bool {
-	holders := 0
+	voters := 0
 	for _, reply := range replies {
 		if reply.Reached && reply.Verdict != VerdictGranted {
 			return true
 		}
-		if reply.fixed() {
-			holders++
+		if reply.votes() {
+			voters++
 		}
 	}
-	return holders >= HolderCount
+	return voters >= HolderCount
 }
 
-// Combine decides a claim from the replies in the order of Holders.Choose: it must have won at each node that was reached,
-// and among them must be a majority of the key's holders and one node with a whole memory. A node without a whole memory
-// counts only if it is known to have been restarted, since it may otherwise have joined after an earlier claim.
+// Combine decides a claim from the replies in the order of Holders.Choose: it must have won at each node that was reached.
+// Among the key's holders, which are the first HolderCount that are fixed, a majority must vote for it, and either one
+// must have an unbroken memory or so many whole ones that each majority has one of them.
 //
-// Of two claims for one key at most one has the majority, also if the entry nodes reach different nodes, and a node with a
-// whole memory knows the claims that others have forgotten in a crash. A majority with whole memories would also withstand
+// Of two claims for one key at most one has the majority, also if the entry nodes reach different nodes. A node with an
+// unbroken memory knows the claims that others have forgotten in a crash; one that took its memory back after a planned
+// stop lacks the claims that the others granted meanwhile. To ask for several whole memories always would also withstand
 // a crash between two claims that miss different holders, but two crashes in 10 min would then refuse many keys.
 func Combine(replies []Reply) (Verdict, *Recorded) {
-	holders, votes, whole := 0, 0, false
+	holders, votes, whole, unbroken := 0, 0, 0, false
 	verdict, answer := VerdictGranted, (*Recorded)(nil)
 	for _, reply := range replies {
-		if reply.fixed() {
-			holders++
+		if reply.Reached && rank(reply.Verdict) > rank(verdict) {
+			verdict, answer = reply.Verdict, reply.Answer
 		}
-		if !reply.Reached {
+		if holders == HolderCount || !reply.fixed() {
 			continue
 		}
-		if reply.Whole || reply.Before {
+		holders++
+		if reply.votes() {
 			votes++
 		}
-		whole = whole || reply.Whole
-		if rank(reply.Verdict) > rank(verdict) {
-			verdict, answer = reply.Verdict, reply.Answer
+		if reply.Whole {
+			whole++
 		}
+		unbroken = unbroken || reply.Unbroken
 	}
-	if verdict == VerdictGranted && (!whole || votes <= holders/2) {
+	remembered := unbroken || whole > 0 && 2*whole >= holders
+	if verdict == VerdictGranted && (!remembered || votes <= holders/2) {
 		return VerdictUnknown, nil
 	}
 	return verdict, answer
--- a/core/idempotency/quorum_test.go
+++ b/core/idempotency/quorum_test.go
@@ -14,6 +14,7 @@
 type fakeNode struct {
 	keys  *Keys
 	since time.Time
+	run   time.Time // its present run began then
 	up    bool
 	left  time.Time // zero while it announces the service
 	kept  []Entry   // handed over when it left
@@ -69,7 +70,10 @@
 		}
 		verdict, _ := node.keys.Claim(f.now, key, owner, 1, f.now.Add(time.Minute))
 		won = append(won, node)
-		replies = append(replies, Reply{Reached: true, Whole: f.now.Sub(node.since) >= Window+JoinLag, Joined: holder.Joined, Before: holder.First.Before(node.since), Verdict: verdict})
+		replies = append(replies, Reply{
+			Reached: true, Verdict: verdict, Joined: holder.Joined, Before: holder.Known && holder.First.Before(node.since),
+			Whole: f.now.Sub(node.since) >= Window+JoinLag, Unbroken: f.now.Sub(node.run) >= Window+JoinLag,
+		})
 	}
 	if verdict, _ := Combine(replies); verdict == VerdictGranted {
 		if before, ran := f.granted[key]; ran && f.now.Sub(before) <= Window {
@@ -91,7 +95,7 @@
 		f := &fakeFleet{now: epoch, nodes: make(map[core.NodeID]*fakeNode), granted: make(map[Key]time.Time)}
 		join := func() {
 			if len(f.nodes) < 40 {
-				f.nodes[core.NodeID(fmt.Sprint(len(f.nodes)))] = &fakeNode{keys: NewKeys(), since: f.now, up: true}
+				f.nodes[core.NodeID(fmt.Sprint(len(f.nodes)))] = &fakeNode{keys: NewKeys(), since: f.now, run: f.now, up: true}
 			}
 		}
 		for range rapid.IntRange(1, 6).Draw(t, "nodes") {
@@ -120,7 +124,7 @@
 				} else {
 					node.since = f.now
 				}
-				node.up, node.left, node.kept = true, time.Time{}, nil
+				node.up, node.run, node.left, node.kept = true, f.now, time.Time{}, nil
 			case 3: // a planned stop
 				if node.up {
 					node.kept, node.away, node.keys, node.up = append([]Entry{}, node.keys.Export(f.now)...), f.now, NewKeys(), false
--- a/io/nodepeer/claims.go
+++ b/io/nodepeer/claims.go
@@ -49,6 +49,7 @@
 type keyReply struct {
 	Token    uint64                `msgpack:"token"`
 	MemberUS int64                 `msgpack:"member-us"` // how long the holder has been one of the service's nodes
+	RunUS    int64                 `msgpack:"run-us"`    // how long of that in its present run
 	Verdict  idempotency.Verdict   `msgpack:"verdict"`
 	Answer   *idempotency.Recorded `msgpack:"answer"`
 	Left     bool                  `msgpack:"left"` // the holder has handed its memory over and grants nothing more
@@ -59,6 +60,7 @@
 // it has left.
 type membership struct {
 	since time.Time
+	run   time.Time // later than since if an earlier run's memory was taken back
 	left  time.Time // zero while it announces the service
 }
 
@@ -78,7 +80,7 @@
 	case present && known:
 		m.left = time.Time{}
 	case present && len(s.members) < maxMemberships:
-		m.since = now
+		m.since, m.run = now, now
 	case known && m.left.IsZero():
 		m.left = now
 	default:
@@ -87,13 +89,13 @@
 	s.members[service] = m
 }
 
-// memberFor needs the lock.
-func (s *Server) memberFor(now time.Time, service core.ServiceName) time.Duration {
+// memberFor returns how long the node has been one of the service's nodes, in all and in its present run. It needs the lock.
+func (s *Server) memberFor(now time.Time, service core.ServiceName) (member, run time.Duration) {
 	m, known := s.members[service]
 	if !known || (!m.left.IsZero() && now.Sub(m.left) > idempotency.Window) {
-		return 0
+		return 0, 0
 	}
-	return now.Sub(m.since)
+	return now.Sub(m.since), now.Sub(m.run)
 }
 
 // keepKey is the holder's side of a claim.
@@ -113,9 +115,11 @@
 			Left:  true,
 		}
 	}
+	member, run := s.memberFor(now, message.Key.Service)
 	reply := keyReply{
 		Token:    message.Token,
-		MemberUS: s.memberFor(now, message.Key.Service).Microseconds(),
+		MemberUS: member.Microseconds(),
+		RunUS:    run.Microseconds(),
 	}
 	if message.Verdict != "" {
 		s.keys.Settle(now, message.Key, message.Owner, message.Verdict, message.Answer)
@@ -266,18 +270,24 @@
 		return idempotency.Reply{}
 	}
 	member := time.Duration(reply.MemberUS) * time.Microsecond
-	whole := member >= idempotency.Window+idempotency.JoinLag
-	if since, known := c.since(service); known && member > 0 && !time.Now().Add(-member).After(since) {
-		whole = true
-	}
 	return idempotency.Reply{
-		Reached: true,
-		Whole:   whole,
-		Joined:  holder.Joined,
-		Before:  holder.First.Before(time.Now().Add(-member)),
-		Verdict: reply.Verdict,
-		Answer:  reply.Answer,
+		Reached:  true,
+		Whole:    c.covers(service, member),
+		Unbroken: c.covers(service, time.Duration(reply.RunUS)*time.Microsecond),
+		Joined:   holder.Joined,
+		Before:   holder.Known && holder.First.Before(time.Now().Add(-member)),
+		Verdict:  reply.Verdict,
+		Answer:   reply.Answer,
+	}
+}
+
+// covers reports whether a holder that has been a node of the service for so long knows all that happened in the window.
+func (c *Claims) covers(service core.ServiceName, member time.Duration) bool {
+	if member >= idempotency.Window+idempotency.JoinLag {
+		return true
 	}
+	since, known := c.since(service)
+	return known && member > 0 && !time.Now().Add(-member).After(since)
 }
 
 func (c *Claims) since(service core.ServiceName) (time.Time, bool) {
--- a/io/nodepeer/custody.go
+++ b/io/nodepeer/custody.go
@@ -139,7 +139,7 @@
 			if len(s.members) >= maxMemberships {
 				continue
 			}
-			m.left = now
+			m.left, m.run = now, now
 		}
 		m.since = now.Add(-age - away)
 		s.members[service] = m
--- a/io/nodepeer/custody_test.go
+++ b/io/nodepeer/custody_test.go
@@ -82,7 +82,8 @@
 		for restored := false; !restored; runtime.Gosched() {
 			c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("node %d has no memory", i))
 			server.mu.Lock()
-			restored = time.Now().Add(-server.memberFor(time.Now(), "orders")).Before(f.accepted)
+			member, _ := server.memberFor(time.Now(), "orders")
+			restored = time.Now().Add(-member).Before(f.accepted)
 			server.mu.Unlock()
 		}
 	}
