--- a/core/catalog/bench_test.go
+++ b/core/catalog/bench_test.go
@@ -40,9 +40,9 @@
 	}
 	for b.Loop() {
 		r := catalog.New()
-		r.Apply(1, command)
+		_, _ = r.Apply(1, command)
 		for i, command := range commands {
-			r.Apply(core.LogIndex(i+2), command)
+			_, _ = r.Apply(core.LogIndex(i+2), command)
 		}
 		c.Assert(r.Current().Revision(), qt.Equals, core.Revision(1001))
 	}
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -33,7 +33,9 @@
 	audit         []AuditEntry // the latest entries
 	auditCount    uint64       // all entries ever
 	archive       Archive      // nil: older entries are dropped
-	forgetEvery   uint64       // a constant but in tests
+	rules         core.RulesVersion
+	forgetEvery   uint64            // a constant but in tests
+	known         core.RulesVersion // a constant but in tests
 }
 
 // stamp says who set the newest version of a record. The stamp of a deleted record stays for a while (see forgetStamps), so
@@ -57,7 +59,9 @@
 		verdicts:      newMemory(),
 		moves:         make(map[core.MoveID]move),
 		openMoves:     make(map[core.ServiceName]core.MoveID),
+		rules:         firstRules,
 		forgetEvery:   forgetEvery,
+		known:         KnownRules,
 	}
 }
 
@@ -82,24 +86,32 @@
 	return c.changed
 }
 
-// Apply applies one command and returns an encoded Verdict; a command that cannot be decoded changes nothing.
-func (c *Catalog) Apply(index core.LogIndex, command []byte) []byte {
+// Apply applies one command and returns an encoded Verdict; a command that cannot be decoded changes nothing. It returns
+// ErrRulesUnknown if the command brings rules into force that this program does not know.
+func (c *Catalog) Apply(index core.LogIndex, command []byte) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	verdict := c.apply(index, command)
-	encoded, err := msgpack.Marshal(verdict)
-	if err != nil {
-		panic(err) // a Verdict has only fields that can be encoded
-	}
-	return encoded
-}
-
-func (c *Catalog) apply(index core.LogIndex, command []byte) Verdict {
 	var e envelope
 	if err := decode(command, &e); err != nil {
-		return c.complete(refused(CauseMalformed, "command: %v", err))
+		return encodeVerdict(c.complete(refused(CauseMalformed, "command: %v", err)))
 	}
 	e.At = e.At.UTC()
+	if e.Action != ActionRules {
+		return encodeVerdict(c.decide(index, e))
+	}
+	verdict, err := c.raiseRules(index, e)
+	if err != nil {
+		return nil, err
+	}
+	return encodeVerdict(verdict)
+}
+
+func encodeVerdict(verdict Verdict) ([]byte, error) {
+	encoded, err := msgpack.Marshal(verdict)
+	return encoded, errors.Trace(err)
+}
+
+func (c *Catalog) decide(index core.LogIndex, e envelope) Verdict {
 	switch e.Action {
 	case ActionSubmit:
 		return decodeAndRun(c, index, e, c.submit)
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -27,7 +27,9 @@
 	c.Assert(err, qt.IsNil)
 	before := r.Current()
 	r.index++
-	verdict, err := catalog.DecodeVerdict(r.Apply(r.index, command))
+	result, err := r.Apply(r.index, command)
+	c.Assert(err, qt.IsNil)
+	verdict, err := catalog.DecodeVerdict(result)
 	c.Assert(err, qt.IsNil)
 	if verdict.Result == catalog.Refused {
 		c.Assert(r.Current(), qt.Equals, before, qt.Commentf("a refused command changed the configuration"))
@@ -176,7 +178,7 @@
 			MoveID:   "m9",
 		})
 		c.Assert(err, qt.IsNil)
-		r.Apply(1, command)
+		_, _ = r.Apply(1, command)
 	}
 	r = r.restored(c)
 	trail := len(r.Audit(catalog.AuditFilter{}))
@@ -359,3 +361,27 @@
 	r.submit(c, submission("second", policy(2, "v2")))
 	c.Assert(isClosed(changed), qt.IsTrue)
 }
+
+// Guards against control instances of two program versions that decide one command differently: the older one must stop
+// when it meets newer rules, in the log or in a snapshot.
+func TestUnknownRulesStopTheInstance(t *testing.T) {
+	c := qt.New(t)
+	r, older := newReplica(c), newReplica(c)
+	r.SetKnownRules(catalog.KnownRules + 1)
+	command, err := catalog.EncodeRules(start, catalog.KnownRules+1)
+	c.Assert(err, qt.IsNil)
+	for range 2 { // a repeated proposal changes nothing
+		r.apply(c, command, err)
+	}
+	c.Assert(r.Rules(), qt.Equals, catalog.KnownRules+1)
+	c.Assert(r.Audit(catalog.AuditFilter{})[1:], qt.HasLen, 1)
+	_, err = older.Apply(2, command)
+	c.Assert(errors.Is(err, catalog.ErrRulesUnknown), qt.IsTrue)
+	snapshot, err := r.Snapshot()
+	c.Assert(err, qt.IsNil)
+	c.Assert(errors.Is(older.Restore(snapshot), catalog.ErrRulesUnknown), qt.IsTrue)
+	c.Assert(older.Rules(), qt.Equals, catalog.KnownRules)
+	older.SetKnownRules(catalog.KnownRules + 1)
+	c.Assert(older.Restore(snapshot), qt.IsNil)
+	c.Assert(older.Rules(), qt.Equals, r.Rules())
+}
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -33,6 +33,7 @@
 	ActionStep    Action = "step"
 	ActionAbort   Action = "abort"
 	ActionMembers Action = "members"
+	ActionRules   Action = "rules"
 )
 
 // Abort asks to take an open move back.
--- a/core/catalog/export_test.go
+++ b/core/catalog/export_test.go
@@ -1,5 +1,10 @@
 package catalog
 
+import "parsleyport/core"
+
+// SetKnownRules replaces the version of the rules that the program knows.
+func (c *Catalog) SetKnownRules(known core.RulesVersion) { c.known = known }
+
 // SetLimits replaces the number of remembered verdicts and of audit entries between two searches for stamps to forget.
 func (c *Catalog) SetLimits(verdicts int, forgetEvery uint64) {
 	c.verdicts.limit, c.forgetEvery = verdicts, forgetEvery
--- a/core/catalog/property_test.go
+++ b/core/catalog/property_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
 	"parsleyport/core"
@@ -141,7 +142,9 @@
 	f.Fuzz(func(t *testing.T, command []byte) {
 		c := qt.New(t)
 		r := newReplica(c)
-		r.apply(c, command, nil)
+		if _, err := newReplica(c).Apply(1, command); !errors.Is(err, catalog.ErrRulesUnknown) {
+			r.apply(c, command, nil)
+		}
 		_ = r.Restore(command)
 	})
 }
--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -23,7 +23,8 @@
 	MoveCount uint64       `msgpack:"move-count"`
 	Audit     []AuditEntry `msgpack:"audit"` // the latest maxAudit entries
 
-	AuditCount uint64 `msgpack:"audit-count"` // zero in older snapshots, which hold all entries
+	AuditCount uint64            `msgpack:"audit-count"`     // zero in older snapshots, which hold all entries
+	Rules      core.RulesVersion `msgpack:"rules,omitempty"` // zero in older snapshots, which have the first rules
 }
 
 type keyedStamp struct {
@@ -52,6 +53,7 @@
 		Audit:     c.audit,
 
 		AuditCount: c.auditCount,
+		Rules:      c.rules,
 	})
 	return encoded, errors.Trace(err)
 }
@@ -65,12 +67,16 @@
 	if s.Format != snapshotFormat {
 		return errors.Errorf("snapshot has format %d, expected %d", s.Format, snapshotFormat)
 	}
+	if err := c.checkRules(s.Rules); err != nil {
+		return errors.Annotate(err, "snapshot")
+	}
 	configuration, err := record.FromFull(s.Full)
 	if err != nil {
 		return errors.Annotate(err, "snapshot")
 	}
 	restored := New()
 	restored.moveCount = s.MoveCount
+	restored.rules = max(s.Rules, firstRules)
 	for _, k := range s.Stamps {
 		restored.stamps[core.RecordKey{
 			Kind:          k.Kind,
@@ -110,7 +116,7 @@
 func (c *Catalog) replace(restored *Catalog, configuration *record.Configuration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stamps, c.verdicts = restored.stamps, restored.verdicts
+	c.stamps, c.verdicts, c.rules = restored.stamps, restored.verdicts, restored.rules
 	c.audit, c.auditCount = restored.audit, restored.auditCount
 	c.moves, c.moveOrder, c.openMoves, c.moveCount = restored.moves, restored.moveOrder, restored.openMoves, restored.moveCount
 	c.publish(configuration)
--- a/core/ids.go
+++ b/core/ids.go
@@ -48,6 +48,9 @@
 // SchemaVersion numbers the format of a record's body, starting at 1.
 type SchemaVersion uint32
 
+// RulesVersion numbers the rules by which commands in the replicated log are decided, starting at 1.
+type RulesVersion uint32
+
 // RecordVersion is the operators' version number of one record, starting at 1.
 type RecordVersion uint64
 
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -39,8 +39,9 @@
 
 // StateMachine is driven by committed entries, on one goroutine and in log order.
 type StateMachine interface {
-	// Apply applies one command; it must be deterministic.
-	Apply(index LogIndex, command []byte) (result []byte)
+	// Apply applies one command; it must be deterministic. An error means that this program cannot decide the command as
+	// others do, so that it must not go on.
+	Apply(index LogIndex, command []byte) (result []byte, err error)
 	// Snapshot encodes the whole state.
 	Snapshot() ([]byte, error)
 	// Restore replaces the whole state.
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -41,7 +41,8 @@
 
 func (f *fakeReplicator) Propose(_ context.Context, command []byte) ([]byte, error) {
 	f.index++
-	return f.catalog.Apply(f.index, command), f.err
+	result, _ := f.catalog.Apply(f.index, command)
+	return result, f.err
 }
 
 func (f *fakeReplicator) ConfirmRead(ctx context.Context) error {
--- a/io/cli/show.go
+++ b/io/cli/show.go
@@ -48,6 +48,7 @@
 	fmt.Fprintf(p.stdout, "open moves:       %v\n", status.OpenMoves)
 	if len(status.Tenants) == 0 {
 		fmt.Fprintf(p.stdout, "control instance: %s, %s, term %d, leader %q\n", status.Replica.Self, status.Replica.Role, status.Replica.Term, status.Replica.Leader)
+		fmt.Fprintf(p.stdout, "rules:            version %d\n", status.Rules)
 		fmt.Fprintf(p.stdout, "members:          %v, learners %v\n", status.Replica.Voters, status.Replica.Learners)
 	}
 	services := lo.Keys(status.Fleet.Endpoints)
--- a/io/control/audit_test.go
+++ b/io/control/audit_test.go
@@ -29,7 +29,7 @@
 	for i := range total {
 		command, err := catalog.EncodeAbort(time.Unix(0, 0), catalog.Abort{ID: core.SubmissionID(fmt.Sprint(i)), Operator: "amina", MoveID: "m9"})
 		c.Assert(err, qt.IsNil)
-		full.catalog.Apply(core.LogIndex(i+1), command)
+		_, _ = full.catalog.Apply(core.LogIndex(i+1), command)
 	}
 	snapshot, err := full.catalog.Snapshot()
 	c.Assert(err, qt.IsNil)
--- a/io/control/catchup.go
+++ b/io/control/catchup.go
@@ -31,7 +31,9 @@
 	Identity     raft.Identity `msgpack:"identity"`
 	Applied      core.LogIndex `msgpack:"applied"`
 	MissingAudit uint64        `msgpack:"missing-audit"`
-	at           time.Time
+
+	KnownRules core.RulesVersion `msgpack:"known-rules"`
+	at         time.Time
 }
 
 // catchUp holds the newest report of each other instance.
@@ -124,6 +126,7 @@
 				Identity:     replica.Self().Identity,
 				Applied:      replica.Status().Applied,
 				MissingAudit: end - first,
+				KnownRules:   catalog.KnownRules,
 			})
 			for peer := range p.catchUp.peers {
 				if err == nil {
--- a/io/control/catchup_test.go
+++ b/io/control/catchup_test.go
@@ -9,11 +9,12 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyport/core"
+	"parsleyport/core/catalog"
 	"parsleyport/core/raft"
 )
 
 // Guards against a promoted learner that lacks the log or the older audit entries, and against a report of the disk that
-// it has lost.
+// it has lost; and against rules that come into force while an instance does not know them.
 func TestPromotionIsRefusedUntilCaughtUp(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1_700_000_000, 0)
@@ -42,4 +43,12 @@
 	refused("it has not reported what it holds")
 	report("stranger", catchUpReport{})
 	c.Assert(held.reports, qt.HasLen, 1)
+
+	members := []raft.Member{{Peer: raft.Peer{ID: "c1"}}, {Peer: learner}}
+	known := func() core.RulesVersion { return held.knownToAll(now, members[0].Peer, members) }
+	c.Assert(known(), qt.Equals, core.RulesVersion(0)) // else an instance that is away could not follow the rules later
+	report("c2", catchUpReport{Identity: "new"})
+	c.Assert(known(), qt.Equals, core.RulesVersion(0)) // from a program without this field
+	report("c2", catchUpReport{Identity: "new", KnownRules: catalog.KnownRules + 1})
+	c.Assert(known(), qt.Equals, catalog.KnownRules)
 }
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -62,6 +62,7 @@
 	p.startMover(injector)
 	p.startBackfill(injector)
 	p.startCatchUp(injector)
+	p.startRules(injector)
 	p.log.Info().Str("event", "started").Msg("control instance started")
 	select {
 	case <-ctx.Done():
--- a/io/disk/archive_test.go
+++ b/io/disk/archive_test.go
@@ -24,7 +24,7 @@
 			MoveID:   "m9",
 		})
 		c.Assert(err, qt.IsNil)
-		records.Apply(core.LogIndex(i+1), command)
+		_, _ = records.Apply(core.LogIndex(i+1), command)
 	}
 }
 
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -82,4 +82,5 @@
 	Fleet     FleetStatus           `json:"fleet"`
 	Nodes     []NodeStatus          `json:"nodes,omitempty"` // only if asked for
 	Replica   core.ReplicatorStatus `json:"replica"`
+	Rules     core.RulesVersion     `json:"rules"` // for deciding commands, in force
 }
--- a/io/operatorhttp/operations.go
+++ b/io/operatorhttp/operations.go
@@ -194,6 +194,7 @@
 		OpenMoves: s.openMoves(by),
 		Fleet:     s.options.Fleet.Fleet(),
 		Replica:   s.options.Replicator.Status(),
+		Rules:     s.options.Catalog.Rules(),
 	}
 	if input.Nodes {
 		status.Nodes = s.options.Fleet.Nodes()
--- a/io/operatorhttp/operatorhttp_test.go
+++ b/io/operatorhttp/operatorhttp_test.go
@@ -44,7 +44,7 @@
 	var result []byte
 	apply := func() {
 		f.applied++
-		result = f.catalog.Apply(f.applied, command)
+		result, _ = f.catalog.Apply(f.applied, command)
 	}
 	if f.fail != nil {
 		if err := f.fail(f.proposals, apply); err != nil {
--- a/io/raftpeer/applier.go
+++ b/io/raftpeer/applier.go
@@ -46,7 +46,9 @@
 // apply handles one step's outcome and returns a snapshot that was stored, or nil.
 func (a *applier) apply(o outcome) (*raft.Snapshot, error) {
 	for _, entry := range o.committed {
-		a.applyEntry(entry)
+		if err := a.applyEntry(entry); err != nil {
+			return nil, errors.Annotatef(err, "apply entry %d", entry.Index)
+		}
 	}
 	a.waiting = append(a.waiting, o.reads...)
 	if excess := len(a.waiting) - maxOutstanding; excess > 0 {
@@ -62,19 +64,23 @@
 	return a.takeSnapshot()
 }
 
-func (a *applier) applyEntry(entry raft.Entry) {
+func (a *applier) applyEntry(entry raft.Entry) error {
 	if entry.Index <= a.applied {
-		return
+		return nil
 	}
 	var result []byte
 	switch entry.Kind {
 	case raft.EntryCommand:
-		result = a.machine.Apply(entry.Index, entry.Command)
+		var err error
+		if result, err = a.machine.Apply(entry.Index, entry.Command); err != nil {
+			return err
+		}
 	case raft.EntryMembers:
 		a.members = entry.Members
 	}
 	a.applied, a.term = entry.Index, entry.Term
 	a.done(entry.Request, result)
+	return nil
 }
 
 func (a *applier) finishReads() {
--- a/io/raftpeer/world_test.go
+++ b/io/raftpeer/world_test.go
@@ -21,10 +21,10 @@
 // registers is a state machine of named registers; a command is "name=value".
 type registers map[string]string
 
-func (m registers) Apply(_ core.LogIndex, command []byte) []byte {
+func (m registers) Apply(_ core.LogIndex, command []byte) ([]byte, error) {
 	name, value, _ := strings.Cut(string(command), "=")
 	m[name] = value
-	return []byte(value)
+	return []byte(value), nil
 }
 
 func (m registers) Snapshot() ([]byte, error) { return json.Marshal(m) }
