Know a key holder anew that was not listed for a while

Endpoints that left are listed for 10 min, and an entry node kept them for up to 10 min more. A holder that was back after that time without a memory voted at such an entry node, while a restarted entry node no longer counted it, so that the two chose different holders.

Ruled out: to forget a node with the list, because a list that is cut short by a lost parent would change the holders at once; to count the node as a newcomer, because entry nodes that saw it all the time count it as a holder.

Such a node now keeps its place but does not vote until it has been known for the window or has a whole memory.

Conclusion: the rule only takes votes away, so it cannot let a second claim win; restarted holders vote 10 min later after such a gap.

--- a/core/idempotency/holders.go
+++ b/core/idempotency/holders.go
@@ -80,6 +80,10 @@
 
 func (h *Holders) observe(now time.Time, nodes map[core.NodeID]*holderNode, endpoint core.Endpoint, late bool) {
 	if node := nodes[endpoint.Node]; node != nil {
+		if now.Sub(node.seen) > JoinLag {
+			// It may have been away for longer than other entry nodes remember: it keeps its place but is not known.
+			node.first, node.late = now, false
+		}
 		node.endpoint = endpoint
 		node.seen = now
 		return
