Tell restarted key holders from newcomers after an entry node's start

Cause: TestResentKeyedCallsRunOnce failed under load with 83 of 2,001 keyed calls unknown (36 are allowed). After the crash of two of four nodes a restarted entry node could not tell that the other one had been a holder before. A node that the entry node saw a moment after its own endpoint at the begin of a service was also taken for a newcomer, so that its place went to others after a crash.

Ruled out: the load alone (trace: nearly all unknown claims were those of the second restarted node, whose holders were two restarted nodes and one with a whole memory); to drop the rule that a holder must have been known for the window, since the random fleets showed a second grant.

Holders now tell an entry node in its first 10 min how long they have known each other, and a node that was known in the first 10 s of a service counts as a holder.

--- a/core/idempotency/holders.go
+++ b/core/idempotency/holders.go
@@ -38,7 +38,6 @@
 type Holder struct {
 	core.Endpoint
 	First  time.Time // it has been known since then
-	Known  bool      // it has been known for the window
 	Joined bool      // it joined within the window, for the first time in it
 }
 
@@ -100,6 +99,30 @@
 	}
 }
 
+// Ages returns how long the nodes that Choose returns have been known.
+func (h *Holders) Ages(now time.Time, key Key) map[core.NodeID]time.Duration {
+	chosen := h.Choose(now, key)
+	ages := make(map[core.NodeID]time.Duration, len(chosen))
+	for _, holder := range chosen {
+		ages[holder.Node] = now.Sub(holder.First)
+	}
+	return ages
+}
+
+// Learn notes how long another node has known nodes of the service. It lets a node that has just started tell holders that
+// were restarted from newcomers.
+func (h *Holders) Learn(now time.Time, service core.ServiceName, ages map[core.NodeID]time.Duration) {
+	known := h.services[service]
+	if known == nil {
+		return
+	}
+	for id, age := range ages {
+		if node := known.nodes[id]; node != nil && now.Add(-age).Before(node.first) {
+			node.first = now.Add(-age)
+		}
+	}
+}
+
 // Choose returns the nodes with the highest hash of node and key, in that order. The first HolderCount that have not just
 // joined hold the key.
 func (h *Holders) Choose(now time.Time, key Key) []Holder {
@@ -117,7 +140,6 @@
 			holder: Holder{
 				Endpoint: node.endpoint,
 				First:    node.first,
-				Known:    now.Sub(node.first) >= Window,
 				Joined:   node.late && now.Sub(node.first) < Window,
 			},
 			score: xxhash.Sum64String(string(id) + "\x00" + string(key.Tenant) + "\x00" + string(key.Name)),
--- a/core/idempotency/quorum_test.go
+++ b/core/idempotency/quorum_test.go
@@ -26,6 +26,7 @@
 	now     time.Time
 	nodes   map[core.NodeID]*fakeNode
 	entries []*Holders
+	whole   *Holders // what nodes that were never restarted know of the others
 	granted map[Key]time.Time
 	claims  int
 }
@@ -42,7 +43,7 @@
 }
 
 func (f *fakeFleet) observe() {
-	for _, entry := range f.entries {
+	for _, entry := range append(f.entries, f.whole) {
 		entry.Observe(f.now, "s", f.endpoints())
 	}
 }
@@ -59,7 +60,9 @@
 	owner := core.CallID(fmt.Sprint(f.claims))
 	var replies []Reply
 	var won []*fakeNode
-	for _, holder := range entry.Choose(f.now, key) {
+	since := make(map[core.NodeID]time.Time) // of the holders that were reached
+	holders := entry.Choose(f.now, key)
+	for _, holder := range holders {
 		if Enough(replies) {
 			break
 		}
@@ -68,12 +71,17 @@
 			replies = append(replies, Reply{})
 			continue
 		}
+		entry.Learn(f.now, "s", f.whole.Ages(f.now, key))
+		since[holder.Node] = node.since
 		verdict, _ := node.keys.Claim(f.now, key, owner, 1, f.now.Add(time.Minute))
 		won = append(won, node)
 		replies = append(replies, Reply{
-			Reached: true, Verdict: verdict, Joined: holder.Joined, Before: holder.Known && holder.First.Before(node.since),
+			Reached: true, Verdict: verdict, Joined: holder.Joined,
 			Whole: f.now.Sub(node.since) >= Window+JoinLag, Unbroken: f.now.Sub(node.run) >= Window+JoinLag,
 		})
+		for i, known := range entry.Choose(f.now, key)[:len(replies)] {
+			replies[i].Before = f.now.Sub(known.First) >= Window && known.First.Before(since[known.Node])
+		}
 	}
 	if verdict, _ := Combine(replies); verdict == VerdictGranted {
 		if before, ran := f.granted[key]; ran && f.now.Sub(before) <= Window {
@@ -101,7 +109,7 @@
 		for range rapid.IntRange(1, 6).Draw(t, "nodes") {
 			join()
 		}
-		f.entries = []*Holders{NewHolders(), NewHolders()}
+		f.entries, f.whole = []*Holders{NewHolders(), NewHolders()}, NewHolders()
 		f.observe()
 		f.wait(Window + JoinLag)
 		for range 60 {
--- a/io/nodepeer/claims.go
+++ b/io/nodepeer/claims.go
@@ -43,6 +43,7 @@
 	Verdict     idempotency.Verdict     `msgpack:"verdict"`
 	Answer      *idempotency.Recorded   `msgpack:"answer"`
 	Custody     *custodyRequest         `msgpack:"custody"`
+	WantAges    bool                    `msgpack:"want-ages"` // from a node that has just started
 }
 
 // keyReply answers a keyMessage.
@@ -54,6 +55,8 @@
 	Answer   *idempotency.Recorded `msgpack:"answer"`
 	Left     bool                  `msgpack:"left"` // the holder has handed its memory over and grants nothing more
 	Custody  *custodyReply         `msgpack:"custody"`
+
+	Ages map[core.NodeID]time.Duration `msgpack:"ages"` // how long the holder has known each of the key's holders
 }
 
 // membership is the time in which this node has announced a service; other nodes ask it for keys until the window after
@@ -131,7 +134,11 @@
 }
 
 func (c *serverConn) keepKey(message keyMessage) error {
-	c.send(typeKeyReply, c.server.keepKey(message))
+	reply := c.server.keepKey(message)
+	if message.WantAges {
+		reply.Ages = c.server.holderAges(message.Key)
+	}
+	c.send(typeKeyReply, reply)
 	return nil
 }
 
@@ -155,6 +162,8 @@
 	granted *metrics.Counter
 	denied  *metrics.Counter
 
+	started time.Time
+
 	mu      sync.Mutex
 	holders *idempotency.Holders
 	asked   map[core.CallID][]core.Endpoint // of calls whose claim was granted, until they are settled
@@ -173,10 +182,12 @@
 		options: options,
 		granted: options.Metrics.GetOrCreateCounter(`parsleyport_key_claims_total{verdict="granted"}`),
 		denied:  options.Metrics.GetOrCreateCounter(`parsleyport_key_claims_total{verdict="denied"}`),
+		started: time.Now(),
 		holders: idempotency.NewHolders(),
 		asked:   make(map[core.CallID][]core.Endpoint),
 		silent:  make(map[string]time.Time),
 	}
+	options.Server.setHolderAges(c.ages)
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { c.observe(ctx) })
@@ -239,18 +250,20 @@
 		Content:     idempotency.ContentOf(call),
 		RemainingUS: time.Until(call.Deadline).Microseconds(),
 	}
+	message.WantAges = time.Since(c.started) < idempotency.Window+idempotency.JoinLag
+	holders := c.holdersOf(message.Key)
+	var asked []holderReply
 	var replies []idempotency.Reply
-	var asked []core.Endpoint
-	for _, holder := range c.holdersOf(message.Key) {
-		if idempotency.Enough(replies) {
-			break
+	for i := 0; i < len(holders) && !idempotency.Enough(replies); i++ {
+		asked = append(asked, c.claimAt(ctx, holders[i], message))
+		if ages := asked[i].Ages; len(ages) > 0 {
+			holders = c.learn(message.Key, holders, ages)
 		}
-		asked = append(asked, holder.Endpoint)
-		replies = append(replies, c.reply(ctx, holder, call.Service, message))
+		replies = lo.Map(asked, func(r holderReply, at int) idempotency.Reply { return c.interpret(r, holders[at], call.Service) })
 	}
 	verdict, answer := idempotency.Combine(replies)
 	c.mu.Lock()
-	c.asked[call.ID] = asked
+	c.asked[call.ID] = lo.Map(holders[:len(asked)], func(h idempotency.Holder, _ int) core.Endpoint { return h.Endpoint })
 	c.mu.Unlock()
 	if verdict != idempotency.VerdictGranted {
 		c.Settle(ctx, call, idempotency.VerdictGranted, nil) // gives back what was won
@@ -264,32 +277,6 @@
 	return c.holders.Choose(time.Now(), key)
 }
 
-func (c *Claims) reply(ctx context.Context, holder idempotency.Holder, service core.ServiceName, message keyMessage) idempotency.Reply {
-	reply, err := c.ask(ctx, holder.Endpoint, message)
-	if err != nil {
-		return idempotency.Reply{}
-	}
-	member := time.Duration(reply.MemberUS) * time.Microsecond
-	return idempotency.Reply{
-		Reached:  true,
-		Whole:    c.covers(service, member),
-		Unbroken: c.covers(service, time.Duration(reply.RunUS)*time.Microsecond),
-		Joined:   holder.Joined,
-		Before:   holder.Known && holder.First.Before(time.Now().Add(-member)),
-		Verdict:  reply.Verdict,
-		Answer:   reply.Answer,
-	}
-}
-
-// covers reports whether a holder that has been a node of the service for so long knows all that happened in the window.
-func (c *Claims) covers(service core.ServiceName, member time.Duration) bool {
-	if member >= idempotency.Window+idempotency.JoinLag {
-		return true
-	}
-	since, known := c.since(service)
-	return known && member > 0 && !time.Now().Add(-member).After(since)
-}
-
 func (c *Claims) since(service core.ServiceName) (time.Time, bool) {
 	if c.options.ServiceSince == nil {
 		return time.Time{}, false
--- /dev/null
+++ b/io/nodepeer/holders.go
@@ -0,0 +1,97 @@
+package nodepeer
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/idempotency"
+)
+
+func (s *Server) setHolderAges(ages func(idempotency.Key) map[core.NodeID]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agesOf = ages
+}
+
+// holderAges returns how long this node has known each of the key's holders.
+func (s *Server) holderAges(key idempotency.Key) map[core.NodeID]time.Duration {
+	s.mu.Lock()
+	ages := s.agesOf
+	s.mu.Unlock()
+	if ages == nil {
+		return nil
+	}
+	return ages(key)
+}
+
+func (c *Claims) ages(key idempotency.Key) map[core.NodeID]time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holders.Ages(time.Now(), key)
+}
+
+// learn returns the same holders with what another node knows of them.
+func (c *Claims) learn(key idempotency.Key, holders []idempotency.Holder, ages map[core.NodeID]time.Duration) []idempotency.Holder {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holders.Learn(now, key.Service, ages)
+	return lo.Map(holders, func(h idempotency.Holder, _ int) idempotency.Holder {
+		if first := now.Add(-ages[h.Node]); first.Before(h.First) {
+			h.First = first
+		}
+		return h
+	})
+}
+
+// holderReply is a holder's reply with the time at which it came; reached is false if it has not replied.
+type holderReply struct {
+	keyReply
+	reached bool
+	at      time.Time
+}
+
+func (c *Claims) claimAt(ctx context.Context, holder idempotency.Holder, message keyMessage) holderReply {
+	reply, err := c.ask(ctx, holder.Endpoint, message)
+	return holderReply{
+		keyReply: reply,
+		reached:  err == nil,
+		at:       time.Now(),
+	}
+}
+
+func (c *Claims) interpret(r holderReply, holder idempotency.Holder, service core.ServiceName) idempotency.Reply {
+	if !r.reached {
+		return idempotency.Reply{}
+	}
+	member, run := time.Duration(r.MemberUS)*time.Microsecond, time.Duration(r.RunUS)*time.Microsecond
+	known := c.covers(service, r.at.Sub(holder.First)) || c.isOriginal(service, holder.First)
+	return idempotency.Reply{
+		Reached:  true,
+		Whole:    c.covers(service, member),
+		Unbroken: c.covers(service, run),
+		Joined:   holder.Joined && !known,
+		Before:   known && holder.First.Before(r.at.Add(-member)),
+		Verdict:  r.Verdict,
+		Answer:   r.Answer,
+	}
+}
+
+// isOriginal reports whether a holder was known when calls of the service began: nodes observe a service once its record is
+// accepted. Such a holder may have granted any key before it was restarted.
+func (c *Claims) isOriginal(service core.ServiceName, first time.Time) bool {
+	since, known := c.since(service)
+	return known && !first.After(since.Add(idempotency.JoinLag))
+}
+
+// covers reports whether a holder that has been a node of the service for so long knows all that happened in the window.
+func (c *Claims) covers(service core.ServiceName, member time.Duration) bool {
+	if member >= idempotency.Window+idempotency.JoinLag {
+		return true
+	}
+	since, known := c.since(service)
+	return known && member > 0 && !time.Now().Add(-member).After(since)
+}
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -51,6 +51,7 @@
 	members     map[core.ServiceName]membership
 	custodies   custodies
 	handedOver  bool
+	agesOf      func(idempotency.Key) map[core.NodeID]time.Duration // nil before there are Claims
 	calls       map[idempotency.AttemptKey]*serverCall
 	connections map[*serverConn]struct{}
 	bodyBytes   int
