Limit what a tenant holds in the replicated state

Cause: three rivals share a deployment, and nothing limited what one of them submits. Its submissions pushed the verdicts of the others out of the memory of 100,000 ids, so that a resend no longer got the original verdict, its moves pushed their ended moves out of the list of 1,000, and its records could fill the configuration that each node holds and gets in one frame.

A command now carries limits: submission ids and bytes in 24 h for a set of tenants, and records, their bytes and remembered names of deleted ones for a tenant. The state machine refuses what is above as submission-limit or record-limit; a resend is answered from memory first. The memories forget the oldest entry of whoever has the most. Commands without limits are decided as before.

TestReplicasAgreeAndKeepInvariants now draws limits too and fails without the restored count or owners; it and TestForgottenStampsBringNothingBack passed 3,000 checks each.

--- a/core/catalog/bench_test.go
+++ b/core/catalog/bench_test.go
@@ -12,7 +12,7 @@
 )
 
 // BenchmarkReplay measures the replay of 1,000 changes, the most that a restart finds behind its snapshot, on top of a
-// configuration of 170 services with six records each; run it with -benchtime=3x.
+// configuration of 170 services with six records each, by a token with all rights and by a limited one; run it with -benchtime=3x.
 func BenchmarkReplay(b *testing.B) {
 	c := qt.New(b)
 	first := core.Submission{ID: "first", Operator: "amina"}
@@ -38,12 +38,18 @@
 		commands[i], err = catalog.EncodeSubmit(start, 1, core.Submission{ID: core.SubmissionID(fmt.Sprint(i)), Operator: "amina", Records: []core.Record{change}})
 		c.Assert(err, qt.IsNil)
 	}
-	for b.Loop() {
-		r := catalog.New()
-		r.Apply(1, command)
-		for i, command := range commands {
-			r.Apply(core.LogIndex(i+2), command)
-		}
-		c.Assert(r.Current().Revision(), qt.Equals, core.Revision(1001))
+	for _, tenants := range [][]core.TenantID{nil, {"platform"}} {
+		b.Run(fmt.Sprintf("limited to %d", len(tenants)), func(b *testing.B) {
+			for b.Loop() {
+				r := catalog.New()
+				r.Apply(1, command)
+				for i, command := range commands {
+					command, err := catalog.WithPrincipal(command, catalog.Principal{Tenants: tenants, Limits: &catalog.Limits{Submissions: 1001, Bytes: 1 << 30, Records: 1020, RecordBytes: 1 << 20}})
+					c.Assert(err, qt.IsNil)
+					r.Apply(core.LogIndex(i+2), command)
+				}
+				c.Assert(r.Current().Revision(), qt.Equals, core.Revision(1001))
+			}
+		})
 	}
 }
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -34,6 +34,10 @@
 	auditCount    uint64       // all entries ever
 	archive       Archive      // nil: older entries are dropped
 	forgetEvery   uint64       // a constant but in tests
+	usage         map[string]usage
+	limitsInUse   bool // a command with limits has been applied
+	deletedNames  map[core.TenantID]int
+	ownerships    map[core.RecordKey]ownership // of the records in force; derived, since decoding them all takes milliseconds
 }
 
 // stamp says who set the newest version of a record. The stamp of a deleted record stays for a while (see forgetStamps), so
@@ -58,6 +62,9 @@
 		moves:         make(map[core.MoveID]move),
 		openMoves:     make(map[core.ServiceName]core.MoveID),
 		forgetEvery:   forgetEvery,
+		usage:         make(map[string]usage),
+		deletedNames:  make(map[core.TenantID]int),
+		ownerships:    make(map[core.RecordKey]ownership),
 	}
 }
 
@@ -100,6 +107,7 @@
 		return c.complete(refused(CauseMalformed, "command: %v", err))
 	}
 	e.At = e.At.UTC()
+	c.limitsInUse = c.limitsInUse || e.Limits != nil
 	switch e.Action {
 	case ActionSubmit:
 		return decodeAndRun(c, index, e, c.submit)
@@ -143,7 +151,13 @@
 	if earlier, exists := c.verdicts.byID[memoryKey{scope: scope, id: from.id}]; exists {
 		return c.resent(e, earlier, from, hash)
 	}
+	if refusal := c.charge(e, scope, from.id); refusal != nil {
+		return c.complete(*refusal)
+	}
 	verdict := run(e, body)
+	if e.Limits != nil { // both memories keep it
+		verdict.Detail = shortened(verdict.Detail)
+	}
 	verdict.Submission = from.id
 	verdict.At = e.At
 	verdict = c.complete(verdict)
@@ -152,7 +166,7 @@
 		Operator: from.operator,
 		Hash:     hash,
 		Scope:    scope,
-	})
+	}, e.Limits != nil)
 	if verdict.Cause == CauseNotPermitted { // what it names may be another tenant's, who must not read of the attempt
 		from.owners = slices.Repeat(by.Tenants[:1], len(from.what))
 	}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -19,7 +19,9 @@
 // replica applies commands and checks that refused ones leave the configuration as it is.
 type replica struct {
 	*catalog.Catalog
-	index core.LogIndex
+	index  core.LogIndex
+	limits *catalog.Limits // of submitBy and move
+	at     time.Duration   // of submitBy, since start
 }
 
 func (r *replica) apply(c *qt.C, command []byte, err error) catalog.Verdict {
@@ -63,6 +65,9 @@
 		To:       to,
 		Deadline: start.Add(time.Hour),
 	})
+	if err == nil && r.limits != nil {
+		command, err = catalog.WithPrincipal(command, catalog.Principal{Limits: r.limits})
+	}
 	return r.apply(c, command, err)
 }
 
@@ -84,6 +89,8 @@
 	other := &replica{
 		Catalog: catalog.New(),
 		index:   r.index,
+		limits:  r.limits,
+		at:      r.at,
 	}
 	c.Assert(other.Restore(snapshot), qt.IsNil)
 	return other
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -20,7 +20,7 @@
 	// MaxCommandBytes bounds one command, so that a log entry with its frame stays well below core.MaxFrameBytes.
 	MaxCommandBytes = 4 << 20
 	maxIDBytes      = 128
-	maxTextBytes    = 4 << 10 // cause and evidence of a step
+	maxTextBytes    = 4 << 10 // cause and evidence of a step, detail of a verdict
 )
 
 // Action is the kind of a command; the audit trail shows it.
@@ -51,6 +51,7 @@
 
 	Token   string          `msgpack:"token,omitempty"`
 	Tenants []core.TenantID `msgpack:"tenants,omitempty"` // to which the token is limited
+	Limits  *Limits         `msgpack:"limits,omitempty"`  // none in commands from before there were limits
 }
 
 // EncodeSubmit checks each record by itself and encodes the submission; floor is the highest schema version that every
--- a/core/catalog/forget.go
+++ b/core/catalog/forget.go
@@ -16,14 +16,15 @@
 )
 
 // forgetStamps drops the stamps of deleted records once no resend can bring an older version back: the deletion is older
-// than StampAge, and its verdict has left the memory, as have those of all submissions before it. Until then, a resend is
-// answered from memory or refused by the stamp. The memory also protects against a proposer whose clock is far ahead.
+// than StampAge, and its verdict has left the memory, as have those of its tenant's submissions before it. Until then, a resend
+// is answered from memory or refused by the stamp. The memory also protects against a proposer whose clock is far ahead.
 func (c *Catalog) forgetStamps(now time.Time) {
 	if c.auditCount%c.forgetEvery != 0 {
 		return
 	}
-	remembered := make(map[core.SubmissionID]bool, len(c.verdicts.order))
-	for _, key := range c.verdicts.order {
+	c.forgetUsage(now)
+	remembered := make(map[core.SubmissionID]bool, len(c.verdicts.byID))
+	for key := range c.verdicts.byID {
 		remembered[key.id] = true
 	}
 	for key, s := range c.stamps {
@@ -35,7 +36,7 @@
 			c.stamps[key] = s
 		}
 		if !remembered[s.Submission] && now.Sub(time.UnixMilli(s.DeletedMS)) > StampAge {
-			delete(c.stamps, key)
+			c.dropStamp(key)
 		}
 	}
 }
--- a/core/catalog/members.go
+++ b/core/catalog/members.go
@@ -43,7 +43,7 @@
 func (c *Catalog) MembershipResult(by Principal, id core.SubmissionID) (Verdict, bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	earlier, exists := c.verdicts.byID[memoryKey{scope: resultScope + by.scope(), id: id}]
+	earlier, exists := c.verdicts.byID[memoryKey{scope: resultScope + by.Scope(), id: id}]
 	return earlier.Verdict, exists
 }
 
@@ -68,7 +68,7 @@
 
 func scopeOf(by Principal, body any) string {
 	if change, is := body.(MembershipChange); is && change.Result != Requested {
-		return resultScope + by.scope()
+		return resultScope + by.Scope()
 	}
-	return by.scope()
+	return by.Scope()
 }
--- a/core/catalog/moves.go
+++ b/core/catalog/moves.go
@@ -23,6 +23,7 @@
 type move struct {
 	Move     core.Move      `msgpack:"move"`
 	Previous *core.Override `msgpack:"previous"`
+	Fair     bool           `msgpack:"fair,omitempty"` // started by a command with limits
 }
 
 // Ended reports whether a state is final.
@@ -64,6 +65,7 @@
 			SteppedAt: e.At,
 			Original:  c.configuration.Weights(request.Service),
 		},
+		Fair: e.Limits != nil,
 	}
 	if held, exists := lo.Find(c.configuration.Overrides(), func(o core.Override) bool { return o.Service == request.Service }); exists {
 		started.Previous = &held
@@ -174,7 +176,7 @@
 	c.moves[s.MoveID] = m
 	if Ended(s.State) {
 		delete(c.openMoves, m.Move.Request.Service)
-		c.forgetEndedMoves()
+		c.forgetEndedMove(m.Fair)
 	}
 	return Verdict{
 		Result: Accepted,
@@ -227,12 +229,25 @@
 	return 0
 }
 
-func (c *Catalog) forgetEndedMoves() {
+// forgetEndedMove forgets the oldest ended move if there are too many: that of the tenant with the most if they are shared
+// fairly, so that no tenant's moves leave the list because of another one.
+func (c *Catalog) forgetEndedMove(fair bool) {
 	if len(c.moveOrder) <= maxEndedMoves+len(c.openMoves) {
 		return
 	}
-	for i, id := range c.moveOrder {
+	ended, most := make(map[core.TenantID]int), 0
+	owner := func(id core.MoveID) core.TenantID {
+		service, _ := c.configuration.Service(c.moves[id].Move.Request.Service)
+		return lo.Ternary(fair, service.Tenant, "")
+	}
+	for _, id := range c.moveOrder {
 		if Ended(c.moves[id].Move.State) {
+			ended[owner(id)]++
+			most = max(most, ended[owner(id)])
+		}
+	}
+	for i, id := range c.moveOrder {
+		if Ended(c.moves[id].Move.State) && ended[owner(id)] == most {
 			delete(c.moves, id)
 			c.moveOrder = slices.Concat(c.moveOrder[:i], c.moveOrder[i+1:])
 			return
--- a/core/catalog/principal.go
+++ b/core/catalog/principal.go
@@ -16,6 +16,7 @@
 type Principal struct {
 	Token   string          // name of the token, empty if operators need none
 	Tenants []core.TenantID // the tenants to which the token is limited; empty for all rights
+	Limits  *Limits         // with which its commands are decided, or nil
 }
 
 // IsLimited reports whether the principal has the rights of some tenants only.
@@ -29,8 +30,8 @@
 	return !p.IsLimited() || (tenant != "" && slices.Contains(p.Tenants, tenant))
 }
 
-// scope separates the submission ids of different tenants, so that none learns of or uses up the ids of another.
-func (p Principal) scope() string {
+// Scope names the set of tenants to which the principal is limited; it separates the submission ids of different tenants, so that none learns of or uses up the ids of another.
+func (p Principal) Scope() string {
 	names := make([]string, 0, len(p.Tenants))
 	for _, tenant := range p.Tenants {
 		names = append(names, string(tenant))
@@ -46,7 +47,7 @@
 	if err := decode(command, &e); err != nil {
 		return nil, errors.WithType(err, ErrMalformed)
 	}
-	e.Token, e.Tenants = by.Token, by.Tenants
+	e.Token, e.Tenants, e.Limits = by.Token, by.Tenants, by.Limits
 	encoded, err := msgpack.Marshal(e)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -61,6 +62,7 @@
 	return Principal{
 		Token:   e.Token,
 		Tenants: e.Tenants,
+		Limits:  e.Limits,
 	}
 }
 
@@ -106,7 +108,10 @@
 
 // record returns the tenant of a record: that of the service to which it refers.
 func (o owners) record(r core.Record) core.TenantID {
-	body := decodeOwner(r)
+	return o.tenantOf(r, decodeOwner(r))
+}
+
+func (o owners) tenantOf(r core.Record, body ownership) core.TenantID {
 	if r.Kind == core.KindService {
 		return body.Tenant
 	}
--- a/core/catalog/principal_test.go
+++ b/core/catalog/principal_test.go
@@ -12,9 +12,9 @@
 
 func (r *replica) submitBy(c *qt.C, id core.SubmissionID, tenants []core.TenantID, records []core.Record, deletes ...core.Deletion) catalog.Verdict {
 	c.Helper()
-	command, err := catalog.EncodeSubmit(start, 1, core.Submission{ID: id, Operator: "amina", Records: records, Deletes: deletes})
+	command, err := catalog.EncodeSubmit(start.Add(r.at), 1, core.Submission{ID: id, Operator: "amina", Records: records, Deletes: deletes})
 	c.Assert(err, qt.IsNil)
-	command, err = catalog.WithPrincipal(command, catalog.Principal{Token: "t", Tenants: tenants})
+	command, err = catalog.WithPrincipal(command, catalog.Principal{Token: "t", Tenants: tenants, Limits: r.limits})
 	return r.apply(c, command, err)
 }
 
--- a/core/catalog/property_test.go
+++ b/core/catalog/property_test.go
@@ -27,6 +27,11 @@
 			before := observe(one)
 			command, err := drawCommand(t)
 			c.Assert(err, qt.IsNil)
+			if rapid.Bool().Draw(t, "limited") {
+				limits := &catalog.Limits{Submissions: rapid.IntRange(1, 9).Draw(t, "submissions"), Bytes: 1 << 20, Records: rapid.IntRange(4, 8).Draw(t, "records"), RecordBytes: 1 << 20}
+				command, err = catalog.WithPrincipal(command, catalog.Principal{Tenants: tenantA, Limits: limits})
+				c.Assert(err, qt.IsNil)
+			}
 			c.Assert(other.apply(c, command, nil), qt.DeepEquals, one.apply(c, command, nil))
 			before.check(c, observe(one))
 			if rapid.Bool().Draw(t, "snapshot") {
--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -24,6 +24,9 @@
 	Audit     []AuditEntry `msgpack:"audit"` // the latest maxAudit entries
 
 	AuditCount uint64 `msgpack:"audit-count"` // zero in older snapshots, which hold all entries
+
+	Usage       []scopedUsage `msgpack:"usage,omitempty"`
+	LimitsInUse bool          `msgpack:"limits-in-use,omitempty"`
 }
 
 type keyedStamp struct {
@@ -46,12 +49,15 @@
 		Format:    snapshotFormat,
 		Full:      c.configuration.Full(),
 		Stamps:    sortedStamps(c.stamps),
-		Verdicts:  lo.Map(c.verdicts.order, func(key memoryKey, _ int) remembered { return c.verdicts.byID[key] }),
+		Verdicts:  c.verdicts.all(),
 		Moves:     lo.Map(c.moveOrder, func(id core.MoveID, _ int) move { return c.moves[id] }),
 		MoveCount: c.moveCount,
 		Audit:     c.audit,
 
 		AuditCount: c.auditCount,
+
+		Usage:       sortedUsage(c.usage),
+		LimitsInUse: c.limitsInUse,
 	})
 	return encoded, errors.Trace(err)
 }
@@ -72,15 +78,22 @@
 	restored := New()
 	restored.moveCount = s.MoveCount
 	for _, k := range s.Stamps {
-		restored.stamps[core.RecordKey{
+		restored.setStamp(core.RecordKey{
 			Kind:          k.Kind,
 			Name:          k.Name,
 			SchemaVersion: k.SchemaVersion,
-		}] = k.Stamp
+		}, k.Stamp)
+	}
+	for _, r := range configuration.Records() {
+		restored.ownerships[r.Key()] = decodeOwner(r)
+	}
+	for _, u := range s.Usage {
+		restored.usage[u.Scope] = u.Usage
 	}
+	restored.limitsInUse = s.LimitsInUse
 	for _, r := range s.Verdicts {
 		r.Verdict.At = r.Verdict.At.UTC()
-		restored.verdicts.add(r)
+		restored.verdicts.add(r, false)
 	}
 	for _, m := range s.Moves {
 		restored.addMove(m)
@@ -111,6 +124,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stamps, c.verdicts = restored.stamps, restored.verdicts
+	c.deletedNames, c.ownerships = restored.deletedNames, restored.ownerships
+	c.usage, c.limitsInUse = restored.usage, restored.limitsInUse
 	c.audit, c.auditCount = restored.audit, restored.auditCount
 	c.moves, c.moveOrder, c.openMoves, c.moveCount = restored.moves, restored.moveOrder, restored.openMoves, restored.moveCount
 	c.publish(configuration)
--- a/core/catalog/submit.go
+++ b/core/catalog/submit.go
@@ -203,8 +203,15 @@
 	if refusal := p.checkMoveTargets(next); refusal != nil {
 		return *refusal
 	}
+	if refusal := p.checkLimits(next); refusal != nil {
+		return *refusal
+	}
 	for key, s := range p.stamps {
-		c.stamps[key] = s
+		c.setStamp(key, s)
+		delete(c.ownerships, key)
+	}
+	for key, r := range p.upserts {
+		c.ownerships[key] = decodeOwner(r)
 	}
 	c.publish(next)
 	return Verdict{
--- a/core/catalog/verdict.go
+++ b/core/catalog/verdict.go
@@ -1,7 +1,10 @@
 package catalog
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -36,6 +39,9 @@
 	CauseMoveEnded    Cause = "move-ended"
 	CauseWrongStep    Cause = "wrong-step"
 	CauseNotPermitted Cause = "not-permitted" // the token is limited to other tenants
+
+	CauseSubmissionLimit Cause = "submission-limit" // too many or too long submissions of the token's tenants; not remembered
+	CauseRecordLimit     Cause = "record-limit"     // too many or too long records of a tenant
 )
 
 // Winner names the submission that a refused one lost against.
@@ -104,6 +110,8 @@
 	Operator core.Operator `msgpack:"operator"`
 	Hash     core.Hash     `msgpack:"hash"`
 	Scope    string        `msgpack:"scope,omitempty"`
+
+	number uint64 // counts on in the order in which verdicts were given
 }
 
 func (r remembered) key() memoryKey {
@@ -119,25 +127,56 @@
 	id    core.SubmissionID
 }
 
-// memory holds the latest verdicts, oldest first in order.
+// memory holds the latest verdicts.
 type memory struct {
-	byID  map[memoryKey]remembered
-	order []memoryKey
-	limit int
+	byID   map[memoryKey]remembered
+	scopes map[string][]memoryKey // oldest first
+	count  uint64                 // of all verdicts ever
+	limit  int
 }
 
 func newMemory() memory {
 	return memory{
-		byID:  make(map[memoryKey]remembered),
-		limit: maxVerdicts,
+		byID:   make(map[memoryKey]remembered),
+		scopes: make(map[string][]memoryKey),
+		limit:  maxVerdicts,
 	}
 }
 
-func (m *memory) add(r remembered) {
+// add remembers a verdict. A full memory forgets the oldest one of the scope with the most if it is shared fairly, so that no
+// scope loses one while it has less than its share; commands from before there were limits forget the oldest one of all.
+func (m *memory) add(r remembered, fair bool) {
+	m.count++
+	r.number = m.count
 	m.byID[r.key()] = r
-	m.order = append(m.order, r.key())
-	if len(m.order) > m.limit {
-		delete(m.byID, m.order[0])
-		m.order = m.order[1:]
+	m.scopes[r.Scope] = append(m.scopes[r.Scope], r.key())
+	if len(m.byID) > m.limit {
+		m.forgetOldest(m.fullest(fair))
+	}
+}
+
+func (m *memory) fullest(fair bool) string {
+	var found string
+	for scope, keys := range m.scopes {
+		most := m.scopes[found]
+		older := len(most) == 0 || m.byID[keys[0]].number < m.byID[most[0]].number
+		if (!fair || len(keys) == len(most)) && older || fair && len(keys) > len(most) {
+			found = scope
+		}
 	}
+	return found
+}
+
+func (m *memory) forgetOldest(scope string) {
+	keys := m.scopes[scope]
+	delete(m.byID, keys[0])
+	m.scopes[scope] = keys[1:]
+	if len(keys) == 1 {
+		delete(m.scopes, scope)
+	}
+}
+
+// all returns the verdicts, oldest first.
+func (m *memory) all() []remembered {
+	return slices.SortedFunc(maps.Values(m.byID), func(a, b remembered) int { return cmp.Compare(a.number, b.number) })
 }
