Limit the rate of the operators' requests by tenant

Cause: a tenant could keep a control instance and the leader busy: any number of submissions and queries a second, long refused commands that still take the leader's disk, and all 64 places for requests with bodies that it does not finish, so that the others got status 503.

Each control instance now has token buckets for submissions and queries of each token with all rights and of each set of tenants, counts long bodies and queries of the audit trail as several, and shares the 64 places out to the sets of tenants and the tokens with all rights. The refusal has status 429, Retry-After and a reason, and is counted by token and kind. /ready, /metrics and /state are not limited. Settings have a "limits" object with defaults; the limits of the replicated state go into the commands once all members have reported that they know them. A submission above its limit per day is refused without a proposal after a confirmed read. The client waits as told and ends with exit status 4 if its deadline comes first.

TestRivalsShareADeployment now uses up a tenant's submissions with real processes.

--- a/e2e/deployment_test.go
+++ b/e2e/deployment_test.go
@@ -64,7 +64,8 @@
 	folder    string
 	addresses map[string]string
 	processes map[string]*exec.Cmd
-	tokenFile string // of the control instances, empty for none
+	tokenFile string         // of the control instances, empty for none
+	limits    map[string]int // settings of the control instances
 }
 
 func newDeployment(c *qt.C) *deployment {
@@ -144,6 +145,9 @@
 		"members":     members,
 		"token-file":  d.tokenFile,
 	}
+	if d.limits != nil {
+		settings["limits"] = d.limits
+	}
 	for key, value := range members[i-1] {
 		settings[key] = value
 	}
--- a/e2e/tokens_test.go
+++ b/e2e/tokens_test.go
@@ -35,7 +35,7 @@
 }
 
 // Guards against a rival that gets past its token in a real deployment, against a membership change that the audit trail
-// loses with the instance that took it, and against secrets in logs, data folders or dumps.
+// loses with the instance that took it, against limits that never come into use or that hit another tenant, and against secrets in logs, data folders or dumps.
 func TestRivalsShareADeployment(t *testing.T) {
 	c := qt.New(t)
 	d := newDeployment(c)
@@ -43,6 +43,7 @@
   {"name": "platform", "secret": "%[1]splatform", "all-rights": true}, // the operators of the platform
   {"name": "token-a", "secret": "%[1]sa", "tenants": ["a"]}, {"name": "token-b", "secret": "%[1]sb", "tenants": ["b"]},
 ]}`, secrets))
+	d.limits = map[string]int{"tenant-submissions-per-day": 3}
 	d.startControls()
 	d.startNode(1)
 	run := func(want int, token string, args ...string) string {
@@ -58,6 +59,13 @@
 	c.Assert(run(0, "b", "records"), qt.Not(qt.Contains), "orders")
 	c.Assert(run(0, "b", "status"), qt.Not(qt.Contains), "endpoints")
 	run(1, "b", "members")
+	flood := 0
+	d.eventually("a tenant has used up its submissions", 20*time.Second, func() bool {
+		flood++
+		output, _ := d.as("b", "apply", "--submission-id", fmt.Sprint("flood", flood), submission(2, "b"))
+		return strings.Contains(output, "submission-limit")
+	})
+	run(0, "a", "apply", submission(3, "a"))
 	run(1, "wrong", "status")
 	d.eventually("the node is listed", 20*time.Second, func() bool { return strings.Contains(run(0, "platform", "status", "--nodes"), "n1 ") })
 
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -27,6 +27,7 @@
 	StatusRefused = 1
 	StatusUsage   = 2
 	StatusUnknown = 3
+	StatusLimited = 4 // above a rate limit until the end of --timeout; nothing was changed
 )
 
 // The functions of the process commands; tests replace them. They return once the context has ended and everything is
--- /dev/null
+++ b/io/cli/limits_test.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a refusal by a limit that a script takes for an unknown outcome or for a verdict that stays.
+func TestLimitsAreShown(t *testing.T) {
+	f := newFixture(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			w.WriteHeader(http.StatusConflict)
+			_, _ = w.Write([]byte(`{"result": "refused", "cause": "submission-limit", "detail": "too many"}`))
+			return
+		}
+		w.Header().Set("Retry-After", "99")
+		http.Error(w, "too many queries", http.StatusTooManyRequests)
+	}))
+	f.c.Cleanup(server.Close)
+	f.c.Setenv(serversVariable, server.Listener.Addr().String())
+	f.c.Assert(f.run(StatusLimited, "status"), qt.Matches, "parsleyport: .*too many queries.*\n")
+	f.c.Assert(f.run(StatusRefused, "apply", f.file("good.jsonc", records)), qt.Matches, `(?s)refused \(submission-limit\): too many\n.*run the same command again.*`)
+}
--- a/io/cli/operator.go
+++ b/io/cli/operator.go
@@ -123,6 +123,10 @@
 	if verdict.Result == catalog.Accepted {
 		return StatusOK
 	}
+	if verdict.Cause == catalog.CauseSubmissionLimit {
+		fmt.Fprintln(p.stderr, "This verdict is not kept: after the time that it names, run the same command again.")
+		return StatusRefused
+	}
 	if derived {
 		fmt.Fprintf(p.stderr, "This verdict is from %s and stays with this content. Once its cause has gone, submit again with another --submission-id.\n", verdict.At.Format(time.RFC3339))
 	}
@@ -202,6 +206,9 @@
 }
 
 func (p *program) failRequest(err error) int {
+	if errors.Is(err, operatorhttp.ErrLimited) && !errors.Is(err, core.ErrOutcomeUnknown) {
+		return p.fail(StatusLimited, err)
+	}
 	if errors.Is(err, operatorhttp.ErrRejected) && !errors.Is(err, core.ErrOutcomeUnknown) {
 		return p.fail(StatusRefused, err)
 	}
--- a/io/control/catchup.go
+++ b/io/control/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	Identity     raft.Identity `msgpack:"identity"`
 	Applied      core.LogIndex `msgpack:"applied"`
 	MissingAudit uint64        `msgpack:"missing-audit"`
+	KnowsLimits  bool          `msgpack:"knows-limits"` // decides commands with catalog.Limits
 	at           time.Time
 }
 
@@ -73,6 +75,15 @@
 	return report, exists && report.Identity == peer.Identity && now.Sub(report.at) <= catchUpAge
 }
 
+// allKnowLimits reports whether the newest report of each other member says so, however old it is.
+func (c *catchUp) allKnowLimits(members []raft.Member, self core.ControlID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(members) > 0 && !slices.ContainsFunc(members, func(m raft.Member) bool {
+		return m.Peer.ID != self && !c.reports[m.Peer.ID].KnowsLimits
+	})
+}
+
 // check returns why a learner must not be promoted yet. Else it might count towards the majority while it lacks the log,
 // or become the last instance with a vote and lack the older audit entries.
 func (c *catchUp) check(now time.Time, peer raft.Peer, commit core.LogIndex) error {
@@ -124,6 +135,7 @@
 				Identity:     replica.Self().Identity,
 				Applied:      replica.Status().Applied,
 				MissingAudit: end - first,
+				KnowsLimits:  true,
 			})
 			for peer := range p.catchUp.peers {
 				if err == nil {
--- a/io/control/catchup_test.go
+++ b/io/control/catchup_test.go
@@ -40,6 +40,10 @@
 	c.Assert(held.check(now, learner, 5000), qt.IsNil)
 	now = now.Add(catchUpAge + 1)
 	refused("it has not reported what it holds")
+	members := []raft.Member{{Peer: raft.Peer{ID: "c1"}}, {Peer: learner}}
+	c.Assert(held.allKnowLimits(members, "c1"), qt.IsFalse) // an older program would decide a command with limits differently
+	report("c2", catchUpReport{KnowsLimits: true})
+	c.Assert(held.allKnowLimits(members, "c1"), qt.IsTrue)
 	report("stranger", catchUpReport{})
 	c.Assert(held.reports, qt.HasLen, 1)
 }
--- a/io/control/operators.go
+++ b/io/control/operators.go
@@ -51,6 +51,15 @@
 		},
 		Log:     p.log,
 		Metrics: p.metrics,
+		Submissions: operatorhttp.Rate{
+			PerSecond: float64(p.settings.Limits.SubmissionsPerSecond),
+			Burst:     p.settings.Limits.SubmissionsBurst,
+		},
+		Queries: operatorhttp.Rate{
+			PerSecond: float64(p.settings.Limits.QueriesPerSecond),
+			Burst:     p.settings.Limits.QueriesBurst,
+		},
+		Limits: p.tenantLimits(records, do.MustInvoke[*raftpeer.Replica](injector)),
 	})
 	if err != nil {
 		return nil, err
@@ -59,6 +68,24 @@
 	return server, nil
 }
 
+// tenantLimits gives no limits until all members know them: one that runs an older program would decide a command with
+// limits differently. A command with limits in the log shows that they did.
+func (p *process) tenantLimits(records *catalog.Catalog, replica *raftpeer.Replica) func() *catalog.Limits {
+	limits := &catalog.Limits{
+		Submissions:  p.settings.Limits.TenantSubmissions,
+		Bytes:        int64(p.settings.Limits.TenantSubmissionBytes),
+		Records:      p.settings.Limits.TenantRecords,
+		RecordBytes:  int64(p.settings.Limits.TenantRecordBytes),
+		DeletedNames: p.settings.Limits.TenantDeletedNames,
+	}
+	return func() *catalog.Limits {
+		if !records.LimitsInUse() && !p.catchUp.allKnowLimits(replica.Members(), p.settings.ID) {
+			return nil
+		}
+		return limits
+	}
+}
+
 // membership completes changes with what the settings say of an instance.
 type membership struct {
 	*raftpeer.Replica
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleyport/core"
+	"parsleyport/core/catalog"
 )
 
 // Limits of the API.
@@ -26,6 +27,15 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// Limits that keep one tenant from using up what the others need.
+const (
+	countedBytes = 256 << 10 // of a body count as one more request
+	// AuditCount is what a query of the audit trail counts for the rate of queries.
+	AuditCount = 10
+	// MaxCount is the most that a request counts for.
+	MaxCount = 1 + catalog.MaxCommandBytes/countedBytes
+)
+
 // DefaultAuditLimit is the number of entries that a query of the audit trail finds if it names none.
 const DefaultAuditLimit = 100
 
--- /dev/null
+++ b/io/operatorhttp/bucket_test.go
@@ -0,0 +1,29 @@
+package operatorhttp
+
+import (
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a rate that lets more through than it names, never refills, or names too short a wait.
+func TestBucketKeepsItsRate(t *testing.T) {
+	b, now, admitted := newBucket(Rate{PerSecond: 5, Burst: 20}), time.Unix(1_800_000_000, 0), 0
+	for range 100 { // 10 s
+		for range 3 {
+			if b.take(now, 1) == 0 {
+				admitted++
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	qt.Assert(t, admitted, qt.Equals, 20+5*99/10)
+	wait := b.take(now, 20)
+	qt.Assert(t, b.take(now.Add(wait-time.Millisecond), 20) > 0, qt.IsTrue)
+	qt.Assert(t, b.take(now.Add(wait+time.Microsecond), 20), qt.Equals, time.Duration(0))
+	counted := countOf(&http.Request{Method: http.MethodPost, URL: &url.URL{Path: submissionsPath}, ContentLength: -1})
+	qt.Assert(t, counted, qt.Equals, float64(MaxCount)) // long refused commands would keep the leader's disk busy
+}
--- a/io/operatorhttp/client.go
+++ b/io/operatorhttp/client.go
@@ -24,6 +24,9 @@
 	ErrUnreachable = errors.ConstError("no control instance took the request")
 	// ErrRejected means that a server refused the request as malformed, unauthorized or about something that does not exist.
 	ErrRejected = errors.ConstError("rejected")
+	// ErrLimited means that the servers answered that too many requests came with the token until the deadline, so nothing has
+	// changed.
+	ErrLimited = errors.ConstError("rate limit")
 )
 
 // ClientOptions are what a Client works with; Servers are operator addresses, Token may be empty.
@@ -59,7 +62,8 @@
 	c.http.CloseIdleConnections()
 }
 
-// Submit sends a submission until it has a verdict; it returns core.ErrOutcomeUnknown, ErrUnreachable or ErrRejected.
+// Submit sends a submission until it has a verdict; it returns core.ErrOutcomeUnknown, ErrUnreachable, ErrLimited
+// or ErrRejected.
 func (c *Client) Submit(ctx context.Context, submission core.Submission) (catalog.Verdict, error) {
 	return command[catalog.Verdict](ctx, c, submissionsPath, submission)
 }
@@ -78,7 +82,7 @@
 	})
 }
 
-// Moves lists the moves; it returns ErrUnreachable or ErrRejected.
+// Moves lists the moves; it returns ErrUnreachable, ErrLimited or ErrRejected.
 func (c *Client) Moves(ctx context.Context) ([]core.Move, error) {
 	return read[[]core.Move](ctx, c, movesPath)
 }
@@ -208,18 +212,46 @@
 			if err == nil || errors.Is(err, ErrRejected) {
 				return mayHaveRun, err
 			}
+			if limit, is := errors.AsType[*limitError](err); is {
+				if !pause(ctx, limit.wait) {
+					return mayHaveRun, errors.WithType(err, ErrLimited)
+				}
+				continue
+			}
 			if ctx.Err() != nil {
 				return mayHaveRun, errors.WithType(err, ErrUnreachable)
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !pause(ctx, pauseBetween) {
 			return mayHaveRun, errors.WithType(err, ErrUnreachable)
-		case <-time.After(pauseBetween):
 		}
 	}
 }
 
+// pause reports whether the time has passed; it does not begin to wait if the context ends before.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if deadline, exists := ctx.Deadline(); exists && time.Until(deadline) <= wait {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(wait):
+		return true
+	}
+}
+
+// limitError is the answer to a request above a rate limit.
+type limitError struct {
+	text string
+	wait time.Duration
+}
+
+// Error implements error.
+func (l *limitError) Error() string {
+	return l.text
+}
+
 func (c *Client) attempt(ctx context.Context, server, method, path string, body []byte, answer any) (reached bool, err error) {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(body))
 	if err != nil {
@@ -240,6 +272,13 @@
 	if err != nil {
 		return true, errors.Annotate(err, server)
 	}
+	if response.StatusCode == http.StatusTooManyRequests {
+		seconds, _ := strconv.Atoi(response.Header.Get("Retry-After"))
+		return false, &limitError{
+			text: server + ": " + problem(content),
+			wait: max(time.Duration(seconds)*time.Second, pauseBetween),
+		}
+	}
 	return evaluate(server, response.StatusCode, content, answer)
 }
 
--- a/io/operatorhttp/members.go
+++ b/io/operatorhttp/members.go
@@ -237,7 +237,7 @@
 		Detail:   detail,
 	})
 	if err == nil {
-		command, err = catalog.WithPrincipal(command, principalOf(ctx))
+		command, err = catalog.WithPrincipal(command, s.sender(ctx))
 	}
 	if err != nil {
 		s.countError("malformed")
--- a/io/operatorhttp/operations.go
+++ b/io/operatorhttp/operations.go
@@ -102,7 +102,7 @@
 // propose takes the command and the error of its encoder; nothing malformed is proposed.
 func (s *Server) propose(ctx context.Context, action catalog.Action, operator core.Operator, command []byte, err error) (*verdictOutput, error) {
 	if err == nil {
-		command, err = catalog.WithPrincipal(command, principalOf(ctx))
+		command, err = catalog.WithPrincipal(command, s.sender(ctx))
 	}
 	if err != nil {
 		s.countError("malformed")
@@ -110,13 +110,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	result, err := s.options.Replicator.Propose(ctx, command)
-	if err != nil {
-		return nil, s.unavailable(err)
-	}
-	verdict, err := catalog.DecodeVerdict(result)
+	verdict, err := s.decide(ctx, command)
 	if err != nil {
-		return nil, s.unavailable(err)
+		return nil, err
 	}
 	s.countVerdict(action, verdict)
 	if verdict.Result == catalog.Refused {
@@ -133,6 +129,24 @@
 	}, nil
 }
 
+// decide proposes a command, unless its tenants have submitted too much: such commands would keep the leader's disk busy.
+func (s *Server) decide(ctx context.Context, command []byte) (catalog.Verdict, error) {
+	if _, over := s.options.Catalog.OverLimit(command); over && s.options.Replicator.ConfirmRead(ctx) == nil {
+		if refusal, over := s.options.Catalog.OverLimit(command); over {
+			return refusal, nil
+		}
+	}
+	result, err := s.options.Replicator.Propose(ctx, command)
+	if err != nil {
+		return catalog.Verdict{}, s.unavailable(err)
+	}
+	verdict, err := catalog.DecodeVerdict(result)
+	if err != nil {
+		return catalog.Verdict{}, s.unavailable(err)
+	}
+	return verdict, nil
+}
+
 // unavailable tells a command that was certainly not proposed (503) from one that may be committed later (504).
 func (s *Server) unavailable(err error) error {
 	if errors.Is(err, core.ErrNoLeader) {
--- a/io/operatorhttp/server.go
+++ b/io/operatorhttp/server.go
@@ -29,12 +29,17 @@
 	Fleet      FleetView
 	Log        zerolog.Logger
 	Metrics    *metrics.Set
+
+	Submissions Rate                   // also moves, aborts and membership changes; of each token, or of all of the same tenants
+	Queries     Rate                   // of each token, or of all of the same tenants
+	Limits      func() *catalog.Limits // with which new commands are decided; may be nil and may return nil
 }
 
 // Server is the operators' API of one control instance.
 type Server struct {
 	options  Options
 	guard    guard
+	shares   map[string]*share
 	listener net.Listener
 	requests chan struct{} // one item for each request under way
 }
@@ -49,6 +54,7 @@
 	s := &Server{
 		options:  options,
 		guard:    newGuard(options.Tokens),
+		shares:   newShares(options),
 		listener: listener,
 		requests: make(chan struct{}, maxRequests),
 	}
@@ -97,7 +103,7 @@
 	open.Handle("GET "+metricsPath, s.metrics())
 	open.Handle("GET "+readyPath, s.bounded(http.HandlerFunc(s.ready)))
 	open.Handle("GET "+statePath, s.bounded(s.unlimited(http.HandlerFunc(s.state))))
-	open.Handle("/", s.bounded(s.authorized(s.whole(mux))))
+	open.Handle("/", s.bounded(s.authorized(s.limited(s.whole(mux)))))
 	return open
 }
 
@@ -148,6 +154,7 @@
 	gauge("parsleyport_revision", func() float64 { return float64(s.options.Catalog.Current().Revision()) })
 	gauge("parsleyport_revision_lowest_in_force", func() float64 { return float64(s.options.Fleet.Fleet().LowestInForce) })
 	gauge("parsleyport_nodes", func() float64 { return float64(s.options.Fleet.Fleet().Nodes) })
+	gauge("parsleyport_tenant_limits_in_use", func() float64 { return lo.Ternary(s.options.Catalog.LimitsInUse(), 1.0, 0.0) })
 	gauge("parsleyport_moves_open", func() float64 { return float64(len(s.openMoves(catalog.Principal{}))) })
 }
 
--- a/io/operatorhttp/tokens.go
+++ b/io/operatorhttp/tokens.go
@@ -85,6 +85,15 @@
 	return by
 }
 
+// sender returns the principal of a command, with the limits that it is decided with.
+func (s *Server) sender(ctx context.Context) catalog.Principal {
+	by := principalOf(ctx)
+	if s.options.Limits != nil {
+		by.Limits = s.options.Limits()
+	}
+	return by
+}
+
 func (s *Server) authorized(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/io/operatorhttp/tokens_test.go
+++ b/io/operatorhttp/tokens_test.go
@@ -36,7 +36,7 @@
 const secretOf = "secret-of-%s-0123456789"
 
 // startTenants serves three tenants, each with a token and one service of its name, and an operator with all rights.
-func startTenants(c *qt.C, log io.Writer) (address string, clients map[string]*operatorhttp.Client, records *catalog.Catalog) {
+func startTenants(c *qt.C, log io.Writer, change func(*operatorhttp.Options)) (address string, clients map[string]*operatorhttp.Client, records *catalog.Catalog) {
 	replicator := &fakeReplicator{leader: "c1", catalog: catalog.New(), membership: &fakeMembership{members: []raft.Member{voter("c1")}}}
 	tokens := []operatorhttp.Token{{Principal: catalog.Principal{Token: "platform"}, Secret: fmt.Sprintf(secretOf, "all")}}
 	for _, tenant := range []string{"a", "b", "c"} {
@@ -45,10 +45,12 @@
 			Secret:    fmt.Sprintf(secretOf, tenant),
 		})
 	}
-	server, stop, err := operatorhttp.New(operatorhttp.Options{
+	options := operatorhttp.Options{
 		Listen: "127.0.0.1:0", Replicator: replicator, Membership: replicator.membership, Catalog: replicator.catalog,
 		Tokens: tokens, Fleet: fakeFleet{}, Log: zerolog.New(log), Metrics: metrics.NewSet(),
-	})
+	}
+	change(&options)
+	server, stop, err := operatorhttp.New(options)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(stop)
 	clients = make(map[string]*operatorhttp.Client)
@@ -64,7 +66,7 @@
 func TestTokensOfTenants(t *testing.T) {
 	c := qt.New(t)
 	var log bytes.Buffer
-	address, clients, records := startTenants(c, &log)
+	address, clients, records := startTenants(c, &log, func(*operatorhttp.Options) {})
 	ctx := within(c, 20*time.Second)
 	for _, tenant := range []string{"a", "b", "c"} {
 		submission := core.Submission{ID: "one", Operator: "amina"}
--- a/io/settings/control.go
+++ b/io/settings/control.go
@@ -31,6 +31,7 @@
 	Bootstrap       bool
 	Members         []Member
 	TokenFile       string // empty if operators need no token
+	Limits          Limits
 	LogLevel        zerolog.Level
 }
 
@@ -65,6 +66,7 @@
 		DataFolder:      top.text("data-folder", "path of a folder", notEmpty),
 		Bootstrap:       top.flag("bootstrap"),
 		TokenFile:       top.optionalText("token-file", "path of a file, or empty", "", func(string) bool { return true }),
+		Limits:          readLimits(top),
 		LogLevel:        top.logLevel("log-level"),
 	}
 	elements := top.list("members", "list of all control instances")
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -41,6 +41,8 @@
 	loaded, err := settings.LoadControl(path)
 	c.Assert(err, qt.IsNil)
 	c.Assert(loaded.Bootstrap, qt.IsTrue)
+	c.Assert(loaded.Limits.SubmissionsPerSecond, qt.Equals, 20)
+	c.Assert(loaded.Limits.TenantSubmissions > 1400, qt.IsTrue)
 	c.Assert(loaded.LogLevel, qt.Equals, zerolog.InfoLevel)
 	c.Assert(loaded.Members[2].NodeAddress, qt.Equals, "127.0.0.1:7123")
 	c.Assert(loaded.PeerAddress, qt.Equals, "127.0.0.1:7102")
@@ -76,6 +78,10 @@
 		{`"bootstrap": true`, `"bootstrap": true, "bootstrap": false`, `f:6: bootstrap: expected each key once, found a second one`},
 		{`"bootstrap": true`, `"log-level": "loud"`, `f:6: log-level: expected trace, .*, found "loud"`},
 		{`"data-folder": "/data",`, ``, `f:1: data-folder: expected path of a folder, found nothing`},
+		{`"bootstrap": true`, `"limits": {"submissions-per-second": 0}`, `f:6: limits.submissions-per-second: expected a whole number from 1 to 10000, found 0`},
+		{`"bootstrap": true`, `"limits": {"queries-burst": 9.5}`, `f:6: limits.queries-burst: expected a whole number from 20 to 10000, found 9.5`},
+		{`"bootstrap": true`, `"limits": {"per-second": 1}`, `f:6: limits.per-second: expected one of submissions-per-second, .*, found an unknown key`},
+		{`"bootstrap": true`, `"limits": 7`, `f:6: limits: expected an object, found 7`},
 		{control, `[]`, `f:1: expected an object, found \[\]`},
 		{control, "{\n}}", `f:2: expected JSON with comments, found .*`},
 	} {
