--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -34,8 +34,11 @@
 	auditCount    uint64       // all entries ever
 	archive       Archive      // nil: older entries are dropped
 	rules         core.RulesVersion
-	forgetEvery   uint64            // a constant but in tests
-	known         core.RulesVersion // a constant but in tests
+	usage         map[string]usage
+	deletedNames  map[core.TenantID]int
+	ownerships    map[core.RecordKey]ownership // of the records in force; derived, since decoding them all takes milliseconds
+	forgetEvery   uint64                       // a constant but in tests
+	known         core.RulesVersion            // a constant but in tests
 }
 
 // stamp says who set the newest version of a record. The stamp of a deleted record stays for a while (see forgetStamps), so
@@ -62,6 +65,9 @@
 		rules:         firstRules,
 		forgetEvery:   forgetEvery,
 		known:         KnownRules,
+		usage:         make(map[string]usage),
+		deletedNames:  make(map[core.TenantID]int),
+		ownerships:    make(map[core.RecordKey]ownership),
 	}
 }
 
@@ -155,7 +161,13 @@
 	if earlier, exists := c.verdicts.byID[memoryKey{scope: scope, id: from.id}]; exists {
 		return c.resent(e, earlier, from, hash)
 	}
+	if refusal := c.charge(e, scope, from.id); refusal != nil {
+		return c.complete(*refusal)
+	}
 	verdict := run(e, body)
+	if e.Limits != nil { // both memories keep it
+		verdict.Detail = shortened(verdict.Detail)
+	}
 	verdict.Submission = from.id
 	verdict.At = e.At
 	verdict = c.complete(verdict)
@@ -164,7 +176,7 @@
 		Operator: from.operator,
 		Hash:     hash,
 		Scope:    scope,
-	})
+	}, e.Limits != nil)
 	if verdict.Cause == CauseNotPermitted { // what it names may be another tenant's, who must not read of the attempt
 		from.owners = slices.Repeat(by.Tenants[:1], len(from.what))
 	}
--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -24,7 +24,8 @@
 	Audit     []AuditEntry `msgpack:"audit"` // the latest maxAudit entries
 
 	AuditCount uint64            `msgpack:"audit-count"`     // zero in older snapshots, which hold all entries
-	Rules      core.RulesVersion `msgpack:"rules,omitempty"` // zero in older snapshots, which have the first rules
+	Rules      core.RulesVersion `msgpack:"rules,omitempty"` // zero for the first ones, as in older snapshots
+	Usage      []scopedUsage     `msgpack:"usage,omitempty"`
 }
 
 type keyedStamp struct {
@@ -47,13 +48,14 @@
 		Format:    snapshotFormat,
 		Full:      c.configuration.Full(),
 		Stamps:    sortedStamps(c.stamps),
-		Verdicts:  lo.Map(c.verdicts.order, func(key memoryKey, _ int) remembered { return c.verdicts.byID[key] }),
+		Verdicts:  c.verdicts.all(),
 		Moves:     lo.Map(c.moveOrder, func(id core.MoveID, _ int) move { return c.moves[id] }),
 		MoveCount: c.moveCount,
 		Audit:     c.audit,
 
 		AuditCount: c.auditCount,
-		Rules:      c.rules,
+		Rules:      lo.Ternary(c.rules > firstRules, c.rules, 0),
+		Usage:      sortedUsage(c.usage),
 	})
 	return encoded, errors.Trace(err)
 }
@@ -78,15 +80,21 @@
 	restored.moveCount = s.MoveCount
 	restored.rules = max(s.Rules, firstRules)
 	for _, k := range s.Stamps {
-		restored.stamps[core.RecordKey{
+		restored.setStamp(core.RecordKey{
 			Kind:          k.Kind,
 			Name:          k.Name,
 			SchemaVersion: k.SchemaVersion,
-		}] = k.Stamp
+		}, k.Stamp)
+	}
+	for _, r := range configuration.Records() {
+		restored.ownerships[r.Key()] = decodeOwner(r)
+	}
+	for _, u := range s.Usage {
+		restored.usage[u.Scope] = u.Usage
 	}
 	for _, r := range s.Verdicts {
 		r.Verdict.At = r.Verdict.At.UTC()
-		restored.verdicts.add(r)
+		restored.verdicts.add(r, false)
 	}
 	for _, m := range s.Moves {
 		restored.addMove(m)
@@ -117,6 +125,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stamps, c.verdicts, c.rules = restored.stamps, restored.verdicts, restored.rules
+	c.deletedNames, c.ownerships, c.usage = restored.deletedNames, restored.ownerships, restored.usage
 	c.audit, c.auditCount = restored.audit, restored.auditCount
 	c.moves, c.moveOrder, c.openMoves, c.moveCount = restored.moves, restored.moveOrder, restored.openMoves, restored.moveCount
 	c.publish(configuration)
