Bound the bytes of evidence at a relay and say how late it is

Cause: a relay with 16 children spent 12.4 bytes on each sum and 65 on each name, without a bound, so three open moves cost 3.6 KB/s and six 6.1 KB/s (11.5 KB/s in the first 5 s) of its 4 KB/s.

Sums now travel as differences from the last row of their series in exponential Golomb codes (6.1 bytes), names only where they differ from those of the series before, and numbers of reporting nodes only when they change. Each link has a byte budget. What does not fit waits, is added up, and goes first the next time; moves that have taken a step need not wait for their turn. Each row says how late it is, and the judge and the steps of a move take that into account. The wait of 3 s after a step is unchanged. Each count is still handed to one link once. A parent that does not say that it reads rows gets the earlier form.

The new case in TestLittleTrafficAndExpiry fails without the longer wait of shares that grow by time.

--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -29,6 +29,7 @@
 	pooled        *group                                           // the routes with little traffic
 	all           *group
 	fleet         fleet
+	evidenceLate  time.Duration // beyond evidenceTime
 }
 
 // NewJudge returns a judge for one move between two releases.
@@ -51,6 +52,12 @@
 	j.fleet.observe(now, endpoints, j.service, j.from, j.to)
 }
 
+// ObserveLateness tells the judge how much longer than usual the evidence is on its way; it is optional. What arrives within that
+// time after a step is left out as well, and the share does not grow by time alone before its evidence can have arrived.
+func (j *Judge) ObserveLateness(late time.Duration) {
+	j.evidenceLate = late
+}
+
 // Decide counts the evidence and returns the next step if one is due; evidence may repeat counts. Until the move
 // shows the step, Decide proposes a step with the same number again.
 func (j *Judge) Decide(now time.Time, move core.Move, evidence []core.EvidenceCount) (core.MoveStep, bool) {
@@ -162,7 +169,7 @@
 	if j.rateSince.IsZero() && move.State != core.MoveProposed && !now.Before(j.shareSince(move).Add(evidenceTime)) {
 		j.rateSince, j.rateBase = now, j.all.calls()
 	}
-	early := now.Before(move.SteppedAt.Add(evidenceDelay))
+	early := now.Before(move.SteppedAt.Add(evidenceDelay + j.evidenceLate))
 	for _, g := range j.groups() {
 		g.closeWindows(now)
 		if early {
--- a/core/rollout/pace.go
+++ b/core/rollout/pace.go
@@ -103,7 +103,7 @@
 	}
 	planned, elapsed := dwell(move), now.Sub(move.SteppedAt)
 	passed := j.all.passesStage(!j.fleet.exhausted()) && elapsed >= max(min(planned, maxDwell), min(planned, minDwell))
-	byTime := elapsed >= planned && (target <= risk(move) || !j.doubtful(target) && (j.passes(now, move) || j.littleTraffic(now, move)))
+	byTime := elapsed >= max(planned, j.timedAfter()) && (target <= risk(move) || !j.doubtful(target) && (j.passes(now, move) || j.littleTraffic(now, move)))
 	if !passed && !byTime {
 		return core.MoveStep{}, false
 	}
@@ -118,6 +118,14 @@
 	return step(now, move, eventFinish, target, cause, j.describe(now, move))
 }
 
+// timedAfter is how long a share lasts at least if it ends by time and evidence is late.
+func (j *Judge) timedAfter() time.Duration {
+	if j.evidenceLate == 0 {
+		return 0
+	}
+	return evidenceTime + j.evidenceLate
+}
+
 // target returns the next share, and the reason if it may not be given now.
 func (j *Judge) target(now time.Time, move core.Move) (core.PerMille, string) {
 	target := j.following(now, move)
--- a/core/rollout/pace_test.go
+++ b/core/rollout/pace_test.go
@@ -43,6 +43,14 @@
 	c.Assert(r.move.State, qt.Equals, core.MoveDone)
 	c.Assert(r.move.Cause, qt.Equals, "evidence thin")
 
+	// A share that grows by time waits for reports that are late.
+	r = newCourse(c, 90*time.Second, steady(load{calls: 0.5}))
+	r.judge.ObserveLateness(10 * time.Second)
+	r.run(nil)
+	for i, step := range r.steps[1:] {
+		c.Assert(!rollout.IsFinal(step.State) && step.At.Sub(r.steps[i].At) < 13*time.Second, qt.IsFalse, qt.Commentf("%v", r.steps))
+	}
+
 	r = newCourse(c, 5*time.Minute, steady(load{calls: 0.01, newFail: 1})).run(nil)
 	c.Assert(r.move.State, qt.Equals, core.MoveDone, qt.Commentf("a single failed call must not be blamed: %+v", r.move))
 
--- a/io/distribution/bench_test.go
+++ b/io/distribution/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -96,51 +97,60 @@
 }
 
 // BenchmarkEvidence measures the control bytes a second of a first-level relay, sent and received, while each node counts
-// calls of two routes and two releases of a service with an open move; run it with -benchtime=1x.
+// calls of two routes and two releases of each service with an open move, and how old the counts are that arrive; run it with
+// -benchtime=1x. The first 5 s, in which the series are named, are measured apart.
 func BenchmarkEvidence(b *testing.B) {
-	const seconds = 10
-	for _, count := range []int{10, 30, 60, 150} {
-		b.Run(fmt.Sprintf("nodes=%d", count), func(b *testing.B) {
-			f := newFleet(b, count)
+	const seconds = 30 // the interval of the node reports
+	for _, size := range [][2]int{{10, 1}, {30, 1}, {60, 1}, {150, 1}, {150, 3}, {150, 6}, {150, 12}, {150, 24}} {
+		b.Run(fmt.Sprintf("nodes=%d/moves=%d", size[0], size[1]), func(b *testing.B) {
+			f := newFleet(b, size[0])
 			defer f.close()
 			time.Sleep(startGrace) // the digests at the end of the grace period are not evidence
 			relay := slices.MaxFunc(f.nodes, func(a, b *Subscriber) int { return a.Status().SubtreeNodes - b.Status().SubtreeNodes })
-			bytes := func() uint64 {
+			measure := func(name string, seconds int, each func(*Subscriber)) {
 				sent, received := relay.Bytes()
-				return sent + received
-			}
-			for b.Loop() {
-				idle := bytes()
-				time.Sleep(seconds * time.Second)
-				before := bytes()
 				for range seconds {
 					for _, n := range f.nodes {
-						reportMove(n)
+						each(n)
 					}
 					time.Sleep(time.Second)
 				}
+				sentAfter, receivedAfter := relay.Bytes()
+				b.ReportMetric(float64(sentAfter+receivedAfter-sent-received)/float64(seconds), name)
+			}
+			calls := make(map[core.MoveID]uint64)
+			for b.Loop() {
+				measure("idle-B/s", seconds, func(*Subscriber) {})
+				measure("first-B/s", 5, func(n *Subscriber) { reportMoves(n, size[1], calls) })
+				measure("move-B/s", seconds, func(n *Subscriber) { reportMoves(n, size[1], calls) })
 				b.ReportMetric(float64(relay.Status().SubtreeNodes), "subtree-nodes")
-				b.ReportMetric(float64(before-idle)/seconds, "idle-B/s")
-				b.ReportMetric(float64(bytes()-before)/seconds, "move-B/s")
+				b.ReportMetric(f.source.EvidenceLate("move-0").Seconds(), "s-late")
 			}
 		})
 	}
 }
 
-func reportMove(n *Subscriber) {
+// reportMoves counts 36 calls on average for each series, answered in up to 32 ms, and adds them up by move.
+func reportMoves(n *Subscriber, moves int, calls map[core.MoveID]uint64) {
+	var ids []core.MoveID
 	var counts []core.EvidenceCount
-	for _, route := range []core.RouteName{"read-transcripts", "lodge-copies"} {
-		for _, release := range []core.Release{"v1", "v2"} {
-			count := core.EvidenceCount{
-				Move: "m1", Service: "transcripts", Route: route, Release: release, Calls: 36, Failures: 1,
-			}
-			for i := range 6 { // most answers take 1 to 32 ms
-				count.Latency[i] = 6
+	for move := range moves {
+		id := core.MoveID(fmt.Sprintf("move-%d", move))
+		ids = append(ids, id)
+		for _, route := range []core.RouteName{"read-transcripts", "lodge-copies"} {
+			for _, release := range []core.Release{"v1", "v2"} {
+				count := core.EvidenceCount{Move: id, Service: core.ServiceName(fmt.Sprintf("transcripts-%d", move)), Route: route, Release: release}
+				for range 28 + rand.IntN(17) {
+					count.Calls++
+					count.Latency[rand.IntN(6)]++
+				}
+				count.Failures = uint64(rand.IntN(3))
+				calls[id] += count.Calls
+				counts = append(counts, count)
 			}
-			counts = append(counts, count)
 		}
 	}
-	n.ReportEvidence([]core.MoveID{"m1"}, counts)
+	n.ReportEvidence(ids, counts)
 }
 
 const (
@@ -193,7 +203,7 @@
 				services := planned(1).Services()
 				for b.Loop() {
 					for _, rate := range []int{0, 1, 5, 10} {
-						before := f.bytesByNode()
+						before := bytesOf(f.nodes)
 						ticker := time.NewTicker(time.Second / time.Duration(max(rate, 1)))
 						for i := range seconds * max(rate, 1) {
 							<-ticker.C
@@ -210,9 +220,8 @@
 	}
 }
 
-func (f *fleet) bytesByNode() []uint64 {
-	var list []uint64
-	for _, n := range f.nodes {
+func bytesOf(nodes []*Subscriber) (list []uint64) {
+	for _, n := range nodes {
 		sent, received := n.Bytes()
 		list = append(list, sent+received)
 	}
@@ -221,7 +230,7 @@
 
 func (f *fleet) report(b *testing.B, rate, seconds int, before []uint64) {
 	sum, busiest := uint64(0), uint64(0)
-	for i, after := range f.bytesByNode() {
+	for i, after := range bytesOf(f.nodes) {
 		sum += after - before[i]
 		busiest = max(busiest, after-before[i])
 	}
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -33,6 +33,8 @@
 	pongs        int
 	crashesAt    uint64
 	series       []series
+	rows         []row                  // the last one of each series
+	late         map[core.MoveID]uint64 // of another control instance
 	reporting    map[core.MoveID]int
 	pathTurn     uint64
 	subscribed   bool
@@ -215,6 +217,7 @@
 		return h.withChild(received, &message, func() {
 			if c.hello.Kind == kindControl {
 				h.evidence.merge(message.Counts, true)
+				c.late = message.Late
 			}
 		})
 	case typeSums:
@@ -224,7 +227,7 @@
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		return h.takeSums(c, message)
+		return h.takeSums(now, c, message)
 	case typeCrashes:
 		var message crashes
 		return h.withChild(received, &message, func() {
@@ -332,6 +335,7 @@
 		Path:    path,
 		Control: h.control,
 		Stale:   h.stale,
+		Rows:    true,
 	}
 }
 
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -37,6 +37,8 @@
 	run       core.Incarnation // of a control instance: distinguishes its sums from those of earlier runs
 	evidence  *evidenceStore   // of a control instance
 	pending   pendingSums
+	late      lateness // of a control instance
+	steps     map[core.MoveID]time.Time
 	ownMoves  []core.MoveID // on which this node reports
 	nodes     *nodeStore
 	crashes   *crashStore
@@ -53,8 +55,10 @@
 	stale    bool   // the control instance knows no leader
 	pathTurn uint64 // counts changes of the path
 	attached bool
-	all      bool // this node wants the endpoints of all services
-	services map[core.ServiceName]bool
+	// parentReadsRows says which form of sums the parent reads.
+	parentReadsRows bool
+	all             bool // this node wants the endpoints of all services
+	services        map[core.ServiceName]bool
 	// linger has the subscriptions of lost children, and those that ended while there was no parent, and when they end.
 	linger        map[core.ServiceName]time.Time
 	subscriptions uint64 // counts changes of what this node and its children want
@@ -83,8 +87,9 @@
 		table:      lease.New(),
 		evidence:   newEvidenceStore(),
 		pending: pendingSums{
-			counts: make(map[series]core.EvidenceCount),
+			counts: make(map[series]pendingSum),
 		},
+		late:        make(lateness),
 		nodes:       newNodeStore(),
 		crashes:     newCrashStore(),
 		confirmer:   newConfirmer(),
@@ -164,6 +169,7 @@
 
 // hold makes a configuration the one that children get; mu is held.
 func (h *hub) hold(configuration *record.Configuration) {
+	h.noteSteps(time.Now(), configuration)
 	h.current = configuration
 	h.history.add(configuration)
 	for _, c := range h.children {
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -58,6 +58,7 @@
 	Path    []core.NodeID  `msgpack:"path"`
 	Control core.ControlID `msgpack:"control"`
 	Stale   bool           `msgpack:"stale,omitempty"`
+	Rows    bool           `msgpack:"rows,omitempty"` // the sender reads rows of sums
 }
 
 type redirect struct {
@@ -132,9 +133,10 @@
 	Digests map[core.ServiceName]core.Hash `msgpack:"digests"`
 }
 
-// evidence carries a control instance's own cumulative sums to the others.
+// evidence carries a control instance's own cumulative sums to the others, and how late they are by move.
 type evidence struct {
-	Counts []core.EvidenceCount `msgpack:"counts"`
+	Counts []core.EvidenceCount   `msgpack:"counts"`
+	Late   map[core.MoveID]uint64 `msgpack:"late,omitempty"`
 }
 
 // acknowledge describes the sender's subtree, the sender included; Revision and Hash are what the sender itself holds.
--- a/io/distribution/parent.go
+++ b/io/distribution/parent.go
@@ -85,7 +85,7 @@
 	if err := s.checkStale(message); err != nil {
 		return err
 	}
-	s.hub.stale = message.Stale
+	s.hub.stale, s.hub.parentReadsRows = message.Stale, message.Rows
 	s.hub.path, s.hub.control = message.Path, message.Control
 	s.hub.pathTurn++
 	s.hub.changed()
--- /dev/null
+++ b/io/distribution/rows.go
@@ -0,0 +1,122 @@
+package distribution
+
+import (
+	"math/bits"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/io/frame"
+)
+
+const (
+	// rowValues are the values of a sum on the wire: calls without latency, failures, crashes, lateness and the buckets.
+	rowValues = 4 + core.LatencyBuckets
+	// maxCodeBits is the length of a value's code without its zeros; a longer one is malformed.
+	maxCodeBits = 64
+)
+
+// row is the last sum of a series on a link. The next one is sent as its difference from it, since a sum of the same nodes
+// over the same interval hardly changes: a value of 30 takes 6 bits on average.
+type row [rowValues]uint64
+
+func rowOf(count core.EvidenceCount, late uint64) row {
+	var r row
+	calls := count.Calls
+	for i, n := range count.Latency {
+		calls -= n
+		r[4+i] = n
+	}
+	// A report can see a call before its latency, so the next one may have fewer calls than latencies.
+	r[0], r[1], r[2], r[3] = zigzag(calls), count.Failures, count.Crashes, late
+	return r
+}
+
+func (r row) count() (count core.EvidenceCount, late uint64) {
+	count.Calls, count.Failures, count.Crashes = unzigzag(r[0]), r[1], r[2]
+	for i := range count.Latency {
+		count.Latency[i] = r[4+i]
+		count.Calls += r[4+i]
+	}
+	return count, r[3]
+}
+
+// zigzag makes a small number of a small difference of either sign.
+func zigzag(n uint64) uint64   { return n<<1 ^ uint64(int64(n)>>63) }
+func unzigzag(n uint64) uint64 { return n>>1 ^ -(n & 1) }
+
+// order is the order of the Golomb code for what follows a value: half of the value's bits, as the usual difference
+// between two counts is the square root of the count.
+func order(last uint64) int {
+	return (bits.Len64(last) + 1) / 2
+}
+
+// bitWriter appends bits; the last byte is filled with zeros.
+type bitWriter struct {
+	bytes []byte
+	free  int // bits of the last byte
+}
+
+func (w *bitWriter) put(n uint64, width int) {
+	for width > 0 {
+		if w.free == 0 {
+			w.bytes, w.free = append(w.bytes, 0), 8
+		}
+		taken := min(width, w.free)
+		part := n >> (width - taken) & (1<<taken - 1)
+		w.bytes[len(w.bytes)-1] |= byte(part << (w.free - taken))
+		width -= taken
+		w.free -= taken
+	}
+}
+
+// number writes an exponential Golomb code; n is below 2^63.
+func (w *bitWriter) number(n uint64, order int) {
+	n += 1 << order
+	w.put(0, bits.Len64(n)-1-order)
+	w.put(n, bits.Len64(n))
+}
+
+func (w *bitWriter) row(r, last row) {
+	for i, n := range r {
+		w.number(zigzag(n-last[i]), order(last[i]))
+	}
+}
+
+type bitReader struct {
+	bytes []byte
+	at    int // in bits
+	err   error
+}
+
+func (r *bitReader) bit() uint64 {
+	if r.at >= 8*len(r.bytes) {
+		r.err = errors.Annotate(frame.ErrMalformed, "cut sum")
+		return 1
+	}
+	n := uint64(r.bytes[r.at/8] >> (7 - r.at%8) & 1)
+	r.at++
+	return n
+}
+
+func (r *bitReader) number(order int) uint64 {
+	width := order
+	for r.bit() == 0 {
+		if width++; width >= maxCodeBits {
+			r.err = errors.Annotate(frame.ErrMalformed, "value of a sum is too long")
+			return 0
+		}
+	}
+	n := uint64(1)
+	for range width {
+		n = n<<1 | r.bit()
+	}
+	return n - 1<<order
+}
+
+func (r *bitReader) row(last row) (read row) {
+	for i := range read {
+		read[i] = last[i] + unzigzag(r.number(order(last[i])))
+	}
+	return read
+}
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -278,7 +278,10 @@
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
 	s.hub.ownMoves = moves
-	s.hub.addEvidence(counted)
+	now := time.Now()
+	for _, count := range counted {
+		s.hub.addEvidence(now, count, 0)
+	}
 	s.hub.changed()
 }
 
--- a/io/distribution/sums.go
+++ b/io/distribution/sums.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -18,6 +19,10 @@
 	maxSeries = 8192
 	// maxReporting bounds the moves in one message.
 	maxReporting = 4096
+	// maxChanged bounds the numbers of reporting nodes in one message, so that it does not exceed the budget by much.
+	maxChanged = 8
+	// sumsOverhead is what a message of sums has besides its names and rows: frame, map and keys.
+	sumsOverhead = 16
 )
 
 // series is what a sum is counted by.
@@ -29,6 +34,12 @@
 	Release    core.Release     `msgpack:"v"`
 }
 
+// label names what a sum counts.
+func (s series) label(count core.EvidenceCount) core.EvidenceCount {
+	count.Move, count.DataCentre, count.Service, count.Route, count.Release = s.Move, s.DataCentre, s.Service, s.Route, s.Release
+	return count
+}
+
 func seriesOf(count core.EvidenceCount) series {
 	return series{
 		Move:       count.Move,
@@ -40,46 +51,69 @@
 }
 
 // sums carries what the sender and the nodes below it have counted since its last message on any link. Nothing in it is
-// ever sent twice: a parent can add it up without knowing who counted.
+// ever sent twice: a parent can add it up without knowing who counted. Series, Counts and Reporting are for a parent whose
+// accept does not say that it reads rows; the keys of the others are short, as the message is sent every second.
 type sums struct {
 	Restart bool     `msgpack:"restart,omitempty"` // the numbers of the series begin again
 	Series  []series `msgpack:"series,omitempty"`  // numbered on the link in the order in which they are named
+	// Names and Same name series too: the bits of a byte of Same tell which names are those of the series before.
+	Names []string `msgpack:"n,omitempty"`
+	Same  []byte   `msgpack:"k,omitempty"`
 	// Counts is a row of numbers for each sum: series, calls, failures, crashes, number of latency buckets, buckets.
 	Counts []byte `msgpack:"counts,omitempty"`
+	// Rows is a bit stream: the number of rows, and for each the distance of its series from the one after the row before,
+	// and its values.
+	Rows []byte `msgpack:"w,omitempty"`
 	// Reporting is the number of nodes below that report on a move, the sender included; it replaces the last one if Reports.
 	Reports   bool                `msgpack:"reports,omitempty"`
 	Reporting map[core.MoveID]int `msgpack:"reporting,omitempty"`
+	Changed   map[core.MoveID]int `msgpack:"c,omitempty"` // numbers of reporting nodes that replace the last ones
 	// InDoubt counts calls in messages whose arrival was not known when their link was lost.
 	InDoubt uint64 `msgpack:"in-doubt,omitempty"`
 }
 
+// pendingSum is what a node has counted or heard of since it last sent a sum of the series.
+type pendingSum struct {
+	count core.EvidenceCount
+	since time.Time
+	late  uint64 // on the way to this node
+}
+
+// lateAt returns how much longer than usual the oldest count has waited on its way, in units of lateUnit.
+func (p pendingSum) lateAt(now time.Time) uint64 {
+	return p.late + uint64(max(0, now.Sub(p.since)-evidenceInterval)/lateUnit)
+}
+
 // pendingSums are what a node has not yet passed to a parent.
 type pendingSums struct {
-	counts  map[series]core.EvidenceCount
+	counts  map[series]pendingSum
 	inDoubt uint64
 	dropped uint64
 }
 
-func (p *pendingSums) add(count core.EvidenceCount) {
+func (p *pendingSums) add(now time.Time, count core.EvidenceCount, late uint64) {
 	key := seriesOf(count)
 	held, exists := p.counts[key]
 	if !exists && len(p.counts) >= maxPending {
 		p.dropped++
 		return
 	}
-	p.counts[key] = sumOf(count, held)
+	if !exists {
+		held.since = now
+	}
+	held.count, held.late = sumOf(count, held.count), max(late, held.late)
+	p.counts[key] = held
 }
 
 // addEvidence counts what this node or a child has reported.
-func (h *hub) addEvidence(counts []core.EvidenceCount) {
-	for _, count := range counts {
-		if h.relay != "" {
-			h.pending.add(count)
-			continue
-		}
-		count.Node, count.Incarnation = core.NodeID(h.control)+"/"+core.NodeID(count.DataCentre), h.run
-		h.evidence.add(count)
+func (h *hub) addEvidence(now time.Time, count core.EvidenceCount, late uint64) {
+	if h.relay != "" {
+		h.pending.add(now, count, late)
+		return
 	}
+	h.late.note(now, count.Move, late)
+	count.Node, count.Incarnation = core.NodeID(h.control)+"/"+core.NodeID(count.DataCentre), h.run
+	h.evidence.add(count)
 }
 
 // reporting returns for each move how many nodes report on it: this node, those below it and, if asked for, those of the
@@ -100,22 +134,60 @@
 	return sum
 }
 
-// sumsDue hands the pending sums over to a link. From then on they count as delivered; sumsLost tells if they may not be.
-func (h *hub) sumsDue(u *uplink) []outgoing {
+// sumsDue hands the pending sums whose turn it is over to a link, and returns about how many bytes that costs. From then on
+// they count as delivered; sumsLost tells if they may not be.
+func (h *hub) sumsDue(u *uplink, now time.Time, pace sumsPace) ([]outgoing, int) {
 	var message sums
-	if reporting := h.reporting(false); !maps.Equal(reporting, u.reporting) {
-		u.reporting, message.Reporting, message.Reports = reporting, reporting, true
-	}
-	if u.kind == kindNode {
+	compact := h.parentReadsRows && u.kind == kindNode
+	h.reportingDue(u, &message, compact)
+	switch {
+	case compact:
+		h.takeRows(u, &message, now, pace)
+	case u.kind == kindNode:
 		h.takePending(u, &message)
 	}
-	if len(message.Counts) == 0 && !message.Reports && message.InDoubt == 0 {
-		return nil
+	size := len(message.Rows) + len(message.Same)
+	for _, name := range message.Names {
+		size += len(name) + 1
+	}
+	for move := range message.Changed {
+		size += len(move) + 3
+	}
+	if size == 0 && len(message.Counts) == 0 && !message.Reports && message.InDoubt == 0 {
+		return nil, 0
 	}
 	return []outgoing{{
 		kind:    typeSums,
 		message: message,
-	}}
+	}}, size + sumsOverhead
+}
+
+func (h *hub) reportingDue(u *uplink, message *sums, compact bool) {
+	reporting := h.reporting(false)
+	if maps.Equal(reporting, u.reporting) {
+		return
+	}
+	if !compact {
+		u.reporting, message.Reporting, message.Reports = reporting, reporting, true
+		return
+	}
+	message.Changed = make(map[core.MoveID]int)
+	for _, move := range append(slices.Collect(maps.Keys(reporting)), slices.Collect(maps.Keys(u.reporting))...) {
+		if reporting[move] != u.reporting[move] && len(message.Changed) < maxChanged {
+			message.Changed[move] = reporting[move]
+		}
+	}
+	u.reporting = withChanges(u.reporting, message.Changed)
+}
+
+func withChanges(reporting, changed map[core.MoveID]int) map[core.MoveID]int {
+	next := maps.Clone(reporting)
+	if next == nil {
+		next = make(map[core.MoveID]int)
+	}
+	maps.Copy(next, changed)
+	maps.DeleteFunc(next, func(_ core.MoveID, nodes int) bool { return nodes == 0 })
+	return next
 }
 
 func (h *hub) takePending(u *uplink, message *sums) {
@@ -126,25 +198,40 @@
 		}
 		keys = append(keys, key)
 	}
-	if len(u.series)+len(keys) > maxSeries {
-		message.Restart = true
-		clear(u.series)
-	}
+	u.makeRoom(message, len(keys))
 	for _, key := range keys {
-		count := h.pending.counts[key]
-		delete(h.pending.counts, key)
 		number, named := u.series[key]
 		if !named {
-			number = uint64(len(u.series))
-			u.series[key] = number
+			number, u.named = u.name(key), key
 			message.Series = append(message.Series, key)
 		}
-		u.inDoubt += count.Calls
-		message.Counts = appendCount(message.Counts, number, count)
+		message.Counts = appendCount(message.Counts, number, h.take(u, key).count)
 	}
 	message.InDoubt, h.pending.inDoubt = h.pending.inDoubt, 0
 }
 
+// makeRoom begins the numbers of the series again if there may not be enough of them.
+func (u *uplink) makeRoom(message *sums, more int) {
+	if len(u.series)+more > maxSeries {
+		message.Restart, u.rows, u.named = true, nil, series{}
+		clear(u.series)
+	}
+}
+
+func (u *uplink) name(key series) uint64 {
+	number := uint64(len(u.series))
+	u.series[key] = number
+	return number
+}
+
+// take removes a sum that is about to be sent.
+func (h *hub) take(u *uplink, key series) pendingSum {
+	sum := h.pending.counts[key]
+	delete(h.pending.counts, key)
+	u.inDoubt += sum.count.Calls
+	return sum
+}
+
 func appendCount(to []byte, number uint64, count core.EvidenceCount) []byte {
 	buckets := core.LatencyBuckets
 	for buckets > 0 && count.Latency[buckets-1] == 0 {
@@ -180,15 +267,21 @@
 }
 
 // takeSums adds a child's message.
-func (h *hub) takeSums(c *child, message sums) error {
+func (h *hub) takeSums(now time.Time, c *child, message sums) error {
 	if message.Restart {
-		c.series = nil
+		c.series, c.rows = nil, nil
 	}
-	if len(c.series)+len(message.Series) > maxSeries || len(message.Reporting) > maxReporting {
+	if len(c.series)+len(message.Series)+len(message.Same) > maxSeries || len(message.Reporting) > maxReporting {
 		return errors.Annotate(frame.ErrMalformed, "too many series or moves")
 	}
 	c.series = append(slices.Clip(c.series), message.Series...)
-	var counts []core.EvidenceCount
+	if err := c.readNames(message); err != nil {
+		return err
+	}
+	counts, err := c.readRows(message.Rows)
+	if err != nil {
+		return err
+	}
 	for rest := message.Counts; len(rest) > 0; {
 		number, count, behind, err := readCount(rest)
 		if err != nil {
@@ -197,15 +290,20 @@
 		if number >= uint64(len(c.series)) {
 			return errors.Annotatef(frame.ErrMalformed, "sum of series %d of %d", number, len(c.series))
 		}
-		key := c.series[number]
-		count.Move, count.DataCentre, count.Service, count.Route, count.Release = key.Move, key.DataCentre, key.Service, key.Route, key.Release
-		counts, rest = append(counts, count), behind
+		counts, rest = append(counts, lateCount{count: c.series[number].label(count)}), behind
+	}
+	for _, each := range counts {
+		h.addEvidence(now, each.count, each.late)
 	}
-	h.addEvidence(counts)
 	h.pending.inDoubt += message.InDoubt
 	if message.Reports {
 		c.reporting = message.Reporting
 	}
+	if len(message.Changed) > 0 {
+		if c.reporting = withChanges(c.reporting, message.Changed); len(c.reporting) > maxReporting {
+			return errors.Annotate(frame.ErrMalformed, "too many moves")
+		}
+	}
 	h.changed()
 	return nil
 }
--- a/io/distribution/sums_test.go
+++ b/io/distribution/sums_test.go
@@ -7,8 +7,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
 
 	"parsleyport/core"
+	"parsleyport/core/record"
 )
 
 // reporter counts what its nodes report; each report has two calls, one of which failed.
@@ -23,6 +27,13 @@
 	n.ReportEvidence([]core.MoveID{"m1"}, []core.EvidenceCount{count})
 }
 
+// testHub is a node's, without links.
+func testHub(relay core.NodeID) *hub {
+	h := newHub(zerolog.Nop(), newMeters(orNewSet(nil)), Network{})
+	h.relay, h.current = relay, record.Empty()
+	return h
+}
+
 // counted adds up what a control instance knows.
 func counted(s *Source) (sum core.EvidenceCount) {
 	for _, count := range s.Evidence() {
@@ -148,3 +159,100 @@
 		c.Assert(inDoubt <= 10, qt.IsTrue) // what was answered before is not in doubt
 	})
 }
+
+// Guards against sums that do not survive their form on the wire, that of earlier programs included.
+func TestSumsRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		h, parent := testHub("n1"), testHub("n0")
+		h.parentReadsRows = rapid.Bool().Draw(t, "rows")
+		u, link, now := newUplink(nil, kindNode), &child{}, time.Now()
+		for range 20 {
+			want := make(map[series]core.EvidenceCount)
+			for range rapid.IntRange(0, 9).Draw(t, "counts") {
+				count := core.EvidenceCount{
+					Move: core.MoveID(rapid.StringMatching("m[1-3]").Draw(t, "move")), Route: core.RouteName(rapid.StringMatching("[ab]?").Draw(t, "route")),
+					Calls: rapid.Uint64Range(0, 1<<40).Draw(t, "calls"), Crashes: rapid.Uint64Range(0, 3).Draw(t, "crashes"),
+				}
+				count.Latency[rapid.IntRange(0, core.LatencyBuckets-1).Draw(t, "bucket")] = rapid.Uint64Range(0, 1<<40).Draw(t, "latency")
+				want[seriesOf(count)] = sumOf(want[seriesOf(count)], count)
+				h.addEvidence(now, count, 0)
+			}
+			for key, count := range want {
+				want[key] = key.label(count)
+			}
+			due, _ := h.sumsDue(u, now, lastOfLink)
+			for _, m := range due {
+				body, err := msgpack.Marshal(m.message)
+				c.Assert(err, qt.IsNil)
+				var message sums
+				c.Assert(msgpack.Unmarshal(body, &message), qt.IsNil)
+				c.Assert(parent.takeSums(now, link, message), qt.IsNil)
+			}
+			got := make(map[series]core.EvidenceCount)
+			for key, sum := range parent.pending.counts {
+				got[key] = sum.count
+			}
+			c.Assert(got, qt.DeepEquals, want)
+			clear(parent.pending.counts)
+		}
+	})
+}
+
+// Guards against a relay that exceeds its 4 KB/s with many open moves, against calls that are lost or late without notice
+// meanwhile, and against evidence of a step that arrives after more than 3 s.
+func TestEvidenceOfManyMovesTakesTurns(t *testing.T) {
+	for _, moves := range []int{6, 24} {
+		run(t, func(c *qt.C, w *world) {
+			source, calls := w.source("c1", w.catalog), make(map[core.MoveID]uint64)
+			nodes := w.nodes(40, knowing("c1"))
+			w.eventually(inForce, "revision 1", allAt(nodes, 1))
+			arrived := func(move core.MoveID) (sum uint64) {
+				for _, count := range source.Evidence() {
+					if count.Move == move {
+						sum += count.Calls
+					}
+				}
+				return sum
+			}
+			report := func(seconds int) {
+				for range seconds {
+					for _, n := range nodes {
+						reportMoves(n, moves, calls)
+					}
+					time.Sleep(time.Second)
+				}
+			}
+			report(10)
+			before := bytesOf(nodes)
+			report(10)
+			for i, after := range bytesOf(nodes) {
+				c.Assert(after-before[i] <= 10*4000, qt.IsTrue, qt.Commentf("node %d: %d B/s", i, (after-before[i])/10))
+			}
+			c.Assert(source.EvidenceLate("move-0") > 0, qt.Equals, moves > 6)
+			for number := range core.Revision(4) {
+				override := core.Override{Service: "service-0", Move: "move-5", From: "service-0-v1", To: "service-0-v1", Open: true}
+				override.Weights = []core.Weight{{Upstream: "service-0-v1", PerMille: 997 + core.PerMille(number)}}
+				next, err := record.New(number+2, testRecords(3, 1), []core.Override{override})
+				c.Assert(err, qt.IsNil)
+				w.catalog.set(next)
+				time.Sleep(time.Second)
+				report(1) // the first calls of the step
+				since := calls["move-5"]
+				report(1)
+				time.Sleep(100 * time.Millisecond) // on the way and in timers
+				c.Assert(arrived("move-5") >= since, qt.IsTrue, qt.Commentf("%d moves, step %d: %d of %d calls arrived in 3 s", moves, number, arrived("move-5"), since))
+				report(3)
+			}
+			w.eventually(time.Minute, "all calls are counted", func() bool {
+				for move, reported := range calls {
+					if arrived(move) != reported {
+						return false
+					}
+				}
+				return true
+			})
+			c.Assert(len(calls), qt.Equals, moves)
+		})
+	}
+}
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -24,7 +24,11 @@
 	acknowledging pacer
 	evidenceAt    uint64
 	evidencing    pacer
+	expressing    pacer
+	crowded       bool // not all sums fitted in the last message
 	series        map[series]uint64
+	rows          []row  // the last one of each series
+	named         series // the last one
 	reporting     map[core.MoveID]int
 	inDoubt       uint64   // calls sent after the last ping
 	awaiting      []uint64 // calls sent before each unanswered ping
@@ -65,6 +69,9 @@
 		evidencing: pacer{
 			interval: evidenceInterval,
 		},
+		expressing: pacer{
+			interval: evidenceInterval,
+		},
 		nodesPacer: pacer{
 			interval: nodesInterval,
 		},
@@ -129,8 +136,13 @@
 			message: report,
 		})
 	}
-	if last || u.evidencing.ready(now) {
-		due = append(due, h.evidenceDue(u, now)...)
+	switch {
+	case last:
+		due = append(due, h.evidenceDue(u, now, lastOfLink)...)
+	case u.evidencing.ready(now):
+		due = append(due, h.evidenceDue(u, now, inTurn)...)
+	case u.expressing.ready(now) && h.expressWaits(u, now):
+		due = append(due, h.evidenceDue(u, now, express)...)
 	}
 	due = append(due, h.crashesUp(u, now)...)
 	due = append(due, h.nodesDue(u, now)...)
@@ -147,14 +159,17 @@
 			message: ping{},
 		})
 	}
-	return due, h.nextUp(u)
+	return due, h.nextUp(u, now)
 }
 
-func (h *hub) nextUp(u *uplink) time.Time {
+func (h *hub) nextUp(u *uplink, now time.Time) time.Time {
 	next := u.pinging.next
 	if len(h.pending.counts) > 0 && u.kind == kindNode && u.evidencing.next.Before(next) {
 		next = u.evidencing.next
 	}
+	if u.expressing.next.Before(next) && h.expressWaits(u, now) {
+		next = u.expressing.next
+	}
 	if u.cursor != h.table.Position(lease.Local) && u.batch.next.Before(next) {
 		next = u.batch.next
 	}
@@ -222,8 +237,8 @@
 	}}
 }
 
-func (h *hub) evidenceDue(u *uplink, now time.Time) []outgoing {
-	due := h.sumsDue(u)
+func (h *hub) evidenceDue(u *uplink, now time.Time, pace sumsPace) []outgoing {
+	due, size := h.sumsDue(u, now, pace)
 	counts, at := h.evidence.since(u.evidenceAt)
 	u.evidenceAt = at
 	if len(counts) > 0 {
@@ -231,11 +246,12 @@
 			kind: typeEvidence,
 			message: evidence{
 				Counts: counts,
+				Late:   h.late.all(),
 			},
 		})
 	}
 	if len(due) > 0 {
-		u.evidencing.sent(now)
+		h.charge(u, now, size, pace)
 	}
 	return due
 }
