--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -33,13 +33,17 @@
 	pongs        int
 	crashesAt    uint64
 	series       []series
+	rows         []row                  // the last one of each series
+	late         map[core.MoveID]uint64 // of another control instance
 	reporting    map[core.MoveID]int
 	pathTurn     uint64
 	subscribed   bool
 	all          bool
 	services     map[core.ServiceName]bool
 	cursor       uint64
-	batch        pacer
+	batch        batcher
+	readsStates  bool
+	told         map[core.NodeID]uint16 // what it was sent, see checkOf
 	digestDue    bool
 	digestFinal  bool
 	leftSince    time.Time
@@ -215,6 +219,7 @@
 		return h.withChild(received, &message, func() {
 			if c.hello.Kind == kindControl {
 				h.evidence.merge(message.Counts, true)
+				c.late = message.Late
 			}
 		})
 	case typeSums:
@@ -224,7 +229,7 @@
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		return h.takeSums(c, message)
+		return h.takeSums(now, c, message)
 	case typeCrashes:
 		var message crashes
 		return h.withChild(received, &message, func() {
@@ -332,6 +337,7 @@
 		Path:    path,
 		Control: h.control,
 		Stale:   h.stale,
+		Rows:    true,
 	}
 }
 
@@ -350,10 +356,8 @@
 			hash:     greeting.Hash,
 		},
 		services:    make(map[core.ServiceName]bool),
+		told:        make(map[core.NodeID]uint16),
 		leftPending: make(map[core.ServiceName]bool),
-		batch: pacer{
-			interval: batchInterval,
-		},
 	}
 	if greeting.Kind == kindControl {
 		c.owner = peerOwner(core.ControlID(greeting.ID))
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -58,6 +58,7 @@
 	Path    []core.NodeID  `msgpack:"path"`
 	Control core.ControlID `msgpack:"control"`
 	Stale   bool           `msgpack:"stale,omitempty"`
+	Rows    bool           `msgpack:"rows,omitempty"` // the sender reads rows of sums
 }
 
 type redirect struct {
@@ -88,6 +89,7 @@
 	All      bool               `msgpack:"all"`
 	Services []core.ServiceName `msgpack:"services"`
 	AwayMS   int64              `msgpack:"away-ms"`
+	States   bool               `msgpack:"states,omitempty"` // the sender reads state changes
 }
 
 // announce carries changes upwards; Complete says that the upserts are all endpoints that the sender vouches for. Left
@@ -109,6 +111,7 @@
 	HasDigest bool               `msgpack:"has-digest,omitempty"`
 	Digest    core.Hash          `msgpack:"digest,omitempty"`
 	Upserts   upserts            `msgpack:"upserts,omitempty"`
+	States    []stateChange      `msgpack:"s,omitempty"` // for a child that reads them
 	Removals  []lease.Removal    `msgpack:"removals,omitempty"`
 	Left      []left             `msgpack:"left,omitempty"`
 }
@@ -132,9 +135,10 @@
 	Digests map[core.ServiceName]core.Hash `msgpack:"digests"`
 }
 
-// evidence carries a control instance's own cumulative sums to the others.
+// evidence carries a control instance's own cumulative sums to the others, and how late they are by move.
 type evidence struct {
-	Counts []core.EvidenceCount `msgpack:"counts"`
+	Counts []core.EvidenceCount   `msgpack:"counts"`
+	Late   map[core.MoveID]uint64 `msgpack:"late,omitempty"`
 }
 
 // acknowledge describes the sender's subtree, the sender included; Revision and Hash are what the sender itself holds.
