Hold no large buffers on idle connections

Cause: each connection kept two buffers of 64 KiB for its whole life, so a node with connections to 2,700 peers needed more than its 128 MB for them alone.

A connection now keeps a read buffer of 512 bytes; a longer message is read into its own memory. A connection on which a write has failed sends nothing more, as with the buffered writer before.

--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -19,7 +19,14 @@
 const (
 	lengthBytes = 4
 	typeBytes   = 2
-	bufferBytes = 64 << 10
+	// readBytes is the only buffer that an idle connection holds. A longer message is read into its own memory, so the size
+	// only decides how many short frames one system call can read.
+	readBytes = 512
+	bulkBytes = 64 << 10
+	// trustedBytes is the length up to which memory for a message is taken before it has arrived.
+	trustedBytes = 64 << 10
+	// maxEncoderBytes is the size above which the buffer of a message is not kept for the next one.
+	maxEncoderBytes = 64 << 10
 )
 
 // Errors of a connection; all of them leave the connection unusable.
@@ -62,19 +69,28 @@
 type Conn struct {
 	conn     net.Conn
 	reader   *bufio.Reader
-	mu       sync.Mutex // guards writer
-	writer   *bufio.Writer
+	mu       sync.Mutex    // guards writer and broken
+	writer   *bufio.Writer // borrowed, nil unless it holds frames that a waiting sender is going to flush
+	broken   error         // of a failed write, which may have sent a part of a frame
 	waiting  atomic.Int32
 	sent     atomic.Uint64
 	received atomic.Uint64
 }
 
-// New wraps a connection.
+// New wraps a connection, one of many of its process.
 func New(conn net.Conn) *Conn {
+	return newSize(conn, readBytes)
+}
+
+// NewBulk wraps one of few connections that carry many messages; it keeps a read buffer of 64 KiB for its whole life.
+func NewBulk(conn net.Conn) *Conn {
+	return newSize(conn, bulkBytes)
+}
+
+func newSize(conn net.Conn, bytes int) *Conn {
 	return &Conn{
 		conn:   conn,
-		reader: bufio.NewReaderSize(conn, bufferBytes),
-		writer: bufio.NewWriterSize(conn, bufferBytes),
+		reader: bufio.NewReaderSize(conn, bytes),
 	}
 }
 
@@ -85,7 +101,11 @@
 // Send writes one message before the deadline (zero for none) and flushes unless another sender is waiting to do so.
 func (c *Conn) Send(deadline time.Time, kind Type, message any) error {
 	buffer := encoders.Get().(*bytes.Buffer)
-	defer encoders.Put(buffer)
+	defer func() {
+		if buffer.Cap() <= maxEncoderBytes {
+			encoders.Put(buffer)
+		}
+	}()
 	buffer.Reset()
 	buffer.Write(make([]byte, lengthBytes+typeBytes))
 	encoder := msgpack.GetEncoder()
@@ -108,17 +128,42 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	last := c.waiting.Add(-1) == 0
+	if c.broken != nil {
+		return errors.Trace(c.broken)
+	}
 	if err := c.conn.SetWriteDeadline(deadline); err != nil {
 		return errors.Trace(err)
 	}
-	if _, err := c.writer.Write(bytes); err != nil {
+	if err := c.put(bytes, last); err != nil {
+		c.broken = err
+		c.release()
 		return errors.Trace(err)
 	}
 	c.sent.Add(uint64(len(bytes)))
-	if !last {
-		return nil // the next sender flushes, so that a burst costs one system call
+	return nil
+}
+
+// put collects frames while senders wait, so that a burst costs one system call. The last of them flushes.
+func (c *Conn) put(bytes []byte, last bool) error {
+	if c.writer == nil && !last {
+		c.writer = borrow(c.conn)
+	}
+	if c.writer == nil {
+		_, err := c.conn.Write(bytes)
+		return err
+	}
+	if _, err := c.writer.Write(bytes); err != nil || !last {
+		return err
+	}
+	defer c.release()
+	return c.writer.Flush()
+}
+
+func (c *Conn) release() {
+	if c.writer != nil {
+		giveBack(c.writer)
+		c.writer = nil
 	}
-	return errors.Trace(c.writer.Flush())
 }
 
 // Receive reads one frame before the deadline (zero for none); it returns io.EOF at the end between two frames,
@@ -155,7 +200,7 @@
 
 // readPayload grows its buffer with the bytes that arrive, so that a false length costs no memory.
 func readPayload(reader io.Reader, length int) ([]byte, error) {
-	if length <= bufferBytes {
+	if length <= trustedBytes {
 		payload := make([]byte, length)
 		_, err := io.ReadFull(reader, payload)
 		return payload, cut(err)
--- a/io/raftpeer/link.go
+++ b/io/raftpeer/link.go
@@ -109,7 +109,7 @@
 	for l.context.Err() == nil {
 		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(l.context, "tcp", l.address)
 		if err == nil {
-			r.useConnection(l, frame.New(conn))
+			r.useConnection(l, frame.NewBulk(conn))
 			_ = conn.Close()
 		}
 		r.discard(l)
@@ -187,7 +187,7 @@
 		case slots <- struct{}{}:
 			r.running.Go(func() {
 				defer func() { <-slots }()
-				r.receiveLoop(frame.New(conn))
+				r.receiveLoop(frame.NewBulk(conn))
 			})
 		default:
 			_ = conn.Close()
