Check that silence is found although a ping cannot be written

Cause: the goroutine that looked for silence also wrote the pings. On a connection whose peer reads nothing it waited for the limit of a write, 10 s, instead of 1.5 s.

TestOpenAfterRevocationNeverRuns, whose network holds what is sent, now also checks the time.

--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -304,7 +304,9 @@
 			}
 			return pass
 		}
+		began := time.Now()
 		_, outcome, err := b.forward(callFor("x", nil))
+		c.Assert(time.Since(began) <= 2500*time.Millisecond, qt.IsTrue) // although the ping cannot be written
 		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
 		c.Assert(err, qt.ErrorMatches, "not run: revoked.*")
 		close(b.network.release)
