--- /dev/null
+++ b/io/nodepeer/check_test.go
@@ -0,0 +1,107 @@
+package nodepeer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/core/idempotency"
+	"parsleyport/io/frame"
+)
+
+// Guards against waiting for the deadline on a connection that has gone silent, and against calling its queued calls
+// unknown or its running ones not run.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for _, running := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(t, 1)
+			b.backend.handle = func(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+				if call.ID != "first" {
+					return answerWith(nil), core.OutcomeAnswered, nil
+				}
+				if !running {
+					return queueUntilCancelled(ctx, call)
+				}
+				<-ctx.Done()
+				return nil, core.OutcomeUnknown, ctx.Err()
+			}
+			b.network.decide = func(number int, direction bool, kind frame.Type) action {
+				if number == 1 && (kind == typePing || kind == typePong) {
+					return swallow
+				}
+				return pass
+			}
+			began := time.Now()
+			_, outcome, _ := b.forward(callFor("first", nil))
+			c.Assert(time.Since(began) <= 2500*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+			if running {
+				c.Assert(outcome, qt.Equals, core.OutcomeUnknown)
+			} else {
+				c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+			}
+			_, outcome, _ = b.forward(callFor("second", nil))
+			c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+		})
+	}
+}
+
+// Guards against taking a pause of this process for a silent peer, and its running calls for unknown.
+func TestOwnPauseIsNoSilence(t *testing.T) {
+	c := qt.New(t)
+	near, far := net.Pipe()
+	defer far.Close()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	dialer, stop, err := NewDialer(DialerOptions{})
+	c.Assert(err, qt.IsNil)
+	defer stop()
+	conn := newClientConn(dialer, &peer{}, near, time.Now(), 1)
+	_, err = conn.register(context.Background(), func() {})
+	c.Assert(err, qt.IsNil)
+	now := time.Now().Add(5 * time.Second)
+	for conn.check(now); !conn.lost && now.Before(time.Now().Add(10*time.Second)); conn.check(now) {
+		now = now.Add(checkEvery)
+	}
+	c.Assert(conn.lost, qt.IsTrue)
+	c.Assert(time.Until(now) > 6*time.Second, qt.IsTrue) // 5 s of pause and 1.5 s of silence
+}
+
+// Guards against a call or claim that begins on a connection that is being closed as idle, and so becomes unknown.
+func TestNothingBeginsOnAClosingConnection(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t, 1)
+	claims := &Claims{options: ClaimsOptions{Dialer: b.dialer}, silent: make(map[string]time.Time)}
+	for i := range 1000 {
+		conn, err := b.dialer.connectionAfter(context.Background(), "b", 0)
+		c.Assert(err, qt.IsNil)
+		conn.mu.Lock()
+		conn.idleUntil = time.Now()
+		conn.mu.Unlock()
+		var users sync.WaitGroup
+		users.Go(func() { conn.check(time.Now()) })
+		for range 4 {
+			users.Go(func() {
+				if i%2 == 0 {
+					_, err := claims.askRemote(context.Background(), "b", keyMessage{Verdict: idempotency.VerdictUnknown}, silentLimit)
+					c.Check(err, qt.IsNil)
+					return
+				}
+				answer, outcome, err := b.forward(callFor(fmt.Sprint(i), nil))
+				c.Check(outcome, qt.Equals, core.OutcomeAnswered, qt.Commentf("error %v", err))
+				if answer != nil {
+					_, err = io.ReadAll(answer.Body)
+					c.Check(err, qt.IsNil)
+				}
+			})
+		}
+		users.Wait()
+	}
+}
