Draw more events and let the tests with seeds take their number

TestEachCallEndsExactlyOnce draws cancellations, new numbers of slots and calls that do not wait. A call must not start above the slots; running calls may now exceed them after the slots shrank, so the check looks at changes that start calls. That is the same bound, since nothing else adds running calls.

The fault schedules also remove an instance and add it again, so the random faults hit membership changes other than a replacement. Schedules of earlier seeds draw other faults than before. The numbers of seeds of TestCrashKeepsWhatWasSynced and TestEvidenceSumsUnderFaults are flags, as that of the schedules was.

--- a/core/limiter/limiter_test.go
+++ b/core/limiter/limiter_test.go
@@ -182,7 +182,7 @@
 			for _, shed := range change.Shed {
 				end(shed.Ticket)
 			}
-			if l.Running() > slots || l.Running() != len(running) {
+			if len(change.Start) > 0 && l.Running() > slots || l.Running() != len(running) {
 				t.Fatalf("%d calls run, %d were started, %d slots", l.Running(), len(running), slots)
 			}
 		}
@@ -194,9 +194,17 @@
 					Tenant:   core.TenantID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "tenant")),
 					Priority: core.Priority(rapid.IntRange(0, 9).Draw(t, "priority")),
 					Deadline: now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "left")) * time.Millisecond),
+					NoWait:   rapid.IntRange(0, 9).Draw(t, "no wait") == 0,
 				})
 				arrived[ticket] = true
 				apply(change)
+			case rapid.IntRange(0, 9).Draw(t, "cancel") == 0:
+				if ticket := limiter.Ticket(rapid.IntRange(1, 100).Draw(t, "ticket")); l.Cancel(ticket) {
+					end(ticket)
+				}
+			case rapid.IntRange(0, 19).Draw(t, "resize") == 0:
+				slots = rapid.IntRange(1, 6).Draw(t, "resized")
+				apply(l.Resize(now, slots))
 			case len(running) > 0:
 				ticket := running[0]
 				running = running[1:]
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -1,6 +1,7 @@
 package disk_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,6 +16,8 @@
 	"parsleyport/io/disk/disktest"
 )
 
+var crashSeeds = flag.Uint64("crash-seeds", 200, "number of seeds of TestCrashKeepsWhatWasSynced")
+
 const firstSegment = "log-00000000000000000001"
 
 func open(folder disk.Folder) (*disk.Store, disk.Found, error) {
@@ -143,7 +146,7 @@
 // Guards against a loss of what a call has reported as synced, at a crash between any two operations or within one. After
 // a crash the folder must hold the state before or after the operation that failed, and nothing else.
 func TestCrashKeepsWhatWasSynced(t *testing.T) {
-	for seed := range uint64(200) {
+	for seed := range *crashSeeds {
 		c := qt.New(t)
 		random := rand.New(rand.NewPCG(seed, 2))
 		folder := disktest.NewMemory()
--- a/io/distribution/sums_test.go
+++ b/io/distribution/sums_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -11,6 +12,8 @@
 	"parsleyport/core"
 )
 
+var faultSeeds = flag.Uint64("fault-seeds", 6, "number of seeds of TestEvidenceSumsUnderFaults")
+
 // reporter counts what its nodes report; each report has two calls, one of which failed.
 type reporter struct {
 	calls uint64
@@ -67,7 +70,7 @@
 // Guards against sums that count a report twice, or lose failures without the calls that they belong to, when nodes and
 // relays restart, links break or go silent and nodes change their parent.
 func TestEvidenceSumsUnderFaults(t *testing.T) {
-	for seed := range uint64(6) {
+	for seed := range *faultSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			run(t, func(c *qt.C, w *world) { sumUnderFaults(c, w, rand.New(rand.NewPCG(seed, 1))) })
 		})
--- a/io/raftpeer/schedule_test.go
+++ b/io/raftpeer/schedule_test.go
@@ -126,11 +126,12 @@
 	}
 }
 
-// operator replaces an instance that has lost its disk.
+// operator replaces an instance that has lost its disk, and adds one again that it has removed.
 type operator struct {
 	world    *world
-	repairs  core.ControlID // empty if no disk is lost
+	repairs  core.ControlID // empty if all instances are members and no disk is lost
 	next     time.Time
+	removes  bool
 	promoted bool
 }
 
@@ -145,13 +146,19 @@
 		o.repairs, o.promoted = "", false
 		return
 	}
-	kind := raft.ChangeReplace
+	kind := raft.ChangeAdd
 	for _, member := range leader.engine.node.Members() {
-		if member.Peer == peer {
+		switch {
+		case member.Peer.ID == peer.ID && member.Peer != peer:
+			kind = raft.ChangeReplace
+		case member.Peer == peer && o.removes:
+			kind = raft.ChangeRemove
+		case member.Peer == peer:
 			kind = raft.ChangePromote
 		}
 	}
 	o.world.changeOnce(leader, kind, o.repairs, func(refused string) {
+		o.removes = o.removes && (refused != "" || kind != raft.ChangeRemove)
 		o.promoted = o.promoted || refused == "" && kind == raft.ChangePromote
 	})
 }
@@ -161,7 +168,7 @@
 	id := w.ids[w.random.IntN(len(w.ids))]
 	other := w.ids[w.random.IntN(len(w.ids))]
 	i := w.instances[id]
-	switch w.random.IntN(12) {
+	switch w.random.IntN(13) {
 	case 0:
 		w.isolate(id, true, false)
 		return "outgoing cut of " + string(id)
@@ -202,6 +209,11 @@
 			leader.own = append(leader.own, raft.HandOverRequested{})
 		}
 		return "handover"
+	case 11:
+		if o.repairs == "" {
+			o.repairs, o.removes = id, true
+			return "removal of " + string(id)
+		}
 	}
 	for _, id := range w.ids {
 		if !w.instances[id].up {
