Check the lengths that a message states before it is decoded

Cause: msgpack v5.4.1 compares a flag with 1 where it means 0, so its limit for the allocation of slices never holds. A slice is allocated with the length that the message states: 15 bytes from a child asked for 240 GB, and Go ends a process that is out of memory, without a panic that could be caught. What a message does not name is skipped recursively, so a frame of nested arrays could use up the stack too. Found by FuzzDecodeBatch after 83,246 cases.

Earlier runs of the fuzz targets hid this: with one worker, the fuzzer spends up to a minute on making one interesting input smaller (FuzzMessageFromParent: 543 cases in a minute, 161,969 with -fuzzminimizetime 1x).

Ruled out: Decoder.DisableAllocLimit(false), since the library ignores the flag for these slices; a frame limit, which 15 bytes meet.

Package core/packed walks through a value without recursion before it is decoded, and refuses lengths that exceed it and more than 32 levels.

Not covered: items of one byte that take more in memory once decoded; the frame limit bounds them.

--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyport/core"
+	"parsleyport/core/packed"
 	"parsleyport/core/record"
 )
 
@@ -204,5 +205,5 @@
 			err = errors.Errorf("msgpack: %v", cause)
 		}
 	}()
-	return msgpack.Unmarshal(encoded, target)
+	return packed.Decode(encoded, target)
 }
--- a/io/control/audit.go
+++ b/io/control/audit.go
@@ -11,6 +11,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/catalog"
+	"parsleyport/core/packed"
 	"parsleyport/core/ring"
 	"parsleyport/io/disk"
 	"parsleyport/io/raftpeer"
@@ -98,7 +99,7 @@
 
 func (b *backfill) handle(message auditMessage) {
 	var content auditRange
-	if err := msgpack.Unmarshal(message.payload, &content); err != nil {
+	if err := packed.Decode(message.payload, &content); err != nil {
 		return
 	}
 	switch message.topic {
--- a/io/control/catchup.go
+++ b/io/control/catchup.go
@@ -11,6 +11,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/catalog"
+	"parsleyport/core/packed"
 	"parsleyport/core/raft"
 	"parsleyport/io/operatorhttp"
 	"parsleyport/io/raftpeer"
@@ -54,7 +55,7 @@
 
 func (c *catchUp) receive(now time.Time, from core.ControlID, payload []byte) {
 	var report catchUpReport
-	if err := msgpack.Unmarshal(payload, &report); err != nil {
+	if err := packed.Decode(payload, &report); err != nil {
 		return
 	}
 	c.mu.Lock()
--- a/io/disk/fuzz_batch_test.go
+++ b/io/disk/fuzz_batch_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"parsleyport/core/packed"
 	"parsleyport/core/raft"
 )
 
@@ -17,9 +18,10 @@
 	}
 	f.Add(payload)
 	f.Add([]byte{0x80})
+	f.Add([]byte("\x94\xf8\x80\xc0\xdd\xcd\xcd\xcd\xcd\xc0\xc0\xf80")) // states 3.4 billion entries
 	f.Fuzz(func(t *testing.T, payload []byte) {
 		var b batch
-		if msgpack.Unmarshal(payload, &b) == nil {
+		if packed.Decode(payload, &b) == nil {
 			_ = (&replay{}).apply(b)
 		}
 	})
--- a/io/disk/segment.go
+++ b/io/disk/segment.go
@@ -6,9 +6,9 @@
 	"strings"
 
 	"github.com/juju/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyport/core"
+	"parsleyport/core/packed"
 	"parsleyport/core/raft"
 )
 
@@ -52,7 +52,7 @@
 			return s.truncateTail(seg, data, offset, newest)
 		}
 		var b batch
-		if err := msgpack.Unmarshal(payload, &b); err != nil {
+		if err := packed.Decode(payload, &b); err != nil {
 			return errors.Annotatef(ErrCorrupt, "decode %q at byte %d: %v", name, offset, err)
 		}
 		if err := replay.apply(b); err != nil {
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -7,9 +7,9 @@
 	"sync"
 
 	"github.com/juju/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyport/core"
+	"parsleyport/core/packed"
 	"parsleyport/core/raft"
 )
 
@@ -151,7 +151,7 @@
 	if !valid || len(payload)+headBytes != len(data) {
 		return errors.Annotatef(ErrCorrupt, "checksum of %q does not match", name)
 	}
-	if err := msgpack.Unmarshal(payload, target); err != nil {
+	if err := packed.Decode(payload, target); err != nil {
 		return errors.Annotatef(ErrCorrupt, "decode %q: %v", name, err)
 	}
 	return nil
--- a/io/distribution/fuzz_test.go
+++ b/io/distribution/fuzz_test.go
@@ -44,6 +44,7 @@
 		}
 		f.Add(uint16(kind), body)
 	}
+	f.Add(uint16(typeAnnounce), []byte("\x81\xa8removals\xdd\xff\xff\xff\xff")) // states 4.3 billion removals
 	f.Add(uint16(typeSums), []byte("\x81\xa6counts\xc4\x02\xff\xff"))
 }
 
--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -14,6 +14,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyport/core"
+	"parsleyport/core/packed"
 )
 
 const (
@@ -47,7 +48,7 @@
 			err = errors.Annotatef(ErrMalformed, "message type %d: %v", f.Type, cause)
 		}
 	}()
-	if err := msgpack.Unmarshal(f.body, target); err != nil {
+	if err := packed.Decode(f.body, target); err != nil {
 		return errors.Annotatef(ErrMalformed, "message type %d: %v", f.Type, err)
 	}
 	return nil
