--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -21,22 +21,30 @@
 	}
 }
 
-// elected returns a leader of three in the term after the last entry's, and its output of that step. Nothing that it
-// wrote as a leader is reported as synced.
-func elected(c *qt.C, entries ...raft.Entry) (*raft.Node, raft.Output) {
-	members := lo.Map([]core.ControlID{"a", "b", "c"}, func(id core.ControlID, _ int) raft.Member {
+func threeMembers() []raft.Member {
+	return lo.Map([]core.ControlID{"a", "b", "c"}, func(id core.ControlID, _ int) raft.Member {
 		return raft.Member{
 			Peer:  peer(id),
 			Voter: true,
 		}
 	})
-	hard, initial := raft.InitialState(members)
+}
+
+// elected returns a leader of three in the term after the last entry's, and its output of that step. Nothing that it
+// wrote as a leader is reported as synced.
+func elected(c *qt.C, entries ...raft.Entry) (*raft.Node, raft.Output) {
+	hard, initial := raft.InitialState(threeMembers())
 	entries = append(initial, entries...)
 	hard.Term = entries[len(entries)-1].Term
-	node := raft.NewNode(start, peer("a"), raft.Restored{
+	return electedFrom(c, raft.Restored{
 		HardState: hard,
 		Entries:   entries,
-	}, raft.TrailingEntries, rand.New(rand.NewPCG(1, 1)))
+	})
+}
+
+func electedFrom(c *qt.C, restored raft.Restored) (*raft.Node, raft.Output) {
+	hard := restored.HardState
+	node := raft.NewNode(start, peer("a"), restored, raft.TrailingEntries, rand.New(rand.NewPCG(1, 1)))
 	now := start.Add(raft.ElectionTimeout + raft.ElectionJitter)
 	node.Step(now)
 	out := node.Step(now, answer("b", raft.KindPreVoteAnswer, hard.Term+1, 0))
@@ -120,3 +128,18 @@
 	got = node.Step(start, answer("c", raft.KindVote, 5, 0))
 	c.Assert(got.AfterSync[0].Reject, qt.IsTrue)
 }
+
+// Guards against a membership change by a leader that has not committed an entry of its term: a change of an earlier term
+// that it has not seen could form another majority.
+func TestMembershipChangeWaitsForTheOwnTerm(t *testing.T) {
+	c := qt.New(t)
+	node, out := electedFrom(c, raft.Restored{
+		HardState: raft.HardState{Term: 1},
+		Snapshot:  raft.Snapshot{Index: 1, Term: 1, Members: threeMembers()},
+	})
+	now := start.Add(2 * time.Second)
+	change := raft.Proposed{Change: &raft.Change{Kind: raft.ChangeRemove, Peer: peer("c")}}
+	c.Assert(node.Step(now, change).Entries, qt.HasLen, 0)
+	node.Step(now, raft.Synced{Token: out.Token}, answer("b", raft.KindAppendAnswer, 2, 2))
+	c.Assert(node.Step(now, change).Entries, qt.HasLen, 1)
+}
