--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -140,8 +140,11 @@
 	restored.Unbroken = false
 	joined := Reply{Reached: true, Joined: true, Verdict: VerdictGranted}
 	newcomers := []Reply{joined, joined, joined}
-	c.Assert(Enough(newcomers), qt.IsFalse)                                   // else such a key would stay unknown although old nodes can be asked
-	c.Assert(Enough(append(newcomers, granted, granted, silent)), qt.IsFalse) // the silent one may be a newcomer too
+	restartedNewcomer := joined
+	restartedNewcomer.Before = true
+	c.Assert(Enough([]Reply{restartedNewcomer, granted, granted}), qt.IsFalse) // it is no holder yet
+	c.Assert(Enough(newcomers), qt.IsFalse)                                    // else such a key would stay unknown although old nodes can be asked
+	c.Assert(Enough(append(newcomers, granted, granted, silent)), qt.IsFalse)  // the silent one may be a newcomer too
 	c.Assert(Enough(append(newcomers, granted, granted, restarted)), qt.IsTrue)
 	c.Assert(Enough([]Reply{unclear, granted, granted}), qt.IsFalse) // only this entry node may take the first for a holder
 	c.Assert(Enough([]Reply{granted, granted}), qt.IsFalse)          // else a resend would miss it after one of them was restarted
@@ -242,6 +245,15 @@
 	holders.Observe(epoch.Add(JoinLag), "s", []core.Endpoint{a, b})
 	c.Assert(joined(epoch.Add(JoinLag)), qt.DeepEquals, map[core.NodeID]bool{"a": false, "b": true})
 	c.Assert(joined(epoch.Add(JoinLag+Window)), qt.DeepEquals, map[core.NodeID]bool{"a": false, "b": false})
+	first := func() time.Time {
+		return holders.Choose(epoch, Key{Service: "s"})[0].First
+	}
+	holders = NewHolders()
+	holders.Observe(epoch, "s", []core.Endpoint{a})
+	holders.Observe(epoch.Add(JoinLag), "s", []core.Endpoint{a})
+	c.Assert(first(), qt.Equals, epoch)
+	holders.Observe(epoch.Add(2*JoinLag+1), "s", []core.Endpoint{a}) // others may have forgotten it meanwhile
+	c.Assert(first(), qt.Equals, epoch.Add(2*JoinLag+1))
 	holders = NewHolders()
 	holders.Observe(epoch, "s", []core.Endpoint{a})
 	holders.Observe(epoch.Add(JoinLag+1), "s", []core.Endpoint{a, b}) // this node did not look for too long
--- a/io/control/catchup_test.go
+++ b/io/control/catchup_test.go
@@ -52,3 +52,16 @@
 	report("c2", catchUpReport{Identity: "new", KnownRules: catalog.KnownRules + 1})
 	c.Assert(known(), qt.Equals, catalog.KnownRules)
 }
+
+// Guards against limits in the commands while an older program, which does not know them, may decide these commands.
+func TestLimitsWaitForTheirRules(t *testing.T) {
+	c := qt.New(t)
+	records := catalog.New()
+	limits := (&process{}).tenantLimits(records)
+	c.Assert(limits(), qt.IsNil)
+	command, err := catalog.EncodeRules(time.Now(), catalog.LimitRules)
+	c.Assert(err, qt.IsNil)
+	_, err = records.Apply(1, command)
+	c.Assert(err, qt.IsNil)
+	c.Assert(limits(), qt.IsNotNil)
+}
--- a/io/nodepeer/claims_test.go
+++ b/io/nodepeer/claims_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"parsleyport/core"
+	"parsleyport/core/idempotency"
 	"parsleyport/io/frame"
 )
 
@@ -84,3 +85,18 @@
 		c.Assert(asked.Load() > before, qt.IsTrue)
 	})
 }
+
+// Guards against a place that goes to another node after a crash, because the entry node saw a holder a moment after the
+// service began and takes it for a newcomer.
+func TestNodesOfTheServicesBeginAreHolders(t *testing.T) {
+	c := qt.New(t)
+	began := time.Now().Add(-time.Minute)
+	claims := &Claims{options: ClaimsOptions{ServiceSince: func(core.ServiceName) (time.Time, bool) { return began, true }}}
+	restarted := holderReply{keyReply: keyReply{MemberUS: 1}, reached: true, at: time.Now()}
+	for _, late := range []time.Duration{0, 1} {
+		holder := idempotency.Holder{First: began.Add(idempotency.JoinLag + late), Joined: true}
+		reply := claims.interpret(restarted, holder, "orders")
+		c.Assert(reply.Before, qt.Equals, late == 0)
+		c.Assert(reply.Joined, qt.Equals, late != 0)
+	}
+}
--- a/io/nodepeer/custody_test.go
+++ b/io/nodepeer/custody_test.go
@@ -120,6 +120,32 @@
 	c.Assert(verdict, qt.Equals, idempotency.VerdictGranted)
 }
 
+// Guards against an entry node that has just started and answers keyed calls with unknown, because it takes holders that
+// were restarted for newcomers.
+func TestStartedEntryNodeLearnsOfTheHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := &fleet{networks: make(map[string]*network)}
+		var claims [4]*Claims
+		var stops [4]func()
+		for i := range 4 {
+			_, claims[i], stops[i] = f.start(c, i, 1)
+		}
+		f.accepted = time.Now()
+		time.Sleep(time.Second)
+		verdict, _ := claims[2].Claim(context.Background(), keyed(1)) // from here on, node 2 knows the others
+		c.Assert(verdict, qt.Equals, idempotency.VerdictGranted)
+		time.Sleep(time.Minute)
+		for _, i := range []int{0, 1, 3} {
+			stops[i]()
+			_, claims[i], _ = f.start(c, i, 2)
+		}
+		time.Sleep(time.Second)
+		verdict, _ = claims[3].Claim(context.Background(), keyed(2))
+		c.Assert(verdict, qt.Equals, idempotency.VerdictGranted)
+	})
+}
+
 // Guards against a memory that is given to two runs of a node, of which the second would not know the grants of the first,
 // and against one that is cut or too old.
 func TestCustodyIsTakenByOneRun(t *testing.T) {
--- a/io/raftpeer/replica_test.go
+++ b/io/raftpeer/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -202,3 +203,18 @@
 		})
 	}
 }
+
+// refusing is a state machine that cannot decide any command.
+type refusing struct{ registers }
+
+func (refusing) Apply(core.LogIndex, []byte) ([]byte, error) { return nil, io.ErrUnexpectedEOF }
+
+// Guards against an instance that goes on after a command that its program cannot decide.
+func TestUndecidedCommandEndsTheReplica(t *testing.T) {
+	c := qt.New(t)
+	a, err := newApplier(nil, refusing{}, raft.Snapshot{}, func(raft.RequestID, []byte) { t.Error("the command was answered") })
+	c.Assert(err, qt.IsNil)
+	_, err = a.apply(outcome{committed: []raft.Entry{{Index: 1, Kind: raft.EntryCommand}}})
+	c.Assert(errors.Is(err, io.ErrUnexpectedEOF), qt.IsTrue)
+	c.Assert(a.applied, qt.Equals, core.LogIndex(0))
+}
