--- a/core/call.go
+++ b/core/call.go
@@ -39,6 +39,9 @@
 	CauseMalformedCall  RefusalCause = "malformed-call"
 	CauseDuplicateCall  RefusalCause = "duplicate-call"
 	CauseBackendRefused RefusalCause = "backend-server-refused"
+	CauseOverloaded     RefusalCause = "backend-server-overloaded"
+	CauseMisdirected    RefusalCause = "another-backend-server-has-the-address"
+	CauseTooLarge       RefusalCause = "request-too-large"
 )
 
 // Call is one request on its way to a backend server; Deadline is a point in time on the local clock.
--- a/core/callreplay/replay.go
+++ b/core/callreplay/replay.go
@@ -83,7 +83,7 @@
 type entryNode struct {
 	spec     Entry
 	balancer *balancer.Balancer
-	budget   retry.Budget
+	budget   *retry.Budget
 	hedging  retry.Hedging
 	known    []core.Endpoint
 }
@@ -128,7 +128,8 @@
 				Policy:     policy,
 				Seed:       seed + uint64(i),
 			}),
-			known: r.announced(),
+			budget: retry.NewBudget(retry.DefaultBudget),
+			known:  r.announced(),
 		})
 	}
 	r.scheduleTrace(start)
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -161,6 +161,9 @@
 	if earlier, exists := c.verdicts.byID[memoryKey{scope: scope, id: from.id}]; exists {
 		return c.resent(e, earlier, from, hash)
 	}
+	if refusal := c.premature(e, from.id, body); refusal != nil {
+		return c.complete(*refusal)
+	}
 	if refusal := c.charge(e, scope, from.id); refusal != nil {
 		return c.complete(*refusal)
 	}
--- /dev/null
+++ b/core/catalog/expect.go
@@ -0,0 +1,79 @@
+package catalog
+
+import (
+	"encoding/json"
+
+	"parsleyport/core"
+)
+
+// premature refuses a submission that builds on other versions than those in force, or that the rules in force do not cover.
+// Such a refusal is not remembered: the same submission may be accepted later.
+func (c *Catalog) premature(e envelope, id core.SubmissionID, body any) *Verdict {
+	s, isSubmission := body.(core.Submission)
+	if !isSubmission {
+		return nil
+	}
+	refusal := c.beyondRules(s)
+	if refusal == nil {
+		refusal = c.unexpected(e.principal(), s)
+	}
+	if refusal != nil {
+		refusal.Submission, refusal.At = id, e.At
+	}
+	return refusal
+}
+
+func (c *Catalog) beyondRules(s core.Submission) *Verdict {
+	if c.rules >= DeclarationRules || !needsDeclarationRules(s) {
+		return nil
+	}
+	refusal := refused(CauseRules, "rules version %d is in force, the submission needs version %d", c.rules, DeclarationRules)
+	return &refusal
+}
+
+func needsDeclarationRules(s core.Submission) bool {
+	if len(s.Expect) > 0 {
+		return true
+	}
+	for _, r := range s.Records {
+		var body struct {
+			AnyRelease bool                `json:"any-release"`
+			Split      []core.ServiceShare `json:"split"`
+		}
+		if r.Kind == core.KindDeclaration {
+			return true
+		}
+		if err := json.Unmarshal(r.Body, &body); err == nil && (body.AnyRelease || len(body.Split) > 0) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Catalog) unexpected(by Principal, s core.Submission) *Verdict {
+	o := newOwners(c.configuration, s.Records)
+	for _, expected := range s.Expect {
+		held, exists := c.configuration.Record(expected.Key())
+		if by.IsLimited() && !by.Sees(o.current(expected.Kind, expected.Name, nil)) {
+			return notPermitted("%s: there is no such record of a tenant of this token", describe(expected.Key(), expected.Version))
+		}
+		if held.Version == expected.Version {
+			continue
+		}
+		refusal := refused(CauseExpectation, "%s is expected, there is no such record", describe(expected.Key(), expected.Version))
+		if exists {
+			refusal = refused(CauseExpectation, "%s is expected, version %d is in force", describe(expected.Key(), expected.Version), held.Version)
+			refusal = refusal.against(c.stamps[expected.Key()])
+		}
+		return &refusal
+	}
+	return nil
+}
+
+// Verdict returns the remembered verdict of a submission of a principal with all rights.
+func (c *Catalog) Verdict(id core.SubmissionID) (Verdict, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	known, exists := c.verdicts.byID[memoryKey{id: id}]
+	return known.Verdict, exists
+}
--- a/core/catalog/moves.go
+++ b/core/catalog/moves.go
@@ -63,13 +63,20 @@
 			State:     core.MoveProposed,
 			StartedAt: e.At,
 			SteppedAt: e.At,
-			Original:  c.configuration.Weights(request.Service),
+			Original:  c.weightsBefore(request.Service),
 		},
 		Fair: e.Limits != nil,
 	}
 	if held, exists := lo.Find(c.configuration.Overrides(), func(o core.Override) bool { return o.Service == request.Service }); exists {
 		started.Previous = &held
 	}
+	if c.holdsBack(request.Service) {
+		next, refusal := c.build(c.configuration.Records(), c.overridesWith(started))
+		if refusal != nil {
+			return *refusal
+		}
+		c.publish(next)
+	}
 	c.moves[id] = started
 	c.moveOrder = append(c.moveOrder, id)
 	c.openMoves[request.Service] = id
@@ -79,13 +86,31 @@
 	}
 }
 
+// holdsBack reports whether a release of the service gets calls unless its weights exclude it, so that a move has to name the
+// new release from its start and after it was taken back.
+func (c *Catalog) holdsBack(service core.ServiceName) bool {
+	body, _ := c.configuration.Service(service)
+	return body.AnyRelease
+}
+
+// weightsBefore returns the weights that a move starts from. With any release, the old releases are all but the new one.
+func (c *Catalog) weightsBefore(service core.ServiceName) []core.Weight {
+	if !c.holdsBack(service) {
+		return c.configuration.Weights(service)
+	}
+	return []core.Weight{{
+		Upstream: core.UpstreamName(core.OtherReleases),
+		PerMille: core.FullShare,
+	}}
+}
+
 func (c *Catalog) checkRequest(at time.Time, request core.MoveRequest) *Verdict {
 	if id, open := c.openMoves[request.Service]; open {
 		refusal := moveOpen(id, "move %s of service %q is open", id, request.Service)
 		return &refusal
 	}
-	from, fromExists := c.configuration.Upstream(request.From)
-	to, toExists := c.configuration.Upstream(request.To)
+	from, fromExists := c.configuration.UpstreamOf(request.Service, request.From)
+	to, toExists := c.configuration.UpstreamOf(request.Service, request.To)
 	var refusal Verdict
 	switch {
 	case !fromExists || from.Service != request.Service:
@@ -94,7 +119,9 @@
 		refusal = refused(CauseDangling, "service %q has no upstream %q to move to", request.Service, request.To)
 	case from.Release == to.Release:
 		refusal = refused(CauseMalformed, "upstreams %q and %q have the same release %q", request.From, request.To, from.Release)
-	case weightOf(c.configuration.Weights(request.Service), request.From) == 0:
+	case to.Release == core.OtherReleases:
+		refusal = refused(CauseMalformed, "service %q cannot be moved to all its other releases", request.Service)
+	case weightOf(c.weightsBefore(request.Service), request.From) == 0:
 		refusal = refused(CauseMalformed, "upstream %q has no share of service %q that could be moved", request.From, request.Service)
 	case !request.Deadline.After(at):
 		refusal = refused(CauseMalformed, "deadline %s is not after the submission at %s", request.Deadline.UTC().Format(time.RFC3339), at.Format(time.RFC3339))
@@ -187,7 +214,7 @@
 func (c *Catalog) overridesWith(m move) []core.Override {
 	request := m.Move.Request
 	overrides := lo.Reject(c.configuration.Overrides(), func(o core.Override, _ int) bool { return o.Service == request.Service })
-	if m.Move.Share > 0 {
+	if m.Move.Share > 0 || c.holdsBack(request.Service) {
 		return append(overrides, core.Override{
 			Service: request.Service,
 			Move:    m.Move.MoveID,
--- a/core/catalog/principal.go
+++ b/core/catalog/principal.go
@@ -91,11 +91,19 @@
 	Service core.ServiceName `json:"service"`
 }
 
-func decodeOwner(r core.Record) (o ownership) {
-	if err := json.Unmarshal(r.Body, &o); err != nil {
+// decodeOwner takes the first service of a route to several: a limited token may only use services of its tenants.
+func decodeOwner(r core.Record) ownership {
+	var body struct {
+		ownership
+		Split []core.ServiceShare `json:"split"`
+	}
+	if err := json.Unmarshal(r.Body, &body); err != nil {
 		return ownership{} // belongs to no tenant
 	}
-	return o
+	if len(body.Split) > 0 && body.Service == "" {
+		body.Service = body.Split[0].Service
+	}
+	return body.ownership
 }
 
 // service returns the tenant that a service record names, or none if there is no such service.
@@ -169,6 +177,9 @@
 		if !c.permitsRecord(by, o, r) {
 			return notPermitted("%s: the name, or the service that the record names, does not belong to a tenant of this token", describe(r.Key(), r.Version))
 		}
+		if r.Kind == core.KindRoute && o.splitsOthers(by, r) {
+			return notPermitted("%s: it leads to a service that does not belong to a tenant of this token", describe(r.Key(), r.Version))
+		}
 		if r.Kind == core.KindRoute && c.overlapsOthers(by, o, r) {
 			return notPermitted("%s: it matches calls that a route of another tenant matches too", describe(r.Key(), r.Version))
 		}
@@ -214,10 +225,19 @@
 		}
 	}
 	return slices.ContainsFunc(c.configuration.Overlapping(core.RouteName(r.Name), body), func(other record.Route) bool {
-		return !by.Sees(o.service(other.Service))
+		return slices.ContainsFunc(other.Services(), func(service core.ServiceName) bool { return !by.Sees(o.service(service)) })
 	})
 }
 
+// splitsOthers reports whether a route leads to several services, one of which belongs to another tenant.
+func (o owners) splitsOthers(by Principal, r core.Record) bool {
+	var body core.RouteBody
+	if err := json.Unmarshal(r.Body, &body); err != nil {
+		return true
+	}
+	return slices.ContainsFunc(body.Services(), func(service core.ServiceName) bool { return !by.Sees(o.service(service)) })
+}
+
 func matchesAlike(a, b core.RouteBody) bool {
 	return a.PathPrefix == b.PathPrefix && a.Host == b.Host && slices.Equal(a.Methods, b.Methods)
 }
--- a/core/catalog/rules.go
+++ b/core/catalog/rules.go
@@ -13,10 +13,13 @@
 	firstRules core.RulesVersion = 1
 	// LimitRules are the rules from which on commands may carry Limits.
 	LimitRules core.RulesVersion = 2
+	// DeclarationRules are the rules from which on submissions may have expectations, declarations, services with any release
+	// and routes to several services.
+	DeclarationRules core.RulesVersion = 3
 	// KnownRules is the newest version of the rules for deciding commands that this program knows. A change of how any
 	// command is decided needs a new version, and the old rules stay for older log entries: all control instances must
 	// decide each entry alike, also while an upgrade is under way.
-	KnownRules = LimitRules
+	KnownRules = DeclarationRules
 )
 
 // ErrRulesUnknown means that rules are in force which this program does not know.
--- a/core/catalog/submit.go
+++ b/core/catalog/submit.go
@@ -192,7 +192,9 @@
 		return replaced || p.deletes[r.Key()]
 	})
 	records = append(records, lo.Values(p.upserts)...)
-	overrides := lo.Reject(c.configuration.Overrides(), func(o core.Override, _ int) bool { return p.policies[o.Service] })
+	overrides := lo.Reject(c.configuration.Overrides(), func(o core.Override, _ int) bool {
+		return p.policies[o.Service] || p.endsService(o.Service)
+	})
 	if err := record.CheckSchemaFloor(records, p.touched, floor); err != nil {
 		return refused(CauseSchemaFloor, "%v", err)
 	}
@@ -219,6 +221,16 @@
 	}
 }
 
+// endsService reports whether the submission deletes a service that has no open move.
+func (p *plan) endsService(service core.ServiceName) bool {
+	_, open := p.catalog.openMoves[service]
+	return !open && p.deletes[core.RecordKey{
+		Kind:          core.KindService,
+		Name:          string(service),
+		SchemaVersion: record.NewestSchema,
+	}]
+}
+
 // touched reports whether the submission changes any schema version of a kind and name.
 func (p *plan) touched(kind core.Kind, name string) bool {
 	for key := range p.stamps {
@@ -238,8 +250,8 @@
 		id := c.openMoves[service]
 		request := c.moves[id].Move.Request
 		for _, name := range []core.UpstreamName{request.From, request.To} {
-			before, _ := c.configuration.Upstream(name)
-			after, exists := next.Upstream(name)
+			before, _ := c.configuration.UpstreamOf(service, name)
+			after, exists := next.UpstreamOf(service, name)
 			if !exists || before.Service != after.Service || before.Release != after.Release {
 				refusal := moveOpen(id, "move %s needs upstream %q as it is until the move ends", id, name)
 				return &refusal
--- a/core/catalog/verdict.go
+++ b/core/catalog/verdict.go
@@ -42,6 +42,9 @@
 
 	CauseSubmissionLimit Cause = "submission-limit" // too many or too long submissions of the token's tenants; not remembered
 	CauseRecordLimit     Cause = "record-limit"     // too many or too long records of a tenant
+
+	CauseExpectation Cause = "expectation"      // a record has another version than the submission builds on; not remembered
+	CauseRules       Cause = "rules-not-raised" // a control instance does not know yet how to decide it; not remembered
 )
 
 // Winner names the submission that a refused one lost against.
--- a/core/raft/bootstrap.go
+++ b/core/raft/bootstrap.go
@@ -14,6 +14,10 @@
 	Initial []Member `msgpack:"initial,omitempty"`
 	Started bool     `msgpack:"started"` // the deployment is known to have started
 	Answer  bool     `msgpack:"answer"`
+
+	Address    string          `msgpack:"address,omitempty"` // of the sender, for instances whose settings do not name it
+	DataCentre core.DataCentre `msgpack:"data-centre,omitempty"`
+	Members    []Member        `msgpack:"members,omitempty"` // of an answer: whom to introduce oneself to
 }
 
 // Bootstrap agrees on the identities of the initial members. An instance starts only after every initial member has
--- a/core/record/configuration.go
+++ b/core/record/configuration.go
@@ -36,6 +36,9 @@
 	upstreams map[core.UpstreamName]core.UpstreamBody
 	policies  map[core.ServiceName]core.PolicyBody
 	routes    []Route // longest path prefix first
+	byPrefix  routeIndex
+
+	declaration core.DeclarationBody
 }
 
 // Full is the transferable form of a configuration; records and overrides are sorted.
@@ -122,6 +125,7 @@
 		return nil, err
 	}
 	sort.Slice(c.routes, func(i, j int) bool { return routeBefore(c.routes[i], c.routes[j]) })
+	c.byPrefix = newRouteIndex(c.routes)
 	c.hash = c.computeHash()
 	return c, nil
 }
@@ -135,11 +139,14 @@
 		}
 	}
 	for _, route := range c.routes {
-		if _, exists := c.services[route.Service]; !exists {
-			return errors.Annotatef(ErrDangling, "route %q refers to service %q", route.Name, route.Service)
-		}
-		if _, exists := c.policies[route.Service]; !exists {
-			return errors.Annotatef(ErrDangling, "route %q needs a policy for service %q", route.Name, route.Service)
+		for _, service := range route.Services() {
+			body, exists := c.services[service]
+			if !exists {
+				return errors.Annotatef(ErrDangling, "route %q refers to service %q", route.Name, service)
+			}
+			if _, exists := c.policies[service]; !exists && !body.AnyRelease {
+				return errors.Annotatef(ErrDangling, "route %q needs a policy for service %q", route.Name, service)
+			}
 		}
 	}
 	for _, service := range sortedKeys(c.policies) {
@@ -169,7 +176,7 @@
 
 func (c *Configuration) checkWeightTargets(service core.ServiceName, weights []core.Weight) error {
 	for _, weight := range weights {
-		upstream, exists := c.upstreams[weight.Upstream]
+		upstream, exists := c.UpstreamOf(service, weight.Upstream)
 		if !exists {
 			return errors.Annotatef(ErrDangling, "weights of service %q refer to upstream %q", service, weight.Upstream)
 		}
@@ -204,6 +211,21 @@
 	return body, exists
 }
 
+// UpstreamOf returns the upstream that a service's weights or moves name. A service with any release has no upstream records:
+// its upstreams are named for their releases.
+func (c *Configuration) UpstreamOf(service core.ServiceName, name core.UpstreamName) (core.UpstreamBody, bool) {
+	if c.services[service].AnyRelease {
+		return core.UpstreamBody{
+			Service: service,
+			Release: core.Release(name),
+		}, name != ""
+	}
+	return c.Upstream(name)
+}
+
+// Declaration returns the body of the declaration record, or an empty one.
+func (c *Configuration) Declaration() core.DeclarationBody { return c.declaration }
+
 // Policy returns the policy of a service, with its default values filled in.
 func (c *Configuration) Policy(service core.ServiceName) (core.PolicyBody, bool) {
 	body, exists := c.policies[service]
@@ -218,9 +240,18 @@
 	if override, exists := c.overrides[service]; exists {
 		return override.Weights
 	}
+	if c.services[service].AnyRelease {
+		return openWeights
+	}
 	return c.policies[service].Weights
 }
 
+// openWeights are those of a service with any release that no move has touched.
+var openWeights = []core.Weight{{
+	Upstream: core.UpstreamName(core.OtherReleases),
+	PerMille: core.FullShare,
+}}
+
 // Services returns the names of all services, sorted.
 func (c *Configuration) Services() []core.ServiceName {
 	names := make([]core.ServiceName, 0, len(c.services))
--- a/core/record/decode.go
+++ b/core/record/decode.go
@@ -69,6 +69,8 @@
 			return errors.Errorf("service %q has two policies", body.Service)
 		}
 		c.policies[body.Service] = body
+	case core.DeclarationBody:
+		c.declaration = body
 	case core.RouteBody:
 		c.routes = append(c.routes, Route{
 			RouteBody: body,
@@ -97,6 +99,8 @@
 		return decodeBody[core.PolicyBody](r)
 	case core.KindRoute:
 		return decodeBody[core.RouteBody](r)
+	case core.KindDeclaration:
+		return decodeBody[core.DeclarationBody](r)
 	}
 	return nil, nil
 }
--- a/core/record/route.go
+++ b/core/record/route.go
@@ -20,15 +20,37 @@
 	if bare, _, err := net.SplitHostPort(host); err == nil {
 		host = bare
 	}
-	for _, route := range c.routes {
-		if route.Host != "" && !strings.EqualFold(route.Host, host) {
-			continue
-		}
-		if len(route.Methods) > 0 && !contains(route.Methods, method) {
-			continue
+	return c.byPrefix.match(strings.ToLower(host), method, path)
+}
+
+// routeIndex finds the routes of a path by their prefixes, so that the time for a call does not grow with the number of
+// routes.
+type routeIndex struct {
+	byPrefix map[string][]Route // in the order of routeBefore
+	longest  int
+}
+
+func newRouteIndex(sorted []Route) routeIndex {
+	index := routeIndex{
+		byPrefix: make(map[string][]Route, len(sorted)),
+	}
+	for _, route := range sorted {
+		route.Host = strings.ToLower(route.Host)
+		index.byPrefix[route.PathPrefix] = append(index.byPrefix[route.PathPrefix], route)
+		index.longest = max(index.longest, len(route.PathPrefix))
+	}
+	return index
+}
+
+func (i routeIndex) match(host, method, path string) (Route, bool) {
+	for end := min(len(path), i.longest); end > 0; end-- {
+		if end < len(path) && path[end-1] != '/' && path[end] != '/' {
+			continue // not at the end of a path segment
 		}
-		if prefixMatches(path, route.PathPrefix) {
-			return route, true
+		for _, route := range i.byPrefix[path[:end]] {
+			if (route.Host == "" || route.Host == host) && (len(route.Methods) == 0 || contains(route.Methods, method)) {
+				return route, true
+			}
 		}
 	}
 	return Route{}, false
--- a/core/record/schema.go
+++ b/core/record/schema.go
@@ -20,9 +20,11 @@
 	maxBodyBytes     = 64 << 10
 	maxRouteTimeout  = 10 * 60 * 1000 // milliseconds
 	maxAttempts      = 5
+	maxRouteAttempts = 100
 	maxPriority      = 9
 	maxSlots         = 10_000
 	maxWeights       = 32
+	maxShareWeight   = 1 << 32 // so that a sum of them fits 64 bits
 	defaultAttempts  = 3
 	knownMethodNames = "GET HEAD POST PUT PATCH DELETE OPTIONS"
 )
@@ -67,8 +69,10 @@
 		return checkRoute(r.Body)
 	case core.KindPolicy:
 		return checkPolicy(r.Body)
+	case core.KindDeclaration:
+		return checkDeclaration(r.Body)
 	}
-	return errors.Errorf("unknown kind, expected service, upstream, route or policy")
+	return errors.Errorf("unknown kind, expected service, upstream, route, policy or declaration")
 }
 
 func checkService(body []byte) error {
@@ -79,6 +83,12 @@
 	if service.Tenant == "" {
 		return errors.Errorf("tenant is missing")
 	}
+	if service.MaxConnections < 0 {
+		return errors.Errorf("max-connections is %d, expected 0 or more", service.MaxConnections)
+	}
+	if service.HealthPath != "" && !strings.HasPrefix(service.HealthPath, "/") {
+		return errors.Errorf("health-path is %q, expected a path that starts with /", service.HealthPath)
+	}
 	return checkPriority(service.Priority)
 }
 
@@ -107,8 +117,14 @@
 	if !strings.HasPrefix(route.PathPrefix, "/") {
 		return errors.Errorf("path-prefix is %q, expected a path that starts with /", route.PathPrefix)
 	}
-	if route.Service == "" {
-		return errors.Errorf("service is missing")
+	if err := checkDestination(route); err != nil {
+		return err
+	}
+	if route.MaxAttempts < 0 || route.MaxAttempts > maxRouteAttempts {
+		return errors.Errorf("max-attempts is %d, expected 0 (for that of the policy) to %d", route.MaxAttempts, maxRouteAttempts)
+	}
+	if route.TargetLatencyMS < 0 {
+		return errors.Errorf("target-latency-ms is %d, expected 0 or more", route.TargetLatencyMS)
 	}
 	if route.TimeoutMS < 1 || route.TimeoutMS > maxRouteTimeout {
 		return errors.Errorf("timeout-ms is %d, expected 1 to %d", route.TimeoutMS, maxRouteTimeout)
@@ -121,6 +137,55 @@
 	return checkPriority(route.Priority)
 }
 
+func checkDestination(route core.RouteBody) error {
+	if len(route.Split) == 0 {
+		if route.Service == "" {
+			return errors.Errorf("service is missing")
+		}
+		return nil
+	}
+	if route.Service != "" {
+		return errors.Errorf("service and split are given, expected one of them")
+	}
+	if len(route.Split) > maxWeights {
+		return errors.Errorf("split has %d entries, expected 1 to %d", len(route.Split), maxWeights)
+	}
+	sum := int64(0)
+	seen := make(map[core.ServiceName]bool, len(route.Split))
+	for _, share := range route.Split {
+		if share.Service == "" || seen[share.Service] {
+			return errors.Errorf("split names service %q, expected each service once", share.Service)
+		}
+		if share.Weight < 0 || share.Weight > maxShareWeight {
+			return errors.Errorf("weight of service %q is %d, expected 0 to %d", share.Service, share.Weight, maxShareWeight)
+		}
+		seen[share.Service] = true
+		sum += share.Weight
+	}
+	if sum == 0 {
+		return errors.Errorf("weights of split add up to 0")
+	}
+	return nil
+}
+
+func checkDeclaration(body []byte) error {
+	var declaration core.DeclarationBody
+	if err := decodeStrict(body, &declaration); err != nil {
+		return err
+	}
+	for name, value := range map[string]int64{
+		"max-header-bytes":  declaration.MaxHeaderBytes,
+		"max-body-bytes":    declaration.MaxBodyBytes,
+		"header-timeout-ms": declaration.HeaderTimeoutMS,
+		"idle-timeout-ms":   declaration.IdleTimeoutMS,
+	} {
+		if value < 0 {
+			return errors.Errorf("%s is %d, expected 0 or more", name, value)
+		}
+	}
+	return nil
+}
+
 func checkPolicy(body []byte) error {
 	var policy core.PolicyBody
 	if err := decodeStrict(body, &policy); err != nil {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -56,9 +56,9 @@
 
 func classifyRefusal(cause core.RefusalCause) Class {
 	switch cause {
-	case core.CauseLeaving, core.CauseNoBackend, core.CauseConnectFailed, core.CauseBackendRefused, core.CauseRevoked:
+	case core.CauseLeaving, core.CauseNoBackend, core.CauseConnectFailed, core.CauseBackendRefused, core.CauseMisdirected, core.CauseRevoked:
 		return RepeatFree
-	case core.CauseCrashSuspect, core.CauseTooDeep, core.CauseMalformedCall, core.CauseDuplicateCall, core.CauseNoRoute, core.CauseNotConfirmed, core.CauseTenantShare:
+	case core.CauseCrashSuspect, core.CauseTooDeep, core.CauseMalformedCall, core.CauseDuplicateCall, core.CauseNoRoute, core.CauseNotConfirmed, core.CauseTenantShare, core.CauseTooLarge:
 		return Final
 	}
 	return Repeat
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -39,7 +39,7 @@
 		{callsPerSecond: 5, most: 3},
 		{callsPerSecond: 2000, most: 200},
 	} {
-		var budget retry.Budget
+		budget := retry.NewBudget(retry.BudgetOptions{})
 		now := time.Unix(1_000_000, 0)
 		repeats := 0
 		const seconds = 20
@@ -126,7 +126,7 @@
 // Guards against hedges that leave no budget to attempts that follow a failure.
 func TestHedgesLeaveHalfOfTheBudget(t *testing.T) {
 	c := qt.New(t)
-	var budget retry.Budget
+	budget := retry.NewBudget(retry.BudgetOptions{})
 	now := time.Unix(1_000_000, 0)
 	for range 1000 {
 		budget.Call(now)
--- a/core/rollout/fleet.go
+++ b/core/rollout/fleet.go
@@ -45,11 +45,11 @@
 		if e.Service != service || e.State != core.EndpointReady {
 			continue
 		}
-		switch e.Release {
-		case from:
+		switch {
+		case isOld(e.Release, from, to):
 			f.readyOld[e.DataCentre]++
 			f.slotsOld += e.Slots
-		case to:
+		case e.Release == to:
 			f.readyNew[e.DataCentre]++
 			f.slotsNew += e.Slots
 		default:
--- a/core/rollout/guard.go
+++ b/core/rollout/guard.go
@@ -65,7 +65,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	watched := g.services[service]
-	if watched == nil || watched.tripped || release != watched.from && release != watched.to {
+	if watched == nil || watched.tripped || !isOld(release, watched.from, watched.to) && release != watched.to {
 		return false
 	}
 	s := watched.streakOf(route)
@@ -73,7 +73,7 @@
 		return false
 	}
 	switch {
-	case release == watched.from:
+	case release != watched.to:
 		s.oldGood = s.failures > 0 && !failed
 	case failed:
 		s.failures++
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -133,6 +133,11 @@
 	return "", "", false
 }
 
+// isOld reports whether a release is one that a move leads away from.
+func isOld(release, from, to core.Release) bool {
+	return release == from || from == core.OtherReleases && release != to
+}
+
 type place struct {
 	route      core.RouteName
 	dataCentre core.DataCentre
@@ -143,7 +148,7 @@
 	var order []place
 	baseline := now.Before(j.baselineUntil)
 	for _, c := range evidence {
-		if c.Service != j.service || c.Release != j.from && c.Release != j.to {
+		if c.Service != j.service || !isOld(c.Release, j.from, j.to) && c.Release != j.to {
 			continue
 		}
 		if baseline && c.Release == j.to && move.State == core.MoveProposed && c.Calls > 0 {
@@ -190,7 +195,7 @@
 // addTo adds a difference to a sample; the boundary of slow calls is set by the calls of the old release before it.
 func (j *Judge) addTo(s *sample, added core.EvidenceCount) {
 	side := func(p *pair) *tally {
-		if added.Release == j.from {
+		if added.Release != j.to {
 			return &p.before
 		}
 		return &p.after
@@ -201,7 +206,7 @@
 	if boundary, known := j.boundary(added.Route); known {
 		side(&s.slow).add(tally{calls: calls, bad: above(added.Latency, boundary)})
 	}
-	if added.Release != j.from {
+	if added.Release == j.to {
 		return
 	}
 	histogram := j.latency[added.Route]
--- a/io/backendhttp/announcement.go
+++ b/io/backendhttp/announcement.go
@@ -16,6 +16,8 @@
 	Slots   int                `json:"slots"`
 	State   core.EndpointState `json:"state"`
 	Run     string             `json:"run"`
+	// Instance is the name by which the backend server knows calls that are meant for another one; empty if it does not.
+	Instance string `json:"instance,omitempty"`
 }
 
 const (
@@ -26,7 +28,8 @@
 	maxAnnouncementBytes = 4 << 10
 )
 
-func (a Announcement) check() error {
+// Check returns which field is wrong and what was expected.
+func (a Announcement) Check() error {
 	if a.Service == "" || len(a.Service) > maxNameBytes {
 		return errors.Errorf("service is %q, expected 1 to %d bytes", a.Service, maxNameBytes)
 	}
@@ -47,5 +50,8 @@
 	if a.Run == "" || len(a.Run) > maxRunBytes {
 		return errors.Errorf("run is %q, expected 1 to %d bytes", a.Run, maxRunBytes)
 	}
+	if len(a.Instance) > maxRunBytes {
+		return errors.Errorf("instance is %q, expected at most %d bytes", a.Instance, maxRunBytes)
+	}
 	return nil
 }
--- a/io/backendhttp/backendhttp_test.go
+++ b/io/backendhttp/backendhttp_test.go
@@ -173,7 +173,7 @@
 				f.backend.respond = func(net.Conn, *http.Request) { time.Sleep(time.Minute) }
 			}, outcome: core.OutcomeUnknown, runs: 3},
 			{prepare: func() { a := ready("1"); a.State = core.EndpointLeaving; f.announce(time.Now(), a) }, outcome: core.OutcomeNotRun, cause: core.CauseLeaving, runs: 3},
-			{prepare: func() { time.Sleep(Lease) }, outcome: core.OutcomeNotRun, cause: core.CauseNoBackend, runs: 3},
+			{prepare: func() { time.Sleep(DefaultLease) }, outcome: core.OutcomeNotRun, cause: core.CauseNoBackend, runs: 3},
 		} {
 			step.prepare()
 			synctest.Wait()
@@ -323,7 +323,7 @@
 		crashes int
 	}{
 		"new run":       {after: func(f *fixture) { f.announce(time.Now(), ready("2")) }, crashes: 1},
-		"lease ran out": {after: func(*fixture) { time.Sleep(Lease + time.Second) }, crashes: 1},
+		"lease ran out": {after: func(*fixture) { time.Sleep(DefaultLease + time.Second) }, crashes: 1},
 		"withdrawn":     {after: func(f *fixture) { f.endLease(time.Now(), "withdrawn") }, crashes: 1},
 		"same run":      {after: func(f *fixture) { f.announce(time.Now(), ready("1")) }, crashes: 0},
 	} {
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -25,19 +25,9 @@
 	ErrBroken = errors.ConstError("connection to the backend server broke")
 )
 
-// Headers of a call on its way to the backend server.
-const (
-	HeaderCallID         = "Parsleyport-Call-Id"
-	HeaderDeadline       = "Parsleyport-Deadline-Ms"
-	HeaderAttempts       = "Parsleyport-Attempts"
-	HeaderDepth          = "Parsleyport-Depth"
-	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderOutcome        = "Parsleyport-Outcome" // only of answers
-)
-
 // Handle implements core.Backend. The context must live until the answer's body is closed.
 func (s *Server) Handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
-	if refusal := s.begin(); refusal != nil {
+	if refusal := s.begin(call); refusal != nil {
 		return nil, core.OutcomeNotRun, refusal
 	}
 	release, refusal := s.admission.Acquire(ctx, call)
@@ -69,6 +59,7 @@
 	runID    string
 	stop     func() bool // stops the propagation of a cancellation; false if it has begun
 	written  bool        // the first byte may have been written
+	strayed  bool        // answers to other calls have arrived on the connection
 	reusable bool
 }
 
@@ -82,7 +73,7 @@
 func (x *exchange) run() (*core.Answer, core.Outcome, error) {
 	s := x.server
 	s.mu.Lock()
-	target, refusal := s.target()
+	target, refusal := s.target(x.call)
 	s.mu.Unlock()
 	if refusal == nil && x.ctx.Err() != nil {
 		refusal = refusalOf(x.ctx)
@@ -90,7 +81,7 @@
 	if refusal != nil {
 		return nil, core.OutcomeNotRun, refusal
 	}
-	request, err := requestOf(x.call, time.Now())
+	request, err := requestOf(&s.options.Headers, x.call, target.Instance, time.Now())
 	if err != nil {
 		return nil, core.OutcomeNotRun, &core.Refusal{
 			Cause:  core.CauseMalformedCall,
@@ -147,8 +138,37 @@
 		return nil, core.OutcomeUnknown, x.fail(readErr)
 	}
 	x.server.pool.answered(x.conn)
-	x.reusable = err == nil && !response.Close
-	return x.answer(response), core.OutcomeAnswered, nil
+	x.reusable = err == nil && !response.Close && !x.strayed
+	answer := x.answer(response)
+	if refusal := x.notRun(response); refusal != nil {
+		x.discard(answer)
+		return nil, core.OutcomeNotRun, refusal
+	}
+	return answer, core.OutcomeAnswered, nil
+}
+
+// notRun returns why the backend server has not run the call, if it says so.
+func (x *exchange) notRun(response *http.Response) *core.Refusal {
+	if get(response.Header, x.server.options.Headers.NotRun) == "" {
+		return nil
+	}
+	refusal := &core.Refusal{
+		Cause:  core.CauseMalformedCall,
+		Detail: response.Status,
+	}
+	switch {
+	case retry.Overloaded(response.StatusCode):
+		refusal.Cause = core.CauseOverloaded
+	case response.StatusCode == http.StatusMisdirectedRequest:
+		refusal.Cause = core.CauseMisdirected
+	}
+	return refusal
+}
+
+// discard reads a short body, so that the connection can be used again, and gives the slot back.
+func (x *exchange) discard(answer *core.Answer) {
+	_, _ = io.CopyN(io.Discard, answer.Body, maxDiscarded+1)
+	_ = answer.Body.Close()
 }
 
 func (x *exchange) readResponse(request *http.Request) (*http.Response, error) {
@@ -160,12 +180,41 @@
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("backend server switched protocols")
 		}
-		if response.StatusCode >= 200 {
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if !x.isStray(response) {
 			return response, nil
 		}
+		// A late or second answer to an earlier call; this call's own may follow it.
+		x.strayed = true
+		x.server.strays.Inc()
+		if n, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); n == maxStrayBytes || err != io.EOF {
+			return nil, errors.Annotatef(ErrBroken, "answer to another call")
+		}
+	}
+}
+
+// isStray reports whether an answer names another call.
+func (x *exchange) isStray(response *http.Response) bool {
+	id := get(response.Header, x.server.options.Headers.CallID)
+	return id != "" && id != string(x.call.ID)
+}
+
+func get(header http.Header, name string) string {
+	if name == "" {
+		return ""
 	}
+	return header.Get(name)
 }
 
+const (
+	// maxDiscarded is how much of a refusal's body is read to keep the connection; more would cost more than a new one.
+	maxDiscarded = 16 << 10
+	// maxStrayBytes bounds the body of an answer to another call.
+	maxStrayBytes = 1 << 20
+)
+
 // abort closes the connection; it returns false if a cancellation has done so.
 func (x *exchange) abort() bool {
 	own := x.stop()
@@ -187,8 +236,8 @@
 	body := &answerBody{
 		exchange: x,
 		reader:   response.Body,
-		ending:   endingOf(response),
-		noLength: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
+		ending:   x.endingOf(response),
+		unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
 	}
 	return &core.Answer{
 		Status: response.StatusCode,
@@ -197,11 +246,11 @@
 	}
 }
 
-// endingOf tells the backend server's own overload from its other failures. An answer with HeaderOutcome is a refusal of
+// endingOf tells the backend server's own overload from its other failures. An answer with an outcome is a refusal of
 // a node that the backend server called and passes on; it says nothing about this backend server's load.
-func endingOf(response *http.Response) Ending {
+func (x *exchange) endingOf(response *http.Response) Ending {
 	switch {
-	case retry.Overloaded(response.StatusCode) && response.Header.Get(HeaderOutcome) == "":
+	case retry.Overloaded(response.StatusCode) && get(response.Header, x.server.options.Headers.Outcome) == "":
 		return EndingOverloaded
 	case response.StatusCode >= 500:
 		return EndingFailed
@@ -214,7 +263,7 @@
 	exchange *exchange
 	reader   io.ReadCloser
 	ending   Ending
-	noLength bool
+	unframed bool // the body has no length and ends with the connection
 	err      error
 }
 
@@ -235,10 +284,10 @@
 	switch {
 	case err != io.EOF:
 		err = x.fail(err)
-	case b.noLength:
+	case b.unframed && !x.server.options.AllowUnframed:
 		_ = x.abort()
 		err = ErrNoLength
-	case x.stop() && x.reusable:
+	case x.stop() && x.reusable && !b.unframed:
 		x.server.pool.put(x.conn)
 	default:
 		_ = x.conn.Close()
@@ -260,7 +309,7 @@
 	return nil
 }
 
-func requestOf(call *core.Call, now time.Time) (*http.Request, error) {
+func requestOf(names *core.HeaderNames, call *core.Call, instance string, now time.Time) (*http.Request, error) {
 	target, err := url.ParseRequestURI(call.Target)
 	if err != nil || !strings.HasPrefix(call.Target, "/") {
 		return nil, errors.Errorf("target is %q, expected a path", call.Target)
@@ -278,12 +327,21 @@
 	if _, exists := header["User-Agent"]; !exists {
 		header.Set("User-Agent", "") // else net/http writes its own
 	}
-	header.Set(HeaderCallID, string(call.ID))
-	header.Set(HeaderDeadline, strconv.FormatInt(max(call.Deadline.Sub(now).Milliseconds(), 1), 10))
-	header.Set(HeaderAttempts, strconv.Itoa(call.AttemptsLeft))
-	header.Set(HeaderDepth, strconv.Itoa(call.Depth))
-	if call.IdempotencyKey != "" {
-		header.Set(HeaderIdempotencyKey, string(call.IdempotencyKey))
+	for name, value := range map[string]string{
+		names.CallID:           string(call.ID),
+		names.Deadline:         strconv.FormatInt(max(call.Deadline.Sub(now).Milliseconds(), 1), 10),
+		names.Attempts:         strconv.Itoa(call.AttemptsLeft),
+		names.Depth:            strconv.Itoa(call.Depth),
+		names.IdempotencyKey:   string(call.IdempotencyKey),
+		names.ExpectedInstance: instance,
+	} {
+		switch {
+		case name == "":
+		case value == "":
+			header.Del(name)
+		default:
+			header.Set(name, value)
+		}
 	}
 	request := &http.Request{
 		Method:        call.Method,
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// Lease is how long an announcement holds without being repeated.
-	Lease       = 3 * time.Second
-	watchEvery  = 250 * time.Millisecond
-	headerLimit = 5 * time.Second
+	// DefaultLease is how long an announcement holds without being repeated.
+	DefaultLease = 3 * time.Second
+	watchEvery   = 250 * time.Millisecond
+	headerLimit  = 5 * time.Second
 	// crashMemory is how long a broken call waits for the end of the backend server's lease, which proves a crash.
 	crashMemory     = 10 * time.Second
 	maxBroken       = 1024
@@ -32,16 +32,22 @@
 
 // Options configures a Server. OnChange gets the newest announced state after each change, one call at a time; the end
 // of a lease and a planned stop are reported as leaving. OnCrash gets the calls that ran in a crash. Listener replaces
-// Address, Dial replaces a TCP dial, and Admission defaults to NewQueue.
+// Address, Dial replaces a TCP dial, and Admission defaults to NewQueue. Without Address and Listener, announcements come
+// through Announce only. Lease zero stands for DefaultLease.
 type Options struct {
-	Address   string
-	Listener  net.Listener
-	Admission Admission
-	OnChange  func(Announcement)
-	OnCrash   func(Crash)
-	Dial      func(ctx context.Context, address string) (net.Conn, error)
-	Logger    zerolog.Logger
-	Metrics   *metrics.Set
+	Headers core.HeaderNames // the zero value stands for the default names
+	Lease   time.Duration
+	// AllowUnframed takes the end of the connection for the end of an answer without a length. A backend server that closes
+	// its connections when it crashes must not be used so.
+	AllowUnframed bool
+	Address       string
+	Listener      net.Listener
+	Admission     Admission
+	OnChange      func(Announcement)
+	OnCrash       func(Crash)
+	Dial          func(ctx context.Context, address string) (net.Conn, error)
+	Logger        zerolog.Logger
+	Metrics       *metrics.Set
 }
 
 // Crash is one end of a backend server's process while calls were running.
@@ -72,6 +78,7 @@
 
 	handed  *metrics.Counter
 	crashed *metrics.Counter
+	strays  *metrics.Counter
 
 	mu        sync.Mutex
 	announced *Announcement // nil without a lease
@@ -92,7 +99,7 @@
 // New listens for announcements; the clean-up function closes everything and waits for the goroutines.
 func New(options Options) (*Server, func(), error) {
 	listener := options.Listener
-	if listener == nil {
+	if listener == nil && options.Address != "" {
 		var err error
 		if listener, err = net.Listen("tcp", options.Address); err != nil {
 			return nil, nil, errors.Annotate(err, "listen for the backend server")
@@ -101,6 +108,12 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewSet()
 	}
+	if options.Headers == (core.HeaderNames{}) {
+		options.Headers = core.DefaultHeaderNames()
+	}
+	if options.Lease == 0 {
+		options.Lease = DefaultLease
+	}
 	s := &Server{
 		options:   options,
 		admission: options.Admission,
@@ -111,6 +124,7 @@
 		crashes:   ring.New[Crash](maxCrashReports),
 		handed:    options.Metrics.GetOrCreateCounter("parsleyport_backend_calls_total"),
 		crashed:   options.Metrics.GetOrCreateCounter("parsleyport_backend_crashed_calls_total"),
+		strays:    options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
 		idle:      make(chan struct{}),
 	}
 	if s.admission == nil {
@@ -123,14 +137,21 @@
 		MaxHeaderBytes:    maxAnnouncementBytes,
 		ErrorLog:          log.New(options.Logger, "", 0),
 	}
-	s.tasks.Go(func() { _ = s.http.Serve(listener) }) // ends with http.ErrServerClosed
+	if listener != nil {
+		s.tasks.Go(func() { _ = s.http.Serve(listener) }) // ends with http.ErrServerClosed
+	}
 	s.tasks.Go(s.watch)
 	s.tasks.Go(s.report)
 	return s, s.close, nil
 }
 
 // Address returns the address at which the backend server announces itself.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string {
+	if s.listener == nil {
+		return ""
+	}
+	return s.listener.Addr().String()
+}
 
 func (s *Server) close() {
 	close(s.done)
@@ -171,12 +192,11 @@
 		MaxBodyBytes:  maxAnnouncementBytes,
 		DefaultStatus: http.StatusOK,
 	}, func(_ context.Context, input *announceInput) (*announceOutput, error) {
-		if err := input.Body.check(); err != nil {
+		if err := s.Announce(input.Body); err != nil {
 			return nil, huma.Error400BadRequest(err.Error())
 		}
-		s.announce(time.Now(), input.Body)
 		output := &announceOutput{}
-		output.Body.LeaseMS = Lease.Milliseconds()
+		output.Body.LeaseMS = s.options.Lease.Milliseconds()
 		return output, nil
 	})
 	huma.Register(api, huma.Operation{
@@ -191,11 +211,20 @@
 	return mux
 }
 
+// Announce takes what the backend server says of itself; it returns what is wrong with it.
+func (s *Server) Announce(a Announcement) error {
+	if err := a.Check(); err != nil {
+		return err
+	}
+	s.announce(time.Now(), a)
+	return nil
+}
+
 func (s *Server) announce(now time.Time, a Announcement) {
 	s.mu.Lock()
 	previous := s.announced
 	s.announced = &a
-	s.expires = now.Add(Lease)
+	s.expires = now.Add(s.options.Lease)
 	if previous != nil && previous.Run != a.Run {
 		s.crash(now, previous.Run)
 	}
@@ -311,7 +340,7 @@
 }
 
 // begin counts a call that may be queued, or says why it may not.
-func (s *Server) begin() *core.Refusal {
+func (s *Server) begin(call *core.Call) *core.Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving {
@@ -319,15 +348,16 @@
 			Cause: core.CauseLeaving,
 		}
 	}
-	if _, refusal := s.target(); refusal != nil {
+	if _, refusal := s.target(call); refusal != nil {
 		return refusal
 	}
 	s.begun++
 	return nil
 }
 
-// target needs the lock; it returns the backend server that takes calls now.
-func (s *Server) target() (Announcement, *core.Refusal) {
+// target needs the lock; it returns the backend server that takes the call now. An entry node may have chosen it for the
+// service or the release that it had before.
+func (s *Server) target(call *core.Call) (Announcement, *core.Refusal) {
 	if s.announced == nil || !time.Now().Before(s.expires) {
 		return Announcement{}, &core.Refusal{
 			Cause: core.CauseNoBackend,
@@ -344,6 +374,12 @@
 			Detail: "backend server is starting",
 		}
 	}
+	if call.Service != s.announced.Service || call.Release != s.announced.Release {
+		return Announcement{}, &core.Refusal{
+			Cause:  core.CauseNoBackend,
+			Detail: "backend server is of another service or release",
+		}
+	}
 	return *s.announced, nil
 }
 
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -14,6 +14,15 @@
 type share struct {
 	release  core.Release
 	perMille core.PerMille
+	named    []core.Weight // with core.OtherReleases: all weights, whose releases it does not stand for
+}
+
+// has reports whether an endpoint belongs to the share's release.
+func (h share) has(endpoint core.Endpoint) bool {
+	if h.release != core.OtherReleases {
+		return endpoint.Release == h.release
+	}
+	return !slices.ContainsFunc(h.named, func(w core.Weight) bool { return core.Release(w.Upstream) == endpoint.Release })
 }
 
 // choose picks a release by weight and an endpoint of it. If the release has no endpoint, another one may take its place
@@ -24,7 +33,7 @@
 	for len(shares) > 0 {
 		at := drawShare(shares, func(n core.PerMille) core.PerMille { return rand.N(n) })
 		chosen := shares[at]
-		candidates := candidatesOf(ready, chosen.release, past)
+		candidates := candidatesOf(ready, chosen, past)
 		if len(candidates) > 0 {
 			endpoint, found := s.options.Picker.Pick(now, core.PickRequest{
 				Call:    q.call.ID,
@@ -48,11 +57,12 @@
 func (s *Server) shares(q *request) []share {
 	shares := make([]share, 0, len(q.weights))
 	for _, weight := range q.weights {
-		upstream, _ := q.configuration.Upstream(weight.Upstream)
+		upstream, _ := q.configuration.UpstreamOf(q.route.Service, weight.Upstream)
 		if weight.PerMille > 0 && s.options.ReleaseAllowed(q.route.Service, upstream.Release) {
 			shares = append(shares, share{
 				release:  upstream.Release,
 				perMille: weight.PerMille,
+				named:    q.weights,
 			})
 		}
 	}
@@ -125,16 +135,16 @@
 	shares := s.shares(q)
 	largest := lo.MaxBy(shares, func(a, b share) bool { return a.perMille > b.perMille }).perMille
 	return slices.ContainsFunc(shares, func(each share) bool {
-		candidates := candidatesOf(ready, each.release, past)
+		candidates := candidatesOf(ready, each, past)
 		return each.perMille == largest && len(past.triedOf(candidates)) < len(candidates)
 	})
 }
 
 // candidatesOf prefers endpoints that this call has not tried; one that takes no calls is not tried again.
-func candidatesOf(ready []core.Endpoint, release core.Release, past past) []core.Endpoint {
+func candidatesOf(ready []core.Endpoint, of share, past past) []core.Endpoint {
 	var fresh, all []core.Endpoint
 	for _, endpoint := range ready {
-		if endpoint.Release != release || among(past.gone, endpoint) {
+		if !of.has(endpoint) || among(past.gone, endpoint) {
 			continue
 		}
 		all = append(all, endpoint)
--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -188,7 +188,7 @@
 
 // hedgeDelay returns when a hedge of the request may begin; it is false if it must have none.
 func (s *Server) hedgeDelay(q *request, now time.Time) (time.Duration, bool) {
-	if !q.call.Idempotent || q.call.Depth != hedgeDepth {
+	if s.options.NoHedges || !q.call.Idempotent || q.call.Depth != hedgeDepth {
 		return 0, false
 	}
 	s.mu.Lock()
@@ -204,7 +204,7 @@
 func (s *Server) takeHedge(service core.ServiceName, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hedging[service].Allowed(now) && s.budget.TakeHedge(now)
+	return s.hedging[service].Allowed(now) && s.budgetOf(service).TakeHedge(now)
 }
 
 // learn keeps what an attempt showed about its service.
--- a/io/callerhttp/keyed.go
+++ b/io/callerhttp/keyed.go
@@ -73,8 +73,8 @@
 	for name, values := range recorded.Header {
 		w.Header()[name] = values
 	}
-	w.Header().Set(headerOutcome, string(core.OutcomeAnswered))
-	w.Header().Set(headerRelease, string(recorded.Release))
+	set(w.Header(), s.options.Headers.Outcome, string(core.OutcomeAnswered))
+	set(w.Header(), s.options.Headers.Release, string(recorded.Release))
 	w.WriteHeader(recorded.Status)
 	_, _ = w.Write(recorded.Body) // a caller that has gone may send again
 }
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
-	"crypto/rand"
+	crand "crypto/rand"
 	"encoding/hex"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -18,25 +19,11 @@
 	"parsleyport/core/retry"
 )
 
-// Headers of callers' requests and answers.
-const (
-	headerDeadline       = "Parsleyport-Deadline-Ms"
-	headerAttempts       = "Parsleyport-Attempts"
-	headerDepth          = "Parsleyport-Depth"
-	headerTenant         = "Parsleyport-Tenant"
-	headerSession        = "Parsleyport-Session"
-	headerIdempotencyKey = "Idempotency-Key"
-	headerCallID         = "Parsleyport-Call-Id"
-	headerOutcome        = "Parsleyport-Outcome"
-	headerCause          = "Parsleyport-Cause"
-	headerRelease        = "Parsleyport-Release"
-	headerRevision       = "Parsleyport-Revision"
-)
-
 const (
 	maxTenantBytes  = 128
 	maxSessionBytes = 256
 	maxKeyBytes     = 256
+	maxIDBytes      = 128
 )
 
 // request is one request of a caller with the configuration that it began with.
@@ -59,7 +46,8 @@
 }
 
 // parse checks everything but the body; nothing of the request has been run when it returns a refusal.
-func parse(r *http.Request, configuration *record.Configuration, now time.Time) (*request, *core.Refusal) {
+func (s *Server) parse(r *http.Request, configuration *record.Configuration, now time.Time) (*request, *core.Refusal) {
+	names := &s.options.Headers
 	if slices.Contains(strings.Split(r.URL.Path, "/"), "..") {
 		return nil, refusal(core.CauseMalformedCall, "path has a parent segment, which could lead to another route")
 	}
@@ -67,12 +55,13 @@
 	if !matched {
 		return nil, refusal(core.CauseNoRoute, "")
 	}
-	numbers, bad := parseNumbers(r.Header)
+	route.Service = destination(route, rand.Int64N)
+	numbers, bad := parseNumbers(names, r.Header)
 	if bad != nil {
 		return nil, bad
 	}
-	for name, limit := range map[string]int{headerTenant: maxTenantBytes, headerSession: maxSessionBytes, headerIdempotencyKey: maxKeyBytes} {
-		if len(r.Header.Get(name)) > limit {
+	for name, limit := range map[string]int{names.Tenant: maxTenantBytes, names.Session: maxSessionBytes, names.IdempotencyKey: maxKeyBytes, names.CallID: maxIDBytes} {
+		if len(get(r.Header, name)) > limit {
 			return nil, refusal(core.CauseMalformedCall, name+" is too long")
 		}
 	}
@@ -86,13 +75,17 @@
 	if !deadline.After(now) {
 		return nil, refusal(core.CauseDeadline, "")
 	}
-	policy, _ := configuration.Policy(route.Service)
+	attempts := route.MaxAttempts
+	if attempts == 0 {
+		policy, _ := configuration.Policy(route.Service)
+		attempts = policy.MaxAttempts
+	}
 	return &request{
 		configuration: configuration,
 		route:         route,
-		call:          callOf(r, configuration, route, deadline, numbers.depth+1),
-		session:       r.Header.Get(headerSession),
-		attempts:      retry.NewAttempts(policy.MaxAttempts, numbers.attempts),
+		call:          s.callOf(r, configuration, route, deadline, numbers.depth+1),
+		session:       get(r.Header, names.Session),
+		attempts:      retry.NewAttempts(attempts, numbers.attempts),
 		began:         now,
 		weights:       configuration.Weights(route.Service),
 	}, nil
@@ -113,7 +106,35 @@
 
 const maxRemainingMS = 24 * 60 * 60 * 1000
 
-func parseNumbers(header http.Header) (numbers, *core.Refusal) {
+// get returns the value of a header, or nothing if the header is not used.
+func get(header http.Header, name string) string {
+	if name == "" {
+		return ""
+	}
+	return header.Get(name)
+}
+
+// destination draws the service of a call from the route's split. A call stays with that service, so that each one gets its
+// part whatever the others can serve.
+func destination(route record.Route, draw func(int64) int64) core.ServiceName {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
+	sum := int64(0)
+	for _, share := range route.Split {
+		sum += share.Weight
+	}
+	point := draw(sum)
+	for _, share := range route.Split {
+		if point < share.Weight {
+			return share.Service
+		}
+		point -= share.Weight
+	}
+	return route.Split[0].Service
+}
+
+func parseNumbers(names *core.HeaderNames, header http.Header) (numbers, *core.Refusal) {
 	n := numbers{
 		remaining: -1,
 	}
@@ -122,11 +143,11 @@
 		limit int
 		set   func(int)
 	}{
-		{name: headerDeadline, limit: maxRemainingMS, set: func(v int) { n.remaining = time.Duration(v) * time.Millisecond }},
-		{name: headerAttempts, limit: 1000, set: func(v int) { n.attempts = max(v, 1) }},
-		{name: headerDepth, limit: 1000, set: func(v int) { n.depth = v }},
+		{name: names.Deadline, limit: maxRemainingMS, set: func(v int) { n.remaining = time.Duration(v) * time.Millisecond }},
+		{name: names.Attempts, limit: 1000, set: func(v int) { n.attempts = max(v, 1) }},
+		{name: names.Depth, limit: 1000, set: func(v int) { n.depth = v }},
 	} {
-		text := header.Get(field.name)
+		text := get(header, field.name)
 		if text == "" {
 			continue
 		}
@@ -139,9 +160,10 @@
 	return n, nil
 }
 
-func callOf(r *http.Request, configuration *record.Configuration, route record.Route, deadline time.Time, depth int) *core.Call {
+func (s *Server) callOf(r *http.Request, configuration *record.Configuration, route record.Route, deadline time.Time, depth int) *core.Call {
 	service, _ := configuration.Service(route.Service)
-	tenant := core.TenantID(r.Header.Get(headerTenant))
+	names := &s.options.Headers
+	tenant := core.TenantID(get(r.Header, names.Tenant))
 	if tenant == "" {
 		tenant = service.Tenant
 	}
@@ -149,8 +171,22 @@
 	if priority == 0 {
 		priority = service.Priority
 	}
+	id := core.CallID("")
+	if s.options.CallerNamesCalls {
+		id = core.CallID(get(r.Header, names.CallID))
+	}
+	if id == "" {
+		id = newCallID()
+	}
+	header := r.Header.Clone() // io/backendhttp removes what concerns one connection only
+	if names.CallerService != "" {
+		header.Del(names.CallerService)
+		if s.options.CallerService != nil {
+			header.Set(names.CallerService, string(s.options.CallerService()))
+		}
+	}
 	return &core.Call{
-		ID:             newCallID(),
+		ID:             id,
 		Tenant:         tenant,
 		Service:        route.Service,
 		Route:          route.Name,
@@ -158,9 +194,9 @@
 		Method:         r.Method,
 		Target:         r.URL.RequestURI(),
 		Host:           r.Host,
-		Header:         r.Header.Clone(), // io/backendhttp removes what concerns one connection only
+		Header:         header,
 		Idempotent:     route.Idempotent,
-		IdempotencyKey: core.IdempotencyKey(r.Header.Get(headerIdempotencyKey)),
+		IdempotencyKey: core.IdempotencyKey(get(r.Header, names.IdempotencyKey)),
 		Priority:       priority,
 		Deadline:       deadline,
 		Depth:          depth,
@@ -169,7 +205,7 @@
 
 func newCallID() core.CallID {
 	var id [16]byte
-	_, _ = rand.Read(id[:]) // crypto/rand never returns an error
+	_, _ = crand.Read(id[:]) // crypto/rand never returns an error
 	return core.CallID(hex.EncodeToString(id[:]))
 }
 
@@ -177,7 +213,7 @@
 // if reserve allows no more memory.
 func readBody(r *http.Request, limit int64, reserve func(bytes int64) bool) ([]byte, *core.Refusal) {
 	if r.ContentLength > limit {
-		return nil, refusal(core.CauseMalformedCall, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
+		return nil, refusal(core.CauseTooLarge, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
@@ -193,7 +229,7 @@
 		}
 		_, err := io.CopyN(&body, r.Body, core.MaxChunkBytes)
 		if int64(body.Len()) > limit {
-			return nil, refusal(core.CauseMalformedCall, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
+			return nil, refusal(core.CauseTooLarge, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
 		}
 		if err == io.EOF {
 			return body.Bytes(), nil
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -13,6 +13,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/idempotency"
+	"parsleyport/core/record"
 	"parsleyport/core/retry"
 )
 
@@ -40,12 +41,12 @@
 	}
 	now := time.Now()
 	configuration := s.options.Source.Current()
-	w.Header().Set(headerRevision, strconv.FormatUint(uint64(configuration.Revision()), 10))
+	set(w.Header(), s.options.Headers.Revision, strconv.FormatUint(uint64(configuration.Revision()), 10))
 	if !s.options.Confirmed() {
 		s.refuse(w, refusal(core.CauseNotConfirmed, ""))
 		return
 	}
-	q, refused := parse(r, configuration, now)
+	q, refused := s.parse(r, configuration, now)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
@@ -56,7 +57,7 @@
 		buffered += bytes
 		return s.bodies.Add(bytes) <= maxBufferedBodies
 	}
-	if q.call.Body, refused = readBody(r, s.options.MaxBodyBytes, reserve); refused != nil {
+	if q.call.Body, refused = readBody(r, s.bodyLimit(configuration), reserve); refused != nil {
 		s.refuse(w, refused)
 		return
 	}
@@ -64,10 +65,25 @@
 		s.refuse(w, refusal(core.CauseCrashSuspect, ""))
 		return
 	}
-	w.Header().Set(headerCallID, string(q.call.ID))
+	set(w.Header(), s.options.Headers.CallID, string(q.call.ID))
 	s.serve(w, r, q)
 }
 
+// set leaves out a header that is not used.
+func set(header http.Header, name, value string) {
+	if name != "" {
+		header.Set(name, value)
+	}
+}
+
+// bodyLimit is the limit that the configuration declares, if it is below the node's own.
+func (s *Server) bodyLimit(configuration *record.Configuration) int64 {
+	if declared := configuration.Declaration().MaxBodyBytes; declared > 0 {
+		return min(declared, s.options.MaxBodyBytes)
+	}
+	return s.options.MaxBodyBytes
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, q *request) {
 	ctx, cancel := context.WithDeadline(r.Context(), q.call.Deadline)
 	defer cancel()
@@ -75,7 +91,7 @@
 	_ = controller.SetWriteDeadline(q.call.Deadline.Add(writeGrace)) // fails only on a connection that is gone
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	s.mu.Lock()
-	s.budget.Call(q.began)
+	s.budgetOf(q.route.Service).Call(q.began)
 	s.mu.Unlock()
 	defer s.latency.UpdateDuration(q.began)
 	defer s.endWait(q)
@@ -160,7 +176,7 @@
 	if last.outcome != core.OutcomeAnswered {
 		return retry.Classify(last.outcome, causeOf(last.err), q.call.Idempotent)
 	}
-	class := retry.ClassifyAnswer(last.answer.Status, last.answer.Header.Get(headerOutcome) != "", q.call.Idempotent)
+	class := retry.ClassifyAnswer(last.answer.Status, get(last.answer.Header, s.options.Headers.Outcome) != "", q.call.Idempotent)
 	if class == retry.Final {
 		return class
 	}
@@ -197,10 +213,23 @@
 	return ""
 }
 
-func (s *Server) takeBudget() bool {
+func (s *Server) takeBudget(service core.ServiceName) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Take(time.Now())
+	return s.budgetOf(service).Take(time.Now())
+}
+
+// budgetOf needs the lock. The budgets of services that no longer exist are dropped when there are too many.
+func (s *Server) budgetOf(service core.ServiceName) *retry.Budget {
+	budget := s.budgets[service]
+	if budget == nil {
+		if len(s.budgets) >= maxHedging {
+			clear(s.budgets)
+		}
+		budget = retry.NewBudget(s.options.Budget)
+		s.budgets[service] = budget
+	}
+	return budget
 }
 
 // place makes one attempt; it returns false if no endpoint is left.
@@ -278,8 +307,8 @@
 	for name, values := range last.answer.Header {
 		header[name] = values
 	}
-	header.Set(headerOutcome, string(core.OutcomeAnswered))
-	header.Set(headerRelease, string(last.release))
+	set(header, s.options.Headers.Outcome, string(core.OutcomeAnswered))
+	set(header, s.options.Headers.Release, string(last.release))
 	w.WriteHeader(last.answer.Status)
 	fromBackend, err := copyBody(w, last.answer.Body, recorder)
 	if !last.recorded {
@@ -332,9 +361,26 @@
 func (s *Server) refuse(w http.ResponseWriter, refused *core.Refusal) {
 	s.outcomes[core.OutcomeNotRun].Inc()
 	s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_refusals_total{cause="` + string(knownCause(refused.Cause)) + `"}`).Inc()
-	w.Header().Set(headerOutcome, string(core.OutcomeNotRun))
-	w.Header().Set(headerCause, string(refused.Cause))
-	http.Error(w, refused.Error(), http.StatusServiceUnavailable)
+	set(w.Header(), s.options.Headers.Outcome, string(core.OutcomeNotRun))
+	set(w.Header(), s.options.Headers.Cause, string(refused.Cause))
+	status := statusOf(refused.Cause)
+	if status == http.StatusServiceUnavailable && s.options.RetryAfter != nil {
+		w.Header().Set("Retry-After", s.options.RetryAfter(refused))
+	}
+	http.Error(w, refused.Error(), status)
+}
+
+// statusOf tells a call that can succeed later, or elsewhere, from one that is wrong in itself.
+func statusOf(cause core.RefusalCause) int {
+	switch cause {
+	case core.CauseNoRoute:
+		return http.StatusNotFound
+	case core.CauseMalformedCall:
+		return http.StatusBadRequest
+	case core.CauseTooLarge:
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusServiceUnavailable
 }
 
 // knownCause keeps the counters' labels bounded, since causes come from other nodes.
@@ -343,7 +389,7 @@
 	case core.CauseNoRoute, core.CauseNoEndpoint, core.CauseNotConfirmed, core.CauseLeaving, core.CauseNoBackend,
 		core.CauseDeadline, core.CauseQueueFull, core.CauseTenantShare, core.CauseRevoked, core.CauseCrashSuspect,
 		core.CauseTooDeep, core.CauseConnectFailed, core.CauseMalformedCall,
-		core.CauseDuplicateCall, core.CauseBackendRefused:
+		core.CauseDuplicateCall, core.CauseBackendRefused, core.CauseOverloaded, core.CauseMisdirected, core.CauseTooLarge:
 		return cause
 	}
 	return "other"
@@ -355,9 +401,9 @@
 	if !time.Now().Before(q.call.Deadline) {
 		status = http.StatusGatewayTimeout
 	}
-	w.Header().Set(headerOutcome, string(core.OutcomeUnknown))
+	set(w.Header(), s.options.Headers.Outcome, string(core.OutcomeUnknown))
 	if release != "" {
-		w.Header().Set(headerRelease, string(release))
+		set(w.Header(), s.options.Headers.Release, string(release))
 	}
 	http.Error(w, "outcome unknown: "+err.Error(), status)
 }
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -24,10 +24,10 @@
 	headerLimit         = 10 * time.Second
 	bodyLimit           = time.Minute // to receive a request
 	idleLimit           = 2 * time.Minute
-	// lingerLimit is how long a draining server waits for idle callers to send one more request, whose answer tells
+	// defaultLinger is how long a draining server waits for idle callers to send one more request, whose answer tells
 	// them to close the connection; closing at once could cut off a request that is on its way.
-	lingerLimit = time.Second
-	lingerCheck = 20 * time.Millisecond
+	defaultLinger = time.Second
+	lingerCheck   = 20 * time.Millisecond
 	// maxRequests in progress hold at most 64 MiB of unread answers (64 KiB each, see io/nodepeer).
 	maxRequests = 1024
 	// maxBufferedBodies bounds the request bodies in memory, in bytes.
@@ -65,6 +65,13 @@
 	Suspected        func(idempotency.Fingerprint) bool
 	Keys             KeyClaimer
 	MaxBodyBytes     int64
+	Headers          core.HeaderNames // the zero value stands for the default names
+	CallerNamesCalls bool             // a caller's header is the call's id
+	CallerService    func() core.ServiceName
+	NoHedges         bool
+	Budget           retry.BudgetOptions // of each service; the zero value stands for the default
+	RetryAfter       func(*core.Refusal) string
+	Linger           time.Duration // for which a draining server waits for its callers to leave, zero for 1 s
 	Logger           zerolog.Logger
 	Metrics          *metrics.Set
 }
@@ -81,7 +88,7 @@
 	bodies   atomic.Int64 // bytes of request bodies in memory
 
 	mu      sync.Mutex // guards the fields up to closed
-	budget  retry.Budget
+	budgets map[core.ServiceName]*retry.Budget
 	hedging map[core.ServiceName]*retry.Hedging
 	waiting waiting
 	closed  bool
@@ -110,6 +117,12 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewSet()
 	}
+	if options.Headers == (core.HeaderNames{}) {
+		options.Headers = core.DefaultHeaderNames()
+	}
+	if options.Linger == 0 {
+		options.Linger = defaultLinger
+	}
 	if options.MaxBodyBytes == 0 {
 		options.MaxBodyBytes = defaultMaxBodyBytes
 	}
@@ -128,6 +141,7 @@
 	s := &Server{
 		options:   options,
 		listener:  listener,
+		budgets:   make(map[core.ServiceName]*retry.Budget),
 		hedging:   make(map[core.ServiceName]*retry.Hedging),
 		hedges:    options.Metrics.GetOrCreateCounter("parsleyport_caller_hedges_total"),
 		retries:   options.Metrics.GetOrCreateCounter("parsleyport_caller_retries_total"),
@@ -192,7 +206,8 @@
 	s.leaving.Store(true)
 	ticker := time.NewTicker(lingerCheck)
 	defer ticker.Stop()
-	for until := time.Now().Add(lingerLimit); s.open.Load() > 0 && time.Now().Before(until); {
+	until := time.Now().Add(s.options.Linger)
+	for (s.open.Load() > 0 || s.options.Linger > defaultLinger) && time.Now().Before(until) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/io/callerhttp/wait.go
+++ b/io/callerhttp/wait.go
@@ -138,7 +138,8 @@
 // another reports whether one more attempt may be made. A call whose free tries all met nodes that take no calls goes on
 // at the pace of a waiting call.
 func (s *Server) another(ctx context.Context, q *request, class retry.Class) bool {
-	if q.attempts.Another(class, s.takeBudget) {
+	take := func() bool { return s.takeBudget(q.route.Service) }
+	if q.attempts.Another(class, take) {
 		return true
 	}
 	if class != retry.RepeatFree || s.options.EndpointsChanged == nil || !s.beginWait(q) {
@@ -148,5 +149,5 @@
 		return false
 	}
 	q.attempts.Waited()
-	return q.attempts.Another(class, s.takeBudget)
+	return q.attempts.Another(class, take)
 }
--- a/io/control/audit.go
+++ b/io/control/audit.go
@@ -42,7 +42,7 @@
 type backfill struct {
 	catalog *catalog.Catalog
 	archive *disk.Archive
-	peers   []core.ControlID
+	peers   func() []core.ControlID
 	send    func(to core.ControlID, topic string, payload []byte) bool
 	log     zerolog.Logger
 	inbox   *ring.Ring[auditMessage]
@@ -74,9 +74,9 @@
 		case message := <-b.inbox.Items():
 			b.handle(message)
 		case <-ticker.C:
-			if len(b.peers) > 0 {
-				b.next = (b.next + 1) % len(b.peers)
-				b.request(b.peers[b.next])
+			if peers := b.peers(); len(peers) > 0 {
+				b.next = (b.next + 1) % len(peers)
+				b.request(peers[b.next])
 			}
 		}
 	}
@@ -169,6 +169,6 @@
 	b := p.backfill
 	b.catalog, b.archive = do.MustInvoke[*catalog.Catalog](injector), do.MustInvoke[*disk.Archive](injector)
 	b.send, b.log = replica.Send, p.log
-	b.peers = p.otherIDs()
+	b.peers = func() []core.ControlID { return p.otherIDs(replica) }
 	p.startDuty(b.run)
 }
--- a/io/control/catchup.go
+++ b/io/control/catchup.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyport/core"
@@ -19,7 +20,7 @@
 
 const (
 	catchUpTopic    = "catch-up"
-	catchUpInterval = time.Second
+	catchUpInterval = 500 * time.Millisecond
 	// catchUpAge is how long a report counts; two of three may be lost.
 	catchUpAge = 3 * catchUpInterval
 	// maxCatchUpLag is how far behind a learner may be when its promotion begins; the rest is waited for. Such a learner gets
@@ -40,19 +41,16 @@
 // catchUp holds the newest report of each other instance.
 type catchUp struct {
 	mu      sync.Mutex
-	peers   map[core.ControlID]bool
 	reports map[core.ControlID]catchUpReport
 }
 
-func newCatchUp(peers []core.ControlID) *catchUp {
-	c := &catchUp{
-		peers:   make(map[core.ControlID]bool),
+// maxReports bounds the reports that are kept; the oldest one gives way.
+const maxReports = 32
+
+func newCatchUp() *catchUp {
+	return &catchUp{
 		reports: make(map[core.ControlID]catchUpReport),
 	}
-	for _, peer := range peers {
-		c.peers[peer] = true
-	}
-	return c
 }
 
 func (c *catchUp) receive(now time.Time, from core.ControlID, payload []byte) {
@@ -62,10 +60,20 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.peers[from] {
-		report.at = now
-		c.reports[from] = report
+	if _, known := c.reports[from]; !known && len(c.reports) >= maxReports {
+		oldest := lo.MinBy(lo.Keys(c.reports), func(a, b core.ControlID) bool { return c.reports[a].at.Before(c.reports[b].at) })
+		delete(c.reports, oldest)
 	}
+	report.at = now
+	c.reports[from] = report
+}
+
+// last returns the newest report of an instance unless it is of another data folder.
+func (c *catchUp) last(peer raft.Peer) (catchUpReport, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report, exists := c.reports[peer.ID]
+	return report, exists && report.Identity == peer.Identity
 }
 
 // of returns the report of an instance unless it is too old or of another data folder.
@@ -92,7 +100,7 @@
 }
 
 // CatchUp implements operatorhttp.Membership.
-func (m membership) CatchUp() []operatorhttp.CatchUp {
+func (m operatorMembership) CatchUp() []operatorhttp.CatchUp {
 	var list []operatorhttp.CatchUp
 	for _, member := range m.Members() {
 		if member.Voter {
@@ -129,10 +137,12 @@
 				MissingAudit: end - first,
 				KnownRules:   catalog.KnownRules,
 			})
-			for peer := range p.catchUp.peers {
-				if err == nil {
-					replica.Send(peer, catchUpTopic, payload)
-				}
+			if err != nil {
+				p.log.Error().Err(err).Str("event", "report-not-encoded").Msg("other instances are not told what this one holds")
+				continue
+			}
+			for _, peer := range p.otherIDs(replica) {
+				replica.Send(peer, catchUpTopic, payload)
 			}
 		}
 	})
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -31,19 +31,38 @@
 	metrics  *metrics.Set
 	backfill *backfill
 	catchUp  *catchUp
+	ledSince time.Time // of the keeper: zero unless this instance leads
 	cleanups []func()
 }
 
+// Parts are what an interface beside the operators' API needs of a control instance.
+type Parts struct {
+	Replicator core.Replicator
+	Catalog    *catalog.Catalog
+	Source     *distribution.Source
+}
+
+// Options configure a control instance beyond its settings.
+type Options struct {
+	// Serve starts another interface and returns its clean-up function; nil for none.
+	Serve func(Parts) (func(), error)
+}
+
 // Run runs a control instance until the context ends; it returns an error if an address or the data folder cannot be
 // used, or after a fault of the disk.
 func Run(ctx context.Context, s settings.Control, log zerolog.Logger) error {
+	return RunWith(ctx, s, Options{}, log)
+}
+
+// RunWith is Run with options.
+func RunWith(ctx context.Context, s settings.Control, options Options, log zerolog.Logger) error {
 	p := &process{
 		settings: s,
 		log:      log.With().Str("control", string(s.ID)).Logger(),
 		metrics:  metrics.NewSet(),
 		backfill: newBackfill(),
 	}
-	p.catchUp = newCatchUp(p.otherIDs())
+	p.catchUp = newCatchUp()
 	defer p.cleanup()
 	injector := do.New()
 	do.Provide(injector, p.newFolder)
@@ -59,10 +78,23 @@
 	if _, err := do.Invoke[*operatorhttp.Server](injector); err != nil {
 		return errors.Annotate(err, "operators' API")
 	}
+	if options.Serve != nil {
+		cleanup, err := options.Serve(Parts{
+			Replicator: replica,
+			Catalog:    do.MustInvoke[*catalog.Catalog](injector),
+			Source:     do.MustInvoke[*distribution.Source](injector),
+		})
+		if err != nil {
+			return errors.Annotate(err, "interface")
+		}
+		p.cleanups = append(p.cleanups, cleanup)
+	}
 	p.startMover(injector)
 	p.startBackfill(injector)
 	p.startCatchUp(injector)
 	p.startRules(injector)
+	p.startKeeper(injector)
+	p.startPeers(injector)
 	p.log.Info().Str("event", "started").Msg("control instance started")
 	select {
 	case <-ctx.Done():
@@ -109,6 +141,7 @@
 			}
 		}),
 		Bootstrap: p.settings.Bootstrap,
+		Open:      p.settings.MemberAt != nil,
 		Logger:    p.log,
 		Metrics:   p.metrics,
 		Receive:   p.receive,
@@ -129,6 +162,7 @@
 	source, cleanup, err := distribution.NewSource(distribution.SourceOptions{
 		ID:            p.settings.ID,
 		ListenAddress: p.settings.NodeAddress,
+		DirectNodes:   p.settings.DirectNodes,
 		Peers: lo.Map(others, func(m settings.Member, _ int) distribution.Peer {
 			return distribution.Peer{
 				ID:      m.ID,
@@ -181,8 +215,9 @@
 	p.backfill.receive(from, topic, payload)
 }
 
-// otherIDs names the other control instances.
-func (p *process) otherIDs() []core.ControlID {
-	others := lo.Filter(p.settings.Members, func(m settings.Member, _ int) bool { return m.ID != p.settings.ID })
-	return lo.Map(others, func(m settings.Member, _ int) core.ControlID { return m.ID })
+// otherIDs names the other control instances: those of the settings and the members.
+func (p *process) otherIDs(replica *raftpeer.Replica) []core.ControlID {
+	ids := lo.Map(p.settings.Members, func(m settings.Member, _ int) core.ControlID { return m.ID })
+	ids = append(ids, lo.Map(replica.Members(), func(m raft.Member, _ int) core.ControlID { return m.Peer.ID })...)
+	return lo.Without(lo.Uniq(ids), p.settings.ID)
 }
--- a/io/control/moves.go
+++ b/io/control/moves.go
@@ -98,8 +98,8 @@
 		return judge
 	}
 	configuration := m.catalog.Current()
-	from, fromExists := configuration.Upstream(move.Request.From)
-	to, toExists := configuration.Upstream(move.Request.To)
+	from, fromExists := configuration.UpstreamOf(move.Request.Service, move.Request.From)
+	to, toExists := configuration.UpstreamOf(move.Request.Service, move.Request.To)
 	if !fromExists || !toExists {
 		return nil
 	}
--- a/io/control/operators.go
+++ b/io/control/operators.go
@@ -30,7 +30,7 @@
 	server, cleanup, err := operatorhttp.New(operatorhttp.Options{
 		Listen:     p.settings.OperatorAddress,
 		Replicator: do.MustInvoke[*raftpeer.Replica](injector),
-		Membership: membership{
+		Membership: operatorMembership{
 			Replica: do.MustInvoke[*raftpeer.Replica](injector),
 			members: p.settings.Members,
 			catchUp: p.catchUp,
@@ -85,15 +85,15 @@
 	}
 }
 
-// membership completes changes with what the settings say of an instance.
-type membership struct {
+// operatorMembership completes changes with what the settings say of an instance.
+type operatorMembership struct {
 	*raftpeer.Replica
 	members []settings.Member
 	catchUp *catchUp
 }
 
 // Change implements operatorhttp.Membership.
-func (m membership) Change(ctx context.Context, change raft.Change) error {
+func (m operatorMembership) Change(ctx context.Context, change raft.Change) error {
 	member, exists := lo.Find(m.members, func(member settings.Member) bool { return member.ID == change.Peer.ID })
 	if change.Kind == raft.ChangeAdd && !exists {
 		return errors.NotFoundf("instance %q in the settings of %q", change.Peer.ID, m.Self().ID)
@@ -108,7 +108,7 @@
 }
 
 // votes reports whether a promotion of the instance is in force already, as when it is sent again.
-func (m membership) votes(peer raft.Peer) bool {
+func (m operatorMembership) votes(peer raft.Peer) bool {
 	return lo.ContainsBy(m.Members(), func(member raft.Member) bool { return member.Voter && member.Peer == peer })
 }
 
--- a/io/distribution/admission.go
+++ b/io/distribution/admission.go
@@ -97,7 +97,7 @@
 func (h *hub) full(dataCentre core.DataCentre) []*child {
 	limit := maxRelayChildren
 	if h.relay == "" {
-		limit = maxDirectPerDataCentre
+		limit = max(h.direct, 1)
 	}
 	var candidates []*child
 	for _, c := range h.children {
--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	_ "embed"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+	"github.com/samber/lo"
 
 	"parsleyport/core/statechart"
 	"parsleyport/io/frame"
@@ -48,6 +50,7 @@
 	// serve uses the link until it ends.
 	serve func(ctx context.Context, conn *frame.Conn, address string) error
 
+	learned   atomic.Value // []string: where to start, as the parent says; tried before targets
 	state     atomic.Value // statechart.State
 	turn      int
 	queue     []string // addresses from a redirect, best first
@@ -101,12 +104,19 @@
 		a.address, a.queue = a.queue[0], a.queue[1:]
 		return eventDial
 	}
-	a.address = a.targets[a.turn%len(a.targets)]
+	targets := a.allTargets()
+	a.address = targets[a.turn%len(targets)]
 	a.turn++
 	a.redirects = 0
 	return eventDial
 }
 
+// allTargets has the learned addresses and those of the settings, which may both be outdated.
+func (a *attachment) allTargets() []string {
+	learned, _ := a.learned.Load().([]string)
+	return lo.Uniq(slices.Concat(learned, a.targets))
+}
+
 func (a *attachment) dial(ctx context.Context) statechart.Event {
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -211,7 +221,7 @@
 // backOff sets a wait with full jitter: any time up to a bound that doubles once all targets have been tried, so that
 // nodes that lost a parent together spread out, and still find another control instance before they are given up.
 func (a *attachment) backOff() {
-	bound := min(minBackoff<<min(a.attempts/len(a.targets), 10), maxBackoff)
+	bound := min(minBackoff<<min(a.attempts/len(a.allTargets()), 10), maxBackoff)
 	a.attempts++
 	a.wait = time.Duration(a.random() * float64(bound))
 }
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -338,6 +338,8 @@
 		Control: h.control,
 		Stale:   h.stale,
 		Rows:    true,
+
+		Controls: h.controls,
 	}
 }
 
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -69,6 +69,9 @@
 	unsyncedAll bool
 	peerReports map[core.ControlID]peerReport
 	peers       map[core.ControlID]bool
+	// controls are the addresses of the control instances where nodes can attach, if they may differ from the settings.
+	controls []string
+	direct   int // nodes of one data centre that may attach to this control instance
 }
 
 // peerReport is the last acknowledgement of another control instance; until is set once its link is lost.
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -59,6 +59,8 @@
 	Control core.ControlID `msgpack:"control"`
 	Stale   bool           `msgpack:"stale,omitempty"`
 	Rows    bool           `msgpack:"rows,omitempty"` // the sender reads rows of sums
+
+	Controls []string `msgpack:"controls,omitempty"` // where nodes can attach
 }
 
 type redirect struct {
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -84,6 +84,7 @@
 	ID            core.ControlID
 	ListenAddress string // nodes and other control instances attach here
 	Peers         []Peer
+	DirectNodes   int // of one data centre that may attach, zero for 2; others are redirected to those
 	Catalog       record.Source
 	Replicator    core.Replicator // its status must name the leader while there is one
 	Logger        zerolog.Logger
@@ -119,6 +120,9 @@
 			return errors.Errorf("distribution source: control instance %q at %q: expected another id and an address", peer.ID, peer.Address)
 		}
 	}
+	if o.DirectNodes == 0 {
+		o.DirectNodes = maxDirectPerDataCentre
+	}
 	o.Metrics = orNewSet(o.Metrics)
 	o.Network = o.Network.orTCP()
 	return nil
--- a/io/distribution/parent.go
+++ b/io/distribution/parent.go
@@ -87,6 +87,10 @@
 	}
 	s.hub.stale, s.hub.parentReadsRows = message.Stale, message.Rows
 	s.hub.path, s.hub.control = message.Path, message.Control
+	if len(message.Controls) > 0 && len(message.Controls) <= maxDirectChildren {
+		s.hub.controls = message.Controls
+		s.attach.learned.Store(message.Controls)
+	}
 	s.hub.pathTurn++
 	s.hub.changed()
 	return nil
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -29,6 +30,14 @@
 	options  SourceOptions
 	hub      *hub
 	confirms *ring.Ring[struct{}]
+	context  context.Context
+	links    map[core.ControlID]peerLink // guarded by hub.mu
+}
+
+// peerLink is the link to another control instance.
+type peerLink struct {
+	address string
+	stop    context.CancelFunc
 }
 
 // NewSource starts the listener for nodes and the links to the other control instances; it returns an error for wrong
@@ -45,7 +54,9 @@
 		options:  options,
 		hub:      newHub(options.Logger, newMeters(options.Metrics), options.Network),
 		confirms: ring.New[struct{}](1),
+		links:    make(map[core.ControlID]peerLink),
 	}
+	s.hub.direct = options.DirectNodes
 	s.hub.control = options.ID
 	s.hub.run = core.Incarnation(time.Now().UnixNano())
 	s.hub.attached = true
@@ -55,11 +66,8 @@
 	s.hub.watch(options.Metrics)
 	ctx, cancel := context.WithCancel(context.Background())
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
-	for _, peer := range options.Peers {
-		s.hub.peers[peer.ID] = true
-		a := s.peerAttachment(peer)
-		s.hub.start(func() { a.run(ctx) })
-	}
+	s.context = ctx
+	s.SetPeers(options.Peers, nil)
 	began := time.Now()
 	s.hub.start(func() { s.hub.serve(ctx, listener) })
 	s.hub.start(func() { s.follow(ctx) })
@@ -72,6 +80,45 @@
 	}, nil
 }
 
+// SetPeers links to these other control instances in place of the earlier ones, and tells the nodes where they can attach:
+// to the addresses, the own one included, or to those of their settings if there are none.
+func (s *Source) SetPeers(peers []Peer, addresses []string) {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	if s.context.Err() != nil {
+		return
+	}
+	wanted := make(map[core.ControlID]string, len(peers))
+	for _, peer := range peers {
+		wanted[peer.ID] = peer.Address
+	}
+	for id, link := range s.links {
+		if wanted[id] != link.address {
+			link.stop()
+			delete(s.links, id)
+			delete(s.hub.peers, id)
+		}
+	}
+	for _, peer := range peers {
+		if _, linked := s.links[peer.ID]; linked {
+			continue
+		}
+		ctx, stop := context.WithCancel(s.context)
+		s.links[peer.ID] = peerLink{
+			address: peer.Address,
+			stop:    stop,
+		}
+		s.hub.peers[peer.ID] = true
+		a := s.peerAttachment(peer)
+		s.hub.start(func() { a.run(ctx) })
+	}
+	if !slices.Equal(s.hub.controls, addresses) {
+		s.hub.controls = addresses
+		s.hub.pathTurn++
+		s.hub.changed()
+	}
+}
+
 func (s *Source) tick(now, began time.Time) {
 	if !s.hub.complete && now.Sub(began) >= startGrace {
 		s.hub.complete = true
--- a/io/node/moves.go
+++ b/io/node/moves.go
@@ -46,8 +46,8 @@
 			if !override.Open {
 				continue
 			}
-			from, _ := configuration.Upstream(override.From)
-			to, _ := configuration.Upstream(override.To)
+			from, _ := configuration.UpstreamOf(override.Service, override.From)
+			to, _ := configuration.UpstreamOf(override.Service, override.To)
 			guard.Watch(override.Service, from.Release, to.Release, configuration.Revision())
 			open[override.Service] = true
 		}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/samber/do/v2"
 
 	"parsleyport/core"
+	"parsleyport/core/retry"
 	"parsleyport/core/rollout"
 	"parsleyport/io/backendhttp"
 	"parsleyport/io/callerhttp"
@@ -20,12 +21,26 @@
 	"parsleyport/io/settings"
 )
 
-// drainAtMost bounds a planned stop; calls have deadlines, so that a longer wait would finish none of them.
-const drainAtMost = 30 * time.Second
+// defaultDrainLimit bounds a planned stop; calls have deadlines, so that a longer wait would finish none of them.
+const defaultDrainLimit = 30 * time.Second
+
+// Options configure a node beyond its settings; the zero value of each stands for the node's own interface.
+type Options struct {
+	Headers          core.HeaderNames
+	CallerNamesCalls bool // a caller's header is the call's id
+	NoHedges         bool
+	Budget           retry.BudgetOptions // of repeated attempts, for each service
+	RetryAfter       func(*core.Refusal) string
+	BackendLease     time.Duration // for which an announcement holds
+	AllowUnframed    bool          // see backendhttp.Options
+	DrainLinger      time.Duration // for which a planned stop goes on taking callers who have not noticed it
+	DrainLimit       time.Duration // of a whole planned stop
+}
 
 // process holds what the parts of one node share.
 type process struct {
 	settings    settings.Node
+	options     Options
 	incarnation core.Incarnation
 	log         zerolog.Logger
 	metrics     *metrics.Set
@@ -33,7 +48,8 @@
 	recorder    *rollout.Recorder
 	suspects    *suspects
 	peerServer  atomic.Pointer[nodepeer.Server]
-	serving     atomic.Bool // takes callers
+	service     atomic.Value // core.ServiceName of the local backend server
+	serving     atomic.Bool  // takes callers
 	cleanups    cleanups
 	// drainCallers does nothing until the node takes callers.
 	drainCallers func(context.Context) error
@@ -41,12 +57,36 @@
 	handOver func(context.Context) error
 }
 
+// Node is a running node.
+type Node struct {
+	process  *process
+	injector do.Injector
+	backend  *backendhttp.Server
+}
+
 // Run runs a node until the context ends, then finishes the calls that have begun; it returns an error if an address
 // cannot be used.
 func Run(ctx context.Context, s settings.Node, log zerolog.Logger) error {
+	n, cleanup, err := New(s, Options{}, log)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return n.Serve(ctx)
+}
+
+// New starts all parts of a node but that which takes callers; it returns an error if an address cannot be used.
+func New(s settings.Node, options Options, log zerolog.Logger) (*Node, func(), error) {
+	if options.DrainLimit == 0 {
+		options.DrainLimit = defaultDrainLimit
+	}
+	if options.Headers == (core.HeaderNames{}) {
+		options.Headers = core.DefaultHeaderNames()
+	}
 	incarnation := core.Incarnation(time.Now().UnixNano())
 	p := &process{
 		settings:    s,
+		options:     options,
 		incarnation: incarnation,
 		log:         log.With().Str("node", string(s.ID)).Logger(),
 		metrics:     metrics.NewSet(),
@@ -57,22 +97,43 @@
 		drainCallers: func(context.Context) error { return nil },
 		handOver:     func(context.Context) error { return nil },
 	}
-	defer p.cleanups.run()
-	injector := p.injector()
-	if err := p.start(injector); err != nil {
-		return err
+	n := &Node{
+		process:  p,
+		injector: p.injector(),
+	}
+	if err := p.start(n.injector); err != nil {
+		p.cleanups.run()
+		return nil, nil, err
 	}
+	n.backend = do.MustInvoke[*backendhttp.Server](n.injector)
 	p.log.Info().Str("event", "started").Msg("node started")
-	if err := p.openForCallers(ctx, injector); err != nil {
+	return n, p.cleanups.run, nil
+}
+
+// Serve takes callers once the configuration is confirmed. When the context ends, it finishes the calls that have begun.
+func (n *Node) Serve(ctx context.Context) error {
+	p := n.process
+	if err := p.openForCallers(ctx, n.injector); err != nil {
 		return errors.Annotate(err, "callers")
 	}
 	<-ctx.Done()
 	p.serving.Store(false)
 	p.log.Info().Str("event", "draining").Msg("node is leaving")
-	p.drain(injector)
+	p.drain(n.injector)
+	p.log.Info().Str("event", "stopped").Msg("node stopped")
 	return nil
 }
 
+// Announce takes what the local backend server says of itself; it returns what is wrong with it.
+func (n *Node) Announce(a backendhttp.Announcement) error {
+	return n.backend.Announce(a)
+}
+
+// Serving reports whether the node takes callers.
+func (n *Node) Serving() bool {
+	return n.process.serving.Load()
+}
+
 // openForCallers waits until the configuration is confirmed and the endpoints are known. A caller that cannot connect
 // tries another node at once, while one that gets a refusal here may not.
 func (p *process) openForCallers(ctx context.Context, injector do.Injector) error {
@@ -133,20 +194,24 @@
 	})
 }
 
-// drain ends a node without cutting off a call: first the fleet learns that it is leaving, then callers and other nodes
-// finish what they have begun here.
+// drain ends a node without cutting off a call: the fleet learns that it is leaving, and callers and other nodes finish what
+// they have begun here, at the same time.
 func (p *process) drain(injector do.Injector) {
-	ctx, cancel := context.WithTimeout(context.Background(), drainAtMost)
+	ctx, cancel := context.WithTimeout(context.Background(), p.options.DrainLimit)
 	defer cancel()
-	for _, drain := range []func(context.Context) error{
-		do.MustInvoke[*backendhttp.Server](injector).Drain,
-		p.drainCallers,
-		do.MustInvoke[*nodepeer.Server](injector).Drain,
+	var drains sync.WaitGroup
+	for name, drain := range map[string]func(context.Context) error{
+		"backend": do.MustInvoke[*backendhttp.Server](injector).Drain,
+		"callers": p.drainCallers,
+		"peers":   do.MustInvoke[*nodepeer.Server](injector).Drain,
 	} {
-		if err := drain(ctx); err != nil {
-			p.log.Warn().Err(err).Str("event", "drain-incomplete").Msg("calls were cut off")
-		}
+		drains.Go(func() {
+			if err := drain(ctx); err != nil {
+				p.log.Warn().Err(err).Str("event", "drain-incomplete").Str("part", name).Msg("calls were cut off")
+			}
+		})
 	}
+	drains.Wait()
 	if err := p.handOver(ctx); err != nil {
 		p.log.Warn().Err(err).Str("event", "keys-not-handed-over").Msg("idempotency keys are forgotten")
 	}
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -44,12 +44,15 @@
 	admission, stopAdmission := newAdmission()
 	p.cleanups.add(stopAdmission)
 	server, cleanup, err := backendhttp.New(backendhttp.Options{
-		Address:   p.settings.BackendAddress,
-		Admission: admission,
-		OnChange:  func(a backendhttp.Announcement) { p.announce(subscriber, a) },
-		OnCrash:   func(crash backendhttp.Crash) { p.reportCrash(subscriber, crash) },
-		Logger:    p.log,
-		Metrics:   p.metrics,
+		Headers:       p.options.Headers,
+		Lease:         p.options.BackendLease,
+		AllowUnframed: p.options.AllowUnframed,
+		Address:       p.settings.BackendAddress,
+		Admission:     admission,
+		OnChange:      func(a backendhttp.Announcement) { p.announce(subscriber, a) },
+		OnCrash:       func(crash backendhttp.Crash) { p.reportCrash(subscriber, crash) },
+		Logger:        p.log,
+		Metrics:       p.metrics,
 	})
 	return keep(p, server, cleanup, err)
 }
@@ -57,6 +60,7 @@
 // announce tells the fleet of the local backend server, and the memory of idempotency keys since when this node is one of
 // the service's nodes.
 func (p *process) announce(subscriber *distribution.Subscriber, a backendhttp.Announcement) {
+	p.service.Store(a.Service)
 	subscriber.Announce(core.Endpoint{
 		Address: p.settings.PeerAddress,
 		Service: a.Service,
@@ -164,12 +168,27 @@
 		ReleaseAllowed:   counts.releaseAllowed,
 		Suspected:        p.suspects.suspected,
 		Keys:             keys,
+		Headers:          p.options.Headers,
+		CallerNamesCalls: p.options.CallerNamesCalls,
+		CallerService:    p.localService,
+		NoHedges:         p.options.NoHedges,
+		Budget:           p.options.Budget,
+		RetryAfter:       p.options.RetryAfter,
+		Linger:           p.options.DrainLinger,
 		Logger:           p.log,
 		Metrics:          p.metrics,
 	})
 	return keep(p, server, cleanup, err)
 }
 
+// localService is the service of the local backend server, or that of the settings before it has announced itself.
+func (p *process) localService() core.ServiceName {
+	if service, known := p.service.Load().(core.ServiceName); known {
+		return service
+	}
+	return p.settings.Service
+}
+
 func (p *process) logTripped(service core.ServiceName, route core.RouteName, release core.Release) {
 	p.log.Warn().Str("event", "release-stopped").Str("service", string(service)).Str("route", string(route)).
 		Str("release", string(release)).Msg("this node sends no more calls to the release")
--- a/io/raftpeer/hello.go
+++ b/io/raftpeer/hello.go
@@ -11,17 +11,32 @@
 )
 
 // introduce tells the others the identity: often while the initial membership is agreed on, and now and then while this
-// instance is not a member.
+// instance is not a member or hears no leader, since it may have been removed while it was away.
 func (r *Replica) introduce() {
-	if !r.engine.bootstrap.Pending() && (r.isMember() || time.Since(r.introducedAt) < introduceInterval) {
+	joined := r.isMember() && r.engine.node.Describe().Leader != ""
+	if !r.engine.bootstrap.Pending() && (joined || time.Since(r.introducedAt) < introduceInterval) {
 		return
 	}
 	r.introducedAt = time.Now()
+	for id := range r.acquaintances() {
+		r.sayHello(id, false)
+	}
+}
+
+// acquaintances are the instances that this one knows by its settings, by the membership or by the answers of others.
+func (r *Replica) acquaintances() map[core.ControlID]bool {
+	known := make(map[core.ControlID]bool)
 	for _, member := range r.options.Members {
-		if member.ID != r.options.Self {
-			r.sayHello(member.ID, false)
-		}
+		known[member.ID] = true
+	}
+	for _, member := range r.engine.node.Members() {
+		known[member.Peer.ID] = true
+	}
+	for id := range r.told {
+		known[id] = true
 	}
+	delete(known, r.options.Self)
+	return known
 }
 
 func (r *Replica) isMember() bool {
@@ -30,20 +45,25 @@
 }
 
 func (r *Replica) sayHello(to core.ControlID, asAnswer bool) {
+	hello := r.engine.hello(asAnswer)
+	if r.options.Open {
+		self := r.options.self()
+		hello.Address, hello.DataCentre = self.Address, self.DataCentre
+		if asAnswer {
+			hello.Members = r.engine.node.Members()
+		}
+	}
 	r.post(to, outgoing{
 		kind:    typeHello,
-		message: r.engine.hello(asAnswer),
+		message: hello,
 	})
 }
 
 // hear notes an identity and answers; the answer leaves after what it says is synced.
 func (r *Replica) hear(hello *raft.Hello) error {
-	if !r.isKnownName(hello.From.ID) {
-		return nil // names come from the settings or the membership, so that the map stays small
+	if !r.acquaint(hello) {
+		return nil // so that the maps stay small
 	}
-	r.mu.Lock()
-	r.heard[hello.From.ID] = hello.From.Identity
-	r.mu.Unlock()
 	pending := r.engine.bootstrap.Pending()
 	if err := r.engine.hear(time.Now(), hello, r.random); err != nil {
 		return errors.Trace(err)
@@ -60,7 +80,49 @@
 	return nil
 }
 
+// acquaint notes an introduction. Names come from the settings or the membership; an open replica takes some others as well.
+func (r *Replica) acquaint(hello *raft.Hello) bool {
+	known := r.isKnownName(hello.From.ID)
+	if !known && (!r.options.Open || hello.Address == "") {
+		return false
+	}
+	r.mu.Lock()
+	_, heard := r.heard[hello.From.ID]
+	if !known && !heard && len(r.heard) >= maxMembers {
+		r.mu.Unlock()
+		return false
+	}
+	r.heard[hello.From.ID] = Introduction{
+		Peer:       hello.From,
+		Address:    hello.Address,
+		DataCentre: hello.DataCentre,
+		At:         time.Now(),
+	}
+	r.mu.Unlock()
+	if r.options.Open {
+		r.connect(hello.From.ID, hello.Address)
+		r.follow(hello.Members)
+	}
+	return true
+}
+
+// follow introduces this instance to the members that another one names, since the leader may be none of those that the
+// settings name.
+func (r *Replica) follow(members []raft.Member) {
+	if len(members) == 0 || len(members) > maxMembers {
+		return
+	}
+	clear(r.told)
+	for _, member := range members {
+		if member.Peer.ID == r.options.Self || member.Address == "" {
+			continue
+		}
+		r.told[member.Peer.ID] = member.Address
+		r.connect(member.Peer.ID, member.Address)
+	}
+}
+
 func (r *Replica) isKnownName(id core.ControlID) bool {
 	return lo.ContainsBy(r.options.Members, func(m Member) bool { return m.ID == id }) ||
-		lo.ContainsBy(r.engine.node.Members(), func(m raft.Member) bool { return m.Peer.ID == id })
+		lo.ContainsBy(r.engine.node.Members(), func(m raft.Member) bool { return m.Peer.ID == id }) || r.told[id] != ""
 }
--- a/io/raftpeer/link.go
+++ b/io/raftpeer/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/raft"
@@ -64,6 +65,28 @@
 	r.running.Go(func() { r.sendLoop(l) })
 }
 
+// disconnectOthers ends the links to instances that are neither in the settings nor members nor newcomers.
+func (r *Replica) disconnectOthers(members []raft.Member) {
+	now := time.Now()
+	r.mu.Lock()
+	for id, each := range r.heard {
+		if now.Sub(each.At) > introducedAge {
+			delete(r.heard, id)
+		}
+	}
+	r.mu.Unlock()
+	r.linksMu.Lock()
+	defer r.linksMu.Unlock()
+	for id, l := range r.links {
+		_, introduced := r.heard[id] // only the loop adds to it
+		if introduced || r.isKnownName(id) || lo.ContainsBy(members, func(m raft.Member) bool { return m.Peer.ID == id }) {
+			continue
+		}
+		l.cancel()
+		delete(r.links, id)
+	}
+}
+
 func (r *Replica) post(to core.ControlID, out outgoing) bool {
 	r.linksMu.RLock()
 	l := r.links[to]
--- a/io/raftpeer/options.go
+++ b/io/raftpeer/options.go
@@ -36,7 +36,8 @@
 	pingInterval       = 500 * time.Millisecond
 	silenceTimeout     = 1500 * time.Millisecond // a connection without an answer to pings is replaced
 	bootstrapInterval  = 150 * time.Millisecond
-	introduceInterval  = time.Second // an instance that is not a member tells the others its identity
+	introduceInterval  = time.Second           // an instance that is not a member tells the others its identity
+	introducedAge      = 3 * introduceInterval // after which one that has said nothing more is forgotten; two hellos may be lost
 	slowestTick        = 100 * time.Millisecond
 	connectionsBacklog = 16
 )
@@ -55,6 +56,7 @@
 	Listen     string
 	Members    []Member
 	Bootstrap  bool // agree on an initial membership with all Members if the data folder is empty
+	Open       bool // take part with instances that Members does not name, as they introduce themselves
 	Logger     zerolog.Logger
 	Metrics    *metrics.Set
 	// Receive takes the messages that other instances send with Send; nil drops them. It must not block.
@@ -82,6 +84,12 @@
 	return nil
 }
 
+// self returns what the settings say of this instance.
+func (o *Options) self() Member {
+	member, _ := lo.Find(o.Members, func(m Member) bool { return m.ID == o.Self })
+	return member
+}
+
 func (o *Options) wanted() []raft.Member {
 	if !o.Bootstrap {
 		return nil
--- a/io/raftpeer/replica.go
+++ b/io/raftpeer/replica.go
@@ -7,6 +7,8 @@
 	"encoding/hex"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +44,8 @@
 	links   map[core.ControlID]*link // of the loop and of Send
 	linksMu sync.RWMutex
 	mu      sync.Mutex // guards heard
-	heard   map[core.ControlID]raft.Identity
+	heard   map[core.ControlID]Introduction
+	told    map[core.ControlID]string // of the loop: addresses of members that others have named
 
 	introducedAt time.Time // of the loop
 	pending      outcome   // of the loop: results that the applier has not taken
@@ -101,7 +104,8 @@
 		applies:  ring.New[outcome](applyCapacity),
 		stored:   ring.New[raft.Snapshot](applyCapacity),
 		links:    make(map[core.ControlID]*link),
-		heard:    make(map[core.ControlID]raft.Identity),
+		heard:    make(map[core.ControlID]Introduction),
+		told:     make(map[core.ControlID]string),
 		context:  ctx,
 		cancel:   cancel,
 		stopped:  make(chan struct{}),
@@ -310,6 +314,7 @@
 		for _, member := range members {
 			r.connect(member.Peer.ID, member.Address)
 		}
+		r.disconnectOthers(members)
 	}
 }
 
@@ -335,21 +340,35 @@
 	return r.engine.identity.Self
 }
 
+// Introduction is what an instance has said of itself.
+type Introduction struct {
+	Peer       raft.Peer
+	Address    string // peer address; empty if only the settings have it
+	DataCentre core.DataCentre
+	At         time.Time
+}
+
 // NonMembers returns the instances that have introduced themselves and are not members: those to add or to replace.
 func (r *Replica) NonMembers() []raft.Peer {
+	return lo.Map(r.introduced(func(Introduction) bool { return true }), func(i Introduction, _ int) raft.Peer { return i.Peer })
+}
+
+// Newcomers returns the introductions of the last seconds from instances that are not members.
+func (r *Replica) Newcomers(now time.Time) []Introduction {
+	return r.introduced(func(i Introduction) bool { return now.Sub(i.At) <= introducedAge })
+}
+
+func (r *Replica) introduced(selected func(Introduction) bool) []Introduction {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var nonMembers []raft.Peer
-	for id, identity := range r.heard {
-		peer := raft.Peer{
-			ID:       id,
-			Identity: identity,
-		}
-		if !lo.ContainsBy(r.Members(), func(m raft.Member) bool { return m.Peer == peer }) {
-			nonMembers = append(nonMembers, peer)
+	var list []Introduction
+	for _, each := range r.heard {
+		if selected(each) && !lo.ContainsBy(r.Members(), func(m raft.Member) bool { return m.Peer == each.Peer }) {
+			list = append(list, each)
 		}
 	}
-	return nonMembers
+	slices.SortFunc(list, func(a, b Introduction) int { return strings.Compare(string(a.Peer.ID), string(b.Peer.ID)) })
+	return list
 }
 
 func (r *Replica) identityFor(change raft.Change) raft.Identity {
@@ -359,7 +378,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.heard[change.Peer.ID]
+	return r.heard[change.Peer.ID].Peer.Identity
 }
 
 func randomNumber() uint64 {
--- a/io/settings/control.go
+++ b/io/settings/control.go
@@ -32,7 +32,13 @@
 	Members         []Member
 	TokenFile       string // empty if operators need no token
 	Limits          Limits
-	LogLevel        zerolog.Level
+	// Voters is the number of voting instances that the leader keeps, zero if operators change the membership.
+	Voters int
+	// MemberAt gives the other addresses of an instance that introduces itself with its peer address; nil if all instances
+	// are in Members.
+	MemberAt    func(peerAddress string) Member
+	DirectNodes int // of one data centre that attach to this instance, zero for the default
+	LogLevel    zerolog.Level
 }
 
 var memberAddressKeys = []string{"operator-address", "peer-address", "node-address"}
--- a/io/settings/limits.go
+++ b/io/settings/limits.go
@@ -31,6 +31,13 @@
 	maxRecordBytes = 12 << 20
 )
 
+// DefaultLimits returns the limits of settings that state none.
+func DefaultLimits() Limits {
+	return readLimits(&object{
+		reader: &reader{},
+	})
+}
+
 // readLimits fills in the defaults. 10,000 submissions in 24 h are seven times the 1,400 changes a day of all tenants, 16 MiB are
 // room for 1.6 KB each, and three tenants with 3 MiB of records fit the 16 MiB of a frame.
 func readLimits(top *object) Limits {
--- a/io/settings/node.go
+++ b/io/settings/node.go
@@ -19,6 +19,7 @@
 	BackendAddress   string
 	AdminAddress     string
 	ControlAddresses []string
+	Service          core.ServiceName // of the local backend server, empty until it announces itself
 	LogLevel         zerolog.Level
 }
 
