Keep the limit of calls at the announced slots on the platform

Cause: the limit followed the ratio of the average to the shortest latency; calls of very different lengths looked like overload and the limit fell to a few of 9 slots (1,378 requests took more than half of their objective to reach a server).

--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -73,6 +73,7 @@
 
 // Limiter holds the running and waiting calls of one backend server; it must not be used by several goroutines at once.
 type Limiter struct {
+	options     Options
 	slots       int
 	limit       float64
 	running     map[Ticket]started
@@ -93,10 +94,23 @@
 	beside int // calls that ran when it started, itself included
 }
 
+// Options configure a Limiter.
+type Options struct {
+	// TrustSlots keeps the limit at the announced slots while the backend server sheds no calls. Without it, slow answers lower
+	// the limit too, which takes calls of very different lengths for overload.
+	TrustSlots bool
+}
+
 // New returns a limiter that starts at the announced number of slots; slots below 1 count as 1.
 func New(slots int) *Limiter {
+	return NewWith(slots, Options{})
+}
+
+// NewWith is New with options.
+func NewWith(slots int, options Options) *Limiter {
 	slots = max(slots, 1)
 	return &Limiter{
+		options: options,
 		slots:   slots,
 		limit:   float64(slots),
 		running: make(map[Ticket]started),
@@ -282,7 +296,7 @@
 	}
 	l.fastest = min(l.fastest*fastestDecay, latency)
 	l.average += (latency - l.average) * latencyWeight
-	if l.average > overloadRatio*l.fastest && full {
+	if !l.options.TrustSlots && l.average > overloadRatio*l.fastest && full {
 		l.decrease(now)
 		return
 	}
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -24,9 +24,9 @@
 
 var _ backendhttp.Admission = (*admission)(nil)
 
-func newAdmission() (*admission, func()) {
+func newAdmission(options limiter.Options) (*admission, func()) {
 	a := &admission{
-		limiter: limiter.New(1),
+		limiter: limiter.NewWith(1, options),
 		waiting: make(map[limiter.Ticket]chan *core.Refusal),
 		queued:  ring.New[struct{}](1),
 	}
--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"parsleyport/core"
+	"parsleyport/core/limiter"
 	"parsleyport/io/backendhttp"
 )
 
@@ -17,7 +18,7 @@
 func TestWaitingCallsStartOrExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		a, stop := newAdmission()
+		a, stop := newAdmission(limiter.Options{})
 		defer stop()
 		a.SetSlots(1)
 		call := func(left time.Duration) *core.Call {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -29,6 +29,7 @@
 	Headers          core.HeaderNames
 	CallerNamesCalls bool // a caller's header is the call's id
 	NoHedges         bool
+	TrustSlots       bool                // see limiter.Options
 	Budget           retry.BudgetOptions // of repeated attempts, for each service
 	RetryAfter       func(*core.Refusal) string
 	BackendLease     time.Duration // for which an announcement holds
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -7,6 +7,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/balancer"
+	"parsleyport/core/limiter"
 	"parsleyport/io/backendhttp"
 	"parsleyport/io/callerhttp"
 	"parsleyport/io/distribution"
@@ -41,7 +42,9 @@
 	if err != nil {
 		return nil, err
 	}
-	admission, stopAdmission := newAdmission()
+	admission, stopAdmission := newAdmission(limiter.Options{
+		TrustSlots: p.options.TrustSlots,
+	})
 	p.cleanups.add(stopAdmission)
 	server, cleanup, err := backendhttp.New(backendhttp.Options{
 		Headers:       p.options.Headers,
