--- a/io/control/control.go
+++ b/io/control/control.go
@@ -40,6 +40,8 @@
 	Replicator core.Replicator
 	Catalog    *catalog.Catalog
 	Source     *distribution.Source
+	// Meet introduces the instance to others that the settings name by now, if it is not a member.
+	Meet func([]settings.Member)
 }
 
 // Options configure a control instance beyond its settings.
@@ -83,6 +85,7 @@
 			Replicator: replica,
 			Catalog:    do.MustInvoke[*catalog.Catalog](injector),
 			Source:     do.MustInvoke[*distribution.Source](injector),
+			Meet:       func(members []settings.Member) { replica.Meet(raftMembers(members)) },
 		})
 		if err != nil {
 			return errors.Annotate(err, "interface")
@@ -123,6 +126,16 @@
 	}
 }
 
+func raftMembers(members []settings.Member) []raftpeer.Member {
+	return lo.Map(members, func(m settings.Member, _ int) raftpeer.Member {
+		return raftpeer.Member{
+			ID:         m.ID,
+			Address:    m.PeerAddress,
+			DataCentre: m.DataCentre,
+		}
+	})
+}
+
 func (p *process) newReplica(injector do.Injector) (*raftpeer.Replica, error) {
 	records, err := do.Invoke[*catalog.Catalog](injector)
 	if err != nil {
@@ -130,16 +143,10 @@
 	}
 	folder := do.MustInvoke[disk.Folder](injector)
 	replica, cleanup, err := raftpeer.New(raftpeer.Options{
-		Self:   p.settings.ID,
-		Folder: folder,
-		Listen: p.settings.PeerAddress,
-		Members: lo.Map(p.settings.Members, func(m settings.Member, _ int) raftpeer.Member {
-			return raftpeer.Member{
-				ID:         m.ID,
-				Address:    m.PeerAddress,
-				DataCentre: m.DataCentre,
-			}
-		}),
+		Self:      p.settings.ID,
+		Folder:    folder,
+		Listen:    p.settings.PeerAddress,
+		Members:   raftMembers(p.settings.Members),
 		Bootstrap: p.settings.Bootstrap,
 		Open:      p.settings.MemberAt != nil,
 		Logger:    p.log,
--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -43,7 +43,7 @@
 type attachment struct {
 	hub     *hub
 	logger  zerolog.Logger
-	targets []string // where to start, in turn
+	targets atomic.Value // []string: where to start, in turn
 	random  func() float64
 	hello   func() hello
 	accept  func(accept) error // checks the path before the link is used
@@ -61,9 +61,10 @@
 	conn      *frame.Conn
 }
 
-func newAttachment(a attachment) *attachment {
+func newAttachment(targets []string, a attachment) *attachment {
+	a.targets.Store(targets)
 	a.state.Store(attachmentChart.Initial())
-	a.turn = int(a.random() * float64(len(a.targets)))
+	a.turn = int(a.random() * float64(len(a.allTargets())))
 	return &a
 }
 
@@ -114,7 +115,8 @@
 // allTargets has the learned addresses and those of the settings, which may both be outdated.
 func (a *attachment) allTargets() []string {
 	learned, _ := a.learned.Load().([]string)
-	return lo.Uniq(slices.Concat(learned, a.targets))
+	targets, _ := a.targets.Load().([]string)
+	return lo.Uniq(slices.Concat(learned, targets))
 }
 
 func (a *attachment) dial(ctx context.Context) statechart.Event {
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -212,11 +212,10 @@
 
 // peerAttachment reports to another control instance what is announced to this one.
 func (s *Source) peerAttachment(peer Peer) *attachment {
-	return newAttachment(attachment{
-		hub:     s.hub,
-		logger:  s.options.Logger.With().Str("control", string(peer.ID)).Logger(),
-		targets: []string{peer.Address},
-		random:  rand.Float64,
+	return newAttachment([]string{peer.Address}, attachment{
+		hub:    s.hub,
+		logger: s.options.Logger.With().Str("control", string(peer.ID)).Logger(),
+		random: rand.Float64,
 		hello: func() hello {
 			return hello{
 				Kind: kindControl,
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -102,14 +102,13 @@
 	s.hub.hold(record.Empty())
 	s.hub.watch(options.Metrics)
 	s.hub.confirmer.request(ownLink, 1)
-	s.attach = newAttachment(attachment{
-		hub:     s.hub,
-		logger:  options.Logger,
-		targets: options.ControlAddresses,
-		random:  options.Random,
-		hello:   s.hello,
-		accept:  s.takePath,
-		serve:   s.serve,
+	s.attach = newAttachment(options.ControlAddresses, attachment{
+		hub:    s.hub,
+		logger: options.Logger,
+		random: options.Random,
+		hello:  s.hello,
+		accept: s.takePath,
+		serve:  s.serve,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -190,6 +189,13 @@
 	}
 }
 
+// SetControlAddresses replaces the addresses to start from when the parent is lost.
+func (s *Subscriber) SetControlAddresses(addresses []string) {
+	if len(addresses) > 0 {
+		s.attach.targets.Store(addresses)
+	}
+}
+
 // Current implements record.Source.
 func (s *Subscriber) Current() *record.Configuration {
 	return s.newest.Load()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -130,6 +130,12 @@
 	return n.backend.Announce(a)
 }
 
+// SetControlAddresses replaces the addresses where the node looks for control instances when it loses the one it is attached
+// to.
+func (n *Node) SetControlAddresses(addresses []string) {
+	do.MustInvoke[*distribution.Subscriber](n.injector).SetControlAddresses(addresses)
+}
+
 // Serving reports whether the node takes callers.
 func (n *Node) Serving() bool {
 	return n.process.serving.Load()
--- a/io/raftpeer/hello.go
+++ b/io/raftpeer/hello.go
@@ -106,6 +106,13 @@
 	return true
 }
 
+// Meet introduces this instance to others that may be members, if it is not one.
+func (r *Replica) Meet(members []Member) {
+	_ = r.inputs.Push(r.context, input{ // fails only once the replica is stopped
+		meet: members,
+	})
+}
+
 // follow introduces this instance to the members that another one names, since the leader may be none of those that the
 // settings name.
 func (r *Replica) follow(members []raft.Member) {
--- a/io/raftpeer/replica.go
+++ b/io/raftpeer/replica.go
@@ -26,6 +26,7 @@
 type input struct {
 	event raft.Event
 	hello *raft.Hello
+	meet  []Member
 }
 
 // Replica is one control instance's replica of the log; it implements core.Replicator.
@@ -227,6 +228,17 @@
 func (r *Replica) handle(batch []input) error {
 	events := make([]raft.Event, 0, len(batch))
 	for _, in := range batch {
+		if in.meet != nil {
+			r.follow(lo.Map(in.meet, func(m Member, _ int) raft.Member {
+				return raft.Member{
+					Peer: raft.Peer{
+						ID: m.ID,
+					},
+					Address: m.Address,
+				}
+			}))
+			continue
+		}
 		if in.hello == nil {
 			events = append(events, in.event)
 		} else if err := r.hear(in.hello); err != nil {
