--- /dev/null
+++ b/core/rollout/brief.go
@@ -0,0 +1,300 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+)
+
+// A move is brief if its time is too short for the windows of a Judge, whose backend servers are in slow start for longer than
+// the whole move.
+const briefAtMost = time.Minute
+
+const (
+	// briefRisk is the share for most of a brief move, if the request names none. A release that shows its fault only at a
+	// larger share meets a tenth of the calls then, since the larger shares last for a fifth of the time.
+	briefRisk core.PerMille = 60
+	// briefWait lets the nodes learn of the move before its first share.
+	briefWait = 500 * time.Millisecond
+	// A brief move spends these parts of its time at the risk share, at a quarter and at a half; the rest is a margin for the
+	// last step. Faults that come late or under load have to show before the last step, since no release is left after it.
+	briefRiskUntil    = 0.62
+	briefQuarterUntil = 0.76
+	briefHalfUntil    = 0.92
+	briefQuarter      = core.PerMille(250)
+	// briefCalls of the new release have to be reported before each larger share.
+	briefCalls = 12
+	// briefAlarm is the probability that one comparison takes a release back which is as good as the old one. With some ten
+	// comparisons every 0.2 s, the counts of which overlap, a brief move has a false alarm in about 1 of 100.
+	briefAlarm = 1e-4
+	// briefFailures and briefSlow are the rates of the new release that are not yet worse than the old one's: failures of single
+	// calls, and the slow answers of backend servers that have just started.
+	briefFailures = 0.02
+	briefSlow     = 0.25
+	// briefMinBad keeps a few unlucky calls from taking a move back.
+	briefMinBad = 3
+	// briefSlowBuckets is how far above the old release's boundary an answer counts as slow: a cold backend server takes twice
+	// as long, which is one bucket.
+	briefSlowBuckets = 1
+)
+
+// Brief decides the steps of one move that is too short for a Judge. It compares the releases over the same time, by route and
+// in total, since the move began and since its latest step. It is not safe for concurrent use.
+type Brief struct {
+	service core.ServiceName
+	to      core.Release
+	ready   int // backend servers of the new release that take calls
+	stage   uint64
+	began   time.Time
+	before  map[core.RouteName]briefPair // counts at the latest step
+}
+
+// briefCount has what was counted of one release.
+type briefCount struct {
+	calls, failures uint64
+	latency         [core.LatencyBuckets]uint64
+}
+
+type briefPair struct {
+	old, new briefCount
+}
+
+// IsBrief reports whether a move needs a Brief in place of a Judge.
+func IsBrief(move core.Move) bool {
+	return move.Request.Deadline.Sub(move.StartedAt) <= briefAtMost
+}
+
+// NewBrief returns the decision for one brief move to a release.
+func NewBrief(move core.Move, to core.Release) *Brief {
+	return &Brief{
+		service: move.Request.Service,
+		to:      to,
+		before:  make(map[core.RouteName]briefPair),
+	}
+}
+
+// ObserveEndpoints tells which endpoints exist.
+func (b *Brief) ObserveEndpoints(_ time.Time, endpoints []core.Endpoint) {
+	b.ready = lo.CountBy(endpoints, func(e core.Endpoint) bool {
+		return e.Service == b.service && e.Release == b.to && e.State == core.EndpointReady
+	})
+}
+
+// ObserveLateness is not needed: no share grows before calls at the present one were reported.
+func (b *Brief) ObserveLateness(time.Duration) {}
+
+// Decide returns the next step if one is due; evidence has the cumulative counts of this move.
+func (b *Brief) Decide(now time.Time, move core.Move, evidence []core.EvidenceCount) (core.MoveStep, bool) {
+	if IsFinal(move.State) {
+		return core.MoveStep{}, false
+	}
+	counted := b.sum(evidence)
+	if b.began.IsZero() || b.stage != move.Step {
+		b.began, b.stage, b.before = now, move.Step, counted
+	}
+	timeUp := !now.Before(move.Request.Deadline)
+	if move.State == core.MoveProposed {
+		return b.begin(now, move, timeUp)
+	}
+	text := describeBrief(move, totalOf(counted))
+	if cause, found := b.worse(counted); found {
+		return step(now, move, eventFail, 0, cause, text)
+	}
+	if timeUp {
+		return step(now, move, eventTimeUp, 0, "the time was reached before enough calls of the new release were reported", text)
+	}
+	return b.grow(now, move, counted, text)
+}
+
+func (b *Brief) begin(now time.Time, move core.Move, timeUp bool) (core.MoveStep, bool) {
+	switch {
+	case timeUp:
+		return step(now, move, eventTimeUp, 0, "no backend server of the new release was ready in time", "no evidence")
+	case b.ready == 0 || now.Before(move.StartedAt.Add(briefWait)):
+		return core.MoveStep{}, false
+	}
+	share := briefShare(move)
+	return step(now, move, eventBegin, share, "", fmt.Sprintf("probing with %d per mille", share))
+}
+
+func briefShare(move core.Move) core.PerMille {
+	if move.Request.MaxRiskShare > 0 {
+		return move.Request.MaxRiskShare
+	}
+	return briefRisk
+}
+
+// grow raises the share by time, once enough calls at the present one were reported. A move that is late skips no share.
+func (b *Brief) grow(now time.Time, move core.Move, counted map[core.RouteName]briefPair, text string) (core.MoveStep, bool) {
+	total := move.Request.Deadline.Sub(move.StartedAt)
+	until, next := briefHalfUntil, core.FullShare
+	switch {
+	case move.Share < briefQuarter:
+		until, next = briefRiskUntil, briefQuarter
+	case move.Share < compareShare:
+		until, next = briefQuarterUntil, compareShare
+	}
+	due := !now.Before(move.StartedAt.Add(time.Duration(float64(total) * until)))
+	if !due || totalOf(b.since(counted)).new.calls < briefCalls || b.ready == 0 {
+		return core.MoveStep{}, false
+	}
+	if next == core.FullShare {
+		return step(now, move, eventFinish, next, "no fault was found", text)
+	}
+	return step(now, move, eventPass, next, "", text)
+}
+
+// sum adds up the counts by route.
+func (b *Brief) sum(evidence []core.EvidenceCount) map[core.RouteName]briefPair {
+	counted := make(map[core.RouteName]briefPair)
+	for _, c := range evidence {
+		if c.Service != b.service {
+			continue
+		}
+		pair := counted[c.Route]
+		side := lo.Ternary(c.Release == b.to, &pair.new, &pair.old)
+		side.calls += c.Calls
+		side.failures += c.Failures + c.Crashes
+		for i, n := range c.Latency {
+			side.latency[i] += n
+		}
+		counted[c.Route] = pair
+	}
+	return counted
+}
+
+// since returns what was counted since the latest step.
+func (b *Brief) since(counted map[core.RouteName]briefPair) map[core.RouteName]briefPair {
+	return lo.MapValues(counted, func(pair briefPair, route core.RouteName) briefPair {
+		return briefPair{
+			old: pair.old.less(b.before[route].old),
+			new: pair.new.less(b.before[route].new),
+		}
+	})
+}
+
+func (c briefCount) less(before briefCount) briefCount {
+	c.calls = less(c.calls, before.calls)
+	c.failures = less(c.failures, before.failures)
+	for i := range c.latency {
+		c.latency[i] = less(c.latency[i], before.latency[i])
+	}
+	return c
+}
+
+func totalOf(counted map[core.RouteName]briefPair) briefPair {
+	var total briefPair
+	for _, pair := range counted {
+		total.old = total.old.plus(pair.old)
+		total.new = total.new.plus(pair.new)
+	}
+	return total
+}
+
+func (c briefCount) plus(other briefCount) briefCount {
+	c.calls += other.calls
+	c.failures += other.failures
+	for i := range c.latency {
+		c.latency[i] += other.latency[i]
+	}
+	return c
+}
+
+// worse names the first route and measure by which the new release is worse, in a fixed order.
+func (b *Brief) worse(counted map[core.RouteName]briefPair) (string, bool) {
+	recent := b.since(counted)
+	routes := lo.Keys(counted)
+	slices.Sort(routes)
+	for _, route := range routes {
+		for _, pair := range []briefPair{counted[route], recent[route]} {
+			// Failures of all old calls tell more about the usual rate than those of the latest ones alone.
+			if cause, found := pair.worse(counted[route].old); found {
+				return fmt.Sprintf("route %q: %s", route, cause), true
+			}
+		}
+	}
+	for _, pair := range []briefPair{totalOf(counted), totalOf(recent)} {
+		if pair.failuresWorse(totalOf(counted).old) { // latency differs by route
+			return "all routes: failures", true
+		}
+	}
+	return "", false
+}
+
+func (p briefPair) worse(usual briefCount) (string, bool) {
+	if p.failuresWorse(usual) {
+		return "failures", true
+	}
+	if p.slowWorse(usual) {
+		return "slow answers", true
+	}
+	return "", false
+}
+
+func (p briefPair) failuresWorse(usual briefCount) bool {
+	old := max(rateOf(usual.failures, usual.calls), rateOf(p.old.failures, p.old.calls))
+	return unlikely(p.new.failures, p.new.calls, briefFailures+old)
+}
+
+func (p briefPair) slowWorse(usual briefCount) bool {
+	boundary, known := usual.boundary()
+	if !known {
+		return false
+	}
+	old := rateOf(aboveBucket(p.old.latency, boundary), p.old.calls)
+	return unlikely(aboveBucket(p.new.latency, boundary), p.new.calls, briefSlow+old)
+}
+
+// boundary returns the bucket above which an answer is slow by the old release's answers.
+func (c briefCount) boundary() (int, bool) {
+	if c.calls < windowMinCalls {
+		return 0, false
+	}
+	rest := uint64(0)
+	for i := core.LatencyBuckets - 1; i > 0; i-- {
+		rest += c.latency[i]
+		if float64(rest) > slowQuantile*float64(c.calls) {
+			return min(i+briefSlowBuckets, core.LatencyBuckets-1), true
+		}
+	}
+	return briefSlowBuckets, true
+}
+
+func aboveBucket(latency [core.LatencyBuckets]uint64, boundary int) uint64 {
+	return lo.Sum(latency[boundary+1:])
+}
+
+// rateOf rates no calls as flawless.
+func rateOf(bad, calls uint64) float64 {
+	return float64(bad) / float64(max(calls, 1))
+}
+
+// unlikely reports whether so many bad calls have a probability below briefAlarm at a rate (one-sided binomial test).
+func unlikely(bad, calls uint64, rate float64) bool {
+	if bad < briefMinBad || rate >= 1 || float64(bad) <= rate*float64(calls) {
+		return false
+	}
+	tail := 0.0
+	for k := bad; k <= calls; k++ {
+		tail += math.Exp(logBinomial(calls, k, rate))
+		if tail >= briefAlarm {
+			return false
+		}
+	}
+	return true
+}
+
+func logBinomial(n, k uint64, p float64) float64 {
+	choose := func(x uint64) float64 { value, _ := math.Lgamma(float64(x) + 1); return value }
+	return choose(n) - choose(k) - choose(n-k) + float64(k)*math.Log(p) + float64(n-k)*math.Log1p(-p)
+}
+
+func describeBrief(move core.Move, total briefPair) string {
+	return fmt.Sprintf("%d per mille; new release %d of %d calls failed, old ones %d of %d", move.Share,
+		total.new.failures, total.new.calls, total.old.failures, total.old.calls)
+}
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -170,6 +170,7 @@
 		ID:            p.settings.ID,
 		ListenAddress: p.settings.NodeAddress,
 		DirectNodes:   p.settings.DirectNodes,
+		EvidenceEvery: p.settings.EvidenceEvery,
 		Peers: lo.Map(others, func(m settings.Member, _ int) distribution.Peer {
 			return distribution.Peer{
 				ID:      m.ID,
--- a/io/control/moves.go
+++ b/io/control/moves.go
@@ -29,7 +29,14 @@
 	source     *distribution.Source
 	replicator core.Replicator
 	log        zerolog.Logger
-	judges     map[core.MoveID]*rollout.Judge
+	judges     map[core.MoveID]judge
+}
+
+// judge decides the steps of one move.
+type judge interface {
+	ObserveEndpoints(now time.Time, endpoints []core.Endpoint)
+	ObserveLateness(late time.Duration)
+	Decide(now time.Time, move core.Move, evidence []core.EvidenceCount) (core.MoveStep, bool)
 }
 
 func (m *mover) run(ctx context.Context) {
@@ -48,10 +55,10 @@
 func (m *mover) judgeAll(ctx context.Context, now time.Time) {
 	status := m.replicator.Status()
 	if status.Leader != status.Self {
-		m.judges = make(map[core.MoveID]*rollout.Judge) // another leader judges; what was learned here goes stale
+		m.judges = make(map[core.MoveID]judge) // another leader judges; what was learned here goes stale
 		return
 	}
-	open := make(map[core.MoveID]*rollout.Judge)
+	open := make(map[core.MoveID]judge)
 	endpoints, evidence := m.endpoints(), m.source.Evidence()
 	for _, move := range m.catalog.Moves() {
 		if rollout.IsFinal(move.State) {
@@ -93,7 +100,7 @@
 }
 
 // judge returns the judge of a move, or nil if the configuration does not know the move's upstreams.
-func (m *mover) judge(move core.Move) *rollout.Judge {
+func (m *mover) judge(move core.Move) judge {
 	if judge, exists := m.judges[move.MoveID]; exists {
 		return judge
 	}
@@ -103,6 +110,9 @@
 	if !fromExists || !toExists {
 		return nil
 	}
+	if rollout.IsBrief(move) {
+		return rollout.NewBrief(move, to.Release)
+	}
 	return rollout.NewJudge(move, from.Release, to.Release)
 }
 
--- a/io/distribution/fuzz_test.go
+++ b/io/distribution/fuzz_test.go
@@ -86,7 +86,7 @@
 		s.hub.relay = "n"
 		s.newest.Store(revision(1))
 		s.hub.hold(revision(1))
-		u := newUplink(nil, kindNode)
+		u := newUplink(nil, kindNode, evidenceInterval)
 		_ = s.handle(u, received)
 		_ = s.handle(u, received)
 		if _, err := record.FromFull(s.Current().Full()); err != nil {
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -84,7 +84,8 @@
 	ID            core.ControlID
 	ListenAddress string // nodes and other control instances attach here
 	Peers         []Peer
-	DirectNodes   int // of one data centre that may attach, zero for 2; others are redirected to those
+	DirectNodes   int           // of one data centre that may attach, zero for 2; others are redirected to those
+	EvidenceEvery time.Duration // between two reports of evidence to the other control instances, zero for 1 s
 	Catalog       record.Source
 	Replicator    core.Replicator // its status must name the leader while there is one
 	Logger        zerolog.Logger
@@ -106,6 +107,7 @@
 	Network          Network            // optional, TCP by default
 	Random           func() float64     // optional, in [0, 1)
 	Schema           core.SchemaVersion // optional, the newest schema version that the program supports
+	EvidenceEvery    time.Duration      // between two reports of evidence to the parent, zero for 1 s
 }
 
 func (o *SourceOptions) check() error {
@@ -123,6 +125,9 @@
 	if o.DirectNodes == 0 {
 		o.DirectNodes = maxDirectPerDataCentre
 	}
+	if o.EvidenceEvery == 0 {
+		o.EvidenceEvery = evidenceInterval
+	}
 	o.Metrics = orNewSet(o.Metrics)
 	o.Network = o.Network.orTCP()
 	return nil
@@ -141,6 +146,9 @@
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
+	if o.EvidenceEvery == 0 {
+		o.EvidenceEvery = evidenceInterval
+	}
 	o.Metrics = orNewSet(o.Metrics)
 	o.Network = o.Network.orTCP()
 	return nil
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -224,7 +224,7 @@
 		},
 		accept: func(accept) error { return nil },
 		serve: func(ctx context.Context, conn *frame.Conn, _ string) error {
-			u := newUplink(conn, kindControl)
+			u := newUplink(conn, kindControl, s.options.EvidenceEvery)
 			return s.hub.runUplink(ctx, u, func() error {
 				for {
 					// Only pongs and changed paths arrive, and neither is needed: cumulative sums are sent again.
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -151,7 +151,7 @@
 
 // serve uses a link to a parent until it breaks.
 func (s *Subscriber) serve(ctx context.Context, conn *frame.Conn, address string) error {
-	u := newUplink(conn, kindNode)
+	u := newUplink(conn, kindNode, s.options.EvidenceEvery)
 	s.hub.mu.Lock()
 	u.awayMS = -1
 	if !s.awaySince.IsZero() {
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -51,7 +51,7 @@
 // end may hold one from before a restart.
 const nothingSent = -1
 
-func newUplink(conn *frame.Conn, kind linkKind) *uplink {
+func newUplink(conn *frame.Conn, kind linkKind, evidenceEvery time.Duration) *uplink {
 	return &uplink{
 		conn:     conn,
 		wake:     ring.New[struct{}](1),
@@ -65,10 +65,10 @@
 			interval: batchInterval,
 		},
 		evidencing: pacer{
-			interval: evidenceInterval,
+			interval: evidenceEvery,
 		},
 		expressing: pacer{
-			interval: evidenceInterval,
+			interval: evidenceEvery,
 		},
 		nodesPacer: pacer{
 			interval: nodesInterval,
--- a/io/node/moves.go
+++ b/io/node/moves.go
@@ -66,9 +66,9 @@
 }
 
 // reportEvidence passes what was counted during open moves towards the control instances, also once at the end.
-func reportEvidence(ctx context.Context, source record.Source, recorder *rollout.Recorder, report func([]core.MoveID, []core.EvidenceCount)) {
+func reportEvidence(ctx context.Context, source record.Source, recorder *rollout.Recorder, every time.Duration, report func([]core.MoveID, []core.EvidenceCount)) {
 	during := &moveEvidence{}
-	ticker := time.NewTicker(evidenceEvery)
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
 		select {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -36,6 +36,7 @@
 	AllowUnframed    bool          // see backendhttp.Options
 	DrainLinger      time.Duration // for which a planned stop goes on taking callers who have not noticed it
 	DrainLimit       time.Duration // of a whole planned stop
+	EvidenceEvery    time.Duration // between two reports of evidence about open moves
 }
 
 // process holds what the parts of one node share.
@@ -78,6 +79,9 @@
 
 // New starts all parts of a node but that which takes callers; it returns an error if an address cannot be used.
 func New(s settings.Node, options Options, log zerolog.Logger) (*Node, func(), error) {
+	if options.EvidenceEvery == 0 {
+		options.EvidenceEvery = evidenceEvery
+	}
 	if options.DrainLimit == 0 {
 		options.DrainLimit = defaultDrainLimit
 	}
@@ -194,7 +198,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties sync.WaitGroup
 	duties.Go(func() { watchMoves(ctx, subscriber, p.guard) })
-	duties.Go(func() { reportEvidence(ctx, subscriber, p.recorder, subscriber.ReportEvidence) })
+	duties.Go(func() {
+		reportEvidence(ctx, subscriber, p.recorder, p.options.EvidenceEvery, subscriber.ReportEvidence)
+	})
 	p.cleanups.add(func() {
 		cancel()
 		duties.Wait()
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -31,6 +31,7 @@
 		ControlAddresses: p.settings.ControlAddresses,
 		OnCrash:          p.suspects.crashed,
 		OnRequest:        true,
+		EvidenceEvery:    p.options.EvidenceEvery,
 		Logger:           p.log,
 		Metrics:          p.metrics,
 	})
--- a/io/settings/control.go
+++ b/io/settings/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -36,9 +37,10 @@
 	Voters int
 	// MemberAt gives the other addresses of an instance that introduces itself with its peer address; nil if all instances
 	// are in Members.
-	MemberAt    func(peerAddress string) Member
-	DirectNodes int // of one data centre that attach to this instance, zero for the default
-	LogLevel    zerolog.Level
+	MemberAt      func(peerAddress string) Member
+	DirectNodes   int           // of one data centre that attach to this instance, zero for the default
+	EvidenceEvery time.Duration // between two reports of evidence to the other instances, zero for the default
+	LogLevel      zerolog.Level
 }
 
 var memberAddressKeys = []string{"operator-address", "peer-address", "node-address"}
