Place calls by the load that nodes report, in the own data centre first

Nodes report running and waiting calls and the average time in a slot with each answer and refusal; entry nodes draw an endpoint by its expected time and leave the data centre only for calls that would be late there. Nodes attach to a control instance of their own data centre, reports of what an instance holds go to the leader only.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -114,6 +114,7 @@
 		return // an attempt at an earlier run says nothing about this one
 	}
 	m.outstanding = max(0, m.outstanding-1)
+	m.observeLoad(now, result.Load)
 	if result.Unneeded {
 		if result.Latency.Seconds() > m.latency {
 			m.observeLatency(now, result.Latency) // it would have taken even longer
--- a/core/balancer/member.go
+++ b/core/balancer/member.go
@@ -11,6 +11,7 @@
 type member struct {
 	endpoint    core.Endpoint
 	outstanding int
+	load        reportedLoad
 	sessions    int // sticky reservations
 
 	latency   float64 // seconds, weighted average
--- a/core/balancer/policy.go
+++ b/core/balancer/policy.go
@@ -21,11 +21,14 @@
 	// PolicySticky reserves the endpoint with the fewest sessions, after "feat(router): add sticky least-loaded session
 	// routing"; calls without a session are placed by power of two choices.
 	PolicySticky Policy = "sticky"
+	// PolicyExpected places a call where its answer is expected first, by the load that nodes report, in the own data centre as
+	// long as the answer is expected there in time.
+	PolicyExpected Policy = "expected"
 )
 
 // Policies returns all policies, the default one first.
 func Policies() []Policy {
-	return []Policy{PolicyPowerOfTwo, PolicyRandom, PolicyRoundRobin, PolicyLeastLoaded, PolicySticky}
+	return []Policy{PolicyPowerOfTwo, PolicyRandom, PolicyRoundRobin, PolicyLeastLoaded, PolicySticky, PolicyExpected}
 }
 
 func (b *Balancer) choose(now time.Time, request core.PickRequest, usable []*member) *member {
@@ -37,6 +40,8 @@
 		return usable[b.next%len(usable)]
 	case PolicyLeastLoaded:
 		return lo.MinBy(usable, func(a, b *member) bool { return a.outstanding < b.outstanding })
+	case PolicyExpected:
+		return b.expected(now, request, usable)
 	case PolicySticky:
 		if request.Session != "" {
 			return b.sticky(now, request.Session, usable)
--- a/core/call.go
+++ b/core/call.go
@@ -66,17 +66,27 @@
 	Hedge          bool // a second attempt beside a first: refused unless it can start at once
 }
 
+// Load is what the node beside a backend server knows of the backend server's work; a zero Limit means nothing is known.
+type Load struct {
+	Running int           // calls that hold a slot
+	Waiting int           // calls that wait for one
+	Limit   int           // calls that may run at the same time
+	Service time.Duration // average time for which a call holds a slot, zero if not known
+}
+
 // Answer is a backend server's answer; Body returns io.EOF only after length and checksum were verified.
 type Answer struct {
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	Load   Load
 }
 
 // Refusal is the error of an attempt with OutcomeNotRun.
 type Refusal struct {
 	Cause  RefusalCause
 	Detail string
+	Load   Load // of the backend server whose node refused
 }
 
 // Error implements error.
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -73,6 +73,9 @@
 	Release Release
 	Tried   []NodeID
 	Session string // sticky session, empty if none
+
+	Aim      time.Time // by which an answer is of full use, zero if not stated
+	Deadline time.Time
 }
 
 // PickResult is what an attempt showed about its endpoint.
@@ -82,6 +85,7 @@
 	Failed   bool // the backend server failed; a refusal by the limiter is no failure
 	Unneeded bool // it was cancelled after Latency, or was a hedge that could not start
 	Latency  time.Duration
+	Load     Load // as the endpoint's node reported it with the result
 }
 
 // Picker chooses an endpoint for each attempt and learns from the results.
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -132,6 +132,16 @@
 	return max(1, int(l.limit))
 }
 
+// Load describes the running and waiting calls.
+func (l *Limiter) Load() core.Load {
+	return core.Load{
+		Running: len(l.running),
+		Waiting: l.waiting,
+		Limit:   l.Limit(),
+		Service: time.Duration(l.average * float64(time.Second)),
+	}
+}
+
 // Running returns the number of running calls.
 func (l *Limiter) Running() int {
 	return len(l.running)
--- a/core/raft/bootstrap.go
+++ b/core/raft/bootstrap.go
@@ -30,6 +30,7 @@
 	started bool
 	foreign bool // another instance has stored an initial membership without this identity
 	known   map[core.ControlID]Identity
+	centres map[core.ControlID]core.DataCentre // as the instances say, for settings that do not name them
 	agreed  map[core.ControlID]bool
 }
 
@@ -41,6 +42,7 @@
 		initial: initial,
 		started: started,
 		known:   map[core.ControlID]Identity{self.ID: self.Identity},
+		centres: make(map[core.ControlID]core.DataCentre),
 		agreed:  map[core.ControlID]bool{self.ID: true},
 	}
 }
@@ -71,6 +73,7 @@
 	}
 	if len(hello.Initial) == 0 {
 		b.known[hello.From.ID] = hello.From.Identity
+		b.centres[hello.From.ID] = hello.DataCentre
 		return
 	}
 	if !lo.ContainsBy(hello.Initial, func(m Member) bool { return m.Peer == b.self }) {
@@ -92,6 +95,7 @@
 	b.initial = sortMembers(lo.Map(b.wanted, func(m Member, _ int) Member {
 		m.Peer.Identity = b.known[m.Peer.ID]
 		m.Voter = true
+		m.DataCentre = lo.CoalesceOrEmpty(m.DataCentre, b.centres[m.Peer.ID])
 		return m
 	}))
 }
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -12,8 +12,8 @@
 	ElectionTimeout = time.Second
 	// ElectionJitter bounds the random time added to a follower's election timeout, so that votes seldom split.
 	ElectionJitter = 500 * time.Millisecond
-	// HeartbeatInterval is the time between two heartbeats; six of them fit into an election timeout.
-	HeartbeatInterval = 150 * time.Millisecond
+	// HeartbeatInterval is the time between two heartbeats; five of them fit into an election timeout.
+	HeartbeatInterval = 200 * time.Millisecond
 )
 
 // Limits of one instance.
--- a/io/backendhttp/admission.go
+++ b/io/backendhttp/admission.go
@@ -15,6 +15,8 @@
 	Acquire(ctx context.Context, call *core.Call) (release func(Ending), refusal *core.Refusal)
 	// SetSlots states how many calls the backend server runs at the same time.
 	SetSlots(slots int)
+	// Load describes the calls that run and wait.
+	Load() core.Load
 }
 
 // Ending says how a call at the backend server ended.
@@ -64,6 +66,18 @@
 	q.grant()
 }
 
+// Load implements Admission.
+func (q *queue) Load() core.Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return core.Load{
+		Running: q.running,
+		Waiting: len(q.waiting),
+		Limit:   q.slots,
+		Service: q.duration,
+	}
+}
+
 // Acquire implements Admission.
 func (q *queue) Acquire(ctx context.Context, call *core.Call) (func(Ending), *core.Refusal) {
 	w, refusal := q.enter(time.Now(), call.Deadline)
--- a/io/backendhttp/backendhttp_test.go
+++ b/io/backendhttp/backendhttp_test.go
@@ -131,6 +131,8 @@
 	return func(ending Ending) { *e = append(*e, ending) }, nil
 }
 
+func (e *endings) Load() core.Load { return core.Load{} }
+
 func (e *endings) SetSlots(int) {}
 
 // Guards against a limiter that takes an overload answer for any failure, or the refusal of another node for overload.
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -27,6 +27,18 @@
 
 // Handle implements core.Backend. The context must live until the answer's body is closed.
 func (s *Server) Handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+	answer, outcome, err := s.handle(ctx, call)
+	var refusal *core.Refusal
+	switch {
+	case answer != nil:
+		answer.Load = s.admission.Load()
+	case errors.As(err, &refusal):
+		refusal.Load = s.admission.Load()
+	}
+	return answer, outcome, err
+}
+
+func (s *Server) handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
 	if refusal := s.begin(call); refusal != nil {
 		return nil, core.OutcomeNotRun, refusal
 	}
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -41,6 +41,9 @@
 				Release: chosen.release,
 				Tried:   past.triedOf(candidates),
 				Session: q.session,
+
+				Aim:      q.aim,
+				Deadline: q.call.Deadline,
 			}, candidates)
 			if found {
 				return endpoint, true
--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -176,6 +176,7 @@
 		Outcome:  r.outcome,
 		Unneeded: true,
 		Latency:  r.latency,
+		Load:     r.load,
 	})
 }
 
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -34,6 +34,7 @@
 	session       string
 	attempts      retry.Attempts
 	began         time.Time
+	aim           time.Time // by which an answer is of full use, zero if the route does not state it
 	weights       []core.Weight
 	waiting       bool // is counted among the calls that wait for an endpoint
 }
@@ -80,7 +81,12 @@
 		policy, _ := configuration.Policy(route.Service)
 		attempts = policy.MaxAttempts
 	}
+	aim := time.Time{}
+	if route.TargetLatencyMS > 0 {
+		aim = now.Add(time.Duration(route.TargetLatencyMS) * time.Millisecond)
+	}
 	return &request{
+		aim:           aim,
 		configuration: configuration,
 		route:         route,
 		call:          s.callOf(r, configuration, route, deadline, numbers.depth+1),
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -24,7 +24,8 @@
 	release  core.Release
 	outcome  core.Outcome
 	err      error
-	latency  time.Duration  // to the head of the answer
+	latency  time.Duration // to the head of the answer
+	load     core.Load
 	recorded bool           // the picker and the evidence know of it
 	beside   *core.Endpoint // of another attempt that was made at the same time
 }
@@ -272,11 +273,23 @@
 		outcome:  outcome,
 		err:      err,
 		latency:  time.Since(began),
+		load:     reportedLoad(answer, err),
 	}
 	s.learn(q.route.Service, last)
 	return last
 }
 
+func reportedLoad(answer *core.Answer, err error) core.Load {
+	if answer != nil {
+		return answer.Load
+	}
+	var refused *core.Refusal
+	if errors.As(err, &refused) {
+		return refused.Load
+	}
+	return core.Load{}
+}
+
 // failed tells picker and evidence of an attempt that brought the caller no answer.
 func (s *Server) failed(ctx context.Context, q *request, last result) {
 	cause := causeOf(last.err)
@@ -293,6 +306,7 @@
 		Outcome:  last.outcome,
 		Failed:   failed,
 		Latency:  last.latency,
+		Load:     last.load,
 	})
 	if last.outcome != core.OutcomeNotRun && !callerGone {
 		s.options.Evidence.Record(q.route.Service, q.route.Name, last.release, failed, false, last.latency)
--- a/io/control/catchup.go
+++ b/io/control/catchup.go
@@ -118,6 +118,15 @@
 	return list
 }
 
+// reportTo names the instances that need reports: the leader, which alone changes the membership, if it keeps the voters, and
+// else all, since an operator may ask any of them.
+func (p *process) reportTo(replica *raftpeer.Replica) []core.ControlID {
+	if leader := replica.Status().Leader; p.settings.Voters > 0 && leader != "" {
+		return lo.Without([]core.ControlID{leader}, p.settings.ID)
+	}
+	return p.otherIDs(replica)
+}
+
 // startCatchUp starts the duty that tells the others what this instance holds.
 func (p *process) startCatchUp(injector do.Injector) {
 	replica, records := do.MustInvoke[*raftpeer.Replica](injector), do.MustInvoke[*catalog.Catalog](injector)
@@ -141,7 +150,7 @@
 				p.log.Error().Err(err).Str("event", "report-not-encoded").Msg("other instances are not told what this one holds")
 				continue
 			}
-			for _, peer := range p.otherIDs(replica) {
+			for _, peer := range p.reportTo(replica) {
 				replica.Send(peer, catchUpTopic, payload)
 			}
 		}
--- a/io/control/keeper.go
+++ b/io/control/keeper.go
@@ -128,8 +128,11 @@
 			Address: p.settings.MemberAt(m.Address).NodeAddress,
 		}, m.Peer.ID != p.settings.ID && m.Address != ""
 	})
-	voters := lo.FilterMap(members, func(m raft.Member, _ int) (string, bool) {
-		return p.settings.MemberAt(m.Address).NodeAddress, m.Voter && m.Address != ""
+	voters := lo.FilterMap(members, func(m raft.Member, _ int) (distribution.ControlAddress, bool) {
+		return distribution.ControlAddress{
+			Address:    p.settings.MemberAt(m.Address).NodeAddress,
+			DataCentre: m.DataCentre,
+		}, m.Voter && m.Address != ""
 	})
 	source.SetPeers(others, voters)
 }
--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/lo"
 
+	"parsleyport/core"
 	"parsleyport/core/statechart"
 	"parsleyport/io/frame"
 )
@@ -39,6 +40,9 @@
 	eventStop       statechart.Event = "stop"
 )
 
+// errGoHome ends a link to a control instance of another data centre.
+const errGoHome = errors.ConstError("the own data centre has a control instance")
+
 // attachment opens one upward link at a time and opens another when it is lost; one goroutine runs it.
 type attachment struct {
 	hub     *hub
@@ -50,7 +54,10 @@
 	// serve uses the link until it ends.
 	serve func(ctx context.Context, conn *frame.Conn, address string) error
 
-	learned   atomic.Value // []string: where to start, as the parent says; tried before targets
+	learned   atomic.Value // []ControlAddress: where to start, as the parent says; tried before targets
+	home      core.DataCentre
+	homes     []string     // control instances of the own data centre, when errGoHome ends a link
+	wentHome  time.Time    // latest attempt to attach in the own data centre in place of another one
 	state     atomic.Value // statechart.State
 	turn      int
 	queue     []string // addresses from a redirect, best first
@@ -114,11 +121,35 @@
 
 // allTargets has the learned addresses and those of the settings, which may both be outdated.
 func (a *attachment) allTargets() []string {
-	learned, _ := a.learned.Load().([]string)
+	known, _ := a.learned.Load().([]ControlAddress)
+	learned := lo.Map(known, func(c ControlAddress, _ int) string { return c.Address })
 	targets, _ := a.targets.Load().([]string)
 	return lo.Uniq(slices.Concat(learned, targets))
 }
 
+// homeFirst sorts the control instances of a data centre to the front.
+func homeFirst(controls []ControlAddress, home core.DataCentre) []ControlAddress {
+	own, others := lo.FilterReject(controls, func(c ControlAddress, _ int) bool { return c.DataCentre == home })
+	return append(own, others...)
+}
+
+// goHome leads a node that has attached directly to a control instance elsewhere to those of its own data centre, now and then.
+func (a *attachment) goHome(message accept) (redirect, bool) {
+	if a.home == "" || len(message.Path) > 0 || time.Since(a.wentHome) < homePause {
+		return redirect{}, false
+	}
+	atHome := func(c ControlAddress) bool { return c.DataCentre == a.home }
+	own := lo.Filter(message.Controls, func(c ControlAddress, _ int) bool { return atHome(c) })
+	here := lo.ContainsBy(own, func(c ControlAddress) bool { return c.Address == a.address })
+	if here || len(own) == 0 {
+		return redirect{}, false
+	}
+	a.wentHome = time.Now()
+	return redirect{
+		Addresses: lo.Map(own, func(c ControlAddress, _ int) string { return c.Address }),
+	}, true
+}
+
 func (a *attachment) dial(ctx context.Context) statechart.Event {
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -164,6 +195,9 @@
 		if err := answer.Decode(&message); err != nil {
 			return "", err
 		}
+		if home, elsewhere := a.goHome(message); elsewhere {
+			return eventRedirected, a.follow(home)
+		}
 		return eventAccepted, a.accept(message)
 	case typeRedirect:
 		var message redirect
@@ -202,6 +236,9 @@
 	}
 	a.queue = nil
 	a.backOff()
+	if errors.Is(err, errGoHome) {
+		a.wait, a.queue = 0, a.homes
+	}
 	a.logger.Info().Err(err).Str("address", a.address).Msg("link lost")
 	return eventLost
 }
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -70,7 +70,7 @@
 	peerReports map[core.ControlID]peerReport
 	peers       map[core.ControlID]bool
 	// controls are the addresses of the control instances where nodes can attach, if they may differ from the settings.
-	controls []string
+	controls []ControlAddress
 	direct   int // nodes of one data centre that may attach to this control instance
 }
 
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -60,7 +60,7 @@
 	Stale   bool           `msgpack:"stale,omitempty"`
 	Rows    bool           `msgpack:"rows,omitempty"` // the sender reads rows of sums
 
-	Controls []string `msgpack:"controls,omitempty"` // where nodes can attach
+	Controls []ControlAddress `msgpack:"controls,omitempty"` // where nodes can attach
 }
 
 type redirect struct {
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -17,8 +17,9 @@
 
 // Intervals and limits of the protocol; the design page gives the reasons for those that it names.
 const (
-	pingInterval = time.Second
-	silenceLimit = 3 * time.Second
+	pingInterval = 600 * time.Millisecond
+	// silenceLimit allows for two lost pings. A node has to find another control instance and catch up within 3 s.
+	silenceLimit = 3 * pingInterval
 	writeTimeout = silenceLimit
 	helloTimeout = time.Second
 	dialTimeout  = 2 * time.Second
@@ -47,9 +48,9 @@
 	// to have moved to another relay.
 	lostChildAge = subtreeGrace
 
-	// leaderlessLimit is how long a control instance may know no leader before its children look for another one: a few
-	// election timeouts of 1 s.
-	leaderlessLimit = 3 * time.Second
+	// leaderlessLimit is how long a control instance may know no leader before its children look for another one. An election
+	// takes up to 1.5 s; children that leave during a slow one find that the others know no leader either.
+	leaderlessLimit = 1500 * time.Millisecond
 	// staleLinkLimit is how long a node stays with a control instance without a leader, if it found no better one, before it looks again.
 	staleLinkLimit = 30 * time.Second
 
@@ -57,6 +58,8 @@
 	maxBackoff = 5 * time.Second
 	// assignedWindow is how long a redirected node counts as a child of the relay that it was sent to.
 	assignedWindow = 5 * time.Second
+	// homePause is how long a node stays with a control instance of another data centre after an attempt to attach in its own.
+	homePause = 15 * time.Second
 
 	maxDirectPerDataCentre = 2
 	maxDirectChildren      = 128 // 64 data centres
@@ -73,6 +76,12 @@
 	Address string
 }
 
+// ControlAddress is where nodes attach to a control instance.
+type ControlAddress struct {
+	Address    string          `msgpack:"address"`
+	DataCentre core.DataCentre `msgpack:"data-centre"`
+}
+
 // Network opens and accepts connections; tests replace it.
 type Network struct {
 	Listen func(address string) (net.Listener, error)
--- a/io/distribution/parent.go
+++ b/io/distribution/parent.go
@@ -87,9 +87,15 @@
 	}
 	s.hub.stale, s.hub.parentReadsRows = message.Stale, message.Rows
 	s.hub.path, s.hub.control = message.Path, message.Control
+	if s.hub.attached { // else the answer to the hello is still being looked at
+		if home, elsewhere := s.attach.goHome(message); elsewhere {
+			s.attach.homes = home.Addresses
+			return errGoHome
+		}
+	}
 	if len(message.Controls) > 0 && len(message.Controls) <= maxDirectChildren {
 		s.hub.controls = message.Controls
-		s.attach.learned.Store(message.Controls)
+		s.attach.learned.Store(homeFirst(message.Controls, s.options.DataCentre))
 	}
 	s.hub.pathTurn++
 	s.hub.changed()
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -82,7 +82,7 @@
 
 // SetPeers links to these other control instances in place of the earlier ones, and tells the nodes where they can attach:
 // to the addresses, the own one included, or to those of their settings if there are none.
-func (s *Source) SetPeers(peers []Peer, addresses []string) {
+func (s *Source) SetPeers(peers []Peer, addresses []ControlAddress) {
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
 	if s.context.Err() != nil {
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -104,6 +104,7 @@
 	s.hub.confirmer.request(ownLink, 1)
 	s.attach = newAttachment(options.ControlAddresses, attachment{
 		hub:    s.hub,
+		home:   options.DataCentre,
 		logger: options.Logger,
 		random: options.Random,
 		hello:  s.hello,
--- a/io/distribution/sums_test.go
+++ b/io/distribution/sums_test.go
@@ -169,7 +169,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		h, parent := testHub("n1"), testHub("n0")
 		h.parentReadsRows = rapid.Bool().Draw(t, "rows")
-		u, link, now := newUplink(nil, kindNode), &child{}, time.Now()
+		u, link, now := newUplink(nil, kindNode, evidenceInterval), &child{}, time.Now()
 		for range 20 {
 			want := make(map[series]core.EvidenceCount)
 			for range rapid.IntRange(0, 9).Draw(t, "counts") {
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -74,6 +74,13 @@
 	}
 }
 
+// Load implements backendhttp.Admission.
+func (a *admission) Load() core.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limiter.Load()
+}
+
 // SetSlots implements backendhttp.Admission.
 func (a *admission) SetSlots(slots int) {
 	a.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/samber/do/v2"
 
 	"parsleyport/core"
+	"parsleyport/core/balancer"
 	"parsleyport/core/retry"
 	"parsleyport/core/rollout"
 	"parsleyport/io/backendhttp"
@@ -29,6 +30,7 @@
 	Headers          core.HeaderNames
 	CallerNamesCalls bool // a caller's header is the call's id
 	NoHedges         bool
+	Policy           balancer.Policy     // by which endpoints are chosen, empty for the default
 	TrustSlots       bool                // see limiter.Options
 	Budget           retry.BudgetOptions // of repeated attempts, for each service
 	RetryAfter       func(*core.Refusal) string
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -129,6 +129,7 @@
 	return balancer.New(balancer.Options{
 		DataCentre: p.settings.DataCentre,
 		Seed:       uint64(p.incarnation),
+		Policy:     p.options.Policy,
 	}), nil
 }
 
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -82,8 +82,43 @@
 	Body     []byte              `msgpack:"body"`
 	Length   int64               `msgpack:"length"`
 	Sum      uint64              `msgpack:"sum"`
+	Load     loadMessage         `msgpack:"load"`
 }
 
+// loadMessage is a core.Load.
+type loadMessage struct {
+	//lint:ignore U1000 tells the msgpack library the form
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Running, Waiting, Limit int
+	ServiceUS               int64
+}
+
+func loadOf(load core.Load) loadMessage {
+	return loadMessage{
+		Running:   load.Running,
+		Waiting:   load.Waiting,
+		Limit:     load.Limit,
+		ServiceUS: load.Service.Microseconds(),
+	}
+}
+
+// load leaves out what no node can mean.
+func (m loadMessage) load() core.Load {
+	if m.Running < 0 || m.Waiting < 0 || m.Limit < 0 || m.ServiceUS < 0 || m.ServiceUS > maxServiceUS {
+		return core.Load{}
+	}
+	return core.Load{
+		Running: m.Running,
+		Waiting: m.Waiting,
+		Limit:   m.Limit,
+		Service: time.Duration(m.ServiceUS) * time.Microsecond,
+	}
+}
+
+// maxServiceUS is a day.
+const maxServiceUS = int64(24 * time.Hour / time.Microsecond)
+
 // answerEndMessage has Fault set if the body broke off at the backend server.
 type answerEndMessage struct {
 	Sequence uint64 `msgpack:"sequence"`
@@ -98,6 +133,7 @@
 	Outcome  core.Outcome      `msgpack:"outcome"`
 	Cause    core.RefusalCause `msgpack:"cause"`
 	Detail   string            `msgpack:"detail"`
+	Load     loadMessage       `msgpack:"load"`
 }
 
 type revokeMessage struct {
--- a/io/nodepeer/run.go
+++ b/io/nodepeer/run.go
@@ -57,13 +57,15 @@
 		if !errors.As(err, &refusal) {
 			refusal = &core.Refusal{}
 		}
-		call.conn.refuse(call.key.Sequence, outcome, refusal.Cause, refusal.Detail)
+		call.conn.refuse(call.key.Sequence, outcome, refusal)
 		return
 	}
 	if err != nil {
 		detail = err.Error()
 	}
-	call.conn.refuse(call.key.Sequence, outcome, "", detail)
+	call.conn.refuse(call.key.Sequence, outcome, &core.Refusal{
+		Detail: detail,
+	})
 }
 
 // stream sends an answer. A body that is stated to fit in one chunk goes with the head, in one frame.
@@ -72,12 +74,15 @@
 		Sequence: c.key.Sequence,
 		Status:   answer.Status,
 		Header:   answer.Header,
+		Load:     loadOf(answer.Load),
 	}
 	stated, err := strconv.Atoi(answer.Header.Get("Content-Length"))
 	if err == nil && stated >= 0 && stated <= core.MaxChunkBytes && c.call.Method != "HEAD" {
 		body, err := io.ReadAll(answer.Body)
 		if err != nil {
-			c.conn.refuse(c.key.Sequence, core.OutcomeUnknown, "", err.Error())
+			c.conn.refuse(c.key.Sequence, core.OutcomeUnknown, &core.Refusal{
+				Detail: err.Error(),
+			})
 			return
 		}
 		head.Whole = true
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -177,7 +177,9 @@
 		s.mu.Unlock()
 		if err == nil {
 			s.refused.Inc()
-			c.refuse(message.Sequence, core.OutcomeNotRun, cause, "")
+			c.refuse(message.Sequence, core.OutcomeNotRun, &core.Refusal{
+				Cause: cause,
+			})
 		}
 		return err
 	}
@@ -227,12 +229,13 @@
 	return cause, nil
 }
 
-func (c *serverConn) refuse(sequence uint64, outcome core.Outcome, cause core.RefusalCause, detail string) {
+func (c *serverConn) refuse(sequence uint64, outcome core.Outcome, refusal *core.Refusal) {
 	c.send(typeRefused, refusedMessage{
 		Sequence: sequence,
 		Outcome:  outcome,
-		Cause:    cause,
-		Detail:   detail,
+		Cause:    refusal.Cause,
+		Detail:   refusal.Detail,
+		Load:     loadOf(refusal.Load),
 	})
 }
 
@@ -289,7 +292,10 @@
 	}
 	s.mu.Unlock()
 	if waiting {
-		c.refuse(message.Sequence, core.OutcomeNotRun, core.CauseRevoked, errCancelled.Error())
+		c.refuse(message.Sequence, core.OutcomeNotRun, &core.Refusal{
+			Cause:  core.CauseRevoked,
+			Detail: errCancelled.Error(),
+		})
 	} else if call != nil {
 		call.cancel(errCancelled)
 	}
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -169,6 +169,7 @@
 	return &core.Answer{
 		Status: head.Status,
 		Header: http.Header(head.Header),
+		Load:   head.Load.load(),
 		Body: &answerBody{
 			stream: s,
 			ctx:    ctx,
