--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -50,6 +50,9 @@
 		return core.Endpoint{}, false
 	}
 	chosen := b.choose(now, request, usable)
+	if chosen == nil {
+		return core.Endpoint{}, false
+	}
 	chosen.outstanding++
 	return chosen.endpoint, true
 }
@@ -114,7 +117,11 @@
 		return // an attempt at an earlier run says nothing about this one
 	}
 	m.outstanding = max(0, m.outstanding-1)
-	m.observeLoad(now, result.Load)
+	halfLife := loadHalfLife
+	if m.endpoint.DataCentre != b.options.DataCentre {
+		halfLife = remoteHalfLife
+	}
+	m.observeLoad(now, result.Load, halfLife)
 	if result.Unneeded {
 		if result.Latency.Seconds() > m.latency {
 			m.observeLatency(now, result.Latency) // it would have taken even longer
--- a/core/balancer/expected.go
+++ b/core/balancer/expected.go
@@ -12,6 +12,8 @@
 const (
 	// loadHalfLife is how fast a report of other nodes' calls loses weight: about the time of a few calls.
 	loadHalfLife = 500 * time.Millisecond
+	// remoteHalfLife is longer: few calls go to another data centre, and each one that finds it full has cost its bytes.
+	remoteHalfLife = 2 * time.Second
 	// expectedChoices are compared of more endpoints than that: all nodes see the same reports, and would all take the best one.
 	expectedChoices = 6
 	// expectedPower makes an endpoint that takes twice as long eight times less likely.
@@ -31,9 +33,10 @@
 	core.Load
 	at          time.Time
 	outstanding int // calls of this node in the report
+	halfLife    time.Duration
 }
 
-func (m *member) observeLoad(now time.Time, load core.Load) {
+func (m *member) observeLoad(now time.Time, load core.Load, halfLife time.Duration) {
 	if load.Limit == 0 {
 		return
 	}
@@ -41,13 +44,14 @@
 		Load:        load,
 		at:          now,
 		outstanding: m.outstanding,
+		halfLife:    halfLife,
 	}
 }
 
 // inFlight estimates the calls at the endpoint: those of this node, and those of others as they were last reported.
 func (m *member) inFlight(now time.Time) float64 {
 	others := max(0, m.load.Running+m.load.Waiting-m.load.outstanding)
-	return float64(m.outstanding) + float64(others)*decay(now.Sub(m.load.at), loadHalfLife)
+	return float64(m.outstanding) + float64(others)*decay(now.Sub(m.load.at), m.load.halfLife)
 }
 
 func (m *member) slots() float64 {
@@ -84,8 +88,9 @@
 	}
 }
 
-// expected answers two load patterns: a data centre with free slots, whose calls stay there since links between data centres
-// are dear, and one that is full, whose calls go elsewhere only if they would be late at home.
+// expected answers three load patterns: a data centre with free slots, whose calls stay there since links between data centres
+// are dear; one that is full, whose calls go elsewhere if they would be late at home and there are free slots elsewhere; and an
+// overload everywhere, in which calls stay at home, since elsewhere they would only take the place of others.
 func (b *Balancer) expected(now time.Time, request core.PickRequest, usable []*member) *member {
 	usual := usualService(usable)
 	local, remote := lo.FilterReject(usable, func(m *member, _ int) bool {
@@ -94,9 +99,11 @@
 	near, nearAt := b.soonest(now, local, usual)
 	far, farAt := b.soonest(now, remote, usual)
 	switch {
+	case near == nil && request.NoRoom && farAt.wait > 0:
+		return nil
 	case near == nil:
 		return far
-	case far == nil:
+	case far == nil || farAt.wait > 0:
 		return near
 	}
 	aim := request.Aim
--- a/core/call.go
+++ b/core/call.go
@@ -60,6 +60,7 @@
 	Idempotent     bool
 	IdempotencyKey IdempotencyKey
 	Priority       Priority
+	Aim            time.Time // by which an answer is of full use, zero if not stated
 	Deadline       time.Time
 	Depth          int
 	AttemptsLeft   int
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -76,6 +76,7 @@
 
 	Aim      time.Time // by which an answer is of full use, zero if not stated
 	Deadline time.Time
+	NoRoom   bool // an endpoint has refused the call since it had no slot for it in time
 }
 
 // PickResult is what an attempt showed about its endpoint.
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -37,8 +37,10 @@
 type Request struct {
 	Tenant   core.TenantID
 	Priority core.Priority
+	Aim      time.Time // by which an answer is of full use, zero if not stated
 	Deadline time.Time
-	NoWait   bool // it is refused unless it can start at once
+	NoWait   bool           // it is refused unless it can start at once
+	Class    core.RouteName // whose calls take about the same time
 }
 
 // Result describes how a started call ended.
@@ -84,6 +86,8 @@
 	fastest     float64 // seconds, 0 before the first sample
 	decreasedAt time.Time
 	holdUntil   time.Time // the limit does not rise before
+	classes     map[core.RouteName]*classTime
+	checkedAt   time.Time // of the waiting calls, with AimFirst
 	served      [2]int    // greatest concurrency of a served call, in this span and the one before
 	servedUntil time.Time // end of this span
 }
@@ -91,14 +95,18 @@
 // started is a running call.
 type started struct {
 	tenant core.TenantID
+	class  core.RouteName
 	beside int // calls that ran when it started, itself included
 }
 
 // Options configure a Limiter.
 type Options struct {
-	// TrustSlots keeps the limit at the announced slots while the backend server sheds no calls. Without it, slow answers lower
-	// the limit too, which takes calls of very different lengths for overload.
+	// TrustSlots keeps the limit at the announced slots. Without it, slow answers and calls that the backend server sheds lower
+	// the limit, which takes calls of very different lengths and a backend server with a fault for overload.
 	TrustSlots bool
+	// AimFirst serves calls that can still be answered by their aim before those that will be late, and refuses a call at once
+	// if the calls before it leave it no time (see aim.go).
+	AimFirst bool
 }
 
 // New returns a limiter that starts at the announced number of slots; slots below 1 count as 1.
@@ -114,6 +122,7 @@
 		slots:   slots,
 		limit:   float64(slots),
 		running: make(map[Ticket]started),
+		classes: make(map[core.RouteName]*classTime),
 		tenants: make(map[core.TenantID]*tenant),
 	}
 }
@@ -159,7 +168,7 @@
 		ticket:  l.lastTicket,
 		request: request,
 	}
-	if l.hopeless(now, request) {
+	if l.hopeless(now, request) || l.options.AimFirst && l.crowdedOut(now, added) {
 		return added.ticket, Change{
 			Shed: []Shed{{Ticket: added.ticket, Cause: core.CauseDeadline}},
 		}
@@ -190,6 +199,9 @@
 	l.tenants[name].running--
 	l.forgetIdle(name)
 	l.adapt(now, result, ended.beside, full)
+	if !result.Failed && !result.Overloaded {
+		l.observeClass(ended.class, result.Latency)
+	}
 	return l.dispatch(now)
 }
 
@@ -208,8 +220,9 @@
 // Expire sheds the waiting calls that can no longer meet their deadlines.
 func (l *Limiter) Expire(now time.Time) Change {
 	var change Change
+	crowded := l.crowdedOutNow(now)
 	for name, t := range l.tenants {
-		late, kept := lo.FilterReject(t.waiting, func(e entry, _ int) bool { return l.hopeless(now, e.request) })
+		late, kept := lo.FilterReject(t.waiting, func(e entry, _ int) bool { return crowded[e.ticket] || l.hopeless(now, e.request) })
 		t.waiting = kept
 		l.waiting -= len(late)
 		for _, e := range late {
@@ -224,6 +237,9 @@
 // hopeless reports whether not even an uncongested run would meet the deadline.
 func (l *Limiter) hopeless(now time.Time, request Request) bool {
 	left := request.Deadline.Sub(now)
+	if l.options.AimFirst {
+		return left <= 0 || left.Seconds() < hopelessPart*l.serviceOf(request.Class)
+	}
 	return left <= 0 || left.Seconds() < l.fastest
 }
 
@@ -232,8 +248,7 @@
 	var change Change
 	for len(l.running) < l.Limit() && l.waiting > 0 {
 		name, t := l.neediest()
-		next := t.waiting[0]
-		t.waiting = t.waiting[1:]
+		next := t.take(l.nextOf(now, t))
 		l.waiting--
 		if l.hopeless(now, next.request) {
 			change.Shed = append(change.Shed, Shed{Ticket: next.ticket, Cause: core.CauseDeadline})
@@ -243,6 +258,7 @@
 		t.running++
 		l.running[next.ticket] = started{
 			tenant: name,
+			class:  next.request.Class,
 			beside: len(l.running) + 1,
 		}
 		change.Start = append(change.Start, next.ticket)
@@ -293,7 +309,9 @@
 func (l *Limiter) adapt(now time.Time, result Result, beside int, full bool) {
 	l.advanceServed(now)
 	if result.Overloaded {
-		l.shed(now, beside)
+		if !l.options.TrustSlots { // else it had a slot, so that its load is not the reason
+			l.shed(now, beside)
+		}
 		return
 	}
 	if result.Failed {
@@ -373,6 +391,13 @@
 	t.waiting[at] = added
 }
 
+// take removes the entry at a position.
+func (t *tenant) take(at int) entry {
+	taken := t.waiting[at]
+	t.waiting = append(t.waiting[:at:at], t.waiting[at+1:]...)
+	return taken
+}
+
 func (t *tenant) remove(ticket Ticket) bool {
 	for i, e := range t.waiting {
 		if e.ticket == ticket {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -64,6 +64,11 @@
 	return Repeat
 }
 
+// HadNoRoom reports whether the node beside a backend server refused a call that it would have had to keep waiting.
+func HadNoRoom(cause core.RefusalCause) bool {
+	return cause == core.CauseDeadline || cause == core.CauseQueueFull
+}
+
 // Gone reports whether a refusal means that its node is of no use to the call. After a revocation it still is: the call
 // had lost its connection, and a new one may work.
 func Gone(cause core.RefusalCause) bool {
--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -18,14 +18,14 @@
 const (
 	// briefRisk is the share for most of a brief move, if the request names none. A release that shows its fault only at a
 	// larger share meets a tenth of the calls then, since the larger shares last for a fifth of the time.
-	briefRisk core.PerMille = 60
+	briefRisk core.PerMille = 70
 	// briefWait lets the nodes learn of the move before its first share.
 	briefWait = 500 * time.Millisecond
 	// A brief move spends these parts of its time at the risk share, at a quarter and at a half; the rest is a margin for the
 	// last step. Faults that come late or under load have to show before the last step, since no release is left after it.
-	briefRiskUntil    = 0.62
-	briefQuarterUntil = 0.76
-	briefHalfUntil    = 0.92
+	briefRiskUntil    = 0.70
+	briefQuarterUntil = 0.79
+	briefHalfUntil    = 0.91
 	briefQuarter      = core.PerMille(250)
 	// briefCalls of the new release have to be reported before each larger share.
 	briefCalls = 12
@@ -35,12 +35,9 @@
 	// briefFailures and briefSlow are the rates of the new release that are not yet worse than the old one's: failures of single
 	// calls, and the slow answers of backend servers that have just started.
 	briefFailures = 0.02
-	briefSlow     = 0.25
+	briefSlow     = 0.10
 	// briefMinBad keeps a few unlucky calls from taking a move back.
 	briefMinBad = 3
-	// briefSlowBuckets is how far above the old release's boundary an answer counts as slow: a cold backend server takes twice
-	// as long, which is one bucket.
-	briefSlowBuckets = 1
 )
 
 // Brief decides the steps of one move that is too short for a Judge. It compares the releases over the same time, by route and
@@ -259,10 +256,10 @@
 	for i := core.LatencyBuckets - 1; i > 0; i-- {
 		rest += c.latency[i]
 		if float64(rest) > slowQuantile*float64(c.calls) {
-			return min(i+briefSlowBuckets, core.LatencyBuckets-1), true
+			return i, true
 		}
 	}
-	return briefSlowBuckets, true
+	return 0, true
 }
 
 func aboveBucket(latency [core.LatencyBuckets]uint64, boundary int) uint64 {
--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -125,13 +126,18 @@
 	} {
 		response, _, err := e.send(c, "POST", test.path, test.header...)
 		c.Assert(err, qt.IsNil)
-		c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		status := map[core.RefusalCause]int{ // of calls that are wrong in themselves; all others may be repeated
+			core.CauseNoRoute:       http.StatusNotFound,
+			core.CauseMalformedCall: http.StatusBadRequest,
+		}
+		c.Assert(response.StatusCode, qt.Equals, cmp.Or(status[test.cause], http.StatusServiceUnavailable))
 		c.Assert(response.Header.Get("Parsleyport-Outcome"), qt.Equals, "not-run")
 		c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(test.cause))
 	}
 	response, err := http.Post("http://"+e.Address()+"/orders", "", io.MultiReader(bytes.NewReader(make([]byte, 101)))) // chunked
 	c.Assert(err, qt.IsNil)
-	c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(core.CauseMalformedCall))
+	c.Assert(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(core.CauseTooLarge))
 	confirmed = false
 	response, _, _ = e.send(c, "POST", "/orders")
 	c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(core.CauseNotConfirmed))
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -42,8 +42,9 @@
 				Tried:   past.triedOf(candidates),
 				Session: q.session,
 
-				Aim:      q.aim,
+				Aim:      q.call.Aim,
 				Deadline: q.call.Deadline,
+				NoRoom:   q.refusals > 0,
 			}, candidates)
 			if found {
 				return endpoint, true
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -34,8 +34,8 @@
 	session       string
 	attempts      retry.Attempts
 	began         time.Time
-	aim           time.Time // by which an answer is of full use, zero if the route does not state it
 	weights       []core.Weight
+	refusals      int  // for overload, after which the call was offered elsewhere
 	waiting       bool // is counted among the calls that wait for an endpoint
 }
 
@@ -85,11 +85,12 @@
 	if route.TargetLatencyMS > 0 {
 		aim = now.Add(time.Duration(route.TargetLatencyMS) * time.Millisecond)
 	}
+	call := s.callOf(r, configuration, route, deadline, numbers.depth+1)
+	call.Aim = aim
 	return &request{
-		aim:           aim,
 		configuration: configuration,
 		route:         route,
-		call:          s.callOf(r, configuration, route, deadline, numbers.depth+1),
+		call:          call,
 		session:       get(r.Header, names.Session),
 		attempts:      retry.NewAttempts(attempts, numbers.attempts),
 		began:         now,
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -175,7 +175,12 @@
 // holds no slot meanwhile; one that is too long for that is final.
 func (s *Server) classify(ctx context.Context, q *request, last *result) retry.Class {
 	if last.outcome != core.OutcomeAnswered {
-		return retry.Classify(last.outcome, causeOf(last.err), q.call.Idempotent)
+		class := retry.Classify(last.outcome, causeOf(last.err), q.call.Idempotent)
+		if class == retry.Repeat && last.outcome == core.OutcomeNotRun && q.refusals < s.options.RefusalTries && retry.HadNoRoom(causeOf(last.err)) {
+			q.refusals++
+			return retry.RepeatFree
+		}
+		return class
 	}
 	class := retry.ClassifyAnswer(last.answer.Status, get(last.answer.Header, s.options.Headers.Outcome) != "", q.call.Idempotent)
 	if class == retry.Final {
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -71,6 +71,7 @@
 	NoHedges         bool
 	Budget           retry.BudgetOptions // of each service; the zero value stands for the default
 	RetryAfter       func(*core.Refusal) string
+	RefusalTries     int           // endpoints that a call is offered after a refusal for overload, at no cost; zero for the usual attempts
 	Linger           time.Duration // for which a draining server waits for its callers to leave, zero for 1 s
 	Logger           zerolog.Logger
 	Metrics          *metrics.Set
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -111,8 +111,10 @@
 	ticket, change := a.limiter.Arrive(time.Now(), limiter.Request{
 		Tenant:   call.Tenant,
 		Priority: call.Priority,
+		Aim:      call.Aim,
 		Deadline: call.Deadline,
 		NoWait:   call.Hedge,
+		Class:    call.Route,
 	})
 	a.waiting[ticket] = turn
 	a.follow(change)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -32,6 +32,8 @@
 	NoHedges         bool
 	Policy           balancer.Policy     // by which endpoints are chosen, empty for the default
 	TrustSlots       bool                // see limiter.Options
+	AimFirst         bool                // see limiter.Options
+	RefusalTries     int                 // endpoints that a call is offered after a refusal for overload, at no cost; zero for the usual attempts
 	Budget           retry.BudgetOptions // of repeated attempts, for each service
 	RetryAfter       func(*core.Refusal) string
 	BackendLease     time.Duration // for which an announcement holds
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -45,6 +45,7 @@
 	}
 	admission, stopAdmission := newAdmission(limiter.Options{
 		TrustSlots: p.options.TrustSlots,
+		AimFirst:   p.options.AimFirst,
 	})
 	p.cleanups.add(stopAdmission)
 	server, cleanup, err := backendhttp.New(backendhttp.Options{
@@ -178,6 +179,7 @@
 		CallerService:    p.localService,
 		NoHedges:         p.options.NoHedges,
 		Budget:           p.options.Budget,
+		RefusalTries:     p.options.RefusalTries,
 		RetryAfter:       p.options.RetryAfter,
 		Linger:           p.options.DrainLinger,
 		Logger:           p.log,
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -56,6 +56,7 @@
 	IdempotencyKey core.IdempotencyKey `msgpack:"idempotency-key"`
 	Priority       core.Priority       `msgpack:"priority"`
 	RemainingUS    int64               `msgpack:"remaining-us"`
+	AimUS          int64               `msgpack:"aim-us,omitempty"` // until Call.Aim, which may be past; zero if not stated
 	Depth          int                 `msgpack:"depth"`
 	Attempts       int                 `msgpack:"attempts"`
 	Hedge          bool                `msgpack:"hedge"`
@@ -171,6 +172,7 @@
 		IdempotencyKey: call.IdempotencyKey,
 		Priority:       call.Priority,
 		RemainingUS:    call.Deadline.Sub(now).Microseconds(),
+		AimUS:          aimOf(call, now),
 		Depth:          call.Depth,
 		Attempts:       call.AttemptsLeft,
 		Hedge:          call.Hedge,
@@ -183,8 +185,24 @@
 	return message
 }
 
+// aimOf avoids the zero that stands for no aim.
+func aimOf(call *core.Call, now time.Time) int64 {
+	if call.Aim.IsZero() {
+		return 0
+	}
+	if left := call.Aim.Sub(now).Microseconds(); left != 0 {
+		return left
+	}
+	return -1
+}
+
 func callOf(message openMessage, now time.Time) *core.Call {
+	aim := time.Time{}
+	if message.AimUS != 0 {
+		aim = now.Add(time.Duration(message.AimUS) * time.Microsecond)
+	}
 	return &core.Call{
+		Aim:            aim,
 		ID:             message.CallID,
 		Tenant:         message.Tenant,
 		Service:        message.Service,
