--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	_ "embed"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,7 @@
 	attempts  int
 	wait      time.Duration
 	address   string
+	lost      string // the address of the latest link that went silent
 	conn      *frame.Conn
 }
 
@@ -113,6 +115,9 @@
 		return eventDial
 	}
 	targets := a.allTargets()
+	if targets[a.turn%len(targets)] == a.lost && len(targets) > 1 {
+		a.turn++ // an instance that is frozen still accepts connections, which would cost another time-out
+	}
 	a.address = targets[a.turn%len(targets)]
 	a.turn++
 	a.redirects = 0
@@ -185,7 +190,7 @@
 		// A parent that is short of handshakes answers without reading, so its answer may be there all the same.
 		a.logger.Debug().Err(err).Msg("send hello")
 	}
-	answer, err := a.hub.receive(a.conn, silenceLimit)
+	answer, err := a.hub.receive(a.conn, helloTimeout)
 	if err != nil {
 		return "", err
 	}
@@ -238,6 +243,8 @@
 	a.backOff()
 	if errors.Is(err, errGoHome) {
 		a.wait, a.queue = 0, a.homes
+	} else if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.lost = a.address
 	}
 	a.logger.Info().Err(err).Str("address", a.address).Msg("link lost")
 	return eventLost
