--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -29,13 +29,15 @@
 	briefQuarter      = core.PerMille(250)
 	// briefCalls of the new release have to be reported before each larger share.
 	briefCalls = 12
-	// briefAlarm is the probability that one comparison takes a release back which is as good as the old one. With some ten
-	// comparisons every 0.2 s, the counts of which overlap, a brief move has a false alarm in about 1 of 100.
-	briefAlarm = 1e-4
+	// briefAlarm is the probability that one comparison takes a release back which is as good as the old one.
+	briefAlarm = 1e-3
+	// briefDoubt keeps a share from growing. A good release that is not done in time can be moved to again, while a bad one that
+	// is done has no other beside it.
+	briefDoubt = 0.02
 	// briefFailures and briefSlow are the rates of the new release that are not yet worse than the old one's: failures of single
 	// calls, and the slow answers of backend servers that have just started.
 	briefFailures = 0.02
-	briefSlow     = 0.10
+	briefSlow     = 0.05
 	// briefMinBad keeps a few unlucky calls from taking a move back.
 	briefMinBad = 3
 )
@@ -98,10 +100,16 @@
 	if move.State == core.MoveProposed {
 		return b.begin(now, move, timeUp)
 	}
-	text := describeBrief(move, totalOf(counted))
-	if cause, found := b.worse(counted); found {
+	text := describeBrief(move, counted)
+	if cause, found := b.worse(counted, briefAlarm); found {
 		return step(now, move, eventFail, 0, cause, text)
 	}
+	if cause, doubtful := b.worse(counted, briefDoubt); doubtful {
+		if timeUp {
+			return step(now, move, eventFail, 0, "in doubt at its time: "+cause, text)
+		}
+		return core.MoveStep{}, false
+	}
 	if timeUp {
 		return step(now, move, eventTimeUp, 0, "the time was reached before enough calls of the new release were reported", text)
 	}
@@ -203,48 +211,48 @@
 }
 
 // worse names the first route and measure by which the new release is worse, in a fixed order.
-func (b *Brief) worse(counted map[core.RouteName]briefPair) (string, bool) {
+func (b *Brief) worse(counted map[core.RouteName]briefPair, alarm float64) (string, bool) {
 	recent := b.since(counted)
 	routes := lo.Keys(counted)
 	slices.Sort(routes)
 	for _, route := range routes {
 		for _, pair := range []briefPair{counted[route], recent[route]} {
 			// Failures of all old calls tell more about the usual rate than those of the latest ones alone.
-			if cause, found := pair.worse(counted[route].old); found {
+			if cause, found := pair.worse(counted[route].old, alarm); found {
 				return fmt.Sprintf("route %q: %s", route, cause), true
 			}
 		}
 	}
 	for _, pair := range []briefPair{totalOf(counted), totalOf(recent)} {
-		if pair.failuresWorse(totalOf(counted).old) { // latency differs by route
+		if pair.failuresWorse(totalOf(counted).old, alarm) { // latency differs by route
 			return "all routes: failures", true
 		}
 	}
 	return "", false
 }
 
-func (p briefPair) worse(usual briefCount) (string, bool) {
-	if p.failuresWorse(usual) {
+func (p briefPair) worse(usual briefCount, alarm float64) (string, bool) {
+	if p.failuresWorse(usual, alarm) {
 		return "failures", true
 	}
-	if p.slowWorse(usual) {
+	if p.slowWorse(usual, alarm) {
 		return "slow answers", true
 	}
 	return "", false
 }
 
-func (p briefPair) failuresWorse(usual briefCount) bool {
+func (p briefPair) failuresWorse(usual briefCount, alarm float64) bool {
 	old := max(rateOf(usual.failures, usual.calls), rateOf(p.old.failures, p.old.calls))
-	return unlikely(p.new.failures, p.new.calls, briefFailures+old)
+	return unlikely(p.new.failures, p.new.calls, briefFailures+old, alarm)
 }
 
-func (p briefPair) slowWorse(usual briefCount) bool {
+func (p briefPair) slowWorse(usual briefCount, alarm float64) bool {
 	boundary, known := usual.boundary()
 	if !known {
 		return false
 	}
 	old := rateOf(aboveBucket(p.old.latency, boundary), p.old.calls)
-	return unlikely(aboveBucket(p.new.latency, boundary), p.new.calls, briefSlow+old)
+	return unlikely(aboveBucket(p.new.latency, boundary), p.new.calls, briefSlow+old, alarm)
 }
 
 // boundary returns the bucket above which an answer is slow by the old release's answers.
@@ -271,15 +279,15 @@
 	return float64(bad) / float64(max(calls, 1))
 }
 
-// unlikely reports whether so many bad calls have a probability below briefAlarm at a rate (one-sided binomial test).
-func unlikely(bad, calls uint64, rate float64) bool {
+// unlikely reports whether so many bad calls have a probability below alarm at a rate (one-sided binomial test).
+func unlikely(bad, calls uint64, rate, alarm float64) bool {
 	if bad < briefMinBad || rate >= 1 || float64(bad) <= rate*float64(calls) {
 		return false
 	}
 	tail := 0.0
 	for k := bad; k <= calls; k++ {
 		tail += math.Exp(logBinomial(calls, k, rate))
-		if tail >= briefAlarm {
+		if tail >= alarm {
 			return false
 		}
 	}
@@ -291,7 +299,21 @@
 	return choose(n) - choose(k) - choose(n-k) + float64(k)*math.Log(p) + float64(n-k)*math.Log1p(-p)
 }
 
-func describeBrief(move core.Move, total briefPair) string {
-	return fmt.Sprintf("%d per mille; new release %d of %d calls failed, old ones %d of %d", move.Share,
+func describeBrief(move core.Move, counted map[core.RouteName]briefPair) string {
+	total := totalOf(counted)
+	text := fmt.Sprintf("%d per mille; new release %d of %d calls failed, old ones %d of %d", move.Share,
 		total.new.failures, total.new.calls, total.old.failures, total.old.calls)
+	routes := lo.Keys(counted)
+	slices.Sort(routes)
+	for _, route := range routes {
+		pair := counted[route]
+		if boundary, known := pair.old.boundary(); known && len(text) < maxBriefText {
+			text += fmt.Sprintf("; route %s: %d of %d took over %d ms, %d of %d before", route,
+				aboveBucket(pair.new.latency, boundary), pair.new.calls, 1<<boundary, aboveBucket(pair.old.latency, boundary), pair.old.calls)
+		}
+	}
+	return text
 }
+
+// maxBriefText bounds the evidence in a step, in bytes.
+const maxBriefText = 1024
--- /dev/null
+++ b/core/rollout/brief_test.go
@@ -0,0 +1,126 @@
+package rollout_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/rollout"
+)
+
+// briefRelease says how the calls of a new release end.
+type briefRelease struct {
+	failing float64 // part of the calls that fail
+	slow    float64 // part of the calls that take eight times as long
+	from    core.PerMille
+	after   time.Duration
+}
+
+// replayBrief replays a move of 14 s with 130 calls a second, of which the reports are late by half a second.
+func replayBrief(seed uint64, release briefRelease) (move core.Move, newCalls, allCalls int) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	move = core.Move{
+		MoveID:    "m1",
+		Request:   core.MoveRequest{Service: "s", To: "v2", Deadline: start.Add(14 * time.Second)},
+		State:     core.MoveProposed,
+		StartedAt: start,
+		SteppedAt: start,
+	}
+	judge := rollout.NewBrief(move, "v2")
+	counts := map[core.Release]*core.EvidenceCount{
+		"v1": {Service: "s", Route: "r", Release: "v1", Move: "m1"},
+		"v2": {Service: "s", Route: "r", Release: "v2", Move: "m1"},
+	}
+	var reported []core.EvidenceCount
+	const tick = 100 * time.Millisecond
+	for at := time.Duration(0); at < 15*time.Second && !rollout.IsFinal(move.State); at += tick {
+		now := start.Add(at)
+		for range 13 {
+			allCalls++
+			c := counts["v1"]
+			bad := briefRelease{failing: 0.001}
+			if core.PerMille(random.IntN(1000)) < move.Share {
+				c = counts["v2"]
+				newCalls++
+				if move.Share >= release.from && at >= release.after {
+					bad = release
+				}
+			}
+			c.Calls++
+			latency := 8 + random.IntN(2) // buckets of 256 ms and 512 ms
+			switch {
+			case random.Float64() < bad.failing:
+				c.Failures++
+			case random.Float64() < bad.slow:
+				latency += 3
+			}
+			c.Latency[latency]++
+		}
+		if at%(500*time.Millisecond) == 0 {
+			judge.ObserveEndpoints(now, []core.Endpoint{{Service: "s", Release: "v2", State: core.EndpointReady}})
+			if step, due := judge.Decide(now, move, reported); due {
+				move.State, move.Step, move.Share, move.SteppedAt, move.Cause = step.State, step.Step, step.Share, now, step.Cause
+			}
+			reported = []core.EvidenceCount{*counts["v1"], *counts["v2"]}
+		}
+	}
+	return move, newCalls, allCalls
+}
+
+// Guards against good releases that are taken back, and against bad ones of each kind that are done by time because the move is
+// short; a bad one must meet at most a tenth of the calls and 50 more.
+func TestBriefMoves(t *testing.T) {
+	c := qt.New(t)
+	taken := 0
+	for _, test := range []struct {
+		name    string
+		release briefRelease
+		good    bool
+	}{
+		{name: "good", good: true},
+		{name: "fails", release: briefRelease{failing: 0.5}},
+		{name: "fails seldom", release: briefRelease{failing: 0.15}},
+		{name: "slow", release: briefRelease{slow: 0.32}},
+		{name: "slow and failing a little", release: briefRelease{slow: 0.14, failing: 0.10}},
+		{name: "late", release: briefRelease{failing: 0.5, after: 3 * time.Second}},
+		{name: "under load", release: briefRelease{failing: 0.5, from: 250}},
+	} {
+		for seed := range uint64(200) {
+			move, newCalls, allCalls := replayBrief(seed, test.release)
+			comment := qt.Commentf("%s, seed %d: %s (%s), %d of %d calls", test.name, seed, move.State, move.Cause, newCalls, allCalls)
+			if test.good {
+				taken += lo.Ternary(move.State == core.MoveDone, 0, 1)
+				continue
+			}
+			c.Assert(move.State, qt.Equals, core.MoveTakenBack, comment)
+			c.Assert(newCalls <= 14*130/10+50, qt.IsTrue, comment)
+		}
+	}
+	c.Assert(taken <= 4, qt.IsTrue, qt.Commentf("%d of 200 good releases were not done", taken))
+}
+
+// Guards against a move that is done although nothing was reported of the new release.
+func TestBriefMoveWithoutEvidenceExpires(t *testing.T) {
+	c := qt.New(t)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	move := core.Move{
+		MoveID:    "m1",
+		Request:   core.MoveRequest{Service: "s", To: "v2", Deadline: start.Add(14 * time.Second)},
+		State:     core.MoveProposed,
+		StartedAt: start,
+	}
+	judge := rollout.NewBrief(move, "v2")
+	judge.ObserveEndpoints(start, []core.Endpoint{{Service: "s", Release: "v2", State: core.EndpointReady}})
+	for at := start; !rollout.IsFinal(move.State); at = at.Add(200 * time.Millisecond) {
+		if step, due := judge.Decide(at, move, nil); due {
+			move.State, move.Step, move.Share, move.SteppedAt = step.State, step.Step, step.Share, at
+		}
+	}
+	c.Assert(move.State, qt.Equals, core.MoveExpired)
+	c.Assert(move.Share, qt.Equals, core.PerMille(0))
+}
--- /dev/null
+++ b/io/backendhttp/answers_test.go
@@ -0,0 +1,81 @@
+package backendhttp
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+)
+
+// Guards against a call that reaches a backend server of another service or release, because its entry node chose the node
+// before the backend server beside it was replaced.
+func TestCallForAnotherReleaseIsNotRun(t *testing.T) {
+	c := qt.New(t)
+	f := start(t)
+	c.Assert(f.Announce(ready("r1")), qt.IsNil)
+	for _, wrong := range []core.Call{{Service: "orders", Release: "v2"}, {Service: "looms", Release: "v1"}} {
+		call := callFor("")
+		call.Service, call.Release = wrong.Service, wrong.Release
+		_, outcome, err := f.handle(c, call)
+		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+		c.Assert(causeOf(err), qt.Equals, core.CauseNoBackend)
+	}
+	c.Assert(f.backend.runs.Load(), qt.Equals, int64(0))
+}
+
+// Guards against the answer of an earlier call that is delivered to a later one, and against a call that is taken for run
+// though the backend server says that it has not run it.
+func TestAnswersBelongToTheirCalls(t *testing.T) {
+	c := qt.New(t)
+	stray := "HTTP/1.1 200 OK\r\nParsleyport-Call-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
+	own := "HTTP/1.1 200 OK\r\nParsleyport-Call-Id: x\r\nContent-Length: 5\r\n\r\nright"
+	for _, test := range []struct {
+		answer  string
+		outcome core.Outcome
+		cause   core.RefusalCause
+		body    string
+	}{
+		{answer: own, outcome: core.OutcomeAnswered, body: "right"},
+		{answer: stray + own, outcome: core.OutcomeAnswered, body: "right"},
+		{answer: stray, outcome: core.OutcomeUnknown},
+		{answer: notRun(http.StatusServiceUnavailable), outcome: core.OutcomeNotRun, cause: core.CauseOverloaded},
+		{answer: notRun(http.StatusMisdirectedRequest), outcome: core.OutcomeNotRun, cause: core.CauseMisdirected},
+	} {
+		f := start(t)
+		f.backend.respond = func(conn net.Conn, _ *http.Request) {
+			fmt.Fprint(conn, test.answer)
+			_ = conn.Close()
+		}
+		c.Assert(f.Announce(ready("r1")), qt.IsNil)
+		body, outcome, err := f.handle(c, callFor(""))
+		c.Assert(outcome, qt.Equals, test.outcome, qt.Commentf("%q: %v", test.answer, err))
+		c.Assert(body, qt.Equals, test.body)
+		c.Assert(causeOf(err), qt.Equals, test.cause)
+	}
+}
+
+func notRun(status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nParsleyport-Call-Id: x\r\nParsleyport-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno", status, http.StatusText(status))
+}
+
+// Guards against an answer without a length that is refused where the end of the connection is its end, and against one that is
+// taken for whole where it may be a crash.
+func TestUnframedAnswersAreWholeOnlyIfAllowed(t *testing.T) {
+	c := qt.New(t)
+	for _, allowed := range []bool{false, true} {
+		f := start(t)
+		f.options.AllowUnframed = allowed
+		f.backend.respond = func(conn net.Conn, _ *http.Request) {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			_ = conn.Close()
+		}
+		c.Assert(f.Announce(ready("r1")), qt.IsNil)
+		body, _, err := f.handle(c, callFor(""))
+		c.Assert(body, qt.Equals, "whole")
+		c.Assert(err == nil, qt.Equals, allowed, qt.Commentf("%v", err))
+	}
+}
--- a/io/backendhttp/backendhttp_test.go
+++ b/io/backendhttp/backendhttp_test.go
@@ -101,7 +101,7 @@
 }
 
 func callFor(body string) *core.Call {
-	return &core.Call{ID: "x", Service: "orders", Method: "POST", Target: "/a?b=c", Host: "h", Body: []byte(body), Deadline: time.Now().Add(2 * time.Second)}
+	return &core.Call{ID: "x", Service: "orders", Release: "v1", Method: "POST", Target: "/a?b=c", Host: "h", Body: []byte(body), Deadline: time.Now().Add(2 * time.Second)}
 }
 
 func (f *fixture) handle(c *qt.C, call *core.Call) (string, core.Outcome, error) {
--- a/io/control/moves.go
+++ b/io/control/moves.go
@@ -129,5 +129,5 @@
 		return
 	}
 	m.log.Info().Str("event", "move-stepped").Str("move", string(step.MoveID)).Str("state", string(step.State)).
-		Uint32("share-per-mille", uint32(step.Share)).Str("cause", step.Cause).Msg("move stepped")
+		Uint32("share-per-mille", uint32(step.Share)).Str("cause", step.Cause).Str("evidence", step.Evidence).Msg("move stepped")
 }
