--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -157,6 +157,7 @@
 func (n *Node) expire() {
 	switch {
 	case n.role == Leader && !n.now.Before(n.quorumContact().Add(ElectionTimeout)):
+		n.announceStepDown()
 		n.fire(onQuorumLost)
 		n.leave()
 	case n.now.Before(n.timeout):
@@ -175,6 +176,24 @@
 	}
 }
 
+// announceStepDown lets the members on this side of a partition know at once that they have no leader.
+func (n *Node) announceStepDown() {
+	for _, member := range n.current().members {
+		if member.Peer != n.self {
+			n.send(member.Peer, Message{
+				Kind: KindStepDown,
+				Term: n.hard.Term,
+			})
+		}
+	}
+}
+
+func (n *Node) receiveStepDown(m Message) {
+	if m.Term == n.hard.Term && m.From == n.leader {
+		n.leader = Peer{}
+	}
+}
+
 func (n *Node) fire(event statechart.Event) {
 	next, err := roles.Next(n.role, event)
 	if err != nil {
@@ -229,6 +248,8 @@
 		n.receiveChunkAnswer(m)
 	case KindElect:
 		n.receiveElect(m)
+	case KindStepDown:
+		n.receiveStepDown(m)
 	default:
 		n.receiveRequest(m)
 	}
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -49,8 +49,9 @@
 	lostChildAge = subtreeGrace
 
 	// leaderlessLimit is how long a control instance may know no leader before its children look for another one. An election
-	// takes up to 1.5 s; children that leave during a slow one find that the others know no leader either.
-	leaderlessLimit = 1500 * time.Millisecond
+	// takes about half as long once the leader is missed; children that leave during a slow one find that the others know no
+	// leader either, and stay with one of them.
+	leaderlessLimit = 700 * time.Millisecond
 	// staleLinkLimit is how long a node stays with a control instance without a leader, if it found no better one, before it looks again.
 	staleLinkLimit = 30 * time.Second
 
--- a/io/distribution/parent.go
+++ b/io/distribution/parent.go
@@ -112,7 +112,7 @@
 	if s.staleFrom < 0 {
 		s.staleFrom = s.attach.turn
 	}
-	if len(message.Path) > 0 || s.attach.turn-s.staleFrom >= len(s.options.ControlAddresses) {
+	if len(message.Path) > 0 || s.attach.turn-s.staleFrom >= len(s.attach.allTargets()) {
 		return nil
 	}
 	return errors.Errorf("control instance %q knows no leader", message.Control)
