--- a/core/limiter/aim.go
+++ b/core/limiter/aim.go
@@ -62,8 +62,13 @@
 	return !r.Aim.IsZero() && r.Aim.Sub(now).Seconds() >= inTimePart*l.serviceOf(r.Class)
 }
 
-// sooner orders calls: more important ones, those that can be in time, then the earlier aim or deadline. With newest, calls
-// that can be in time go in the opposite order.
+// latestStart is when a call has to start to be answered by its aim.
+func (l *Limiter) latestStart(r Request) time.Time {
+	return r.Aim.Add(-time.Duration(l.serviceOf(r.Class) * float64(time.Second)))
+}
+
+// sooner orders calls: more important ones, those that can be in time, and of these the ones with the least time to spare or,
+// with newest, the newest ones; calls of short and long routes get the same part of the slots then.
 func (l *Limiter) sooner(now time.Time, newest bool, a, b entry) bool {
 	if a.request.Priority != b.request.Priority {
 		return a.request.Priority > b.request.Priority
@@ -72,8 +77,11 @@
 	if inTime != l.inTime(now, b.request) {
 		return inTime
 	}
-	if inTime && !a.request.Aim.Equal(b.request.Aim) {
-		return a.request.Aim.Before(b.request.Aim) != newest
+	switch {
+	case inTime && newest:
+		return a.ticket > b.ticket
+	case inTime:
+		return l.latestStart(a.request).Before(l.latestStart(b.request))
 	}
 	return before(a, b)
 }
--- /dev/null
+++ b/io/callerhttp/calllog.go
@@ -0,0 +1,81 @@
+package callerhttp
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+
+	"parsleyport/core"
+)
+
+const (
+	// Lines about calls of each kind that are written in a second; the others are counted. A node has a few hundred calls a
+	// second, of which nearly all are answered at the first attempt.
+	answeredLines = 2
+	failedLines   = 25
+)
+
+// callLog writes one line for a call that was refused, failed, late or repeated, and for a few of the others.
+type callLog struct {
+	answered zerolog.Logger
+	failed   zerolog.Logger
+}
+
+func newCallLog(log zerolog.Logger, set *metrics.Set) callLog {
+	limited := func(kind string, lines uint32) zerolog.Logger {
+		return log.Sample(&countingSampler{
+			sampler: &zerolog.BurstSampler{
+				Burst:  lines,
+				Period: time.Second,
+			},
+			leftOut: set.GetOrCreateCounter(`parsleyport_caller_log_lines_left_out_total{kind="` + kind + `"}`),
+		})
+	}
+	return callLog{
+		answered: limited("answered", answeredLines),
+		failed:   limited("failed", failedLines),
+	}
+}
+
+// countingSampler counts the lines that a sampler leaves out.
+type countingSampler struct {
+	sampler zerolog.Sampler
+	leftOut *metrics.Counter
+}
+
+// Sample implements zerolog.Sampler.
+func (s *countingSampler) Sample(level zerolog.Level) bool {
+	kept := s.sampler.Sample(level)
+	if !kept {
+		s.leftOut.Inc()
+	}
+	return kept
+}
+
+// write describes the end of a call: what was decided, by which configuration and endpoint, and how old the knowledge of the
+// endpoint's load was.
+func (l callLog) write(q *request, last result, status int) {
+	now := time.Now()
+	late := !q.call.Aim.IsZero() && now.After(q.call.Aim)
+	log, plain := l.failed, last.outcome == core.OutcomeAnswered && status < 500 && q.tries <= 1 && !late
+	if plain {
+		log = l.answered
+	}
+	event := log.Info()
+	if event == nil {
+		return
+	}
+	event.Str("event", "call").Str("call", string(q.call.ID)).Str("route", string(q.route.Name)).Str("service", string(q.route.Service)).
+		Uint64("revision", uint64(q.configuration.Revision())).Str("outcome", string(last.outcome)).Int("status", status).
+		Int("attempts", q.tries).Int64("took-ms", now.Sub(q.began).Milliseconds()).Int64("left-ms", q.call.Deadline.Sub(now).Milliseconds()).
+		Bool("late", late)
+	if last.endpoint.Node != "" {
+		event.Str("endpoint", string(last.endpoint.Node)).Str("release", string(last.release)).Int("running", last.load.Running).
+			Int("waiting", last.load.Waiting).Int("slots", last.load.Limit).Int64("service-ms", last.load.Service.Milliseconds())
+	}
+	if last.err != nil {
+		event.Str("cause", string(causeOf(last.err))).Str("detail", last.err.Error())
+	}
+	event.Msg("call ended")
+}
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -35,6 +35,7 @@
 	attempts      retry.Attempts
 	began         time.Time
 	weights       []core.Weight
+	tries         int  // attempts, those that met no backend server included
 	refusals      int  // for overload, after which the call was offered elsewhere
 	waiting       bool // is counted among the calls that wait for an endpoint
 }
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -108,11 +108,12 @@
 func (s *Server) deliver(ctx context.Context, w http.ResponseWriter, q *request, last result, recorder *recorder) {
 	switch last.outcome {
 	case core.OutcomeAnswered:
+		s.calls.write(q, last, last.answer.Status)
 		s.stream(ctx, w, q, last, recorder)
 	case core.OutcomeNotRun:
-		s.refuse(w, refusalOf(last.err))
+		s.calls.write(q, last, s.refuse(w, refusalOf(last.err)))
 	default:
-		s.unknown(w, q, last.release, last.err)
+		s.calls.write(q, last, s.unknown(w, q, last.release, last.err))
 	}
 }
 
@@ -241,6 +242,7 @@
 // place makes one attempt; it returns false if no endpoint is left.
 func (s *Server) place(ctx context.Context, q *request, earlier past) (result, bool) {
 	began := time.Now()
+	q.tries++
 	endpoint, found := s.choose(q, earlier, began)
 	if !found {
 		return result{
@@ -376,8 +378,8 @@
 	}
 }
 
-// refuse answers a call that was not run and never will be.
-func (s *Server) refuse(w http.ResponseWriter, refused *core.Refusal) {
+// refuse answers a call that was not run and never will be, and returns the status.
+func (s *Server) refuse(w http.ResponseWriter, refused *core.Refusal) int {
 	s.outcomes[core.OutcomeNotRun].Inc()
 	s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_refusals_total{cause="` + string(knownCause(refused.Cause)) + `"}`).Inc()
 	set(w.Header(), s.options.Headers.Outcome, string(core.OutcomeNotRun))
@@ -387,6 +389,7 @@
 		w.Header().Set("Retry-After", s.options.RetryAfter(refused))
 	}
 	http.Error(w, refused.Error(), status)
+	return status
 }
 
 // statusOf tells a call that can succeed later, or elsewhere, from one that is wrong in itself.
@@ -414,7 +417,7 @@
 	return "other"
 }
 
-func (s *Server) unknown(w http.ResponseWriter, q *request, release core.Release, err error) {
+func (s *Server) unknown(w http.ResponseWriter, q *request, release core.Release, err error) int {
 	s.outcomes[core.OutcomeUnknown].Inc()
 	status := http.StatusBadGateway
 	if !time.Now().Before(q.call.Deadline) {
@@ -425,4 +428,5 @@
 		set(w.Header(), s.options.Headers.Release, string(release))
 	}
 	http.Error(w, "outcome unknown: "+err.Error(), status)
+	return status
 }
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -94,6 +94,7 @@
 	waiting waiting
 	closed  bool
 
+	calls     callLog
 	hedges    *metrics.Counter
 	hedgesWon *metrics.Counter
 	retries   *metrics.Counter
@@ -142,6 +143,7 @@
 	s := &Server{
 		options:   options,
 		listener:  listener,
+		calls:     newCallLog(options.Logger, options.Metrics),
 		budgets:   make(map[core.ServiceName]*retry.Budget),
 		hedging:   make(map[core.ServiceName]*retry.Hedging),
 		hedges:    options.Metrics.GetOrCreateCounter("parsleyport_caller_hedges_total"),
