--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -121,7 +121,7 @@
 	if m.endpoint.DataCentre != b.options.DataCentre {
 		halfLife = remoteHalfLife
 	}
-	m.observeLoad(now, result.Load, halfLife)
+	m.observeLoad(now, result.Route, result.Load, halfLife)
 	if result.Unneeded {
 		if result.Latency.Seconds() > m.latency {
 			m.observeLatency(now, result.Latency) // it would have taken even longer
--- a/core/balancer/expected.go
+++ b/core/balancer/expected.go
@@ -34,17 +34,32 @@
 	at          time.Time
 	outstanding int // calls of this node in the report
 	halfLife    time.Duration
+	routes      map[core.RouteName]time.Duration // usual times in a slot
 }
 
-func (m *member) observeLoad(now time.Time, load core.Load, halfLife time.Duration) {
+// maxRoutes bounds the routes whose times are known of one endpoint.
+const maxRoutes = 256
+
+func (m *member) observeLoad(now time.Time, route core.RouteName, load core.Load, halfLife time.Duration) {
 	if load.Limit == 0 {
 		return
 	}
+	routes := m.load.routes
+	if routes == nil {
+		routes = make(map[core.RouteName]time.Duration)
+	}
+	if len(routes) >= maxRoutes {
+		clear(routes)
+	}
+	if load.Route > 0 && route != "" {
+		routes[route] = load.Route
+	}
 	m.load = reportedLoad{
 		Load:        load,
 		at:          now,
 		outstanding: m.outstanding,
 		halfLife:    halfLife,
+		routes:      routes,
 	}
 }
 
@@ -71,11 +86,15 @@
 
 // expect works out the time to an answer. A call waits for its turn among those that exceed the slots, and takes longer at a
 // backend server that is nearly full, cold or failing.
-func (m *member) expect(now time.Time, usual time.Duration) expectation {
+func (m *member) expect(now time.Time, route core.RouteName, usual time.Duration) expectation {
 	service := m.load.Service
 	if service == 0 {
 		service = usual
 	}
+	own := service
+	if known, exists := m.load.routes[route]; exists {
+		own = known
+	}
 	slots, before := m.slots(), m.inFlight(now)
 	filled := min(1, (before+1)/slots)
 	slowed := (1 + fullPenalty*math.Pow(filled, 3)) * (1 + failureCost*m.failureRate())
@@ -84,7 +103,7 @@
 	}
 	return expectation{
 		wait:    time.Duration(max(0, before+1-slots) / slots * float64(service)),
-		service: time.Duration(float64(service) * slowed),
+		service: time.Duration(float64(own) * slowed),
 	}
 }
 
@@ -96,8 +115,8 @@
 	local, remote := lo.FilterReject(usable, func(m *member, _ int) bool {
 		return m.endpoint.DataCentre == b.options.DataCentre
 	})
-	near, nearAt := b.soonest(now, local, usual)
-	far, farAt := b.soonest(now, remote, usual)
+	near, nearAt := b.soonest(now, request.Route, local, usual)
+	far, farAt := b.soonest(now, request.Route, remote, usual)
 	switch {
 	case near == nil && request.NoRoom && farAt.wait > 0:
 		return nil
@@ -124,7 +143,7 @@
 
 // soonest draws one of a few members, the more likely the sooner its answer is expected. Without chance, all nodes would see the
 // same reports and take the same endpoint, and one that is a little slower would get no calls until the others are full.
-func (b *Balancer) soonest(now time.Time, members []*member, usual time.Duration) (*member, expectation) {
+func (b *Balancer) soonest(now time.Time, route core.RouteName, members []*member, usual time.Duration) (*member, expectation) {
 	if len(members) == 0 {
 		return nil, expectation{}
 	}
@@ -134,7 +153,7 @@
 	times := make([]expectation, len(members))
 	weights, sum := make([]float64, len(members)), 0.0
 	for i, m := range members {
-		times[i] = m.expect(now, usual)
+		times[i] = m.expect(now, route, usual)
 		weights[i] = math.Pow(1/max(times[i].total().Seconds(), shortestTotal.Seconds()), expectedPower)
 		sum += weights[i]
 	}
--- a/core/call.go
+++ b/core/call.go
@@ -73,6 +73,7 @@
 	Waiting int           // calls that wait for one
 	Limit   int           // calls that may run at the same time
 	Service time.Duration // average time for which a call holds a slot, zero if not known
+	Route   time.Duration // the same for calls of the route of the call that the report answers
 }
 
 // Answer is a backend server's answer; Body returns io.EOF only after length and checksum were verified.
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -70,6 +70,7 @@
 type PickRequest struct {
 	Call    CallID
 	Service ServiceName
+	Route   RouteName
 	Release Release
 	Tried   []NodeID
 	Session string // sticky session, empty if none
@@ -82,6 +83,7 @@
 // PickResult is what an attempt showed about its endpoint.
 type PickResult struct {
 	Endpoint Endpoint
+	Route    RouteName
 	Outcome  Outcome
 	Failed   bool // the backend server failed; a refusal by the limiter is no failure
 	Unneeded bool // it was cancelled after Latency, or was a hedge that could not start
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -141,13 +141,14 @@
 	return max(1, int(l.limit))
 }
 
-// Load describes the running and waiting calls.
-func (l *Limiter) Load() core.Load {
+// Load describes the running and waiting calls, and how long calls of a class usually take.
+func (l *Limiter) Load(class core.RouteName) core.Load {
 	return core.Load{
 		Running: len(l.running),
 		Waiting: l.waiting,
 		Limit:   l.Limit(),
 		Service: time.Duration(l.average * float64(time.Second)),
+		Route:   time.Duration(l.serviceOf(class) * float64(time.Second)),
 	}
 }
 
--- a/io/backendhttp/admission.go
+++ b/io/backendhttp/admission.go
@@ -15,8 +15,8 @@
 	Acquire(ctx context.Context, call *core.Call) (release func(Ending), refusal *core.Refusal)
 	// SetSlots states how many calls the backend server runs at the same time.
 	SetSlots(slots int)
-	// Load describes the calls that run and wait.
-	Load() core.Load
+	// Load describes the calls that run and wait, and how long those of a route usually take.
+	Load(route core.RouteName) core.Load
 }
 
 // Ending says how a call at the backend server ended.
@@ -67,7 +67,7 @@
 }
 
 // Load implements Admission.
-func (q *queue) Load() core.Load {
+func (q *queue) Load(core.RouteName) core.Load {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return core.Load{
@@ -75,6 +75,7 @@
 		Waiting: len(q.waiting),
 		Limit:   q.slots,
 		Service: q.duration,
+		Route:   q.duration,
 	}
 }
 
--- a/io/backendhttp/backendhttp_test.go
+++ b/io/backendhttp/backendhttp_test.go
@@ -131,7 +131,7 @@
 	return func(ending Ending) { *e = append(*e, ending) }, nil
 }
 
-func (e *endings) Load() core.Load { return core.Load{} }
+func (e *endings) Load(core.RouteName) core.Load { return core.Load{} }
 
 func (e *endings) SetSlots(int) {}
 
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -31,9 +31,9 @@
 	var refusal *core.Refusal
 	switch {
 	case answer != nil:
-		answer.Load = s.admission.Load()
+		answer.Load = s.admission.Load(call.Route)
 	case errors.As(err, &refusal):
-		refusal.Load = s.admission.Load()
+		refusal.Load = s.admission.Load(call.Route)
 	}
 	return answer, outcome, err
 }
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -38,6 +38,7 @@
 			endpoint, found := s.options.Picker.Pick(now, core.PickRequest{
 				Call:    q.call.ID,
 				Service: q.route.Service,
+				Route:   q.route.Name,
 				Release: chosen.release,
 				Tried:   past.triedOf(candidates),
 				Session: q.session,
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -310,6 +310,7 @@
 	failed = failed && !callerGone
 	s.options.Picker.Done(time.Now(), core.PickResult{
 		Endpoint: last.endpoint,
+		Route:    q.route.Name,
 		Outcome:  last.outcome,
 		Failed:   failed,
 		Latency:  last.latency,
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -14,6 +14,7 @@
 	"parsleyport/core"
 	"parsleyport/core/catalog"
 	"parsleyport/core/raft"
+	"parsleyport/io/adminhttp"
 	"parsleyport/io/disk"
 	"parsleyport/io/distribution"
 	"parsleyport/io/operatorhttp"
@@ -92,6 +93,9 @@
 		}
 		p.cleanups = append(p.cleanups, cleanup)
 	}
+	if err := p.startAdmin(replica); err != nil {
+		return err
+	}
 	p.startMover(injector)
 	p.startBackfill(injector)
 	p.startCatchUp(injector)
@@ -126,6 +130,24 @@
 	}
 }
 
+func (p *process) startAdmin(replica *raftpeer.Replica) error {
+	if p.settings.AdminAddress == "" {
+		return nil
+	}
+	cleanup, err := adminhttp.New(adminhttp.Options{
+		Address: p.settings.AdminAddress,
+		Ready:   func() bool { return replica.Status().Leader != "" },
+		State:   func() any { return replica.Status() },
+		Metrics: p.metrics,
+		Logger:  p.log,
+	})
+	if err != nil {
+		return err
+	}
+	p.cleanups = append(p.cleanups, cleanup)
+	return nil
+}
+
 func raftMembers(members []settings.Member) []raftpeer.Member {
 	return lo.Map(members, func(m settings.Member, _ int) raftpeer.Member {
 		return raftpeer.Member{
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -75,10 +75,10 @@
 }
 
 // Load implements backendhttp.Admission.
-func (a *admission) Load() core.Load {
+func (a *admission) Load(route core.RouteName) core.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.limiter.Load()
+	return a.limiter.Load(route)
 }
 
 // SetSlots implements backendhttp.Admission.
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -93,6 +93,7 @@
 
 	Running, Waiting, Limit int
 	ServiceUS               int64
+	RouteUS                 int64
 }
 
 func loadOf(load core.Load) loadMessage {
@@ -101,12 +102,13 @@
 		Waiting:   load.Waiting,
 		Limit:     load.Limit,
 		ServiceUS: load.Service.Microseconds(),
+		RouteUS:   load.Route.Microseconds(),
 	}
 }
 
 // load leaves out what no node can mean.
 func (m loadMessage) load() core.Load {
-	if m.Running < 0 || m.Waiting < 0 || m.Limit < 0 || m.ServiceUS < 0 || m.ServiceUS > maxServiceUS {
+	if m.Running < 0 || m.Waiting < 0 || m.Limit < 0 || m.ServiceUS < 0 || m.ServiceUS > maxServiceUS || m.RouteUS < 0 || m.RouteUS > maxServiceUS {
 		return core.Load{}
 	}
 	return core.Load{
@@ -114,6 +116,7 @@
 		Waiting: m.Waiting,
 		Limit:   m.Limit,
 		Service: time.Duration(m.ServiceUS) * time.Microsecond,
+		Route:   time.Duration(m.RouteUS) * time.Microsecond,
 	}
 }
 
--- a/io/settings/control.go
+++ b/io/settings/control.go
@@ -29,6 +29,7 @@
 	OperatorAddress string
 	PeerAddress     string
 	NodeAddress     string
+	AdminAddress    string // another address for metrics, empty for none but the operators' one
 	Bootstrap       bool
 	Members         []Member
 	TokenFile       string // empty if operators need no token
