--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -22,7 +22,8 @@
 	silenceLimit = 3 * pingInterval
 	writeTimeout = silenceLimit
 	helloTimeout = time.Second
-	dialTimeout  = 2 * time.Second
+	// dialTimeout is a few times the longest way between regions; an instance without power answers nothing.
+	dialTimeout  = 700 * time.Millisecond
 	finalTimeout = 500 * time.Millisecond
 	tickInterval = 200 * time.Millisecond
 
@@ -60,7 +61,7 @@
 	// assignedWindow is how long a redirected node counts as a child of the relay that it was sent to.
 	assignedWindow = 5 * time.Second
 	// homePause is how long a node stays with a control instance of another data centre after an attempt to attach in its own.
-	homePause = 15 * time.Second
+	homePause = 5 * time.Second
 
 	maxDirectPerDataCentre = 2
 	maxDirectChildren      = 128 // 64 data centres
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -53,6 +53,8 @@
 	hub       *hub
 	logger    zerolog.Logger
 	attach    *attachment
+	conn      *frame.Conn // to the parent; guarded by hub.mu, as goesHome is
+	goesHome  bool        // the link was closed to attach in the own data centre
 	newest    atomic.Pointer[record.Configuration]
 	uses      atomic.Pointer[map[core.ServiceName]*lastUse] // replaced as a whole, with hub.mu held
 	confirmed chan struct{}
@@ -124,6 +126,7 @@
 }
 
 func (s *Subscriber) tick(now time.Time) {
+	s.considerHome()
 	s.expireUses(now)
 	s.hub.expireLinger(now)
 }
@@ -142,6 +145,18 @@
 	}
 }
 
+// considerHome ends a link to a control instance of another data centre if the own one has some by now; hub.mu is held.
+func (s *Subscriber) considerHome() {
+	if !s.hub.attached || s.hub.stale || s.conn == nil {
+		return
+	}
+	if home, elsewhere := s.attach.goHome(accept{Path: s.hub.path, Controls: s.hub.controls}); elsewhere {
+		s.attach.homes = home.Addresses
+		s.goesHome = true
+		_ = s.conn.Close()
+	}
+}
+
 // checkPath refuses a parent that is this node or below it.
 func (s *Subscriber) checkPath(message accept) error {
 	if slices.Contains(message.Path, s.options.ID) || len(message.Path) > maxPath {
@@ -158,7 +173,7 @@
 	if !s.awaySince.IsZero() {
 		u.awayMS = time.Since(s.awaySince).Milliseconds()
 	}
-	s.parent = address
+	s.parent, s.conn, s.goesHome = address, conn, false
 	s.hub.attached = true
 	s.hub.releaseUnwanted()
 	if s.hub.stale && len(s.hub.path) == 0 {
@@ -173,7 +188,10 @@
 	err := s.hub.runUplink(ctx, u, func() error { return s.receive(u) })
 
 	s.hub.mu.Lock()
-	s.parent = ""
+	s.parent, s.conn = "", nil
+	if s.goesHome {
+		err = errGoHome
+	}
 	s.hub.attached = false
 	s.hub.confirmer.abandon()
 	s.awaySince = time.Now()
