--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -35,6 +35,10 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.refusing.Load() {
+		s.refuse(w, refusal(core.CauseLeaving, "node stops"))
+		return
+	}
 	defer s.active.Add(-1)
 	if s.active.Add(1) > maxRequests {
 		s.refuse(w, refusal(core.CauseQueueFull, ""))
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -73,6 +73,7 @@
 	RetryAfter       func(*core.Refusal) string
 	RefusalTries     int           // endpoints that a call is offered after a refusal for overload, at no cost; zero for the usual attempts
 	Linger           time.Duration // for which a draining server waits for its callers to leave, zero for 1 s
+	RefusingLinger   time.Duration // after that, in which it still listens but refuses calls, since they might not end in time
 	Logger           zerolog.Logger
 	Metrics          *metrics.Set
 }
@@ -84,6 +85,7 @@
 	http     *http.Server
 	tasks    sync.WaitGroup
 	leaving  atomic.Bool
+	refusing atomic.Bool
 	open     atomic.Int64 // callers' connections
 	active   atomic.Int64 // requests in progress
 	bodies   atomic.Int64 // bytes of request bodies in memory
@@ -217,5 +219,11 @@
 			return ctx.Err()
 		}
 	}
+	s.refusing.Store(s.options.RefusingLinger > 0)
+	select {
+	case <-time.After(s.options.RefusingLinger):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	return s.http.Shutdown(ctx)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -39,6 +39,7 @@
 	BackendLease     time.Duration // for which an announcement holds
 	AllowUnframed    bool          // see backendhttp.Options
 	DrainLinger      time.Duration // for which a planned stop goes on taking callers who have not noticed it
+	RefusingLinger   time.Duration // after that, in which new calls are refused
 	DrainLimit       time.Duration // of a whole planned stop
 	EvidenceEvery    time.Duration // between two reports of evidence about open moves
 }
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -182,6 +182,7 @@
 		RefusalTries:     p.options.RefusalTries,
 		RetryAfter:       p.options.RetryAfter,
 		Linger:           p.options.DrainLinger,
+		RefusingLinger:   p.options.RefusingLinger,
 		Logger:           p.log,
 		Metrics:          p.metrics,
 	})
