--- a/core/limiter/aim.go
+++ b/core/limiter/aim.go
@@ -14,12 +14,15 @@
 
 const (
 	// hopelessPart of the usual time is the least that a call needs to be started: calls of one route differ in length.
-	hopelessPart = 0.5
+	hopelessPart = 0.8
 	// inTimePart of the usual time has to be left until the aim of a call that can still be in time.
 	inTimePart = 1.25
 	// lifoPart of the slots may be waited for by calls that can be in time before the newest of them go first: the oldest ones
 	// would start with too little time, one after the other, and all would be late.
 	lifoPart = 0.5
+	// crowdedPart of the slots may be waited for by calls that can be in time before all others are refused: as long as more
+	// such calls come, the others would be held until their deadlines.
+	crowdedPart = 1.0
 	// crowdedEvery is how often the waiting calls are looked at for those that later, more important ones leave no time.
 	crowdedEvery = 50 * time.Millisecond
 	// classWeight is the weight of one sample in the usual time of a class, and classSamples how many it needs.
@@ -103,6 +106,10 @@
 
 // newestFirst reports whether more calls wait that can be in time than will be.
 func (l *Limiter) newestFirst(now time.Time) bool {
+	return float64(l.waitingInTime(now)) > lifoPart*float64(l.Limit())
+}
+
+func (l *Limiter) waitingInTime(now time.Time) int {
 	inTime := 0
 	for _, t := range l.tenants {
 		for _, waiting := range t.waiting {
@@ -111,11 +118,14 @@
 			}
 		}
 	}
-	return float64(inTime) > lifoPart*float64(l.Limit())
+	return inTime
 }
 
 // crowdedOut reports whether the calls that would be served before an arriving one leave it no time.
 func (l *Limiter) crowdedOut(now time.Time, added entry) bool {
+	if l.isCrowded(now) && !l.inTime(now, added.request) {
+		return true
+	}
 	ahead, newest := 0, l.newestFirst(now)
 	for _, t := range l.tenants {
 		for _, waiting := range t.waiting {
@@ -127,6 +137,11 @@
 	return l.startsTooLate(now, added.request, ahead)
 }
 
+// isCrowded reports whether calls that can be in time are enough for all slots.
+func (l *Limiter) isCrowded(now time.Time) bool {
+	return float64(l.waitingInTime(now)) > crowdedPart*float64(l.Limit())
+}
+
 // startsTooLate reports whether a call with so many others ahead is hopeless by the time it gets its slot.
 func (l *Limiter) startsTooLate(now time.Time, r Request, ahead int) bool {
 	if len(l.running) < l.Limit() {
@@ -153,10 +168,10 @@
 		}
 		return 1
 	})
-	crowded := make(map[Ticket]bool)
+	crowded, full := make(map[Ticket]bool), l.isCrowded(now)
 	ahead := 0
 	for _, e := range waiting {
-		if l.startsTooLate(now, e.request, ahead) {
+		if full && !l.inTime(now, e.request) || l.startsTooLate(now, e.request, ahead) {
 			crowded[e.ticket] = true
 		} else {
 			ahead++
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -85,6 +85,9 @@
 	aim := time.Time{}
 	if route.TargetLatencyMS > 0 {
 		aim = now.Add(time.Duration(route.TargetLatencyMS) * time.Millisecond)
+		if numbers.remaining >= 0 {
+			aim = aim.Add(-s.usedBefore(route.Name, now, numbers.remaining))
+		}
 	}
 	call := s.callOf(r, configuration, route, deadline, numbers.depth+1)
 	call.Aim = aim
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -90,11 +90,12 @@
 	active   atomic.Int64 // requests in progress
 	bodies   atomic.Int64 // bytes of request bodies in memory
 
-	mu      sync.Mutex // guards the fields up to closed
-	budgets map[core.ServiceName]*retry.Budget
-	hedging map[core.ServiceName]*retry.Hedging
-	waiting waiting
-	closed  bool
+	mu       sync.Mutex // guards the fields up to closed
+	budgets  map[core.ServiceName]*retry.Budget
+	hedging  map[core.ServiceName]*retry.Hedging
+	patience map[core.RouteName]*patience
+	waiting  waiting
+	closed   bool
 
 	calls     callLog
 	hedges    *metrics.Counter
@@ -148,6 +149,7 @@
 		calls:     newCallLog(options.Logger, options.Metrics),
 		budgets:   make(map[core.ServiceName]*retry.Budget),
 		hedging:   make(map[core.ServiceName]*retry.Hedging),
+		patience:  make(map[core.RouteName]*patience),
 		hedges:    options.Metrics.GetOrCreateCounter("parsleyport_caller_hedges_total"),
 		retries:   options.Metrics.GetOrCreateCounter("parsleyport_caller_retries_total"),
 		aborted:   options.Metrics.GetOrCreateCounter("parsleyport_caller_answers_aborted_total"),
