--- a/core/balancer/expected.go
+++ b/core/balancer/expected.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -13,7 +14,7 @@
 	// loadHalfLife is how fast a report of other nodes' calls loses weight: about the time of a few calls.
 	loadHalfLife = 500 * time.Millisecond
 	// remoteHalfLife is longer: few calls go to another data centre, and each one that finds it full has cost its bytes.
-	remoteHalfLife = 2 * time.Second
+	remoteHalfLife = 10 * time.Second
 	// expectedChoices are compared of more endpoints than that: all nodes see the same reports, and would all take the best one.
 	expectedChoices = 6
 	// expectedPower makes an endpoint that takes twice as long eight times less likely.
@@ -24,6 +25,9 @@
 	coldService = 2.0
 	// fullPenalty is the part by which calls slow each other down at a backend server without a free slot.
 	fullPenalty = 0.5
+	// roomPart of the slots may be taken at an endpoint that gets calls of other data centres. What is known of it is older than
+	// that of endpoints nearby.
+	roomPart = 0.75
 	// unknownService is assumed where no endpoint of a service has reported how long its calls take.
 	unknownService = 50 * time.Millisecond
 )
@@ -80,6 +84,12 @@
 type expectation struct {
 	wait    time.Duration // for a slot
 	service time.Duration // in the slot
+	filled  float64       // part of the slots that are taken, this call included
+}
+
+// hasRoom reports whether a call of another data centre takes no other call's place.
+func (e expectation) hasRoom() bool {
+	return e.wait == 0 && e.filled <= roomPart
 }
 
 func (e expectation) total() time.Duration { return e.wait + e.service }
@@ -104,6 +114,7 @@
 	return expectation{
 		wait:    time.Duration(max(0, before+1-slots) / slots * float64(service)),
 		service: time.Duration(float64(own) * slowed),
+		filled:  filled,
 	}
 }
 
@@ -115,35 +126,31 @@
 	local, remote := lo.FilterReject(usable, func(m *member, _ int) bool {
 		return m.endpoint.DataCentre == b.options.DataCentre
 	})
-	near, nearAt := b.soonest(now, request.Route, local, usual)
-	far, farAt := b.soonest(now, request.Route, remote, usual)
-	switch {
-	case near == nil && request.NoRoom && farAt.wait > 0:
-		return nil
-	case near == nil:
-		return far
-	case far == nil || farAt.wait > 0:
-		return near
-	}
 	aim := request.Aim
 	if aim.IsZero() || now.After(aim) {
 		aim = request.Deadline
 	}
-	inTime := func(e expectation, until time.Time) bool { return until.IsZero() || !now.Add(e.total()).After(until) }
-	switch {
-	case inTime(nearAt, aim):
+	inTime := func(e expectation) bool { return aim.IsZero() || !now.Add(e.total()).After(aim) }
+	near, nearAt := b.soonest(now, request.Route, local, usual, inTime)
+	if near != nil && inTime(nearAt) {
 		return near
-	case inTime(farAt, aim):
+	}
+	far, farAt := b.soonest(now, request.Route, remote, usual, inTime)
+	switch {
+	case near == nil && request.NoRoom && !farAt.hasRoom():
+		return nil
+	case near == nil:
+		return far
+	case far != nil && farAt.hasRoom() && inTime(farAt):
 		return far
-	case inTime(nearAt, request.Deadline) || nearAt.total() <= farAt.total():
-		return near
 	}
-	return far
+	return near
 }
 
 // soonest draws one of a few members, the more likely the sooner its answer is expected. Without chance, all nodes would see the
 // same reports and take the same endpoint, and one that is a little slower would get no calls until the others are full.
-func (b *Balancer) soonest(now time.Time, route core.RouteName, members []*member, usual time.Duration) (*member, expectation) {
+// If the drawn one would be late, the best of them takes its place.
+func (b *Balancer) soonest(now time.Time, route core.RouteName, members []*member, usual time.Duration, inTime func(expectation) bool) (*member, expectation) {
 	if len(members) == 0 {
 		return nil, expectation{}
 	}
@@ -157,13 +164,18 @@
 		weights[i] = math.Pow(1/max(times[i].total().Seconds(), shortestTotal.Seconds()), expectedPower)
 		sum += weights[i]
 	}
-	point, last := b.random.Float64()*sum, len(members)-1
-	for i, weight := range weights[:last] {
+	drawn := len(members) - 1
+	point := b.random.Float64() * sum
+	for i, weight := range weights[:drawn] {
 		if point -= weight; point < 0 {
-			return members[i], times[i]
+			drawn = i
+			break
 		}
 	}
-	return members[last], times[last]
+	if !inTime(times[drawn]) {
+		drawn = slices.Index(weights, slices.Max(weights))
+	}
+	return members[drawn], times[drawn]
 }
 
 func (b *Balancer) sample(members []*member, n int) []*member {
--- a/io/callerhttp/patience.go
+++ b/io/callerhttp/patience.go
@@ -9,8 +9,8 @@
 const (
 	// patienceSpan is half the time for which the longest remaining time of a route's calls is remembered.
 	patienceSpan = 30 * time.Second
-	// patienceMargin is not counted as time that a caller has used: callers state whole milliseconds, and some are slow to send.
-	patienceMargin = 50 * time.Millisecond
+	// patienceSpread is the part by which the callers of one route may differ in the time that they start with.
+	patienceSpread = 0.2
 	maxPatience    = 4096
 )
 
@@ -21,7 +21,7 @@
 	until   time.Time        // end of this span
 }
 
-// used returns how long before this attempt the caller has begun.
+// used returns how long before this attempt the caller has begun, at least.
 func (p *patience) used(now time.Time, remaining time.Duration) time.Duration {
 	if now.After(p.until) {
 		p.longest[1] = p.longest[0]
@@ -31,10 +31,8 @@
 		p.longest[0], p.until = 0, now.Add(patienceSpan)
 	}
 	p.longest[0] = max(p.longest[0], remaining)
-	if used := max(p.longest[0], p.longest[1]) - remaining; used > patienceMargin {
-		return used
-	}
-	return 0
+	usual := (1 - patienceSpread) * float64(max(p.longest[0], p.longest[1]))
+	return max(0, time.Duration(usual)-remaining)
 }
 
 // usedBefore returns how long before this attempt the caller of a route has begun.
