--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -18,26 +18,30 @@
 const (
 	// briefRisk is the share for most of a brief move, if the request names none. A release that shows its fault only at a
 	// larger share meets a tenth of the calls then, since the larger shares last for a fifth of the time.
-	briefRisk core.PerMille = 70
+	briefRisk core.PerMille = 60
 	// briefWait lets the nodes learn of the move before its first share.
 	briefWait = 500 * time.Millisecond
-	// A brief move spends these parts of its time at the risk share, at a quarter and at a half; the rest is a margin for the
+	// A brief move spends these parts of its time at the risk share, at about a quarter and a half; the rest is a margin for the
 	// last step. Faults that come late or under load have to show before the last step, since no release is left after it.
 	briefRiskUntil    = 0.70
 	briefQuarterUntil = 0.79
 	briefHalfUntil    = 0.91
-	briefQuarter      = core.PerMille(250)
+	briefQuarter      = core.PerMille(200)
+	briefHalf         = core.PerMille(450)
 	// briefCalls of the new release have to be reported before each larger share.
 	briefCalls = 12
 	// briefAlarm is the probability that one comparison takes a release back which is as good as the old one.
 	briefAlarm = 1e-3
 	// briefDoubt keeps a share from growing. A good release that is not done in time can be moved to again, while a bad one that
 	// is done has no other beside it.
-	briefDoubt = 0.02
+	briefDoubt = 0.01
 	// briefFailures and briefSlow are the rates of the new release that are not yet worse than the old one's: failures of single
 	// calls, and the slow answers of backend servers that have just started.
 	briefFailures = 0.02
 	briefSlow     = 0.05
+	// briefHistory decisions, 1.6 s, tell the old release's rates of the moment, with briefWeight calls of its rates so far.
+	briefHistory = 8
+	briefWeight  = 10.0
 	// briefMinBad keeps a few unlucky calls from taking a move back.
 	briefMinBad = 3
 )
@@ -50,7 +54,8 @@
 	ready   int // backend servers of the new release that take calls
 	stage   uint64
 	began   time.Time
-	before  map[core.RouteName]briefPair // counts at the latest step
+	before  map[core.RouteName]briefPair   // counts at the latest step
+	history []map[core.RouteName]briefPair // of the latest decisions, oldest first
 }
 
 // briefCount has what was counted of one release.
@@ -59,8 +64,11 @@
 	latency         [core.LatencyBuckets]uint64
 }
 
+// briefPair has what was counted of both releases. The expectations say how many calls of the new release would have been bad at
+// the old one's rates at the same time: when a fault of something else meets both, the new release may have most of its calls.
 type briefPair struct {
-	old, new briefCount
+	old, new                       briefCount
+	expectedFailures, expectedSlow float64
 }
 
 // IsBrief reports whether a move needs a Brief in place of a Judge.
@@ -92,7 +100,7 @@
 	if IsFinal(move.State) {
 		return core.MoveStep{}, false
 	}
-	counted := b.sum(evidence)
+	counted := b.expect(b.sum(evidence))
 	if b.began.IsZero() || b.stage != move.Step {
 		b.began, b.stage, b.before = now, move.Step, counted
 	}
@@ -141,8 +149,8 @@
 	switch {
 	case move.Share < briefQuarter:
 		until, next = briefRiskUntil, briefQuarter
-	case move.Share < compareShare:
-		until, next = briefQuarterUntil, compareShare
+	case move.Share < briefHalf:
+		until, next = briefQuarterUntil, briefHalf
 	}
 	due := !now.Before(move.StartedAt.Add(time.Duration(float64(total) * until)))
 	if !due || totalOf(b.since(counted)).new.calls < briefCalls || b.ready == 0 {
@@ -173,12 +181,41 @@
 	return counted
 }
 
+// expect adds to the expectations what was counted since the latest decision.
+func (b *Brief) expect(counted map[core.RouteName]briefPair) map[core.RouteName]briefPair {
+	if len(b.history) > 0 {
+		oldest, latest := b.history[0], b.history[len(b.history)-1]
+		for route, pair := range counted {
+			added := float64(less(pair.new.calls, latest[route].new.calls))
+			window := pair.old.less(oldest[route].old)
+			pair.expectedFailures = latest[route].expectedFailures + added*blended(window.failures, window.calls, pair.old.failures, pair.old.calls)
+			pair.expectedSlow = latest[route].expectedSlow
+			if boundary, known := pair.old.boundary(); known {
+				pair.expectedSlow += added * blended(aboveBucket(window.latency, boundary), window.calls, aboveBucket(pair.old.latency, boundary), pair.old.calls)
+			}
+			counted[route] = pair
+		}
+	}
+	b.history = append(b.history, counted)
+	if len(b.history) > briefHistory {
+		b.history = b.history[1:]
+	}
+	return counted
+}
+
+// blended is the rate of a window, in which the rate of all calls counts as much as briefWeight calls.
+func blended(bad, calls, allBad, allCalls uint64) float64 {
+	return (float64(bad) + briefWeight*rateOf(allBad, allCalls)) / (float64(calls) + briefWeight)
+}
+
 // since returns what was counted since the latest step.
 func (b *Brief) since(counted map[core.RouteName]briefPair) map[core.RouteName]briefPair {
 	return lo.MapValues(counted, func(pair briefPair, route core.RouteName) briefPair {
 		return briefPair{
-			old: pair.old.less(b.before[route].old),
-			new: pair.new.less(b.before[route].new),
+			old:              pair.old.less(b.before[route].old),
+			new:              pair.new.less(b.before[route].new),
+			expectedFailures: pair.expectedFailures - b.before[route].expectedFailures,
+			expectedSlow:     pair.expectedSlow - b.before[route].expectedSlow,
 		}
 	})
 }
@@ -197,6 +234,8 @@
 	for _, pair := range counted {
 		total.old = total.old.plus(pair.old)
 		total.new = total.new.plus(pair.new)
+		total.expectedFailures += pair.expectedFailures
+		total.expectedSlow += pair.expectedSlow
 	}
 	return total
 }
@@ -217,14 +256,13 @@
 	slices.Sort(routes)
 	for _, route := range routes {
 		for _, pair := range []briefPair{counted[route], recent[route]} {
-			// Failures of all old calls tell more about the usual rate than those of the latest ones alone.
 			if cause, found := pair.worse(counted[route].old, alarm); found {
 				return fmt.Sprintf("route %q: %s", route, cause), true
 			}
 		}
 	}
 	for _, pair := range []briefPair{totalOf(counted), totalOf(recent)} {
-		if pair.failuresWorse(totalOf(counted).old, alarm) { // latency differs by route
+		if pair.failuresWorse(alarm) { // latency differs by route
 			return "all routes: failures", true
 		}
 	}
@@ -232,7 +270,7 @@
 }
 
 func (p briefPair) worse(usual briefCount, alarm float64) (string, bool) {
-	if p.failuresWorse(usual, alarm) {
+	if p.failuresWorse(alarm) {
 		return "failures", true
 	}
 	if p.slowWorse(usual, alarm) {
@@ -241,9 +279,8 @@
 	return "", false
 }
 
-func (p briefPair) failuresWorse(usual briefCount, alarm float64) bool {
-	old := max(rateOf(usual.failures, usual.calls), rateOf(p.old.failures, p.old.calls))
-	return unlikely(p.new.failures, p.new.calls, briefFailures+old, alarm)
+func (p briefPair) failuresWorse(alarm float64) bool {
+	return unlikely(p.new.failures, p.new.calls, briefFailures+p.expectedFailures/float64(max(p.new.calls, 1)), alarm)
 }
 
 func (p briefPair) slowWorse(usual briefCount, alarm float64) bool {
@@ -251,8 +288,8 @@
 	if !known {
 		return false
 	}
-	old := rateOf(aboveBucket(p.old.latency, boundary), p.old.calls)
-	return unlikely(aboveBucket(p.new.latency, boundary), p.new.calls, briefSlow+old, alarm)
+	rate := briefSlow + p.expectedSlow/float64(max(p.new.calls, 1))
+	return unlikely(aboveBucket(p.new.latency, boundary), p.new.calls, rate, alarm)
 }
 
 // boundary returns the bucket above which an answer is slow by the old release's answers.
