--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -39,9 +39,10 @@
 	// calls, and the slow answers of backend servers that have just started.
 	briefFailures = 0.02
 	briefSlow     = 0.05
-	// briefHistory decisions, 1.6 s, tell the old release's rates of the moment, with briefWeight calls of its rates so far.
-	briefHistory = 8
-	briefWeight  = 10.0
+	// briefHistory of the old release's calls tells its rates of the moment, together with briefWeight calls at its rates so far.
+	// Nodes report every 0.3 s.
+	briefHistory = 600 * time.Millisecond
+	briefWeight  = 5.0
 	// briefMinBad keeps a few unlucky calls from taking a move back.
 	briefMinBad = 3
 )
@@ -54,8 +55,8 @@
 	ready   int // backend servers of the new release that take calls
 	stage   uint64
 	began   time.Time
-	before  map[core.RouteName]briefPair   // counts at the latest step
-	history []map[core.RouteName]briefPair // of the latest decisions, oldest first
+	before  map[core.RouteName]briefPair // counts at the latest step
+	history []briefPast                  // of the latest decisions, oldest first
 }
 
 // briefCount has what was counted of one release.
@@ -100,7 +101,7 @@
 	if IsFinal(move.State) {
 		return core.MoveStep{}, false
 	}
-	counted := b.expect(b.sum(evidence))
+	counted := b.expect(now, b.sum(evidence))
 	if b.began.IsZero() || b.stage != move.Step {
 		b.began, b.stage, b.before = now, move.Step, counted
 	}
@@ -181,28 +182,40 @@
 	return counted
 }
 
+// briefPast is what had been counted at a decision.
+type briefPast struct {
+	at      time.Time
+	counted map[core.RouteName]briefPair
+}
+
 // expect adds to the expectations what was counted since the latest decision.
-func (b *Brief) expect(counted map[core.RouteName]briefPair) map[core.RouteName]briefPair {
+func (b *Brief) expect(now time.Time, counted map[core.RouteName]briefPair) map[core.RouteName]briefPair {
+	for len(b.history) > 1 && now.Sub(b.history[1].at) >= briefHistory {
+		b.history = b.history[1:]
+	}
 	if len(b.history) > 0 {
-		oldest, latest := b.history[0], b.history[len(b.history)-1]
+		oldest, latest := b.history[0].counted, b.history[len(b.history)-1].counted
 		for route, pair := range counted {
-			added := float64(less(pair.new.calls, latest[route].new.calls))
-			window := pair.old.less(oldest[route].old)
-			pair.expectedFailures = latest[route].expectedFailures + added*blended(window.failures, window.calls, pair.old.failures, pair.old.calls)
-			pair.expectedSlow = latest[route].expectedSlow
-			if boundary, known := pair.old.boundary(); known {
-				pair.expectedSlow += added * blended(aboveBucket(window.latency, boundary), window.calls, aboveBucket(pair.old.latency, boundary), pair.old.calls)
-			}
-			counted[route] = pair
+			counted[route] = pair.expecting(oldest[route], latest[route])
 		}
 	}
-	b.history = append(b.history, counted)
-	if len(b.history) > briefHistory {
-		b.history = b.history[1:]
-	}
+	b.history = append(b.history, briefPast{
+		at:      now,
+		counted: counted,
+	})
 	return counted
 }
 
+func (p briefPair) expecting(oldest, latest briefPair) briefPair {
+	added, window := float64(less(p.new.calls, latest.new.calls)), p.old.less(oldest.old)
+	p.expectedFailures = latest.expectedFailures + added*blended(window.failures, window.calls, p.old.failures, p.old.calls)
+	p.expectedSlow = latest.expectedSlow
+	if boundary, known := p.old.boundary(); known {
+		p.expectedSlow += added * blended(aboveBucket(window.latency, boundary), window.calls, aboveBucket(p.old.latency, boundary), p.old.calls)
+	}
+	return p
+}
+
 // blended is the rate of a window, in which the rate of all calls counts as much as briefWeight calls.
 func blended(bad, calls, allBad, allCalls uint64) float64 {
 	return (float64(bad) + briefWeight*rateOf(allBad, allCalls)) / (float64(calls) + briefWeight)
@@ -273,8 +286,15 @@
 	if p.failuresWorse(alarm) {
 		return "failures", true
 	}
-	if p.slowWorse(usual, alarm) {
-		return "slow answers", true
+	if slow, known := p.slow(usual); known {
+		calls := float64(max(p.new.calls, 1))
+		if unlikely(slow, p.new.calls, briefSlow+p.expectedSlow/calls, alarm) {
+			return "slow answers", true
+		}
+		// A release that is a little worse in both ways is bad too. Calls that fail slowly count twice for both releases.
+		if unlikely(min(slow+p.new.failures, p.new.calls), p.new.calls, briefSlow+(p.expectedSlow+p.expectedFailures)/calls, alarm) {
+			return "failures and slow answers", true
+		}
 	}
 	return "", false
 }
@@ -283,13 +303,13 @@
 	return unlikely(p.new.failures, p.new.calls, briefFailures+p.expectedFailures/float64(max(p.new.calls, 1)), alarm)
 }
 
-func (p briefPair) slowWorse(usual briefCount, alarm float64) bool {
+// slow returns how many answers of the new release took longer than nearly all of the old one.
+func (p briefPair) slow(usual briefCount) (uint64, bool) {
 	boundary, known := usual.boundary()
 	if !known {
-		return false
+		return 0, false
 	}
-	rate := briefSlow + p.expectedSlow/float64(max(p.new.calls, 1))
-	return unlikely(aboveBucket(p.new.latency, boundary), p.new.calls, rate, alarm)
+	return aboveBucket(p.new.latency, boundary), true
 }
 
 // boundary returns the bucket above which an answer is slow by the old release's answers.
