--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -28,16 +28,34 @@
 // Handle implements core.Backend. The context must live until the answer's body is closed.
 func (s *Server) Handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
 	answer, outcome, err := s.handle(ctx, call)
+	load := s.admission.Load(call.Route)
 	var refusal *core.Refusal
 	switch {
 	case answer != nil:
-		answer.Load = s.admission.Load(call.Route)
+		answer.Load = load
+		return answer, outcome, err
 	case errors.As(err, &refusal):
-		refusal.Load = s.admission.Load(call.Route)
+		refusal.Load = load
 	}
+	s.logFailure(call, load, outcome, err)
 	return answer, outcome, err
 }
 
+// logFailure says why a call was not answered, and by which state of the backend server.
+func (s *Server) logFailure(call *core.Call, load core.Load, outcome core.Outcome, cause error) {
+	event := s.calls.Info()
+	if event == nil {
+		return
+	}
+	s.mu.Lock()
+	latest, until := s.latest, s.expires
+	s.mu.Unlock()
+	event.Str("event", "call-not-answered").Str("call", string(call.ID)).Str("route", string(call.Route)).Str("outcome", string(outcome)).
+		Err(cause).Int64("left-ms", time.Until(call.Deadline).Milliseconds()).Str("run", latest.Run).Str("state", string(latest.State)).
+		Int64("lease-left-ms", time.Until(until).Milliseconds()).Int("running", load.Running).Int("waiting", load.Waiting).
+		Int("slots", load.Limit).Int64("service-ms", load.Service.Milliseconds()).Msg("call not answered by the local backend server")
+}
+
 func (s *Server) handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
 	if refusal := s.begin(call); refusal != nil {
 		return nil, core.OutcomeNotRun, refusal
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -17,6 +17,7 @@
 	"parsleyport/core"
 	"parsleyport/core/idempotency"
 	"parsleyport/core/ring"
+	"parsleyport/io/loglimit"
 )
 
 const (
@@ -25,7 +26,9 @@
 	watchEvery   = 250 * time.Millisecond
 	headerLimit  = 5 * time.Second
 	// crashMemory is how long a broken call waits for the end of the backend server's lease, which proves a crash.
-	crashMemory     = 10 * time.Second
+	crashMemory = 10 * time.Second
+	// failureLines about calls that were not answered are written in a second; the others are counted.
+	failureLines    = 25
 	maxBroken       = 1024
 	maxCrashReports = 64
 )
@@ -79,6 +82,7 @@
 	handed  *metrics.Counter
 	crashed *metrics.Counter
 	strays  *metrics.Counter
+	calls   zerolog.Logger // about calls that were not answered
 
 	mu        sync.Mutex
 	announced *Announcement // nil without a lease
@@ -125,6 +129,7 @@
 		handed:    options.Metrics.GetOrCreateCounter("parsleyport_backend_calls_total"),
 		crashed:   options.Metrics.GetOrCreateCounter("parsleyport_backend_crashed_calls_total"),
 		strays:    options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
+		calls:     loglimit.New(options.Logger, options.Metrics, "not-answered", failureLines),
 		idle:      make(chan struct{}),
 	}
 	if s.admission == nil {
--- a/io/callerhttp/calllog.go
+++ b/io/callerhttp/calllog.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyport/core"
+	"parsleyport/io/loglimit"
 )
 
 const (
@@ -23,34 +24,10 @@
 }
 
 func newCallLog(log zerolog.Logger, set *metrics.Set) callLog {
-	limited := func(kind string, lines uint32) zerolog.Logger {
-		return log.Sample(&countingSampler{
-			sampler: &zerolog.BurstSampler{
-				Burst:  lines,
-				Period: time.Second,
-			},
-			leftOut: set.GetOrCreateCounter(`parsleyport_caller_log_lines_left_out_total{kind="` + kind + `"}`),
-		})
-	}
 	return callLog{
-		answered: limited("answered", answeredLines),
-		failed:   limited("failed", failedLines),
-	}
-}
-
-// countingSampler counts the lines that a sampler leaves out.
-type countingSampler struct {
-	sampler zerolog.Sampler
-	leftOut *metrics.Counter
-}
-
-// Sample implements zerolog.Sampler.
-func (s *countingSampler) Sample(level zerolog.Level) bool {
-	kept := s.sampler.Sample(level)
-	if !kept {
-		s.leftOut.Inc()
+		answered: loglimit.New(log, set, "answered", answeredLines),
+		failed:   loglimit.New(log, set, "failed", failedLines),
 	}
-	return kept
 }
 
 // write describes the end of a call: what was decided, by which configuration and endpoint, and how old the knowledge of the
--- a/io/distribution/parent.go
+++ b/io/distribution/parent.go
@@ -170,6 +170,8 @@
 	defer s.hub.mu.Unlock()
 	s.hub.hold(next)
 	s.checkConfirmed()
+	s.logger.Info().Str("event", "configuration-in-force").Uint64("revision", uint64(next.Revision())).Str("parent", s.parent).
+		Str("control", string(s.hub.control)).Msg("configuration in force")
 }
 
 func (s *Subscriber) checkConfirmed() {
--- /dev/null
+++ b/io/loglimit/loglimit_test.go
@@ -0,0 +1,27 @@
+package loglimit_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"parsleyport/io/loglimit"
+)
+
+// Guards against a log that grows with the load, and against lines that vanish without a trace.
+func TestLinesAreBoundedAndCounted(t *testing.T) {
+	c := qt.New(t)
+	var written bytes.Buffer
+	set := metrics.NewSet()
+	log := loglimit.New(zerolog.New(&written), set, "failed", 3)
+	for range 100 {
+		log.Info().Msg("call ended")
+	}
+	lines := bytes.Count(written.Bytes(), []byte("\n"))
+	c.Assert(lines >= 3 && lines <= 6, qt.IsTrue, qt.Commentf("%d lines", lines)) // the second may change within the loop
+	leftOut := set.GetOrCreateCounter(`parsleyport_log_lines_left_out_total{kind="failed"}`).Get()
+	c.Assert(leftOut, qt.Equals, uint64(100-lines))
+}
