--- /dev/null
+++ b/core/raft/stepdown_test.go
@@ -0,0 +1,50 @@
+package raft_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/raft"
+)
+
+// Guards against followers that believe in a leader for another election timeout after it has lost its majority: what hangs on
+// them would stay on the smaller side of a partition for too long.
+func TestLeaderWithoutMajoritySaysSo(t *testing.T) {
+	c := qt.New(t)
+	leader, _ := elected(c)
+	term := leader.Describe().Term
+	out := leader.Step(leader.NextDeadline().Add(2 * raft.ElectionTimeout))
+	c.Assert(leader.Describe().Role, qt.Not(qt.Equals), string(raft.Leader))
+	told := lo.Filter(out.Messages, func(m raft.Message, _ int) bool { return m.Kind == raft.KindStepDown })
+	c.Assert(told, qt.HasLen, 2)
+	c.Assert(told[0].Term, qt.Equals, term)
+}
+
+// Guards against a message of an earlier leader that takes the present one from its followers.
+func TestOnlyTheOwnLeaderStepsDown(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		from core.ControlID
+		old  bool
+		want string
+	}{
+		{from: "b", want: ""},
+		{from: "c", want: "b"},
+		{from: "b", old: true, want: "b"},
+	} {
+		node, _ := elected(c)
+		term := node.Describe().Term + 1
+		now := node.NextDeadline()
+		node.Step(now, raft.Received{Message: raft.Message{Kind: raft.KindAppend, From: peer("b"), To: peer("a"), Term: term}})
+		c.Assert(string(node.Describe().Leader), qt.Equals, "b")
+		stated := term
+		if test.old {
+			stated--
+		}
+		node.Step(now, raft.Received{Message: raft.Message{Kind: raft.KindStepDown, From: peer(test.from), To: peer("a"), Term: stated}})
+		c.Assert(string(node.Describe().Leader), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
--- /dev/null
+++ b/io/distribution/home_test.go
@@ -0,0 +1,41 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against nodes that stay with a control instance of another data centre although their own has one, and against nodes
+// that never learn of control instances which their settings do not name.
+func TestNodesAttachInTheirDataCentre(t *testing.T) {
+	run(t, func(c *qt.C, w *world) {
+		first := w.source("c1", w.catalog)
+		node := w.subscriber("n1", "c1") // of dc-a
+		w.eventually(5*time.Second, "attached", func() bool { return node.Status().Parent == "c1" })
+		w.source("c2", w.catalog, "c1")
+		first.SetPeers([]Peer{{ID: "c2", Address: "c2"}}, []ControlAddress{
+			{Address: "c1", DataCentre: "dc-b"},
+			{Address: "c2", DataCentre: "dc-a"},
+		})
+		w.eventually(5*time.Second, "attached at home", func() bool { return node.Status().Parent == "c2" })
+		w.stop("c2")
+		w.eventually(5*time.Second, "attached elsewhere", func() bool { return node.Status().Parent == "c1" })
+		w.source("c2", w.catalog, "c1")
+		w.eventually(homePause+5*time.Second, "attached at home again", func() bool { return node.Status().Parent == "c2" })
+	})
+}
+
+// Guards against nodes that keep to control instances which have been replaced.
+func TestSettingsReplaceControlAddresses(t *testing.T) {
+	run(t, func(c *qt.C, w *world) {
+		w.source("c1", w.catalog)
+		node := w.subscriber("n1", "c1")
+		w.eventually(5*time.Second, "attached", func() bool { return node.Status().Parent == "c1" })
+		w.source("c9", w.catalog)
+		node.SetControlAddresses([]string{"c9"})
+		w.stop("c1")
+		w.eventually(10*time.Second, "attached to the new one", func() bool { return node.Status().Parent == "c9" })
+	})
+}
