--- a/core/call.go
+++ b/core/call.go
@@ -62,6 +62,7 @@
 	Priority       Priority
 	Aim            time.Time // by which an answer is of full use, zero if not stated
 	Deadline       time.Time
+	StartBy        time.Time // after which a call that still waits for a slot is refused, zero for its deadline
 	Depth          int
 	AttemptsLeft   int
 	Hedge          bool // a second attempt beside a first: refused unless it can start at once
--- a/core/limiter/aim_test.go
+++ b/core/limiter/aim_test.go
@@ -101,3 +101,14 @@
 	}
 	c.Assert(l.Limit(), qt.Equals, 4)
 }
+
+// Guards against a call that waits for a slot for so long that the node at which its caller waits stops before it is answered.
+func TestCallsAreRefusedAfterTheirStartLimit(t *testing.T) {
+	c := qt.New(t)
+	l := limiter.NewWith(1, limiter.Options{TrustSlots: true, AimFirst: true})
+	l.Arrive(start, limiter.Request{Deadline: start.Add(time.Minute)})
+	ticket, change := l.Arrive(start, limiter.Request{Deadline: start.Add(time.Minute), StartBy: start.Add(time.Second)})
+	c.Assert(change.Shed, qt.HasLen, 0)
+	c.Assert(l.Expire(start.Add(time.Second)).Shed, qt.HasLen, 0)
+	c.Assert(l.Expire(start.Add(1100*time.Millisecond)).Shed, qt.DeepEquals, []limiter.Shed{{Ticket: ticket, Cause: core.CauseDeadline}})
+}
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -39,6 +39,7 @@
 	Priority core.Priority
 	Aim      time.Time // by which an answer is of full use, zero if not stated
 	Deadline time.Time
+	StartBy  time.Time      // after which it is refused unless it has started, zero for its deadline
 	NoWait   bool           // it is refused unless it can start at once
 	Class    core.RouteName // whose calls take about the same time
 }
@@ -237,6 +238,9 @@
 
 // hopeless reports whether not even an uncongested run would meet the deadline.
 func (l *Limiter) hopeless(now time.Time, request Request) bool {
+	if !request.StartBy.IsZero() && now.After(request.StartBy) {
+		return true
+	}
 	left := request.Deadline.Sub(now)
 	if l.options.AimFirst {
 		return left <= 0 || left.Seconds() < hopelessPart*l.serviceOf(request.Class)
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -90,7 +90,7 @@
 		}
 	}
 	call := s.callOf(r, configuration, route, deadline, numbers.depth+1)
-	call.Aim = aim
+	call.Aim, call.StartBy = aim, s.startLimit(now)
 	return &request{
 		configuration: configuration,
 		route:         route,
@@ -102,6 +102,19 @@
 	}, nil
 }
 
+// startLimit is when a call that begins now must have a slot. In a planned stop, the calls that were read before its end have to
+// end within it.
+func (s *Server) startLimit(now time.Time) time.Time {
+	if s.options.QueueLimit == 0 {
+		return time.Time{}
+	}
+	limit := now.Add(s.options.QueueLimit)
+	if stop := s.startBy.Load(); stop != 0 {
+		limit = earlier(limit, time.Unix(0, stop))
+	}
+	return limit
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -75,6 +75,7 @@
 	Budget         retry.BudgetOptions // of each service; the zero value stands for the default
 	RetryAfter     func(*core.Refusal) string
 	RefusalTries   int           // endpoints that a call is offered after a refusal for overload, at no cost; zero for the usual attempts
+	QueueLimit     time.Duration // for which a call may wait for a slot, zero for its whole time
 	Linger         time.Duration // for which a draining server waits for its callers to leave, zero for 1 s
 	RefusingLinger time.Duration // after that, in which it still listens but refuses calls, since they might not end in time
 	Logger         zerolog.Logger
@@ -89,6 +90,7 @@
 	tasks    sync.WaitGroup
 	leaving  atomic.Bool
 	refusing atomic.Bool
+	startBy  atomic.Int64 // while draining: Unix nanoseconds after which no call starts that was read since
 	open     atomic.Int64 // callers' connections
 	active   atomic.Int64 // requests in progress
 	bodies   atomic.Int64 // bytes of request bodies in memory
@@ -213,6 +215,9 @@
 // Drain answers what comes with "Connection: close" until the callers have gone or a second has passed, then accepts
 // nothing new and returns when all requests have been answered, or the context's error.
 func (s *Server) Drain(ctx context.Context) error {
+	if s.options.QueueLimit > 0 {
+		s.startBy.Store(time.Now().Add(s.options.Linger + s.options.RefusingLinger).UnixNano())
+	}
 	s.leaving.Store(true)
 	ticker := time.NewTicker(lingerCheck)
 	defer ticker.Stop()
--- a/io/callerhttp/wait.go
+++ b/io/callerhttp/wait.go
@@ -62,7 +62,11 @@
 
 // waitUntil is when a call that has found no endpoint is refused.
 func (q *request) waitUntil() time.Time {
-	return q.began.Add(q.call.Deadline.Sub(q.began) / waitDenominator * waitNumerator)
+	until := q.began.Add(q.call.Deadline.Sub(q.began) / waitDenominator * waitNumerator)
+	if q.call.StartBy.IsZero() {
+		return until
+	}
+	return earlier(until, q.call.StartBy)
 }
 
 // mayWait reports whether a call may wait after its last attempt, if there was one. After a refusal for overload it may
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -113,6 +113,7 @@
 		Priority: call.Priority,
 		Aim:      call.Aim,
 		Deadline: call.Deadline,
+		StartBy:  call.StartBy,
 		NoWait:   call.Hedge,
 		Class:    call.Route,
 	})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -39,6 +39,7 @@
 	RetryAfter       func(*core.Refusal) string
 	BackendLease     time.Duration // for which an announcement holds
 	AllowUnframed    bool          // see backendhttp.Options
+	QueueLimit       time.Duration // for which a call may wait for a slot, zero for its whole time
 	DrainLinger      time.Duration // for which a planned stop goes on taking callers who have not noticed it
 	RefusingLinger   time.Duration // after that, in which new calls are refused
 	DrainLimit       time.Duration // of a whole planned stop
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -182,6 +182,7 @@
 		Budget:           p.options.Budget,
 		RefusalTries:     p.options.RefusalTries,
 		RetryAfter:       p.options.RetryAfter,
+		QueueLimit:       p.options.QueueLimit,
 		Linger:           p.options.DrainLinger,
 		RefusingLinger:   p.options.RefusingLinger,
 		Logger:           p.log,
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -56,7 +56,8 @@
 	IdempotencyKey core.IdempotencyKey `msgpack:"idempotency-key"`
 	Priority       core.Priority       `msgpack:"priority"`
 	RemainingUS    int64               `msgpack:"remaining-us"`
-	AimUS          int64               `msgpack:"aim-us,omitempty"` // until Call.Aim, which may be past; zero if not stated
+	AimUS          int64               `msgpack:"aim-us,omitempty"`      // until Call.Aim, which may be past; zero if not stated
+	StartByUS      int64               `msgpack:"start-by-us,omitempty"` // the same for Call.StartBy
 	Depth          int                 `msgpack:"depth"`
 	Attempts       int                 `msgpack:"attempts"`
 	Hedge          bool                `msgpack:"hedge"`
@@ -175,7 +176,8 @@
 		IdempotencyKey: call.IdempotencyKey,
 		Priority:       call.Priority,
 		RemainingUS:    call.Deadline.Sub(now).Microseconds(),
-		AimUS:          aimOf(call, now),
+		AimUS:          untilOf(call.Aim, now),
+		StartByUS:      untilOf(call.StartBy, now),
 		Depth:          call.Depth,
 		Attempts:       call.AttemptsLeft,
 		Hedge:          call.Hedge,
@@ -188,24 +190,29 @@
 	return message
 }
 
-// aimOf avoids the zero that stands for no aim.
-func aimOf(call *core.Call, now time.Time) int64 {
-	if call.Aim.IsZero() {
+// untilOf avoids the zero that stands for no point in time.
+func untilOf(at, now time.Time) int64 {
+	if at.IsZero() {
 		return 0
 	}
-	if left := call.Aim.Sub(now).Microseconds(); left != 0 {
+	if left := at.Sub(now).Microseconds(); left != 0 {
 		return left
 	}
 	return -1
 }
 
-func callOf(message openMessage, now time.Time) *core.Call {
-	aim := time.Time{}
-	if message.AimUS != 0 {
-		aim = now.Add(time.Duration(message.AimUS) * time.Microsecond)
+// pointOf is the inverse of untilOf.
+func pointOf(us int64, now time.Time) time.Time {
+	if us == 0 {
+		return time.Time{}
 	}
+	return now.Add(time.Duration(us) * time.Microsecond)
+}
+
+func callOf(message openMessage, now time.Time) *core.Call {
 	return &core.Call{
-		Aim:            aim,
+		Aim:            pointOf(message.AimUS, now),
+		StartBy:        pointOf(message.StartByUS, now),
 		ID:             message.CallID,
 		Tenant:         message.Tenant,
 		Service:        message.Service,
