Take repeated server errors out again, make brief moves a setting, keep reports of members only

TestMovesOfGoodAndBadReleases failed (2.0% to 3.4% of the calls met the bad release, bound 2%), since moves of 24 s were brief; it passes with the judge. TestPromotionIsRefusedUntilCaughtUp failed, since reports of strangers were kept. Ruled out: load as the cause of the moves' failures, by a run of the test alone beside the race detector that passes now.

--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -140,3 +141,24 @@
 	c.Assert(count(budget.TakeHedge), qt.Equals, 50)
 	c.Assert(count(budget.Take), qt.Equals, 50)
 }
+
+// Guards against repeated server errors: a backend server answers 500 when a call of its own has failed, so that each level of
+// nested calls would multiply the repetitions of those below it.
+func TestServerErrorsAreFinal(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		status              int
+		relayed, repeatable bool
+		want                retry.Class
+	}{
+		{status: http.StatusInternalServerError, repeatable: true, want: retry.Final},
+		{status: http.StatusInternalServerError, want: retry.Final},
+		{status: http.StatusInternalServerError, relayed: true, repeatable: true, want: retry.Final},
+		{status: http.StatusGatewayTimeout, repeatable: true, want: retry.Final},
+		{status: http.StatusServiceUnavailable, repeatable: true, want: retry.Repeat},
+		{status: http.StatusServiceUnavailable, relayed: true, repeatable: true, want: retry.Final},
+		{status: http.StatusServiceUnavailable, want: retry.Final},
+	} {
+		c.Assert(retry.ClassifyAnswer(test.status, test.relayed, test.repeatable), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -11,10 +11,6 @@
 	"parsleyport/core"
 )
 
-// A move is brief if its time is too short for the windows of a Judge, whose backend servers are in slow start for longer than
-// the whole move.
-const briefAtMost = time.Minute
-
 const (
 	// briefRisk is the share for most of a brief move, if the request names none. A release that shows its fault only at a
 	// larger share meets a tenth of the calls then, since the larger shares last for a fifth of the time.
@@ -72,9 +68,9 @@
 	expectedFailures, expectedSlow float64
 }
 
-// IsBrief reports whether a move needs a Brief in place of a Judge.
-func IsBrief(move core.Move) bool {
-	return move.Request.Deadline.Sub(move.StartedAt) <= briefAtMost
+// IsBrief reports whether a move has at most a time, so that a Brief decides it in place of a Judge.
+func IsBrief(move core.Move, atMost time.Duration) bool {
+	return move.Request.Deadline.Sub(move.StartedAt) <= atMost
 }
 
 // NewBrief returns the decision for one brief move to a release.
--- a/core/rollout/brief_test.go
+++ b/core/rollout/brief_test.go
@@ -129,3 +129,16 @@
 	c.Assert(move.State, qt.Equals, core.MoveExpired)
 	c.Assert(move.Share, qt.Equals, core.PerMille(0))
 }
+
+// Guards against a larger share at risk than the target allows where nobody has asked for brief moves.
+func TestMovesAreBriefOnlyWhereAllowed(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(1_700_000_000, 0)
+	move := core.Move{
+		Request:   core.MoveRequest{Deadline: start.Add(24 * time.Second)},
+		StartedAt: start,
+	}
+	c.Assert(rollout.IsBrief(move, 0), qt.IsFalse)
+	c.Assert(rollout.IsBrief(move, 20*time.Second), qt.IsFalse)
+	c.Assert(rollout.IsBrief(move, time.Minute), qt.IsTrue)
+}
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -187,7 +187,7 @@
 		}
 		return class
 	}
-	class := s.classOfAnswer(last.answer.Status, get(last.answer.Header, s.options.Headers.Outcome) != "", q.call.Idempotent)
+	class := retry.ClassifyAnswer(last.answer.Status, get(last.answer.Header, s.options.Headers.Outcome) != "", q.call.Idempotent)
 	if class == retry.Final {
 		return class
 	}
@@ -210,14 +210,6 @@
 	return class
 }
 
-// classOfAnswer returns what may follow an answer with a status; relayed says that a node further down refused.
-func (s *Server) classOfAnswer(status int, relayed, idempotent bool) retry.Class {
-	if s.options.RepeatErrors && idempotent && !relayed && status == http.StatusInternalServerError {
-		return retry.Repeat
-	}
-	return retry.ClassifyAnswer(status, relayed, idempotent)
-}
-
 // prefixed is a body of which a part has been read already.
 type prefixed struct {
 	io.Reader
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -69,17 +69,14 @@
 	CallerNamesCalls bool             // a caller's header is the call's id
 	CallerService    func() core.ServiceName
 	NoHedges         bool
-	// RepeatErrors offers idempotent calls that were answered with status 500 to another endpoint, within attempts and budget: for
-	// backend servers that fail a part of their calls whatever these are.
-	RepeatErrors   bool
-	Budget         retry.BudgetOptions // of each service; the zero value stands for the default
-	RetryAfter     func(*core.Refusal) string
-	RefusalTries   int           // endpoints that a call is offered after a refusal for overload, at no cost; zero for the usual attempts
-	QueueLimit     time.Duration // for which a call may wait for a slot, zero for its whole time
-	Linger         time.Duration // for which a draining server waits for its callers to leave, zero for 1 s
-	RefusingLinger time.Duration // after that, in which it still listens but refuses calls, since they might not end in time
-	Logger         zerolog.Logger
-	Metrics        *metrics.Set
+	Budget           retry.BudgetOptions // of each service; the zero value stands for the default
+	RetryAfter       func(*core.Refusal) string
+	RefusalTries     int           // endpoints that a call is offered after a refusal for overload, at no cost; zero for the usual attempts
+	QueueLimit       time.Duration // for which a call may wait for a slot, zero for its whole time
+	Linger           time.Duration // for which a draining server waits for its callers to leave, zero for 1 s
+	RefusingLinger   time.Duration // after that, in which it still listens but refuses calls, since they might not end in time
+	Logger           zerolog.Logger
+	Metrics          *metrics.Set
 }
 
 // Server takes callers' requests.
--- a/io/control/catchup.go
+++ b/io/control/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -40,16 +41,16 @@
 
 // catchUp holds the newest report of each other instance.
 type catchUp struct {
+	isMember func(core.ControlID) bool
+
 	mu      sync.Mutex
 	reports map[core.ControlID]catchUpReport
 }
 
-// maxReports bounds the reports that are kept; the oldest one gives way.
-const maxReports = 32
-
-func newCatchUp() *catchUp {
+func newCatchUp(isMember func(core.ControlID) bool) *catchUp {
 	return &catchUp{
-		reports: make(map[core.ControlID]catchUpReport),
+		isMember: isMember,
+		reports:  make(map[core.ControlID]catchUpReport),
 	}
 }
 
@@ -60,12 +61,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, known := c.reports[from]; !known && len(c.reports) >= maxReports {
-		oldest := lo.MinBy(lo.Keys(c.reports), func(a, b core.ControlID) bool { return c.reports[a].at.Before(c.reports[b].at) })
-		delete(c.reports, oldest)
-	}
 	report.at = now
 	c.reports[from] = report
+	maps.DeleteFunc(c.reports, func(id core.ControlID, _ catchUpReport) bool { return !c.isMember(id) })
 }
 
 // last returns the newest report of an instance unless it is of another data folder.
--- a/io/control/catchup_test.go
+++ b/io/control/catchup_test.go
@@ -18,7 +18,7 @@
 func TestPromotionIsRefusedUntilCaughtUp(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1_700_000_000, 0)
-	held := newCatchUp()
+	held := newCatchUp(func(id core.ControlID) bool { return id == "c2" })
 	learner := raft.Peer{ID: "c2", Identity: "new"}
 	report := func(from core.ControlID, r catchUpReport) {
 		payload, err := msgpack.Marshal(r)
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,7 +33,8 @@
 	metrics  *metrics.Set
 	backfill *backfill
 	catchUp  *catchUp
-	ledSince time.Time // of the keeper: zero unless this instance leads
+	replica  atomic.Pointer[raftpeer.Replica] // nil until it has started
+	ledSince time.Time                        // of the keeper: zero unless this instance leads
 	cleanups []func()
 }
 
@@ -65,7 +67,7 @@
 		metrics:  metrics.NewSet(),
 		backfill: newBackfill(),
 	}
-	p.catchUp = newCatchUp()
+	p.catchUp = newCatchUp(p.isMember)
 	defer p.cleanup()
 	injector := do.New()
 	do.Provide(injector, p.newFolder)
@@ -179,6 +181,7 @@
 		return nil, err
 	}
 	p.cleanups = append(p.cleanups, cleanup)
+	p.replica.Store(replica)
 	return replica, nil
 }
 
@@ -214,10 +217,11 @@
 // startMover starts the duty that steps the open moves.
 func (p *process) startMover(injector do.Injector) {
 	m := &mover{
-		catalog:    do.MustInvoke[*catalog.Catalog](injector),
-		source:     do.MustInvoke[*distribution.Source](injector),
-		replicator: do.MustInvoke[*raftpeer.Replica](injector),
-		log:        p.log,
+		catalog:     do.MustInvoke[*catalog.Catalog](injector),
+		source:      do.MustInvoke[*distribution.Source](injector),
+		replicator:  do.MustInvoke[*raftpeer.Replica](injector),
+		briefAtMost: p.settings.BriefMoves,
+		log:         p.log,
 	}
 	p.startDuty(m.run)
 }
@@ -245,6 +249,12 @@
 	p.backfill.receive(from, topic, payload)
 }
 
+// isMember reports whether an instance is a member, also as a learner; false until the replica has started.
+func (p *process) isMember(id core.ControlID) bool {
+	replica := p.replica.Load()
+	return replica != nil && lo.ContainsBy(replica.Members(), func(m raft.Member) bool { return m.Peer.ID == id })
+}
+
 // otherIDs names the other control instances: those of the settings and the members.
 func (p *process) otherIDs(replica *raftpeer.Replica) []core.ControlID {
 	ids := lo.Map(p.settings.Members, func(m settings.Member, _ int) core.ControlID { return m.ID })
--- a/io/control/moves.go
+++ b/io/control/moves.go
@@ -28,8 +28,10 @@
 	catalog    *catalog.Catalog
 	source     *distribution.Source
 	replicator core.Replicator
-	log        zerolog.Logger
-	judges     map[core.MoveID]judge
+	// briefAtMost is the time of the longest move that is too short for a Judge, zero if none is.
+	briefAtMost time.Duration
+	log         zerolog.Logger
+	judges      map[core.MoveID]judge
 }
 
 // judge decides the steps of one move.
@@ -110,7 +112,7 @@
 	if !fromExists || !toExists {
 		return nil
 	}
-	if rollout.IsBrief(move) {
+	if rollout.IsBrief(move, m.briefAtMost) {
 		return rollout.NewBrief(move, to.Release)
 	}
 	return rollout.NewJudge(move, from.Release, to.Release)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -30,7 +30,6 @@
 	Headers          core.HeaderNames
 	CallerNamesCalls bool // a caller's header is the call's id
 	NoHedges         bool
-	RepeatErrors     bool                // see callerhttp.Options
 	Policy           balancer.Policy     // by which endpoints are chosen, empty for the default
 	TrustSlots       bool                // see limiter.Options
 	AimFirst         bool                // see limiter.Options
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -178,7 +178,6 @@
 		CallerNamesCalls: p.options.CallerNamesCalls,
 		CallerService:    p.localService,
 		NoHedges:         p.options.NoHedges,
-		RepeatErrors:     p.options.RepeatErrors,
 		Budget:           p.options.Budget,
 		RefusalTries:     p.options.RefusalTries,
 		RetryAfter:       p.options.RetryAfter,
--- a/io/settings/control.go
+++ b/io/settings/control.go
@@ -38,7 +38,9 @@
 	Voters int
 	// MemberAt gives the other addresses of an instance that introduces itself with its peer address; nil if all instances
 	// are in Members.
-	MemberAt      func(peerAddress string) Member
+	MemberAt func(peerAddress string) Member
+	// BriefMoves is the time of the longest move that has more calls at risk in exchange for an end in time, zero for none.
+	BriefMoves    time.Duration
 	DirectNodes   int           // of one data centre that attach to this instance, zero for the default
 	EvidenceEvery time.Duration // between two reports of evidence to the other instances, zero for the default
 	LogLevel      zerolog.Level
