End the connection of a caller after a chunked request

A request with a length and chunks let a second one that its body hides be forwarded: net/http drops the length and reads on.

--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -32,7 +32,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.leaving.Load() {
+	// A chunked request may have stated a length too, which net/http drops. What follows it on the connection could be a part of
+	// its body to another reader of it, and must not become a request.
+	if s.leaving.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	if s.refusing.Load() {
