--- a/io/distribution/home_test.go
+++ b/io/distribution/home_test.go
@@ -39,3 +39,11 @@
 		w.eventually(10*time.Second, "attached to the new one", func() bool { return node.Status().Parent == "c9" })
 	})
 }
+
+// Guards against nodes that try control instances of other data centres before those of their own.
+func TestControlInstancesAtHomeComeFirst(t *testing.T) {
+	c := qt.New(t)
+	first, second, third := ControlAddress{Address: "c1", DataCentre: "dc-b"}, ControlAddress{Address: "c2", DataCentre: "dc-a"}, ControlAddress{Address: "c3", DataCentre: "dc-a"}
+	c.Assert(homeFirst([]ControlAddress{first, second, third}, "dc-a"), qt.DeepEquals, []ControlAddress{second, third, first})
+	c.Assert(homeFirst([]ControlAddress{first, second}, "dc-c"), qt.DeepEquals, []ControlAddress{first, second})
+}
