Log and count requests that are refused before they become calls

Cause: net/http answers bytes that are no HTTP, doubtful lengths and unknown encodings by itself, before the handler; and the handler's own refusals of requests that are no calls yet (wrong headers, no route, no confirmation) were counted but not logged. Ruled out: net/http's ErrorLog, which says nothing of these answers; a parser of our own before net/http, which would read each request twice. The connection is watched instead: an answer that is written while no handler runs is net/http's. Before: TestEarlyRefusalsAreLoggedAndCounted finds no line. After: three lines with cause and status, two counted as unreadable.

--- a/io/callerhttp/calllog.go
+++ b/io/callerhttp/calllog.go
@@ -1,6 +1,8 @@
 package callerhttp
 
 import (
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,6 +17,8 @@
 	// second, of which nearly all are answered at the first attempt.
 	answeredLines = 2
 	failedLines   = 25
+	// maxLoggedID bounds what a caller's header adds to a line, in bytes.
+	maxLoggedID = 128
 )
 
 // callLog writes one line for a call that was refused, failed, late or repeated, and for a few of the others.
@@ -56,3 +60,16 @@
 	}
 	event.Msg("call ended")
 }
+
+// writeEarly describes a request that was refused before it became a call. Its id may be missing, or any text.
+func (l callLog) writeEarly(r *http.Request, idHeader string, refused *core.Refusal, status int) {
+	id := r.Header.Get(idHeader)
+	l.failed.Info().Str("event", "call").Str("call", id[:min(len(id), maxLoggedID)]).Str("outcome", string(core.OutcomeNotRun)).
+		Int("status", status).Str("cause", string(refused.Cause)).Str("detail", refused.Error()).Msg("request refused")
+}
+
+// writeUnread describes a request that could not be read.
+func (l callLog) writeUnread(remote net.Addr, status int) {
+	l.failed.Info().Str("event", "call").Str("outcome", string(core.OutcomeNotRun)).Int("status", status).
+		Str("cause", causeUnreadable).Str("remote", remote.String()).Msg("request refused")
+}
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
 	"parsleyport/core"
@@ -32,30 +34,31 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	markHandled(r.Context())
 	// A chunked request may have stated a length too, which net/http drops. What follows it on the connection could be a part of
 	// its body to another reader of it, and must not become a request.
 	if s.leaving.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	if s.refusing.Load() {
-		s.refuse(w, refusal(core.CauseLeaving, "node stops"))
+		s.refuseEarly(w, r, refusal(core.CauseLeaving, "node stops"))
 		return
 	}
 	defer s.active.Add(-1)
 	if s.active.Add(1) > maxRequests {
-		s.refuse(w, refusal(core.CauseQueueFull, ""))
+		s.refuseEarly(w, r, refusal(core.CauseQueueFull, ""))
 		return
 	}
 	now := time.Now()
 	configuration := s.options.Source.Current()
 	set(w.Header(), s.options.Headers.Revision, strconv.FormatUint(uint64(configuration.Revision()), 10))
 	if !s.options.Confirmed() {
-		s.refuse(w, refusal(core.CauseNotConfirmed, ""))
+		s.refuseEarly(w, r, refusal(core.CauseNotConfirmed, ""))
 		return
 	}
 	q, refused := s.parse(r, configuration, now)
 	if refused != nil {
-		s.refuse(w, refused)
+		s.refuseEarly(w, r, refused)
 		return
 	}
 	buffered := int64(0)
@@ -65,11 +68,11 @@
 		return s.bodies.Add(bytes) <= maxBufferedBodies
 	}
 	if q.call.Body, refused = readBody(r, s.bodyLimit(configuration), reserve); refused != nil {
-		s.refuse(w, refused)
+		s.refuseEarly(w, r, refused)
 		return
 	}
 	if s.options.Suspected(idempotency.FingerprintOf(q.call)) {
-		s.refuse(w, refusal(core.CauseCrashSuspect, ""))
+		s.refuseEarly(w, r, refusal(core.CauseCrashSuspect, ""))
 		return
 	}
 	set(w.Header(), s.options.Headers.CallID, string(q.call.ID))
@@ -385,10 +388,29 @@
 	}
 }
 
+// refuseEarly answers a request that has not become a call.
+func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, refused *core.Refusal) {
+	s.calls.writeEarly(r, s.options.Headers.CallID, refused, s.refuse(w, refused))
+}
+
+// refusedUnread notes a request that net/http has answered, since it could not be read.
+func (s *Server) refusedUnread(remote net.Addr, status int) {
+	s.outcomes[core.OutcomeNotRun].Inc()
+	s.refusals(causeUnreadable).Inc()
+	s.calls.writeUnread(remote, status)
+}
+
+// causeUnreadable labels the counter of requests that net/http refuses; callers see only its status.
+const causeUnreadable = "unreadable-request"
+
+func (s *Server) refusals(cause string) *metrics.Counter {
+	return s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_refusals_total{cause="` + cause + `"}`)
+}
+
 // refuse answers a call that was not run and never will be, and returns the status.
 func (s *Server) refuse(w http.ResponseWriter, refused *core.Refusal) int {
 	s.outcomes[core.OutcomeNotRun].Inc()
-	s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_refusals_total{cause="` + string(knownCause(refused.Cause)) + `"}`).Inc()
+	s.refusals(string(knownCause(refused.Cause))).Inc()
 	set(w.Header(), s.options.Headers.Outcome, string(core.OutcomeNotRun))
 	set(w.Header(), s.options.Headers.Cause, string(refused.Cause))
 	status := statusOf(refused.Cause)
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -172,9 +172,14 @@
 		ReadTimeout:       bodyLimit,
 		IdleTimeout:       idleLimit,
 		ConnState:         s.count,
+		ConnContext:       withConnection,
 		ErrorLog:          log.New(options.Logger, "", 0),
 	}
-	s.tasks.Go(func() { _ = s.http.Serve(listener) }) // ends with http.ErrServerClosed
+	watched := watchedListener{
+		Listener: listener,
+		refused:  s.refusedUnread,
+	}
+	s.tasks.Go(func() { _ = s.http.Serve(watched) }) // ends with http.ErrServerClosed
 	return s, s.close, nil
 }
 
@@ -200,8 +205,10 @@
 	s.tasks.Wait()
 }
 
-func (s *Server) count(_ net.Conn, state http.ConnState) {
+func (s *Server) count(connection net.Conn, state http.ConnState) {
 	switch state {
+	case http.StateIdle:
+		markEnded(connection)
 	case http.StateNew:
 		s.open.Add(1)
 	case http.StateClosed, http.StateHijacked:
--- /dev/null
+++ b/io/callerhttp/watch.go
@@ -0,0 +1,78 @@
+package callerhttp
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+)
+
+type connectionKey struct{}
+
+// watchedListener reports the answers that net/http gives by itself, before a request reaches the handler: it does so for
+// bytes that are no HTTP, lengths in doubt, unknown encodings and headers that are too long.
+type watchedListener struct {
+	net.Listener
+	refused func(remote net.Addr, status int)
+}
+
+func (l watchedListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &watchedConnection{
+		Conn:    connection,
+		refused: l.refused,
+	}, nil
+}
+
+// watchedConnection knows whether a request of it has reached the handler and has not ended yet.
+type watchedConnection struct {
+	net.Conn
+	refused func(remote net.Addr, status int)
+	handled atomic.Bool
+}
+
+// Write passes on what net/http sends.
+func (c *watchedConnection) Write(data []byte) (int, error) {
+	if !c.handled.Load() {
+		if status := statusLine(data); status >= http.StatusBadRequest {
+			c.refused(c.RemoteAddr(), status)
+		}
+	}
+	return c.Conn.Write(data)
+}
+
+// statusLine returns the status of an answer that begins here, zero if none does.
+func statusLine(data []byte) int {
+	rest, found := bytes.CutPrefix(data, []byte("HTTP/1.1 "))
+	if !found || len(rest) < len("400") {
+		return 0
+	}
+	status, err := strconv.Atoi(string(rest[:len("400")]))
+	if err != nil {
+		return 0 // a body that looks like the beginning of an answer
+	}
+	return status
+}
+
+func withConnection(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// markHandled notes that a request has reached the handler; the answer that follows is the handler's.
+func markHandled(ctx context.Context) {
+	if connection, ok := ctx.Value(connectionKey{}).(*watchedConnection); ok {
+		connection.handled.Store(true)
+	}
+}
+
+// markEnded notes that the handler's answer has been sent.
+func markEnded(connection net.Conn) {
+	if watched, ok := connection.(*watchedConnection); ok {
+		watched.handled.Store(false)
+	}
+}
