Make the stand-ins of upstream, clients and operator processes that share the code of standin

standin's parts move into standin/outside and take a Protocol: headers, announcements, what a leaving server waits for. platform-standin adds the platform's protocol and an operator that sends configurations which build on each other and reads them back.

--- a/standin/backend.go
+++ b/standin/outside/backend.go
@@ -1,14 +1,16 @@
-package main
+package outside
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +20,9 @@
 )
 
 const (
-	announceEvery = time.Second
+	announceLimit = time.Second // for an acknowledgement
+	announceAgain = 100 * time.Millisecond
+	leaveAtMost   = 2 * time.Second // to be heard
 	drainAtMost   = 10 * time.Second
 	maxBodyBytes  = 1 << 20
 	checksumName  = "Standin-Checksum"
@@ -33,6 +37,12 @@
 	workMS      int
 	coldMS      int
 	answerBytes int
+	name        string
+	announceMS  int
+	nestedPath  string
+	nestedHost  string
+	nestedNode  string
+	nestedFor   string
 	runLog      string
 }
 
@@ -47,6 +57,12 @@
 	command.Flag("work-ms", "Time of one run.").Default("1").IntVar(&o.workMS)
 	command.Flag("cold-ms", "Time after the start in which runs take four times as long.").Default("0").IntVar(&o.coldMS)
 	command.Flag("answer-bytes", "Size of the answer's padding.").Default("200").IntVar(&o.answerBytes)
+	command.Flag("name", "Name of this run; empty for one made of the time.").StringVar(&o.name)
+	command.Flag("announce-ms", "Pause between two announcements.").Default("1000").IntVar(&o.announceMS)
+	command.Flag("nested-for", "Path prefix of the requests whose runs make a call of their own.").StringVar(&o.nestedFor)
+	command.Flag("nested-node", "Caller address of the node for these calls.").StringVar(&o.nestedNode)
+	command.Flag("nested-host", "Host header of these calls; empty for the node's address.").StringVar(&o.nestedHost)
+	command.Flag("nested-path", "Path of these calls.").StringVar(&o.nestedPath)
 	command.Flag("run-log", "File that gets one JSON line for each run.").Required().StringVar(&o.runLog)
 	return command, o
 }
@@ -54,23 +70,28 @@
 // runEntry is one line of a run log.
 type runEntry struct {
 	CallID  string    `json:"call-id"`
+	Caller  string    `json:"caller"` // service beside whose node the call began
 	Key     string    `json:"key"`
 	Method  string    `json:"method"`
 	Path    string    `json:"path"`
+	Leaving bool      `json:"leaving,omitempty"` // begun after its node knew that it leaves
 	Release string    `json:"release"`
 	At      time.Time `json:"at"`
 }
 
 type backendServer struct {
 	options   backendOptions
+	protocol  Protocol
 	log       *os.File
 	startedAt time.Time
+	name      string // of this run
 	running   atomic.Int64
-	leaving   atomic.Bool
+	left      atomic.Bool // its node knows that it leaves
+	calls     atomic.Uint64
 	faults    faultSwitch
 }
 
-func runBackend(ctx context.Context, o backendOptions) error {
+func runBackend(ctx context.Context, o backendOptions, protocol Protocol) error {
 	log, err := os.OpenFile(o.runLog, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Trace(err)
@@ -78,8 +99,13 @@
 	defer log.Close()
 	b := &backendServer{
 		options:   o,
+		protocol:  protocol,
 		log:       log,
 		startedAt: time.Now(),
+		name:      o.name,
+	}
+	if b.name == "" {
+		b.name = strconv.FormatInt(b.startedAt.UnixNano(), 36)
 	}
 	mux := http.NewServeMux()
 	mux.Handle("PUT /standin/faults", &b.faults)
@@ -101,11 +127,10 @@
 // announceUntil renews the lease until the context ends, then drains: leaving is announced first, so that no new
 // requests arrive while the running ones finish.
 func (b *backendServer) announceUntil(ctx context.Context, server *http.Server, failed <-chan error) error {
-	run := strconv.FormatInt(b.startedAt.UnixNano(), 36)
-	ticker := time.NewTicker(announceEvery)
+	ticker := time.NewTicker(time.Duration(b.options.announceMS) * time.Millisecond)
 	defer ticker.Stop()
-	for {
-		b.announce(run, "ready")
+	for sequence := 1; ; sequence++ {
+		b.announce(sequence, StateReady)
 		select {
 		case err := <-failed:
 			return errors.Trace(err)
@@ -113,38 +138,62 @@
 			continue
 		case <-ctx.Done():
 		}
-		b.leaving.Store(true)
-		b.announce(run, "leaving")
-		drain, cancel := context.WithTimeout(context.Background(), drainAtMost)
-		defer cancel()
-		return errors.Trace(server.Shutdown(drain))
-	}
-}
-
-func (b *backendServer) announce(run, state string) {
-	body, err := json.Marshal(map[string]any{
-		"service": b.options.service,
-		"release": b.options.release,
-		"address": b.options.listen,
-		"slots":   b.options.slots,
-		"state":   state,
-		"run":     run,
-	})
-	if err != nil {
-		return
+		return b.leave(sequence+1, server)
+	}
+}
+
+// leave announces that the server leaves, serves a little longer and stops.
+func (b *backendServer) leave(sequence int, server *http.Server) error {
+	deadline := time.Now().Add(leaveAtMost)
+	for ; !b.announce(sequence, StateLeaving) && b.protocol.LeaveIsAcknowledged; sequence++ {
+		if time.Now().After(deadline) {
+			return errors.New("the node does not know that this server leaves")
+		}
+		time.Sleep(announceAgain)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), announceEvery)
+	b.left.Store(true)
+	time.Sleep(b.protocol.DrainFor)
+	drain, cancel := context.WithTimeout(context.Background(), drainAtMost)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+b.options.announce+"/v1/backend", bytes.NewReader(body))
+	if err := server.Shutdown(drain); err != nil {
+		return errors.Trace(err)
+	}
+	b.announce(sequence+1, StateGone)
+	return nil
+}
+
+// announce reports whether the node has acknowledged the announcement.
+func (b *backendServer) announce(sequence int, state State) bool {
+	request, err := b.protocol.Announce(b.options.announce, Announcement{
+		Service:  b.options.service,
+		Release:  b.options.release,
+		Address:  b.options.listen,
+		Slots:    b.options.slots,
+		State:    state,
+		Run:      b.name,
+		Born:     b.startedAt,
+		Sequence: sequence,
+		Cold:     max(0, time.Until(b.warmAt())),
+	})
 	if err != nil {
-		return
+		fmt.Fprintf(os.Stderr, "%s: announcement: %v\n", b.protocol.Name, err)
+		return false
 	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	if request == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceLimit)
+	defer cancel()
+	response, err := http.DefaultClient.Do(request.WithContext(ctx))
 	if err != nil {
-		return // the node may be restarting; the next announcement follows in a second
+		return false // the node may be restarting; the next announcement follows
 	}
 	_ = response.Body.Close()
+	return response.StatusCode < http.StatusMultipleChoices
+}
+
+func (b *backendServer) warmAt() time.Time {
+	return b.startedAt.Add(time.Duration(b.options.coldMS) * time.Millisecond)
 }
 
 // health always reports a healthy server, as a misleading health endpoint does.
@@ -155,9 +204,14 @@
 func (b *backendServer) serve(w http.ResponseWriter, r *http.Request) {
 	running := int(b.running.Add(1))
 	defer b.running.Add(-1)
+	b.echo(w, r)
+	if expected := r.Header.Get(b.protocol.Headers.ExpectedInstance); expected != "" && expected != b.name {
+		b.reject(w, http.StatusMisdirectedRequest, "another instance is expected")
+		return
+	}
 	if running > b.options.slots {
 		w.Header().Set("Retry-After", "1")
-		http.Error(w, "no free slot", http.StatusServiceUnavailable)
+		b.reject(w, http.StatusServiceUnavailable, "no free slot")
 		return
 	}
 	b.record(r)
@@ -173,9 +227,51 @@
 		http.Error(w, "fault", http.StatusInternalServerError)
 		return
 	}
+	if b.options.nestedFor != "" && strings.HasPrefix(r.URL.Path, b.options.nestedFor) {
+		if err := b.callNested(r); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+	}
 	b.answer(w, r, hit && f.CutAnswer)
 }
 
+// callNested makes the call that a run needs, within the time that the run has left.
+func (b *backendServer) callNested(r *http.Request) error {
+	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+b.options.nestedNode+b.options.nestedPath, nil)
+	if err != nil {
+		return err
+	}
+	request.Host = b.options.nestedHost
+	setHeader(request, b.protocol.Headers.Deadline, r.Header.Get(b.protocol.Headers.Deadline))
+	if b.protocol.CallersNameCalls {
+		setHeader(request, b.protocol.Headers.CallID, fmt.Sprintf("%s-%d", b.name, b.calls.Add(1)))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("the nested call was answered with %d", response.StatusCode)
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// echo returns the id by which the node knows the call.
+func (b *backendServer) echo(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(b.protocol.Headers.CallID); id != "" {
+		w.Header().Set(b.protocol.Headers.CallID, id)
+	}
+}
+
+// reject answers a request that was not run, and says so.
+func (b *backendServer) reject(w http.ResponseWriter, status int, text string) {
+	w.Header().Set(b.protocol.Headers.NotRun, "1")
+	http.Error(w, text, status)
+}
+
 // work returns false if the request was cancelled or must stay without an answer.
 func (b *backendServer) work(ctx context.Context, f faults, hit bool) bool {
 	if hit && f.Silent {
@@ -183,7 +279,7 @@
 		return false
 	}
 	duration := time.Duration(b.options.workMS) * time.Millisecond
-	if time.Since(b.startedAt) < time.Duration(b.options.coldMS)*time.Millisecond {
+	if time.Now().Before(b.warmAt()) {
 		duration *= 4
 	}
 	if hit {
@@ -204,10 +300,12 @@
 
 func (b *backendServer) record(r *http.Request) {
 	line, err := json.Marshal(runEntry{
-		CallID:  r.Header.Get("Parsleyport-Call-Id"),
+		CallID:  r.Header.Get(b.protocol.Headers.CallID),
+		Caller:  r.Header.Get(b.protocol.Headers.CallerService),
 		Key:     r.Header.Get("Standin-Key"),
 		Method:  r.Method,
 		Path:    r.URL.Path,
+		Leaving: b.left.Load(),
 		Release: b.options.release,
 		At:      time.Now(),
 	})
--- a/standin/caller.go
+++ b/standin/outside/caller.go
@@ -1,4 +1,4 @@
-package main
+package outside
 
 import (
 	"bytes"
@@ -38,6 +38,7 @@
 	keyed      bool
 	resends    int
 	crash      bool
+	host       string
 	log        string
 	summary    string
 }
@@ -57,6 +58,7 @@
 	command.Flag("keyed", "Send an idempotency key with calls that are not idempotent.").BoolVar(&o.keyed)
 	command.Flag("resends", "How often a keyed call without a certain outcome is sent again, through any target.").Default("0").IntVar(&o.resends)
 	command.Flag("crash", "Ask backend servers to crash.").BoolVar(&o.crash)
+	command.Flag("host", "Host header; empty for the target's address.").StringVar(&o.host)
 	command.Flag("log", "File that gets one JSON line for each call.").Default("").StringVar(&o.log)
 	command.Flag("summary", "File that gets the summary; empty for standard output.").Default("").StringVar(&o.summary)
 	return command, o
@@ -95,8 +97,10 @@
 
 type caller struct {
 	options  callerOptions
+	protocol Protocol
 	client   *http.Client
 	sequence atomic.Uint64
+	attempts atomic.Uint64
 	prefix   string
 
 	mu        sync.Mutex // guards what follows
@@ -105,9 +109,10 @@
 	summary   summary
 }
 
-func runCaller(ctx context.Context, o callerOptions) error {
+func runCaller(ctx context.Context, o callerOptions, protocol Protocol) error {
 	c := &caller{
-		options: o,
+		options:  o,
+		protocol: protocol,
 		client: &http.Client{
 			Transport: &http.Transport{
 				MaxIdleConnsPerHost: o.workers,
@@ -209,15 +214,16 @@
 		return err
 	}
 	request.Header.Set("Standin-Key", entry.Key)
-	request.Header.Set("Parsleyport-Deadline-Ms", strconv.Itoa(c.options.timeoutMS))
-	if entry.Tenant != "" {
-		request.Header.Set("Parsleyport-Tenant", entry.Tenant)
-	}
-	if entry.Session != "" {
-		request.Header.Set("Parsleyport-Session", entry.Session)
+	request.Host = c.options.host
+	names := c.protocol.Headers
+	if c.protocol.CallersNameCalls {
+		setHeader(request, names.CallID, fmt.Sprintf("%s-%d", c.prefix, c.attempts.Add(1)))
 	}
+	setHeader(request, names.Deadline, wholeMilliseconds(timeout))
+	setHeader(request, names.Tenant, entry.Tenant)
+	setHeader(request, names.Session, entry.Session)
 	if c.keyed(*entry) {
-		request.Header.Set("Idempotency-Key", entry.Key)
+		setHeader(request, names.IdempotencyKey, entry.Key)
 	}
 	if c.options.crash {
 		request.Header.Set("Standin-Crash", "1")
@@ -228,10 +234,10 @@
 	}
 	defer response.Body.Close()
 	entry.Status = response.StatusCode
-	entry.Outcome = response.Header.Get("Parsleyport-Outcome")
-	entry.Cause = response.Header.Get("Parsleyport-Cause")
-	entry.Release = response.Header.Get("Parsleyport-Release")
-	entry.Revision, _ = strconv.ParseUint(response.Header.Get("Parsleyport-Revision"), 10, 64)
+	entry.Outcome = c.protocol.outcomeOf(response)
+	entry.Cause = response.Header.Get(names.Cause)
+	entry.Release = response.Header.Get(names.Release)
+	entry.Revision, _ = strconv.ParseUint(response.Header.Get(names.Revision), 10, 64)
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err
@@ -242,6 +248,13 @@
 	return nil
 }
 
+// setHeader leaves out what the protocol has no name for, and what has no value.
+func setHeader(request *http.Request, name, value string) {
+	if name != "" && value != "" {
+		request.Header.Set(name, value)
+	}
+}
+
 func (c *caller) record(entry callEntry) {
 	line, err := json.Marshal(entry)
 	if err != nil {
--- a/standin/trace.go
+++ b/standin/outside/trace.go
@@ -1,4 +1,4 @@
-package main
+package outside
 
 import (
 	"os"
