Give a release on trial its share on as many endpoints as that share needs, and keep a brief move's exposure under a tenth

Ruled out: late reports (the steps came in time), stricter comparison (nothing was there to be seen at that load). Conclusion: the share of calls says nothing about load; the number of endpoints that carry it does.

--- a/core/record/configuration.go
+++ b/core/record/configuration.go
@@ -246,6 +246,12 @@
 	return c.policies[service].Weights
 }
 
+// OnTrial returns the upstream to which a service's traffic is being moved; it is false if no move is open.
+func (c *Configuration) OnTrial(service core.ServiceName) (core.UpstreamName, bool) {
+	override, exists := c.overrides[service]
+	return override.To, exists && override.Open
+}
+
 // openWeights are those of a service with any release that no move has touched.
 var openWeights = []core.Weight{{
 	Upstream: core.UpstreamName(core.OtherReleases),
--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -12,18 +12,16 @@
 )
 
 const (
-	// briefRisk is the share for most of a brief move, if the request names none. A release that shows its fault only at a
-	// larger share meets a tenth of the calls then, since the larger shares last for a fifth of the time.
+	// briefRisk is the share for most of a brief move, if the request names none.
 	briefRisk core.PerMille = 60
 	// briefWait lets the nodes learn of the move before its first share.
 	briefWait = 500 * time.Millisecond
-	// A brief move spends these parts of its time at the risk share, at about a quarter and a half; the rest is a margin for the
-	// last step. Faults that come late or under load have to show before the last step, since no release is left after it.
-	briefRiskUntil    = 0.70
-	briefQuarterUntil = 0.79
-	briefHalfUntil    = 0.91
-	briefQuarter      = core.PerMille(200)
-	briefHalf         = core.PerMille(450)
+	// A brief move spends these parts of its time at the risk share and at a fifth; the rest is a margin for the last step. Faults
+	// that come late have to show before the last step, since no release is left after it. Until then the new release has met 85
+	// in 1,000 of the calls, so that one whose fault shows at the very end has still met less than a tenth of them.
+	briefRiskUntil  = 0.74
+	briefFifthUntil = 0.94
+	briefFifth      = core.PerMille(200)
 	// briefCalls of the new release have to be reported before each larger share.
 	briefCalls = 12
 	// briefAlarm is the probability that one comparison takes a release back which is as good as the old one.
@@ -142,12 +140,9 @@
 // grow raises the share by time, once enough calls at the present one were reported. A move that is late skips no share.
 func (b *Brief) grow(now time.Time, move core.Move, counted map[core.RouteName]briefPair, text string) (core.MoveStep, bool) {
 	total := move.Request.Deadline.Sub(move.StartedAt)
-	until, next := briefHalfUntil, core.FullShare
-	switch {
-	case move.Share < briefQuarter:
-		until, next = briefRiskUntil, briefQuarter
-	case move.Share < briefHalf:
-		until, next = briefQuarterUntil, briefHalf
+	until, next := briefFifthUntil, core.FullShare
+	if move.Share < briefFifth {
+		until, next = briefRiskUntil, briefFifth
 	}
 	due := !now.Before(move.StartedAt.Add(time.Duration(float64(total) * until)))
 	if !due || totalOf(b.since(counted)).new.calls < briefCalls || b.ready == 0 {
--- a/core/rollout/brief_test.go
+++ b/core/rollout/brief_test.go
@@ -21,8 +21,8 @@
 	both    float64 // part of the calls of both releases that fail from then on
 }
 
-// replayBrief replays a move of 14 s with 130 calls a second, of which the reports are late by half a second.
-func replayBrief(seed uint64, release briefRelease) (move core.Move, newCalls, allCalls int) {
+// replayBrief replays a move of 14 s with some calls in each tenth of a second, of which the reports are late by half a second.
+func replayBrief(seed uint64, release briefRelease, perTick int) (move core.Move, newCalls, allCalls int) {
 	random := rand.New(rand.NewPCG(seed, seed))
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	move = core.Move{
@@ -41,7 +41,7 @@
 	const tick = 100 * time.Millisecond
 	for at := time.Duration(0); at < 15*time.Second && !rollout.IsFinal(move.State); at += tick {
 		now := start.Add(at)
-		for range 13 {
+		for range perTick {
 			allCalls++
 			c := counts["v1"]
 			bad := briefRelease{failing: 0.001}
@@ -96,7 +96,7 @@
 		{name: "under load", release: briefRelease{failing: 0.5, from: 200}},
 	} {
 		for seed := range uint64(200) {
-			move, newCalls, allCalls := replayBrief(seed, test.release)
+			move, newCalls, allCalls := replayBrief(seed, test.release, 13)
 			comment := qt.Commentf("%s, seed %d: %s (%s), %d of %d calls", test.name, seed, move.State, move.Cause, newCalls, allCalls)
 			if test.good {
 				taken += lo.Ternary(move.State == core.MoveDone, 0, 1)
@@ -109,6 +109,17 @@
 	c.Assert(taken <= 8, qt.IsTrue, qt.Commentf("%d of 400 good releases were not done", taken))
 }
 
+// Guards against a release whose fault shows too late to be found and which has met more than its part of the calls before
+// the last step, at a rate at which the allowance of single calls does not matter.
+func TestBriefMoveKeepsItsExposure(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(50) {
+		move, newCalls, _ := replayBrief(seed, briefRelease{}, 72)
+		c.Assert(move.State, qt.Equals, core.MoveDone)
+		c.Assert(newCalls <= 14*720/10+50, qt.IsTrue, qt.Commentf("seed %d: %d calls", seed, newCalls))
+	}
+}
+
 // Guards against a move that is done although nothing was reported of the new release.
 func TestBriefMoveWithoutEvidenceExpires(t *testing.T) {
 	c := qt.New(t)
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -8,12 +8,14 @@
 	"github.com/samber/lo"
 
 	"parsleyport/core"
+	"parsleyport/core/rollout"
 )
 
 // share is the part of a service's traffic that a release gets at this node.
 type share struct {
 	release  core.Release
 	perMille core.PerMille
+	trial    bool          // a move to the release has not ended
 	named    []core.Weight // with core.OtherReleases: all weights, whose releases it does not stand for
 }
 
@@ -25,6 +27,19 @@
 	return !slices.ContainsFunc(h.named, func(w core.Weight) bool { return core.Release(w.Upstream) == endpoint.Release })
 }
 
+// endpoints returns those that take the share's calls. A release on trial gets them on a part of its endpoints until it has
+// half of the calls.
+func (h share) endpoints(ready []core.Endpoint, shares []share) []core.Endpoint {
+	own, others := lo.FilterReject(ready, func(e core.Endpoint, _ int) bool { return h.has(e) })
+	if !h.trial || h.perMille >= core.FullShare/2 {
+		return own
+	}
+	taking := lo.CountBy(others, func(e core.Endpoint) bool {
+		return slices.ContainsFunc(shares, func(each share) bool { return each.has(e) })
+	})
+	return rollout.TrialEndpoints(h.release, own, taking, h.perMille)
+}
+
 // choose picks a release by weight and an endpoint of it. If the release has no endpoint, another one may take its place
 // only if its share is at least as large, so that a release under trial never gets more than its share.
 func (s *Server) choose(q *request, past past, now time.Time) (core.Endpoint, bool) {
@@ -33,7 +48,7 @@
 	for len(shares) > 0 {
 		at := drawShare(shares, func(n core.PerMille) core.PerMille { return rand.N(n) })
 		chosen := shares[at]
-		candidates := candidatesOf(ready, chosen, past)
+		candidates := candidatesOf(chosen.endpoints(ready, shares), past)
 		if len(candidates) > 0 {
 			endpoint, found := s.options.Picker.Pick(now, core.PickRequest{
 				Call:    q.call.ID,
@@ -61,12 +76,14 @@
 // shares returns the releases that may get this call.
 func (s *Server) shares(q *request) []share {
 	shares := make([]share, 0, len(q.weights))
+	onTrial, moving := q.configuration.OnTrial(q.route.Service)
 	for _, weight := range q.weights {
 		upstream, _ := q.configuration.UpstreamOf(q.route.Service, weight.Upstream)
 		if weight.PerMille > 0 && s.options.ReleaseAllowed(q.route.Service, upstream.Release) {
 			shares = append(shares, share{
 				release:  upstream.Release,
 				perMille: weight.PerMille,
+				trial:    moving && weight.Upstream == onTrial,
 				named:    q.weights,
 			})
 		}
@@ -140,16 +157,16 @@
 	shares := s.shares(q)
 	largest := lo.MaxBy(shares, func(a, b share) bool { return a.perMille > b.perMille }).perMille
 	return slices.ContainsFunc(shares, func(each share) bool {
-		candidates := candidatesOf(ready, each, past)
+		candidates := candidatesOf(each.endpoints(ready, shares), past)
 		return each.perMille == largest && len(past.triedOf(candidates)) < len(candidates)
 	})
 }
 
 // candidatesOf prefers endpoints that this call has not tried; one that takes no calls is not tried again.
-func candidatesOf(ready []core.Endpoint, of share, past past) []core.Endpoint {
+func candidatesOf(endpoints []core.Endpoint, past past) []core.Endpoint {
 	var fresh, all []core.Endpoint
-	for _, endpoint := range ready {
-		if !of.has(endpoint) || among(past.gone, endpoint) {
+	for _, endpoint := range endpoints {
+		if among(past.gone, endpoint) {
 			continue
 		}
 		all = append(all, endpoint)
