Pack messages between data centres, and ask nobody about idempotency keys where callers cannot send any

Answer bodies do not compress (deflate: 21.1 to 21.1 MB). Each protocol has a dictionary made of sample messages; two processes pack if their dictionaries have the same id and their data centres differ (control instances: always). A platform without a header for keys starts no claims. Ruled out: a stream compressor for each connection (some 0.7 MB each), shorter field names (a change of every message). First try: node-to-node calls were not packed, as samples with a map gave another id in each process (TestPackingsOfEqualSettingsAreEqual). Cost: 13 us for packing and unpacking 350 bytes.

--- a/io/control/control.go
+++ b/io/control/control.go
@@ -194,6 +194,7 @@
 	source, cleanup, err := distribution.NewSource(distribution.SourceOptions{
 		ID:            p.settings.ID,
 		ListenAddress: p.settings.NodeAddress,
+		DataCentre:    p.settings.DataCentre,
 		DirectNodes:   p.settings.DirectNodes,
 		EvidenceEvery: p.settings.EvidenceEvery,
 		Peers: lo.Map(others, func(m settings.Member, _ int) distribution.Peer {
--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -163,7 +163,7 @@
 		a.backOff()
 		return eventFailed
 	}
-	a.conn = frame.New(conn)
+	a.conn = frame.New(conn, a.hub.packing)
 	return eventConnected
 }
 
@@ -183,9 +183,11 @@
 }
 
 func (a *attachment) exchange() (statechart.Event, error) {
+	greeting := a.hello()
+	greeting.Packing, greeting.DataCentre = a.hub.packing.ID(), a.hub.dataCentre
 	if err := a.hub.send(a.conn, helloTimeout, outgoing{
 		kind:    typeHello,
-		message: a.hello(),
+		message: greeting,
 	}); err != nil {
 		// A parent that is short of handshakes answers without reading, so its answer may be there all the same.
 		a.logger.Debug().Err(err).Msg("send hello")
@@ -203,6 +205,7 @@
 		if home, elsewhere := a.goHome(message); elsewhere {
 			return eventRedirected, a.follow(home)
 		}
+		a.conn.Pack(message.Packing)
 		return eventAccepted, a.accept(message)
 	case typeRedirect:
 		var message redirect
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -19,8 +19,10 @@
 	id    uint64
 	hello hello
 	conn  *frame.Conn
-	owner lease.Owner
-	wake  *ring.Ring[struct{}]
+	// packing is zero if messages on the link are not packed.
+	packing frame.PackingID
+	owner   lease.Owner
+	wake    *ring.Ring[struct{}]
 
 	// What follows is guarded by hub.mu.
 	acknowledged acknowledge
@@ -66,9 +68,9 @@
 		}
 		select {
 		case h.handshakes <- struct{}{}:
-			h.start(func() { h.greet(ctx, frame.New(conn)) })
+			h.start(func() { h.greet(ctx, frame.New(conn, h.packing)) })
 		default:
-			h.turnAway(frame.New(conn))
+			h.turnAway(frame.New(conn, nil))
 		}
 	}
 }
@@ -328,7 +330,7 @@
 }
 
 // acceptance is the path that a child gets; mu is held.
-func (h *hub) acceptance() accept {
+func (h *hub) acceptance(packing frame.PackingID) accept {
 	path := h.path
 	if h.relay != "" {
 		path = append([]core.NodeID{h.relay}, h.path...)
@@ -338,6 +340,7 @@
 		Control: h.control,
 		Stale:   h.stale,
 		Rows:    true,
+		Packing: packing,
 
 		Controls: h.controls,
 	}
@@ -364,6 +367,10 @@
 	if greeting.Kind == kindControl {
 		c.owner = peerOwner(core.ControlID(greeting.ID))
 	}
+	if greeting.DataCentre != h.dataCentre && greeting.Packing == h.packing.ID() {
+		c.packing = greeting.Packing
+		conn.Pack(c.packing)
+	}
 	h.children[c.id] = c
 	c.reported = c.held
 	h.compareContent(c)
--- a/io/distribution/distribution_test.go
+++ b/io/distribution/distribution_test.go
@@ -118,7 +118,7 @@
 	})
 	run(t, func(c *qt.C, w *world) {
 		w.source("c1", w.catalog)
-		child := w.rawChild("c1", hello{ID: "n", Revision: 1, Hash: 42})
+		child := w.rawChild("c1", hello{ID: "n", Revision: 1, Hash: 42}, nil)
 		w.catalog.set(revision(2))
 		var full record.Full
 		child.receive(typeConfigFull, &full)
@@ -278,14 +278,14 @@
 		c.Assert(err, qt.IsNotNil) // the node has closed the link
 
 		// A detached relay takes no children.
-		w.rawChild("relay-n", hello{ID: "k"}).receive(typeRetryAfter, &retryAfter{})
+		w.rawChild("relay-n", hello{ID: "k"}, nil).receive(typeRetryAfter, &retryAfter{})
 
 		// A relay does not take its own ancestor, and leaves a parent that has moved below it.
 		parent.attach(accept{Path: []core.NodeID{"m"}, Control: "c1"})
 		w.eventually(time.Second, "attached", func() bool { return node.Status().State == string(stateAttached) })
-		w.rawChild("relay-n", hello{ID: "m"}).receive(typeRetryAfter, &retryAfter{})
+		w.rawChild("relay-n", hello{ID: "m"}, nil).receive(typeRetryAfter, &retryAfter{})
 		var path accept
-		w.rawChild("relay-n", hello{ID: "k"}).receive(typeAccept, &path)
+		w.rawChild("relay-n", hello{ID: "k"}, nil).receive(typeAccept, &path)
 		c.Assert(path.Path, qt.DeepEquals, []core.NodeID{"n", "m"})
 		parent.send(typeAccept, accept{Path: []core.NodeID{"m", "k", "n"}, Control: "c1"})
 		w.eventually(time.Second, "detached", func() bool { return node.Status().State != string(stateAttached) })
@@ -341,10 +341,10 @@
 			c.Assert(err, qt.IsNil)
 		}
 		time.Sleep(10 * time.Millisecond)
-		w.rawChild("c1", hello{ID: "late"}).receive(typeRetryAfter, &retryAfter{})
+		w.rawChild("c1", hello{ID: "late"}, nil).receive(typeRetryAfter, &retryAfter{})
 		c.Assert(source.hub.meters.handshakes.Get(), qt.Equals, uint64(0))
 		time.Sleep(2 * time.Second)
-		w.rawChild("c1", hello{ID: "late"}).receive(typeAccept, &accept{})
+		w.rawChild("c1", hello{ID: "late"}, nil).receive(typeAccept, &accept{})
 	})
 }
 
--- a/io/distribution/downlink.go
+++ b/io/distribution/downlink.go
@@ -21,7 +21,7 @@
 		c.pathTurn = h.pathTurn
 		due = append(due, outgoing{
 			kind:    typeAccept,
-			message: h.acceptance(),
+			message: h.acceptance(c.packing),
 		})
 	}
 	for ; c.pongs > 0; c.pongs-- {
--- a/io/distribution/fakes_test.go
+++ b/io/distribution/fakes_test.go
@@ -460,19 +460,19 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	p.conn = frame.New(conn)
+	p.conn = frame.New(conn, nil)
 	p.receive(typeHello, &hello{})
 	p.send(typeAccept, answer)
 }
 
 // rawChild says hello to a parent.
-func (w *world) rawChild(address string, greeting hello) *rawPeer {
+func (w *world) rawChild(address string, greeting hello, packing *frame.Packing) *rawPeer {
 	conn, err := w.net.network("raw-child").Dial(context.Background(), address)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	greeting.Kind, greeting.RelayAddress = kindNode, "raw-child"
-	p := &rawPeer{t: w.t, conn: frame.New(conn)}
+	p := &rawPeer{t: w.t, conn: frame.New(conn, packing)}
 	p.send(typeHello, greeting)
 	return p
 }
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -13,18 +13,19 @@
 	"parsleyport/core/lease"
 	"parsleyport/core/record"
 	"parsleyport/core/ring"
+	"parsleyport/io/frame"
 )
 
 // hub is what a Source and a Subscriber have in common: the state that they pass on, and the links to their children.
 type hub struct {
-	logger  zerolog.Logger
-	meters  *meters
-	network Network
-	relay   core.NodeID // empty on a control instance
-	schema  core.SchemaVersion
-	// incarnation and dataCentre are a node's own.
-	incarnation core.Incarnation
+	logger      zerolog.Logger
+	meters      *meters
+	network     Network
+	packing     *frame.Packing // between data centres
+	relay       core.NodeID    // empty on a control instance
+	schema      core.SchemaVersion
 	dataCentre  core.DataCentre
+	incarnation core.Incarnation // of a node
 	// confirms wakes the goroutine that runs confirmed reads; nil on a node, which asks its parent instead.
 	confirms *ring.Ring[struct{}]
 
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -50,6 +50,7 @@
 	Schema       core.SchemaVersion `msgpack:"schema-version"`
 	Revision     core.Revision      `msgpack:"revision"`
 	Hash         core.Hash          `msgpack:"hash"`
+	Packing      frame.PackingID    `msgpack:"packing,omitempty"` // that the child reads
 }
 
 // accept names the nodes from the parent up to the control instance; it is sent again when they change. Stale says that the
@@ -60,6 +61,8 @@
 	Stale   bool           `msgpack:"stale,omitempty"`
 	Rows    bool           `msgpack:"rows,omitempty"` // the sender reads rows of sums
 
+	Packing frame.PackingID `msgpack:"packing,omitempty"` // that both ends use from then on
+
 	Controls []ControlAddress `msgpack:"controls,omitempty"` // where nodes can attach
 }
 
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -94,6 +94,7 @@
 type SourceOptions struct {
 	ID            core.ControlID
 	ListenAddress string // nodes and other control instances attach here
+	DataCentre    core.DataCentre
 	Peers         []Peer
 	DirectNodes   int           // of one data centre that may attach, zero for 2; others are redirected to those
 	EvidenceEvery time.Duration // between two reports of evidence to the other control instances, zero for 1 s
--- /dev/null
+++ b/io/distribution/packing.go
@@ -0,0 +1,23 @@
+package distribution
+
+import (
+	"parsleyport/core"
+	"parsleyport/core/lease"
+	"parsleyport/io/frame"
+)
+
+// newPacking returns the packing of messages on the links of the tree. Configurations repeat themselves and need no sample.
+func newPacking() (*frame.Packing, error) {
+	endpoint := core.Endpoint{State: core.EndpointReady}
+	return frame.NewPacking(
+		hello{Kind: kindNode},
+		accept{Controls: []ControlAddress{{}}},
+		subscribe{Services: []core.ServiceName{""}, States: true},
+		nodes{Reports: []NodeReport{{}}},
+		acknowledge{},
+		evidence{Counts: []core.EvidenceCount{{}}},
+		sums{},
+		announce{Upserts: upserts{endpoint}, Removals: []lease.Removal{{}}},
+		endpoints{HasDigest: true, Upserts: upserts{endpoint}, States: []stateChange{{}}, Removals: []lease.Removal{{}}},
+	)
+}
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -46,6 +46,10 @@
 	if err := options.check(); err != nil {
 		return nil, nil, err
 	}
+	packing, err := newPacking()
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
 	listener, err := options.Network.Listen(options.ListenAddress)
 	if err != nil {
 		return nil, nil, errors.Annotatef(err, "node address %q", options.ListenAddress)
@@ -56,6 +60,7 @@
 		confirms: ring.New[struct{}](1),
 		links:    make(map[core.ControlID]peerLink),
 	}
+	s.hub.packing, s.hub.dataCentre = packing, options.DataCentre
 	s.hub.direct = options.DirectNodes
 	s.hub.control = options.ID
 	s.hub.run = core.Incarnation(time.Now().UnixNano())
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -81,6 +81,10 @@
 	if err := options.check(); err != nil {
 		return nil, nil, err
 	}
+	packing, err := newPacking()
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
 	listener, err := options.Network.Listen(options.RelayAddress)
 	if err != nil {
 		return nil, nil, errors.Annotatef(err, "relay address %q", options.RelayAddress)
@@ -96,6 +100,7 @@
 	}
 	s.newest.Store(record.Empty())
 	s.uses.Store(&map[core.ServiceName]*lastUse{})
+	s.hub.packing = packing
 	s.hub.relay = options.ID
 	s.hub.incarnation, s.hub.dataCentre = options.Incarnation, options.DataCentre
 	s.hub.schema = options.Schema
@@ -137,7 +142,6 @@
 		Kind:         kindNode,
 		ID:           s.options.ID,
 		Incarnation:  s.options.Incarnation,
-		DataCentre:   s.options.DataCentre,
 		RelayAddress: s.options.RelayAddress,
 		Schema:       s.options.Schema,
 		Revision:     held.Revision(),
--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -76,25 +76,33 @@
 	waiting  atomic.Int32
 	sent     atomic.Uint64
 	received atomic.Uint64
+	packing  *Packing // nil if packed messages are not read
+	packs    atomic.Bool
 }
 
-// New wraps a connection, one of many of its process.
-func New(conn net.Conn) *Conn {
-	return newSize(conn, readBytes)
+// New wraps a connection, one of many of its process. With a packing, which may be nil, it reads packed messages.
+func New(conn net.Conn, packing *Packing) *Conn {
+	return newSize(conn, packing, readBytes)
 }
 
 // NewBulk wraps one of few connections that carry many messages; it keeps a read buffer of 64 KiB for its whole life.
-func NewBulk(conn net.Conn) *Conn {
-	return newSize(conn, bulkBytes)
+func NewBulk(conn net.Conn, packing *Packing) *Conn {
+	return newSize(conn, packing, bulkBytes)
 }
 
-func newSize(conn net.Conn, bytes int) *Conn {
+func newSize(conn net.Conn, packing *Packing, bytes int) *Conn {
 	return &Conn{
-		conn:   conn,
-		reader: bufio.NewReaderSize(conn, bytes),
+		conn:    conn,
+		reader:  bufio.NewReaderSize(conn, bytes),
+		packing: packing,
 	}
 }
 
+// Pack has messages packed from now on if the peer reads them, which it does if it has a packing of the same id.
+func (c *Conn) Pack(peer PackingID) {
+	c.packs.Store(peer != 0 && peer == c.packing.ID())
+}
+
 var encoders = sync.Pool{
 	New: func() any { return new(bytes.Buffer) },
 }
@@ -121,6 +129,9 @@
 	head := buffer.Bytes()
 	binary.BigEndian.PutUint32(head, uint32(buffer.Len()-lengthBytes))
 	binary.BigEndian.PutUint16(head[lengthBytes:], uint16(kind))
+	if c.packs.Load() {
+		head = c.packing.pack(head)
+	}
 	return c.write(deadline, head)
 }
 
@@ -173,7 +184,13 @@
 	_ = c.conn.SetReadDeadline(deadline) // fails only on a closed connection, which the read reports better
 	frame, size, err := Read(c.reader)
 	c.received.Add(uint64(size))
-	return frame, err
+	if err != nil || frame.Type&packedType == 0 {
+		return frame, err
+	}
+	if c.packing == nil {
+		return Frame{}, errors.Annotatef(ErrMalformed, "packed message of type %d", frame.Type&^packedType)
+	}
+	return c.packing.unpack(frame)
 }
 
 // Read reads one frame and returns its size on the wire in bytes; its errors are those of Conn.Receive.
--- a/io/frame/frame_test.go
+++ b/io/frame/frame_test.go
@@ -24,7 +24,7 @@
 func TestSendAndReceive(t *testing.T) {
 	c := qt.New(t)
 	near, far := net.Pipe()
-	sender, receiver := frame.New(near), frame.New(far)
+	sender, receiver := frame.New(near, nil), frame.New(far, nil)
 	for _, size := range []int{0, 100, 200_000} {
 		want := note{
 			Text: strings.Repeat("x", size),
--- a/io/frame/lend_test.go
+++ b/io/frame/lend_test.go
@@ -16,7 +16,7 @@
 		c := qt.New(t)
 		lent.Store(taken)
 		near, far := net.Pipe()
-		sender, receiver := New(near), New(far)
+		sender, receiver := New(near, nil), New(far, nil)
 		var senders sync.WaitGroup
 		for i := range 200 {
 			senders.Go(func() { c.Check(sender.Send(time.Time{}, 1, make([]byte, 100*i)), qt.IsNil) })
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -11,6 +11,7 @@
 	"parsleyport/io/backendhttp"
 	"parsleyport/io/callerhttp"
 	"parsleyport/io/distribution"
+	"parsleyport/io/frame"
 	"parsleyport/io/nodepeer"
 )
 
@@ -90,16 +91,34 @@
 	p.log.Warn().Str("event", "backend-server-crashed").Str("run", crash.Run).Int("lost-calls", len(crash.Calls)).Msg("backend server crashed")
 }
 
+// headers returns the names of the headers of calls.
+func (p *process) headers() core.HeaderNames {
+	if p.options.Headers == (core.HeaderNames{}) {
+		return core.DefaultHeaderNames()
+	}
+	return p.options.Headers
+}
+
+func (p *process) newPacking(do.Injector) (*frame.Packing, error) {
+	return nodepeer.NewPacking(p.headers())
+}
+
 func (p *process) newPeerServer(injector do.Injector) (*nodepeer.Server, error) {
 	backend, err := do.Invoke[*backendhttp.Server](injector)
 	if err != nil {
 		return nil, err
 	}
+	packing, err := do.Invoke[*frame.Packing](injector)
+	if err != nil {
+		return nil, err
+	}
 	server, cleanup, err := nodepeer.NewServer(nodepeer.ServerOptions{
-		Address: p.settings.PeerAddress,
-		Backend: backend,
-		Logger:  p.log,
-		Metrics: p.metrics,
+		Address:    p.settings.PeerAddress,
+		DataCentre: p.settings.DataCentre,
+		Packing:    packing,
+		Backend:    backend,
+		Logger:     p.log,
+		Metrics:    p.metrics,
 	})
 	if err != nil {
 		return nil, err
@@ -117,11 +136,17 @@
 	if err != nil {
 		return nil, err
 	}
+	packing, err := do.Invoke[*frame.Packing](injector)
+	if err != nil {
+		return nil, err
+	}
 	dialer, cleanup, err := nodepeer.NewDialer(nodepeer.DialerOptions{
-		Self:    p.settings.ID,
-		Local:   backend,
-		Logger:  p.log,
-		Metrics: p.metrics,
+		Self:       p.settings.ID,
+		DataCentre: p.settings.DataCentre,
+		Packing:    packing,
+		Local:      backend,
+		Logger:     p.log,
+		Metrics:    p.metrics,
 	})
 	return keep(p, dialer, cleanup, err)
 }
@@ -140,21 +165,10 @@
 		return nil, err
 	}
 	subscriber := do.MustInvoke[*distribution.Subscriber](injector)
-	keys, stopKeys, err := nodepeer.NewClaims(nodepeer.ClaimsOptions{
-		Self:         p.settings.ID,
-		Incarnation:  p.incarnation,
-		Server:       do.MustInvoke[*nodepeer.Server](injector),
-		Dialer:       dialer,
-		Endpoints:    keyHolders{subscriber: subscriber},
-		Services:     func() []core.ServiceName { return subscriber.Current().Services() },
-		ServiceSince: func(service core.ServiceName) (time.Time, bool) { return serviceSince(subscriber.Current(), service) },
-		Metrics:      p.metrics,
-	})
+	keys, err := p.newKeys(injector, dialer)
 	if err != nil {
 		return nil, err
 	}
-	p.cleanups.add(stopKeys)
-	p.handOver = keys.HandOver
 	counts := &evidence{
 		recorder: p.recorder,
 		guard:    p.guard,
@@ -174,7 +188,7 @@
 		ReleaseAllowed:   counts.releaseAllowed,
 		Suspected:        p.suspects.suspected,
 		Keys:             keys,
-		Headers:          p.options.Headers,
+		Headers:          p.headers(),
 		CallerNamesCalls: p.options.CallerNamesCalls,
 		CallerService:    p.localService,
 		NoHedges:         p.options.NoHedges,
@@ -190,6 +204,30 @@
 	return keep(p, server, cleanup, err)
 }
 
+// newKeys returns nil if callers have no header for idempotency keys: no node then asks another one about them.
+func (p *process) newKeys(injector do.Injector, dialer *nodepeer.Dialer) (callerhttp.KeyClaimer, error) {
+	if p.headers().IdempotencyKey == "" {
+		return nil, nil
+	}
+	subscriber := do.MustInvoke[*distribution.Subscriber](injector)
+	keys, stopKeys, err := nodepeer.NewClaims(nodepeer.ClaimsOptions{
+		Self:         p.settings.ID,
+		Incarnation:  p.incarnation,
+		Server:       do.MustInvoke[*nodepeer.Server](injector),
+		Dialer:       dialer,
+		Endpoints:    keyHolders{subscriber: subscriber},
+		Services:     func() []core.ServiceName { return subscriber.Current().Services() },
+		ServiceSince: func(service core.ServiceName) (time.Time, bool) { return serviceSince(subscriber.Current(), service) },
+		Metrics:      p.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.cleanups.add(stopKeys)
+	p.handOver = keys.HandOver
+	return keys, nil
+}
+
 // localService is the service of the local backend server, or that of the settings before it has announced itself.
 func (p *process) localService() core.ServiceName {
 	if service, known := p.service.Load().(core.ServiceName); known {
--- a/io/nodepeer/bench_test.go
+++ b/io/nodepeer/bench_test.go
@@ -164,7 +164,7 @@
 		}
 		defer conn.Close()
 		ends = append(ends, conn)
-		if err := frame.New(conn).Send(time.Time{}, typeHello, helloMessage{Connection: uint64(i + 1)}); err != nil {
+		if err := frame.New(conn, nil).Send(time.Time{}, typeHello, helloMessage{Connection: uint64(i + 1)}); err != nil {
 			b.Fatal(err)
 		}
 		if _, _, err := frame.Read(conn); err != nil {
--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -58,7 +58,7 @@
 	return &clientConn{
 		dialer:  d,
 		peer:    p,
-		frames:  frame.New(conn),
+		frames:  frame.New(conn, d.options.Packing),
 		id:      rand.Uint64() | 1, // never zero
 		dialled: dialled,
 		number:  number,
@@ -254,6 +254,8 @@
 func (c *clientConn) greet() error {
 	err := c.frames.Send(time.Now().Add(writeLimit), typeHello, helloMessage{
 		Connection: c.id,
+		Packing:    c.dialer.options.Packing.ID(),
+		DataCentre: c.dialer.options.DataCentre,
 	})
 	if err != nil {
 		_ = c.frames.Close()
@@ -319,6 +321,7 @@
 	if !c.startedBy.IsZero() {
 		return errors.Annotate(errProtocol, "second welcome")
 	}
+	c.frames.Pack(message.Packing)
 	c.startedBy = time.Now().Add(-time.Duration(message.RunningUS) * time.Microsecond)
 	close(c.greeted)
 	return nil
--- a/io/nodepeer/dialer.go
+++ b/io/nodepeer/dialer.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyport/core"
+	"parsleyport/io/frame"
 )
 
 // DialerOptions configures a Dialer. Calls to Self go to Local without a connection; Dial replaces a TCP dial.
@@ -18,6 +19,8 @@
 	Self               core.NodeID
 	Local              core.Backend
 	ConnectionsPerPeer int // zero for 2
+	DataCentre         core.DataCentre
+	Packing            *frame.Packing // for peers in other data centres; nil for none
 	Logger             zerolog.Logger
 	Metrics            *metrics.Set
 	Dial               func(ctx context.Context, address string) (net.Conn, error)
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -151,7 +151,7 @@
 		conn, err := b.network.dial(t.Context(), "b")
 		c.Assert(err, qt.IsNil)
 		defer conn.Close()
-		frames := frame.New(conn)
+		frames := frame.New(conn, nil)
 		c.Assert(frames.Send(time.Time{}, typeHello, helloMessage{Connection: 1}), qt.IsNil)
 		c.Assert(frames.Send(time.Time{}, typeOpen, openMessage{Sequence: 1, Length: 10}), qt.IsNil)
 		b.network.tasks.Go(func() {
@@ -412,7 +412,7 @@
 		defer near.Close()
 		defer far.Close()
 		ctx, cancel := context.WithCancelCause(context.Background())
-		atServer := &serverConn{server: server, frames: frame.New(near), ctx: ctx, cancel: cancel}
+		atServer := &serverConn{server: server, frames: frame.New(near, nil), ctx: ctx, cancel: cancel}
 		if server.attempts.Connected(time.Now(), 1) {
 			atServer.id = 1
 			defer server.forget(atServer)
--- /dev/null
+++ b/io/nodepeer/packing_test.go
@@ -0,0 +1,120 @@
+package nodepeer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+	"parsleyport/io/frame"
+)
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Guards against processes whose packings differ although their settings are the same: the order of a map differs.
+func TestPackingsOfEqualSettingsAreEqual(t *testing.T) {
+	c := qt.New(t)
+	first, err := NewPacking(core.DefaultHeaderNames())
+	c.Assert(err, qt.IsNil)
+	for range 50 {
+		next, err := NewPacking(core.DefaultHeaderNames())
+		c.Assert(err, qt.IsNil)
+		c.Assert(next.ID(), qt.Equals, first.ID())
+	}
+	others, err := NewPacking(core.HeaderNames{CallID: "X-Call"})
+	c.Assert(err, qt.IsNil)
+	c.Assert(others.ID(), qt.Not(qt.Equals), first.ID())
+}
+
+// Guards against calls that are not packed between data centres, against work for packing within one, and against packed messages
+// to a peer that does not read them.
+func TestCallsBetweenDataCentresArePacked(t *testing.T) {
+	c := qt.New(t)
+	packing, err := NewPacking(core.DefaultHeaderNames())
+	c.Assert(err, qt.IsNil)
+	other, err := NewPacking(core.HeaderNames{})
+	c.Assert(err, qt.IsNil)
+	plain := bytesOfCalls(c, "here", "here", packing, packing)
+	packed := bytesOfCalls(c, "here", "there", packing, packing)
+	c.Assert(packed*2 < plain, qt.IsTrue, qt.Commentf("%d bytes, %d plain", packed, plain))
+	for name, dialers := range map[string]*frame.Packing{"no packing": nil, "another packing": other} {
+		bytes := bytesOfCalls(c, "here", "there", dialers, packing)
+		c.Assert(bytes > plain*9/10, qt.IsTrue, qt.Commentf("%s: %d bytes, %d plain", name, bytes, plain))
+	}
+}
+
+// bytesOfCalls makes calls between two nodes.
+func bytesOfCalls(c *qt.C, from, to core.DataCentre, dialers, servers *frame.Packing) int64 {
+	backend := &handledBackend{}
+	server, stop, err := NewServer(ServerOptions{
+		Address:    "127.0.0.1:0",
+		Backend:    backend,
+		DataCentre: to,
+		Packing:    servers,
+	})
+	c.Assert(err, qt.IsNil)
+	defer stop()
+	var bytes atomic.Int64
+	dialer, stopDialer, err := NewDialer(DialerOptions{
+		Self:       "self",
+		DataCentre: from,
+		Packing:    dialers,
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return countedConn{Conn: conn, bytes: &bytes}, err
+		},
+	})
+	c.Assert(err, qt.IsNil)
+	defer stopDialer()
+	for range 100 {
+		answer, outcome, err := dialer.Forward(context.Background(), core.Endpoint{Node: "b", Address: server.Address()}, &core.Call{
+			ID:       "c0ffee",
+			Service:  "orders",
+			Method:   http.MethodGet,
+			Target:   "/orders/81",
+			Header:   http.Header{"Accept": {"*/*"}, "Accept-Encoding": {"identity"}, "Parsleyport-Call-Id": {"c0ffee"}},
+			Deadline: time.Now().Add(5 * time.Second),
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+		body, err := io.ReadAll(answer.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(body), qt.Equals, "done")
+		c.Assert(answer.Header.Get("Content-Type"), qt.Equals, "application/json")
+		c.Assert(answer.Body.Close(), qt.IsNil)
+	}
+	return bytes.Load()
+}
+
+type handledBackend struct{}
+
+func (*handledBackend) Handle(context.Context, *core.Call) (*core.Answer, core.Outcome, error) {
+	return &core.Answer{
+		Status: http.StatusOK,
+		Header: http.Header{"Content-Type": {"application/json"}},
+		Body:   io.NopCloser(strings.NewReader("done")),
+	}, core.OutcomeAnswered, nil
+}
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -31,6 +31,9 @@
 	Logger   zerolog.Logger
 	Metrics  *metrics.Set
 	MaxCalls int // zero for 4096
+
+	DataCentre core.DataCentre
+	Packing    *frame.Packing // for dialers in other data centres; nil for none
 }
 
 // Server takes calls from other nodes and hands them to a core.Backend.
@@ -163,7 +166,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	c := &serverConn{
 		server: s,
-		frames: frame.New(conn),
+		frames: frame.New(conn, s.options.Packing),
 		ctx:    ctx,
 		cancel: cancel,
 	}
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -131,9 +131,15 @@
 		return errors.Annotate(errProtocol, "hello")
 	}
 	c.id, c.ponged = message.Connection, time.Now()
+	packing := frame.PackingID(0)
+	if message.DataCentre != s.options.DataCentre && message.Packing == s.options.Packing.ID() {
+		packing = message.Packing
+	}
 	c.send(typeWelcome, welcomeMessage{
 		RunningUS: time.Since(s.started).Microseconds(),
+		Packing:   packing,
 	})
+	c.frames.Pack(packing)
 	if leaving {
 		c.send(typeGoaway, emptyMessage{})
 	}
--- a/io/raftpeer/link.go
+++ b/io/raftpeer/link.go
@@ -132,7 +132,7 @@
 	for l.context.Err() == nil {
 		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(l.context, "tcp", l.address)
 		if err == nil {
-			r.useConnection(l, frame.NewBulk(conn))
+			r.useConnection(l, frame.NewBulk(conn, r.packing))
 			_ = conn.Close()
 		}
 		r.discard(l)
@@ -169,7 +169,7 @@
 	r.running.Go(func() {
 		defer cancel()
 		for ctx.Err() == nil {
-			if _, err := conn.Receive(time.Now().Add(silenceTimeout)); err != nil {
+			if err := receivePong(conn); err != nil {
 				return
 			}
 		}
@@ -179,8 +179,10 @@
 	defer pings.Stop()
 	for {
 		out := outgoing{
-			kind:    typePing,
-			message: struct{}{},
+			kind: typePing,
+			message: pingMessage{
+				Packing: r.packing.ID(),
+			},
 		}
 		select {
 		case <-ctx.Done():
@@ -195,6 +197,20 @@
 	}
 }
 
+// receivePong reads an answer, which says whether the other instance reads packed messages.
+func receivePong(conn *frame.Conn) error {
+	received, err := conn.Receive(time.Now().Add(silenceTimeout))
+	if err != nil || received.Type != typePong {
+		return err
+	}
+	var pong pingMessage
+	if err := received.Decode(&pong); err != nil {
+		return err
+	}
+	conn.Pack(pong.Packing)
+	return nil
+}
+
 func (r *Replica) acceptLoop() {
 	slots := make(chan struct{}, maxConnections)
 	for {
@@ -210,7 +226,7 @@
 		case slots <- struct{}{}:
 			r.running.Go(func() {
 				defer func() { <-slots }()
-				r.receiveLoop(frame.NewBulk(conn))
+				r.receiveLoop(frame.NewBulk(conn, r.packing))
 			})
 		default:
 			_ = conn.Close()
@@ -237,7 +253,9 @@
 func (r *Replica) receive(conn *frame.Conn, received frame.Frame) error {
 	switch received.Type {
 	case typePing:
-		return conn.Send(time.Now().Add(sendTimeout), typePong, struct{}{})
+		return conn.Send(time.Now().Add(sendTimeout), typePong, pingMessage{
+			Packing: r.packing.ID(),
+		})
 	case typeHello:
 		var hello raft.Hello
 		if err := received.Decode(&hello); err != nil {
--- /dev/null
+++ b/io/raftpeer/packing.go
@@ -0,0 +1,21 @@
+package raftpeer
+
+import (
+	"parsleyport/core/raft"
+	"parsleyport/io/frame"
+)
+
+// newPacking returns the packing of messages between control instances.
+func newPacking() (*frame.Packing, error) {
+	return frame.NewPacking(
+		raft.Hello{},
+		topicMessage{},
+		raft.Message{Kind: raft.KindAppend, Entries: []raft.Entry{{}}},
+		raft.Message{Kind: raft.KindAppendAnswer},
+	)
+}
+
+// pingMessage names the packing that the sender of a ping, or of its answer, reads.
+type pingMessage struct {
+	Packing frame.PackingID `msgpack:"packing,omitempty"`
+}
--- /dev/null
+++ b/io/raftpeer/packing_test.go
@@ -0,0 +1,55 @@
+package raftpeer
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core/raft"
+	"parsleyport/io/frame"
+)
+
+// Guards against messages between control instances that are not packed, and against packed ones to an instance of another
+// program version, whose answers to pings name no packing or another one.
+func TestMessagesArePackedOnceThePeerReadsThem(t *testing.T) {
+	c := qt.New(t)
+	packing, err := newPacking()
+	c.Assert(err, qt.IsNil)
+	heartbeat := &raft.Message{
+		Kind:  raft.KindAppend,
+		From:  raft.Peer{ID: "10.1.0.7", Identity: "f0a1b2c3d4e5f607"},
+		To:    raft.Peer{ID: "10.2.0.7", Identity: "0102030405060708"},
+		Term:  3,
+		Index: 81,
+	}
+	plain := uint64(0)
+	for _, test := range []struct {
+		reads  frame.PackingID
+		packed bool
+	}{
+		{reads: 0},
+		{reads: packing.ID() + 2},
+		{reads: packing.ID(), packed: true},
+	} {
+		near, far := net.Pipe()
+		sender, receiver := frame.NewBulk(near, packing), frame.NewBulk(far, packing)
+		failed := make(chan error, 1)
+		go func() { failed <- receiver.Send(time.Time{}, typePong, pingMessage{Packing: test.reads}) }()
+		c.Assert(receivePong(sender), qt.IsNil)
+		c.Assert(<-failed, qt.IsNil)
+		go func() { failed <- sender.Send(time.Time{}, frame.Type(heartbeat.Kind), heartbeat) }()
+		received, err := receiver.Receive(time.Now().Add(time.Second))
+		c.Assert(err, qt.IsNil)
+		c.Assert(<-failed, qt.IsNil)
+		var message raft.Message
+		c.Assert(received.Decode(&message), qt.IsNil)
+		c.Assert(message, qt.DeepEquals, *heartbeat)
+		sent, _ := sender.Bytes()
+		if plain == 0 {
+			plain = sent
+		}
+		c.Assert(sent < plain, qt.Equals, test.packed, qt.Commentf("%d bytes, %d plain", sent, plain))
+	}
+}
--- a/io/raftpeer/replica.go
+++ b/io/raftpeer/replica.go
@@ -20,6 +20,7 @@
 	"parsleyport/core/raft"
 	"parsleyport/core/ring"
 	"parsleyport/io/disk"
+	"parsleyport/io/frame"
 )
 
 // input is one item for the loop.
@@ -31,6 +32,7 @@
 
 // Replica is one control instance's replica of the log; it implements core.Replicator.
 type Replica struct {
+	packing  *frame.Packing
 	options  Options
 	counters counters
 	engine   *engine
@@ -124,6 +126,9 @@
 
 func (r *Replica) open(folder disk.Folder, machine core.StateMachine) error {
 	var err error
+	if r.packing, err = newPacking(); err != nil {
+		return err
+	}
 	if r.engine, err = openEngine(time.Now(), folder, &r.options, r.random, newIdentity, r.sendRaft); err != nil {
 		return err
 	}
