--- a/io/control/catchup.go
+++ b/io/control/catchup.go
@@ -128,29 +128,20 @@
 // startCatchUp starts the duty that tells the others what this instance holds.
 func (p *process) startCatchUp(injector do.Injector) {
 	replica, records := do.MustInvoke[*raftpeer.Replica](injector), do.MustInvoke[*catalog.Catalog](injector)
-	p.startDuty(func(ctx context.Context) {
-		ticker := time.NewTicker(catchUpInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-			first, end := records.MissingAudit()
-			payload, err := msgpack.Marshal(catchUpReport{
-				Identity:     replica.Self().Identity,
-				Applied:      replica.Status().Applied,
-				MissingAudit: end - first,
-				KnownRules:   catalog.KnownRules,
-			})
-			if err != nil {
-				p.log.Error().Err(err).Str("event", "report-not-encoded").Msg("other instances are not told what this one holds")
-				continue
-			}
-			for _, peer := range p.reportTo(replica) {
-				replica.Send(peer, catchUpTopic, payload)
-			}
+	p.startPeriodic(catchUpInterval, func(context.Context, time.Time) {
+		first, end := records.MissingAudit()
+		payload, err := msgpack.Marshal(catchUpReport{
+			Identity:     replica.Self().Identity,
+			Applied:      replica.Status().Applied,
+			MissingAudit: end - first,
+			KnownRules:   catalog.KnownRules,
+		})
+		if err != nil {
+			p.log.Error().Err(err).Str("event", "report-not-encoded").Msg("other instances are not told what this one holds")
+			return
+		}
+		for _, peer := range p.reportTo(replica) {
+			replica.Send(peer, catchUpTopic, payload)
 		}
 	})
 }
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -224,7 +224,23 @@
 		briefAtMost: p.settings.BriefMoves,
 		log:         p.log,
 	}
-	p.startDuty(m.run)
+	p.startPeriodic(stepEvery, m.judgeAll)
+}
+
+// startPeriodic runs a duty at each tick until the clean-up. Ticks that pass meanwhile are left out.
+func (p *process) startPeriodic(every time.Duration, run func(ctx context.Context, now time.Time)) {
+	p.startDuty(func(ctx context.Context) {
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-ticker.C:
+				run(ctx, now)
+			}
+		}
+	})
 }
 
 // startDuty runs a duty until the clean-up.
--- a/io/control/keeper.go
+++ b/io/control/keeper.go
@@ -27,18 +27,9 @@
 		return
 	}
 	replica := do.MustInvoke[*raftpeer.Replica](injector)
-	p.startDuty(func(ctx context.Context) {
-		ticker := time.NewTicker(keepEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case now := <-ticker.C:
-				p.followLeader(now, replica.Status())
-				p.keepVoters(ctx, now, replica)
-			}
-		}
+	p.startPeriodic(keepEvery, func(ctx context.Context, now time.Time) {
+		p.followLeader(now, replica.Status())
+		p.keepVoters(ctx, now, replica)
 	})
 }
 
@@ -95,18 +86,7 @@
 		return
 	}
 	replica, source := do.MustInvoke[*raftpeer.Replica](injector), do.MustInvoke[*distribution.Source](injector)
-	p.startDuty(func(ctx context.Context) {
-		ticker := time.NewTicker(keepEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				p.linkPeers(replica.Members(), source)
-			}
-		}
-	})
+	p.startPeriodic(keepEvery, func(context.Context, time.Time) { p.linkPeers(replica.Members(), source) })
 }
 
 func (p *process) followLeader(now time.Time, status core.ReplicatorStatus) {
--- a/io/control/moves.go
+++ b/io/control/moves.go
@@ -41,19 +41,6 @@
 	Decide(now time.Time, move core.Move, evidence []core.EvidenceCount) (core.MoveStep, bool)
 }
 
-func (m *mover) run(ctx context.Context) {
-	ticker := time.NewTicker(stepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			m.judgeAll(ctx, now)
-		}
-	}
-}
-
 func (m *mover) judgeAll(ctx context.Context, now time.Time) {
 	status := m.replicator.Status()
 	if status.Leader != status.Self {
--- a/io/control/rules.go
+++ b/io/control/rules.go
@@ -19,28 +19,19 @@
 // that older and newer programs decide alike while an upgrade is under way.
 func (p *process) startRules(injector do.Injector) {
 	replica, records := do.MustInvoke[*raftpeer.Replica](injector), do.MustInvoke[*catalog.Catalog](injector)
-	p.startDuty(func(ctx context.Context) {
-		ticker := time.NewTicker(rulesEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-			if status := replica.Status(); status.Leader != status.Self {
-				continue
-			}
-			rules := p.catchUp.knownToAll(time.Now(), replica.Self(), replica.Members())
-			if rules <= records.Rules() {
-				continue
-			}
-			if err := proposeRules(ctx, replica, rules); err != nil {
-				p.log.Warn().Err(err).Str("event", "rules-not-raised").Msg("newer rules for commands not brought into force")
-				continue
-			}
-			p.log.Info().Str("event", "rules-raised").Uint32("rules", uint32(rules)).Msg("newer rules for commands are in force")
+	p.startPeriodic(rulesEvery, func(ctx context.Context, now time.Time) {
+		if status := replica.Status(); status.Leader != status.Self {
+			return
 		}
+		rules := p.catchUp.knownToAll(now, replica.Self(), replica.Members())
+		if rules <= records.Rules() {
+			return
+		}
+		if err := proposeRules(ctx, replica, rules); err != nil {
+			p.log.Warn().Err(err).Str("event", "rules-not-raised").Msg("newer rules for commands not brought into force")
+			return
+		}
+		p.log.Info().Str("event", "rules-raised").Uint32("rules", uint32(rules)).Msg("newer rules for commands are in force")
 	})
 }
 
--- a/io/nodepeer/packing.go
+++ b/io/nodepeer/packing.go
@@ -11,13 +11,20 @@
 
 // usualHeaders are headers of most calls and answers, as names and values.
 var usualHeaders = []any{
-	"Accept", []string{"*/*"},
-	"Accept-Encoding", []string{"identity"},
-	"Connection", []string{"close"},
-	"User-Agent", []string{""},
-	"Content-Type", []string{"application/json"},
-	"Content-Type", []string{"application/octet-stream"},
-	"Content-Length", []string{"1000"},
+	"Accept",
+	[]string{"*/*"},
+	"Accept-Encoding",
+	[]string{"identity"},
+	"Connection",
+	[]string{"close"},
+	"User-Agent",
+	[]string{""},
+	"Content-Type",
+	[]string{"application/json"},
+	"Content-Type",
+	[]string{"application/octet-stream"},
+	"Content-Length",
+	[]string{"1000"},
 }
 
 // NewPacking returns the packing of messages between nodes. Names are those of the headers of calls.
