Explain a call from the logs of several processes, and write milliseconds in log lines

parsleyport explain ID LOG... shows the way of a call, what the same processes wrote before its end, and its cause. Seconds did not tell the order of the lines of one call, most of which last less. Test that nodes together keep the shared retry budget (fails if each has the whole slack).

--- /dev/null
+++ b/core/retry/shared_test.go
@@ -0,0 +1,71 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core/retry"
+)
+
+// Guards against nodes that each keep their budget and together exceed the one that they share, in any window of its length:
+// the nodes' windows begin at different times, and calls come in bursts, at other nodes each time.
+//
+// Replays 100 nodes whose every call fails and is tried again three times, while the rate of calls changes every few seconds.
+func TestNodesKeepTheSharedBudget(t *testing.T) {
+	c := qt.New(t)
+	const (
+		nodes  = 100
+		window = 10 * time.Second
+		share  = 0.2
+		slack  = 62.0
+		part   = 0.7 // of the shared budget that nodes use
+		step   = 100 * time.Millisecond
+		steps  = 900
+	)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		budgets := make([]*retry.Budget, nodes)
+		for i := range budgets {
+			budgets[i] = retry.NewBudget(retry.BudgetOptions{
+				Window:  window,
+				Share:   share * part,
+				Minimum: slack * part / nodes,
+				Added:   true,
+			})
+		}
+		var calls, repeats [steps]int
+		rate, busy := 0, 1
+		start := time.Unix(1_700_000_000, random.Int64N(int64(window)))
+		for at := range steps {
+			if at%30 == 0 {
+				rate, busy = random.IntN(60), 1+random.IntN(nodes)
+			}
+			for range rate {
+				budget := budgets[random.IntN(busy)]
+				now := start.Add(time.Duration(at)*step + time.Duration(random.Int64N(int64(step))))
+				budget.Call(now)
+				calls[at]++
+				for range 3 {
+					if budget.Take(now) {
+						repeats[at]++
+					}
+				}
+			}
+		}
+		const length = int(window / step)
+		total := func(counts [steps]int, from int) (sum int) {
+			for at := max(0, from); at < from+length; at++ {
+				sum += counts[at]
+			}
+			return sum
+		}
+		for from := range steps - length {
+			asked := max(total(calls, from), total(calls, from-length), total(calls, from-length/2))
+			allowed := share*float64(asked) + slack
+			c.Assert(float64(total(repeats, from)) <= allowed, qt.IsTrue, qt.Commentf("seed %d, from %d: %d of %.0f", seed, from, total(repeats, from), allowed))
+		}
+	}
+}
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -16,6 +16,7 @@
 
 	"parsleyport/core/raft"
 	"parsleyport/io/control"
+	"parsleyport/io/loglimit"
 	nodeprocess "parsleyport/io/node"
 	"parsleyport/io/operatorhttp"
 	"parsleyport/io/settings"
@@ -68,6 +69,8 @@
 		return StatusOK
 	case commandCheck:
 		return p.check(o)
+	case commandExplain:
+		return p.explain(o)
 	case commandReplay:
 		return p.replay(o)
 	case commandControl:
@@ -136,7 +139,7 @@
 }
 
 func (p *program) logger(level zerolog.Level) zerolog.Logger {
-	return zerolog.New(p.stderr).Level(level).With().Timestamp().Logger()
+	return loglimit.WithTime(zerolog.New(p.stderr).Level(level))
 }
 
 func (p *program) fail(status int, err error) int {
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -40,6 +40,7 @@
 	commandRecords = "records"
 	commandCheck   = "check"
 	commandReplay  = "replay"
+	commandExplain = "explain"
 	commandVersion = "version"
 
 	commandMembers        = "members"
@@ -59,6 +60,7 @@
 	command      string
 	settings     string
 	files        []string
+	callID       string
 	servers      []string
 	tokenFile    string
 	token        string
@@ -220,6 +222,11 @@
 	check.Flag("complete", "The record files together are all records: check the references between them too.").BoolVar(&r.complete)
 	addOutput(check, r)
 
+	explain := app.Command(commandExplain, "Show the way of a call through the logs of several processes, and its cause. The exit status is 1 if no line names it.\n\nExample: parsleyport explain b64a36d3cf29b8f6 node.log node-2.log")
+	explain.Arg("id", "Id of the call, as in the header of its answer.").Required().StringVar(&r.callID)
+	explain.Arg("log", "Log of a process, one JSON object a line.").Required().ExistingFilesVar(&r.files)
+	addOutput(explain, r)
+
 	app.Command(commandVersion, "Print the version from the build information.\n\nExample: parsleyport version")
 }
 
--- a/io/loglimit/doc.go
+++ b/io/loglimit/doc.go
@@ -1,2 +1,3 @@
-// Package loglimit bounds the lines that a process writes about calls, and counts those that it leaves out.
+// Package loglimit makes loggers: with the time of each line, and with a bound on the lines about calls, of which it counts those
+// that it leaves out.
 package loglimit
--- a/io/loglimit/loglimit_test.go
+++ b/io/loglimit/loglimit_test.go
@@ -25,3 +25,12 @@
 	leftOut := set.GetOrCreateCounter(`parsleyport_log_lines_left_out_total{kind="failed"}`).Get()
 	c.Assert(leftOut, qt.Equals, uint64(100-lines))
 }
+
+// Guards against times that do not tell the order of lines within a second.
+func TestLinesHaveMilliseconds(t *testing.T) {
+	c := qt.New(t)
+	var written bytes.Buffer
+	log := loglimit.WithTime(zerolog.New(&written))
+	log.Info().Msg("call ended")
+	c.Assert(written.String(), qt.Matches, `(?s).*"time":"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z".*`)
+}
