--- a/io/cli/cause.go
+++ b/io/cli/cause.go
@@ -111,8 +111,7 @@
 // the time in which a lost link is found.
 const aroundBefore = 5 * time.Second
 
-// explainCall finds the way of a call and its cause. A caller may have added a suffix after a dot to an id that it uses
-// again.
+// explainCall finds the way of a call and its cause. The calls that its run makes may carry its id and a suffix after a dot.
 func explainCall(id string, lines []logLine) account {
 	a := account{
 		Call: id,
@@ -137,10 +136,19 @@
 	return a
 }
 
+// last returns the latest line of an event, one of the call itself rather than of the calls that its run made.
+func (a account) last(event string) (logLine, bool) {
+	own := lo.Filter(a.Way, func(l logLine, _ int) bool { return l.Event == event && l.Call == a.Call })
+	if len(own) == 0 {
+		own = lo.Filter(a.Way, func(l logLine, _ int) bool { return l.Event == event })
+	}
+	return lo.Last(own)
+}
+
 // causeOf names what decided, from the entry node's last line and what the node beside the backend server wrote before it.
 func causeOf(a account) string {
-	end, ended := lo.Find(lo.Reverse(slices.Clone(a.Way)), func(l logLine) bool { return l.Event == eventCall })
-	beside, hasBeside := lo.Find(lo.Reverse(slices.Clone(a.Way)), func(l logLine) bool { return l.Event == eventNotAnswered })
+	end, ended := a.last(eventCall)
+	beside, hasBeside := a.last(eventNotAnswered)
 	switch {
 	case !ended:
 		return "the entry node has written no line of its end: it stopped or crashed, or left the line out (parsleyport_log_lines_left_out_total)"
