--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -66,7 +66,7 @@
 	attempts  int
 	wait      time.Duration
 	address   string
-	lost      string // the address of the latest link that went silent
+	lost      string // the address of the latest link that went silent, which is left out once
 	conn      *frame.Conn
 }
 
@@ -117,6 +117,7 @@
 	targets := a.allTargets()
 	if targets[a.turn%len(targets)] == a.lost && len(targets) > 1 {
 		a.turn++ // an instance that is frozen still accepts connections, which would cost another time-out
+		a.lost = ""
 	}
 	a.address = targets[a.turn%len(targets)]
 	a.turn++
--- a/io/distribution/home_test.go
+++ b/io/distribution/home_test.go
@@ -47,3 +47,24 @@
 	c.Assert(homeFirst([]ControlAddress{first, second, third}, "dc-a"), qt.DeepEquals, []ControlAddress{second, third, first})
 	c.Assert(homeFirst([]ControlAddress{first, second}, "dc-c"), qt.DeepEquals, []ControlAddress{first, second})
 }
+
+// Guards against another time-out at a control instance whose link has just gone silent, since one that stands still accepts
+// connections, and against one that is never tried again although no other is left.
+func TestSilentControlInstanceIsSkipped(t *testing.T) {
+	c := qt.New(t)
+	for _, test := range []struct {
+		targets []string
+		want    []string
+	}{
+		{targets: []string{"c1", "c2", "c3"}, want: []string{"c2", "c3", "c1", "c2"}},
+		{targets: []string{"c1", "c2"}, want: []string{"c2", "c1", "c2"}},
+		{targets: []string{"c1"}, want: []string{"c1", "c1"}},
+	} {
+		a := newAttachment(test.targets, attachment{random: func() float64 { return 0 }})
+		a.lost = "c1"
+		for _, want := range test.want {
+			c.Assert(a.choose(t.Context()), qt.Equals, eventDial)
+			c.Assert(a.address, qt.Equals, want)
+		}
+	}
+}
--- a/io/raftpeer/schedule_test.go
+++ b/io/raftpeer/schedule_test.go
@@ -223,8 +223,14 @@
 	return "all started"
 }
 
-func runSchedule(t *testing.T, seed uint64) {
-	w := newWorld(t, seed, 3+2*int(seed%2))
+// schedule is what a run of random faults consists of beside its clients.
+type schedule struct {
+	inject   func() string // does one random thing and names it
+	repair   func()
+	repaired func() bool
+}
+
+func runSchedule(t *testing.T, w *world, s schedule) {
 	h := &history{
 		world: w,
 	}
@@ -233,9 +239,6 @@
 			id: id,
 		})
 	}
-	o := &operator{
-		world: w,
-	}
 	w.write("first=1")
 	var faults []string
 	defer func() {
@@ -244,10 +247,10 @@
 		}
 	}()
 	for end := w.now.Add(20 * time.Second); w.now.Before(end); {
-		faults = append(faults, injectFault(w, o))
+		faults = append(faults, s.inject())
 		for pause := w.now.Add(time.Duration(100+w.random.IntN(1200)) * time.Millisecond); w.now.Before(pause); {
 			h.run()
-			o.run()
+			s.repair()
 			w.advance(tick)
 		}
 	}
@@ -255,8 +258,8 @@
 	healed := w.now.Add(3 * time.Second)
 	w.until(30*time.Second, "repair", func() bool {
 		h.run()
-		o.run()
-		return o.repairs == "" && w.now.After(healed)
+		s.repair()
+		return s.repaired() && w.now.After(healed)
 	})
 	w.converge()
 	for _, c := range h.clients {
@@ -276,7 +279,13 @@
 	for seed := range uint64(*schedules) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runSchedule(t, seed)
+			w := newWorld(t, seed, 3+2*int(seed%2))
+			o := &operator{world: w}
+			runSchedule(t, w, schedule{
+				inject:   func() string { return injectFault(w, o) },
+				repair:   o.run,
+				repaired: func() bool { return o.repairs == "" },
+			})
 		})
 	}
 }
--- a/io/raftpeer/world_test.go
+++ b/io/raftpeer/world_test.go
@@ -50,6 +50,7 @@
 	sequence  uint64
 	done      map[raft.RequestID]func(refused string)
 	lose      func(raft.Message) bool // called for each sent message
+	heard     func(from, to core.ControlID)
 }
 
 type packet struct {
@@ -209,6 +210,9 @@
 			late = append(late, p)
 		} else if to := w.instances[p.to]; to.up && len(to.inbox) < 2000 {
 			to.inbox = append(to.inbox, p)
+			if w.heard != nil {
+				w.heard(p.from, p.to)
+			}
 		}
 	}
 	w.packets = late
