--- a/e2e/datacentre_test.go
+++ b/e2e/datacentre_test.go
@@ -44,7 +44,7 @@
 	}
 	calls := d.startCalls("lost", 12*time.Second, 200, others)
 	before := d.submit(d.client(), service("before", 1))
-	time.Sleep(time.Second) // calls are under way when the data centre is lost
+	calls.goOn(100)
 	for _, name := range inDataCentre(lost) {
 		d.signal(name, syscall.SIGKILL)
 	}
--- a/e2e/failures_test.go
+++ b/e2e/failures_test.go
@@ -175,7 +175,7 @@
 	d.startServing(4)
 	calls := d.startCalls("killed", 10*time.Second, 300, []int{1, 2, 3, 4}, "--post-per-mille", "700")
 	for i := 1; i <= 3; i++ {
-		time.Sleep(time.Second) // calls are under way when the next process dies
+		calls.goOn(200)
 		d.kill(fmt.Sprintf("b%d", i))
 		d.startBackend(i, "v1")
 		d.kill(fmt.Sprintf("n%d", i))
@@ -204,7 +204,7 @@
 	})
 	calls := d.startCalls("keyed", 10*time.Second, 200, []int{1, 2, 3, 4}, "--post-per-mille", "1000", "--keyed", "--resends", "3")
 	for i := 1; i <= 2; i++ {
-		time.Sleep(2 * time.Second) // calls are under way when the next process dies
+		calls.goOn(300)
 		d.kill(fmt.Sprintf("b%d", i))
 		d.startBackend(i, "v1")
 		d.kill(fmt.Sprintf("n%d", i))
--- a/e2e/records_test.go
+++ b/e2e/records_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -133,6 +134,20 @@
 	return &calls{d: d, name: name, process: d.processes[name]}
 }
 
+// goOn waits until more calls have ended, so that others are under way.
+func (k *calls) goOn(more int) {
+	k.d.c.Helper()
+	ended := func() int {
+		text, err := os.ReadFile(filepath.Join(k.d.folder, k.name+".calls"))
+		if err != nil {
+			return 0 // the callers have not begun
+		}
+		return bytes.Count(text, []byte("\n"))
+	}
+	before := ended()
+	k.d.eventually("calls go on", 10*time.Second, func() bool { return ended() >= before+more })
+}
+
 // verify waits for the end of the calls and checks the logs; flags are those of the stand-in's verify command.
 func (k *calls) verify(flags ...string) {
 	delete(k.d.processes, k.name)
