Compare the answers of a brief move at several boundaries of latency

The boundary above which an answer counted as slow lay where the old release had 1 of 527 calls, and 5 of 41 of the new one's were above it: not enough to take it back, so it was done (164 calls of it, 931 arrivals after the bound). Ruled out: late evidence (reports were in time), the trial's endpoints (the fault shows at any load), a lower threshold of doubt (several comparisons at once would hold good releases up). After: 4 at most, and at least 190 of 200 good ones.

--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -33,6 +33,8 @@
 	// calls, and the slow answers of backend servers that have just started.
 	briefFailures = 0.02
 	briefSlow     = 0.05
+	// briefSlowPart of the old release's answers may be slow above a boundary that is compared.
+	briefSlowPart = 0.25
 	// briefHistory of the old release's calls tells its rates of the moment, together with briefWeight calls at its rates so far.
 	// Nodes report every 0.3 s.
 	briefHistory = 600 * time.Millisecond
@@ -63,7 +65,8 @@
 // the old one's rates at the same time: when a fault of something else meets both, the new release may have most of its calls.
 type briefPair struct {
 	old, new                       briefCount
-	expectedFailures, expectedSlow float64
+	expectedFailures float64
+	expectedSlow     [core.LatencyBuckets]float64 // above each bucket
 }
 
 // IsBrief reports whether a move has at most a time, so that a Brief decides it in place of a Judge.
@@ -200,9 +203,9 @@
 func (p briefPair) expecting(oldest, latest briefPair) briefPair {
 	added, window := float64(less(p.new.calls, latest.new.calls)), p.old.less(oldest.old)
 	p.expectedFailures = latest.expectedFailures + added*blended(window.failures, window.calls, p.old.failures, p.old.calls)
-	p.expectedSlow = latest.expectedSlow
-	if boundary, known := p.old.boundary(); known {
-		p.expectedSlow += added * blended(aboveBucket(window.latency, boundary), window.calls, aboveBucket(p.old.latency, boundary), p.old.calls)
+	for bucket := range p.expectedSlow {
+		p.expectedSlow[bucket] = latest.expectedSlow[bucket] +
+			added*blended(aboveBucket(window.latency, bucket), window.calls, aboveBucket(p.old.latency, bucket), p.old.calls)
 	}
 	return p
 }
@@ -215,12 +218,15 @@
 // since returns what was counted since the latest step.
 func (b *Brief) since(counted map[core.RouteName]briefPair) map[core.RouteName]briefPair {
 	return lo.MapValues(counted, func(pair briefPair, route core.RouteName) briefPair {
-		return briefPair{
+		recent := briefPair{
 			old:              pair.old.less(b.before[route].old),
 			new:              pair.new.less(b.before[route].new),
 			expectedFailures: pair.expectedFailures - b.before[route].expectedFailures,
-			expectedSlow:     pair.expectedSlow - b.before[route].expectedSlow,
 		}
+		for bucket := range recent.expectedSlow {
+			recent.expectedSlow[bucket] = pair.expectedSlow[bucket] - b.before[route].expectedSlow[bucket]
+		}
+		return recent
 	})
 }
 
@@ -239,7 +245,6 @@
 		total.old = total.old.plus(pair.old)
 		total.new = total.new.plus(pair.new)
 		total.expectedFailures += pair.expectedFailures
-		total.expectedSlow += pair.expectedSlow
 	}
 	return total
 }
@@ -277,13 +282,14 @@
 	if p.failuresWorse(alarm) {
 		return "failures", true
 	}
-	if slow, known := p.slow(usual); known {
-		calls := float64(max(p.new.calls, 1))
-		if unlikely(slow, p.new.calls, briefSlow+p.expectedSlow/calls, alarm) {
+	calls := float64(max(p.new.calls, 1))
+	for _, boundary := range usual.boundaries() {
+		slow, expected := aboveBucket(p.new.latency, boundary), p.expectedSlow[boundary]
+		if unlikely(slow, p.new.calls, briefSlow+expected/calls, alarm) {
 			return "slow answers", true
 		}
 		// A release that is a little worse in both ways is bad too. Calls that fail slowly count twice for both releases.
-		if unlikely(min(slow+p.new.failures, p.new.calls), p.new.calls, briefSlow+(p.expectedSlow+p.expectedFailures)/calls, alarm) {
+		if unlikely(min(slow+p.new.failures, p.new.calls), p.new.calls, briefSlow+(expected+p.expectedFailures)/calls, alarm) {
 			return "failures and slow answers", true
 		}
 	}
@@ -294,13 +300,19 @@
 	return unlikely(p.new.failures, p.new.calls, briefFailures+p.expectedFailures/float64(max(p.new.calls, 1)), alarm)
 }
 
-// slow returns how many answers of the new release took longer than nearly all of the old one.
-func (p briefPair) slow(usual briefCount) (uint64, bool) {
-	boundary, known := usual.boundary()
+// boundaries returns the buckets above which the old release's answers are slow, the highest first: the one that nearly all of
+// them keep, and those below it that most of them keep. Under load, waiting moves the first so far up that only the slowest of
+// the slow answers are above it.
+func (c briefCount) boundaries() []int {
+	highest, known := c.boundary()
 	if !known {
-		return 0, false
+		return nil
+	}
+	buckets := []int{highest}
+	for bucket := highest - 1; bucket > 0 && rateOf(aboveBucket(c.latency, bucket), c.calls) <= briefSlowPart; bucket-- {
+		buckets = append(buckets, bucket)
 	}
-	return aboveBucket(p.new.latency, boundary), true
+	return buckets
 }
 
 // boundary returns the bucket above which an answer is slow by the old release's answers.
--- a/core/rollout/brief_test.go
+++ b/core/rollout/brief_test.go
@@ -120,6 +120,78 @@
 	}
 }
 
+// Guards against a slow release that is done because the old one's answers wait under load: few of the slow answers take longer
+// than nearly all of the old ones, but many take longer than most of them.
+func TestBriefMoveFindsSlownessUnderLoad(t *testing.T) {
+	c := qt.New(t)
+	// Buckets of 128 ms to 2 s. A third of the new release's answers takes eight times as long, and none of them waits.
+	old := []float64{0.45, 0.35, 0.13, 0.068, 0.002}
+	slow := []float64{0.42, 0.21, 0.05, 0.20, 0.12}
+	for name, test := range map[string]struct {
+		answers []float64
+		good    bool
+	}{
+		"slow": {answers: slow},
+		"good": {answers: old, good: true},
+	} {
+		done := 0
+		for seed := range uint64(200) {
+			if replayLatencies(seed, old, test.answers) == core.MoveDone {
+				done++
+			}
+		}
+		if test.good {
+			c.Check(done >= 190, qt.IsTrue, qt.Commentf("%s: %d of 200 done", name, done))
+		} else {
+			c.Check(done <= 4, qt.IsTrue, qt.Commentf("%s: %d of 200 done", name, done))
+		}
+	}
+}
+
+// replayLatencies replays a move of 14 s with 70 calls a second, and returns its last state.
+func replayLatencies(seed uint64, old, answers []float64) core.MoveState {
+	random := rand.New(rand.NewPCG(seed, 3))
+	draw := func(parts []float64) int {
+		point := random.Float64()
+		for i, part := range parts {
+			if point -= part; point < 0 {
+				return 7 + i
+			}
+		}
+		return 7 + len(parts) - 1
+	}
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	move := core.Move{
+		MoveID:    "m1",
+		Request:   core.MoveRequest{Service: "s", To: "v2", Deadline: start.Add(14 * time.Second)},
+		State:     core.MoveProposed,
+		StartedAt: start,
+	}
+	judge := rollout.NewBrief(move, "v2")
+	before := core.EvidenceCount{Service: "s", Route: "r", Release: "v1", Move: "m1"}
+	after := core.EvidenceCount{Service: "s", Route: "r", Release: "v2", Move: "m1"}
+	for at := time.Duration(0); at < 15*time.Second && !rollout.IsFinal(move.State); at += 100 * time.Millisecond {
+		for range 7 {
+			if core.PerMille(random.IntN(1000)) < move.Share {
+				after.Calls++
+				after.Latency[draw(answers)]++
+			} else {
+				before.Calls++
+				before.Latency[draw(old)]++
+			}
+		}
+		if at%(300*time.Millisecond) != 0 {
+			continue
+		}
+		now := start.Add(at)
+		judge.ObserveEndpoints(now, []core.Endpoint{{Service: "s", Release: "v2", State: core.EndpointReady}})
+		if step, due := judge.Decide(now, move, []core.EvidenceCount{before, after}); due {
+			move.State, move.Step, move.Share, move.SteppedAt = step.State, step.Step, step.Share, now
+		}
+	}
+	return move.State
+}
+
 // Guards against a move that is done although nothing was reported of the new release.
 func TestBriefMoveWithoutEvidenceExpires(t *testing.T) {
 	c := qt.New(t)
