--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -64,7 +64,7 @@
 // briefPair has what was counted of both releases. The expectations say how many calls of the new release would have been bad at
 // the old one's rates at the same time: when a fault of something else meets both, the new release may have most of its calls.
 type briefPair struct {
-	old, new                       briefCount
+	old, new         briefCount
 	expectedFailures float64
 	expectedSlow     [core.LatencyBuckets]float64 // above each bucket
 }
