--- a/core/rollout/brief_test.go
+++ b/core/rollout/brief_test.go
@@ -127,18 +127,21 @@
 	// Buckets of 128 ms to 2 s. A third of the new release's answers takes eight times as long, and none of them waits.
 	old := []float64{0.45, 0.35, 0.13, 0.068, 0.002}
 	slow := []float64{0.42, 0.21, 0.05, 0.20, 0.12}
+	seldom := []float64{0.37, 0.26, 0.09, 0.16, 0.12}
 	for name, test := range map[string]struct {
 		answers []float64
+		perTick int // calls in a tenth of a second
 		good    bool
 		most    int // bad releases of 200 that are done
 	}{
-		"slow":        {answers: slow, most: 4},
-		"seldom slow": {answers: []float64{0.37, 0.26, 0.09, 0.16, 0.12}, most: 20}, // a tenth
-		"good":        {answers: old, good: true},
+		"slow":                   {answers: slow, perTick: 7, most: 4},
+		"seldom slow":            {answers: seldom, perTick: 7, most: 20}, // a tenth
+		"seldom slow, few calls": {answers: seldom, perTick: 3, most: 20},
+		"good":                   {answers: old, perTick: 7, good: true},
 	} {
 		done := 0
 		for seed := range uint64(200) {
-			if replayLatencies(seed, old, test.answers) == core.MoveDone {
+			if replayLatencies(seed, old, test.answers, test.perTick) == core.MoveDone {
 				done++
 			}
 		}
@@ -150,8 +153,8 @@
 	}
 }
 
-// replayLatencies replays a move of 14 s with 70 calls a second, and returns its last state.
-func replayLatencies(seed uint64, old, answers []float64) core.MoveState {
+// replayLatencies replays a move of 14 s, and returns its last state.
+func replayLatencies(seed uint64, old, answers []float64, perTick int) core.MoveState {
 	random := rand.New(rand.NewPCG(seed, 3))
 	draw := func(parts []float64) int {
 		point := random.Float64()
@@ -173,7 +176,7 @@
 	before := core.EvidenceCount{Service: "s", Route: "r", Release: "v1", Move: "m1"}
 	after := core.EvidenceCount{Service: "s", Route: "r", Release: "v2", Move: "m1"}
 	for at := time.Duration(0); at < 15*time.Second && !rollout.IsFinal(move.State); at += 100 * time.Millisecond {
-		for range 7 {
+		for range perTick {
 			if core.PerMille(random.IntN(1000)) < move.Share {
 				after.Calls++
 				after.Latency[draw(answers)]++
