--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -36,9 +36,11 @@
 	// briefSlowMore is the part of a slow release's calls that are slow beyond the old one's, and briefMissed the probability that
 	// such a release passes.
 	briefSlowMore = 0.15
-	briefMissed   = 0.1
-	// briefSlowPart of the old release's answers may be slow above a boundary that is compared.
-	briefSlowPart = 0.25
+	briefMissed   = 0.2
+	// Parts of the old release's answers that may be above a boundary: many where a fault is looked for at each of them, few where
+	// one boundary has to show that there is none, since the fewer they are, the fewer calls show it.
+	briefManySlow = 0.25
+	briefFewSlow  = 0.12
 	// briefHistory of the old release's calls tells its rates of the moment, together with briefWeight calls at its rates so far.
 	// Nodes report every 0.3 s.
 	briefHistory = 600 * time.Millisecond
@@ -294,7 +296,7 @@
 func keepsUp(counted map[core.RouteName]briefPair) bool {
 	calls, slow, expected := uint64(0), uint64(0), 0.0
 	for _, pair := range counted {
-		boundaries := pair.old.boundaries()
+		boundaries := pair.old.boundaries(briefFewSlow)
 		if len(boundaries) == 0 {
 			continue
 		}
@@ -314,7 +316,7 @@
 		return "failures", true
 	}
 	calls := float64(max(p.new.calls, 1))
-	for _, boundary := range usual.boundaries() {
+	for _, boundary := range usual.boundaries(briefManySlow) {
 		slow, expected := aboveBucket(p.new.latency, boundary), p.expectedSlow[boundary]
 		if unlikely(slow, p.new.calls, briefSlow+expected/calls, alarm) {
 			return "slow answers", true
@@ -332,15 +334,15 @@
 }
 
 // boundaries returns the buckets above which the old release's answers are slow, the highest first: the one that nearly all of
-// them keep, and those below it that most of them keep. Under load, waiting moves the first so far up that only the slowest of
+// them keep, and those below it that all but a part keep. Under load, waiting moves the first so far up that only the slowest of
 // the slow answers are above it.
-func (c briefCount) boundaries() []int {
+func (c briefCount) boundaries(part float64) []int {
 	highest, known := c.boundary()
 	if !known {
 		return nil
 	}
 	buckets := []int{highest}
-	for bucket := highest - 1; bucket > 0 && rateOf(aboveBucket(c.latency, bucket), c.calls) <= briefSlowPart; bucket-- {
+	for bucket := highest - 1; bucket > 0 && rateOf(aboveBucket(c.latency, bucket), c.calls) <= part; bucket-- {
 		buckets = append(buckets, bucket)
 	}
 	return buckets
