Take the new rules of brief moves out again; leave a silent control instance out for 5 s

Left out for ever, it was never tried again with all others gone. Now for 5 s: TestSilentControlInstanceIsLeftOutForAWhile fails with either of the two.

--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -33,14 +33,6 @@
 	// calls, and the slow answers of backend servers that have just started.
 	briefFailures = 0.02
 	briefSlow     = 0.05
-	// briefSlowMore is the part of a slow release's calls that are slow beyond the old one's, and briefMissed the probability that
-	// such a release passes.
-	briefSlowMore = 0.15
-	briefMissed   = 0.2
-	// Parts of the old release's answers that may be above a boundary: many where a fault is looked for at each of them, few where
-	// one boundary has to show that there is none, since the fewer they are, the fewer calls show it.
-	briefManySlow = 0.25
-	briefFewSlow  = 0.12
 	// briefHistory of the old release's calls tells its rates of the moment, together with briefWeight calls at its rates so far.
 	// Nodes report every 0.3 s.
 	briefHistory = 600 * time.Millisecond
@@ -70,9 +62,8 @@
 // briefPair has what was counted of both releases. The expectations say how many calls of the new release would have been bad at
 // the old one's rates at the same time: when a fault of something else meets both, the new release may have most of its calls.
 type briefPair struct {
-	old, new         briefCount
-	expectedFailures float64
-	expectedSlow     [core.LatencyBuckets]float64 // above each bucket
+	old, new                       briefCount
+	expectedFailures, expectedSlow float64
 }
 
 // IsBrief reports whether a move has at most a time, so that a Brief decides it in place of a Judge.
@@ -123,11 +114,7 @@
 		return core.MoveStep{}, false
 	}
 	if timeUp {
-		cause := "the time was reached before enough calls of the new release were reported"
-		if !keepsUp(counted) {
-			cause = "the time was reached before the new release was shown to be as fast as the old one"
-		}
-		return step(now, move, eventTimeUp, 0, cause, text)
+		return step(now, move, eventTimeUp, 0, "the time was reached before enough calls of the new release were reported", text)
 	}
 	return b.grow(now, move, counted, text)
 }
@@ -162,9 +149,6 @@
 		return core.MoveStep{}, false
 	}
 	if next == core.FullShare {
-		if !keepsUp(counted) {
-			return core.MoveStep{}, false
-		}
 		return step(now, move, eventFinish, next, "no fault was found", text)
 	}
 	return step(now, move, eventPass, next, "", text)
@@ -216,9 +200,9 @@
 func (p briefPair) expecting(oldest, latest briefPair) briefPair {
 	added, window := float64(less(p.new.calls, latest.new.calls)), p.old.less(oldest.old)
 	p.expectedFailures = latest.expectedFailures + added*blended(window.failures, window.calls, p.old.failures, p.old.calls)
-	for bucket := range p.expectedSlow {
-		p.expectedSlow[bucket] = latest.expectedSlow[bucket] +
-			added*blended(aboveBucket(window.latency, bucket), window.calls, aboveBucket(p.old.latency, bucket), p.old.calls)
+	p.expectedSlow = latest.expectedSlow
+	if boundary, known := p.old.boundary(); known {
+		p.expectedSlow += added * blended(aboveBucket(window.latency, boundary), window.calls, aboveBucket(p.old.latency, boundary), p.old.calls)
 	}
 	return p
 }
@@ -231,15 +215,12 @@
 // since returns what was counted since the latest step.
 func (b *Brief) since(counted map[core.RouteName]briefPair) map[core.RouteName]briefPair {
 	return lo.MapValues(counted, func(pair briefPair, route core.RouteName) briefPair {
-		recent := briefPair{
+		return briefPair{
 			old:              pair.old.less(b.before[route].old),
 			new:              pair.new.less(b.before[route].new),
 			expectedFailures: pair.expectedFailures - b.before[route].expectedFailures,
+			expectedSlow:     pair.expectedSlow - b.before[route].expectedSlow,
 		}
-		for bucket := range recent.expectedSlow {
-			recent.expectedSlow[bucket] = pair.expectedSlow[bucket] - b.before[route].expectedSlow[bucket]
-		}
-		return recent
 	})
 }
 
@@ -258,6 +239,7 @@
 		total.old = total.old.plus(pair.old)
 		total.new = total.new.plus(pair.new)
 		total.expectedFailures += pair.expectedFailures
+		total.expectedSlow += pair.expectedSlow
 	}
 	return total
 }
@@ -291,38 +273,17 @@
 	return "", false
 }
 
-// keepsUp reports whether a release that is slow for briefSlowMore of its calls would have shown more slow answers than there
-// were. Few calls, or many slow ones among them, show nothing: then the absence of a found fault is no reason to trust it.
-func keepsUp(counted map[core.RouteName]briefPair) bool {
-	calls, slow, expected := uint64(0), uint64(0), 0.0
-	for _, pair := range counted {
-		boundaries := pair.old.boundaries(briefFewSlow)
-		if len(boundaries) == 0 {
-			continue
-		}
-		lowest := boundaries[len(boundaries)-1]
-		calls += pair.new.calls
-		slow += aboveBucket(pair.new.latency, lowest)
-		expected += pair.expectedSlow[lowest]
-	}
-	if calls == 0 {
-		return false
-	}
-	return atMost(slow, calls, min(1, expected/float64(calls)+briefSlowMore)) <= briefMissed
-}
-
 func (p briefPair) worse(usual briefCount, alarm float64) (string, bool) {
 	if p.failuresWorse(alarm) {
 		return "failures", true
 	}
-	calls := float64(max(p.new.calls, 1))
-	for _, boundary := range usual.boundaries(briefManySlow) {
-		slow, expected := aboveBucket(p.new.latency, boundary), p.expectedSlow[boundary]
-		if unlikely(slow, p.new.calls, briefSlow+expected/calls, alarm) {
+	if slow, known := p.slow(usual); known {
+		calls := float64(max(p.new.calls, 1))
+		if unlikely(slow, p.new.calls, briefSlow+p.expectedSlow/calls, alarm) {
 			return "slow answers", true
 		}
 		// A release that is a little worse in both ways is bad too. Calls that fail slowly count twice for both releases.
-		if unlikely(min(slow+p.new.failures, p.new.calls), p.new.calls, briefSlow+(expected+p.expectedFailures)/calls, alarm) {
+		if unlikely(min(slow+p.new.failures, p.new.calls), p.new.calls, briefSlow+(p.expectedSlow+p.expectedFailures)/calls, alarm) {
 			return "failures and slow answers", true
 		}
 	}
@@ -333,19 +294,13 @@
 	return unlikely(p.new.failures, p.new.calls, briefFailures+p.expectedFailures/float64(max(p.new.calls, 1)), alarm)
 }
 
-// boundaries returns the buckets above which the old release's answers are slow, the highest first: the one that nearly all of
-// them keep, and those below it that all but a part keep. Under load, waiting moves the first so far up that only the slowest of
-// the slow answers are above it.
-func (c briefCount) boundaries(part float64) []int {
-	highest, known := c.boundary()
+// slow returns how many answers of the new release took longer than nearly all of the old one.
+func (p briefPair) slow(usual briefCount) (uint64, bool) {
+	boundary, known := usual.boundary()
 	if !known {
-		return nil
-	}
-	buckets := []int{highest}
-	for bucket := highest - 1; bucket > 0 && rateOf(aboveBucket(c.latency, bucket), c.calls) <= part; bucket-- {
-		buckets = append(buckets, bucket)
+		return 0, false
 	}
-	return buckets
+	return aboveBucket(p.new.latency, boundary), true
 }
 
 // boundary returns the bucket above which an answer is slow by the old release's answers.
@@ -387,18 +342,6 @@
 	return true
 }
 
-// atMost is the probability of at most so many slow calls at a rate.
-func atMost(slow, calls uint64, rate float64) float64 {
-	if rate >= 1 {
-		return 0
-	}
-	sum := 0.0
-	for k := uint64(0); k <= min(slow, calls); k++ {
-		sum += math.Exp(logBinomial(calls, k, rate))
-	}
-	return sum
-}
-
 func logBinomial(n, k uint64, p float64) float64 {
 	choose := func(x uint64) float64 { value, _ := math.Lgamma(float64(x) + 1); return value }
 	return choose(n) - choose(k) - choose(n-k) + float64(k)*math.Log(p) + float64(n-k)*math.Log1p(-p)
--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -66,7 +66,8 @@
 	attempts  int
 	wait      time.Duration
 	address   string
-	lost      string // the address of the latest link that went silent, which is left out once
+	lost      string // the address of the latest link that went silent, which is left out for a while
+	lostAt    time.Time
 	conn      *frame.Conn
 }
 
@@ -115,9 +116,8 @@
 		return eventDial
 	}
 	targets := a.allTargets()
-	if targets[a.turn%len(targets)] == a.lost && len(targets) > 1 {
+	if targets[a.turn%len(targets)] == a.lost && time.Since(a.lostAt) < lostFor && len(targets) > 1 {
 		a.turn++ // an instance that is frozen still accepts connections, which would cost another time-out
-		a.lost = ""
 	}
 	a.address = targets[a.turn%len(targets)]
 	a.turn++
@@ -248,7 +248,7 @@
 	if errors.Is(err, errGoHome) {
 		a.wait, a.queue = 0, a.homes
 	} else if errors.Is(err, os.ErrDeadlineExceeded) {
-		a.lost = a.address
+		a.lost, a.lostAt = a.address, time.Now()
 	}
 	a.logger.Info().Err(err).Str("address", a.address).Msg("link lost")
 	return eventLost
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -62,6 +62,8 @@
 	assignedWindow = 5 * time.Second
 	// homePause is how long a node stays with a control instance of another data centre after an attempt to attach in its own.
 	homePause = 5 * time.Second
+	// lostFor is how long a control instance whose link went silent is left out, in which all others are tried.
+	lostFor = 5 * time.Second
 
 	maxDirectPerDataCentre = 2
 	maxDirectChildren      = 128 // 64 data centres
