Answer requests that are being read as a node stops

Now the listener closes first, and Shutdown begins when no accepted connection has a request expected, being read or in progress, at most 1 s later. TestDrainAnswersARequestThatIsBeingRead failed before (unexpected EOF, connection reset) and passes now.

--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -1,12 +1,14 @@
 package callerhttp_test
 
 import (
+	"bufio"
 	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -443,3 +445,53 @@
 	_, err = get(idle)
 	c.Assert(err, qt.IsNotNil)
 }
+
+// Guards against a planned stop that closes a connection without an answer while a request on it is being read: a first
+// request, or one that begins on an idle connection as the node stops.
+func TestDrainAnswersARequestThatIsBeingRead(t *testing.T) {
+	const whole = "GET /orders HTTP/1.1\r\nHost: n\r\n\r\n"
+	for name, requests := range map[string]int{"first request": 1, "second request": 2} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			e := newEntry(c, allV1, nil)
+			e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) {
+				return answer(200, strings.NewReader("done"))
+			}
+			caller, err := net.Dial("tcp", e.Address())
+			c.Assert(err, qt.IsNil)
+			defer caller.Close()
+			answers := bufio.NewReader(caller)
+			for range requests - 1 {
+				_, err = io.WriteString(caller, whole)
+				c.Assert(err, qt.IsNil)
+				c.Assert(statusOfNext(c, answers), qt.Equals, http.StatusOK)
+			}
+			_, err = io.WriteString(caller, whole[:len(whole)/2])
+			c.Assert(err, qt.IsNil)
+			drained := make(chan error, 1)
+			go func() { drained <- e.Drain(context.Background()) }()
+			for {
+				other, err := net.Dial("tcp", e.Address())
+				if err != nil {
+					break // the node takes no more connections
+				}
+				c.Assert(other.Close(), qt.IsNil)
+				time.Sleep(time.Millisecond)
+			}
+			_, err = io.WriteString(caller, whole[len(whole)/2:])
+			c.Assert(err, qt.IsNil)
+			c.Assert(statusOfNext(c, answers), qt.Equals, http.StatusOK)
+			c.Assert(<-drained, qt.IsNil)
+		})
+	}
+}
+
+func statusOfNext(c *qt.C, answers *bufio.Reader) int {
+	c.Helper()
+	response, err := http.ReadResponse(answers, nil)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	c.Assert(err, qt.IsNil)
+	return response.StatusCode
+}
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -28,6 +28,9 @@
 	// them to close the connection; closing at once could cut off a request that is on its way.
 	defaultLinger = time.Second
 	lingerCheck   = 20 * time.Millisecond
+	// unreadLimit is how long a server that takes no more connections waits for the requests on those it has: several round
+	// trips between data centres.
+	unreadLimit = time.Second
 	// maxRequests in progress hold at most 64 MiB of unread answers (64 KiB each, see io/nodepeer).
 	maxRequests = 1024
 	// maxBufferedBodies bounds the request bodies in memory, in bytes.
@@ -89,6 +92,7 @@
 	refusing atomic.Bool
 	startBy  atomic.Int64 // while draining: Unix nanoseconds after which no call starts that was read since
 	open     atomic.Int64 // callers' connections
+	pending  atomic.Int64 // connections with a request that is expected, being read or in progress
 	active   atomic.Int64 // requests in progress
 	bodies   atomic.Int64 // bytes of request bodies in memory
 
@@ -147,7 +151,6 @@
 	}
 	s := &Server{
 		options:   options,
-		listener:  listener,
 		calls:     newCallLog(options.Logger, options.Metrics),
 		budgets:   make(map[core.ServiceName]*retry.Budget),
 		hedging:   make(map[core.ServiceName]*retry.Hedging),
@@ -175,11 +178,13 @@
 		ConnContext:       withConnection,
 		ErrorLog:          log.New(options.Logger, "", 0),
 	}
-	watched := watchedListener{
+	s.listener = watchedListener{
 		Listener: listener,
 		refused:  s.refusedUnread,
+		pending:  &s.pending,
+		close:    sync.OnceValue(listener.Close),
 	}
-	s.tasks.Go(func() { _ = s.http.Serve(watched) }) // ends with http.ErrServerClosed
+	s.tasks.Go(func() { _ = s.http.Serve(s.listener) }) // ends when the listener is closed
 	return s, s.close, nil
 }
 
@@ -223,15 +228,8 @@
 		s.startBy.Store(time.Now().Add(s.options.Linger + s.options.RefusingLinger).UnixNano())
 	}
 	s.leaving.Store(true)
-	ticker := time.NewTicker(lingerCheck)
-	defer ticker.Stop()
-	until := time.Now().Add(s.options.Linger)
-	for (s.open.Load() > 0 || s.options.Linger > defaultLinger) && time.Now().Before(until) {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	if err := waitWhile(ctx, s.options.Linger, func() bool { return s.open.Load() > 0 || s.options.Linger > defaultLinger }); err != nil {
+		return err
 	}
 	s.refusing.Store(s.options.RefusingLinger > 0)
 	select {
@@ -239,5 +237,26 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	// Once Shutdown has begun, net/http closes a connection whose request it has just read without an answer.
+	if err := s.listener.Close(); err != nil {
+		s.options.Logger.Warn().Err(err).Msg("close the callers' listener")
+	}
+	if err := waitWhile(ctx, unreadLimit, func() bool { return s.pending.Load() > 0 }); err != nil {
+		return err
+	}
 	return s.http.Shutdown(ctx)
 }
+
+// waitWhile returns when the condition is false or the limit has passed, or the context's error.
+func waitWhile(ctx context.Context, limit time.Duration, condition func() bool) error {
+	ticker := time.NewTicker(lingerCheck)
+	defer ticker.Stop()
+	for until := time.Now().Add(limit); condition() && time.Now().Before(until); {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- a/io/callerhttp/watch.go
+++ b/io/callerhttp/watch.go
@@ -12,28 +12,67 @@
 type connectionKey struct{}
 
 // watchedListener reports the answers that net/http gives by itself, before a request reaches the handler: it does so for
-// bytes that are no HTTP, lengths in doubt, unknown encodings and headers that are too long.
+// bytes that are no HTTP, lengths in doubt, unknown encodings and headers that are too long. It counts the connections
+// with a request that is expected, being read or in progress.
 type watchedListener struct {
 	net.Listener
 	refused func(remote net.Addr, status int)
+	pending *atomic.Int64
+	close   func() error // may be called again
 }
 
+// Close stops to accept connections; those accepted stay.
+func (l watchedListener) Close() error { return l.close() }
+
 func (l watchedListener) Accept() (net.Conn, error) {
 	connection, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConnection{
+	watched := &watchedConnection{
 		Conn:    connection,
 		refused: l.refused,
-	}, nil
+		count:   l.pending,
+	}
+	watched.expect()
+	return watched, nil
 }
 
-// watchedConnection knows whether a request of it has reached the handler and has not ended yet.
+// watchedConnection knows whether a request of it has reached the handler and has not ended yet, and whether one is pending:
+// a new connection is going to bring one.
 type watchedConnection struct {
 	net.Conn
 	refused func(remote net.Addr, status int)
+	count   *atomic.Int64
 	handled atomic.Bool
+	pending atomic.Bool
+}
+
+func (c *watchedConnection) expect() {
+	if c.pending.CompareAndSwap(false, true) {
+		c.count.Add(1)
+	}
+}
+
+func (c *watchedConnection) settle() {
+	if c.pending.CompareAndSwap(true, false) {
+		c.count.Add(-1)
+	}
+}
+
+// Read notes that a request has begun.
+func (c *watchedConnection) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.expect()
+	}
+	return n, err
+}
+
+// Close ends whatever was pending.
+func (c *watchedConnection) Close() error {
+	defer c.settle()
+	return c.Conn.Close()
 }
 
 // Write passes on what net/http sends.
@@ -74,5 +113,6 @@
 func markEnded(connection net.Conn) {
 	if watched, ok := connection.(*watchedConnection); ok {
 		watched.handled.Store(false)
+		watched.settle()
 	}
 }
