--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -103,4 +103,6 @@
 type EvidenceRecorder interface {
 	// Record counts one finished call.
 	Record(service ServiceName, route RouteName, release Release, failed, crashed bool, latency time.Duration)
+	// RecordTurnedAway counts one call whose first attempt a backend server had no room for.
+	RecordTurnedAway(service ServiceName, route RouteName, release Release)
 }
--- a/core/move.go
+++ b/core/move.go
@@ -64,8 +64,17 @@
 	Service     ServiceName            `json:"service" msgpack:"s"`
 	Route       RouteName              `json:"route" msgpack:"r"`
 	Release     Release                `json:"release" msgpack:"v"`
-	Calls       uint64                 `json:"calls" msgpack:"c"`
+	Calls       uint64                 `json:"calls" msgpack:"c"` // those that were turned away included, which have no latency
 	Failures    uint64                 `json:"failures" msgpack:"f"`
 	Crashes     uint64                 `json:"crashes" msgpack:"x"`
 	Latency     [LatencyBuckets]uint64 `json:"latency" msgpack:"l"`
 }
+
+// Answered returns the number of calls that have a latency.
+func (c EvidenceCount) Answered() uint64 {
+	answered := uint64(0)
+	for _, n := range c.Latency {
+		answered += n
+	}
+	return answered
+}
--- a/core/rollout/recorder.go
+++ b/core/rollout/recorder.go
@@ -63,6 +63,20 @@
 	c.latency[bucket(latency)].Add(1)
 }
 
+// RecordTurnedAway implements core.EvidenceRecorder.
+func (r *Recorder) RecordTurnedAway(service core.ServiceName, route core.RouteName, release core.Release) {
+	c := r.counter(recordKey{
+		service: service,
+		route:   route,
+		release: release,
+	})
+	if c == nil {
+		r.dropped.Add(1)
+		return
+	}
+	c.calls.Add(1)
+}
+
 // bucket returns the first bucket whose bound of 2^i milliseconds is above the latency.
 func bucket(latency time.Duration) int {
 	milliseconds := uint64(max(0, latency) / time.Millisecond)
--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -17,10 +17,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/idempotency"
 	"parsleyport/core/record"
+	"parsleyport/core/rollout"
 	"parsleyport/io/callerhttp"
 )
 
@@ -495,3 +497,41 @@
 	c.Assert(err, qt.IsNil)
 	return response.StatusCode
 }
+
+// Guards against a release whose backend servers turn calls away without a trace of it in the evidence, and against refusals
+// for other reasons that count as such.
+func TestCallsTurnedAwayAreEvidence(t *testing.T) {
+	c := qt.New(t)
+	recorder := rollout.NewRecorder("n", 1)
+	e := newEntry(c, allV1, func(o *callerhttp.Options) { o.Evidence = recorder })
+	for _, test := range []struct {
+		cause    core.RefusalCause
+		refusals int
+		away     uint64
+	}{
+		{cause: core.CauseOverloaded, away: 1},
+		{cause: core.CauseOverloaded, refusals: 2, away: 1}, // once for each call
+		{cause: core.CauseQueueFull, away: 1},
+		{cause: core.CauseDeadline, away: 1},
+		{cause: core.CauseLeaving},
+		{cause: core.CauseConnectFailed},
+		{cause: core.CauseTenantShare},
+	} {
+		refusals := max(test.refusals, 1)
+		e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) {
+			if refusals > 0 {
+				refusals--
+				return nil, core.OutcomeNotRun, &core.Refusal{Cause: test.cause}
+			}
+			return answer(200, strings.NewReader("done"))
+		}
+		before := turnedAway(recorder)
+		_, _, err := e.send(c, "GET", "/orders")
+		c.Assert(err, qt.IsNil)
+		c.Assert(turnedAway(recorder)-before, qt.Equals, test.away, qt.Commentf("%s", test.cause))
+	}
+}
+
+func turnedAway(recorder *rollout.Recorder) uint64 {
+	return lo.SumBy(recorder.Counts(), func(count core.EvidenceCount) uint64 { return count.Calls - count.Answered() })
+}
--- a/io/callerhttp/path_test.go
+++ b/io/callerhttp/path_test.go
@@ -54,6 +54,8 @@
 
 type noEvidence struct{}
 
+func (noEvidence) RecordTurnedAway(core.ServiceName, core.RouteName, core.Release) {}
+
 func (noEvidence) Record(core.ServiceName, core.RouteName, core.Release, bool, bool, time.Duration) {}
 
 func configuration(t testing.TB, weights string) *record.Configuration {
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -325,8 +325,16 @@
 		Latency:  last.latency,
 		Load:     last.load,
 	})
-	if last.outcome != core.OutcomeNotRun && !callerGone {
+	if callerGone {
+		return
+	}
+	if last.outcome != core.OutcomeNotRun {
 		s.options.Evidence.Record(q.route.Service, q.route.Name, last.release, failed, false, last.latency)
+		return
+	}
+	// A call goes round the endpoints of a release that is short of room; it counts once, as it does at one with few endpoints.
+	if cause := causeOf(last.err); q.tries == 1 && (retry.HadNoRoom(cause) || cause == core.CauseOverloaded) {
+		s.options.Evidence.RecordTurnedAway(q.route.Service, q.route.Name, last.release)
 	}
 }
 
--- a/io/node/moves.go
+++ b/io/node/moves.go
@@ -30,6 +30,11 @@
 	}
 }
 
+// RecordTurnedAway implements core.EvidenceRecorder.
+func (e *evidence) RecordTurnedAway(service core.ServiceName, route core.RouteName, release core.Release) {
+	e.recorder.RecordTurnedAway(service, route, release)
+}
+
 // releaseAllowed reports whether this node still sends calls to a release.
 func (e *evidence) releaseAllowed(service core.ServiceName, release core.Release) bool {
 	return e.guard.Share(service, release, core.FullShare) > 0
