Leave out all addresses that do not answer, and do not go home to one

Two of five control instances fall silent at once; a node finds its link silent after 1.8 s, reaches a third one, which sends it home to the instance that it has just lost: 0.7 s for the dial, and as much again for the other silent one. No parent for 3.5 s, where 3 s are allowed. Seen with a log line for failed dials, which did not exist: 4 of 5 nodes of a data centre dialled the lost address next. Ruled out: a wrong error of the silent link (it is a time-out), the turn of the targets (it skips the lost one), slow handshakes (no hello was sent). Now an address that went silent is left out for 5 s, and one that did not answer a dial or a hello for 2 s, in redirects and on the way home too. A hello may take as long as a dial, 0.7 s. In the fake network a silent process's close is not seen any more; the test failed for such a close, which no frozen process makes.

--- a/io/distribution/attachment.go
+++ b/io/distribution/attachment.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	_ "embed"
-	"os"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -66,14 +66,14 @@
 	attempts  int
 	wait      time.Duration
 	address   string
-	lost      string // the address of the latest link that went silent, which is left out for a while
-	lostAt    time.Time
+	leftOut   map[string]time.Time // addresses that went silent or did not answer, and until when they are left out
 	conn      *frame.Conn
 }
 
 func newAttachment(targets []string, a attachment) *attachment {
 	a.targets.Store(targets)
 	a.state.Store(attachmentChart.Initial())
+	a.leftOut = make(map[string]time.Time)
 	a.turn = int(a.random() * float64(len(a.allTargets())))
 	return &a
 }
@@ -111,13 +111,18 @@
 }
 
 func (a *attachment) choose(context.Context) statechart.Event {
+	maps.DeleteFunc(a.leftOut, func(_ string, until time.Time) bool { return !time.Now().Before(until) })
+	a.queue = lo.Reject(a.queue, func(address string, _ int) bool { return a.isLeftOut(address) })
 	if len(a.queue) > 0 {
 		a.address, a.queue = a.queue[0], a.queue[1:]
 		return eventDial
 	}
 	targets := a.allTargets()
-	if targets[a.turn%len(targets)] == a.lost && time.Since(a.lostAt) < lostFor && len(targets) > 1 {
-		a.turn++ // an instance that is frozen still accepts connections, which would cost another time-out
+	for range targets {
+		if !a.isLeftOut(targets[a.turn%len(targets)]) {
+			break
+		}
+		a.turn++ // all of them, if none is left
 	}
 	a.address = targets[a.turn%len(targets)]
 	a.turn++
@@ -125,6 +130,16 @@
 	return eventDial
 }
 
+// leaveOut keeps an address from costing another time-out: an instance that stands still accepts connections, and others that
+// do not know it yet redirect to it.
+func (a *attachment) leaveOut(address string, wait time.Duration) {
+	a.leftOut[address] = time.Now().Add(wait)
+}
+
+func (a *attachment) isLeftOut(address string) bool {
+	return time.Now().Before(a.leftOut[address])
+}
+
 // allTargets has the learned addresses and those of the settings, which may both be outdated.
 func (a *attachment) allTargets() []string {
 	known, _ := a.learned.Load().([]ControlAddress)
@@ -145,7 +160,7 @@
 		return redirect{}, false
 	}
 	atHome := func(c ControlAddress) bool { return c.DataCentre == a.home }
-	own := lo.Filter(message.Controls, func(c ControlAddress, _ int) bool { return atHome(c) })
+	own := lo.Filter(message.Controls, func(c ControlAddress, _ int) bool { return atHome(c) && !a.isLeftOut(c.Address) })
 	here := lo.ContainsBy(own, func(c ControlAddress) bool { return c.Address == a.address })
 	if here || len(own) == 0 {
 		return redirect{}, false
@@ -161,6 +176,10 @@
 	defer cancel()
 	conn, err := a.hub.network.Dial(dialing, a.address)
 	if err != nil {
+		a.logger.Debug().Err(err).Str("address", a.address).Msg("dial failed")
+		if isTimeout(err) { // a refusal costs no time
+			a.leaveOut(a.address, unansweredFor)
+		}
 		a.backOff()
 		return eventFailed
 	}
@@ -174,6 +193,9 @@
 	event, err := a.exchange()
 	if err != nil {
 		a.logger.Debug().Err(err).Str("address", a.address).Msg("handshake failed")
+		if isTimeout(err) {
+			a.leaveOut(a.address, unansweredFor)
+		}
 		a.backOff()
 		event = eventFailed
 	}
@@ -247,8 +269,8 @@
 	a.backOff()
 	if errors.Is(err, errGoHome) {
 		a.wait, a.queue = 0, a.homes
-	} else if errors.Is(err, os.ErrDeadlineExceeded) {
-		a.lost, a.lostAt = a.address, time.Now()
+	} else if isTimeout(err) {
+		a.leaveOut(a.address, lostFor)
 	}
 	a.logger.Info().Err(err).Str("address", a.address).Msg("link lost")
 	return eventLost
--- a/io/distribution/fakes_test.go
+++ b/io/distribution/fakes_test.go
@@ -31,6 +31,7 @@
 	listeners map[string]*fakeListener
 	conns     map[*fakeConn]bool
 	blocked   map[string]bool // addresses that cannot be dialed, and processes that cannot dial
+	frozen    map[string]bool // addresses that accept connections and answer nothing
 	dials     atomic.Int64
 }
 
@@ -90,6 +91,8 @@
 		in, end := c.in, c.peer.closed
 		if c.stalled.Load() {
 			in, end = nil, nil
+		} else if c.peer.silent.Load() {
+			end = nil
 		} else if len(in) > 0 {
 			end = nil // what was written before the end comes first
 		}
@@ -100,7 +103,9 @@
 			time.Sleep(time.Until(next.at))
 			c.rest = next.data
 		case <-end:
-			return 0, io.EOF
+			if !c.peer.silent.Load() {
+				return 0, io.EOF
+			}
 		case <-expiry(&c.deadline):
 			return 0, os.ErrDeadlineExceeded
 		}
@@ -168,6 +173,9 @@
 			}
 			near, far := n.end(name, address), n.end(name, address)
 			near.peer, far.peer = far, near
+			if n.frozen[address] {
+				return near, nil
+			}
 			l.backlog <- far
 			return near, nil
 		},
@@ -193,6 +201,16 @@
 	n.blocked[name] = blocked
 }
 
+// freeze stops a process: its connections stay, and others are opened to it, but it neither sends nor accepts any.
+func (n *fakeNet) freeze(name string) {
+	n.mu.Lock()
+	n.frozen[name] = true
+	n.mu.Unlock()
+	for _, c := range n.between(name) {
+		c.silent.Store(true)
+	}
+}
+
 // silence makes a node vanish without closing its connections.
 func (n *fakeNet) silence(s *Subscriber) {
 	n.block(s.options.RelayAddress, true)
@@ -295,7 +313,7 @@
 }
 
 func newWorld(t testing.TB) *world {
-	fake := &fakeNet{listeners: make(map[string]*fakeListener), conns: make(map[*fakeConn]bool), blocked: make(map[string]bool)}
+	fake := &fakeNet{listeners: make(map[string]*fakeListener), conns: make(map[*fakeConn]bool), blocked: make(map[string]bool), frozen: make(map[string]bool)}
 	return &world{t: t, net: fake, network: fake.network, catalog: newFakeCatalog(revision(1)), stops: make(map[string]func())}
 }
 
--- a/io/distribution/home_test.go
+++ b/io/distribution/home_test.go
@@ -1,11 +1,15 @@
 package distribution
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
 )
 
 // Guards against nodes that stay with a control instance of another data centre although their own has one, and against nodes
@@ -49,6 +53,36 @@
 	c.Assert(homeFirst([]ControlAddress{first, second}, "dc-c"), qt.DeepEquals, []ControlAddress{first, second})
 }
 
+// Guards against a node without a parent for more than 3 s when two of five control instances freeze at once, of which one is
+// at its home: both still accept connections, and the others send it home.
+func TestTwoFrozenControlInstances(t *testing.T) {
+	controls := []core.ControlID{"c1", "c2", "c3", "c4", "c5"} // the first two are in the node's data centre
+	for frozen := 1; frozen < len(controls); frozen++ {
+		run(t, func(c *qt.C, w *world) {
+			known := lo.Map(controls, func(id core.ControlID, i int) ControlAddress {
+				return ControlAddress{
+					Address:    string(id),
+					DataCentre: lo.Ternary[core.DataCentre](i < 2, "dc-a", "dc-b"),
+				}
+			})
+			for i, id := range controls {
+				peers := slices.Concat(controls[:i], controls[i+1:])
+				w.source(id, w.catalog, peers...).SetPeers(lo.Map(peers, func(peer core.ControlID, _ int) Peer {
+					return Peer{ID: peer, Address: string(peer)}
+				}), known)
+			}
+			node := w.nodes(1, knowing("c1", "c2", "c3", "c4", "c5"))[0]
+			w.eventually(20*time.Second, "attached at home", func() bool { return slices.Contains([]string{"c1", "c2"}, node.Status().Parent) })
+			first := slices.Index(controls, core.ControlID(node.Status().Parent))
+			time.Sleep(10 * time.Second)
+			w.net.freeze(string(controls[first]))
+			w.net.freeze(string(controls[(first+frozen)%len(controls)]))
+			w.catalog.set(revision(2))
+			w.eventually(3*time.Second, "revision 2", allAt([]*Subscriber{node}, 2))
+		})
+	}
+}
+
 // Guards against another time-out at a control instance whose link has just gone silent, since one that stands still accepts
 // connections, and against one that is never tried again although no other is left.
 func TestSilentControlInstanceIsLeftOutForAWhile(t *testing.T) {
@@ -64,7 +98,7 @@
 			{targets: []string{"c1"}, want: []string{"c1", "c1"}},
 		} {
 			a := newAttachment(test.targets, attachment{random: func() float64 { return 0 }})
-			a.lost, a.lostAt = "c1", time.Now()
+			a.leaveOut("c1", lostFor)
 			chosen := func() string {
 				c.Assert(a.choose(t.Context()), qt.Equals, eventDial)
 				return a.address
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -21,9 +21,10 @@
 	// silenceLimit allows for two lost pings. A node has to find another control instance and catch up within 3 s.
 	silenceLimit = 3 * pingInterval
 	writeTimeout = silenceLimit
-	helloTimeout = time.Second
-	// dialTimeout is a few times the longest way between regions; an instance without power answers nothing.
+	// dialTimeout and helloTimeout are a few times the longest way between regions; an instance without power answers nothing,
+	// and one that stands still accepts a connection.
 	dialTimeout  = 700 * time.Millisecond
+	helloTimeout = dialTimeout
 	finalTimeout = 500 * time.Millisecond
 	tickInterval = 200 * time.Millisecond
 
@@ -62,8 +63,10 @@
 	assignedWindow = 5 * time.Second
 	// homePause is how long a node stays with a control instance of another data centre after an attempt to attach in its own.
 	homePause = 5 * time.Second
-	// lostFor is how long a control instance whose link went silent is left out, in which all others are tried.
+	// lostFor is how long an address whose link went silent is left out, in which all others are tried.
 	lostFor = 5 * time.Second
+	// unansweredFor is how long one is left out that did not answer in time: it may have been a part of the network.
+	unansweredFor = 2 * time.Second
 
 	maxDirectPerDataCentre = 2
 	maxDirectChildren      = 128 // 64 data centres
