--- a/io/adminhttp/server.go
+++ b/io/adminhttp/server.go
@@ -1,7 +1,6 @@
 package adminhttp
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -10,6 +9,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+
+	"parsleyport/io/httpserver"
 )
 
 const (
@@ -36,21 +37,7 @@
 		Handler:           handler(options),
 		ReadHeaderTimeout: headerTimeout,
 	}
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			options.Logger.Error().Err(err).Msg("admin server stopped")
-		}
-	}()
-	return func() {
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
-		if err := server.Shutdown(ctx); err != nil {
-			_ = server.Close()
-		}
-		<-stopped
-	}, nil
+	return httpserver.Serve(server, listener, stopTimeout, options.Logger), nil
 }
 
 func handler(options Options) http.Handler {
--- a/io/operatorhttp/server.go
+++ b/io/operatorhttp/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +16,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/catalog"
+	"parsleyport/io/httpserver"
 )
 
 // Options are what a Server works with; Tokens is empty if operators need none.
@@ -67,24 +67,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	s.addGauges()
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			options.Log.Error().Err(err).Msg("operators' API has ended")
-		}
-	}()
+	stop := httpserver.Serve(server, listener, stopTimeout, options.Log)
 	options.Log.Info().Str("address", s.Address()).Msg("operators' API is listening")
-	return s, func() { stop(server, served) }, nil
-}
-
-func stop(server *http.Server, served <-chan struct{}) {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close() // cuts the requests that did not end in time
-	}
-	<-served
+	return s, stop, nil
 }
 
 // Address returns the address on which the server listens.
