Finish a brief move away from a release that no longer answers

Without a measure the move goes on as it did before; TestBriefMoveAwayFromASilentRelease failed before (expired) and passes.

--- a/core/rollout/brief.go
+++ b/core/rollout/brief.go
@@ -68,8 +68,8 @@
 
 type latencies [core.LatencyBuckets]uint64
 
-// briefCount has what was counted of one release. The calls are those that were answered or failed; latency has those of them
-// that came after the release had warmed up.
+// briefCount has what was counted of one release: calls that were answered or failed, and the latencies of those that came after
+// the release had warmed up.
 type briefCount struct {
 	calls, failures, turnedAway uint64
 	latency                     latencies
@@ -341,18 +341,22 @@
 
 // keepsUp reports whether a release that is slow for briefSlowMore of its calls would have shown more slow answers, or turned more
 // calls away, than there were. Few calls, or many slow ones of the old release beside them, show nothing: then it is no reason to
-// trust a release that no fault of it was found.
+// trust a release that no fault of it was found. An old release that hardly answers is no measure.
 func keepsUp(counted map[core.RouteName]briefPair) bool {
-	calls, slow, expected := uint64(0), uint64(0), 0.0
+	calls, slow, expected, compared := uint64(0), uint64(0), 0.0, false
 	for _, pair := range counted {
 		boundary, known := pair.old.closeBoundary()
 		if !known {
 			continue
 		}
+		compared = true
 		calls += pair.new.latency.total() + pair.new.turnedAway
 		slow += pair.new.latency.above(boundary) + pair.new.turnedAway
 		expected += pair.expectedSlow[boundary] + pair.expectedTurnedAway
 	}
+	if !compared {
+		return true
+	}
 	return calls > 0 && atMost(slow, calls, expected/float64(calls)+briefSlowMore) <= briefMissed
 }
 
--- a/core/rollout/brief_test.go
+++ b/core/rollout/brief_test.go
@@ -219,6 +219,15 @@
 	return move.State
 }
 
+// Guards against a move that is taken back because the old release, which no longer answers, gives nothing to compare with.
+func TestBriefMoveAwayFromASilentRelease(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(20) {
+		replay := latencyReplay{answers: []float64{1}, oldAway: 1, perTick: 7}
+		c.Assert(replay.run(seed), qt.Equals, core.MoveDone)
+	}
+}
+
 // Guards against a move that is done although nothing was reported of the new release.
 func TestBriefMoveWithoutEvidenceExpires(t *testing.T) {
 	c := qt.New(t)
