--- a/core/rollout/brief_test.go
+++ b/core/rollout/brief_test.go
@@ -21,11 +21,17 @@
 	both    float64 // part of the calls of both releases that fail from then on
 }
 
-// replayBrief replays a move of 14 s with some calls in each tenth of a second, of which the reports are late by half a second.
-func replayBrief(seed uint64, release briefRelease, perTick int) (move core.Move, newCalls, allCalls int) {
-	random := rand.New(rand.NewPCG(seed, seed))
+// briefReplay replays a move of 14 s in steps of a tenth of a second.
+type briefReplay struct {
+	calls   func(at time.Duration, move core.Move) // counts the calls of one step
+	counted func() []core.EvidenceCount
+	every   time.Duration // between two decisions
+	late    bool          // a decision sees what had been counted at the one before
+}
+
+func (r briefReplay) run() core.Move {
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	move = core.Move{
+	move := core.Move{
 		MoveID:    "m1",
 		Request:   core.MoveRequest{Service: "s", To: "v2", Deadline: start.Add(14 * time.Second)},
 		State:     core.MoveProposed,
@@ -33,46 +39,63 @@
 		SteppedAt: start,
 	}
 	judge := rollout.NewBrief(move, "v2")
-	counts := map[core.Release]*core.EvidenceCount{
-		"v1": {Service: "s", Route: "r", Release: "v1", Move: "m1"},
-		"v2": {Service: "s", Route: "r", Release: "v2", Move: "m1"},
-	}
 	var reported []core.EvidenceCount
-	const tick = 100 * time.Millisecond
-	for at := time.Duration(0); at < 15*time.Second && !rollout.IsFinal(move.State); at += tick {
-		now := start.Add(at)
-		for range perTick {
-			allCalls++
-			c := counts["v1"]
-			bad := briefRelease{failing: 0.001}
-			if at >= release.after {
-				bad.failing += release.both
-			}
-			if core.PerMille(random.IntN(1000)) < move.Share {
-				c = counts["v2"]
-				newCalls++
-				if move.Share >= release.from && at >= release.after && release.both == 0 {
-					bad = release
-				}
-			}
-			c.Calls++
-			latency := 8 + random.IntN(2) // buckets of 256 ms and 512 ms
-			switch {
-			case random.Float64() < bad.failing:
-				c.Failures++
-			case random.Float64() < bad.slow:
-				latency += 3
-			}
-			c.Latency[latency]++
+	for at := time.Duration(0); at < 15*time.Second && !rollout.IsFinal(move.State); at += 100 * time.Millisecond {
+		r.calls(at, move)
+		if at%r.every != 0 {
+			continue
 		}
-		if at%(500*time.Millisecond) == 0 {
-			judge.ObserveEndpoints(now, []core.Endpoint{{Service: "s", Release: "v2", State: core.EndpointReady}})
-			if step, due := judge.Decide(now, move, reported); due {
-				move.State, move.Step, move.Share, move.SteppedAt, move.Cause = step.State, step.Step, step.Share, now, step.Cause
-			}
-			reported = []core.EvidenceCount{*counts["v1"], *counts["v2"]}
+		now, earlier := start.Add(at), reported
+		reported = r.counted()
+		judge.ObserveEndpoints(now, []core.Endpoint{{Service: "s", Release: "v2", State: core.EndpointReady}})
+		if step, due := judge.Decide(now, move, lo.Ternary(r.late, earlier, reported)); due {
+			move.State, move.Step, move.Share, move.SteppedAt, move.Cause = step.State, step.Step, step.Share, now, step.Cause
 		}
 	}
+	return move
+}
+
+// countsOf returns empty counts of the old release and of the new one.
+func countsOf() (before, after *core.EvidenceCount) {
+	return &core.EvidenceCount{Service: "s", Route: "r", Release: "v1", Move: "m1"},
+		&core.EvidenceCount{Service: "s", Route: "r", Release: "v2", Move: "m1"}
+}
+
+// replayBrief replays a move with some calls in each tenth of a second, of which the reports are late by half a second.
+func replayBrief(seed uint64, release briefRelease, perTick int) (move core.Move, newCalls, allCalls int) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	before, after := countsOf()
+	move = briefReplay{
+		calls: func(at time.Duration, move core.Move) {
+			for range perTick {
+				allCalls++
+				c := before
+				bad := briefRelease{failing: 0.001}
+				if at >= release.after {
+					bad.failing += release.both
+				}
+				if core.PerMille(random.IntN(1000)) < move.Share {
+					c = after
+					newCalls++
+					if move.Share >= release.from && at >= release.after && release.both == 0 {
+						bad = release
+					}
+				}
+				c.Calls++
+				latency := 8 + random.IntN(2) // buckets of 256 ms and 512 ms
+				switch {
+				case random.Float64() < bad.failing:
+					c.Failures++
+				case random.Float64() < bad.slow:
+					latency += 3
+				}
+				c.Latency[latency]++
+			}
+		},
+		counted: func() []core.EvidenceCount { return []core.EvidenceCount{*before, *after} },
+		every:   500 * time.Millisecond,
+		late:    true,
+	}.run()
 	return move, newCalls, allCalls
 }
 
@@ -171,7 +194,7 @@
 	cold          time.Duration
 }
 
-// run replays a move of 14 s, and returns its last state.
+// run replays a move and returns its last state.
 func (r latencyReplay) run(seed uint64) core.MoveState {
 	random := rand.New(rand.NewPCG(seed, 3))
 	draw := func(parts []float64) int {
@@ -183,40 +206,30 @@
 		}
 		return 7 + len(parts) - 1
 	}
-	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	move := core.Move{
-		MoveID:    "m1",
-		Request:   core.MoveRequest{Service: "s", To: "v2", Deadline: start.Add(14 * time.Second)},
-		State:     core.MoveProposed,
-		StartedAt: start,
-	}
-	judge := rollout.NewBrief(move, "v2")
-	before := core.EvidenceCount{Service: "s", Route: "r", Release: "v1", Move: "m1"}
-	after := core.EvidenceCount{Service: "s", Route: "r", Release: "v2", Move: "m1"}
-	for at := time.Duration(0); at < 15*time.Second && !rollout.IsFinal(move.State); at += 100 * time.Millisecond {
-		for range r.perTick {
-			side, answers, away := &before, r.old, r.oldAway
-			if core.PerMille(random.IntN(1000)) < move.Share {
-				side, answers, away = &after, r.answers, r.away
-				if start.Add(at).Before(move.SteppedAt.Add(r.cold)) && move.Step == 1 {
-					answers = []float64{0, 0, 0, 0, 1}
-				}
+	before, after := countsOf()
+	began := time.Duration(0) // of the first share
+	return briefReplay{
+		calls: func(at time.Duration, move core.Move) {
+			if move.Step == 0 {
+				began = at
 			}
-			side.Calls++
-			if random.Float64() >= away {
-				side.Latency[draw(answers)]++
+			for range r.perTick {
+				side, answers, away := before, r.old, r.oldAway
+				if core.PerMille(random.IntN(1000)) < move.Share {
+					side, answers, away = after, r.answers, r.away
+					if at < began+r.cold {
+						answers = []float64{0, 0, 0, 0, 1}
+					}
+				}
+				side.Calls++
+				if random.Float64() >= away {
+					side.Latency[draw(answers)]++
+				}
 			}
-		}
-		if at%(300*time.Millisecond) != 0 {
-			continue
-		}
-		now := start.Add(at)
-		judge.ObserveEndpoints(now, []core.Endpoint{{Service: "s", Release: "v2", State: core.EndpointReady}})
-		if step, due := judge.Decide(now, move, []core.EvidenceCount{before, after}); due {
-			move.State, move.Step, move.Share, move.SteppedAt = step.State, step.Step, step.Share, now
-		}
-	}
-	return move.State
+		},
+		counted: func() []core.EvidenceCount { return []core.EvidenceCount{*before, *after} },
+		every:   300 * time.Millisecond,
+	}.run().State
 }
 
 // Guards against a move that is taken back because the old release, which no longer answers, gives nothing to compare with.
