Pass no call on whose caller has left before it was read

A node stood still from 24.1 s to 26.7 s. Its callers sent calls and left meanwhile; it read both at once and sent 9 calls on before net/http's goroutine told of the ends of the connections. Ruled out: calls of other nodes (refused as revoked when it went on), a cut (it logged nothing meanwhile). Before each attempt the entry now looks whether the connection has ended, without reading from it. TestCallOfACallerWhoLeftIsNotPassedOn failed before (2 calls passed on, 1 expected) and passes.

--- a/io/callerhttp/callerhttp_test.go
+++ b/io/callerhttp/callerhttp_test.go
@@ -535,3 +535,31 @@
 func turnedAway(recorder *rollout.Recorder) uint64 {
 	return lo.SumBy(recorder.Counts(), func(count core.EvidenceCount) uint64 { return count.Calls - count.Answered() })
 }
+
+// Guards against a call that is passed on although its caller has left: a node that stood still reads the call and the end of
+// its connection at the same time.
+func TestCallOfACallerWhoLeftIsNotPassedOn(t *testing.T) {
+	c := qt.New(t)
+	for range 50 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		caller, err := net.Dial("tcp", listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		_, err = io.WriteString(caller, "GET /orders HTTP/1.1\r\nHost: n\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		c.Assert(caller.Close(), qt.IsNil)
+		var passedOn atomic.Int64
+		e := newEntry(c, allV1, func(o *callerhttp.Options) {
+			o.Listener = listener
+			o.Linger = time.Millisecond
+		})
+		e.forwarder.forward = func(int, core.Endpoint) (*core.Answer, core.Outcome, error) {
+			passedOn.Add(1)
+			return answer(200, strings.NewReader("done"))
+		}
+		_, _, err = e.send(c, "GET", "/orders") // is accepted after the other
+		c.Assert(err, qt.IsNil)
+		c.Assert(e.Drain(context.Background()), qt.IsNil)
+		c.Assert(passedOn.Load(), qt.Equals, int64(1))
+	}
+}
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -141,6 +141,12 @@
 	mayHaveRun := error(nil)
 	var last, answered result
 	for {
+		if callerLeft(ctx) {
+			if last.outcome == "" {
+				last.outcome, last.err = core.OutcomeNotRun, refusal(core.CauseRevoked, "caller has left")
+			}
+			break
+		}
 		next, placed := s.place(ctx, q, earlier)
 		if !placed && mayWait(last) && s.awaitEndpoint(ctx, q, &earlier) {
 			continue
--- a/io/callerhttp/watch.go
+++ b/io/callerhttp/watch.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
+
+	"github.com/juju/errors"
 )
 
 type connectionKey struct{}
@@ -109,6 +112,30 @@
 	}
 }
 
+// callerLeft reports whether the caller has closed its connection. net/http notices that on a goroutine of its own, which may come
+// too late for a process that stood still and has just read the request and the end of its connection.
+func callerLeft(ctx context.Context) bool {
+	watched, ok := ctx.Value(connectionKey{}).(*watchedConnection)
+	if !ok {
+		return false
+	}
+	socket, ok := watched.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true // closed at this end
+	}
+	left := false
+	err = raw.Control(func(descriptor uintptr) {
+		next := make([]byte, 1)
+		n, _, err := syscall.Recvfrom(int(descriptor), next, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+	})
+	return left || err != nil
+}
+
 // markEnded notes that the handler's answer has been sent.
 func markEnded(connection net.Conn) {
 	if watched, ok := connection.(*watchedConnection); ok {
