retry, distribution: divide the shared retry budget among the nodes of the fleet; repair a test that could wait for ever

Cause: each node took a hundredth of the slack of the retry budget, so that 253 nodes spent 2.5 times the slack.

Change: control instances count the nodes of the fleet and send the number in accept, again when it changes by an eighth. Both ends keep the greatest count of 30 s to 60 s, so that a herd that restarts does not double the shares of the others; a control instance that has just started sends none; while the number is unknown, a node takes no part of the slack and keeps the budget of its own calls. A child counts as one node at least, whatever it states. budgetOf drops budgets of services that no longer exist first, instead of all.

Weighed: the number of endpoints that a node knows (too low: it knows only services in use); budgets at the gates beside the backend servers (would pool better, but needs the attempt number on the wire and a refusal at the gate).

TestNodesStayWithinTheSharedBudget at 1 to 2,700 nodes, with numbers that are unknown, partly known, too high and an eighth too low: within the budget; shares of 1/100 at 2,700 nodes exceed it.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -4,13 +4,13 @@
 
 const bucketCount = 20
 
-// BudgetOptions limit the retries of a node: in each Window to Ratio times the number of calls, or to MinRetries if that is more.
-// With Additive, MinRetries is added to that number instead.
+// BudgetOptions limit the retries of a node: in each Window to Ratio times the number of calls, or to MinRetries if that is more,
+// and to the node's part of SharedRetries besides, which all nodes of the fleet divide among them.
 type BudgetOptions struct {
-	Window     time.Duration
-	Ratio      float64
-	MinRetries float64
-	Additive   bool
+	Window        time.Duration
+	Ratio         float64
+	MinRetries    float64
+	SharedRetries float64
 }
 
 // DefaultBudget allows retries of a tenth of the calls of the last second, or 3 if that is more.
@@ -30,6 +30,7 @@
 	calls             [bucketCount]int
 	retries           [bucketCount]int
 	newestBucket      int64 // number of the newest bucket, in bucket lengths since the Unix epoch
+	nodes             int   // of the fleet, zero while unknown
 }
 
 // NewBudget returns an unused budget. Zero options stand for DefaultBudget.
@@ -43,6 +44,11 @@
 	}
 }
 
+// SetNodes sets the number of nodes among which SharedRetries are divided. While it is zero, the node takes none of them.
+func (b *Budget) SetNodes(nodes int) {
+	b.nodes = nodes
+}
+
 // RecordCall counts one call, without its retries.
 func (b *Budget) RecordCall(now time.Time) {
 	b.calls[b.advance(now)]++
@@ -73,11 +79,11 @@
 }
 
 func (b *Budget) maxRetries(calls int) float64 {
-	ratioLimit := b.options.Ratio * float64(calls)
-	if b.options.Additive {
-		return ratioLimit + b.options.MinRetries
+	limit := max(b.options.Ratio*float64(calls), b.options.MinRetries)
+	if b.nodes > 0 {
+		limit += b.options.SharedRetries / float64(b.nodes)
 	}
-	return max(ratioLimit, b.options.MinRetries)
+	return limit
 }
 
 // advance clears the buckets that have left the window and returns the index of the current one.
--- a/core/retry/shared_test.go
+++ b/core/retry/shared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -10,62 +11,128 @@
 	"parsleyport/core/retry"
 )
 
-// Guards against nodes that keep their own budgets but together exceed the shared budget in some window of its length, because
-// their windows begin at different times and bursts of calls arrive at different nodes.
-//
-// Simulates 100 nodes. Every call fails and is retried three times, and the rate of calls changes every few seconds.
-func TestNodesStayWithinTheSharedBudget(t *testing.T) {
-	c := qt.New(t)
-	const (
-		nodes      = 100
-		window     = 10 * time.Second
-		retryRatio = 0.2
-		slack      = 62.0
-		nodeRatio  = 0.7 // part of the shared budget that is divided among the nodes
-		step       = 100 * time.Millisecond
-		steps      = 900
-	)
-	for seed := range uint64(20) {
-		random := rand.New(rand.NewPCG(seed, 1))
-		budgets := make([]*retry.Budget, nodes)
-		for i := range budgets {
-			budgets[i] = retry.NewBudget(retry.BudgetOptions{
-				Window:     window,
-				Ratio:      retryRatio * nodeRatio,
-				MinRetries: slack * nodeRatio / nodes,
-				Additive:   true,
-			})
+const (
+	sharedWindow  = 10 * time.Second
+	sharedRatio   = 0.2
+	sharedSlack   = 430.0
+	usedRatio     = 0.7 // part of the shared budget that the nodes divide among them
+	sharedStep    = 100 * time.Millisecond
+	sharedSteps   = 900
+	sharedPerSpan = int(sharedWindow / sharedStep)
+)
+
+// spendSharedBudget lets all calls of a fleet fail and retries each of them three times, at rates that change every few seconds. It
+// returns the greatest number of retries in a window above what the shared budget allows. knownNodes returns the number of nodes that
+// a node believes the fleet to have.
+func spendSharedBudget(seed uint64, nodes int, knownNodes func(node, step int) int) (excess float64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	budgets := make([]*retry.Budget, nodes)
+	for i := range budgets {
+		budgets[i] = retry.NewBudget(retry.BudgetOptions{
+			Window:        sharedWindow,
+			Ratio:         sharedRatio * usedRatio,
+			SharedRetries: sharedSlack * usedRatio,
+		})
+	}
+	var calls, retries [sharedSteps]int
+	rate, busy := 0, 1
+	start := time.Unix(1_700_000_000, random.Int64N(int64(sharedWindow)))
+	for at := range sharedSteps {
+		if at%30 == 0 {
+			rate, busy = random.IntN(200), 1+random.IntN(nodes)
 		}
-		var calls, retries [steps]int
-		rate, busy := 0, 1
-		start := time.Unix(1_700_000_000, random.Int64N(int64(window)))
-		for at := range steps {
-			if at%30 == 0 {
-				rate, busy = random.IntN(60), 1+random.IntN(nodes)
-			}
-			for range rate {
-				budget := budgets[random.IntN(busy)]
-				now := start.Add(time.Duration(at)*step + time.Duration(random.Int64N(int64(step))))
-				budget.RecordCall(now)
-				calls[at]++
-				for range 3 {
-					if budget.Take(now) {
-						retries[at]++
-					}
+		for range rate {
+			node := random.IntN(busy)
+			now := start.Add(time.Duration(at)*sharedStep + time.Duration(random.Int64N(int64(sharedStep))))
+			budgets[node].SetNodes(knownNodes(node, at))
+			budgets[node].RecordCall(now)
+			calls[at]++
+			for range 3 {
+				if budgets[node].Take(now) {
+					retries[at]++
 				}
 			}
 		}
-		const length = int(window / step)
-		total := func(counts [steps]int, from int) (sum int) {
-			for at := max(0, from); at < from+length; at++ {
-				sum += counts[at]
-			}
-			return sum
+	}
+	total := func(counts [sharedSteps]int, from int) (sum int) {
+		for at := max(0, from); at < from+sharedPerSpan; at++ {
+			sum += counts[at]
 		}
-		for from := range steps - length {
-			asked := max(total(calls, from), total(calls, from-length), total(calls, from-length/2))
-			allowed := retryRatio*float64(asked) + slack
-			c.Assert(float64(total(retries, from)) <= allowed, qt.IsTrue, qt.Commentf("seed %d, from %d: %d of %.0f", seed, from, total(retries, from), allowed))
+		return sum
+	}
+	excess = -sharedSlack
+	for from := range sharedSteps - sharedPerSpan {
+		asked := max(total(calls, from), total(calls, from-sharedPerSpan), total(calls, from-sharedPerSpan/2))
+		excess = max(excess, float64(total(retries, from))-sharedRatio*float64(asked)-sharedSlack)
+	}
+	return excess
+}
+
+// Guards against nodes that keep their own budgets but together exceed the shared budget in some window of its length, because
+// their windows begin at different times, bursts of calls arrive at different nodes, or their shares hold for another fleet.
+func TestNodesStayWithinTheSharedBudget(t *testing.T) {
+	for _, nodes := range []int{1, 30, 100, 253, 2_700} {
+		t.Run(strconv.Itoa(nodes), func(t *testing.T) {
+			c := qt.New(t)
+			for name, known := range map[string]func(node, step int) int{
+				"exact":                 func(int, int) int { return nodes },
+				"unknown":               func(int, int) int { return 0 },
+				"unknown to some":       func(node, _ int) int { return node % 2 * nodes },
+				"not known for a while": func(_, step int) int { return step / (sharedSteps / 2) * nodes },
+				"too high":              func(int, int) int { return 3 * nodes },
+				"an eighth too low":     func(int, int) int { return nodes - nodes/8 },
+			} {
+				for seed := range uint64(5) {
+					excess := spendSharedBudget(seed, nodes, known)
+					c.Assert(excess <= 0, qt.IsTrue, qt.Commentf("%s, seed %d: %.0f too many", name, seed, excess))
+				}
+			}
+		})
+	}
+	c := qt.New(t)
+	c.Assert(spendSharedBudget(1, 2_700, func(int, int) int { return 100 }) > 0, qt.IsTrue) // the load shows shares for too few nodes
+}
+
+// Guards against a node that alone meets the trouble and may not retry at all, because the fleet is large.
+func TestNodeOfALargeFleetRetriesAPartOfItsCalls(t *testing.T) {
+	c := qt.New(t)
+	budget := retry.NewBudget(retry.BudgetOptions{
+		Window:        sharedWindow,
+		Ratio:         sharedRatio * usedRatio,
+		SharedRetries: sharedSlack * usedRatio,
+	})
+	budget.SetNodes(2_700)
+	now, retries := time.Unix(1_700_000_000, 0), 0
+	for range 100 {
+		now = now.Add(sharedStep)
+		budget.RecordCall(now)
+		if budget.Take(now) {
+			retries++
 		}
 	}
+	c.Assert(retries >= 13, qt.IsTrue, qt.Commentf("%d retries of 100 calls", retries))
+}
+
+// Guards against nodes that take over the shares of those that restart, and against shares that never grow again after nodes have left.
+func TestFleetSizeFollowsLossesSlowly(t *testing.T) {
+	c := qt.New(t)
+	var size retry.FleetSize
+	now := time.Unix(1_700_000_000, 0)
+	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	c.Assert(size.Nodes(at(0)), qt.Equals, 0)
+	size.Observe(at(0), -5)
+	c.Assert(size.Nodes(at(0)), qt.Equals, 0)
+	size.Observe(at(1), 253)
+	c.Assert(size.Nodes(at(1)), qt.Equals, 253)
+	for second := 2; second < 30; second++ {
+		size.Observe(at(second), 100) // most of the fleet restarts
+		c.Assert(size.Nodes(at(second)), qt.Equals, 253)
+	}
+	size.Observe(at(31), 300)
+	c.Assert(size.Nodes(at(31)), qt.Equals, 300)
+	for second := 32; second < 100; second++ {
+		size.Observe(at(second), 100)
+	}
+	c.Assert(size.Nodes(at(100)), qt.Equals, 100)
+	c.Assert(size.Nodes(at(300)), qt.Equals, 0)
 }
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -238,16 +239,18 @@
 func (s *Server) takeRetryBudget(service core.ServiceName) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budgetOf(service).Take(time.Now())
+	budget := s.budgetOf(service)
+	budget.SetNodes(s.options.FleetNodes())
+	return budget.Take(time.Now())
 }
 
-// budgetOf returns the retry budget of a service. It drops all budgets when there are too many, since most then belong to services
-// that no longer exist. s.mu must be held.
+// budgetOf returns the retry budget of a service. When there are too many, it drops those of services that no longer exist, and one
+// of the others if there are none. s.mu must be held.
 func (s *Server) budgetOf(service core.ServiceName) *retry.Budget {
 	budget := s.retryBudgets[service]
 	if budget == nil {
 		if len(s.retryBudgets) >= maxTrackedServices {
-			clear(s.retryBudgets)
+			s.dropRetryBudgets()
 		}
 		budget = retry.NewBudget(s.options.RetryBudget)
 		s.retryBudgets[service] = budget
@@ -255,6 +258,20 @@
 	return budget
 }
 
+func (s *Server) dropRetryBudgets() {
+	configuration := s.options.Source.Current()
+	maps.DeleteFunc(s.retryBudgets, func(service core.ServiceName, _ *retry.Budget) bool {
+		_, exists := configuration.Service(service)
+		return !exists
+	})
+	for service := range s.retryBudgets {
+		if len(s.retryBudgets) < maxTrackedServices {
+			return
+		}
+		delete(s.retryBudgets, service)
+	}
+}
+
 // attemptOnce makes one attempt, hedged if that is allowed. It returns false if no endpoint is available.
 func (s *Server) attemptOnce(ctx context.Context, req *request, history attemptHistory) (attemptResult, bool) {
 	startedAt := time.Now()
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -93,6 +93,8 @@
 	DisableHedging bool
 	// RetryBudget configures the retry budget of each service; the zero value stands for the default.
 	RetryBudget retry.BudgetOptions
+	// FleetNodes returns the number of nodes that share RetryBudget.SharedRetries, zero if it is unknown. Nil means unknown.
+	FleetNodes func() int
 	// RetryAfter returns the Retry-After header of answers with status 503. If it is nil, the header is not set.
 	RetryAfter func(*core.Refusal) string
 	// FreeCapacityRetries is the number of retries after capacity refusals that cost no retry budget. Zero means none.
@@ -174,6 +176,9 @@
 	if options.EndpointsKnown == nil {
 		options.EndpointsKnown = func(core.ServiceName) bool { return true }
 	}
+	if options.FleetNodes == nil {
+		options.FleetNodes = func() int { return 0 }
+	}
 	if options.CrashSuspected == nil {
 		options.CrashSuspected = func(idempotency.Fingerprint) bool { return false }
 	}
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -308,6 +308,7 @@
 		}
 		return
 	}
+	message.Nodes = max(message.Nodes, 1) // the child itself
 	c.acknowledged = message
 	c.reported = configVersion{
 		revision: message.Revision,
@@ -344,6 +345,8 @@
 		Compressor: compressorID,
 
 		Controls: h.controls,
+
+		FleetNodes: h.fleetNodes,
 	}
 }
 
--- a/io/distribution/distribution_test.go
+++ b/io/distribution/distribution_test.go
@@ -75,14 +75,28 @@
 		parent.send(typeConfigDelta, revision(4).DeltaFrom(revision(3)))
 		parent.send(typeConfigFull, revision(2).Full())
 		parent.send(typeConfigDelta, revision(6).DeltaFrom(revision(5)))
-		for node.Current().Revision() != 6 {
-			changed, held := node.Changed(), node.Current().Revision()
+		changed, held := currentAndChanged(node)
+		for held != 6 {
 			<-changed
-			c.Assert(node.Current().Revision() > held, qt.IsTrue)
+			next := held
+			changed, next = currentAndChanged(node)
+			c.Assert(next > held, qt.IsTrue)
+			held = next
 		}
 	})
 }
 
+// currentAndChanged returns the revision in force and the channel that is closed when this revision is replaced.
+func currentAndChanged(node *Subscriber) (<-chan struct{}, core.Revision) {
+	for {
+		changed := node.Changed()
+		revision := node.Current().Revision()
+		if changed == node.Changed() {
+			return changed, revision
+		}
+	}
+}
+
 // Guards against a node that takes over the older configuration of the only parent that it can reach.
 func TestStaleParentNeverRollsBack(t *testing.T) {
 	runTest(t, func(c *qt.C, tc *cluster) {
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -74,6 +74,7 @@
 	// controls lists the addresses at which nodes can attach to control instances; if empty, nodes use those of their settings.
 	controls       []ControlAddress
 	maxDirectNodes int // that may attach to this control instance, for each data centre
+	fleetNodes     int // sent to the children, zero if unknown
 }
 
 // peerReport is the last acknowledgement of another control instance; expiresAt is set when its link is lost.
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -65,6 +65,8 @@
 	Compressor frame.CompressorID `msgpack:"packing,omitempty"` // compression that both ends use from then on
 
 	Controls []ControlAddress `msgpack:"controls,omitempty"` // at which nodes can attach
+
+	FleetNodes int `msgpack:"fleet-nodes,omitempty"` // of all control instances, zero if unknown
 }
 
 // redirect refuses a child and lists the relays to which it should attach, least loaded first.
--- a/io/distribution/parent.go
+++ b/io/distribution/parent.go
@@ -98,11 +98,22 @@
 		s.hub.controls = message.Controls
 		s.attachment.learnedTargets.Store(localFirst(message.Controls, s.options.DataCentre))
 	}
+	s.hub.fleetNodes = message.FleetNodes
+	s.fleetSize.Observe(time.Now(), message.FleetNodes)
 	s.hub.pathVersion++
 	s.hub.publishAndWake()
 	return nil
 }
 
+// FleetNodes returns the number of nodes of the fleet as the control instances count them, zero if it is unknown.
+func (s *Subscriber) FleetNodes() int {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	now := time.Now()
+	s.fleetSize.Observe(now, s.hub.fleetNodes)
+	return s.fleetSize.Nodes(now)
+}
+
 // checkStale rejects a control instance that knows no leader until all others have been tried, since it may be the only one that
 // is partitioned. A node below a relay stays, since the relay looks for another control instance on behalf of its subtree.
 func (s *Subscriber) checkStale(message accept) error {
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -9,12 +9,17 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/retry"
 	"parsleyport/core/ring"
 	"parsleyport/io/frame"
 )
 
-// confirmRetryInterval is the wait before a failed confirmed read is retried.
-const confirmRetryInterval = 100 * time.Millisecond
+const (
+	// confirmRetryInterval is the wait before a failed confirmed read is retried.
+	confirmRetryInterval = 100 * time.Millisecond
+	// minFleetChangeDivisor is the divisor of the part by which the fleet must change for its size to be sent again.
+	minFleetChangeDivisor = 8
+)
 
 // Fleet summarises all attached nodes, including those of the other control instances.
 type Fleet struct {
@@ -32,6 +37,7 @@
 	confirmWake *ring.Ring[struct{}]
 	context     context.Context
 	peerLinks   map[core.ControlID]peerLink // guarded by hub.mu
+	fleetSize   retry.FleetSize             // guarded by hub.mu
 }
 
 // peerLink is the outgoing link to another control instance.
@@ -134,6 +140,21 @@
 			delete(s.hub.peerReports, id)
 		}
 	}
+	s.fleetSize.Observe(now, s.fleetReport().Nodes)
+	s.announceFleetSize(now)
+}
+
+// announceFleetSize tells the children about a fleet that has changed by over an eighth. During the grace period after the start,
+// most nodes may still be on their way here, so that they are told nothing.
+func (s *Source) announceFleetSize(now time.Time) {
+	nodes := s.fleetSize.Nodes(now)
+	difference := max(nodes-s.hub.fleetNodes, s.hub.fleetNodes-nodes)
+	if !s.hub.complete || difference*minFleetChangeDivisor <= s.hub.fleetNodes {
+		return
+	}
+	s.hub.fleetNodes = nodes
+	s.hub.pathVersion++
+	s.hub.publishAndWake()
 }
 
 // watchLeader marks this control instance as stale after leaderlessTimeout without a known leader, and tells the children about
@@ -253,10 +274,7 @@
 func (s *Source) Fleet() Fleet {
 	s.hub.mu.Lock()
 	defer s.hub.mu.Unlock()
-	report := s.hub.subtreeAcknowledgement()
-	for _, other := range s.hub.peerReports {
-		report = report.merge(other.acknowledge)
-	}
+	report := s.fleetReport()
 	return Fleet{
 		Lowest: report.Lowest,
 		Nodes:  report.Nodes,
@@ -264,6 +282,15 @@
 	}
 }
 
+// fleetReport merges the acknowledgements of all control instances; hub.mu is held.
+func (s *Source) fleetReport() acknowledge {
+	report := s.hub.subtreeAcknowledgement()
+	for _, other := range s.hub.peerReports {
+		report = report.merge(other.acknowledge)
+	}
+	return report
+}
+
 // Evidence returns the cumulative sums by run of a control instance, data centre, move, service, route and release.
 func (s *Source) Evidence() []core.EvidenceCount {
 	s.hub.mu.Lock()
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -13,6 +13,7 @@
 	"parsleyport/core"
 	"parsleyport/core/lease"
 	"parsleyport/core/record"
+	"parsleyport/core/retry"
 	"parsleyport/io/frame"
 )
 
@@ -73,6 +74,7 @@
 	accepted      configVersion         // version observed by the last confirmed read
 	parent        string
 	detachedSince time.Time // zero until the first parent is lost
+	fleetSize     retry.FleetSize
 }
 
 // NewSubscriber starts the relay listener and attaches the node to the tree. It returns an error for invalid options or an address
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -193,6 +193,7 @@
 		CallerService:          p.localService,
 		DisableHedging:         p.options.DisableHedging,
 		RetryBudget:            p.options.RetryBudget,
+		FleetNodes:             subscriber.FleetNodes,
 		FreeCapacityRetries:    p.options.FreeCapacityRetries,
 		RetryAfter:             p.options.RetryAfter,
 		MaxQueueTime:           p.options.MaxQueueTime,
