limiter, retry: short calls first, waits by cause, and a model of a fleet under load that shows both

Runs of the catalogue call lending, where these calls have the priority of the deposits; a third of them was refused, and each refusal ended a run in a failure after it had held its slot for 300 ms. Refused callers were asked to return after 250 ms, met the same queue, and were taken for new callers.

Change: within a priority, calls of classes that take at most half of the average time go first and are not refused for being late. The decisions are in core/limiter and core/retry. core/callreplay runs load patterns (*.pattern) of whole fleets: entry nodes with their own view, services that call each other, queues, callers that return, events; it prints the bound that the slots allow and what each rule is worth (parsleyport replay FILE.pattern).

--- /dev/null
+++ b/core/callreplay/fleet_test.go
@@ -0,0 +1,116 @@
+package callreplay_test
+
+import (
+	"io"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/samber/lo"
+
+	"parsleyport/core"
+	"parsleyport/core/callreplay"
+	"parsleyport/core/retry"
+)
+
+func readPattern(c *qt.C, name string) callreplay.Pattern {
+	p, err := callreplay.ReadPattern(filepath.Join("testdata", name+".pattern"))
+	c.Assert(err, qt.IsNil)
+	return p
+}
+
+func waitAlways(wait time.Duration) func(retry.RefusedCall) time.Duration {
+	return func(retry.RefusedCall) time.Duration { return wait }
+}
+
+func totalWorth(sums map[core.RouteName]callreplay.RouteMeasures) float64 {
+	return lo.SumBy(lo.Values(sums), func(m callreplay.RouteMeasures) float64 { return m.Worth })
+}
+
+// Guards against calls that hold a slot and fail because a short call that they make gets none: under overload, a fifth of the work of
+// one service was lost to refusals of another.
+func TestShortCallsAreNotRefusedToTheCallsThatMakeThem(t *testing.T) {
+	c := qt.New(t)
+	p := readPattern(c, "persistent-overload")
+	rules := callreplay.ServingRules()
+	with := callreplay.RunSeeds(p, rules, 1)
+	rules.Limiter.ShortClassesFirst = false
+	without := callreplay.RunSeeds(p, rules, 1)
+	t.Logf("with %+v\nwithout %+v", with["browse"], without["browse"])
+	c.Assert(without["browse"].WastedRuns*20 > without["browse"].Asked, qt.IsTrue, qt.Commentf("the load does not reproduce the failure: %+v", without["browse"]))
+	c.Assert(with["browse"].WastedRuns*100 < with["browse"].Asked, qt.IsTrue, qt.Commentf("%+v", with["browse"]))
+	c.Assert(totalWorth(with) > totalWorth(without), qt.IsTrue)
+}
+
+// Guards against refused callers who return while the overload lasts and take the slots of those that could be served in time.
+func TestCallersReturnLateFromOverload(t *testing.T) {
+	c := qt.New(t)
+	p := readPattern(c, "persistent-overload")
+	rules := callreplay.ServingRules()
+	worth := totalWorth(callreplay.RunSeeds(p, rules, 1))
+	for _, wait := range []time.Duration{50 * time.Millisecond, 250 * time.Millisecond} {
+		rules.RetryAfter = waitAlways(wait)
+		soon := totalWorth(callreplay.RunSeeds(p, rules, 1))
+		c.Assert(worth > soon, qt.IsTrue, qt.Commentf("worth %.0f, callers return after %v: %.0f", worth, wait, soon))
+	}
+}
+
+// Guards against callers who wait for long although another backend server has a free slot.
+func TestCallersReturnSoonAfterRejections(t *testing.T) {
+	c := qt.New(t)
+	p := readPattern(c, "rejecting-backend-servers")
+	p.Seconds = 9
+	rules := callreplay.ServingRules()
+	worth := totalWorth(callreplay.RunSeeds(p, rules, 1))
+	rules.RetryAfter = waitAlways(time.Second)
+	late := totalWorth(callreplay.RunSeeds(p, rules, 1))
+	c.Assert(worth > late, qt.IsTrue, qt.Commentf("worth %.0f, callers return after 1 s: %.0f", worth, late))
+}
+
+// Guards against measures that differ between two runs with the same seed, and against requests that are counted twice or not at all.
+func TestPatternsRepeatAndAddUp(t *testing.T) {
+	c := qt.New(t)
+	files, err := filepath.Glob("testdata/*.pattern")
+	c.Assert(err, qt.IsNil)
+	c.Assert(files, qt.HasLen, 5)
+	for _, file := range files {
+		p, err := callreplay.ReadPattern(file)
+		c.Assert(err, qt.IsNil)
+		p.Seconds = min(p.Seconds, 2)
+		first := callreplay.RunPattern(p, callreplay.ServingRules())
+		c.Assert(callreplay.RunPattern(p, callreplay.ServingRules()), qt.DeepEquals, first)
+		asked, onTime := 0, 0
+		for _, m := range first {
+			c.Assert(m.OnTime+m.Late+m.Refused+m.Failed, qt.Equals, m.Asked, qt.Commentf("%s: %+v", file, m))
+			if route, _ := lo.Find(p.Routes, func(r callreplay.PatternRoute) bool { return r.Name == m.Route }); route.PerSecond > 0 {
+				asked += m.Asked
+				onTime += m.OnTime
+			}
+		}
+		c.Assert(onTime*1000 <= (p.BoundPerMille()+20)*asked, qt.IsTrue, qt.Commentf("%s: %d of %d in time, bound %d per mille", file, onTime, asked, p.BoundPerMille()))
+	}
+}
+
+// Guards against a pattern file that is run although it makes no sense.
+func TestPatternsAreChecked(t *testing.T) {
+	c := qt.New(t)
+	p := readPattern(c, "burst")
+	c.Assert(callreplay.RunPatternFile(filepath.Join("testdata", "missing.pattern"), io.Discard), qt.ErrorMatches, ".*missing.pattern.*")
+	for want, change := range map[string]func(*callreplay.Pattern){
+		`seconds is 0.*`:                                func(p *callreplay.Pattern) { p.Seconds = 0 },
+		`service "records" has 0 instances.*`:           func(p *callreplay.Pattern) { p.Services[0].Instances = 0 },
+		`route "fetch" refers to service "x".*`:         func(p *callreplay.Pattern) { p.Routes[1].Service = "x" },
+		`route "fetch": work-ms.*`:                      func(p *callreplay.Pattern) { p.Routes[1].WorkMS = 0 },
+		`event kind is "storm".*`:                       func(p *callreplay.Pattern) { p.Events[0].Kind = "storm" },
+		`route "fetch" calls "certify", which is not.*`: func(p *callreplay.Pattern) { p.Routes[1].Calls[0].Route = "certify" },
+	} {
+		changed := p
+		changed.Services = append([]callreplay.PatternService(nil), p.Services...)
+		changed.Events = append([]callreplay.PatternEvent(nil), p.Events...)
+		changed.Routes = append([]callreplay.PatternRoute(nil), p.Routes...)
+		changed.Routes[1].Calls = append([]callreplay.PatternCall(nil), p.Routes[1].Calls...)
+		change(&changed)
+		c.Assert(changed.Check(), qt.ErrorMatches, want)
+	}
+}
--- /dev/null
+++ b/core/callreplay/patternfile.go
@@ -0,0 +1,100 @@
+package callreplay
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"parsleyport/core"
+	"parsleyport/core/limiter"
+	"parsleyport/core/retry"
+)
+
+// patternSeeds is the number of runs of a pattern whose measures are added up.
+const patternSeeds = 3
+
+// ServingRules returns the rules by which nodes serve a fleet that shares a retry budget.
+func ServingRules() FleetOptions {
+	return FleetOptions{
+		Limiter: limiter.Options{
+			TrustSlots:        true,
+			SoftDeadlineFirst: true,
+			ShortClassesFirst: true,
+		},
+		FreeCapacityRetries: 2,
+		Budget: retry.BudgetOptions{
+			Window:        10 * time.Second,
+			Ratio:         0.14,
+			SharedRetries: 43,
+		},
+	}
+}
+
+// patternVariants are the rules and what is compared with them, each without one of the rules.
+func patternVariants() []struct {
+	name  string
+	rules FleetOptions
+} {
+	withoutShort, soon, inOrder := ServingRules(), ServingRules(), ServingRules()
+	withoutShort.Limiter.ShortClassesFirst = false
+	soon.RetryAfter = func(retry.RefusedCall) time.Duration { return 250 * time.Millisecond }
+	inOrder.Limiter = limiter.Options{TrustSlots: true}
+	return []struct {
+		name  string
+		rules FleetOptions
+	}{
+		{name: "serving rules", rules: ServingRules()},
+		{name: "short classes not first", rules: withoutShort},
+		{name: "callers return after 250 ms", rules: soon},
+		{name: "in order of deadlines", rules: inOrder},
+	}
+}
+
+// RunSeeds adds up the measures of runs of a pattern with several seeds.
+func RunSeeds(p Pattern, options FleetOptions, seeds int) map[core.RouteName]RouteMeasures {
+	sums := make(map[core.RouteName]RouteMeasures)
+	for seed := range seeds {
+		options.Seed = uint64(seed)
+		for _, m := range RunPattern(p, options) {
+			sums[m.Route] = sums[m.Route].add(m)
+		}
+	}
+	return sums
+}
+
+func (m RouteMeasures) add(other RouteMeasures) RouteMeasures {
+	return RouteMeasures{
+		Route:          other.Route,
+		Asked:          m.Asked + other.Asked,
+		OnTime:         m.OnTime + other.OnTime,
+		Late:           m.Late + other.Late,
+		Refused:        m.Refused + other.Refused,
+		Failed:         m.Failed + other.Failed,
+		ReturnedInVain: m.ReturnedInVain + other.ReturnedInVain,
+		WastedRuns:     m.WastedRuns + other.WastedRuns,
+		Worth:          m.Worth + other.Worth,
+	}
+}
+
+// RunPatternFile runs a pattern file with the serving rules and without each of them, and prints what callers got.
+func RunPatternFile(path string, out io.Writer) error {
+	p, err := ReadPattern(path)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: at most %d per mille of all requests can be answered in time\n", p.Name, p.BoundPerMille())
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "RULES\tROUTE\tASKED\tWORTH PER MILLE\tIN TIME\tLATE\tREFUSED\tFAILED\tRETURNED IN VAIN\tWASTED RUNS")
+	for _, variant := range patternVariants() {
+		sums := RunSeeds(p, variant.rules, patternSeeds)
+		for _, route := range p.Routes {
+			m := sums[route.Name]
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", variant.name, m.Route, m.Asked, m.WorthPerMille(), m.OnTime, m.Late,
+				m.Refused, m.Failed, m.ReturnedInVain, m.WastedRuns)
+		}
+	}
+	return errors.Trace(table.Flush())
+}
--- a/core/callreplay/replay.go
+++ b/core/callreplay/replay.go
@@ -2,7 +2,7 @@
 
 import (
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -335,7 +335,11 @@
 
 // sortedAttempts returns the attempts in the order of their tickets; in the order of the map, replays would differ.
 func sortedAttempts(pending map[limiter.Ticket]*attempt) []*attempt {
+	return lo.Map(sortedTickets(pending), func(t limiter.Ticket, _ int) *attempt { return pending[t] })
+}
+
+func sortedTickets[T any](pending map[limiter.Ticket]T) []limiter.Ticket {
 	tickets := lo.Keys(pending)
-	sort.Slice(tickets, func(i, j int) bool { return tickets[i] < tickets[j] })
-	return lo.Map(tickets, func(t limiter.Ticket, _ int) *attempt { return pending[t] })
+	slices.Sort(tickets)
+	return tickets
 }
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -108,6 +108,9 @@
 	// SoftDeadlineFirst serves calls that can still meet their soft deadline before calls that will be late, and refuses a call
 	// at once if it would miss its deadline behind the calls ahead of it (see softdeadline.go).
 	SoftDeadlineFirst bool
+	// ShortClassesFirst serves, within a priority, calls of classes that take at most half of the average time before all others. It
+	// needs SoftDeadlineFirst.
+	ShortClassesFirst bool
 }
 
 // New returns a limiter whose limit starts at the announced number of slots. Values below 1 count as 1.
--- a/core/limiter/softdeadline.go
+++ b/core/limiter/softdeadline.go
@@ -25,6 +25,8 @@
 	// saturatedQueueRatio is the number of waiting on-time calls per slot above which all other calls are refused. While more
 	// on-time calls arrive, the others would only wait until their deadlines.
 	saturatedQueueRatio = 1.0
+	// shortServiceTimeRatio is the ratio of the service time of a class to the average of all calls up to which the class is short.
+	shortServiceTimeRatio = 0.5
 	// queueCheckInterval is the minimum time between searches of the queue for calls that can no longer be served in time.
 	queueCheckInterval = 50 * time.Millisecond
 	// classSampleWeight is the weight of one sample in the moving average of a class, minClassSamples the number of samples
@@ -69,6 +71,13 @@
 	return !r.SoftDeadline.IsZero() && r.SoftDeadline.Sub(now).Seconds() >= onTimeServiceTimeRatio*l.serviceTimeSeconds(r.Class)
 }
 
+// isShort reports whether calls of a class take much less time than the others. They delay the others little, and many of them are
+// parts of calls that hold a slot elsewhere and fail without them (testdata/persistent-overload.pattern of core/callreplay).
+func (l *Limiter) isShort(class core.RouteName) bool {
+	serviceTime := l.classes[class]
+	return l.options.ShortClassesFirst && serviceTime != nil && serviceTime.samples >= minClassSamples && serviceTime.averageSeconds <= shortServiceTimeRatio*l.averageLatencySeconds
+}
+
 // latestStart returns the time by which a call must start to meet its soft deadline.
 func (l *Limiter) latestStart(r Request) time.Time {
 	return r.SoftDeadline.Add(-time.Duration(l.serviceTimeSeconds(r.Class) * float64(time.Second)))
@@ -81,6 +90,9 @@
 	if a.request.Priority != b.request.Priority {
 		return a.request.Priority > b.request.Priority
 	}
+	if short := l.isShort(a.request.Class); short != l.isShort(b.request.Class) {
+		return short
+	}
 	onTime := l.meetsSoftDeadline(now, a.request)
 	if onTime != l.meetsSoftDeadline(now, b.request) {
 		return onTime
@@ -128,7 +140,7 @@
 
 // mustShedOnArrival reports whether an arriving call would miss its deadline behind the calls that are served before it.
 func (l *Limiter) mustShedOnArrival(now time.Time, added entry) bool {
-	if l.isSaturated(now) && !l.meetsSoftDeadline(now, added.request) {
+	if l.isSaturated(now) && l.yieldsToOnTimeCalls(now, added.request) {
 		return true
 	}
 	ahead, lifo := 0, l.isLIFO(now)
@@ -142,6 +154,11 @@
 	return l.startsTooLate(now, added.request, ahead)
 }
 
+// yieldsToOnTimeCalls reports whether a call will be late and is not served before the on-time calls.
+func (l *Limiter) yieldsToOnTimeCalls(now time.Time, r Request) bool {
+	return !l.meetsSoftDeadline(now, r) && !l.isShort(r.Class)
+}
+
 // isSaturated reports whether the waiting on-time calls suffice to fill all slots.
 func (l *Limiter) isSaturated(now time.Time) bool {
 	return float64(l.countWaitingOnTime(now)) > saturatedQueueRatio*float64(l.Limit())
@@ -176,7 +193,7 @@
 	unservable, saturated := make(map[Ticket]bool), l.isSaturated(now)
 	ahead := 0
 	for _, e := range waiting {
-		if saturated && !l.meetsSoftDeadline(now, e.request) || l.startsTooLate(now, e.request, ahead) {
+		if saturated && l.yieldsToOnTimeCalls(now, e.request) || l.startsTooLate(now, e.request, ahead) {
 			unservable[e.ticket] = true
 		} else {
 			ahead++
--- a/io/callerhttp/keyed.go
+++ b/io/callerhttp/keyed.go
@@ -34,9 +34,9 @@
 	case idempotency.VerdictAnswered:
 		s.replay(w, recorded)
 	case idempotency.VerdictConflict:
-		s.refuse(w, newRefusal(core.CauseDuplicateCall, "the idempotency key belongs to another request"))
+		s.refuse(w, req.callerDeadline, newRefusal(core.CauseDuplicateCall, "the idempotency key belongs to another request"))
 	case idempotency.VerdictFull:
-		s.refuse(w, newRefusal(core.CauseQueueFull, "no more idempotency keys can be remembered"))
+		s.refuse(w, req.callerDeadline, newRefusal(core.CauseQueueFull, "no more idempotency keys can be remembered"))
 	default:
 		s.answerUnknown(w, req, "", errKeyOutcomeUnknown)
 	}
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -34,6 +34,7 @@
 	session          string
 	attempts         retry.Attempts
 	arrivedAt        time.Time
+	callerDeadline   time.Time // time until which the caller waits, later than the call's deadline if the route has a shorter timeout
 	weights          []core.Weight
 	attemptCount     int  // including attempts that found no endpoint
 	capacityRefusals int  // that were retried without cost to the retry budget
@@ -89,16 +90,21 @@
 			softDeadline = softDeadline.Add(-s.elapsedSinceFirstAttempt(route.Name, now, numbers.remaining))
 		}
 	}
+	callerDeadline := deadline
+	if numbers.remaining >= 0 {
+		callerDeadline = now.Add(numbers.remaining)
+	}
 	call := s.newCall(r, configuration, route, deadline, numbers.depth+1)
 	call.SoftDeadline, call.StartBy = softDeadline, s.startDeadline(now)
 	return &request{
-		configuration: configuration,
-		route:         route,
-		call:          call,
-		session:       headerValue(r.Header, names.Session),
-		attempts:      retry.NewAttempts(attempts, numbers.attempts),
-		arrivedAt:     now,
-		weights:       configuration.Weights(route.Service),
+		configuration:  configuration,
+		route:          route,
+		call:           call,
+		session:        headerValue(r.Header, names.Session),
+		attempts:       retry.NewAttempts(attempts, numbers.attempts),
+		arrivedAt:      now,
+		callerDeadline: callerDeadline,
+		weights:        configuration.Weights(route.Service),
 	}, nil
 }
 
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -121,7 +121,7 @@
 		s.callLog.write(req, last, last.answer.Status)
 		s.stream(ctx, w, req, last, recorder)
 	case core.OutcomeNotRun:
-		s.callLog.write(req, last, s.refuse(w, refusalOf(last.err)))
+		s.callLog.write(req, last, s.refuse(w, req.callerDeadline, refusalOf(last.err)))
 	default:
 		s.callLog.write(req, last, s.answerUnknown(w, req, last.release, last.err))
 	}
@@ -424,7 +424,7 @@
 
 // refuseEarly refuses a request before it becomes a call.
 func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, refused *core.Refusal) {
-	s.callLog.writeRefused(r, s.options.Headers.CallID, refused, s.refuse(w, refused))
+	s.callLog.writeRefused(r, s.options.Headers.CallID, refused, s.refuse(w, time.Time{}, refused))
 }
 
 // refuseUnreadable counts and logs a request that net/http could not read and has answered itself.
@@ -441,15 +441,20 @@
 	return s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_refusals_total{cause="` + cause + `"}`)
 }
 
-// refuse answers a call that was not run and will not be run, and returns the HTTP status.
-func (s *Server) refuse(w http.ResponseWriter, refused *core.Refusal) int {
+// refuse answers a call that was not run and will not be run, and returns the HTTP status. The caller's deadline is zero if unknown.
+func (s *Server) refuse(w http.ResponseWriter, callerDeadline time.Time, refused *core.Refusal) int {
 	s.outcomes[core.OutcomeNotRun].Inc()
 	s.refusalCounter(string(causeLabel(refused.Cause))).Inc()
 	setHeader(w.Header(), s.options.Headers.Outcome, string(core.OutcomeNotRun))
 	setHeader(w.Header(), s.options.Headers.Cause, string(refused.Cause))
 	status := statusOf(refused.Cause)
 	if status == http.StatusServiceUnavailable && s.options.RetryAfter != nil {
-		w.Header().Set("Retry-After", s.options.RetryAfter(refused))
+		wait := s.options.RetryAfter(retry.RefusedCall{
+			Now:            time.Now(),
+			CallerDeadline: callerDeadline,
+			Cause:          refused.Cause,
+		})
+		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
 	http.Error(w, refused.Error(), status)
 	return status
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -95,8 +95,9 @@
 	RetryBudget retry.BudgetOptions
 	// FleetNodes returns the number of nodes that share RetryBudget.SharedRetries, zero if it is unknown. Nil means unknown.
 	FleetNodes func() int
-	// RetryAfter returns the Retry-After header of answers with status 503. If it is nil, the header is not set.
-	RetryAfter func(*core.Refusal) string
+	// RetryAfter returns the wait that the Retry-After header of answers with status 503 states, in seconds with fractions. If it is
+	// nil, the header is not set.
+	RetryAfter func(retry.RefusedCall) time.Duration
 	// FreeCapacityRetries is the number of retries after capacity refusals that cost no retry budget. Zero means none.
 	FreeCapacityRetries int
 	// MaxQueueTime bounds how long a call may wait for a slot. Zero means until its deadline.
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -214,7 +214,7 @@
 }
 
 func addOfflineCommands(app *kingpin.Application, r *rawOptions) {
-	replay := app.Command(commandReplay, "Replay recorded traces: moves (*.trace) through the decision rules, calls (*.calls) through the balancing policies.\n\nExample: parsleyport replay core/replay/testdata/good-calm-pamoja-101.trace")
+	replay := app.Command(commandReplay, "Replay recorded traces: moves (*.trace) through the decision rules, calls (*.calls) through the balancing policies, load patterns (*.pattern) through the rules for overload.\n\nExample: parsleyport replay core/replay/testdata/good-calm-pamoja-101.trace")
 	replay.Arg("file", "Trace file.").Required().StringsVar(&r.files)
 
 	check := app.Command(commandCheck, "Check settings and record files without a control instance.\n\nExample: parsleyport check c1.jsonc n1.jsonc orders.jsonc")
--- a/io/cli/replay.go
+++ b/io/cli/replay.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"io"
 	"path/filepath"
 
 	"github.com/juju/errors"
@@ -9,16 +10,19 @@
 	"parsleyport/core/replay"
 )
 
-// callTraceExtension is the file extension of recorded calls; all other files are recorded moves.
-const callTraceExtension = ".calls"
+// runsByExtension holds the replays of recorded calls and of load patterns; all other files are recorded moves.
+var runsByExtension = map[string]func(path string, out io.Writer) error{
+	".calls":   callreplay.RunFile,
+	".pattern": callreplay.RunPatternFile,
+}
 
 // replay returns StatusRefused if a trace leads to another outcome than it states, and StatusUsage if a trace cannot be read.
 func (p *program) replay(o options) int {
 	status := StatusOK
 	for _, file := range o.files {
-		run := replay.Run
-		if filepath.Ext(file) == callTraceExtension {
-			run = callreplay.RunFile
+		run, exists := runsByExtension[filepath.Ext(file)]
+		if !exists {
+			run = replay.Run
 		}
 		switch err := run(file, p.stdout); {
 		case errors.Is(err, replay.ErrOutcome), errors.Is(err, callreplay.ErrOutcome):
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -39,12 +39,14 @@
 	TrustSlots bool
 	// SoftDeadlineFirst serves calls that can still meet their soft deadline first; see limiter.Options.
 	SoftDeadlineFirst bool
+	// ShortClassesFirst serves calls of routes that take little time first; see limiter.Options.
+	ShortClassesFirst bool
 	// FreeCapacityRetries is the number of retries after capacity refusals that cost no retry budget.
 	FreeCapacityRetries int
 	// RetryBudget configures the retry budget of each service.
 	RetryBudget retry.BudgetOptions
-	// RetryAfter returns the Retry-After header of answers with status 503. If it is nil, the header is not set.
-	RetryAfter func(*core.Refusal) string
+	// RetryAfter returns the wait that the Retry-After header of answers with status 503 states. If it is nil, the header is not set.
+	RetryAfter func(retry.RefusedCall) time.Duration
 	// BackendLease is how long an announcement of the backend server is valid unless it is repeated.
 	BackendLease time.Duration
 	// AllowCloseDelimited accepts answers of the backend server without a length; see backendhttp.Options.
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -47,6 +47,7 @@
 	admission, stopAdmission := newAdmission(limiter.Options{
 		TrustSlots:        p.options.TrustSlots,
 		SoftDeadlineFirst: p.options.SoftDeadlineFirst,
+		ShortClassesFirst: p.options.ShortClassesFirst,
 	})
 	p.cleanups.add(stopAdmission)
 	server, cleanup, err := backendhttp.New(backendhttp.Options{
