--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -26,6 +26,13 @@
 	ErrBroken = errors.ConstError("connection to the backend server broke")
 )
 
+const (
+	// maxHeadBytes bounds the heads of an answer, those of interim answers and of answers to other calls included. A faulty backend
+	// server may send bytes without end that are no answer.
+	maxHeadBytes   = 256 << 10
+	errHeadTooLong = errors.ConstError("head of the answer is over 256 KiB")
+)
+
 // Handle implements core.Backend. The context must not end before the answer's body is closed.
 func (s *Server) Handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
 	answer, outcome, err := s.handle(ctx, call)
@@ -196,15 +203,21 @@
 	return refusal
 }
 
-// discard reads a short body to its end, so that the connection can be reused, and releases the slot.
+// discard reads a short body to its end, so that the connection can be reused, and releases the slot. The refusal does not wait for
+// a body that does not come.
 func (x *exchange) discard(answer *core.Answer) {
+	_ = x.conn.SetReadDeadline(time.Now().Add(maxDiscardTime)) // fails only on a closed connection
+	defer func() { _ = x.conn.SetReadDeadline(time.Time{}) }()
 	_, _ = io.CopyN(io.Discard, answer.Body, maxDiscardedBytes+1)
 	_ = answer.Body.Close()
 }
 
 func (x *exchange) readResponse(request *http.Request) (*http.Response, error) {
+	headBytesLeft := maxHeadBytes
 	for {
+		x.conn.headBytesLeft = headBytesLeft
 		response, err := http.ReadResponse(x.conn.reader, request)
+		headBytesLeft, x.conn.headBytesLeft = x.conn.headBytesLeft, -1
 		if err != nil {
 			return nil, err
 		}
@@ -243,6 +256,8 @@
 	// maxDiscardedBytes bounds what is read of a refusal's body to keep the connection. Reading more would cost more than a new
 	// connection.
 	maxDiscardedBytes = 16 << 10
+	// maxDiscardTime is longer than a short body takes that was sent together with its head.
+	maxDiscardTime = 100 * time.Millisecond
 	// maxStrayBytes bounds what is read of the body of an answer to another call.
 	maxStrayBytes = 1 << 20
 )
--- a/io/backendhttp/pool.go
+++ b/io/backendhttp/pool.go
@@ -27,6 +27,21 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time
+	// headBytesLeft is the number of bytes that may still be read while the head of an answer is expected; negative means any number.
+	headBytesLeft int
+}
+
+// Read implements io.Reader. It returns errHeadTooLong once the bytes of an answer's head exceed their limit.
+func (c *backendConn) Read(target []byte) (int, error) {
+	if c.headBytesLeft < 0 {
+		return c.Conn.Read(target)
+	}
+	if c.headBytesLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(target[:min(len(target), c.headBytesLeft)])
+	c.headBytesLeft -= n
+	return n, err
 }
 
 // pool keeps idle connections and reuses the most recently used one first.
@@ -64,13 +79,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &backendConn{
-		Conn:    conn,
-		pool:    p,
-		address: address,
-		reader:  bufio.NewReader(conn),
-		writer:  bufio.NewWriter(nil),
-	}, nil
+	c := &backendConn{
+		Conn:          conn,
+		pool:          p,
+		address:       address,
+		writer:        bufio.NewWriter(nil),
+		headBytesLeft: -1,
+	}
+	c.reader = bufio.NewReader(c)
+	return c, nil
 }
 
 func (p *pool) take() *backendConn {
