httpserver: hand out the connections that callers have established before a listener closes

Cause: the kernel completes handshakes on behalf of the process.

Change: Close drops the first packets of further handshakes where the system has socket filters, waits a round trip, accepts what the kernel still holds and returns once all of it was handed out. The servers for callers, operators, monitoring and the platform use it.

Weighed: a backlog of 0 and a connection of our own that fills it (kernels with SYN cookies let the handshake of the caller complete and drop it later).

--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -17,6 +17,7 @@
 	"parsleyport/core/idempotency"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
+	"parsleyport/io/httpserver"
 )
 
 const (
@@ -213,10 +214,9 @@
 		ErrorLog:          log.New(options.Logger, "", 0),
 	}
 	s.listener = watchedListener{
-		Listener:     listener,
+		Listener:     httpserver.NewListener(listener),
 		onRefused:    s.refuseUnreadable,
 		pendingCount: &s.pendingConnections,
-		close:        sync.OnceValue(listener.Close),
 	}
 	s.tasks.Go(func() { _ = s.http.Serve(s.listener) }) // ends when the listener is closed
 	return s, s.close, nil
--- a/io/callerhttp/watch.go
+++ b/io/callerhttp/watch.go
@@ -21,12 +21,8 @@
 	net.Listener
 	onRefused    func(remote net.Addr, status int)
 	pendingCount *atomic.Int64
-	close        func() error // idempotent
 }
 
-// Close stops accepting connections; accepted ones stay open.
-func (l watchedListener) Close() error { return l.close() }
-
 func (l watchedListener) Accept() (net.Conn, error) {
 	connection, err := l.Listener.Accept()
 	if err != nil {
--- a/io/httpserver/httpserver.go
+++ b/io/httpserver/httpserver.go
@@ -26,15 +26,12 @@
 		connections: make(map[net.Conn]struct{}),
 	}
 	server.ConnState = unread.track
-	closeOnce := &onceListener{
-		Listener: listener,
-		close:    sync.OnceValue(listener.Close),
-	}
+	accepting := NewListener(listener)
 	stopping := atomic.Bool{}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		if err := server.Serve(closeOnce); !errors.Is(err, http.ErrServerClosed) && !stopping.Load() {
+		if err := server.Serve(accepting); !errors.Is(err, http.ErrServerClosed) && !stopping.Load() {
 			log.Error().Err(err).Str("event", "interface-lost").Str("address", listener.Addr().String()).Msg("HTTP server failed")
 		}
 	}()
@@ -44,7 +41,7 @@
 		stopping.Store(true)
 		// The listener is closed first: once Shutdown has begun, net/http closes a connection whose request it has just read, without
 		// an answer.
-		if err := closeOnce.Close(); err != nil {
+		if err := accepting.Close(); err != nil {
 			log.Warn().Err(err).Str("address", listener.Addr().String()).Msg("failed to close the listener")
 		}
 		for deadline := time.Now().Add(min(stopTimeout, unreadRequestTimeout)); unread.exist() && time.Now().Before(deadline); {
@@ -79,12 +76,3 @@
 	defer u.mu.Unlock()
 	return len(u.connections) > 0
 }
-
-// onceListener is a listener with an idempotent Close.
-type onceListener struct {
-	net.Listener
-	close func() error
-}
-
-// Close stops accepting connections; accepted ones stay open.
-func (l *onceListener) Close() error { return l.close() }
