nodepeer: a panic while handling a call ends this call alone; tidy names

A panic in the handling of a call from another node ended the process. It now ends the call with an unknown outcome, frees its slot, and is logged with its cause and counted. Not guarded: the code that decodes messages under locks, where going on could leave a lock held; its inputs are fuzzed. Also: errPeerLost names the dialer's end of a lost connection, an unused constant of raftpeer is gone, the help lists exit status 4.

--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -79,10 +79,14 @@
 		call:    call,
 		release: release,
 	}
+	answered := false
+	defer func() { // also if run panics
+		if !answered {
+			x.end(ResultFailed)
+		}
+	}()
 	answer, outcome, err := x.run()
-	if outcome != core.OutcomeAnswered {
-		x.end(ResultFailed)
-	}
+	answered = outcome == core.OutcomeAnswered
 	return answer, outcome, err
 }
 
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -105,7 +105,7 @@
 	if len(args) == 0 {
 		return options{}, errors.New("a command is needed; parsleyport --help lists them")
 	}
-	app := kingpin.New("parsleyport", "Configuration distribution for a service mesh.\n\nExit status: 0 success, 1 refused or failed, 2 wrong usage or settings, 3 unreachable or outcome unknown.")
+	app := kingpin.New("parsleyport", "Configuration distribution for a service mesh.\n\nExit status: 0 success, 1 refused or failed, 2 wrong usage or settings, 3 unreachable or outcome unknown, 4 above a rate limit until the deadline.")
 	app.UsageWriter(usage).Terminate(func(int) { panic(errHelpPrinted) }) // if Terminate returned, kingpin would print the usage again
 	app.HelpFlag.Short('h')
 	var r rawOptions
--- a/io/nodepeer/answer.go
+++ b/io/nodepeer/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"runtime/debug"
 	"strconv"
 	"sync"
 
@@ -16,7 +17,7 @@
 func (s *Server) run(call *serverCall) {
 	ctx, cancel := context.WithDeadline(call.ctx, call.call.Deadline)
 	defer cancel()
-	answer, outcome, err := s.options.Backend.Handle(ctx, call.call)
+	answer, outcome, err := s.handle(ctx, call.call)
 	if outcome != core.OutcomeAnswered && outcome != core.OutcomeNotRun {
 		outcome = core.OutcomeUnknown
 	}
@@ -31,6 +32,21 @@
 	s.finish(call, true)
 }
 
+// handle passes a call to the backend. A panic ends this call alone, with an unknown outcome.
+func (s *Server) handle(ctx context.Context, call *core.Call) (answer *core.Answer, outcome core.Outcome, err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		s.panics.Inc()
+		s.options.Logger.Error().Str("event", "call-panicked").Str("call", string(call.ID)).Str("route", string(call.Route)).
+			Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("handling a call panicked")
+		answer, outcome, err = nil, core.OutcomeUnknown, errors.Errorf("handling the call panicked: %v", cause)
+	}()
+	return s.options.Backend.Handle(ctx, call)
+}
+
 func (s *Server) finish(call *serverCall, ran bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -15,6 +15,7 @@
 
 const (
 	errDialerClosed = errors.ConstError("dialer is closed")
+	errPeerLost     = errors.ConstError("connection to the peer was lost")
 	errLeaving      = errors.ConstError("peer is leaving")
 	// errUnsent means that the connection was closed before anything was sent, so that another connection can be used.
 	errUnsent = errors.ConstError("connection was closed before anything was sent")
@@ -119,7 +120,7 @@
 
 func (c *clientConn) send(kind frame.Type, message any) bool {
 	if err := c.frames.Send(time.Now().Add(writeTimeout), kind, message); err != nil {
-		c.fail(errors.Annotate(errConnectionLost, err.Error()))
+		c.fail(errors.Annotate(errPeerLost, err.Error()))
 		return false
 	}
 	return true
@@ -196,7 +197,7 @@
 	select {
 	case <-c.welcomed:
 	case <-c.done:
-		return false, errConnectionLost
+		return false, errPeerLost
 	case <-ctx.Done():
 		return false, ctx.Err()
 	}
@@ -227,7 +228,7 @@
 	case reply = <-replies:
 		return reply, nil
 	default:
-		return reply, errConnectionLost
+		return reply, errPeerLost
 	}
 }
 
@@ -269,7 +270,7 @@
 	for {
 		received, err := c.frames.Receive(time.Time{})
 		if err != nil {
-			c.fail(errors.Annotate(errConnectionLost, err.Error()))
+			c.fail(errors.Annotate(errPeerLost, err.Error()))
 			return
 		}
 		c.mu.Lock()
--- a/io/nodepeer/dialer.go
+++ b/io/nodepeer/dialer.go
@@ -142,7 +142,7 @@
 		}
 	case refusal != nil:
 		return nil, core.OutcomeUnknown, errors.New(refusal.Detail)
-	case errors.Is(err, errConnectionLost):
+	case errors.Is(err, errPeerLost):
 		return d.resolveLostAttempt(ctx, address, s)
 	}
 	return nil, core.OutcomeUnknown, err
@@ -185,14 +185,14 @@
 		return err
 	})
 	if err != nil {
-		return nil, core.OutcomeUnknown, errors.Annotate(errConnectionLost, err.Error())
+		return nil, core.OutcomeUnknown, errors.Annotate(errPeerLost, err.Error())
 	}
 	if !revoked {
-		return nil, core.OutcomeUnknown, errConnectionLost
+		return nil, core.OutcomeUnknown, errPeerLost
 	}
 	return nil, core.OutcomeNotRun, &core.Refusal{
 		Cause:  core.CauseRevoked,
-		Detail: errConnectionLost.Error(),
+		Detail: errPeerLost.Error(),
 	}
 }
 
--- a/io/nodepeer/keepalive.go
+++ b/io/nodepeer/keepalive.go
@@ -85,7 +85,7 @@
 	switch {
 	case silent:
 		c.dialer.silentConnections.Inc()
-		c.fail(errors.Annotate(errConnectionLost, "silent"))
+		c.fail(errors.Annotate(errPeerLost, "silent"))
 	case idle:
 		c.closeLost()
 	case ping:
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -431,3 +431,23 @@
 		}
 	})
 }
+
+// Guards against an unexpected error in one call that ends the process, and with it all other calls.
+func TestPanicEndsOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		pair := newTestPair(t, 1)
+		pair.backend.handle = func(_ context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+			if call.ID == "broken" {
+				panic("unexpected")
+			}
+			return nil, core.OutcomeNotRun, &core.Refusal{Cause: core.CauseNoBackend}
+		}
+		_, outcome, err := pair.call(callFor("broken", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeUnknown)
+		c.Assert(err, qt.ErrorMatches, ".*panicked: unexpected.*")
+		_, outcome, _ = pair.call(callFor("other", nil))
+		c.Assert(outcome, qt.Equals, core.OutcomeNotRun)
+		c.Assert(pair.server.Drain(context.Background()), qt.IsNil)
+	})
+}
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -31,7 +31,7 @@
 	Listener net.Listener
 	// Backend handles the calls.
 	Backend core.Backend
-	// Logger is currently not used.
+	// Logger gets a line with the cause for each call whose handling panicked.
 	Logger zerolog.Logger
 	// Metrics gets the server's metrics. If it is nil, a private set is used.
 	Metrics *metrics.Set
@@ -53,6 +53,7 @@
 
 	accepted           *metrics.Counter
 	refused            *metrics.Counter
+	panics             *metrics.Counter
 	revocationsDone    *metrics.Counter
 	revocationsTooLate *metrics.Counter
 
@@ -92,6 +93,7 @@
 		started:            time.Now(),
 		accepted:           options.Metrics.GetOrCreateCounter("parsleyport_peer_calls_total"),
 		refused:            options.Metrics.GetOrCreateCounter("parsleyport_peer_calls_refused_total"),
+		panics:             options.Metrics.GetOrCreateCounter("parsleyport_peer_calls_panicked_total"),
 		revocationsDone:    options.Metrics.GetOrCreateCounter(`parsleyport_peer_revocations_total{verdict="not-run"}`),
 		revocationsTooLate: options.Metrics.GetOrCreateCounter(`parsleyport_peer_revocations_total{verdict="unknown"}`),
 		attempts:           idempotency.NewAttemptLog(),
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -109,7 +109,7 @@
 	return nil
 }
 
-// await waits for the head or the refusal. Its error is errConnectionLost or the context's error.
+// await waits for the head or the refusal. Its error is errPeerLost or the context's error.
 func (s *stream) await(ctx context.Context) (*core.Answer, *refusedMessage, error) {
 	for {
 		s.mu.Lock()
@@ -127,7 +127,7 @@
 			if s.hasResult() {
 				continue
 			}
-			return nil, nil, errConnectionLost
+			return nil, nil, errPeerLost
 		case <-ctx.Done():
 			refused, err := s.abandon(ctx.Err())
 			return nil, refused, err
@@ -259,7 +259,7 @@
 			if s.hasBodyEvent() {
 				continue
 			}
-			return nil, errors.Annotate(ErrTruncated, errConnectionLost.Error())
+			return nil, errors.Annotate(ErrTruncated, errPeerLost.Error())
 		case <-ctx.Done():
 			return nil, errors.Annotate(ErrTruncated, ctx.Err().Error())
 		}
--- a/io/raftpeer/options.go
+++ b/io/raftpeer/options.go
@@ -39,7 +39,6 @@
 	introduceInterval      = time.Second           // between the hellos of an instance that is not a member
 	introductionMaxAge     = 3 * introduceInterval // an introduction is valid for so long, so two hellos in a row may be lost
 	maxTimerInterval       = 100 * time.Millisecond
-	connectionBacklog      = 16
 )
 
 // Member is a control instance as the settings name it.
