distribution: a control instance takes a fleet of hundreds

A control instance accepted 128 links, so that with three of five lost a fleet of 300 left nodes without a parent. The bound is 1,024 now; DirectNodes for each data centre stays what turns relays on. TestOneControlInstanceTakesAFleetOfHundreds (300 nodes, 6 data centres) does not attach all nodes with 128. The load replay prints the slot time of each route.

--- a/core/callreplay/fleet.go
+++ b/core/callreplay/fleet.go
@@ -47,6 +47,8 @@
 	// WastedRuns counts runs that failed because a call that they made failed.
 	WastedRuns int
 	Worth      float64 // of all answers; at most Asked
+	// SlotSeconds is the time for which the calls held slots.
+	SlotSeconds float64
 }
 
 // WorthPerMille returns the worth of the answers per 1,000 requests.
@@ -511,6 +513,7 @@
 		return
 	}
 	delete(i.running, ticket)
+	i.fleet.measures[a.call.route.Name].SlotSeconds += i.fleet.queue.now.Sub(a.startedAt).Seconds()
 	i.apply(i.limiter.Finish(i.fleet.queue.now, ticket, result))
 	answer.load = i.load(a.call.route.Name)
 	a.reply(answer)
--- a/core/callreplay/patternfile.go
+++ b/core/callreplay/patternfile.go
@@ -76,6 +76,7 @@
 		ReturnedInVain: m.ReturnedInVain + other.ReturnedInVain,
 		WastedRuns:     m.WastedRuns + other.WastedRuns,
 		Worth:          m.Worth + other.Worth,
+		SlotSeconds:    m.SlotSeconds + other.SlotSeconds,
 	}
 }
 
@@ -87,13 +88,13 @@
 	}
 	fmt.Fprintf(out, "%s: at most %d per mille of all requests can be answered in time\n", p.Name, p.BoundPerMille())
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "RULES\tROUTE\tASKED\tWORTH PER MILLE\tIN TIME\tLATE\tREFUSED\tFAILED\tRETURNED IN VAIN\tWASTED RUNS")
+	fmt.Fprintln(table, "RULES\tROUTE\tASKED\tWORTH PER MILLE\tIN TIME\tLATE\tREFUSED\tFAILED\tRETURNED IN VAIN\tWASTED RUNS\tSLOT SECONDS")
 	for _, variant := range patternVariants() {
 		sums := RunSeeds(p, variant.rules, patternSeeds)
 		for _, route := range p.Routes {
 			m := sums[route.Name]
-			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", variant.name, m.Route, m.Asked, m.WorthPerMille(), m.OnTime, m.Late,
-				m.Refused, m.Failed, m.ReturnedInVain, m.WastedRuns)
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\n", variant.name, m.Route, m.Asked, m.WorthPerMille(), m.OnTime, m.Late,
+				m.Refused, m.Failed, m.ReturnedInVain, m.WastedRuns, m.SlotSeconds)
 		}
 	}
 	return errors.Trace(table.Flush())
--- a/io/distribution/fakes_test.go
+++ b/io/distribution/fakes_test.go
@@ -351,13 +351,20 @@
 }
 
 func (tc *cluster) source(id core.ControlID, catalog *fakeCatalog, peers ...core.ControlID) *Source {
+	return tc.sourceWith(id, func(o *SourceOptions) {
+		o.Catalog, o.Replicator = catalog, catalog
+		for _, peer := range peers {
+			o.Peers = append(o.Peers, Peer{ID: peer, Address: string(peer)})
+		}
+	})
+}
+
+func (tc *cluster) sourceWith(id core.ControlID, change func(*SourceOptions)) *Source {
 	options := SourceOptions{
-		ID: id, ListenAddress: string(id), Catalog: catalog, Replicator: catalog,
+		ID: id, ListenAddress: string(id), Catalog: tc.catalog, Replicator: tc.catalog,
 		Logger: zerolog.Nop(), Network: tc.network(string(id)),
 	}
-	for _, peer := range peers {
-		options.Peers = append(options.Peers, Peer{ID: peer, Address: string(peer)})
-	}
+	change(&options)
 	s, stop, err := NewSource(options)
 	if err != nil {
 		tc.t.Fatal(err)
--- a/io/distribution/fleetsize_test.go
+++ b/io/distribution/fleetsize_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
 )
 
 // Guards against nodes that take too large a part of a budget of the whole fleet: because nodes below relays or of other control
@@ -44,3 +46,18 @@
 		tc.always(time.Second, "both nodes are counted", func() bool { return source.Fleet().Nodes == 2 })
 	})
 }
+
+// Guards against nodes of a fleet of hundreds that find no parent while most control instances are lost.
+func TestOneControlInstanceTakesAFleetOfHundreds(t *testing.T) {
+	runTest(t, func(c *qt.C, tc *cluster) {
+		const nodes, dataCentres = 300, 6
+		source := tc.sourceWith("c1", func(o *SourceOptions) { o.DirectNodes = 64 })
+		list := tc.startNodes(nodes, func(i int, o *SubscriberOptions) {
+			o.DataCentre = core.DataCentre("dc-" + string(rune('a'+i%dataCentres)))
+			o.OnDemandEndpoints = true
+		})
+		tc.eventually(convergenceTimeout, "all nodes are attached", func() bool { return source.Fleet().Nodes == nodes })
+		tc.catalog.set(revision(5))
+		tc.eventually(time.Second, "the change is in force", allAtRevision(list, 5))
+	})
+}
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -74,12 +74,14 @@
 	handshakeTimeoutExclusion = 2 * time.Second
 
 	defaultDirectNodesPerDataCentre = 2
-	maxDirectChildren               = 128 // for 64 data centres
-	maxRelayChildren                = 16
-	maxHandshakes                   = 32
-	maxPathNodes                    = 12
-	maxRedirects                    = 8
-	maxSubscriptions                = 4096
+	// maxDirectChildren bounds the links of a control instance, whatever its DirectNodes are. With three control instances lost, the
+	// other two of five must take all nodes of a fleet of hundreds.
+	maxDirectChildren = 1024
+	maxRelayChildren  = 16
+	maxHandshakes     = 32
+	maxPathNodes      = 12
+	maxRedirects      = 8
+	maxSubscriptions  = 4096
 )
 
 // Peer names another control instance and the address on which it accepts nodes and other control instances.
