distribution: name the other control instance in log lines peer

Lines about links between control instances had the key control twice, for the process itself and for its peer; decoders keep one of them.

--- a/io/distribution/admission.go
+++ b/io/distribution/admission.go
@@ -59,7 +59,7 @@
 func (h *hub) admitPeer(greeting hello, conn *frame.Conn) (*child, outgoing) {
 	id := core.ControlID(greeting.ID)
 	if !h.peers[id] {
-		h.logger.Warn().Str("control", string(id)).Msg("link refused: the control instance is not in the settings")
+		h.logger.Warn().Str("peer", string(id)).Msg("link refused: the control instance is not in the settings")
 		return nil, h.retryAfterMessage()
 	}
 	h.closeOlderLinks(greeting.ID)
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -241,7 +241,7 @@
 func (s *Source) peerAttachment(peer Peer) *attachment {
 	return newAttachment([]string{peer.Address}, attachment{
 		hub:    s.hub,
-		logger: s.options.Logger.With().Str("control", string(peer.ID)).Logger(),
+		logger: s.options.Logger.With().Str("peer", string(peer.ID)).Logger(),
 		random: rand.Float64,
 		hello: func() hello {
 			return hello{
