distribution: compress long messages within a data centre too

Change: messages from 4 KiB on are compressed on all links; short ones stay as they are within a data centre.

--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -371,16 +371,23 @@
 	if greeting.Kind == kindControl {
 		c.owner = peerOwner(core.ControlID(greeting.ID))
 	}
-	if greeting.DataCentre != h.dataCentre && greeting.Compressor == h.compressor.ID() {
+	if greeting.Compressor == h.compressor.ID() {
 		c.compressorID = greeting.Compressor
 		conn.SetPeerCompressor(c.compressorID)
 	}
+	if greeting.DataCentre == h.dataCentre {
+		conn.SetMinCompressed(minLocalCompressedBytes)
+	}
 	h.children[c.id] = c
 	c.reported = c.held
 	h.compareContent(c)
 	return c
 }
 
+// minLocalCompressedBytes is the length from which messages within a data centre are compressed. Short ones are not worth the processor
+// time, but a change of 1,400 routes would fill a link of 2.6 Mbit/s for more than a second, and answers would wait behind it.
+const minLocalCompressedBytes = 4 << 10
+
 func peerOwner(id core.ControlID) lease.Owner {
 	return lease.Owner{
 		Name:   "control-" + string(id),
--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -78,6 +78,7 @@
 	received       atomic.Uint64
 	compressor     *Compressor // nil if compressed messages cannot be read
 	compress       atomic.Bool
+	minCompressed  atomic.Int64 // messages shorter than this are not compressed
 }
 
 // New wraps one of many connections of a process. With a compressor, which may be nil, it can read compressed messages.
@@ -98,6 +99,11 @@
 	}
 }
 
+// SetMinCompressed sets the length in bytes below which messages are not compressed even if the peer could read them.
+func (c *Conn) SetMinCompressed(bytes int) {
+	c.minCompressed.Store(int64(bytes))
+}
+
 // SetPeerCompressor turns compression on for the messages sent from now on if the peer's compressor has the ID of this one, and
 // off otherwise.
 func (c *Conn) SetPeerCompressor(peer CompressorID) {
@@ -131,7 +137,7 @@
 	framed := buffer.Bytes()
 	binary.BigEndian.PutUint32(framed, uint32(buffer.Len()-lengthBytes))
 	binary.BigEndian.PutUint16(framed[lengthBytes:], uint16(kind))
-	if c.compress.Load() {
+	if c.compress.Load() && int64(len(framed)) >= c.minCompressed.Load() {
 		framed = c.compressor.compress(framed)
 	}
 	return c.write(deadline, framed)
