--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -371,12 +371,12 @@
 	if greeting.Kind == kindControl {
 		c.owner = peerOwner(core.ControlID(greeting.ID))
 	}
-	if greeting.Compressor == h.compressor.ID() {
+	if greeting.Compressor != 0 && greeting.Compressor == h.compressor.ID() {
 		c.compressorID = greeting.Compressor
 		conn.SetPeerCompressor(c.compressorID)
-	}
-	if greeting.DataCentre == h.dataCentre {
-		conn.SetMinCompressed(minLocalCompressedBytes)
+		if greeting.DataCentre == h.dataCentre {
+			conn.SetMinCompressed(minLocalCompressedBytes)
+		}
 	}
 	h.children[c.id] = c
 	c.reported = c.held
