--- a/io/httpserver/listener_test.go
+++ b/io/httpserver/listener_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -32,7 +33,9 @@
 	defer server.Close()
 	closed := make(chan error)
 	go func() { closed <- listener.Close() }() // before anything was accepted
-	time.Sleep(2 * handshakeTime)
+	for listener.leftoverCount() < callers {
+		runtime.Gosched()
+	}
 	go func() { _ = server.Serve(listener) }()
 	c.Assert(<-closed, qt.IsNil)
 	for _, connection := range connections {
@@ -46,6 +49,12 @@
 	c.Assert(listener.Close(), qt.IsNil)
 }
 
+func (l *Listener) leftoverCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.leftover)
+}
+
 // Guards against a connection that is established while the listener closes and is neither served nor refused. Callers connect and
 // send requests all the time while servers begin and stop.
 func TestCallersOfAStoppingServerAreAnsweredOrRefused(t *testing.T) {
@@ -76,7 +85,9 @@
 				}
 			}()
 		}
-		time.Sleep(10 * time.Millisecond) // lets the callers begin
+		for before := answered.Load(); answered.Load() < before+20; {
+			runtime.Gosched()
+		}
 		c.Assert(listener.Close(), qt.IsNil)
 		for range 4 {
 			<-ended
