--- a/core/callreplay/bound.go
+++ b/core/callreplay/bound.go
@@ -42,7 +42,10 @@
 			served += route.PerSecond * rate
 			continue
 		}
-		demands = append(demands, demand{perSecond: route.PerSecond * rate, slotSeconds: work})
+		demands = append(demands, demand{
+			perSecond:   route.PerSecond * rate,
+			slotSeconds: work,
+		})
 	}
 	slices.SortFunc(demands, func(a, b demand) int {
 		if a.slotSeconds < b.slotSeconds {
--- a/core/callreplay/fleet.go
+++ b/core/callreplay/fleet.go
@@ -62,6 +62,7 @@
 // fleet is one run of a pattern.
 type fleet struct {
 	pattern   Pattern
+	endsAt    time.Time // no requests arrive after it
 	options   FleetOptions
 	queue     *eventQueue
 	random    *rand.Rand
@@ -126,9 +127,12 @@
 	}
 	start := time.Unix(1_700_000_000, 0)
 	f := &fleet{
-		pattern:   p,
-		options:   options,
-		queue:     &eventQueue{now: start},
+		pattern: p,
+		endsAt:  start.Add(time.Duration(p.Seconds) * time.Second),
+		options: options,
+		queue: &eventQueue{
+			now: start,
+		},
 		random:    rand.New(rand.NewPCG(options.Seed, options.Seed+1)),
 		byService: make(map[core.ServiceName][]core.Endpoint),
 		byNode:    make(map[core.NodeID]*fleetInstance),
@@ -192,15 +196,11 @@
 	f.byNode[node] = instance
 }
 
-func (f *fleet) ends() time.Time {
-	return time.Unix(1_700_000_000, 0).Add(time.Duration(f.pattern.Seconds) * time.Second)
-}
-
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 func (f *fleet) scheduleArrival(route *PatternRoute) {
 	f.queue.after(time.Duration(f.random.ExpFloat64()/(route.PerSecond*f.burst)*float64(time.Second)), func() {
-		if f.queue.now.After(f.ends()) {
+		if f.queue.now.After(f.endsAt) {
 			return
 		}
 		f.scheduleArrival(route)
@@ -227,13 +227,15 @@
 	}
 	begin := start.Add(milliseconds(event.AtMS))
 	apply := func(set func(*fleetInstance, bool)) {
-		for active, at := range map[bool]time.Time{true: begin, false: begin.Add(milliseconds(event.ForMS))} {
-			f.queue.at(at, func() {
+		setAll := func(active bool) func() {
+			return func() {
 				for _, instance := range concerned {
 					set(instance, active)
 				}
-			})
+			}
 		}
+		f.queue.at(begin, setAll(true))
+		f.queue.at(begin.Add(milliseconds(event.ForMS)), setAll(false))
 	}
 	switch event.Kind {
 	case PatternReject:
@@ -354,7 +356,10 @@
 	}, f.byService[c.route.Service])
 	if !found {
 		if c.last.outcome == "" {
-			c.last = fleetResult{outcome: core.OutcomeNotRun, cause: core.CauseNoEndpoint}
+			c.last = fleetResult{
+				outcome: core.OutcomeNotRun,
+				cause:   core.CauseNoEndpoint,
+			}
 		}
 		c.done(c.last)
 		return
@@ -408,7 +413,11 @@
 
 func (i *fleetInstance) arrive(a *fleetAttempt) {
 	if i.down {
-		a.reply(fleetResult{outcome: core.OutcomeNotRun, cause: core.CauseNoBackend, failed: true})
+		a.reply(fleetResult{
+			outcome: core.OutcomeNotRun,
+			cause:   core.CauseNoBackend,
+			failed:  true,
+		})
 		return
 	}
 	ticket, change := i.limiter.Arrive(i.fleet.queue.now, limiter.Request{
@@ -438,7 +447,11 @@
 	for _, shed := range change.Shed {
 		a := i.waiting[shed.Ticket]
 		delete(i.waiting, shed.Ticket)
-		a.reply(fleetResult{outcome: core.OutcomeNotRun, cause: shed.Cause, load: i.load(a.call.route.Name)})
+		a.reply(fleetResult{
+			outcome: core.OutcomeNotRun,
+			cause:   shed.Cause,
+			load:    i.load(a.call.route.Name),
+		})
 	}
 	for _, ticket := range change.Start {
 		a := i.waiting[ticket]
@@ -454,7 +467,10 @@
 	i.running[ticket] = a
 	if i.reject > 0 && f.random.Float64() < i.reject {
 		f.queue.after(0, func() {
-			i.finish(run, ticket, a, limiter.Result{Overloaded: true}, fleetResult{outcome: core.OutcomeNotRun, cause: core.CauseOverloaded})
+			i.finish(run, ticket, a, limiter.Result{Overloaded: true}, fleetResult{
+				outcome: core.OutcomeNotRun,
+				cause:   core.CauseOverloaded,
+			})
 		})
 		return
 	}
@@ -468,7 +484,9 @@
 
 func (i *fleetInstance) makeCalls(run int, ticket limiter.Ticket, a *fleetAttempt, calls []PatternCall) {
 	f, now := i.fleet, i.fleet.queue.now
-	answer := fleetResult{outcome: core.OutcomeAnswered}
+	answer := fleetResult{
+		outcome: core.OutcomeAnswered,
+	}
 	if !now.Before(a.call.deadline) {
 		answer.failed = true // 504
 		i.finish(run, ticket, a, limiter.Result{Failed: true}, answer)
@@ -529,9 +547,16 @@
 	i.waiting, i.running = make(map[limiter.Ticket]*fleetAttempt), make(map[limiter.Ticket]*fleetAttempt)
 	i.limiter = limiter.NewWithOptions(i.endpoint.Slots, i.fleet.options.Limiter)
 	for _, ticket := range sortedTickets(waiting) {
-		waiting[ticket].reply(fleetResult{outcome: core.OutcomeNotRun, cause: core.CauseNoBackend, failed: true})
+		waiting[ticket].reply(fleetResult{
+			outcome: core.OutcomeNotRun,
+			cause:   core.CauseNoBackend,
+			failed:  true,
+		})
 	}
 	for _, ticket := range sortedTickets(running) {
-		running[ticket].reply(fleetResult{outcome: core.OutcomeUnknown, failed: true})
+		running[ticket].reply(fleetResult{
+			outcome: core.OutcomeUnknown,
+			failed:  true,
+		})
 	}
 }
--- a/core/callreplay/patternfile.go
+++ b/core/callreplay/patternfile.go
@@ -33,19 +33,21 @@
 	}
 }
 
-// patternVariants are the rules and what is compared with them, each without one of the rules.
-func patternVariants() []struct {
+// patternVariant is a set of rules with a name.
+type patternVariant struct {
 	name  string
 	rules FleetOptions
-} {
+}
+
+// patternVariants returns the serving rules and what is compared with them, each without one of the rules.
+func patternVariants() []patternVariant {
 	withoutShort, soon, inOrder := ServingRules(), ServingRules(), ServingRules()
 	withoutShort.Limiter.ShortClassesFirst = false
 	soon.RetryAfter = func(retry.RefusedCall) time.Duration { return 250 * time.Millisecond }
-	inOrder.Limiter = limiter.Options{TrustSlots: true}
-	return []struct {
-		name  string
-		rules FleetOptions
-	}{
+	inOrder.Limiter = limiter.Options{
+		TrustSlots: true,
+	}
+	return []patternVariant{
 		{name: "serving rules", rules: ServingRules()},
 		{name: "short classes not first", rules: withoutShort},
 		{name: "callers return after 250 ms", rules: soon},
