--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -35,7 +35,6 @@
 	evidenceInterval = time.Second
 	// startupGrace is how long a control instance sends no removals after its start, since not all endpoints have been announced
 	// to it again.
-	// startupGrace is how long a control instance sends no removals after its start.
 	startupGrace = 10 * time.Second
 	// brokenLinkGrace is how long the node at the other end of a broken link stays listed: the interruption may be short. A
 	// link that timed out gets no grace period, since the timeout has served as one.
