--- a/core/retry/shared_test.go
+++ b/core/retry/shared_test.go
@@ -14,7 +14,6 @@
 const (
 	sharedWindow  = 10 * time.Second
 	sharedRatio   = 0.2
-	sharedSlack   = 430.0
 	usedRatio     = 0.7 // part of the shared budget that the nodes divide among them
 	sharedStep    = 100 * time.Millisecond
 	sharedSteps   = 900
@@ -22,16 +21,16 @@
 )
 
 // spendSharedBudget lets all calls of a fleet fail and retries each of them three times, at rates that change every few seconds. It
-// returns the greatest number of retries in a window above what the shared budget allows. knownNodes returns the number of nodes that
-// a node believes the fleet to have.
-func spendSharedBudget(seed uint64, nodes int, knownNodes func(node, step int) int) (excess float64) {
+// returns the greatest number of retries in a window above what the shared budget allows. maxRate bounds the calls of one step;
+// knownNodes returns the number of nodes that a node believes the fleet to have.
+func spendSharedBudget(seed uint64, nodes int, slack float64, maxRate int, knownNodes func(node, step int) int) (excess float64) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	budgets := make([]*retry.Budget, nodes)
 	for i := range budgets {
 		budgets[i] = retry.NewBudget(retry.BudgetOptions{
 			Window:        sharedWindow,
 			Ratio:         sharedRatio * usedRatio,
-			SharedRetries: sharedSlack * usedRatio,
+			SharedRetries: slack * usedRatio,
 		})
 	}
 	var calls, retries [sharedSteps]int
@@ -39,7 +38,7 @@
 	start := time.Unix(1_700_000_000, random.Int64N(int64(sharedWindow)))
 	for at := range sharedSteps {
 		if at%30 == 0 {
-			rate, busy = random.IntN(200), 1+random.IntN(nodes)
+			rate, busy = random.IntN(maxRate), 1+random.IntN(nodes)
 		}
 		for range rate {
 			node := random.IntN(busy)
@@ -60,10 +59,10 @@
 		}
 		return sum
 	}
-	excess = -sharedSlack
+	excess = -slack
 	for from := range sharedSteps - sharedPerSpan {
 		asked := max(total(calls, from), total(calls, from-sharedPerSpan), total(calls, from-sharedPerSpan/2))
-		excess = max(excess, float64(total(retries, from))-sharedRatio*float64(asked)-sharedSlack)
+		excess = max(excess, float64(total(retries, from))-sharedRatio*float64(asked)-slack)
 	}
 	return excess
 }
@@ -83,14 +82,18 @@
 				"an eighth too low":     func(int, int) int { return nodes - nodes/8 },
 			} {
 				for seed := range uint64(3) {
-					excess := spendSharedBudget(seed, nodes, known)
+					excess := spendSharedBudget(seed, nodes, 430, 200, known)
 					c.Assert(excess <= 0, qt.IsTrue, qt.Commentf("%s, seed %d: %.0f too many", name, seed, excess))
 				}
 			}
 		})
 	}
 	c := qt.New(t)
-	c.Assert(spendSharedBudget(1, 2_700, func(int, int) int { return 100 }) > 0, qt.IsTrue) // the load shows shares for too few nodes
+	for seed := range uint64(20) { // the slack and the rates of a small deployment
+		excess := spendSharedBudget(seed, 100, 62, 60, func(int, int) int { return 100 })
+		c.Assert(excess <= 0, qt.IsTrue, qt.Commentf("seed %d: %.0f too many", seed, excess))
+	}
+	c.Assert(spendSharedBudget(1, 2_700, 430, 200, func(int, int) int { return 100 }) > 0, qt.IsTrue) // the load shows shares for too few nodes
 }
 
 // Guards against a node that alone meets the trouble and may not retry at all, because the fleet is large.
@@ -99,7 +102,7 @@
 	budget := retry.NewBudget(retry.BudgetOptions{
 		Window:        sharedWindow,
 		Ratio:         sharedRatio * usedRatio,
-		SharedRetries: sharedSlack * usedRatio,
+		SharedRetries: 430 * usedRatio,
 	})
 	budget.SetNodes(2_700)
 	now, retries := time.Unix(1_700_000_000, 0), 0
