--- a/io/backendhttp/endless_test.go
+++ b/io/backendhttp/endless_test.go
@@ -26,6 +26,18 @@
 	}
 }
 
+// startEndless starts a fixture whose backend server answers each call with a beginning and a text without end. The channel receives
+// the number of bytes sent once the connection is closed.
+func startEndless(t *testing.T, begin, endless string) (*fixture, <-chan int) {
+	f, sent := startFixture(t), make(chan int, 1)
+	f.backend.respond = func(conn net.Conn, _ *http.Request) {
+		fmt.Fprint(conn, begin)
+		sent <- repeat(conn, endless)
+	}
+	qt.Assert(t, f.Announce(readyAnnouncement("r1")), qt.IsNil)
+	return f, sent
+}
+
 // Guards against a backend server that sends bytes without end which are no answer: they filled the memory of the node until the
 // deadline of the call.
 func TestEndlessHeadEndsTheCall(t *testing.T) {
@@ -40,13 +52,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			f := startFixture(t)
-			sent := make(chan int, 1)
-			f.backend.respond = func(conn net.Conn, _ *http.Request) {
-				fmt.Fprint(conn, test.begin)
-				sent <- repeat(conn, test.endless)
-			}
-			c.Assert(f.Announce(readyAnnouncement("r1")), qt.IsNil)
+			f, sent := startEndless(t, test.begin, test.endless)
 			call := newTestCall("")
 			call.Deadline = time.Now().Add(time.Hour)
 			_, outcome, err := f.handleCall(c, call)
@@ -75,13 +81,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			f := startFixture(t)
-			sent := make(chan int, 1)
-			f.backend.respond = func(conn net.Conn, _ *http.Request) {
-				fmt.Fprint(conn, test.begin)
-				sent <- repeat(conn, test.endless)
-			}
-			c.Assert(f.Announce(readyAnnouncement("r1")), qt.IsNil)
+			f, sent := startEndless(t, test.begin, test.endless)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			answer, outcome, err := f.Handle(ctx, newTestCall(""))
