--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,11 +22,11 @@
 
 // cases return whether the rule held.
 var cases = map[string]func(d *deployment, trouble bool) bool{
+	"foreign-answer":  foreignAnswer,
 	"first-start":     firstStart,
 	"forgotten-leave": forgottenLeave,
 	"odd-heartbeat":   oddHeartbeat,
 	"crashed-path":    crashedPath,
-	"encoded-slash":   encodedSlash,
 }
 
 func main() {
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -30,6 +30,7 @@
 	id       string
 	born     int64
 	work     time.Duration
+	faults   *additionalBytes // nil for a sound upstream
 	server   *http.Server
 	sequence atomic.Int64
 	beating  atomic.Bool
@@ -60,7 +61,11 @@
 	u.born = time.Now().UnixMilli()
 	u.sequence.Store(0)
 	u.server = &http.Server{Handler: u}
-	go func() { _ = u.server.Serve(listener) }()
+	if u.faults != nil {
+		go u.serveFaulty(listener)
+	} else {
+		go func() { _ = u.server.Serve(listener) }()
+	}
 	u.beating.Store(true)
 	go func(id string) {
 		for u.beating.Load() && u.id == id {
