node: a departure is committed before it is acknowledged

What callers saw: after the restart of a node beside a leaving upstream, a heartbeat that came late made the upstream ready again.

Cause: only the memory of the node held that the process leaves. A restarted node took the first heartbeat of any process for that of a new one, and acknowledged a leave message of a process that it did not know without keeping it.

A node acknowledges draining and leave messages once its departure is committed, with 503 if that takes too long, and closes its gate at once in both cases. A node that starts asks for its departures; until then it uses younger processes at once and older ones after two heartbeat intervals.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -39,6 +39,7 @@
 	ownerships           map[core.RecordKey]ownership // derived owner fields of the records in force; decoding all bodies takes milliseconds
 	purgeIntervalEntries uint64                       // constant except in tests
 	knownRules           core.RulesVersion            // constant except in tests
+	departures           []core.Departure             // oldest first
 }
 
 // lastChange describes the newest version of a record. The lastChange of a deleted record is its tombstone: it is kept until
@@ -129,6 +130,8 @@
 		return decodeAndRun(c, index, e, c.recordMembership)
 	case ActionStep:
 		return c.step(index, e)
+	case ActionDepart:
+		return c.withRevision(c.depart(e))
 	}
 	return c.withRevision(refused(CauseMalformed, "unknown action %q", e.Action))
 }
--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -35,6 +35,7 @@
 	ActionAbort   Action = "abort"
 	ActionMembers Action = "members"
 	ActionRules   Action = "rules"
+	ActionDepart  Action = "depart"
 )
 
 // Abort requests that an open move be taken back.
--- a/core/catalog/snapshot.go
+++ b/core/catalog/snapshot.go
@@ -26,6 +26,7 @@
 	AuditCount uint64            `msgpack:"audit-count"`     // zero in older snapshots, which hold all entries
 	Rules      core.RulesVersion `msgpack:"rules,omitempty"` // zero for the first version and in older snapshots
 	Usage      []scopedUsage     `msgpack:"usage,omitempty"`
+	Departures []core.Departure  `msgpack:"departures,omitempty"`
 }
 
 type keyedChange struct {
@@ -56,6 +57,7 @@
 		AuditCount: c.auditCount,
 		Rules:      lo.Ternary(c.rules > firstRules, c.rules, 0),
 		Usage:      sortedUsage(c.usage),
+		Departures: c.departures,
 	})
 	return encoded, errors.Trace(err)
 }
@@ -103,6 +105,7 @@
 		entry.At = entry.At.UTC()
 		restored.audit = append(restored.audit, entry)
 	}
+	restored.departures = s.Departures
 	restored.auditCount = max(s.AuditCount, uint64(len(s.Audit)))
 	if err := c.archiveAudit(); err != nil { // the snapshot may start after entries that are only in the state it replaces
 		return errors.Annotate(err, "archive audit trail")
@@ -127,6 +130,7 @@
 	c.lastChanges, c.verdicts, c.rules = restored.lastChanges, restored.verdicts, restored.rules
 	c.deletedNames, c.ownerships, c.usage = restored.deletedNames, restored.ownerships, restored.usage
 	c.audit, c.auditCount = restored.audit, restored.auditCount
+	c.departures = restored.departures
 	c.moves, c.moveOrder, c.openMoves, c.moveCount = restored.moves, restored.moveOrder, restored.openMoves, restored.moveCount
 	c.publish(configuration)
 }
--- a/core/endpoint.go
+++ b/core/endpoint.go
@@ -31,6 +31,16 @@
 	return e.Sequence > other.Sequence
 }
 
+// RunID identifies one run of a backend server's process among those beside the same node.
+type RunID string
+
+// Departure says that a run of the backend server beside a node has begun to leave. It must get no more calls, also after a restart
+// of the node.
+type Departure struct {
+	Node NodeID `msgpack:"node"`
+	Run  RunID  `msgpack:"run"`
+}
+
 // CrashReport says that a request was running when the process of a backend server ended. Run is the run that the backend
 // server had announced; Fingerprint is equal for requests that a backend server handles alike.
 type CrashReport struct {
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -49,6 +49,13 @@
 	Restore(snapshot []byte) error
 }
 
+// DepartureLog stores durably which runs of backend servers have begun to leave.
+type DepartureLog interface {
+	// Depart stores runs of a node's backend server, if any are given, and returns all that are stored for the node. It returns
+	// ErrNoLeader if nothing was stored, and ErrOutcomeUnknown if the runs may have been stored.
+	Depart(ctx context.Context, node NodeID, runs []RunID) ([]RunID, error)
+}
+
 // EndpointSource provides the endpoints of services.
 type EndpointSource interface {
 	// Endpoints returns the known endpoints of a service; the slice must not be changed.
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -204,8 +204,12 @@
 		}),
 		Catalog:    do.MustInvoke[*catalog.Catalog](injector),
 		Replicator: replica,
-		Logger:     p.log,
-		Metrics:    p.metrics,
+		Departures: &departureLog{
+			replicator: replica,
+			catalog:    do.MustInvoke[*catalog.Catalog](injector),
+		},
+		Logger:  p.log,
+		Metrics: p.metrics,
 	})
 	if err != nil {
 		return nil, err
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -113,7 +113,16 @@
 	defer stop()
 
 	first, err := h.receive(conn, helloTimeout)
-	if err != nil || first.Type != typeHello {
+	if err != nil {
+		return
+	}
+	switch first.Type {
+	case typeDepart:
+		slot.release() // a proposal may wait for an election
+		h.answerDepart(ctx, conn, first)
+		return
+	case typeHello:
+	default:
 		return
 	}
 	var greeting hello
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -26,11 +26,14 @@
 	schema      core.SchemaVersion
 	dataCentre  core.DataCentre
 	incarnation core.Incarnation // only of a node
+	// departureLog is nil on a node.
+	departureLog core.DepartureLog
 	// confirmWake wakes the goroutine that runs confirmed reads. It is nil on a node, which asks its parent instead.
 	confirmWake *ring.Ring[struct{}]
 
 	endpointsByService atomic.Pointer[map[core.ServiceName][]core.Endpoint]
 	handshakeSlots     chan struct{}
+	departSlots        chan struct{}
 	goroutines         sync.WaitGroup
 
 	mu          sync.Mutex // guards the fields below
@@ -90,6 +93,7 @@
 		meters:         meters,
 		network:        network,
 		handshakeSlots: make(chan struct{}, maxHandshakes),
+		departSlots:    make(chan struct{}, maxDeparts),
 		table:          lease.New(),
 		evidence:       newEvidenceStore(),
 		pendingSums: pendingSums{
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -31,6 +31,8 @@
 	typeCrashes
 	typeSums
 	typeNodes
+	typeDepart
+	typeDepartures
 )
 
 // linkKind tells whether the process that opened a link is a node or a control instance.
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -110,7 +110,8 @@
 	DirectNodes      int           // nodes of each data centre that may attach directly, zero for 2; others are redirected to these
 	EvidenceInterval time.Duration // interval of evidence reports to the other control instances, zero for 1 s
 	Catalog          record.Source
-	Replicator       core.Replicator // its status names the leader whenever there is one
+	Replicator       core.Replicator   // its status names the leader whenever there is one
+	Departures       core.DepartureLog // optional; without it, departures are not answered
 	Logger           zerolog.Logger
 	Metrics          *metrics.Set // optional
 	Network          Network      // optional, TCP by default
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -73,6 +73,7 @@
 	s.hub.attached = true
 	s.hub.pathVersion = 1
 	s.hub.confirmWake = s.confirmWake
+	s.hub.departureLog = options.Departures
 	s.hub.setCurrent(options.Catalog.Current())
 	s.hub.registerGauges(options.Metrics)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -46,6 +46,7 @@
 var (
 	_ record.Source       = (*Subscriber)(nil)
 	_ core.EndpointSource = (*Subscriber)(nil)
+	_ core.DepartureLog   = (*Subscriber)(nil)
 )
 
 // Subscriber keeps a node's configuration and endpoints up to date and relays them to the nodes attached below it.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -73,6 +73,7 @@
 	circuitBreaker *rollout.CircuitBreaker
 	recorder       *rollout.Recorder
 	suspects       *suspects
+	departures     *departures
 	peerServer     atomic.Pointer[nodepeer.Server]
 	service        atomic.Value // core.ServiceName of the local backend server
 	serving        atomic.Bool  // whether the node accepts callers
@@ -158,6 +159,22 @@
 	return n.backend.Announce(a)
 }
 
+// Depart returns nil once the control instances have stored that a run of the local backend server leaves, so that no later process
+// of this node uses it. It returns core.ErrOutcomeUnknown if the context ends first, and an error if too many runs are waiting.
+func (n *Node) Depart(ctx context.Context, run core.RunID) error {
+	return n.process.departures.depart(ctx, run)
+}
+
+// Departed returns the runs of the local backend server that have begun to leave, as far as the node knows; see DepartedKnown.
+func (n *Node) Departed() []core.RunID {
+	return n.process.departures.departed()
+}
+
+// DepartedKnown returns a channel that is closed once Departed includes what earlier processes of this node have reported.
+func (n *Node) DepartedKnown() <-chan struct{} {
+	return n.process.departures.known
+}
+
 // SetControlAddresses replaces the addresses at which the node looks for a control instance when it loses the one it is attached to.
 func (n *Node) SetControlAddresses(addresses []string) {
 	do.MustInvoke[*distribution.Subscriber](n.injector).SetControlAddresses(addresses)
@@ -213,6 +230,7 @@
 	if err := p.startAdmin(injector, subscriber); err != nil {
 		return err
 	}
+	p.departures = newDepartures(p.settings.ID, subscriber, p.log)
 	p.startTasks(subscriber)
 	return nil
 }
@@ -222,6 +240,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { watchMoves(ctx, subscriber, p.circuitBreaker) })
+	tasks.Go(func() { p.departures.run(ctx) })
 	tasks.Go(func() {
 		reportEvidence(ctx, subscriber, p.recorder, p.options.EvidenceInterval, subscriber.ReportEvidence)
 	})
