retry, distribution: a run to the end takes back the suspicion of crashes

What callers saw: two upstreams crashed of another cause, 7.5 s apart.

Cause: presence at two crashes was taken for guilt, and nothing spoke for a request. A path that is read often is present at every crash. Calls that had broken up to 10 s before a crash counted too, and a crash was known only with the next run or the end of the lease.

Change: a request that crashes backend servers never runs to its end. It is suspected after 3 crashes in sequence without a run to its end, 2 if nothing else ran at either; nodes tell each other the first run to the end after a crash. Crashes at the same time count once. A second fingerprint tells requests apart by query and caller's service, and of two suspects the likelier one is refused. The node beside a backend server reports a crash once the address refuses connections, without the calls that broke well before and without processes that were leaving. When the memory is full, the weakest suspicion makes room.

TestSuspectsNeedTwoCrashes and TestCrashingRequestIsRefusedAfterTwoCrashes keep their checks; only the way in which they report a crash has changed.

--- a/core/endpoint.go
+++ b/core/endpoint.go
@@ -31,6 +31,14 @@
 	return e.Sequence > other.Sequence
 }
 
+// Fingerprints returns Fingerprint and, if it differs, Exact.
+func (r CrashReport) Fingerprints() []uint64 {
+	if r.Exact == 0 || r.Exact == r.Fingerprint {
+		return []uint64{r.Fingerprint}
+	}
+	return []uint64{r.Fingerprint, r.Exact}
+}
+
 // RunID identifies one run of a backend server's process among those beside the same node.
 type RunID string
 
@@ -42,9 +50,13 @@
 }
 
 // CrashReport says that a request was running when the process of a backend server ended. Run is the run that the backend
-// server had announced; Fingerprint is equal for requests that a backend server handles alike.
+// server had announced; Fingerprint is equal for requests that a backend server handles alike. A program before Exact leaves the later
+// fields zero.
 type CrashReport struct {
 	Node        NodeID `msgpack:"node"`
 	Run         string `msgpack:"run"`
 	Fingerprint uint64 `msgpack:"fingerprint"`
+	Exact       uint64 `msgpack:"exact,omitempty"`  // the same for requests that are equal in more details
+	RanMS       int64  `msgpack:"ran-ms,omitempty"` // how long the request had been running, in milliseconds
+	Beside      int    `msgpack:"beside,omitempty"` // number of other requests that were running
 }
--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -287,18 +287,29 @@
 	c.Assert(holders.nodes, qt.Equals, 0)
 }
 
+// crashOf returns a crash at which nothing else was running.
+func crashOf(node core.NodeID, fingerprint Fingerprint) Crash {
+	return Crash{
+		ID:          CrashID{Node: node, Run: "1"},
+		Fingerprint: fingerprint,
+		StartedAt:   epoch,
+		At:          epoch,
+		Alone:       true,
+	}
+}
+
 // Guards against suspecting a request after one crash, after a repeated report of it, or for ever.
 func TestSuspectsNeedTwoCrashes(t *testing.T) {
 	c := qt.New(t)
 	suspects := NewSuspects()
 	for i := range maxFingerprints + 100 { // one crash each
-		suspects.RecordCrash(epoch, CrashID{Node: "n", Run: "1"}, Fingerprint(1000+i))
+		suspects.RecordCrash(epoch, crashOf("n", Fingerprint(1000+i)))
 	}
-	c.Assert(len(suspects.crashes) <= maxFingerprints, qt.IsTrue)
-	suspects.RecordCrash(epoch, CrashID{Node: "a", Run: "1"}, 7)
-	suspects.RecordCrash(epoch, CrashID{Node: "a", Run: "1"}, 7)
+	c.Assert(len(suspects.suspects) <= maxFingerprints, qt.IsTrue)
+	suspects.RecordCrash(epoch, crashOf("a", 7))
+	suspects.RecordCrash(epoch, crashOf("a", 7))
 	c.Assert(suspects.Suspected(epoch, 7), qt.IsFalse)
-	suspects.RecordCrash(epoch, CrashID{Node: "b", Run: "1"}, 7)
+	suspects.RecordCrash(epoch, crashOf("b", 7))
 	c.Assert(suspects.Suspected(epoch, 7), qt.IsTrue)
 	c.Assert(suspects.Suspected(epoch, 8), qt.IsFalse)
 	c.Assert(suspects.Suspected(epoch.Add(Window+1), 7), qt.IsFalse)
--- /dev/null
+++ b/core/idempotency/suspects_test.go
@@ -0,0 +1,283 @@
+package idempotency
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+)
+
+// crashLoad is a load pattern of a fleet in which backend servers crash.
+type crashLoad struct {
+	nodes       int           // each with a backend server and as entry node
+	rate        float64       // requests a second of the whole fleet
+	kinds       int           // number of different fingerprints; zero if each request has its own
+	work        time.Duration // of a request
+	crashEvery  time.Duration // mean time between crashes of other causes, zero for none
+	crashShare  float64       // of the backend servers, at each of them
+	lateReports bool          // crashes are known only when the lease ends
+	deadlyEvery time.Duration // time between two attempts of a request that crashes backend servers, zero for none
+	runLength   time.Duration
+}
+
+const deadlyFingerprint Fingerprint = 1
+
+// crashReplay plays a crashLoad with one Suspects for each entry node.
+type crashReplay struct {
+	load     crashLoad
+	random   *rand.Rand
+	now      time.Time
+	events   eventQueue
+	entries  []*Suspects
+	backends []replayedBackend
+	lastRun  int
+
+	served, refused int
+	deadlyCrashes   []time.Time
+	deadlyRuns      []time.Time
+}
+
+type replayedBackend struct {
+	down    bool
+	process int
+	running map[int]replayedRun
+}
+
+type replayedRun struct {
+	fingerprint Fingerprint
+	startedAt   time.Time
+	entry       int
+	attempt     int
+}
+
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(next any)     { *q = append(*q, next.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func (r *crashReplay) after(delay time.Duration, run func()) {
+	heap.Push(&r.events, event{at: r.now.Add(delay), run: run})
+}
+
+func (r *crashReplay) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(r.random.Int64N(int64(most-least)+1))
+}
+
+func playCrashes(load crashLoad, seed uint64) *crashReplay {
+	r := &crashReplay{
+		load:     load,
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		now:      epoch,
+		entries:  make([]*Suspects, load.nodes),
+		backends: make([]replayedBackend, load.nodes),
+	}
+	for i := range load.nodes {
+		r.entries[i] = NewSuspects()
+		r.backends[i].running = make(map[int]replayedRun)
+	}
+	var arrive, crash, deadly func()
+	unique := Fingerprint(1000)
+	arrive = func() {
+		unique++
+		fingerprint := unique
+		if load.kinds > 0 {
+			fingerprint = Fingerprint(100 + r.random.IntN(load.kinds))
+		}
+		r.send(fingerprint, r.random.IntN(load.nodes), 1)
+		r.after(time.Duration(r.random.ExpFloat64()/load.rate*float64(time.Second)), arrive)
+	}
+	crash = func() {
+		for range max(1, int(load.crashShare*float64(load.nodes))) {
+			r.crash(r.random.IntN(load.nodes))
+		}
+		r.after(time.Duration(r.random.ExpFloat64()*float64(load.crashEvery)), crash)
+	}
+	deadly = func() {
+		r.send(deadlyFingerprint, r.random.IntN(load.nodes), 1)
+		r.after(load.deadlyEvery, deadly)
+	}
+	r.after(0, arrive)
+	if load.crashEvery > 0 {
+		r.after(load.crashEvery/4, crash)
+	}
+	if load.deadlyEvery > 0 {
+		r.after(time.Second, deadly)
+	}
+	for end := epoch.Add(load.runLength); r.now.Before(end); {
+		next := heap.Pop(&r.events).(event)
+		r.now = next.at
+		next.run()
+	}
+	return r
+}
+
+// send makes an attempt, and a second one if the first is cut off.
+func (r *crashReplay) send(fingerprint Fingerprint, entry, attempt int) {
+	if r.entries[entry].Suspected(r.now, fingerprint) {
+		if fingerprint != deadlyFingerprint {
+			r.refused++
+		}
+		return
+	}
+	var up []int
+	for i := range r.backends {
+		if !r.backends[i].down {
+			up = append(up, i)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	backend, run := up[r.random.IntN(len(up))], r.lastRun
+	r.lastRun++
+	r.backends[backend].running[run] = replayedRun{
+		fingerprint: fingerprint,
+		startedAt:   r.now,
+		entry:       entry,
+		attempt:     attempt,
+	}
+	if fingerprint == deadlyFingerprint {
+		r.deadlyRuns = append(r.deadlyRuns, r.now)
+		r.after(r.between(time.Millisecond, 30*time.Millisecond), func() {
+			if _, running := r.backends[backend].running[run]; running {
+				r.deadlyCrashes = append(r.deadlyCrashes, r.now)
+				r.crash(backend)
+			}
+		})
+		return
+	}
+	r.after(r.between(r.load.work/2, 2*r.load.work), func() {
+		if _, running := r.backends[backend].running[run]; !running {
+			return
+		}
+		delete(r.backends[backend].running, run)
+		r.served++
+		if r.entries[entry].RecordCompletion(r.now, fingerprint) {
+			r.tellCompletion(fingerprint, r.now)
+		}
+	})
+}
+
+func (r *crashReplay) crash(backend int) {
+	b := &r.backends[backend]
+	if b.down {
+		return
+	}
+	lost := b.running
+	b.down, b.running = true, make(map[int]replayedRun)
+	b.process++
+	detection := r.between(5*time.Millisecond, 120*time.Millisecond)
+	if r.load.lateReports {
+		detection = 4500 * time.Millisecond
+	}
+	for _, number := range slices.Sorted(maps.Keys(lost)) { // replays with equal seeds are equal
+		run := lost[number]
+		crash := Crash{
+			ID:          CrashID{Node: core.NodeID(fmt.Sprint(backend)), Run: fmt.Sprint(b.process)},
+			Fingerprint: run.fingerprint,
+			StartedAt:   run.startedAt,
+			At:          r.now,
+			Alone:       true,
+		}
+		for _, other := range lost {
+			crash.Alone = crash.Alone && other.fingerprint == run.fingerprint
+		}
+		r.after(detection, func() { r.tellCrash(crash) })
+		if run.attempt == 1 {
+			r.after(r.between(time.Millisecond, 3*time.Millisecond), func() { r.send(run.fingerprint, run.entry, 2) })
+		}
+	}
+	r.after(4500*time.Millisecond, func() { b.down = false })
+}
+
+// maxTransit is the longest way of a report to another node. The receiver takes it for a part of the event's time.
+const maxTransit = 15 * time.Millisecond
+
+func (r *crashReplay) tellCrash(crash Crash) {
+	for _, entry := range r.entries {
+		transit := r.between(time.Millisecond, maxTransit)
+		received := crash
+		received.StartedAt, received.At = crash.StartedAt.Add(transit), crash.At.Add(transit)
+		r.after(transit, func() {
+			if completedAt := entry.RecordCrash(r.now, received); !completedAt.IsZero() {
+				r.tellCompletion(crash.Fingerprint, completedAt)
+			}
+		})
+	}
+}
+
+func (r *crashReplay) tellCompletion(fingerprint Fingerprint, at time.Time) {
+	for _, entry := range r.entries {
+		transit := r.between(time.Millisecond, maxTransit)
+		r.after(transit, func() { entry.RecordCompletion(at.Add(transit), fingerprint) })
+	}
+}
+
+// Guards against refusing requests because backend servers crashed for other causes while these were running, whatever the size of
+// the deployment and its traffic, and against a request that crashes one backend server after another among them.
+func TestOnlyRequestsThatCrashBackendServersAreSuspected(t *testing.T) {
+	loads := map[string]crashLoad{
+		"six nodes, all requests equal":            {nodes: 6, rate: 85, kinds: 1, work: 300 * time.Millisecond, crashEvery: 8 * time.Second},
+		"six nodes, all requests equal, all crash": {nodes: 6, rate: 85, kinds: 1, work: 300 * time.Millisecond, crashEvery: 20 * time.Second, crashShare: 1},
+		"two nodes, one request at a time":         {nodes: 2, rate: 2, kinds: 1, work: 300 * time.Millisecond, crashEvery: 8 * time.Second},
+		"two nodes, few requests, few kinds":       {nodes: 2, rate: 3, kinds: 3, work: 200 * time.Millisecond, crashEvery: 6 * time.Second},
+		"twelve nodes, 40 crashes a minute":        {nodes: 12, rate: 150, kinds: 4, work: 200 * time.Millisecond, crashEvery: 1500 * time.Millisecond},
+		"twelve nodes, a rack at a time":           {nodes: 12, rate: 150, kinds: 4, work: 200 * time.Millisecond, crashEvery: 10 * time.Second, crashShare: 0.4},
+		"twelve nodes, each request by itself":     {nodes: 12, rate: 150, work: 200 * time.Millisecond, crashEvery: 3 * time.Second},
+		"sixty nodes, rare kinds":                  {nodes: 60, rate: 300, kinds: 600, work: 300 * time.Millisecond, crashEvery: 2 * time.Second},
+		"sixty nodes, racks":                       {nodes: 60, rate: 300, kinds: 20, work: 300 * time.Millisecond, crashEvery: 10 * time.Second, crashShare: 0.25},
+	}
+	for name, load := range loads {
+		for _, late := range []bool{false, true} {
+			for _, deadlyEvery := range []time.Duration{0, time.Second} {
+				t.Run(fmt.Sprintf("%s, late reports %t, deadly request every %s", name, late, deadlyEvery), func(t *testing.T) {
+					t.Parallel()
+					c := qt.New(t)
+					load := load
+					load.lateReports, load.deadlyEvery, load.runLength = late, deadlyEvery, 40*time.Second
+					for seed := range uint64(max(1, 24/load.nodes)) {
+						r := playCrashes(load, seed)
+						comment := qt.Commentf("seed %d: %d served, %d refused, %d crashes by the deadly request", seed, r.served, r.refused, len(r.deadlyCrashes))
+						c.Check(r.refused, qt.Equals, 0, comment)
+						if deadlyEvery > 0 && !late {
+							c.Check(len(r.retriesAfterThird()) <= 3, qt.IsTrue, comment)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// retriesAfterThird returns the runs of the deadly request later than the platform's touch of 3 s after its third crash.
+func (r *crashReplay) retriesAfterThird() []time.Time {
+	if len(r.deadlyCrashes) < 3 {
+		return nil
+	}
+	var late []time.Time
+	for _, run := range r.deadlyRuns {
+		if run.After(r.deadlyCrashes[2].Add(3 * time.Second)) {
+			late = append(late, run)
+		}
+	}
+	return late
+}
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -99,6 +99,7 @@
 	ended          sync.Once
 	conn           *backendConn
 	processRun     string
+	startedAt      time.Time   // when it was sent
 	stopCancelling func() bool // unregisters the close on cancellation; false if that has begun
 	written        bool        // at least one byte of the call may have been written
 	strayReceived  bool        // answers to other calls were received on the connection
@@ -107,6 +108,9 @@
 
 func (x *exchange) end(result CallResult) {
 	x.ended.Do(func() {
+		if !x.startedAt.IsZero() {
+			x.server.exchanges.Add(-1)
+		}
 		x.release(result)
 		x.server.endCall()
 	})
@@ -132,8 +136,11 @@
 	}
 	x.processRun = target.Run
 	if x.conn, err = s.pool.get(x.ctx, target.Address); err != nil {
+		s.recordDialError(time.Now(), target.Run, err)
 		return nil, core.OutcomeNotRun, x.connectRefusal(err)
 	}
+	x.startedAt = time.Now()
+	s.exchanges.Add(1)
 	return x.roundTrip(request)
 }
 
@@ -180,6 +187,7 @@
 		return nil, core.OutcomeUnknown, x.fail(readErr)
 	}
 	x.server.pool.markAnswered(x.conn)
+	x.server.answeredAt.Store(time.Now().UnixNano())
 	x.reusable = err == nil && !response.Close && !x.strayReceived
 	answer := x.newAnswer(response)
 	if refusal := x.notRunRefusal(response); refusal != nil {
@@ -278,7 +286,7 @@
 	if !x.abort() {
 		return errors.Annotate(context.Cause(x.ctx), "call at the backend server")
 	}
-	x.server.recordBrokenCall(time.Now(), x.processRun, x.call)
+	x.server.recordBrokenCall(time.Now(), x)
 	return errors.Annotate(ErrBroken, err.Error())
 }
 
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,12 +26,8 @@
 	DefaultLease       = 3 * time.Second
 	leaseCheckInterval = 250 * time.Millisecond
 	requestReadTimeout = 5 * time.Second
-	// brokenCallLifetime is how long a broken call is kept until a new run or the end of the lease proves a crash.
-	brokenCallLifetime = 10 * time.Second
 	// failureLinesPerSecond bounds the log lines about calls that were not answered; lines above it are only counted.
 	failureLinesPerSecond = 25
-	maxBrokenCalls        = 1024
-	maxQueuedCrashes      = 64
 )
 
 // Options configures a Server. Without Address and Listener, announcements are made only through Announce.
@@ -71,8 +68,10 @@
 
 // CrashedCall is a call that was running in a crash.
 type CrashedCall struct {
-	// Fingerprint identifies requests that are equal.
-	Fingerprint idempotency.Fingerprint
+	// Fingerprint identifies requests that are equal, and Exact those that are equal in query and caller's service too.
+	Fingerprint, Exact idempotency.Fingerprint
+	// StartedAt is when the call was sent to the backend server, and BrokenAt when its connection broke.
+	StartedAt, BrokenAt time.Time
 	// Service is the service of the call.
 	Service core.ServiceName
 	// Route is the route of the call.
@@ -98,6 +97,10 @@
 	strayAnswers *metrics.Counter
 	failureLog   zerolog.Logger // for calls that were not answered
 
+	probes     *ring.Ring[Announcement] // backend servers to dial after calls were broken
+	exchanges  atomic.Int64             // number of calls that the backend server is working on
+	answeredAt atomic.Int64             // Unix time of its latest answer, in nanoseconds
+
 	mu          sync.Mutex
 	announced   *Announcement // nil if there is no lease
 	latest      Announcement  // the state for OnChange
@@ -109,9 +112,8 @@
 }
 
 type brokenCall struct {
-	call     CrashedCall
-	run      string
-	brokenAt time.Time
+	call CrashedCall
+	run  string
 }
 
 // New listens for announcements. The clean-up function closes all connections and waits for the server's goroutines.
@@ -145,6 +147,7 @@
 		strayAnswers: options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
 		failureLog:   loglimit.New(options.Logger, options.Metrics, "not-answered", failureLinesPerSecond),
 		drained:      make(chan struct{}),
+		probes:       ring.New[Announcement](1),
 	}
 	if s.admission == nil {
 		s.admission = NewQueue(1)
@@ -161,6 +164,7 @@
 	}
 	s.tasks.Go(s.expireLeases)
 	s.tasks.Go(s.runCallbacks)
+	s.tasks.Go(s.probeAfterBreaks)
 	return s, s.close, nil
 }
 
@@ -408,47 +412,3 @@
 	s.activeCalls--
 	s.signalDrained()
 }
-
-// recordBrokenCall records a call whose connection broke while it ran. It is reported as a crash only if the process has ended.
-func (s *Server) recordBrokenCall(now time.Time, run string, call *core.Call) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.brokenCalls) >= maxBrokenCalls {
-		s.brokenCalls = s.brokenCalls[1:]
-	}
-	s.brokenCalls = append(s.brokenCalls, brokenCall{
-		call: CrashedCall{
-			Fingerprint: idempotency.FingerprintOf(call),
-			Service:     call.Service,
-			Route:       call.Route,
-			Release:     call.Release,
-		},
-		run:      run,
-		brokenAt: now,
-	})
-	if s.announced == nil || s.announced.Run != run {
-		s.reportCrash(now, run)
-	}
-}
-
-// reportCrash reports the broken calls of a run that has ended to OnCrash. s.mu must be held.
-func (s *Server) reportCrash(now time.Time, run string) {
-	crash := Crash{
-		Run: run,
-	}
-	others := s.brokenCalls[:0]
-	for _, each := range s.brokenCalls {
-		switch {
-		case now.Sub(each.brokenAt) > brokenCallLifetime:
-		case each.run == run:
-			crash.Calls = append(crash.Calls, each.call)
-		default:
-			others = append(others, each)
-		}
-	}
-	s.brokenCalls = others
-	if len(crash.Calls) > 0 {
-		s.crashedCalls.Add(len(crash.Calls))
-		s.crashes.TryPush(crash)
-	}
-}
--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"parsleyport/core"
-	"parsleyport/core/idempotency"
 	"parsleyport/core/retry"
 )
 
@@ -85,7 +84,7 @@
 // h.mu must be held.
 func (h *hedge) chooseEndpoint() (core.Endpoint, bool) {
 	s, req, now := h.server, h.request, time.Now()
-	if h.discarded || s.options.CrashSuspected(idempotency.FingerprintOf(req.call)) {
+	if h.discarded || s.isCrashSuspect(req) {
 		return core.Endpoint{}, false
 	}
 	endpoint, found := s.chooseEndpoint(req, h.history, now)
--- a/io/callerhttp/path_test.go
+++ b/io/callerhttp/path_test.go
@@ -237,7 +237,13 @@
 	n := startNodeWith(t, backend, core.EndpointReady, func(crash backendhttp.Crash) {
 		mu.Lock()
 		for _, call := range crash.Calls {
-			suspects.RecordCrash(time.Now(), idempotency.CrashID{Node: "b", Run: crash.Run}, call.Fingerprint)
+			suspects.RecordCrash(time.Now(), idempotency.Crash{
+				ID:          idempotency.CrashID{Node: "b", Run: crash.Run},
+				Fingerprint: call.Fingerprint,
+				StartedAt:   call.StartedAt,
+				At:          call.BrokenAt,
+				Alone:       len(crash.Calls) == 1,
+			})
 		}
 		mu.Unlock()
 		crashes <- struct{}{}
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/idempotency"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
 )
@@ -39,6 +40,16 @@
 	attemptCount     int  // including attempts that found no endpoint
 	capacityRefusals int  // that were retried without cost to the retry budget
 	countedAsWaiting bool // in Server.waiting
+	fingerprints     []idempotency.Fingerprint
+}
+
+// setFingerprints sets the fingerprints under which the request may be suspected of crashing backend servers.
+func (r *request) setFingerprints(callerServiceHeader string) {
+	fingerprint := idempotency.FingerprintOf(r.call)
+	r.fingerprints = []idempotency.Fingerprint{fingerprint}
+	if exact := idempotency.ExactFingerprintOf(fingerprint, r.call, headerValue(r.call.Header, callerServiceHeader)); exact != fingerprint {
+		r.fingerprints = append(r.fingerprints, exact)
+	}
 }
 
 func newRefusal(cause core.RefusalCause, detail string) *core.Refusal {
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,7 +16,6 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
-	"parsleyport/core/idempotency"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
 )
@@ -72,7 +72,8 @@
 		s.refuseEarly(w, r, refused)
 		return
 	}
-	if s.options.CrashSuspected(idempotency.FingerprintOf(req.call)) {
+	req.setFingerprints(s.options.Headers.CallerService)
+	if s.isCrashSuspect(req) {
 		s.refuseEarly(w, r, newRefusal(core.CauseCrashSuspect, ""))
 		return
 	}
@@ -166,7 +167,7 @@
 		if !attempted || ctx.Err() != nil || !s.allowRetry(ctx, req, class) {
 			break
 		}
-		if s.options.CrashSuspected(idempotency.FingerprintOf(req.call)) {
+		if s.isCrashSuspect(req) {
 			last.outcome, last.err = core.OutcomeNotRun, newRefusal(core.CauseCrashSuspect, "")
 			break // the earlier attempts of this call may have made it a suspect
 		}
@@ -383,6 +384,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.outcomes[core.OutcomeAnswered].Inc()
+	for _, fingerprint := range req.fingerprints {
+		s.options.CallCompleted(fingerprint)
+	}
+}
+
+// isCrashSuspect reports whether the request is suspected of crashing backend servers.
+func (s *Server) isCrashSuspect(req *request) bool {
+	return slices.ContainsFunc(req.fingerprints, s.options.CrashSuspected)
 }
 
 var chunkPool = sync.Pool{
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -80,6 +80,8 @@
 	ReleaseAllowed func(core.ServiceName, core.Release) bool
 	// CrashSuspected reports whether requests with a fingerprint are suspected of crashing backend servers. Nil means no.
 	CrashSuspected func(idempotency.Fingerprint) bool
+	// CallCompleted is called with the fingerprints of a request that a backend server has answered whole. It may be nil.
+	CallCompleted func(idempotency.Fingerprint)
 	// Keys claims idempotency keys. If it is nil, the keys of calls are ignored.
 	Keys KeyClaimer
 	// MaxBodyBytes bounds a request body. Zero means 8 MiB, which is the most that io/nodepeer carries.
@@ -184,6 +186,9 @@
 	if options.CrashSuspected == nil {
 		options.CrashSuspected = func(idempotency.Fingerprint) bool { return false }
 	}
+	if options.CallCompleted == nil {
+		options.CallCompleted = func(idempotency.Fingerprint) {}
+	}
 	s := &Server{
 		options:        options,
 		callLog:        newCallLog(options.Logger, options.Metrics),
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -125,6 +125,7 @@
 	RelayAddress      string // children attach here
 	ControlAddresses  []string
 	OnCrash           func(at time.Time, report core.CrashReport) // optional; called once for each report, must not block
+	OnCompletion      func(at time.Time, fingerprint uint64)      // optional; called for completions of requests of known crashes, must not block
 	OnDemandEndpoints bool                                        // receive only the endpoints of services in use, see Subscribe
 	Logger            zerolog.Logger
 	Metrics           *metrics.Set       // optional
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -108,7 +108,7 @@
 	s.hub.incarnation, s.hub.dataCentre = options.Incarnation, options.DataCentre
 	s.hub.schema = options.Schema
 	s.hub.allServices = !options.OnDemandEndpoints
-	s.hub.crashes.onCrash = options.OnCrash
+	s.hub.crashes.onCrash, s.hub.crashes.onCompletion = options.OnCrash, options.OnCompletion
 	s.hub.setCurrent(record.Empty())
 	s.hub.registerGauges(options.Metrics)
 	s.hub.confirmer.request(ownLink, 1)
@@ -340,7 +340,7 @@
 		Children:  s.hub.childIDs(),
 		Endpoints: endpoints,
 
-		CrashReports: len(s.hub.crashes.items),
+		CrashReports: s.hub.crashes.reports(),
 	}
 	report := s.hub.ownAcknowledgement().merge(s.hub.subtreeAcknowledgement())
 	status.SubtreeNodes, status.Lowest = report.Nodes, report.Lowest
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -241,6 +241,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { watchMoves(ctx, subscriber, p.circuitBreaker) })
 	tasks.Go(func() { p.departures.run(ctx) })
+	tasks.Go(func() { p.suspects.report(ctx, subscriber.ReportCompletion) })
 	tasks.Go(func() {
 		reportEvidence(ctx, subscriber, p.recorder, p.options.EvidenceInterval, subscriber.ReportEvidence)
 	})
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -4,9 +4,11 @@
 	"time"
 
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/balancer"
+	"parsleyport/core/idempotency"
 	"parsleyport/core/limiter"
 	"parsleyport/io/backendhttp"
 	"parsleyport/io/callerhttp"
@@ -31,6 +33,7 @@
 		RelayAddress:      p.settings.RelayAddress,
 		ControlAddresses:  p.settings.ControlAddresses,
 		OnCrash:           p.suspects.recordCrash,
+		OnCompletion:      func(at time.Time, f uint64) { p.suspects.recordCompletion(at, idempotency.Fingerprint(f)) },
 		OnDemandEndpoints: true,
 		EvidenceInterval:  p.options.EvidenceInterval,
 		Logger:            p.log,
@@ -83,10 +86,13 @@
 // reportCrash reports the requests that were running in a crash to all nodes, so that none of them can crash many backend servers.
 func (p *process) reportCrash(subscriber *distribution.Subscriber, crash backendhttp.Crash) {
 	for _, call := range crash.Calls {
-		subscriber.ReportCrash(core.CrashReport{
+		subscriber.ReportCrash(call.BrokenAt, core.CrashReport{
 			Node:        p.settings.ID,
 			Run:         crash.Run,
 			Fingerprint: uint64(call.Fingerprint),
+			Exact:       uint64(call.Exact),
+			RanMS:       call.BrokenAt.Sub(call.StartedAt).Milliseconds(),
+			Beside:      lo.CountBy(crash.Calls, func(other backendhttp.CrashedCall) bool { return other.Exact != call.Exact }),
 		})
 	}
 	p.log.Warn().Str("event", "backend-server-crashed").Str("run", crash.Run).Int("lost-calls", len(crash.Calls)).Msg("backend server crashed")
@@ -188,6 +194,7 @@
 		Evidence:               evidence,
 		ReleaseAllowed:         evidence.releaseAllowed,
 		CrashSuspected:         p.suspects.isSuspected,
+		CallCompleted:          func(f idempotency.Fingerprint) { p.suspects.recordCompletion(time.Now(), f) },
 		Keys:                   keys,
 		Headers:                p.headers(),
 		CallerSetsCallID:       p.options.CallerSetsCallID,
--- a/io/node/suspects.go
+++ b/io/node/suspects.go
@@ -1,36 +1,88 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"parsleyport/core"
 	"parsleyport/core/idempotency"
 	"parsleyport/core/record"
+	"parsleyport/core/ring"
 )
 
 // clockMargin is the greatest difference between the clocks of two instances that serviceSince allows for.
 const clockMargin = time.Second
 
-// suspects makes an idempotency.Suspects safe for concurrent use.
+// maxQueuedCompletions bounds the completions that wait to be reported; those of a request that is sent often come again.
+const maxQueuedCompletions = 256
+
+// completion is a run of a request to its end.
+type completion struct {
+	fingerprint idempotency.Fingerprint
+	at          time.Time
+}
+
+// suspects makes an idempotency.Suspects safe for concurrent use, and collects the completions that other nodes must know.
 type suspects struct {
+	unreported *ring.Ring[completion]
+
 	mu       sync.Mutex // guards detector
 	detector *idempotency.Suspects
 }
 
 func newSuspects() *suspects {
 	return &suspects{
-		detector: idempotency.NewSuspects(),
+		unreported: ring.New[completion](maxQueuedCompletions),
+		detector:   idempotency.NewSuspects(),
 	}
 }
 
+// recordCrash is called with a lock of the distribution held.
 func (s *suspects) recordCrash(at time.Time, report core.CrashReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.detector.RecordCrash(at, idempotency.CrashID{
-		Node: report.Node,
-		Run:  report.Run,
-	}, idempotency.Fingerprint(report.Fingerprint))
+	for _, fingerprint := range report.Fingerprints() {
+		completedAt := s.detector.RecordCrash(time.Now(), idempotency.Crash{
+			ID: idempotency.CrashID{
+				Node: report.Node,
+				Run:  report.Run,
+			},
+			Fingerprint: idempotency.Fingerprint(fingerprint),
+			StartedAt:   at.Add(-time.Duration(max(report.RanMS, 0)) * time.Millisecond),
+			At:          at,
+			Alone:       report.Beside == 0,
+		})
+		if !completedAt.IsZero() {
+			s.unreported.TryPush(completion{
+				fingerprint: idempotency.Fingerprint(fingerprint),
+				at:          completedAt,
+			})
+		}
+	}
+}
+
+// recordCompletion records that a request has run to its end, here or elsewhere.
+func (s *suspects) recordCompletion(at time.Time, fingerprint idempotency.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.detector.RecordCompletion(at, fingerprint) {
+		s.unreported.TryPush(completion{
+			fingerprint: fingerprint,
+			at:          at,
+		})
+	}
+}
+
+// report reports completions to the other nodes until the context ends.
+func (s *suspects) report(ctx context.Context, report func(at time.Time, fingerprint uint64)) {
+	for {
+		next, err := s.unreported.Pop(ctx)
+		if err != nil {
+			return
+		}
+		report(next.at, uint64(next.fingerprint))
+	}
 }
 
 func (s *suspects) isSuspected(fingerprint idempotency.Fingerprint) bool {
