backendhttp: an answer without an id is stray where earlier ones stated theirs

Callers were told "not run" for requests that were running, or these ran at a second upstream.

Cause: an answer with the id of another call was dropped, but one without an id passed for the answer of the call that waited.

Change: on a connection whose earlier answers stated their ids, an answer without one is logged and dropped, and the call waits for its own; without one its outcome is unknown. A refusal without an id elsewhere is believed, but ends its connection. Backend servers that never state ids are served as before.

--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -191,6 +191,7 @@
 	x.reusable = err == nil && !response.Close && !x.strayReceived
 	answer := x.newAnswer(response)
 	if refusal := x.notRunRefusal(response); refusal != nil {
+		x.reusable = x.reusable && x.conn.statesIDs // a refusal without an ID could not be told from its repetition
 		x.discard(answer)
 		return nil, core.OutcomeNotRun, refusal
 	}
@@ -245,16 +246,30 @@
 		// This is a late or duplicate answer to an earlier call. The answer to this call may follow.
 		x.strayReceived = true
 		x.server.strayAnswers.Inc()
+		x.server.logStray(x, response)
 		if n, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); n == maxStrayBytes || err != io.EOF {
 			return nil, errors.Annotatef(ErrBroken, "answer to another call")
 		}
 	}
 }
 
-// isStray reports whether an answer has the ID of another call.
+// isStray reports whether an answer has the ID of another call, or none on a connection whose earlier answers have stated theirs.
+// Otherwise an earlier refusal that is written again would count as a statement that this call has not run.
 func (x *exchange) isStray(response *http.Response) bool {
-	id := headerValue(response.Header, x.server.options.Headers.CallID)
-	return id != "" && id != string(x.call.ID)
+	switch id := headerValue(response.Header, x.server.options.Headers.CallID); id {
+	case string(x.call.ID):
+		x.conn.statesIDs = true
+		return false
+	case "":
+		return x.conn.statesIDs
+	}
+	return true
+}
+
+// logStray logs an answer that belongs to no call. A backend server that states no ID in an answer of its own shows here too.
+func (s *Server) logStray(x *exchange, response *http.Response) {
+	s.failureLog.Warn().Str("event", "stray-answer").Str("call", string(x.call.ID)).Str("run", x.processRun).Int("status", response.StatusCode).
+		Str("id", headerValue(response.Header, s.options.Headers.CallID)).Msg("answer of the backend server belongs to no call")
 }
 
 func headerValue(header http.Header, name string) string {
--- a/io/backendhttp/pool.go
+++ b/io/backendhttp/pool.go
@@ -29,6 +29,8 @@
 	idleSince time.Time
 	// headBytesLeft is the number of bytes that may still be read while the head of an answer is expected; negative means any number.
 	headBytesLeft int
+	// statesIDs says that an earlier answer on the connection stated the ID of its call.
+	statesIDs bool
 }
 
 // Read implements io.Reader. It returns errHeadTooLong once the bytes of an answer's head exceed their limit.
