--- a/core/idempotency/suspects_test.go
+++ b/core/idempotency/suspects_test.go
@@ -281,3 +281,43 @@
 	}
 	return late
 }
+
+// Guards against a memory of suspects that is full and so lets a new crashing request through, or drops those that are refused.
+func TestFullMemoryOfSuspects(t *testing.T) {
+	c := qt.New(t)
+	suspects := NewSuspects()
+	now := epoch
+	crash := func(fingerprint Fingerprint, node string) {
+		now = now.Add(100 * time.Millisecond)
+		suspects.RecordCrash(now, Crash{
+			ID:          CrashID{Node: core.NodeID(node), Run: "1"},
+			Fingerprint: fingerprint,
+			StartedAt:   now,
+			At:          now,
+		})
+	}
+	for i := range 3 {
+		crash(1, fmt.Sprint(i))
+	}
+	c.Assert(suspects.Suspected(now, 1), qt.IsTrue)
+	for i := range maxFingerprints + 500 { // what runs at one crash of many
+		suspects.RecordCrash(now, Crash{
+			ID:          CrashID{Node: "rack", Run: "1"},
+			Fingerprint: Fingerprint(1000 + i),
+			StartedAt:   now,
+			At:          now,
+		})
+	}
+	c.Assert(len(suspects.suspects) <= maxFingerprints, qt.IsTrue)
+	c.Assert(suspects.Suspected(now, 1), qt.IsTrue)
+	for i := range 3 {
+		crash(2, fmt.Sprint(i))
+	}
+	c.Assert(suspects.Suspected(now, 2), qt.IsTrue)
+	running := 0
+	for _, fingerprints := range suspects.running {
+		running += len(fingerprints)
+	}
+	c.Assert(running <= maxFingerprints*maxCrashesPerFingerprint, qt.IsTrue)
+	c.Assert(suspects.Suspected(now.Add(Window+time.Second), 1), qt.IsFalse)
+}
