nodepeer: pace long request bodies to the rate of the receiving node's link

Uploads that arrive at more than the rate of a node's link delayed all its other messages by their whole backlog, and a call that was refused had used the link for nothing. The receiving node now gives credit for bodies over 8 KiB, 25 ms of its link at a time, and refuses calls that its admission would refuse or whose bodies would arrive too late before the body is sent.

--- /dev/null
+++ b/core/bodycredit/scheduler.go
@@ -0,0 +1,204 @@
+package bodycredit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"parsleyport/core"
+)
+
+const (
+	// windowTime is the time that the link takes for the bytes that may be in flight. It keeps the link busy over a round trip
+	// between data centres, and bounds the time for which short messages wait behind bodies.
+	windowTime = 25 * time.Millisecond
+	// minWindowChunks lets one chunk be in flight while the credit for the next one is on its way.
+	minWindowChunks = 2
+)
+
+// ChunkBytes is the greatest number of bytes that one grant allows.
+const ChunkBytes = 16 << 10
+
+// Ticket identifies a call within a Scheduler.
+type Ticket uint64
+
+// Request describes a call whose body is to be received.
+type Request struct {
+	Bytes        int
+	Priority     core.Priority
+	SoftDeadline time.Time     // an answer after it counts as late; zero if none is set
+	Deadline     time.Time     // an answer after it is useless
+	Work         time.Duration // expected time from the end of the body until the answer
+}
+
+// Grant allows the sender of a body to send more bytes.
+type Grant struct {
+	Ticket Ticket
+	Bytes  int
+}
+
+type transfer struct {
+	ticket  Ticket
+	request Request
+	toGrant int // bytes that have not been granted
+	granted int // bytes that were granted and have not arrived
+}
+
+// latestStart returns the time at which the rest of the body must begin to cross an idle link for an answer at the given time.
+func (t *transfer) latestStart(bytesPerSecond float64, answerBy time.Time) time.Time {
+	return answerBy.Add(-t.request.Work - sendTime(t.toGrant, bytesPerSecond))
+}
+
+// Scheduler paces the bodies that a node receives to the rate of its link. It is made for uploads that arrive at more than that
+// rate: sent at once, they would delay all other messages of the node by their whole backlog, and calls that are refused later would
+// have used the link for nothing. A body that has begun is finished first. Next come higher priorities, then the bodies of calls that
+// can still be answered by their soft deadline, the most urgent one first. It is not safe for concurrent use.
+type Scheduler struct {
+	bytesPerSecond float64
+	window         int
+	inFlight       int // bytes that were granted and have not arrived
+	lastTicket     Ticket
+	transfers      map[Ticket]*transfer
+	waiting        []*transfer // those with bytes to grant, in order of arrival
+}
+
+// New returns a scheduler for a link with a rate in bytes per second, which must be positive.
+func New(bytesPerSecond int64) *Scheduler {
+	window := int(float64(bytesPerSecond) * windowTime.Seconds())
+	return &Scheduler{
+		bytesPerSecond: float64(bytesPerSecond),
+		window:         max(window, minWindowChunks*ChunkBytes),
+		transfers:      make(map[Ticket]*transfer),
+	}
+}
+
+// Waiting returns the number of calls whose bodies have not arrived.
+func (s *Scheduler) Waiting() int {
+	return len(s.transfers)
+}
+
+// Arrive adds a call. It returns false if its answer would miss the deadline behind the bodies that come before its own.
+func (s *Scheduler) Arrive(now time.Time, request Request) (Ticket, bool) {
+	added := &transfer{
+		ticket:  s.lastTicket + 1,
+		request: request,
+		toGrant: request.Bytes,
+	}
+	if s.missesDeadline(now, added, s.bytesBefore(now, added)) {
+		return 0, false
+	}
+	s.lastTicket++
+	s.transfers[added.ticket] = added
+	s.waiting = append(s.waiting, added)
+	return added.ticket, true
+}
+
+// Grants returns the bytes that may be sent now.
+func (s *Scheduler) Grants(now time.Time) []Grant {
+	var grants []Grant
+	for len(s.waiting) > 0 && s.inFlight < s.window {
+		next := slices.MinFunc(s.waiting, func(a, b *transfer) int { return s.compare(now, a, b) })
+		bytes := min(next.toGrant, ChunkBytes)
+		next.toGrant -= bytes
+		next.granted += bytes
+		s.inFlight += bytes
+		if next.toGrant == 0 {
+			s.removeWaiting(next)
+		}
+		grants = append(grants, Grant{
+			Ticket: next.ticket,
+			Bytes:  bytes,
+		})
+	}
+	return grants
+}
+
+// Received notes that bytes of a body have arrived.
+func (s *Scheduler) Received(ticket Ticket, bytes int) {
+	t := s.transfers[ticket]
+	if t == nil {
+		return
+	}
+	bytes = min(bytes, t.granted)
+	t.granted -= bytes
+	s.inFlight -= bytes
+}
+
+// End removes a call whose body has arrived or will not be sent.
+func (s *Scheduler) End(ticket Ticket) {
+	t := s.transfers[ticket]
+	if t == nil {
+		return
+	}
+	s.inFlight -= t.granted
+	delete(s.transfers, ticket)
+	s.removeWaiting(t)
+}
+
+// Overdue returns the calls that have been granted nothing and whose answers would miss their deadlines.
+func (s *Scheduler) Overdue(now time.Time) []Ticket {
+	var overdue []Ticket
+	for _, t := range s.waiting {
+		if t.toGrant == t.request.Bytes && s.missesDeadline(now, t, s.bytesBefore(now, t)) {
+			overdue = append(overdue, t.ticket)
+		}
+	}
+	return overdue
+}
+
+func (s *Scheduler) removeWaiting(t *transfer) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(each *transfer) bool { return each == t })
+}
+
+// bytesBefore returns the number of bytes that cross the link before the body of a call.
+func (s *Scheduler) bytesBefore(now time.Time, t *transfer) int {
+	bytes := s.inFlight
+	for _, other := range s.waiting {
+		if other != t && s.compare(now, other, t) < 0 {
+			bytes += other.toGrant
+		}
+	}
+	return bytes
+}
+
+func (s *Scheduler) missesDeadline(now time.Time, t *transfer, bytesBefore int) bool {
+	return now.Add(sendTime(bytesBefore, s.bytesPerSecond)).After(t.latestStart(s.bytesPerSecond, t.request.Deadline))
+}
+
+// compare orders transfers by when they get the link.
+func (s *Scheduler) compare(now time.Time, a, b *transfer) int {
+	if begunA, begunB := a.toGrant < a.request.Bytes, b.toGrant < b.request.Bytes; begunA != begunB {
+		return trueFirst(begunA)
+	}
+	if a.request.Priority != b.request.Priority {
+		return trueFirst(a.request.Priority > b.request.Priority)
+	}
+	startA, startB := s.latestOnTimeStart(a), s.latestOnTimeStart(b)
+	free := now.Add(sendTime(s.inFlight, s.bytesPerSecond))
+	if onTimeA, onTimeB := !free.After(startA), !free.After(startB); onTimeA != onTimeB {
+		return trueFirst(onTimeA)
+	}
+	if order := startA.Compare(startB); order != 0 {
+		return order
+	}
+	return int(math.Copysign(1, float64(a.ticket)-float64(b.ticket)))
+}
+
+func (s *Scheduler) latestOnTimeStart(t *transfer) time.Time {
+	answerBy := t.request.SoftDeadline
+	if answerBy.IsZero() {
+		answerBy = t.request.Deadline
+	}
+	return t.latestStart(s.bytesPerSecond, answerBy)
+}
+
+func trueFirst(isTrue bool) int {
+	if isTrue {
+		return -1
+	}
+	return 1
+}
+
+func sendTime(bytes int, bytesPerSecond float64) time.Duration {
+	return time.Duration(float64(bytes) / bytesPerSecond * float64(time.Second))
+}
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -74,6 +74,12 @@
 	Handle(ctx context.Context, call *Call) (*Answer, Outcome, error)
 }
 
+// CallPreviewer is implemented by a Backend that can tell, before the body of a call has arrived, whether it would refuse the call.
+type CallPreviewer interface {
+	// Preview returns the load of the backend server, and the refusal that the call would get now or nil.
+	Preview(call *Call) (Load, *Refusal)
+}
+
 // PickRequest describes one attempt that needs an endpoint.
 type PickRequest struct {
 	Call    CallID
--- a/io/backendhttp/admission.go
+++ b/io/backendhttp/admission.go
@@ -19,6 +19,12 @@
 	Load(route core.RouteName) core.Load
 }
 
+// AdmissionPreviewer is implemented by an Admission that can tell whether it would refuse a call.
+type AdmissionPreviewer interface {
+	// Preview returns the refusal that the call would get now, or nil.
+	Preview(call *core.Call) *core.Refusal
+}
+
 // CallResult tells an Admission how a call at the backend server ended.
 type CallResult int
 
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -406,6 +406,27 @@
 	return *s.announced, nil
 }
 
+// Preview implements core.CallPreviewer.
+func (s *Server) Preview(call *core.Call) (core.Load, *core.Refusal) {
+	load := s.admission.Load(call.Route)
+	s.mu.Lock()
+	draining := s.draining
+	_, refusal := s.targetOf(call)
+	s.mu.Unlock()
+	if draining {
+		refusal = &core.Refusal{
+			Cause: core.CauseLeaving,
+		}
+	}
+	if previewer, ok := s.admission.(AdmissionPreviewer); ok && refusal == nil {
+		refusal = previewer.Preview(call)
+	}
+	if refusal != nil {
+		refusal.Load = load
+	}
+	return load, refusal
+}
+
 func (s *Server) endCall() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -22,7 +22,10 @@
 	expiryNeeded *ring.Ring[struct{}]                  // wakes the goroutine that checks deadlines
 }
 
-var _ backendhttp.Admission = (*admission)(nil)
+var (
+	_ backendhttp.Admission          = (*admission)(nil)
+	_ backendhttp.AdmissionPreviewer = (*admission)(nil)
+)
 
 func newAdmission(options limiter.Options) (*admission, func()) {
 	a := &admission{
@@ -108,7 +111,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	decision := make(chan *core.Refusal, 1)
-	ticket, change := a.limiter.Arrive(time.Now(), limiter.Request{
+	ticket, change := a.limiter.Arrive(time.Now(), limiterRequest(call))
+	a.waiting[ticket] = decision
+	a.apply(change)
+	a.scheduleExpiry()
+	return ticket, decision
+}
+
+func limiterRequest(call *core.Call) limiter.Request {
+	return limiter.Request{
 		Tenant:       call.Tenant,
 		Priority:     call.Priority,
 		SoftDeadline: call.SoftDeadline,
@@ -116,11 +127,19 @@
 		StartBy:      call.StartBy,
 		NoWait:       call.Hedge,
 		Class:        call.Route,
-	})
-	a.waiting[ticket] = decision
-	a.apply(change)
-	a.scheduleExpiry()
-	return ticket, decision
+	}
+}
+
+// Preview implements backendhttp.AdmissionPreviewer.
+func (a *admission) Preview(call *core.Call) *core.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.limiter.WouldShed(time.Now(), limiterRequest(call)) {
+		return nil
+	}
+	return &core.Refusal{
+		Cause: core.CauseDeadline,
+	}
 }
 
 func (a *admission) admitted(ticket limiter.Ticket, refusal *core.Refusal) (func(backendhttp.CallResult), *core.Refusal) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -59,6 +59,8 @@
 	RefusalPeriod time.Duration
 	// DrainLimit is how long a planned stop may take.
 	DrainLimit time.Duration
+	// LinkBytesPerSecond is the rate of the node's link, to which long bodies of calls are paced. Zero means no pacing.
+	LinkBytesPerSecond int64
 	// EvidenceInterval is the time between two reports of evidence about open moves.
 	EvidenceInterval time.Duration
 }
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -126,6 +126,8 @@
 		Backend:    backend,
 		Logger:     p.log,
 		Metrics:    p.metrics,
+
+		LinkBytesPerSecond: p.linkBytesPerSecond(),
 	})
 	if err != nil {
 		return nil, err
@@ -138,6 +140,14 @@
 	return server, nil
 }
 
+// linkBytesPerSecond returns the rate of the link by the options or the settings, zero if neither states it.
+func (p *process) linkBytesPerSecond() int64 {
+	if p.options.LinkBytesPerSecond > 0 {
+		return p.options.LinkBytesPerSecond
+	}
+	return p.settings.LinkBytesPerSecond
+}
+
 func (p *process) newDialer(injector do.Injector) (*nodepeer.Dialer, error) {
 	backend, err := do.Invoke[*backendhttp.Server](injector)
 	if err != nil {
--- a/io/nodepeer/answer.go
+++ b/io/nodepeer/answer.go
@@ -73,6 +73,7 @@
 		if !errors.As(err, &refusal) {
 			refusal = &core.Refusal{}
 		}
+		refusal.Load = s.loadWithBodies(refusal.Load)
 		call.conn.refuse(call.key.Sequence, outcome, refusal)
 		return
 	}
@@ -90,7 +91,7 @@
 		Sequence: c.key.Sequence,
 		Status:   answer.Status,
 		Header:   answer.Header,
-		Load:     newLoadMessage(answer.Load),
+		Load:     newLoadMessage(c.conn.server.loadWithBodies(answer.Load)),
 	}
 	contentLength, err := strconv.Atoi(answer.Header.Get("Content-Length"))
 	if err == nil && contentLength >= 0 && contentLength <= core.MaxChunkBytes && c.call.Method != "HEAD" {
--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -48,6 +48,7 @@
 	lastReceived      time.Time // latest of: message from the peer, first outstanding call, end of a pause of this process
 	idleUntil         time.Time // the connection is closed at this time unless something is outstanding
 	peerStartedBefore time.Time // the peer's process started before this time
+	bodyCredit        bool      // the peer gives credit for long bodies
 	lastPing          time.Time
 	pinging           bool // the latest ping is still being written
 	lastCheck         time.Time
@@ -149,24 +150,48 @@
 	c.idleUntil = time.Now().Add(idleTimeout)
 }
 
-// sendCall sends an attempt. It returns false if the connection was lost, when part of the attempt may have been sent.
-func (c *clientConn) sendCall(sequence uint64, call *core.Call) bool {
-	open := newOpenMessage(sequence, call, time.Now())
+// sendCall sends an attempt. It returns false if the connection was lost, when part of the attempt may have been sent. It stops
+// early if the attempt has been refused or the context ends.
+func (c *clientConn) sendCall(ctx context.Context, s *stream, call *core.Call) bool {
+	c.mu.Lock()
+	waitForCredit, maxInline := c.bodyCredit, core.MaxChunkBytes
+	c.mu.Unlock()
+	if waitForCredit {
+		maxInline = maxCreditlessBytes
+	}
+	open := newOpenMessage(s.sequence, call, time.Now(), maxInline)
 	if !c.send(typeOpen, open) {
 		return false
 	}
 	if len(open.Body) == open.Length {
 		return true
 	}
+	if !waitForCredit {
+		select { // the peer may give credit, but not have said so yet
+		case <-c.welcomed:
+		case <-c.done:
+			return false
+		case <-ctx.Done():
+			return true
+		}
+		c.mu.Lock()
+		waitForCredit = c.bodyCredit
+		c.mu.Unlock()
+	}
 	for rest := call.Body; len(rest) > 0; {
 		n := min(len(rest), core.MaxChunkBytes)
-		if !c.send(typeBody, bodyMessage{Sequence: sequence, Bytes: rest[:n]}) {
+		if waitForCredit {
+			if n = s.takeBodyCredit(ctx, n); n == 0 {
+				return true
+			}
+		}
+		if !c.send(typeBody, bodyMessage{Sequence: s.sequence, Bytes: rest[:n]}) {
 			return false
 		}
 		rest = rest[n:]
 	}
 	return c.send(typeBodyEnd, sequenceMessage{
-		Sequence: sequence,
+		Sequence: s.sequence,
 	})
 }
 
@@ -301,6 +326,10 @@
 		return decodeAndHandle(received, func(m refusedMessage) error {
 			return c.deliver(m.Sequence, func(s *stream) error { return s.setRefused(m) })
 		})
+	case typeBodyCredit:
+		return decodeAndHandle(received, func(m creditMessage) error {
+			return c.deliver(m.Sequence, func(s *stream) error { return s.addBodyCredit(m.Bytes) })
+		})
 	case typeRevoked:
 		return decodeAndHandle(received, c.handleRevoked)
 	case typeKeyReply:
@@ -324,6 +353,7 @@
 		return errors.Annotate(errProtocol, "second welcome")
 	}
 	c.frames.SetPeerCompressor(message.CompressorID)
+	c.bodyCredit = message.BodyCredit
 	c.peerStartedBefore = time.Now().Add(-time.Duration(message.RunningUS) * time.Microsecond)
 	close(c.welcomed)
 	return nil
--- a/io/nodepeer/dialer.go
+++ b/io/nodepeer/dialer.go
@@ -127,7 +127,7 @@
 			Detail: err.Error(),
 		}
 	}
-	if !s.conn.sendCall(s.sequence, call) {
+	if !s.conn.sendCall(ctx, s, call) {
 		return d.resolveLostAttempt(ctx, address, s)
 	}
 	answer, refusal, err := s.await(ctx)
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -20,11 +20,14 @@
 	// redialBackoff is the time after a failed dial in which a pool with a live connection does not try to grow.
 	redialBackoff = time.Second
 	revokeTimeout = time.Second
+	// bodyCheckInterval is the minimum time between searches for calls whose bodies would arrive too late.
+	bodyCheckInterval = 50 * time.Millisecond
 	// cancelReplyTimeout bounds the wait of a cancelled attempt for the server's reply on whether it has run.
 	cancelReplyTimeout = 100 * time.Millisecond
 
 	answerWindowBytes    = 64 << 10 // flow-control window of one answer: bytes in flight or unread; 64 MiB for 1024 slow readers
 	maxBodyBytes         = 8 << 20  // of one call
+	maxCreditlessBytes   = 8 << 10  // bodies up to this length are sent without waiting for body credit
 	maxBufferedBodyBytes = 32 << 20 // bytes of all calls whose body is incomplete or queued at a server
 	defaultMaxCalls      = 4096     // at one server
 	maxConnections       = 4096     // at one server
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -30,6 +30,7 @@
 	typeCredit
 	typeKey
 	typeKeyReply
+	typeBodyCredit
 )
 
 // helloMessage states the dialer's data centre and the dictionary with which it can read compressed messages.
@@ -39,10 +40,12 @@
 	DataCentre   core.DataCentre    `msgpack:"data-centre,omitempty"`
 }
 
-// welcomeMessage states the dictionary that both ends compress with from then on, or zero for no compression.
+// welcomeMessage states the dictionary that both ends compress with from then on, or zero for no compression. With BodyCredit, the
+// dialer sends a body that is not in the open message only as the server's body credit allows.
 type welcomeMessage struct {
 	RunningUS    int64              `msgpack:"running-us"`
 	CompressorID frame.CompressorID `msgpack:"packing,omitempty"`
+	BodyCredit   bool               `msgpack:"body-credit,omitempty"`
 }
 
 type openMessage struct {
@@ -164,7 +167,8 @@
 
 type emptyMessage struct{}
 
-func newOpenMessage(sequence uint64, call *core.Call, now time.Time) openMessage {
+// newOpenMessage returns the message that opens an attempt. A body of at most maxInline bytes is part of it.
+func newOpenMessage(sequence uint64, call *core.Call, now time.Time, maxInline int) openMessage {
 	message := openMessage{
 		Sequence:       sequence,
 		CallID:         call.ID,
@@ -189,7 +193,7 @@
 		Length:         len(call.Body),
 		Checksum:       xxhash.Sum64(call.Body),
 	}
-	if len(call.Body) <= core.MaxChunkBytes {
+	if len(call.Body) <= maxInline {
 		message.Body = call.Body
 	}
 	return message
--- a/io/nodepeer/network_test.go
+++ b/io/nodepeer/network_test.go
@@ -163,10 +163,21 @@
 	server  *Server
 	dialer  *Dialer
 	stop    func() // stops the server
+
+	linkBytesPerSecond int64
 }
 
 func newTestPair(t *testing.T, connections int) *testPair {
-	pair := &testPair{network: newFakeNetwork(), backend: &countingBackend{runs: make(map[core.CallID]int)}}
+	return newPacedPair(t, connections, 0)
+}
+
+// newPacedPair returns a pair whose server paces long bodies to a rate, unless it is zero.
+func newPacedPair(t *testing.T, connections int, linkBytesPerSecond int64) *testPair {
+	pair := &testPair{
+		network:            newFakeNetwork(),
+		backend:            &countingBackend{runs: make(map[core.CallID]int)},
+		linkBytesPerSecond: linkBytesPerSecond,
+	}
 	pair.startServer(t)
 	time.Sleep(time.Second) // a server that starts at the time of the dial does not know of earlier attempts
 	dialer, stopDialer, err := NewDialer(DialerOptions{Dial: pair.network.dial, ConnectionsPerPeer: connections})
@@ -184,7 +195,7 @@
 
 func (pair *testPair) startServer(t *testing.T) {
 	var err error
-	if pair.server, pair.stop, err = NewServer(ServerOptions{Listener: pair.network, Backend: pair.backend}); err != nil {
+	if pair.server, pair.stop, err = NewServer(ServerOptions{Listener: pair.network, Backend: pair.backend, LinkBytesPerSecond: pair.linkBytesPerSecond}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -23,22 +23,24 @@
 // Guards against a second run, a wrong not-run, and a partial body taken for a complete one when a connection is cut at any
 // message.
 func TestConnectionCutAtEachMessage(t *testing.T) {
-	for _, action := range []frameAction{closeBefore, closeAfter} {
-		for position := int64(1); ; position++ {
-			cut := false
-			synctest.Test(t, func(t *testing.T) { cut = cutAt(t, action, position) })
-			if !cut {
-				qt.Assert(t, position > 12, qt.IsTrue) // hello, welcome, open, 4 body, head, 4 answer-body and the ends
-				break
+	for _, linkBytesPerSecond := range []int64{0, 1_000_000} {
+		for _, action := range []frameAction{closeBefore, closeAfter} {
+			for position := int64(1); ; position++ {
+				cut := false
+				synctest.Test(t, func(t *testing.T) { cut = cutAt(t, action, position, linkBytesPerSecond) })
+				if !cut {
+					qt.Assert(t, position > 12, qt.IsTrue) // hello, welcome, open, 4 body, head, 4 answer-body and the ends
+					break
+				}
 			}
 		}
 	}
 }
 
 // cutAt cuts the connection at a message. It returns false if the call ends before that message.
-func cutAt(t *testing.T, action frameAction, position int64) bool {
+func cutAt(t *testing.T, action frameAction, position, linkBytesPerSecond int64) bool {
 	c := qt.New(t)
-	pair := newTestPair(t, 1)
+	pair := newPacedPair(t, 1, linkBytesPerSecond)
 	var frames atomic.Int64
 	var cut atomic.Bool
 	pair.network.actionFor = func(int, bool, frame.Type) frameAction {
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyport/core"
+	"parsleyport/core/bodycredit"
 	"parsleyport/core/idempotency"
 	"parsleyport/io/frame"
 )
@@ -37,6 +38,8 @@
 	Metrics *metrics.Set
 	// MaxCalls is the maximum number of concurrent calls. Zero means 4096.
 	MaxCalls int
+	// LinkBytesPerSecond is the rate of this node's link, to which the long bodies of calls are paced. Zero means no pacing.
+	LinkBytesPerSecond int64
 
 	// DataCentre is the data centre of this node.
 	DataCentre core.DataCentre
@@ -57,19 +60,22 @@
 	revocationsDone    *metrics.Counter
 	revocationsTooLate *metrics.Counter
 
-	mu             sync.Mutex
-	attempts       *idempotency.AttemptLog
-	keys           *idempotency.KeyStore
-	memberships    map[core.ServiceName]membership
-	snapshots      heldSnapshots
-	handedOver     bool
-	holderAgesFunc func(idempotency.Key) map[core.NodeID]time.Duration // nil until NewClaims sets it
-	calls          map[idempotency.AttemptKey]*serverCall
-	connections    map[*serverConn]struct{}
-	bodyBytes      int
-	leaving        bool
-	closed         bool
-	drained        chan struct{} // closed when the server is leaving and its last call has ended
+	mu              sync.Mutex
+	attempts        *idempotency.AttemptLog
+	keys            *idempotency.KeyStore
+	memberships     map[core.ServiceName]membership
+	snapshots       heldSnapshots
+	handedOver      bool
+	holderAgesFunc  func(idempotency.Key) map[core.NodeID]time.Duration // nil until NewClaims sets it
+	calls           map[idempotency.AttemptKey]*serverCall
+	connections     map[*serverConn]struct{}
+	bodyBytes       int
+	bodies          *bodycredit.Scheduler // nil without pacing
+	callsByBody     map[bodycredit.Ticket]*serverCall
+	bodiesCheckedAt time.Time
+	leaving         bool
+	closed          bool
+	drained         chan struct{} // closed when the server is leaving and its last call has ended
 }
 
 // NewServer listens and starts to accept connections. The cleanup function closes all connections and waits for the goroutines.
@@ -104,6 +110,10 @@
 		connections:        make(map[*serverConn]struct{}),
 		drained:            make(chan struct{}),
 	}
+	if options.LinkBytesPerSecond > 0 {
+		s.bodies = bodycredit.New(options.LinkBytesPerSecond)
+		s.callsByBody = make(map[bodycredit.Ticket]*serverCall)
+	}
 	s.tasks.Go(s.accept)
 	return s, s.close, nil
 }
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/bodycredit"
 	"parsleyport/core/idempotency"
 	"parsleyport/io/frame"
 )
@@ -36,8 +37,11 @@
 
 	body               []byte
 	reservedBytes      int
-	started            bool         // run has been started, which calls Handle
-	outcome            core.Outcome // empty until Handle has returned
+	bodyTicket         bodycredit.Ticket // zero unless the call waits for its body
+	bodyGranted        chan struct{}     // has one element after grantedBytes has grown or the body has arrived
+	grantedBytes       int               // credit that has not been sent
+	started            bool              // run has been started, which calls Handle
+	outcome            core.Outcome      // empty until Handle has returned
 	pendingRevocations []pendingRevocation
 }
 
@@ -139,6 +143,7 @@
 	c.send(typeWelcome, welcomeMessage{
 		RunningUS:    time.Since(s.started).Microseconds(),
 		CompressorID: compressorID,
+		BodyCredit:   s.bodies != nil,
 	})
 	c.frames.SetPeerCompressor(compressorID)
 	if leaving {
@@ -151,6 +156,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.giveBodyCredit(now)
 	delete(s.connections, c)
 	if c.id == 0 {
 		return
@@ -210,6 +216,20 @@
 	if len(message.Body) == message.Length {
 		return c.startCall(call)
 	}
+	if s.bodies == nil {
+		return nil
+	}
+	if refusal := s.scheduleBody(call); refusal != nil {
+		s.mu.Lock()
+		s.removeCall(call, false)
+		s.mu.Unlock()
+		s.refused.Inc()
+		c.refuse(message.Sequence, core.OutcomeNotRun, refusal)
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.giveBodyCredit(now)
 	return nil
 }
 
@@ -263,6 +283,12 @@
 		return errors.Annotatef(errProtocol, "body of sequence %d is too long", message.Sequence)
 	}
 	call.body = append(call.body, message.Bytes...)
+	if s := c.server; s.bodies != nil {
+		s.mu.Lock()
+		s.bodies.Received(call.bodyTicket, len(message.Bytes))
+		s.giveBodyCredit(time.Now())
+		s.mu.Unlock()
+	}
 	return nil
 }
 
@@ -284,6 +310,8 @@
 	if s.closed || s.calls[call.key] != call {
 		return nil
 	}
+	s.endBody(call)
+	s.giveBodyCredit(time.Now())
 	call.call.Body = call.body
 	call.started = true
 	s.tasks.Go(func() { s.run(call) })
@@ -297,6 +325,7 @@
 	waiting := call != nil && !call.started
 	if waiting {
 		s.removeCall(call, false)
+		s.giveBodyCredit(time.Now())
 	}
 	s.mu.Unlock()
 	if waiting {
@@ -332,6 +361,7 @@
 		switch {
 		case !call.started:
 			s.removeCall(call, false)
+			s.giveBodyCredit(time.Now())
 			verdict = idempotency.RevocationDone
 		case call.outcome == core.OutcomeNotRun:
 			verdict = idempotency.RevocationDone
@@ -371,6 +401,7 @@
 		return
 	}
 	delete(s.calls, call.key)
+	s.endBody(call)
 	s.attempts.Ended(call.key, ran)
 	s.bodyBytes -= call.reservedBytes
 	call.cancel(nil)
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -36,6 +36,7 @@
 	unreadBytes int // bytes in chunks
 	end         *answerEndMessage
 	closed      bool
+	bodyCredit  int // bytes of the call's body that may be sent
 }
 
 func newStream(c *clientConn, sequence uint64, cancel context.CancelFunc) *stream {
@@ -135,6 +136,43 @@
 	}
 }
 
+func (s *stream) addBodyCredit(bytes int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if bytes <= 0 || s.bodyCredit+bytes > maxBodyBytes {
+		return errors.Annotatef(errProtocol, "body credit of %d bytes for sequence %d", bytes, s.sequence)
+	}
+	s.bodyCredit += bytes
+	s.signal()
+	return nil
+}
+
+// takeBodyCredit waits until bytes of the body may be sent and returns their number, at most the given one. It returns zero if the
+// attempt has a result already, or the connection or the context has ended.
+func (s *stream) takeBodyCredit(ctx context.Context, most int) int {
+	for {
+		s.mu.Lock()
+		taken := min(s.bodyCredit, most)
+		s.bodyCredit -= taken
+		ended := s.head != nil || s.refused != nil
+		s.mu.Unlock()
+		switch {
+		case ended:
+			s.signal() // await reads the result
+			return 0
+		case taken > 0:
+			return taken
+		}
+		select {
+		case <-s.changed:
+		case <-s.conn.done:
+			return 0
+		case <-ctx.Done():
+			return 0
+		}
+	}
+}
+
 func (s *stream) hasResult() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/settings/node.go
+++ b/io/settings/node.go
@@ -21,8 +21,13 @@
 	ControlAddresses []string
 	Service          core.ServiceName // of the local backend server, empty until it announces itself
 	LogLevel         zerolog.Level
+	// LinkBytesPerSecond is the rate of the node's link, to which long bodies of calls are paced; zero if it is not stated.
+	LinkBytesPerSecond int64
 }
 
+// maxLinkKilobytes is 100 Gbit/s.
+const maxLinkKilobytes = 12_500_000
+
 var nodeAddressKeys = []string{"caller-address", "peer-address", "relay-address", "backend-address", "admin-address"}
 
 // LoadNode reads and checks the settings of a node; it returns an *Error with all faults.
@@ -54,6 +59,9 @@
 		AdminAddress:   top.address("admin-address"),
 		LogLevel:       top.logLevel("log-level"),
 	}
+	if kilobytes := top.integer("link-kilobytes-per-second", 1, maxLinkKilobytes, 0); kilobytes > 0 {
+		node.LinkBytesPerSecond = int64(kilobytes) * 1000
+	}
 	node.ControlAddresses = readAddresses(r, top.list("control-addresses", "list of the node addresses of control instances"))
 	ownAddresses := []string{node.CallerAddress, node.PeerAddress, node.RelayAddress, node.BackendAddress, node.AdminAddress}
 	top.checkDistinct(nodeAddressKeys, ownAddresses)
