core: interface between request admission and quotas

Quotas are built in a separate package and need the interface first. core gets QuotaUnit and QuotaLimiter, Refusal gets RetryAfter, and there are causes for an unknown key (401), a used quota (429) and an unavailable one (503). callerhttp takes one unit for each call of a tenant with a limit, after idempotency keys have been claimed, so that a resend that gets a recorded answer costs none. It gives the unit back unless a backend server may have run the call or has refused it itself. No request is limited before tenants exist.

Unit tests of core/retry, io/callerhttp and io/cli pass.

--- a/core/call.go
+++ b/core/call.go
@@ -42,6 +42,10 @@
 	CauseOverloaded     RefusalCause = "backend-server-overloaded"
 	CauseMisdirected    RefusalCause = "another-backend-server-has-the-address"
 	CauseTooLarge       RefusalCause = "request-too-large"
+
+	CauseUnknownKey       RefusalCause = "unknown-key"       // answered with status 401
+	CauseQuotaUsed        RefusalCause = "quota-used"        // answered with status 429
+	CauseQuotaUnavailable RefusalCause = "quota-unavailable" // it is not known whether the quota is used
 )
 
 // Call is one request on its way to a backend server. Its deadlines are points in time on the local clock.
@@ -87,9 +91,10 @@
 
 // Refusal is the error of an attempt with OutcomeNotRun.
 type Refusal struct {
-	Cause  RefusalCause
-	Detail string
-	Load   Load // of the backend server whose node refused
+	Cause      RefusalCause
+	Detail     string
+	Load       Load      // of the backend server whose node refused
+	RetryAfter time.Time // when the call may be sent again, zero if unknown; it stays within the node
 }
 
 // Error implements error.
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -114,3 +114,17 @@
 	// RecordRejected counts one call whose first attempt a backend server had no capacity for.
 	RecordRejected(service ServiceName, route RouteName, release Release)
 }
+
+// QuotaUnit is one admitted request of a tenant.
+type QuotaUnit struct {
+	Tenant TenantID
+	At     time.Time
+}
+
+// QuotaLimiter admits the requests of tenants within their quotas.
+type QuotaLimiter interface {
+	// Take takes one unit, or returns a refusal with CauseQuotaUsed or CauseQuotaUnavailable. It may wait for units.
+	Take(ctx context.Context, tenant TenantID) (QuotaUnit, *Refusal)
+	// GiveBack returns the unit of a request that reached no backend server.
+	GiveBack(unit QuotaUnit)
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -57,7 +57,8 @@
 	switch cause {
 	case core.CauseLeaving, core.CauseNoBackend, core.CauseConnectFailed, core.CauseBackendRefused, core.CauseMisdirected, core.CauseRevoked:
 		return RetryFree
-	case core.CauseCrashSuspect, core.CauseTooDeep, core.CauseMalformedCall, core.CauseDuplicateCall, core.CauseNoRoute, core.CauseNotConfirmed, core.CauseTenantShare, core.CauseTooLarge:
+	case core.CauseCrashSuspect, core.CauseTooDeep, core.CauseMalformedCall, core.CauseDuplicateCall, core.CauseNoRoute, core.CauseNotConfirmed, core.CauseTenantShare, core.CauseTooLarge,
+		core.CauseUnknownKey, core.CauseQuotaUsed, core.CauseQuotaUnavailable:
 		return Final
 	}
 	return RetryBudgeted
--- a/io/callerhttp/keyed.go
+++ b/io/callerhttp/keyed.go
@@ -45,7 +45,7 @@
 func (s *Server) runClaimed(ctx context.Context, w http.ResponseWriter, req *request) {
 	ctx, cancel := context.WithDeadline(ctx, req.call.Deadline)
 	defer cancel()
-	last := s.attemptCall(ctx, req)
+	last := s.attemptWithinQuota(ctx, req)
 	r := &recorder{
 		verdict: idempotency.VerdictUnknown,
 	}
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -37,9 +38,11 @@
 	arrivedAt        time.Time
 	callerDeadline   time.Time // time until which the caller waits, later than the call's deadline if the route has a shorter timeout
 	weights          []core.Weight
-	attemptCount     int  // including attempts that found no endpoint
-	capacityRefusals int  // that were retried without cost to the retry budget
-	countedAsWaiting bool // in Server.waiting
+	attemptCount     int         // including attempts that found no endpoint
+	capacityRefusals int         // that were retried without cost to the retry budget
+	countedAsWaiting bool        // in Server.waiting
+	limited          bool        // the tenant has a limit
+	reachedBackend   atomic.Bool // a backend server itself has refused an attempt
 	fingerprints     []idempotency.Fingerprint
 }
 
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -112,7 +112,7 @@
 		s.serveKeyed(ctx, w, req)
 		return
 	}
-	s.deliver(ctx, w, req, s.attemptCall(ctx, req), nil)
+	s.deliver(ctx, w, req, s.attemptWithinQuota(ctx, req), nil)
 }
 
 // deliver answers the caller with the result of its call. The recorder, if it is not nil, gets a copy of the body.
@@ -316,6 +316,9 @@
 		latency:  time.Since(startedAt),
 		load:     reportedLoad(answer, err),
 	}
+	if outcome == core.OutcomeNotRun && refusedByBackend(causeOf(err)) {
+		req.reachedBackend.Store(true)
+	}
 	s.recordAttempt(req.route.Service, last)
 	return last
 }
@@ -457,19 +460,22 @@
 	setHeader(w.Header(), s.options.Headers.Outcome, string(core.OutcomeNotRun))
 	setHeader(w.Header(), s.options.Headers.Cause, string(refused.Cause))
 	status := statusOf(refused.Cause)
-	if status == http.StatusServiceUnavailable && s.options.RetryAfter != nil {
+	switch {
+	case !refused.RetryAfter.IsZero():
+		w.Header().Set("Retry-After", s.formatRetryAfter(time.Until(refused.RetryAfter)))
+	case status == http.StatusServiceUnavailable && s.options.RetryAfter != nil:
 		wait := s.options.RetryAfter(retry.RefusedCall{
 			Now:            time.Now(),
 			CallerDeadline: callerDeadline,
 			Cause:          refused.Cause,
 		})
-		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		w.Header().Set("Retry-After", s.formatRetryAfter(wait))
 	}
 	http.Error(w, refused.Error(), status)
 	return status
 }
 
-// statusOf returns 503 for refusals after which the call may be sent again, and a 4xx status for invalid calls.
+// statusOf returns 503 or 429 for refusals after which the call may be sent again, and another 4xx status for invalid calls.
 func statusOf(cause core.RefusalCause) int {
 	switch cause {
 	case core.CauseNoRoute:
@@ -478,6 +484,10 @@
 		return http.StatusBadRequest
 	case core.CauseTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case core.CauseUnknownKey:
+		return http.StatusUnauthorized
+	case core.CauseQuotaUsed:
+		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
 }
@@ -488,7 +498,8 @@
 	case core.CauseNoRoute, core.CauseNoEndpoint, core.CauseNotConfirmed, core.CauseLeaving, core.CauseNoBackend,
 		core.CauseDeadline, core.CauseQueueFull, core.CauseTenantShare, core.CauseRevoked, core.CauseCrashSuspect,
 		core.CauseTooDeep, core.CauseConnectFailed, core.CauseMalformedCall,
-		core.CauseDuplicateCall, core.CauseBackendRefused, core.CauseOverloaded, core.CauseMisdirected, core.CauseTooLarge:
+		core.CauseDuplicateCall, core.CauseBackendRefused, core.CauseOverloaded, core.CauseMisdirected, core.CauseTooLarge,
+		core.CauseUnknownKey, core.CauseQuotaUsed, core.CauseQuotaUnavailable:
 		return cause
 	}
 	return "other"
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -84,6 +84,8 @@
 	CallCompleted func(idempotency.Fingerprint)
 	// Keys claims idempotency keys. If it is nil, the keys of calls are ignored.
 	Keys KeyClaimer
+	// Quota admits the calls of tenants with a limit. If it is nil, there are no limits.
+	Quota core.QuotaLimiter
 	// MaxBodyBytes bounds a request body. Zero means 8 MiB, which is the most that io/nodepeer carries.
 	MaxBodyBytes int64
 	// Headers names the HTTP headers; the zero value stands for the default names.
