core: tenant records with API keys, in rules version 5

Callers of different tenants cannot be told apart in a way that operators control. A record of the new kind tenant holds an id, API keys, a rate, a burst and a priority. The state machine refuses tenants before rules version 5, and operatorhttp keeps such submissions out of the log, since an older program would store them. The audit trail counts the keys that a change adds and removes. Dumps and the output of commands show no keys, except all records as JSON; error answers of the operators' API no longer repeat refused values.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -255,7 +255,7 @@
 		return commandSummary{
 			id:       b.ID,
 			operator: b.Operator,
-			changes:  describeSubmission(b),
+			changes:  c.describeSubmission(b),
 			owners:   c.ownersOf(b),
 		}
 	case core.MoveRequest:
@@ -299,17 +299,27 @@
 	return tenants
 }
 
-func describeSubmission(s core.Submission) []string {
+func (c *Catalog) describeSubmission(s core.Submission) []string {
 	changes := make([]string, 0, len(s.Records)+len(s.Deletes))
 	for _, r := range s.Records {
-		changes = append(changes, "set "+describe(r.Key(), r.Version))
+		changes = append(changes, "set "+describe(r.Key(), r.Version)+c.describeKeyChanges(r.Key(), r.Body))
 	}
 	for _, d := range s.Deletes {
-		changes = append(changes, "delete "+describe(deletionKey(d), d.Version))
+		changes = append(changes, "delete "+describe(deletionKey(d), d.Version)+c.describeKeyChanges(deletionKey(d), nil))
 	}
 	return changes
 }
 
+// describeKeyChanges states how many API keys a change of a tenant adds and removes. The audit trail holds no keys.
+func (c *Catalog) describeKeyChanges(key core.RecordKey, body []byte) string {
+	if key.Kind != core.KindTenant {
+		return ""
+	}
+	current, _ := c.configuration.Record(key)
+	added, removed := record.KeyChanges(current.Body, body)
+	return fmt.Sprintf(", API keys: %d added, %d removed", added, removed)
+}
+
 func describe(key core.RecordKey, version core.RecordVersion) string {
 	return fmt.Sprintf("%s %s schema %d version %d", key.Kind, key.Name, key.SchemaVersion, version)
 }
--- a/core/catalog/expectations.go
+++ b/core/catalog/expectations.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"parsleyport/core"
 )
@@ -24,13 +25,40 @@
 }
 
 func (c *Catalog) checkRequiredRules(s core.Submission) *Verdict {
-	if c.rules >= DeclarationRules || !needsDeclarationRules(s) {
+	required := requiredRules(s)
+	if c.rules >= required {
 		return nil
 	}
-	refusal := refused(CauseRules, "rules version %d is in force, the submission needs version %d", c.rules, DeclarationRules)
+	refusal := refused(CauseRules, "rules version %d is in force, the submission needs version %d", c.rules, required)
 	return &refusal
 }
 
+// RulesRefusal returns the refusal of a submission that needs newer rules than those in force; it is false if they suffice. Callers use
+// it to keep such a submission out of the log, since a program that does not know these rules would not refuse it.
+func (c *Catalog) RulesRefusal(at time.Time, s core.Submission) (Verdict, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	refusal := c.checkRequiredRules(s)
+	if refusal == nil {
+		return Verdict{}, false
+	}
+	refusal.Submission, refusal.At = s.ID, at.UTC()
+	return c.withRevision(*refusal), true
+}
+
+// requiredRules returns the rules version that a submission needs.
+func requiredRules(s core.Submission) core.RulesVersion {
+	for _, r := range s.Records {
+		if r.Kind == core.KindTenant {
+			return TenantRules
+		}
+	}
+	if needsDeclarationRules(s) {
+		return DeclarationRules
+	}
+	return firstRules
+}
+
 func needsDeclarationRules(s core.Submission) bool {
 	if len(s.Expect) > 0 {
 		return true
--- a/core/catalog/rules.go
+++ b/core/catalog/rules.go
@@ -18,10 +18,12 @@
 	DeclarationRules core.RulesVersion = 3
 	// DepartureRules is the first rules version in which departures are stored.
 	DepartureRules core.RulesVersion = 4
+	// TenantRules is the first rules version in which submissions may have tenants.
+	TenantRules core.RulesVersion = 5
 	// KnownRules is the newest version of the rules for deciding commands that this program knows. Any change of how a command is
 	// decided needs a new version, and the old rules stay for older log entries: all control instances must decide each entry in
 	// the same way, also during an upgrade.
-	KnownRules = DepartureRules
+	KnownRules = TenantRules
 )
 
 // ErrRulesUnknown means that the rules version in force is newer than this program knows.
--- a/core/record.go
+++ b/core/record.go
@@ -1,6 +1,9 @@
 package core
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"fmt"
+)
 
 // Kind names the type of a record.
 type Kind string
@@ -13,6 +16,9 @@
 	KindPolicy   Kind = "policy"
 	// KindDeclaration versions a configuration that is submitted as a whole. The record's version is the operators' number for it.
 	KindDeclaration Kind = "declaration"
+	// KindTenant names a tenant with its API keys and limits. If a configuration has such records, callers are told apart by their
+	// API keys.
+	KindTenant Kind = "tenant"
 )
 
 // Record is one versioned configuration record. Body stays undecoded so that relays pass on fields that they do not know.
@@ -122,9 +128,28 @@
 	TargetLatencyMS int64             `json:"target-latency-ms,omitempty"` // soft deadline, 0 if not stated
 	MaxAttempts     int               `json:"max-attempts,omitempty"`      // overrides the policy's value
 	Priority        Priority          `json:"priority,omitempty"`
+	AllowAnonymous  bool              `json:"allow-anonymous,omitempty"` // serve requests without a known API key; without effect if there are no tenants
 	Annotations     map[string]string `json:"annotations,omitempty"`
 }
 
+// TenantBody is the body of a tenant record, schema version 1. A RatePerS of zero means no limit.
+type TenantBody struct {
+	ID          TenantID          `json:"id,omitempty"` // the record's name if empty
+	APIKeys     []string          `json:"api-keys,omitempty"`
+	RatePerS    int64             `json:"rate-per-s,omitempty"` // requests per second over all nodes
+	Burst       int64             `json:"burst,omitempty"`      // requests in addition to the rate
+	Priority    *Priority         `json:"priority,omitempty"`   // replaces the priority of routes and services, nil if not stated
+	Annotations map[string]string `json:"annotations,omitempty"`
+}
+
+// String implements fmt.Stringer without the API keys, so that no log line or error shows them.
+func (b TenantBody) String() string {
+	return fmt.Sprintf("tenant %q with %d API keys", b.ID, len(b.APIKeys))
+}
+
+// Limited reports whether the requests of the tenant are limited.
+func (b TenantBody) Limited() bool { return b.RatePerS > 0 }
+
 // ServiceShare is the weight of one service in the split of a route.
 type ServiceShare struct {
 	Service ServiceName `json:"service"`
--- a/core/record/configuration.go
+++ b/core/record/configuration.go
@@ -35,6 +35,7 @@
 	upstreams map[core.UpstreamName]core.UpstreamBody
 	policies  map[core.ServiceName]core.PolicyBody
 	routes    routeTable
+	tenants   tenantTable
 
 	declaration core.DeclarationBody
 }
@@ -111,12 +112,18 @@
 		upstreams:   previous.upstreams,
 		policies:    previous.policies,
 		routes:      previous.routes,
+		tenants:     previous.tenants,
 		declaration: previous.declaration,
 	}
 	if err := c.indexEntries(changed); err != nil {
 		return nil, err
 	}
-	c.routes = previous.routes.patch(changedRoutes(previous.entries, entries, changed))
+	c.routes = previous.routes.patch(changedBodies[Route](core.KindRoute, previous.entries, entries, changed))
+	tenants, err := previous.tenants.patch(changedBodies[tenant](core.KindTenant, previous.entries, entries, changed))
+	if err != nil {
+		return nil, err
+	}
+	c.tenants = tenants
 	if err := c.checkReferences(); err != nil {
 		return nil, err
 	}
--- a/core/record/entry.go
+++ b/core/record/entry.go
@@ -13,7 +13,7 @@
 // entry is a record with its decoded body. Entries are never changed, and all configurations with the same record share its entry.
 type entry struct {
 	record core.Record
-	body   any   // *Route for a route; nil for kinds and schema versions that this program does not know
+	body   any   // *Route for a route, *tenant for a tenant; nil for kinds and schema versions that this program does not know
 	err    error // of decoding the body
 }
 
@@ -103,23 +103,40 @@
 	return next.SchemaVersion > NewestSchema || next.Kind != r.Kind || next.Name != r.Name
 }
 
-// changedRoutes returns the routes that the changes of some keys take out of use and bring into use.
-func changedRoutes(before, after []*entry, changed []core.RecordKey) (removed map[*Route]bool, added []*Route) {
-	removed = make(map[*Route]bool)
+// changedBodies returns the bodies of a kind that the changes of some keys take out of use and bring into use.
+func changedBodies[T any](kind core.Kind, before, after []*entry, changed []core.RecordKey) (removed map[*T]bool, added []*T) {
+	removed = make(map[*T]bool)
 	for i, key := range changed {
-		if key.Kind != core.KindRoute || i > 0 && changed[i-1].Kind == key.Kind && changed[i-1].Name == key.Name {
+		if key.Kind != kind || i > 0 && changed[i-1].Kind == key.Kind && changed[i-1].Name == key.Name {
 			continue
 		}
 		if e := usedEntry(before, key); e != nil {
-			removed[e.body.(*Route)] = true
+			removed[e.body.(*T)] = true
 		}
 		if e := usedEntry(after, key); e != nil {
-			added = append(added, e.body.(*Route))
+			added = append(added, e.body.(*T))
 		}
 	}
 	return removed, added
 }
 
+// patchSorted returns a sorted list without some elements and with others, which it sorts; the list itself is unchanged.
+func patchSorted[T any](sorted []*T, removed map[*T]bool, added []*T, compare func(a, b *T) int) []*T {
+	slices.SortFunc(added, compare)
+	patched := make([]*T, 0, len(sorted)-len(removed)+len(added))
+	for _, element := range sorted {
+		if removed[element] {
+			continue
+		}
+		for len(added) > 0 && compare(added[0], element) < 0 {
+			patched = append(patched, added[0])
+			added = added[1:]
+		}
+		patched = append(patched, element)
+	}
+	return append(patched, added...)
+}
+
 // indexEntries decides which lookup tables the changes concern and makes those anew. Records of kinds that a later program version
 // added are only forwarded.
 func (c *Configuration) indexEntries(changed []core.RecordKey) error {
@@ -185,6 +202,9 @@
 		return newRoute(core.RouteName(r.Name), body), err
 	case core.KindDeclaration:
 		return decode[core.DeclarationBody](r)
+	case core.KindTenant:
+		body, err := decode[core.TenantBody](r)
+		return newTenant(r.Name, body), err
 	}
 	return nil, nil
 }
--- a/core/record/route.go
+++ b/core/record/route.go
@@ -61,21 +61,9 @@
 	if len(removed) == 0 && len(added) == 0 {
 		return t
 	}
-	slices.SortFunc(added, compareRoutes)
 	patched := routeTable{
-		sorted: make([]*Route, 0, len(t.sorted)-len(removed)+len(added)),
+		sorted: patchSorted(t.sorted, removed, added, compareRoutes),
 	}
-	for _, route := range t.sorted {
-		if removed[route] {
-			continue
-		}
-		for len(added) > 0 && compareRoutes(added[0], route) < 0 {
-			patched.sorted = append(patched.sorted, added[0])
-			added = added[1:]
-		}
-		patched.sorted = append(patched.sorted, route)
-	}
-	patched.sorted = append(patched.sorted, added...)
 	for _, route := range patched.sorted {
 		patched.maxPrefixBytes = max(patched.maxPrefixBytes, len(route.PathPrefix))
 	}
--- a/core/record/schema.go
+++ b/core/record/schema.go
@@ -26,6 +26,10 @@
 	maxWeights         = 32
 	maxShareWeight     = 1 << 32 // so that the sum of maxWeights of them fits in 64 bits
 	defaultMaxAttempts = 3
+	maxTenantIDBytes   = 128
+	maxTenantKeys      = 64
+	maxKeyBytes        = 512
+	maxRate            = 1_000_000_000 // so that the sum over a window of any length fits in 64 bits
 	supportedMethods   = "GET HEAD POST PUT PATCH DELETE OPTIONS"
 )
 
@@ -71,8 +75,10 @@
 		return checkPolicy(r.Body)
 	case core.KindDeclaration:
 		return checkDeclaration(r.Body)
+	case core.KindTenant:
+		return checkTenant(r.Body)
 	}
-	return errors.Errorf("unknown kind, expected service, upstream, route, policy or declaration")
+	return errors.Errorf("unknown kind, expected service, upstream, route, policy, declaration or tenant")
 }
 
 func checkService(body []byte) error {
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -51,7 +51,7 @@
 	commandMembersRemove  = "members remove"
 )
 
-var recordKinds = []string{string(core.KindService), string(core.KindUpstream), string(core.KindPolicy), string(core.KindRoute)}
+var recordKinds = []string{string(core.KindService), string(core.KindUpstream), string(core.KindPolicy), string(core.KindRoute), string(core.KindTenant)}
 
 const derivedIDHelp = "derived from the content"
 
@@ -179,9 +179,9 @@
 	status := app.Command(commandStatus, "Show accepted and in-force revisions, nodes and control instances.\n\nExample: parsleyport status --server 127.0.0.1:7101 --output json")
 	status.Flag("nodes", "List each node with its latest report.").BoolVar(&r.listNodes)
 
-	records := app.Command(commandRecords, "Show the accepted records.\n\nExample: parsleyport records --server 127.0.0.1:7101 --service orders --kind policy")
+	records := app.Command(commandRecords, "Show the accepted records. API keys of tenants are shown only in all records as JSON.\n\nExample: parsleyport records --server 127.0.0.1:7101 --service orders --kind policy")
 	records.Arg("name", "Only records of this name.").StringVar(&r.recordFilter.Name)
-	records.Flag("kind", "Only records of this kind: service, upstream, policy or route.").EnumVar((*string)(&r.recordFilter.Kind), recordKinds...)
+	records.Flag("kind", "Only records of this kind: service, upstream, policy, route or tenant.").EnumVar((*string)(&r.recordFilter.Kind), recordKinds...)
 	records.Flag("service", "Only this service and the records that belong to it.").StringVar((*string)(&r.recordFilter.Service))
 
 	audit := app.Command(commandAudit, "Show the latest entries of the audit trail.\n\nExample: parsleyport audit --server 127.0.0.1:7101 --operator amina --limit 20")
--- a/io/cli/recordfile.go
+++ b/io/cli/recordfile.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
@@ -85,13 +87,10 @@
 	var faults fileError
 	for i, r := range submission.Records {
 		if err := record.CheckRecord(r); err != nil {
-			line := 1
-			if at := value.Find(fmt.Sprintf("/records/%d", i)); at != nil {
-				line = lineAt(source, int64(at.StartOffset))
-			}
-			faults = append(faults, singleFault(file, line, err.Error())...)
+			faults = append(faults, singleFault(file, lineOf(source, value, recordPointers(i, err)...), err.Error())...)
 		}
 	}
+	faults = append(faults, sharedKeys(file, source, value, submission.Records)...)
 	if len(faults) == 0 && len(submission.Records)+len(submission.Deletes) == 0 {
 		faults = singleFault(file, 1, "records or deletes are needed")
 	}
@@ -121,6 +120,57 @@
 	return faults
 }
 
+// recordPointers returns JSON pointers to the field that an error of a record names and to the record itself.
+func recordPointers(index int, err error) []string {
+	whole := fmt.Sprintf("/records/%d", index)
+	if field, is := errors.AsType[*record.FieldError](err); is {
+		return []string{whole + "/body/" + field.Pointer, whole}
+	}
+	if typeError, is := errors.AsType[*json.UnmarshalTypeError](err); is && typeError.Field != "" {
+		return []string{whole + "/body/" + strings.ReplaceAll(typeError.Field, ".", "/"), whole}
+	}
+	return []string{whole}
+}
+
+// lineOf returns the line of the first of several JSON pointers that exists, or 1.
+func lineOf(source []byte, value hujson.Value, pointers ...string) int {
+	for _, pointer := range pointers {
+		if at := value.Find(pointer); at != nil {
+			return lineAt(source, int64(at.StartOffset))
+		}
+	}
+	return 1
+}
+
+// sharedKeys returns a fault for each id and API key that a tenant of the file has in common with an earlier one. The keys themselves
+// are not shown.
+func sharedKeys(file string, source []byte, value hujson.Value, records []core.Record) (faults fileError) {
+	idOwners, keyOwners := make(map[core.TenantID]string), make(map[string]string)
+	for i, r := range records {
+		var tenant core.TenantBody
+		if r.Kind != core.KindTenant || json.Unmarshal(r.Body, &tenant) != nil {
+			continue
+		}
+		report := func(field, owner string) {
+			pointer := fmt.Sprintf("/records/%d/body/%s", i, field)
+			line := lineOf(source, value, pointer, fmt.Sprintf("/records/%d", i))
+			faults = append(faults, singleFault(file, line, fmt.Sprintf("tenant record %q: %s is the same as one of tenant record %q", r.Name, field, owner))...)
+		}
+		id := cmp.Or(tenant.ID, core.TenantID(r.Name))
+		if owner, exists := idOwners[id]; exists && owner != r.Name {
+			report("id", owner)
+		}
+		idOwners[id] = r.Name
+		for k, key := range tenant.APIKeys {
+			if owner, exists := keyOwners[key]; exists && owner != r.Name {
+				report(fmt.Sprintf("api-keys/%d", k), owner)
+			}
+			keyOwners[key] = r.Name
+		}
+	}
+	return faults
+}
+
 func errorOffset(decoder *json.Decoder, err error) int64 {
 	if typeError, ok := errors.AsType[*json.UnmarshalTypeError](err); ok {
 		return typeError.Offset
--- a/io/cli/show.go
+++ b/io/cli/show.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"parsleyport/core/catalog"
+	"parsleyport/core/record"
 	"parsleyport/io/operatorhttp"
 )
 
@@ -100,6 +101,11 @@
 	if err != nil {
 		return p.failRequest(err)
 	}
+	if o.json && o.recordFilter == (operatorhttp.RecordFilter{}) { // the whole configuration, as it was submitted
+		p.printJSON(records)
+		return StatusOK
+	}
+	records.Records = record.Redact(records.Records)
 	if o.json {
 		p.printJSON(records)
 		return StatusOK
--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -48,7 +48,7 @@
 		Backend:      announced,
 		Endpoints:    make(map[core.ServiceName][]core.Endpoint),
 		Balancer:     do.MustInvoke[*balancer.Balancer](injector).Status(time.Now()),
-		Records:      configuration.Records(),
+		Records:      record.Redact(configuration.Records()),
 	}
 	for _, service := range configuration.Services() {
 		d.Endpoints[service] = subscriber.Endpoints(service)
--- a/io/operatorhttp/dump.go
+++ b/io/operatorhttp/dump.go
@@ -10,6 +10,7 @@
 	"parsleyport/core"
 	"parsleyport/core/catalog"
 	"parsleyport/core/raft"
+	"parsleyport/core/record"
 )
 
 // dump is the state of a control instance for support. It holds no secrets.
@@ -73,7 +74,7 @@
 		Moves:      s.moves(catalog.Principal{}),
 		Revision:   configuration.Revision(),
 		Hash:       configuration.Hash(),
-		Records:    configuration.Records(),
+		Records:    record.Redact(configuration.Records()),
 	}
 	for _, service := range configuration.Services() {
 		d.Endpoints[service] = s.options.Fleet.Endpoints(service)
--- a/io/operatorhttp/operations.go
+++ b/io/operatorhttp/operations.go
@@ -81,6 +81,18 @@
 }
 
 func (s *Server) submit(ctx context.Context, input *submitInput) (*verdictOutput, error) {
+	if _, refused := s.options.Catalog.RulesRefusal(time.Now(), input.Body); refused {
+		if err := s.confirmRead(ctx); err != nil {
+			return nil, err
+		}
+		if verdict, refused := s.options.Catalog.RulesRefusal(time.Now(), input.Body); refused {
+			s.countVerdict(catalog.ActionSubmit, verdict)
+			return &verdictOutput{
+				Status: http.StatusConflict,
+				Body:   verdict,
+			}, nil
+		}
+	}
 	command, err := catalog.EncodeSubmit(time.Now(), s.options.Fleet.Fleet().SchemaFloor, input.Body)
 	return s.propose(ctx, catalog.ActionSubmit, input.Body.Operator, command, err)
 }
--- a/io/operatorhttp/server.go
+++ b/io/operatorhttp/server.go
@@ -82,6 +82,7 @@
 	config := huma.DefaultConfig("parsleyport operators' API", "1")
 	config.DocsPath, config.SchemasPath = "", "" // the documentation page loads scripts from other hosts
 	config.CreateHooks = nil                     // no schema links in answers
+	config.Transformers = append(config.Transformers, withoutValues)
 	api := humago.New(mux, config)
 	s.register(api)
 	root := http.NewServeMux()
@@ -92,6 +93,16 @@
 	return root
 }
 
+// withoutValues removes the refused values from error answers, since they may hold API keys. The locations and messages stay.
+func withoutValues(_ huma.Context, _ string, answer any) (any, error) {
+	if problem, is := answer.(*huma.ErrorModel); is {
+		for _, detail := range problem.Errors {
+			detail.Value = nil
+		}
+	}
+	return answer, nil
+}
+
 // readWholeBody reads the body before huma does: huma answers a truncated body with status 500, from which the client would conclude
 // that the command may have been proposed.
 func (s *Server) readWholeBody(next http.Handler) http.Handler {
