callerhttp: admit requests by API key

Where the configuration has tenants, a request's tenant comes from its key only, and a request without a known key is refused with status 401 unless its route allows anonymous calls. core/callerauth decides. A node that has not heard from a leader through its control instance within 1.2 s answers 503 instead of 401, since the key may be newer than its configuration; the distribution tree tells nodes below a relay so, only if there are tenants. Credentials of the key scheme are removed, also on routes for anonymous calls, and the backend server gets the tenant's id in a header that callers can neither set nor hide with Connection.

--- a/core/headers.go
+++ b/core/headers.go
@@ -7,7 +7,7 @@
 	Deadline       string // remaining time in milliseconds
 	Attempts       string // attempts left for nested calls
 	Depth          string // number of nested calls
-	Tenant         string
+	Tenant         string // tenant that a caller states; ignored where the configuration has tenants
 	Session        string
 	IdempotencyKey string
 
@@ -16,6 +16,7 @@
 	Release  string // in answers: the release that answered
 	Revision string // in answers: the configuration revision by which the call was routed
 
+	BackendTenant    string // to backend servers: the tenant whose API key the request had
 	CallerService    string // to backend servers: the service whose node accepted the call
 	ExpectedInstance string // to backend servers: the instance that the call is addressed to
 	NotRun           string // from backend servers: the call has not been run
@@ -37,6 +38,7 @@
 		Release:  "Parsleyport-Release",
 		Revision: "Parsleyport-Revision",
 
+		BackendTenant:    "Parsleyport-Tenant-Id",
 		CallerService:    "Parsleyport-Caller-Service",
 		ExpectedInstance: "Parsleyport-Expected-Instance",
 		NotRun:           "Parsleyport-Not-Run",
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/callerauth"
 	"parsleyport/core/idempotency"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
@@ -72,6 +73,10 @@
 	if !matched {
 		return nil, newRefusal(core.CauseNoRoute, "")
 	}
+	admission := callerauth.Admit(configuration, route, r.Header["Authorization"], s.options.KeyScheme, s.options.LeaderHeard)
+	if admission.Refusal != "" {
+		return nil, newRefusal(admission.Refusal, "the request has no API key that this node knows")
+	}
 	route.Service = drawService(route, rand.Int64N)
 	numbers, malformed := parseNumericHeaders(names, r.Header)
 	if malformed != nil {
@@ -108,7 +113,7 @@
 	if numbers.remaining >= 0 {
 		callerDeadline = now.Add(numbers.remaining)
 	}
-	call := s.newCall(r, configuration, route, deadline, numbers.depth+1)
+	call := s.newCall(r, configuration, route, admission, deadline, numbers.depth+1)
 	call.SoftDeadline, call.StartBy = softDeadline, s.startDeadline(now)
 	return &request{
 		configuration:  configuration,
@@ -119,6 +124,7 @@
 		arrivedAt:      now,
 		callerDeadline: callerDeadline,
 		weights:        configuration.Weights(route.Service),
+		limited:        admission.Tenant.Limited(),
 	}, nil
 }
 
@@ -204,10 +210,13 @@
 	return n, nil
 }
 
-func (s *Server) newCall(r *http.Request, configuration *record.Configuration, route record.Route, deadline time.Time, depth int) *core.Call {
+func (s *Server) newCall(r *http.Request, configuration *record.Configuration, route record.Route, admission callerauth.Admission, deadline time.Time, depth int) *core.Call {
 	service, _ := configuration.Service(route.Service)
 	names := &s.options.Headers
-	tenant := core.TenantID(headerValue(r.Header, names.Tenant))
+	tenant := admission.Tenant.ID
+	if !configuration.HasTenants() {
+		tenant = core.TenantID(headerValue(r.Header, names.Tenant))
+	}
 	if tenant == "" {
 		tenant = service.Tenant
 	}
@@ -215,6 +224,9 @@
 	if priority == 0 {
 		priority = service.Priority
 	}
+	if admission.Tenant.Priority != nil {
+		priority = *admission.Tenant.Priority
+	}
 	id := core.CallID("")
 	if s.options.CallerSetsCallID {
 		id = core.CallID(headerValue(r.Header, names.CallID))
@@ -229,6 +241,9 @@
 			header.Set(names.CallerService, string(s.options.CallerService()))
 		}
 	}
+	if configuration.HasTenants() {
+		s.replaceCredentials(header, admission)
+	}
 	return &core.Call{
 		ID:             id,
 		Tenant:         tenant,
@@ -247,6 +262,29 @@
 	}
 }
 
+// replaceCredentials replaces the API key of a request by the id of the tenant that it belongs to. The key stays at this node.
+func (s *Server) replaceCredentials(header http.Header, admission callerauth.Admission) {
+	if others := callerauth.WithoutCredentials(header["Authorization"], s.options.KeyScheme); len(others) > 0 {
+		header["Authorization"] = others
+	} else {
+		delete(header, "Authorization")
+	}
+	name := s.options.Headers.BackendTenant
+	if name == "" {
+		return
+	}
+	header.Del(name)
+	if !admission.Known {
+		return
+	}
+	header.Set(name, string(admission.Tenant.ID))
+	// Headers that Connection names are not passed on, so a caller could hide its tenant from the backend server.
+	for i, list := range header["Connection"] {
+		options := slices.DeleteFunc(strings.Split(list, ","), func(option string) bool { return strings.EqualFold(strings.TrimSpace(option), name) })
+		header["Connection"][i] = strings.Join(options, ",")
+	}
+}
+
 func newCallID() core.CallID {
 	var id [16]byte
 	_, _ = crand.Read(id[:]) // crypto/rand never returns an error
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -460,6 +460,9 @@
 	setHeader(w.Header(), s.options.Headers.Outcome, string(core.OutcomeNotRun))
 	setHeader(w.Header(), s.options.Headers.Cause, string(refused.Cause))
 	status := statusOf(refused.Cause)
+	if status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", s.options.KeyScheme)
+	}
 	switch {
 	case !refused.RetryAfter.IsZero():
 		w.Header().Set("Retry-After", s.formatRetryAfter(time.Until(refused.RetryAfter)))
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyport/core"
+	"parsleyport/core/callerauth"
 	"parsleyport/core/idempotency"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
@@ -90,6 +91,11 @@
 	MaxBodyBytes int64
 	// Headers names the HTTP headers; the zero value stands for the default names.
 	Headers core.HeaderNames
+	// KeyScheme is the scheme of API keys in the Authorization header. Empty means Bearer.
+	KeyScheme string
+	// LeaderHeard reports whether the configuration is recent. While it is not, requests with an unknown API key get status 503 instead
+	// of 401. Nil means yes.
+	LeaderHeard func() bool
 	// CallerSetsCallID uses the call ID header of a request as the call's ID, instead of a random one.
 	CallerSetsCallID bool
 	// CallerService returns the service of the local callers for the caller service header. If it is nil, the header is removed.
@@ -167,6 +173,12 @@
 	if options.Headers == (core.HeaderNames{}) {
 		options.Headers = core.DefaultHeaderNames()
 	}
+	if options.KeyScheme == "" {
+		options.KeyScheme = callerauth.DefaultScheme
+	}
+	if options.LeaderHeard == nil {
+		options.LeaderHeard = func() bool { return true }
+	}
 	if options.DrainPeriod == 0 {
 		options.DrainPeriod = defaultDrainPeriod
 	}
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -356,6 +356,8 @@
 		Controls: h.controls,
 
 		FleetNodes: h.fleetNodes,
+
+		Unheard: h.unheardSent,
 	}
 }
 
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -59,6 +59,10 @@
 	stale       bool   // the control instance knows no leader
 	pathVersion uint64 // counts changes of the path
 	attached    bool
+	// heardAt is when the newest ping that the parent has answered on the present link was sent; zero if there is none.
+	heardAt       time.Time
+	parentUnheard bool // the parent is a relay that hears from no leader
+	unheardSent   bool // the children were told that this relay hears from no leader
 	// parentReadsRows means that the parent can read sums in rows.
 	parentReadsRows bool
 	allServices     bool // this node wants the endpoints of all services
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -69,6 +69,8 @@
 	Controls []ControlAddress `msgpack:"controls,omitempty"` // at which nodes can attach
 
 	FleetNodes int `msgpack:"fleet-nodes,omitempty"` // of all control instances, zero if unknown
+
+	Unheard bool `msgpack:"unheard,omitempty"` // the sender is a relay that hears from no leader; set only if there are tenants
 }
 
 // redirect refuses a child and lists the relays to which it should attach, least loaded first.
--- a/io/distribution/parent.go
+++ b/io/distribution/parent.go
@@ -86,7 +86,7 @@
 	if err := s.checkStale(message); err != nil {
 		return err
 	}
-	s.hub.stale, s.hub.parentReadsRows = message.Stale, message.Rows
+	s.hub.stale, s.hub.parentUnheard, s.hub.parentReadsRows = message.Stale, message.Unheard, message.Rows
 	s.hub.path, s.hub.control = message.Path, message.Control
 	if s.hub.attached { // during the handshake, exchangeHello checks this
 		if local, redirected := s.attachment.redirectToLocal(message); redirected {
--- a/io/distribution/subscriber.go
+++ b/io/distribution/subscriber.go
@@ -136,6 +136,7 @@
 func (s *Subscriber) tick(now time.Time) {
 	s.leaveForLocalControl()
 	s.expireUses(now)
+	s.hub.announceLeaderContact(now)
 	s.hub.expireRetainedSubscriptions(now)
 }
 
@@ -182,7 +183,7 @@
 		u.detachedMS = time.Since(s.detachedSince).Milliseconds()
 	}
 	s.parent, s.conn, s.leavingForLocal = address, conn, false
-	s.hub.attached = true
+	s.hub.attached, s.hub.heardAt = true, time.Time{}
 	s.hub.dropUnwanted()
 	if s.hub.stale && len(s.hub.path) == 0 {
 		s.firstStaleTarget = -1 // at the end of staleLinkTimeout, all control instances are tried again
--- a/io/distribution/sums.go
+++ b/io/distribution/sums.go
@@ -312,8 +312,9 @@
 	return nil
 }
 
-// pingSent and pongReceived track which sums the parent has received: it handles a ping after the sums that were sent before it.
-func (u *uplink) pingSent() {
+// pingSent and pongReceived track which sums the parent has received and when it was last in contact: it handles a ping after the sums that were sent before it.
+func (u *uplink) pingSent(now time.Time) {
+	u.pingsSentAt = append(u.pingsSentAt, now)
 	u.callsBeforePings = append(u.callsBeforePings, u.callsSincePing)
 	u.callsSincePing = 0
 }
@@ -323,6 +324,7 @@
 	defer h.mu.Unlock()
 	if len(u.callsBeforePings) > 0 {
 		u.callsBeforePings = u.callsBeforePings[1:]
+		h.heardAt, u.pingsSentAt = u.pingsSentAt[0], u.pingsSentAt[1:]
 	}
 }
 
--- a/io/distribution/uplink.go
+++ b/io/distribution/uplink.go
@@ -37,6 +37,7 @@
 	nodesPacer        pacer
 	crashesCursor     uint64 // position in the crash store up to which reports were sent
 	pingPacer         pacer
+	pingsSentAt       []time.Time // of the unanswered pings
 
 	subscribed           bool
 	subscriptionsVersion uint64 // hub.subscriptionsVersion when the last subscription was sent
@@ -151,7 +152,7 @@
 	if u.pingPacer.ready(now) {
 		u.pingPacer.sent(now)
 		if u.kind == kindNode {
-			u.pingSent()
+			u.pingSent(now)
 		}
 		due = append(due, outgoing{
 			kind:    typePing,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -29,6 +29,8 @@
 type Options struct {
 	// Headers names the HTTP headers; the zero value stands for the default names.
 	Headers core.HeaderNames
+	// KeyScheme is the scheme of API keys in the Authorization header of callers. Empty means Bearer.
+	KeyScheme string
 	// CallerSetsCallID uses the call ID header of a request as the call's ID, instead of a random one.
 	CallerSetsCallID bool
 	// DisableHedging turns hedged attempts off.
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -197,6 +197,8 @@
 		CallCompleted:          func(f idempotency.Fingerprint) { p.suspects.recordCompletion(time.Now(), f) },
 		Keys:                   keys,
 		Headers:                p.headers(),
+		KeyScheme:              p.options.KeyScheme,
+		LeaderHeard:            subscriber.LeaderHeard,
 		CallerSetsCallID:       p.options.CallerSetsCallID,
 		CallerService:          p.localService,
 		DisableHedging:         p.options.DisableHedging,
