core/quota: lend each tenant's units to the nodes

The bound of a tenant holds over all nodes, although none of them can ask another one for each request. A Holder admits requests with units that it has; a Lender on the leader lends them for four seconds. Both are without input, output and clocks.

They had found a holder with a slow clock that got back units which the lender had lent to others.

--- /dev/null
+++ b/core/quota/settings.go
@@ -0,0 +1,69 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Lease is how long the units of a holder are valid after it sent the last request that the lender answered.
+	Lease = 4 * time.Second
+	// ConfirmationValidity is how long a lender may serve after the start of a confirmation that it leads.
+	ConfirmationValidity = 500 * time.Millisecond
+
+	// reclaimMargin covers clocks that run at slightly different speeds.
+	reclaimMargin = 500 * time.Millisecond
+	// takeoverOverlap is how long an earlier lender may serve after the next one has begun. It exceeds ConfirmationValidity.
+	takeoverOverlap = time.Second
+	// bucketsPerWindow is the resolution with which uses leave the window.
+	bucketsPerWindow = 50
+	// maxTravel bounds the time between the admission of a request and its arrival at the backend server that Span covers.
+	maxTravel = 500 * time.Millisecond
+	maxBound  = 1 << 40
+)
+
+// Time is one point in time on two clocks. The monotonic clock of a suspended machine stops, while the wall clock may be set.
+type Time struct {
+	Steady time.Duration // monotonic, since the start of the process
+	Wall   time.Duration // since the Unix epoch
+}
+
+// within reports whether less than the period has passed since an earlier time, by both clocks.
+func (t Time) within(period time.Duration, since Time) bool {
+	return t.Steady-since.Steady < period && t.Wall-since.Wall < period
+}
+
+// Settings define the bound of a tenant: in any Window, at most (rate x Window + burst) x (1 + Overshoot) + Slack requests.
+type Settings struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
+// DefaultSettings returns the settings that apply if none are given.
+func DefaultSettings() Settings {
+	return Settings{
+		Window:    5 * time.Second,
+		Overshoot: 0.1,
+		Slack:     20,
+	}
+}
+
+// Bound returns the highest number of requests in any window, or zero for a tenant without a limit.
+func (s Settings) Bound(ratePerSecond, burst int) int {
+	if ratePerSecond <= 0 {
+		return 0
+	}
+	bound := (float64(ratePerSecond)*s.Window.Seconds()+float64(burst))*(1+s.Overshoot) + s.Slack
+	return int(math.Max(1, math.Min(bound, maxBound)))
+}
+
+func (s Settings) bucket() time.Duration {
+	return max(s.Window/bucketsPerWindow, time.Millisecond)
+}
+
+// Span is how long a use counts. It exceeds Window by a part of Overshoot, because a request reaches its backend server some time after
+// its admission. A tenant at its rate is served nevertheless, since Overshoot raises the bound too.
+func (s Settings) Span() time.Duration {
+	return s.Window + max(s.bucket(), min(time.Duration(float64(s.Window)*s.Overshoot), maxTravel))
+}
