Exchange units of quotas between nodes and the control instance that leads

io/distribution: a separate connection from a node to a control instance, which answers with the leader's address if it does not lead. io/control: a lender for each term, with one confirmed read per 250 ms while there are holders. io/node: the limiter for callerhttp.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -289,7 +289,7 @@
 		h.ask(now.Steady)
 		return true
 	}
-	if !now.within(Lease, h.pendingAt) {
+	if !now.Within(Lease, h.pendingAt) {
 		h.needFull = true
 		h.ask(now.Steady)
 		return true
@@ -338,7 +338,7 @@
 
 // checkLease voids all units once the lease is over by one of the clocks.
 func (h *Holder) checkLease(now Time) {
-	if h.hasLease && !now.within(Lease, h.lentAt) {
+	if h.hasLease && !now.Within(Lease, h.lentAt) {
 		h.hasLease, h.needFull = false, true
 		h.epoch++
 	}
--- a/core/quota/schedule_test.go
+++ b/core/quota/schedule_test.go
@@ -78,8 +78,8 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	s := &simulation{random: random, faults: f, rate: math.Pow(random.Float64(), 2), now: 10 * time.Second, limits: DefaultSettings(), log: func(string, ...any) {}}
 	for range 1 + random.IntN(2) {
-		rate := 1 + random.IntN(60)
-		s.bounds = append(s.bounds, s.limits.Bound(rate, random.IntN(2*rate)))
+		rate := 1 + random.Int64N(60)
+		s.bounds = append(s.bounds, s.limits.Bound(rate, random.Int64N(2*rate)))
 	}
 	s.uses = make([][]time.Duration, len(s.bounds))
 	s.highest = make([][]simBound, len(s.bounds))
--- a/core/quota/settings.go
+++ b/core/quota/settings.go
@@ -28,8 +28,8 @@
 	Wall   time.Duration // since the Unix epoch
 }
 
-// within reports whether less than the period has passed since an earlier time, by both clocks.
-func (t Time) within(period time.Duration, since Time) bool {
+// Within reports whether less than the period has passed since an earlier time, by both clocks.
+func (t Time) Within(period time.Duration, since Time) bool {
 	return t.Steady-since.Steady < period && t.Wall-since.Wall < period
 }
 
@@ -50,7 +50,7 @@
 }
 
 // Bound returns the highest number of requests in any window, or zero for a tenant without a limit.
-func (s Settings) Bound(ratePerSecond, burst int) int {
+func (s Settings) Bound(ratePerSecond, burst int64) int {
 	if ratePerSecond <= 0 {
 		return 0
 	}
--- a/io/control/control.go
+++ b/io/control/control.go
@@ -74,6 +74,7 @@
 	do.Provide(injector, p.newArchive)
 	do.Provide(injector, p.newCatalog)
 	do.Provide(injector, p.newReplica)
+	do.Provide(injector, p.newQuotaLender)
 	do.Provide(injector, p.newSource)
 	do.Provide(injector, p.newOperators)
 	replica, err := do.Invoke[*raftpeer.Replica](injector)
@@ -99,6 +100,7 @@
 		return err
 	}
 	p.startMoveStepper(injector)
+	p.startQuotaLender(injector)
 	p.startBackfill(injector)
 	p.startCatchUp(injector)
 	p.startRulesUpgrade(injector)
@@ -208,6 +210,7 @@
 			replicator: replica,
 			catalog:    do.MustInvoke[*catalog.Catalog](injector),
 		},
+		Quotas:  do.MustInvoke[*quotaLender](injector),
 		Logger:  p.log,
 		Metrics: p.metrics,
 	})
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -121,6 +121,10 @@
 		slot.release() // a proposal may wait for an election
 		h.answerDepart(ctx, conn, first)
 		return
+	case typeQuotaRequest:
+		slot.release()
+		h.answerQuotas(ctx, conn, first)
+		return
 	case typeHello:
 	default:
 		return
--- a/io/distribution/hub.go
+++ b/io/distribution/hub.go
@@ -28,12 +28,16 @@
 	incarnation core.Incarnation // only of a node
 	// departureLog is nil on a node.
 	departureLog core.DepartureLog
+	// quotaLender is nil on a node, and leaderAddress is nil with it.
+	quotaLender   QuotaLender
+	leaderAddress func() string
 	// confirmWake wakes the goroutine that runs confirmed reads. It is nil on a node, which asks its parent instead.
 	confirmWake *ring.Ring[struct{}]
 
 	endpointsByService atomic.Pointer[map[core.ServiceName][]core.Endpoint]
 	handshakeSlots     chan struct{}
 	departSlots        chan struct{}
+	quotaSlots         chan struct{}
 	goroutines         sync.WaitGroup
 
 	mu          sync.Mutex // guards the fields below
@@ -94,6 +98,7 @@
 		network:        network,
 		handshakeSlots: make(chan struct{}, maxHandshakes),
 		departSlots:    make(chan struct{}, maxDeparts),
+		quotaSlots:     make(chan struct{}, maxQuotaLinks),
 		table:          lease.New(),
 		evidence:       newEvidenceStore(),
 		pendingSums: pendingSums{
--- a/io/distribution/messages.go
+++ b/io/distribution/messages.go
@@ -33,6 +33,8 @@
 	typeNodes
 	typeDepart
 	typeDepartures
+	typeQuotaRequest
+	typeQuotaAnswer
 )
 
 // linkKind tells whether the process that opened a link is a node or a control instance.
--- a/io/distribution/meters.go
+++ b/io/distribution/meters.go
@@ -16,6 +16,7 @@
 	contentRepairs        *metrics.Counter
 	unknownMessages       *metrics.Counter
 	lostLinks             *metrics.Counter
+	quotaBytes            *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -37,6 +38,7 @@
 		contentRepairs:    counter("content_repairs"),
 		unknownMessages:   counter("unknown_messages"),
 		lostLinks:         counter("links_lost"),
+		quotaBytes:        counter("quota_bytes"),
 	}
 }
 
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -112,6 +112,7 @@
 	Catalog          record.Source
 	Replicator       core.Replicator   // its status names the leader whenever there is one
 	Departures       core.DepartureLog // optional; without it, departures are not answered
+	Quotas           QuotaLender       // optional; without it, requests for units are not answered
 	Logger           zerolog.Logger
 	Metrics          *metrics.Set // optional
 	Network          Network      // optional, TCP by default
--- a/io/distribution/source.go
+++ b/io/distribution/source.go
@@ -74,6 +74,7 @@
 	s.hub.pathVersion = 1
 	s.hub.confirmWake = s.confirmWake
 	s.hub.departureLog = options.Departures
+	s.hub.quotaLender, s.hub.leaderAddress = options.Quotas, s.leaderAddress
 	s.hub.setCurrent(options.Catalog.Current())
 	s.hub.registerGauges(options.Metrics)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -265,6 +266,13 @@
 	})
 }
 
+// leaderAddress returns the address at which nodes reach the leader, empty if it is this instance or unknown.
+func (s *Source) leaderAddress() string {
+	s.hub.mu.Lock()
+	defer s.hub.mu.Unlock()
+	return s.peerLinks[s.options.Replicator.Status().Leader].address
+}
+
 // Endpoints implements core.EndpointSource.
 func (s *Source) Endpoints(service core.ServiceName) []core.Endpoint {
 	return s.hub.endpoints(service)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -74,6 +74,7 @@
 	recorder       *rollout.Recorder
 	suspects       *suspects
 	departures     *departures
+	quotas         *quotaLimiter
 	peerServer     atomic.Pointer[nodepeer.Server]
 	service        atomic.Value // core.ServiceName of the local backend server
 	serving        atomic.Bool  // whether the node accepts callers
@@ -231,6 +232,7 @@
 		return err
 	}
 	p.departures = newDepartures(p.settings.ID, subscriber, p.log)
+	p.quotas = p.newQuotaLimiter(subscriber)
 	p.startTasks(subscriber)
 	return nil
 }
@@ -241,6 +243,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { watchMoves(ctx, subscriber, p.circuitBreaker) })
 	tasks.Go(func() { p.departures.run(ctx) })
+	tasks.Go(func() { p.quotas.run(ctx) })
 	tasks.Go(func() { p.suspects.report(ctx, subscriber.ReportCompletion) })
 	tasks.Go(func() {
 		reportEvidence(ctx, subscriber, p.recorder, p.options.EvidenceInterval, subscriber.ReportEvidence)
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -196,6 +196,7 @@
 		CrashSuspected:         p.suspects.isSuspected,
 		CallCompleted:          func(f idempotency.Fingerprint) { p.suspects.recordCompletion(time.Now(), f) },
 		Keys:                   keys,
+		Quota:                  p.quotas,
 		Headers:                p.headers(),
 		CallerSetsCallID:       p.options.CallerSetsCallID,
 		CallerService:          p.localService,
--- a/io/settings/control.go
+++ b/io/settings/control.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"parsleyport/core"
+	"parsleyport/core/quota"
 )
 
 // maxMembers is the highest number of control instances.
@@ -41,8 +42,9 @@
 	MemberAt func(peerAddress string) Member
 	// MaxShortMoveDuration is the longest duration of a move that risks more calls in order to end in time, zero for no such moves.
 	MaxShortMoveDuration time.Duration
-	DirectNodes          int           // nodes of one data centre that attach to this instance and not to a relay, zero for the default
-	EvidenceInterval     time.Duration // between two reports of evidence to the other instances, zero for the default
+	DirectNodes          int            // nodes of one data centre that attach to this instance and not to a relay, zero for the default
+	EvidenceInterval     time.Duration  // between two reports of evidence to the other instances, zero for the default
+	Quota                quota.Settings // zero for the defaults
 	LogLevel             zerolog.Level
 }
 
@@ -78,6 +80,7 @@
 		Bootstrap:       top.boolean("bootstrap"),
 		TokenFile:       top.optionalText("token-file", "path of a file, or empty", "", func(string) bool { return true }),
 		Limits:          readLimits(top),
+		Quota:           readQuota(top),
 		LogLevel:        top.logLevel("log-level"),
 	}
 	elements := top.list("members", "list of all control instances")
