--- a/io/settings/node.go
+++ b/io/settings/node.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"parsleyport/core"
+	"parsleyport/core/quota"
 )
 
 // Node holds the settings of a node.
@@ -20,6 +21,7 @@
 	AdminAddress     string
 	ControlAddresses []string
 	Service          core.ServiceName // of the local backend server, empty until it announces itself
+	Quota            quota.Settings   // zero for the defaults
 	LogLevel         zerolog.Level
 	// LinkBytesPerSecond is the rate of the node's link, to which long bodies of calls are paced; zero if it is not stated.
 	LinkBytesPerSecond int64
@@ -57,6 +59,7 @@
 		RelayAddress:   top.address("relay-address"),
 		BackendAddress: top.address("backend-address"),
 		AdminAddress:   top.address("admin-address"),
+		Quota:          readQuota(top),
 		LogLevel:       top.logLevel("log-level"),
 	}
 	if kilobytes := top.integer("link-kilobytes-per-second", 1, maxLinkKilobytes, 0); kilobytes > 0 {
