--- a/io/cli/recordfile.go
+++ b/io/cli/recordfile.go
@@ -70,8 +70,12 @@
 	value, err := hujson.Parse(source)
 	if err != nil {
 		line := 1
-		_, _ = fmt.Sscanf(err.Error(), "hujson: line %d,", &line) // line stays 1 if the error names none
-		return core.Submission{}, singleFault(file, line, err.Error())
+		_, _ = fmt.Sscanf(err.Error(), "hujson: line %d,", &line)   // line stays 1 if the error names none
+		text, _, _ := strings.Cut(err.Error(), "invalid literal: ") // what follows may be an API key without its quotation marks
+		if text != err.Error() {
+			text += "invalid literal"
+		}
+		return core.Submission{}, singleFault(file, line, text)
 	}
 	if faults := duplicateKeys(file, source, value); len(faults) > 0 {
 		return core.Submission{}, faults
