--- a/core/record/schema_test.go
+++ b/core/record/schema_test.go
@@ -57,6 +57,7 @@
 	f.Add("upstream", "a", `{"service": "a", "release": "r", "slots": 9}`)
 	f.Add("route", "a", `{"path-prefix": "/", "methods": ["GET"], "service": "a", "timeout-ms": 1}`)
 	f.Add("policy", "a", `{"service": "a", "weights": [{"upstream": "a", "per-mille": 1000}]}`)
+	f.Add("tenant", "a", `{"id": "a/1", "api-keys": ["k"], "rate-per-s": 5, "burst": 5, "priority": 0}`)
 	f.Add("policy", "", `{"weights": [{"per-mille": -1}]}`)
 	f.Fuzz(func(t *testing.T, kind, name, body string) {
 		r := newRecord(core.Kind(kind), name, 1, body)
