limiter: priority and short classes come before tenant shares

The next call was that of the tenant with the fewest running calls, whatever its priority, so that priorities had no effect with 85 tenants, and short calls of running work competed as one tenant among them. A full queue shed the last call of the longest queue, whatever its priority.

Order: priority, short classes, running calls for the weight of the tenant, then the order within a tenant. A full queue sheds the lowest priority, from the tenant with the most waiting calls. Backlogs of other tenants count up to the tenant's own. With one tenant nothing changes (7,562 decisions of random schedules compared with the earlier rules). One tenant at 45 calls/s beside 40 tenants with 30 together, at slots for 40: 1,757 of 1,794 calls of the others are served.

--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -36,6 +36,7 @@
 // Request describes an arriving call.
 type Request struct {
 	Tenant       core.TenantID
+	Weight       float64 // of the tenant against others when they share the slots; 0 means 1
 	Priority     core.Priority
 	SoftDeadline time.Time // an answer after it counts as late; zero if none is set
 	Deadline     time.Time
@@ -70,8 +71,10 @@
 
 // tenant holds the running and waiting calls of one tenant. It is removed when it has none.
 type tenant struct {
+	weight  float64
 	running int
 	waiting []entry // ordered by priority (highest first), deadline and arrival
+	onTime  int     // waiting calls that can meet their soft deadline, set by countWaitingOnTime
 }
 
 // Limiter holds the running and waiting calls of one backend server. It is not safe for concurrent use.
@@ -82,6 +85,7 @@
 	running               map[Ticket]runningCall
 	tenants               map[core.TenantID]*tenant
 	waiting               int
+	tenantsWith           []int // scratch of countWaitingOnTime
 	lastTicket            Ticket
 	averageLatencySeconds float64
 	minLatencySeconds     float64 // uncongested latency, 0 before the first sample
@@ -185,11 +189,13 @@
 			Shed: []Shed{{Ticket: added.ticket, Cause: core.CauseQueueFull}},
 		}
 	}
-	l.tenant(request.Tenant).insert(added)
+	t := l.tenant(request.Tenant)
+	t.weight = weightOf(request)
+	t.insert(added)
 	l.waiting++
 	change := l.dispatch(now)
 	if l.waiting > l.slots*maxWaitingPerSlot {
-		change.Shed = append(change.Shed, l.shedFromLongestQueue(added))
+		change.Shed = append(change.Shed, l.shedFromFullQueue(added))
 	}
 	return added.ticket, change
 }
@@ -253,12 +259,13 @@
 	return remaining <= 0 || remaining.Seconds() < l.minLatencySeconds
 }
 
-// dispatch starts waiting calls while slots are free, serving the tenant with the fewest running calls first.
+// dispatch starts waiting calls while slots are free.
 func (l *Limiter) dispatch(now time.Time) Change {
 	var change Change
 	for len(l.running) < l.Limit() && l.waiting > 0 {
-		name, t := l.nextTenant()
-		next := t.removeAt(l.nextPosition(now, t))
+		name, position := l.next(now)
+		t := l.tenants[name]
+		next := t.removeAt(position)
 		l.waiting--
 		if l.missesDeadline(now, next.request) {
 			change.Shed = append(change.Shed, Shed{Ticket: next.ticket, Cause: core.CauseDeadline})
@@ -276,33 +283,17 @@
 	return change
 }
 
-// nextTenant returns the tenant with waiting calls that has the fewest running calls; the first waiting calls break ties.
-func (l *Limiter) nextTenant() (core.TenantID, *tenant) {
-	var bestName core.TenantID
-	var best *tenant
-	for name, t := range l.tenants {
-		if len(t.waiting) == 0 {
-			continue
-		}
-		if best == nil || t.running < best.running || t.running == best.running && precedes(t.waiting[0], best.waiting[0]) {
-			bestName, best = name, t
-		}
-	}
-	return bestName, best
-}
-
-// shedFromLongestQueue removes the last call of the tenant with the most waiting calls from a full queue.
-func (l *Limiter) shedFromLongestQueue(added entry) Shed {
+// shedFromFullQueue removes the last call of the lowest waiting priority. Among the tenants with calls of that priority, the one with
+// the most waiting calls loses it: the longest queue alone may hold only calls that matter more than those of other tenants.
+func (l *Limiter) shedFromFullQueue(added entry) Shed {
 	name := added.request.Tenant
 	for other, t := range l.tenants {
-		excess := len(t.waiting) - len(l.tenants[name].waiting)
-		if excess > 0 || excess == 0 && name != added.request.Tenant && other < name {
+		if len(t.waiting) > 0 && l.shedsBefore(added.request.Tenant, other, name) {
 			name = other
 		}
 	}
 	t := l.tenants[name]
-	last := t.waiting[len(t.waiting)-1]
-	t.waiting = t.waiting[:len(t.waiting)-1]
+	last := t.removeAt(len(t.waiting) - 1)
 	l.waiting--
 	cause := core.CauseQueueFull
 	if len(l.tenants) > 1 {
@@ -315,6 +306,26 @@
 	}
 }
 
+// shedsBefore reports whether tenant a loses a waiting call before tenant b. The tenant of the arriving call breaks ties.
+func (l *Limiter) shedsBefore(arriving, a, b core.TenantID) bool {
+	first, second := l.tenants[a], l.tenants[b]
+	if len(second.waiting) == 0 {
+		return true
+	}
+	if lowest, other := first.lowestPriority(), second.lowestPriority(); lowest != other {
+		return lowest < other
+	}
+	if len(first.waiting) != len(second.waiting) {
+		return len(first.waiting) > len(second.waiting)
+	}
+	return b != arriving && (a == arriving || a < b)
+}
+
+// lowestPriority returns the lowest priority of the waiting calls, of which there must be one.
+func (t *tenant) lowestPriority() core.Priority {
+	return t.waiting[len(t.waiting)-1].request.Priority
+}
+
 // adaptLimit applies additive increase, by about one for each Limit calls that end while all slots of the limit are in use, and
 // multiplicative decrease on overload.
 func (l *Limiter) adaptLimit(now time.Time, result Result, concurrency int, full bool) {
--- a/core/limiter/softdeadline.go
+++ b/core/limiter/softdeadline.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"slices"
 	"time"
 
 	"parsleyport/core"
@@ -126,52 +125,12 @@
 	return precedes(a, b)
 }
 
-// nextPosition returns the queue position of the call that gets the tenant's next slot.
-func (l *Limiter) nextPosition(now time.Time, t *tenant) int {
-	best := 0
-	if !l.options.SoftDeadlineFirst {
-		return best
-	}
-	lifo := l.isLIFO(now)
-	for i := 1; i < len(t.waiting); i++ {
-		if l.servedBefore(now, lifo, t.waiting[i], t.waiting[best]) {
-			best = i
-		}
-	}
-	return best
-}
-
-// isLIFO reports whether more on-time calls wait than can be served on time.
-func (l *Limiter) isLIFO(now time.Time) bool {
-	return float64(l.countWaitingOnTime(now)) > lifoQueueRatio*float64(l.Limit())
-}
-
-func (l *Limiter) countWaitingOnTime(now time.Time) int {
-	onTime := 0
-	for _, t := range l.tenants {
-		for _, waiting := range t.waiting {
-			if l.meetsSoftDeadline(now, waiting.request) {
-				onTime++
-			}
-		}
-	}
-	return onTime
-}
-
 // mustShedOnArrival reports whether an arriving call would miss its deadline behind the calls that are served before it.
 func (l *Limiter) mustShedOnArrival(now time.Time, added entry) bool {
-	if l.isSaturated(now) && l.yieldsToOnTimeCalls(now, added.request) {
+	if l.isBacklogged(now, l.tenants[added.request.Tenant], saturatedQueueRatio) && l.yieldsToOnTimeCalls(now, added.request) {
 		return true
 	}
-	ahead, lifo := 0, l.isLIFO(now)
-	for _, t := range l.tenants {
-		for _, waiting := range t.waiting {
-			if l.servedBefore(now, lifo, waiting, added) {
-				ahead++
-			}
-		}
-	}
-	return l.startsTooLate(now, added.request, ahead)
+	return l.startsTooLate(now, added.request, l.countAhead(now, added))
 }
 
 // yieldsToOnTimeCalls reports whether a call will be late and is not served before the on-time calls.
@@ -179,11 +138,6 @@
 	return !l.meetsSoftDeadline(now, r) && !l.isShort(now, r.Class)
 }
 
-// isSaturated reports whether the waiting on-time calls suffice to fill all slots.
-func (l *Limiter) isSaturated(now time.Time) bool {
-	return float64(l.countWaitingOnTime(now)) > saturatedQueueRatio*float64(l.Limit())
-}
-
 // startsTooLate reports whether a call with the given number of calls ahead would get its slot too late for its deadline.
 func (l *Limiter) startsTooLate(now time.Time, r Request, ahead int) bool {
 	if len(l.running) < l.Limit() {
@@ -199,20 +153,11 @@
 		return nil
 	}
 	l.queueCheckedAt = now
-	waiting := make([]entry, 0, l.waiting)
-	for _, t := range l.tenants {
-		waiting = append(waiting, t.waiting...)
-	}
-	lifo := l.isLIFO(now)
-	slices.SortFunc(waiting, func(a, b entry) int {
-		if l.servedBefore(now, lifo, a, b) {
-			return -1
-		}
-		return 1
-	})
-	unservable, saturated := make(map[Ticket]bool), l.isSaturated(now)
+	saturatedFrom := l.backlogThreshold(now, saturatedQueueRatio)
+	unservable := make(map[Ticket]bool)
 	ahead := 0
-	for _, e := range waiting {
+	for _, e := range l.servingOrder(now) {
+		saturated := l.tenants[e.request.Tenant].isBacklogged(saturatedFrom)
 		if saturated && l.yieldsToOnTimeCalls(now, e.request) || l.startsTooLate(now, e.request, ahead) {
 			unservable[e.ticket] = true
 		} else {
