cost, limiter: learned work of calls, forecast of free slots, load reports with it

The forecast that refuses calls took the mean of all calls over the slots. With calls of 30 ms and of 160 ms side by side it refused short calls behind short ones, and admitted long ones behind long ones that could not be served in time.

The limiter adds the expected time until the first running call ends and the work ahead over the slots that serve it (LearnCosts, off by default), and reports it. The report is an optional key of the messages around the load, since earlier versions refuse a longer array; without it no byte is added.

--- a/core/call.go
+++ b/core/call.go
@@ -75,6 +75,7 @@
 	Limit            int           // concurrency limit
 	ServiceTime      time.Duration // average time for which a call holds a slot, zero if unknown
 	RouteServiceTime time.Duration // average for calls of the route of the call that carries the report, zero if unknown
+	FreeIn           time.Duration // expected time until a new call of that route gets a slot, zero if not reported
 }
 
 // Answer is a backend server's answer. Body returns io.EOF only after its length and checksum have been verified.
--- a/core/callreplay/fleetinstance.go
+++ b/core/callreplay/fleetinstance.go
@@ -6,6 +6,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/balancer"
+	"parsleyport/core/cost"
 	"parsleyport/core/limiter"
 	"parsleyport/core/retry"
 )
@@ -62,7 +63,9 @@
 	return budget
 }
 
-func (i *fleetInstance) load(route core.RouteName) core.Load { return i.limiter.Load(route) }
+func (i *fleetInstance) load(route core.RouteName) core.Load {
+	return i.limiter.Load(i.fleet.queue.now, route)
+}
 
 func (i *fleetInstance) arrive(a *fleetAttempt) {
 	if i.down {
@@ -78,6 +81,9 @@
 		SoftDeadline: a.call.softDeadline,
 		Deadline:     a.call.deadline,
 		Class:        a.call.route.Name,
+		Cost: &cost.Class{
+			Route: a.call.route.Name,
+		},
 	})
 	i.waiting[ticket] = a
 	i.apply(change)
--- a/core/callreplay/patternfile.go
+++ b/core/callreplay/patternfile.go
@@ -41,7 +41,8 @@
 
 // patternVariants returns the serving rules and what is compared with them, each without one of the rules.
 func patternVariants() []patternVariant {
-	withoutShort, soon, inOrder := ServingRules(), ServingRules(), ServingRules()
+	withoutShort, soon, inOrder, learned := ServingRules(), ServingRules(), ServingRules(), ServingRules()
+	learned.Limiter.LearnCosts = true
 	withoutShort.Limiter.ShortClassesFirst = false
 	soon.RetryAfter = func(retry.RefusedCall) time.Duration { return 250 * time.Millisecond }
 	inOrder.Limiter = limiter.Options{
@@ -49,6 +50,7 @@
 	}
 	return []patternVariant{
 		{name: "serving rules", rules: ServingRules()},
+		{name: "costs learned", rules: learned},
 		{name: "short classes not first", rules: withoutShort},
 		{name: "callers return after 250 ms", rules: soon},
 		{name: "in order of deadlines", rules: inOrder},
--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"parsleyport/core"
+	"parsleyport/core/cost"
 )
 
 const (
@@ -43,6 +44,7 @@
 	StartBy      time.Time      // a call still queued at this time is refused; zero means Deadline
 	NoWait       bool           // refuse the call unless it can start at once
 	Class        core.RouteName // calls of one class have similar service times
+	Cost         *cost.Class    // for the forecast; nil without LearnCosts
 }
 
 // Result describes how a started call ended.
@@ -67,6 +69,7 @@
 type entry struct {
 	ticket  Ticket
 	request Request
+	work    time.Duration // expected when it arrived; zero without LearnCosts
 }
 
 // tenant holds the running and waiting calls of one tenant. It is removed when it has none.
@@ -85,7 +88,8 @@
 	running               map[Ticket]runningCall
 	tenants               map[core.TenantID]*tenant
 	waiting               int
-	tenantsWith           []int // scratch of countWaitingOnTime
+	tenantsWith           []int           // scratch of countWaitingOnTime
+	costs                 *cost.Estimator // nil without LearnCosts
 	lastTicket            Ticket
 	averageLatencySeconds float64
 	minLatencySeconds     float64 // uncongested latency, 0 before the first sample
@@ -104,6 +108,8 @@
 	tenant      core.TenantID
 	class       core.RouteName
 	concurrency int // running calls when it started, including itself
+	startedAt   time.Time
+	cost        *cost.Class
 }
 
 // Options configure a Limiter.
@@ -117,6 +123,9 @@
 	// ShortClassesFirst serves, within a priority, calls of classes that take at most a third of the time of the longest class before all
 	// others. It needs SoftDeadlineFirst.
 	ShortClassesFirst bool
+	// LearnCosts learns the work of calls by what distinguishes them, refuses calls by a forecast from it, and reports when a slot
+	// is expected to be free (see forecast.go).
+	LearnCosts bool
 }
 
 // New returns a limiter whose limit starts at the announced number of slots. Values below 1 count as 1.
@@ -127,7 +136,12 @@
 // NewWithOptions is like New, with options.
 func NewWithOptions(slots int, options Options) *Limiter {
 	slots = max(slots, 1)
+	var costs *cost.Estimator
+	if options.LearnCosts {
+		costs = cost.NewEstimator()
+	}
 	return &Limiter{
+		costs:   costs,
 		options: options,
 		slots:   slots,
 		limit:   float64(slots),
@@ -151,14 +165,16 @@
 	return max(1, int(l.limit))
 }
 
-// Load reports the running and waiting calls and the average service times of all calls and of a class.
-func (l *Limiter) Load(class core.RouteName) core.Load {
+// Load reports the running and waiting calls, the average service times of all calls and of a class, and, with LearnCosts, the
+// expected time until a new call of the class gets a slot.
+func (l *Limiter) Load(now time.Time, class core.RouteName) core.Load {
 	return core.Load{
 		Running:          len(l.running),
 		Waiting:          l.waiting,
 		Limit:            l.Limit(),
 		ServiceTime:      time.Duration(l.averageLatencySeconds * float64(time.Second)),
 		RouteServiceTime: time.Duration(l.serviceTimeSeconds(class) * float64(time.Second)),
+		FreeIn:           l.freeIn(now, class),
 	}
 }
 
@@ -178,6 +194,7 @@
 	added := entry{
 		ticket:  l.lastTicket,
 		request: request,
+		work:    l.expectedWork(now, request),
 	}
 	if l.missesDeadline(now, request) || l.options.SoftDeadlineFirst && l.mustShedOnArrival(now, added) {
 		return added.ticket, Change{
@@ -214,6 +231,7 @@
 	l.adaptLimit(now, result, ended.concurrency, full)
 	if !result.Failed && !result.Overloaded {
 		l.observeClassServiceTime(now, ended.class, result.Latency)
+		l.observeCost(now, ended.cost, result.Latency)
 	}
 	return l.dispatch(now)
 }
@@ -277,6 +295,8 @@
 			tenant:      name,
 			class:       next.request.Class,
 			concurrency: len(l.running) + 1,
+			startedAt:   now,
+			cost:        next.request.Cost,
 		}
 		change.Start = append(change.Start, next.ticket)
 	}
--- a/core/limiter/shares.go
+++ b/core/limiter/shares.go
@@ -132,49 +132,49 @@
 	return t.isBacklogged(l.backlogThreshold(now, ratio))
 }
 
-// countAhead estimates how many waiting calls are served before an arriving one.
-func (l *Limiter) countAhead(now time.Time, added entry) int {
+// countAhead estimates the waiting calls that are served before an arriving one.
+func (l *Limiter) countAhead(now time.Time, added entry) backlog {
 	lifoFrom := l.backlogThreshold(now, lifoQueueRatio)
 	own := l.tenants[added.request.Tenant]
-	ahead := 0
+	var ahead backlog
 	if own != nil {
 		lifo := own.isBacklogged(lifoFrom)
 		for _, waiting := range own.waiting {
 			if l.servedBefore(now, lifo, waiting, added) {
-				ahead++
+				ahead.add(waiting)
 			}
 		}
 	} else {
 		own = &tenant{}
 	}
-	share := float64(own.running+ahead) / weightOf(added.request)
+	share := float64(own.running+ahead.calls) / weightOf(added.request)
 	for name, t := range l.tenants {
 		if name != added.request.Tenant {
-			ahead += l.countAheadOf(now, lifoFrom, t, added, share)
+			ahead = ahead.plus(l.countAheadOf(now, lifoFrom, t, added, share))
 		}
 	}
 	return ahead
 }
 
-// countAheadOf estimates how many waiting calls of another tenant are served before a call whose tenant has the given share when
+// countAheadOf estimates the waiting calls of another tenant that are served before a call whose tenant has the given share when
 // the call is next: all of a higher rank, and those of the same rank that start before their tenant's share is as great.
-func (l *Limiter) countAheadOf(now time.Time, lifoFrom int, t *tenant, added entry, share float64) int {
-	higher, same := 0, 0
+func (l *Limiter) countAheadOf(now time.Time, lifoFrom int, t *tenant, added entry, share float64) backlog {
+	var higher, same backlog
 	short := l.isShort(now, added.request.Class)
 	for _, waiting := range t.waiting {
 		waitingShort := l.isShort(now, waiting.request.Class)
 		switch {
 		case waiting.request.Priority > added.request.Priority, waiting.request.Priority == added.request.Priority && waitingShort && !short:
-			higher++
+			higher.add(waiting)
 		case waiting.request.Priority == added.request.Priority && waitingShort == short:
-			same++
+			same.add(waiting)
 		}
 	}
-	before := share*t.weight - float64(t.running+higher)
+	before := share*t.weight - float64(t.running+higher.calls)
 	if lifoFrom > 1 {
 		before = math.Floor(before) + 1 // among equal shares, the call that waits is served first
 	}
-	return higher + int(min(max(math.Ceil(before), 0), float64(same)))
+	return higher.plus(same.first(int(max(math.Ceil(before), 0))))
 }
 
 // servingOrder returns the waiting calls in the order in which they will probably be served if no others arrive.
--- a/core/limiter/shares_test.go
+++ b/core/limiter/shares_test.go
@@ -43,13 +43,13 @@
 	if onTime > saturatedQueueRatio*float64(l.Limit()) && l.yieldsToOnTimeCalls(now, added.request) {
 		return true
 	}
-	ahead := 0
+	var ahead backlog
 	for _, e := range waiting {
 		if l.servedBefore(now, onTime > lifoQueueRatio*float64(l.Limit()), e, added) {
-			ahead++
+			ahead.calls++
 		}
 	}
-	return l.startsTooLate(now, added.request, ahead)
+	return l.startsTooLate(now, nil, added.request, ahead)
 }
 
 func (l earlierRules) collectUnservable(now time.Time, waiting []entry) map[Ticket]bool {
@@ -57,12 +57,12 @@
 	slices.SortFunc(sorted, func(a, b entry) int {
 		return order(l.servedBefore(now, onTime > lifoQueueRatio*float64(l.Limit()), a, b))
 	})
-	unservable, ahead := make(map[Ticket]bool), 0
+	unservable, ahead := make(map[Ticket]bool), backlog{}
 	for _, e := range sorted {
-		if onTime > saturatedQueueRatio*float64(l.Limit()) && l.yieldsToOnTimeCalls(now, e.request) || l.startsTooLate(now, e.request, ahead) {
+		if onTime > saturatedQueueRatio*float64(l.Limit()) && l.yieldsToOnTimeCalls(now, e.request) || l.startsTooLate(now, nil, e.request, ahead) {
 			unservable[e.ticket] = true
 		} else {
-			ahead++
+			ahead.calls++
 		}
 	}
 	return unservable
--- a/core/limiter/softdeadline.go
+++ b/core/limiter/softdeadline.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleyport/core"
+	"parsleyport/core/cost"
 )
 
 // The rules of this file are made for overloads that last seconds to minutes, caused by a burst, a loss of backend servers or
@@ -42,7 +43,8 @@
 type classServiceTime struct {
 	averageSeconds float64
 	samples        int
-	observedAt     time.Time // latest sample
+	observedAt     time.Time     // latest sample
+	priority       core.Priority // of the latest call, for load reports
 }
 
 func (l *Limiter) observeClassServiceTime(now time.Time, class core.RouteName, latency time.Duration) {
@@ -130,7 +132,7 @@
 	if l.isBacklogged(now, l.tenants[added.request.Tenant], saturatedQueueRatio) && l.yieldsToOnTimeCalls(now, added.request) {
 		return true
 	}
-	return l.startsTooLate(now, added.request, l.countAhead(now, added))
+	return l.startsTooLate(now, l.forecast(now), added.request, l.countAhead(now, added))
 }
 
 // yieldsToOnTimeCalls reports whether a call will be late and is not served before the on-time calls.
@@ -138,12 +140,16 @@
 	return !l.meetsSoftDeadline(now, r) && !l.isShort(now, r.Class)
 }
 
-// startsTooLate reports whether a call with the given number of calls ahead would get its slot too late for its deadline.
-func (l *Limiter) startsTooLate(now time.Time, r Request, ahead int) bool {
+// startsTooLate reports whether a call with the given calls ahead would get its slot too late for its deadline. The forecast is nil
+// without LearnCosts, or while nothing is known.
+func (l *Limiter) startsTooLate(now time.Time, forecast *cost.Forecast, r Request, ahead backlog) bool {
 	if len(l.running) < l.Limit() {
 		return false
 	}
-	wait := float64(ahead+1) / float64(l.Limit()) * l.averageLatencySeconds
+	if forecast != nil {
+		return l.missesDeadline(now.Add(forecast.FreeIn(ahead.calls, ahead.work)), r)
+	}
+	wait := float64(ahead.calls+1) / float64(l.Limit()) * l.averageLatencySeconds
 	return l.missesDeadline(now.Add(time.Duration(wait*float64(time.Second))), r)
 }
 
@@ -155,13 +161,14 @@
 	l.queueCheckedAt = now
 	saturatedFrom := l.backlogThreshold(now, saturatedQueueRatio)
 	unservable := make(map[Ticket]bool)
-	ahead := 0
+	var ahead backlog
+	forecast := l.forecast(now)
 	for _, e := range l.servingOrder(now) {
 		saturated := l.tenants[e.request.Tenant].isBacklogged(saturatedFrom)
-		if saturated && l.yieldsToOnTimeCalls(now, e.request) || l.startsTooLate(now, e.request, ahead) {
+		if saturated && l.yieldsToOnTimeCalls(now, e.request) || l.startsTooLate(now, forecast, e.request, ahead) {
 			unservable[e.ticket] = true
 		} else {
-			ahead++
+			ahead.add(e)
 		}
 	}
 	return unservable
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyport/core"
+	"parsleyport/core/cost"
 	"parsleyport/core/limiter"
 	"parsleyport/core/ring"
 	"parsleyport/io/backendhttp"
@@ -16,6 +17,7 @@
 
 // admission queues calls to the local backend server in a limiter.Limiter until they may start.
 type admission struct {
+	options      admissionOptions
 	mu           sync.Mutex // guards limiter and waiting
 	limiter      *limiter.Limiter
 	waiting      map[limiter.Ticket]chan *core.Refusal // receives nil to start
@@ -24,9 +26,19 @@
 
 var _ backendhttp.Admission = (*admission)(nil)
 
-func newAdmission(options limiter.Options) (*admission, func()) {
+// admissionOptions configure an admission.
+type admissionOptions struct {
+	limiter.Options
+	// CallerService names the header with the calling service, empty if there is none.
+	CallerService string
+	// Weight returns the weight of a tenant against others when they share the slots. Nil means that all weigh the same.
+	Weight func(core.TenantID) float64
+}
+
+func newAdmission(options admissionOptions) (*admission, func()) {
 	a := &admission{
-		limiter:      limiter.NewWithOptions(1, options),
+		options:      options,
+		limiter:      limiter.NewWithOptions(1, options.Options),
 		waiting:      make(map[limiter.Ticket]chan *core.Refusal),
 		expiryNeeded: ring.New[struct{}](1),
 	}
@@ -78,7 +90,7 @@
 func (a *admission) Load(route core.RouteName) core.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.limiter.Load(route)
+	return a.limiter.Load(time.Now(), route)
 }
 
 // SetSlots implements backendhttp.Admission.
@@ -110,12 +122,14 @@
 	decision := make(chan *core.Refusal, 1)
 	ticket, change := a.limiter.Arrive(time.Now(), limiter.Request{
 		Tenant:       call.Tenant,
+		Weight:       a.weight(call.Tenant),
 		Priority:     call.Priority,
 		SoftDeadline: call.SoftDeadline,
 		Deadline:     call.Deadline,
 		StartBy:      call.StartBy,
 		NoWait:       call.Hedge,
 		Class:        call.Route,
+		Cost:         a.costClass(call),
 	})
 	a.waiting[ticket] = decision
 	a.apply(change)
@@ -123,6 +137,30 @@
 	return ticket, decision
 }
 
+func (a *admission) weight(tenant core.TenantID) float64 {
+	if a.options.Weight == nil {
+		return 1
+	}
+	return a.options.Weight(tenant)
+}
+
+// costClass returns what the work of a call is learned by, or nil if it is not learned.
+func (a *admission) costClass(call *core.Call) *cost.Class {
+	if !a.options.LearnCosts {
+		return nil
+	}
+	class := &cost.Class{
+		Route:  call.Route,
+		Method: call.Method,
+		Size:   cost.SizeClassOf(len(call.Body)),
+		Tenant: call.Tenant,
+	}
+	if a.options.CallerService != "" {
+		class.Caller = core.ServiceName(call.Header.Get(a.options.CallerService))
+	}
+	return class
+}
+
 func (a *admission) admitted(ticket limiter.Ticket, refusal *core.Refusal) (func(backendhttp.CallResult), *core.Refusal) {
 	if refusal != nil {
 		return nil, refusal
--- a/io/node/admission_test.go
+++ b/io/node/admission_test.go
@@ -9,7 +9,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"parsleyport/core"
-	"parsleyport/core/limiter"
 	"parsleyport/io/backendhttp"
 )
 
@@ -18,7 +17,7 @@
 func TestWaitingCallsStartOrExpire(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		a, stop := newAdmission(limiter.Options{})
+		a, stop := newAdmission(admissionOptions{})
 		defer stop()
 		a.SetSlots(1)
 		call := func(left time.Duration) *core.Call {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -41,6 +41,8 @@
 	SoftDeadlineFirst bool
 	// ShortClassesFirst serves calls of routes that take little time first; see limiter.Options.
 	ShortClassesFirst bool
+	// LearnCosts learns the work of calls and forecasts when slots are free; see limiter.Options.
+	LearnCosts bool
 	// FreeCapacityRetries is the number of retries after capacity refusals that cost no retry budget.
 	FreeCapacityRetries int
 	// RetryBudget configures the retry budget of each service.
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -47,10 +47,14 @@
 	if err != nil {
 		return nil, err
 	}
-	admission, stopAdmission := newAdmission(limiter.Options{
-		TrustSlots:        p.options.TrustSlots,
-		SoftDeadlineFirst: p.options.SoftDeadlineFirst,
-		ShortClassesFirst: p.options.ShortClassesFirst,
+	admission, stopAdmission := newAdmission(admissionOptions{
+		Options: limiter.Options{
+			TrustSlots:        p.options.TrustSlots,
+			SoftDeadlineFirst: p.options.SoftDeadlineFirst,
+			ShortClassesFirst: p.options.ShortClassesFirst,
+			LearnCosts:        p.options.LearnCosts,
+		},
+		CallerService: p.headers().CallerService,
 	})
 	p.cleanups.add(stopAdmission)
 	server, cleanup, err := backendhttp.New(backendhttp.Options{
--- a/io/nodepeer/answer.go
+++ b/io/nodepeer/answer.go
@@ -91,6 +91,7 @@
 		Status:   answer.Status,
 		Header:   answer.Header,
 		Load:     newLoadMessage(answer.Load),
+		FreeInUS: answer.Load.FreeIn.Microseconds(),
 	}
 	contentLength, err := strconv.Atoi(answer.Header.Get("Content-Length"))
 	if err == nil && contentLength >= 0 && contentLength <= core.MaxChunkBytes && c.call.Method != "HEAD" {
--- a/io/nodepeer/dialer.go
+++ b/io/nodepeer/dialer.go
@@ -138,7 +138,7 @@
 		return nil, core.OutcomeNotRun, &core.Refusal{
 			Cause:  refusal.Cause,
 			Detail: refusal.Detail,
-			Load:   refusal.Load.decode(),
+			Load:   refusal.Load.decode(refusal.FreeInUS),
 		}
 	case refusal != nil:
 		return nil, core.OutcomeUnknown, errors.New(refusal.Detail)
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -90,9 +90,11 @@
 	Length   int64               `msgpack:"length"`
 	Checksum uint64              `msgpack:"sum"`
 	Load     loadMessage         `msgpack:"load"`
+	FreeInUS int64               `msgpack:"free-us,omitempty"` // Load.FreeIn
 }
 
-// loadMessage encodes a core.Load.
+// loadMessage encodes a core.Load except for FreeIn: earlier versions refuse an array with more elements, and skip unknown keys of
+// the message around it.
 type loadMessage struct {
 	//lint:ignore U1000 makes the msgpack library encode the fields as an array
 	_msgpack struct{} `msgpack:",as_array"`
@@ -113,8 +115,8 @@
 }
 
 // decode returns the zero Load if a value is negative or out of range.
-func (m loadMessage) decode() core.Load {
-	if m.Running < 0 || m.Waiting < 0 || m.Limit < 0 || m.ServiceUS < 0 || m.ServiceUS > maxServiceTimeUS || m.RouteUS < 0 || m.RouteUS > maxServiceTimeUS {
+func (m loadMessage) decode(freeInUS int64) core.Load {
+	if freeInUS < 0 || freeInUS > maxServiceTimeUS || m.Running < 0 || m.Waiting < 0 || m.Limit < 0 || m.ServiceUS < 0 || m.ServiceUS > maxServiceTimeUS || m.RouteUS < 0 || m.RouteUS > maxServiceTimeUS {
 		return core.Load{}
 	}
 	return core.Load{
@@ -123,6 +125,7 @@
 		Limit:            m.Limit,
 		ServiceTime:      time.Duration(m.ServiceUS) * time.Microsecond,
 		RouteServiceTime: time.Duration(m.RouteUS) * time.Microsecond,
+		FreeIn:           time.Duration(freeInUS) * time.Microsecond,
 	}
 }
 
@@ -144,6 +147,7 @@
 	Cause    core.RefusalCause `msgpack:"cause"`
 	Detail   string            `msgpack:"detail"`
 	Load     loadMessage       `msgpack:"load"`
+	FreeInUS int64             `msgpack:"free-us,omitempty"` // Load.FreeIn
 }
 
 type revokeMessage struct {
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -244,6 +244,7 @@
 		Cause:    refusal.Cause,
 		Detail:   refusal.Detail,
 		Load:     newLoadMessage(refusal.Load),
+		FreeInUS: refusal.Load.FreeIn.Microseconds(),
 	})
 }
 
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -170,7 +170,7 @@
 	return &core.Answer{
 		Status: head.Status,
 		Header: http.Header(head.Header),
-		Load:   head.Load.decode(),
+		Load:   head.Load.decode(head.FreeInUS),
 		Body: &answerBody{
 			stream: s,
 			ctx:    ctx,
