--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"parsleyport/core"
+	"parsleyport/core/cost"
 )
 
 const (
@@ -36,12 +37,14 @@
 // Request describes an arriving call.
 type Request struct {
 	Tenant       core.TenantID
+	Weight       float64 // of the tenant against others when they share the slots; 0 means 1
 	Priority     core.Priority
 	SoftDeadline time.Time // an answer after it counts as late; zero if none is set
 	Deadline     time.Time
 	StartBy      time.Time      // a call still queued at this time is refused; zero means Deadline
 	NoWait       bool           // refuse the call unless it can start at once
 	Class        core.RouteName // calls of one class have similar service times
+	Cost         *cost.Class    // for the forecast; nil without LearnCosts
 }
 
 // Result describes how a started call ended.
@@ -66,12 +69,15 @@
 type entry struct {
 	ticket  Ticket
 	request Request
+	work    time.Duration // expected when it arrived; zero without LearnCosts
 }
 
 // tenant holds the running and waiting calls of one tenant. It is removed when it has none.
 type tenant struct {
+	weight  float64
 	running int
 	waiting []entry // ordered by priority (highest first), deadline and arrival
+	onTime  int     // waiting calls that can meet their soft deadline, set by countWaitingOnTime
 }
 
 // Limiter holds the running and waiting calls of one backend server. It is not safe for concurrent use.
@@ -82,6 +88,8 @@
 	running               map[Ticket]runningCall
 	tenants               map[core.TenantID]*tenant
 	waiting               int
+	tenantsWith           []int           // scratch of countWaitingOnTime
+	costs                 *cost.Estimator // nil without LearnCosts
 	lastTicket            Ticket
 	averageLatencySeconds float64
 	minLatencySeconds     float64 // uncongested latency, 0 before the first sample
@@ -100,6 +108,8 @@
 	tenant      core.TenantID
 	class       core.RouteName
 	concurrency int // running calls when it started, including itself
+	startedAt   time.Time
+	cost        *cost.Class
 }
 
 // Options configure a Limiter.
@@ -113,6 +123,9 @@
 	// ShortClassesFirst serves, within a priority, calls of classes that take at most a third of the time of the longest class before all
 	// others. It needs SoftDeadlineFirst.
 	ShortClassesFirst bool
+	// LearnCosts learns the work of calls by what distinguishes them, refuses calls by a forecast from it, and reports when a slot
+	// is expected to be free (see forecast.go).
+	LearnCosts bool
 }
 
 // New returns a limiter whose limit starts at the announced number of slots. Values below 1 count as 1.
@@ -123,7 +136,12 @@
 // NewWithOptions is like New, with options.
 func NewWithOptions(slots int, options Options) *Limiter {
 	slots = max(slots, 1)
+	var costs *cost.Estimator
+	if options.LearnCosts {
+		costs = cost.NewEstimator()
+	}
 	return &Limiter{
+		costs:   costs,
 		options: options,
 		slots:   slots,
 		limit:   float64(slots),
@@ -147,14 +165,16 @@
 	return max(1, int(l.limit))
 }
 
-// Load reports the running and waiting calls and the average service times of all calls and of a class.
-func (l *Limiter) Load(class core.RouteName) core.Load {
+// Load reports the running and waiting calls, the average service times of all calls and of a class, and, with LearnCosts, the
+// expected time until a new call of the class gets a slot.
+func (l *Limiter) Load(now time.Time, class core.RouteName) core.Load {
 	return core.Load{
 		Running:          len(l.running),
 		Waiting:          l.waiting,
 		Limit:            l.Limit(),
 		ServiceTime:      time.Duration(l.averageLatencySeconds * float64(time.Second)),
 		RouteServiceTime: time.Duration(l.serviceTimeSeconds(class) * float64(time.Second)),
+		FreeIn:           l.freeIn(now, class),
 	}
 }
 
@@ -174,6 +194,7 @@
 	added := entry{
 		ticket:  l.lastTicket,
 		request: request,
+		work:    l.expectedWork(now, request),
 	}
 	if l.missesDeadline(now, request) || l.options.SoftDeadlineFirst && l.mustShedOnArrival(now, added) {
 		return added.ticket, Change{
@@ -185,11 +206,13 @@
 			Shed: []Shed{{Ticket: added.ticket, Cause: core.CauseQueueFull}},
 		}
 	}
-	l.tenant(request.Tenant).insert(added)
+	t := l.tenant(request.Tenant)
+	t.weight = weightOf(request)
+	t.insert(added)
 	l.waiting++
 	change := l.dispatch(now)
 	if l.waiting > l.slots*maxWaitingPerSlot {
-		change.Shed = append(change.Shed, l.shedFromLongestQueue(added))
+		change.Shed = append(change.Shed, l.shedFromFullQueue(added))
 	}
 	return added.ticket, change
 }
@@ -208,6 +231,7 @@
 	l.adaptLimit(now, result, ended.concurrency, full)
 	if !result.Failed && !result.Overloaded {
 		l.observeClassServiceTime(now, ended.class, result.Latency)
+		l.observeCost(now, ended.cost, result.Latency)
 	}
 	return l.dispatch(now)
 }
@@ -253,12 +277,13 @@
 	return remaining <= 0 || remaining.Seconds() < l.minLatencySeconds
 }
 
-// dispatch starts waiting calls while slots are free, serving the tenant with the fewest running calls first.
+// dispatch starts waiting calls while slots are free.
 func (l *Limiter) dispatch(now time.Time) Change {
 	var change Change
 	for len(l.running) < l.Limit() && l.waiting > 0 {
-		name, t := l.nextTenant()
-		next := t.removeAt(l.nextPosition(now, t))
+		name, position := l.next(now)
+		t := l.tenants[name]
+		next := t.removeAt(position)
 		l.waiting--
 		if l.missesDeadline(now, next.request) {
 			change.Shed = append(change.Shed, Shed{Ticket: next.ticket, Cause: core.CauseDeadline})
@@ -270,39 +295,25 @@
 			tenant:      name,
 			class:       next.request.Class,
 			concurrency: len(l.running) + 1,
+			startedAt:   now,
+			cost:        next.request.Cost,
 		}
 		change.Start = append(change.Start, next.ticket)
 	}
 	return change
 }
 
-// nextTenant returns the tenant with waiting calls that has the fewest running calls; the first waiting calls break ties.
-func (l *Limiter) nextTenant() (core.TenantID, *tenant) {
-	var bestName core.TenantID
-	var best *tenant
-	for name, t := range l.tenants {
-		if len(t.waiting) == 0 {
-			continue
-		}
-		if best == nil || t.running < best.running || t.running == best.running && precedes(t.waiting[0], best.waiting[0]) {
-			bestName, best = name, t
-		}
-	}
-	return bestName, best
-}
-
-// shedFromLongestQueue removes the last call of the tenant with the most waiting calls from a full queue.
-func (l *Limiter) shedFromLongestQueue(added entry) Shed {
+// shedFromFullQueue removes the last call of the lowest waiting priority. Among the tenants with calls of that priority, the one with
+// the most waiting calls loses it: the longest queue alone may hold only calls that matter more than those of other tenants.
+func (l *Limiter) shedFromFullQueue(added entry) Shed {
 	name := added.request.Tenant
 	for other, t := range l.tenants {
-		excess := len(t.waiting) - len(l.tenants[name].waiting)
-		if excess > 0 || excess == 0 && name != added.request.Tenant && other < name {
+		if len(t.waiting) > 0 && l.shedsBefore(added.request.Tenant, other, name) {
 			name = other
 		}
 	}
 	t := l.tenants[name]
-	last := t.waiting[len(t.waiting)-1]
-	t.waiting = t.waiting[:len(t.waiting)-1]
+	last := t.removeAt(len(t.waiting) - 1)
 	l.waiting--
 	cause := core.CauseQueueFull
 	if len(l.tenants) > 1 {
@@ -315,6 +326,26 @@
 	}
 }
 
+// shedsBefore reports whether tenant a loses a waiting call before tenant b. The tenant of the arriving call breaks ties.
+func (l *Limiter) shedsBefore(arriving, a, b core.TenantID) bool {
+	first, second := l.tenants[a], l.tenants[b]
+	if len(second.waiting) == 0 {
+		return true
+	}
+	if lowest, other := first.lowestPriority(), second.lowestPriority(); lowest != other {
+		return lowest < other
+	}
+	if len(first.waiting) != len(second.waiting) {
+		return len(first.waiting) > len(second.waiting)
+	}
+	return b != arriving && (a == arriving || a < b)
+}
+
+// lowestPriority returns the lowest priority of the waiting calls, of which there must be one.
+func (t *tenant) lowestPriority() core.Priority {
+	return t.waiting[len(t.waiting)-1].request.Priority
+}
+
 // adaptLimit applies additive increase, by about one for each Limit calls that end while all slots of the limit are in use, and
 // multiplicative decrease on overload.
 func (l *Limiter) adaptLimit(now time.Time, result Result, concurrency int, full bool) {
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleyport/core"
+	"parsleyport/core/cost"
 	"parsleyport/core/limiter"
 	"parsleyport/core/ring"
 	"parsleyport/io/backendhttp"
@@ -16,6 +17,7 @@
 
 // admission queues calls to the local backend server in a limiter.Limiter until they may start.
 type admission struct {
+	options      admissionOptions
 	mu           sync.Mutex // guards limiter and waiting
 	limiter      *limiter.Limiter
 	waiting      map[limiter.Ticket]chan *core.Refusal // receives nil to start
@@ -27,9 +29,19 @@
 	_ backendhttp.AdmissionPreviewer = (*admission)(nil)
 )
 
-func newAdmission(options limiter.Options) (*admission, func()) {
+// admissionOptions configure an admission.
+type admissionOptions struct {
+	limiter.Options
+	// CallerService names the header with the calling service, empty if there is none.
+	CallerService string
+	// Weight returns the weight of a tenant against others when they share the slots. Nil means that all weigh the same.
+	Weight func(core.TenantID) float64
+}
+
+func newAdmission(options admissionOptions) (*admission, func()) {
 	a := &admission{
-		limiter:      limiter.NewWithOptions(1, options),
+		options:      options,
+		limiter:      limiter.NewWithOptions(1, options.Options),
 		waiting:      make(map[limiter.Ticket]chan *core.Refusal),
 		expiryNeeded: ring.New[struct{}](1),
 	}
@@ -81,7 +93,7 @@
 func (a *admission) Load(route core.RouteName) core.Load {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.limiter.Load(route)
+	return a.limiter.Load(time.Now(), route)
 }
 
 // SetSlots implements backendhttp.Admission.
@@ -111,22 +123,24 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	decision := make(chan *core.Refusal, 1)
-	ticket, change := a.limiter.Arrive(time.Now(), limiterRequest(call))
+	ticket, change := a.limiter.Arrive(time.Now(), a.request(call))
 	a.waiting[ticket] = decision
 	a.apply(change)
 	a.scheduleExpiry()
 	return ticket, decision
 }
 
-func limiterRequest(call *core.Call) limiter.Request {
+func (a *admission) request(call *core.Call) limiter.Request {
 	return limiter.Request{
 		Tenant:       call.Tenant,
+		Weight:       a.weight(call.Tenant),
 		Priority:     call.Priority,
 		SoftDeadline: call.SoftDeadline,
 		Deadline:     call.Deadline,
 		StartBy:      call.StartBy,
 		NoWait:       call.Hedge,
 		Class:        call.Route,
+		Cost:         a.costClass(call),
 	}
 }
 
@@ -134,7 +148,7 @@
 func (a *admission) Preview(call *core.Call) *core.Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.limiter.WouldShed(time.Now(), limiterRequest(call)) {
+	if !a.limiter.WouldShed(time.Now(), a.request(call)) {
 		return nil
 	}
 	return &core.Refusal{
@@ -142,6 +156,30 @@
 	}
 }
 
+func (a *admission) weight(tenant core.TenantID) float64 {
+	if a.options.Weight == nil {
+		return 1
+	}
+	return a.options.Weight(tenant)
+}
+
+// costClass returns what the work of a call is learned by, or nil if it is not learned.
+func (a *admission) costClass(call *core.Call) *cost.Class {
+	if !a.options.LearnCosts {
+		return nil
+	}
+	class := &cost.Class{
+		Route:  call.Route,
+		Method: call.Method,
+		Size:   cost.SizeClassOf(len(call.Body)),
+		Tenant: call.Tenant,
+	}
+	if a.options.CallerService != "" {
+		class.Caller = core.ServiceName(call.Header.Get(a.options.CallerService))
+	}
+	return class
+}
+
 func (a *admission) admitted(ticket limiter.Ticket, refusal *core.Refusal) (func(backendhttp.CallResult), *core.Refusal) {
 	if refusal != nil {
 		return nil, refusal
