--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -35,7 +35,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	markHandled(r.Context())
 	// A chunked request may also have had a Content-Length, which net/http drops. A proxy in front that goes by the length would take
 	// the bytes that follow for a part of the body, so they must not be read as a request (request smuggling).
 	if s.draining.Load() || len(r.TransferEncoding) > 0 {
@@ -50,7 +49,7 @@
 		s.refuseEarly(w, r, newRefusal(core.CauseQueueFull, ""))
 		return
 	}
-	now := time.Now()
+	now := readTime(r.Context())
 	configuration := s.options.Source.Current()
 	setHeader(w.Header(), s.options.Headers.Revision, strconv.FormatUint(uint64(configuration.Revision()), 10))
 	if !s.options.ConfigurationConfirmed() {
@@ -436,14 +435,14 @@
 	s.callLog.writeRefused(r, s.options.Headers.CallID, refused, s.refuse(w, time.Time{}, refused))
 }
 
-// refuseUnreadable counts and logs a request that net/http could not read and has answered itself.
+// refuseUnreadable counts and logs a request that the connection loop could not read and has answered itself.
 func (s *Server) refuseUnreadable(remote net.Addr, status int) {
 	s.outcomes[core.OutcomeNotRun].Inc()
 	s.refusalCounter(causeUnreadable).Inc()
 	s.callLog.writeUnreadable(remote, status)
 }
 
-// causeUnreadable is the metric label of requests that net/http refuses. Callers only get a status.
+// causeUnreadable is the metric label of requests that the connection loop refuses. Callers only get a status.
 const causeUnreadable = "unreadable-request"
 
 func (s *Server) refusalCounter(cause string) *metrics.Counter {
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"log"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,13 +16,11 @@
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
 	"parsleyport/io/httpserver"
+	"parsleyport/io/pipelinehttp"
 )
 
 const (
 	defaultMaxBodyBytes = 8 << 20
-	headerReadTimeout   = 10 * time.Second
-	requestReadTimeout  = time.Minute // for the header and the body
-	idleTimeout         = 2 * time.Minute
 	// defaultDrainPeriod lets idle callers send one more request while the server drains. The answer tells them to close the
 	// connection; closing it at once could cut off a request in flight.
 	defaultDrainPeriod = time.Second
@@ -118,17 +114,15 @@
 
 // Server answers the HTTP requests of local callers.
 type Server struct {
-	options            Options
-	listener           net.Listener
-	http               *http.Server
-	tasks              sync.WaitGroup
-	draining           atomic.Bool
-	refusing           atomic.Bool
-	drainStartBy       atomic.Int64 // Unix nanoseconds by which calls must get a slot while the server drains; zero otherwise
-	openConnections    atomic.Int64
-	pendingConnections atomic.Int64 // connections whose request is expected, being read or in progress
-	activeRequests     atomic.Int64
-	bufferedBodyBytes  atomic.Int64
+	options           Options
+	listener          net.Listener
+	http              *pipelinehttp.Server
+	tasks             sync.WaitGroup
+	draining          atomic.Bool
+	refusing          atomic.Bool
+	drainStartBy      atomic.Int64 // Unix nanoseconds by which calls must get a slot while the server drains; zero otherwise
+	activeRequests    atomic.Int64
+	bufferedBodyBytes atomic.Int64
 
 	mu            sync.Mutex // guards the fields up to closed
 	retryBudgets  map[core.ServiceName]*retry.Budget
@@ -209,20 +203,12 @@
 	for _, outcome := range []core.Outcome{core.OutcomeAnswered, core.OutcomeNotRun, core.OutcomeUnknown} {
 		s.outcomes[outcome] = options.Metrics.GetOrCreateCounter(`parsleyport_caller_calls_total{outcome="` + string(outcome) + `"}`)
 	}
-	s.http = &http.Server{
-		Handler:           s,
-		ReadHeaderTimeout: headerReadTimeout,
-		ReadTimeout:       requestReadTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnState:         s.trackConnection,
-		ConnContext:       withConnection,
-		ErrorLog:          log.New(options.Logger, "", 0),
-	}
-	s.listener = watchedListener{
-		Listener:     httpserver.NewListener(listener),
-		onRefused:    s.refuseUnreadable,
-		pendingCount: &s.pendingConnections,
-	}
+	s.http = pipelinehttp.New(pipelinehttp.Options{
+		Handler:   s,
+		OnRefused: s.refuseUnreadable,
+		Logger:    options.Logger,
+	})
+	s.listener = httpserver.NewListener(listener)
 	s.tasks.Go(func() { _ = s.http.Serve(s.listener) }) // ends when the listener is closed
 	return s, s.close, nil
 }
@@ -245,21 +231,11 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
+	_ = s.listener.Close()
 	_ = s.http.Close()
 	s.tasks.Wait()
 }
 
-func (s *Server) trackConnection(connection net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateIdle:
-		markAnswered(connection)
-	case http.StateNew:
-		s.openConnections.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.openConnections.Add(-1)
-	}
-}
-
 // Drain stops the server without cutting off requests. During DrainPeriod it answers with "Connection: close", during RefusalPeriod
 // it refuses calls, then it closes the listener. It returns when all requests have been answered, or the context's error.
 func (s *Server) Drain(ctx context.Context) error {
@@ -267,7 +243,8 @@
 		s.drainStartBy.Store(time.Now().Add(s.options.DrainPeriod + s.options.RefusalPeriod).UnixNano())
 	}
 	s.draining.Store(true)
-	if err := waitWhile(ctx, s.options.DrainPeriod, func() bool { return s.openConnections.Load() > 0 || s.options.DrainPeriod > defaultDrainPeriod }); err != nil {
+	s.http.Drain()
+	if err := waitWhile(ctx, s.options.DrainPeriod, func() bool { return s.http.OpenConnections() > 0 || s.options.DrainPeriod > defaultDrainPeriod }); err != nil {
 		return err
 	}
 	s.refusing.Store(s.options.RefusalPeriod > 0)
@@ -276,12 +253,11 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	// The listener is closed first: once Shutdown has begun, net/http closes a connection whose request it has just read, without
-	// an answer.
+	// The listener is closed first: Shutdown closes the connections whose first request has not arrived.
 	if err := s.listener.Close(); err != nil {
 		s.options.Logger.Warn().Err(err).Msg("failed to close the listener for callers")
 	}
-	if err := waitWhile(ctx, unreadRequestTimeout, func() bool { return s.pendingConnections.Load() > 0 }); err != nil {
+	if err := waitWhile(ctx, unreadRequestTimeout, func() bool { return s.http.PendingConnections() > 0 }); err != nil {
 		return err
 	}
 	return s.http.Shutdown(ctx)
