--- a/core/catalog/expectations_test.go
+++ b/core/catalog/expectations_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,3 +72,42 @@
 	r.step(c, id, 2, core.MoveDone, 1000)
 	c.Assert(weights(), qt.DeepEquals, []core.Weight{{Upstream: "*", PerMille: 0}, {Upstream: "v2", PerMille: 1000}})
 }
+
+// Guards against tenants that are accepted while some control instance would decide otherwise, against a refusal that a resend gets once
+// the rules are in force, and against a change of keys that the audit trail does not count or whose keys it shows.
+func TestTenants(t *testing.T) {
+	c := qt.New(t)
+	r := newReplica(c)
+	first := submission("a", newRecord(core.KindTenant, "firm", 1, `{"api-keys":["secret-1","secret-2"]}`))
+	for _, rules := range []core.RulesVersion{1, catalog.DeclarationRules, catalog.TenantRules - 1} {
+		r.raiseRules(c, rules)
+		refusal := r.submit(c, first)
+		early, refused := r.RulesRefusal(start, first)
+		c.Assert(refused && refusal.Cause == catalog.CauseRules && early.Cause == refusal.Cause && early.Detail == refusal.Detail, qt.IsTrue)
+	}
+	r.raiseRules(c, catalog.TenantRules)
+	_, refused := r.RulesRefusal(start, first)
+	c.Assert(refused, qt.IsFalse)
+	c.Assert(r.submit(c, first).Result, qt.Equals, catalog.Accepted)
+	r = r.restored(c)
+	tenant, _ := r.Current().TenantOfKey("secret-1")
+	c.Assert(tenant, qt.Equals, core.TenantID("firm"))
+
+	c.Assert(r.submit(c, submission("b", newRecord(core.KindTenant, "firm", 2, `{"api-keys":["secret-2","secret-3","secret-4"]}`))).Result, qt.Equals, catalog.Accepted)
+	refusal := r.submit(c, submission("c", newRecord(core.KindTenant, "other", 1, `{"api-keys":["secret-4"]}`)))
+	c.Assert(refusal.Detail, qt.Equals, `tenants "firm" and "other" share an API key`)
+	removal := submission("d")
+	removal.Deletes = []core.Deletion{{Kind: core.KindTenant, Name: "firm", SchemaVersion: 1, Version: 3}}
+	c.Assert(r.submit(c, removal).Result, qt.Equals, catalog.Accepted)
+	var lines []string
+	for _, entry := range r.Audit(catalog.AuditFilter{Limit: 4}) {
+		lines = append(lines, entry.Changes...)
+	}
+	c.Assert(lines, qt.DeepEquals, []string{
+		"set tenant firm schema 1 version 1, API keys: 2 added, 0 removed",
+		"set tenant firm schema 1 version 2, API keys: 2 added, 1 removed",
+		"set tenant other schema 1 version 1, API keys: 1 added, 0 removed",
+		"delete tenant firm schema 1 version 3, API keys: 0 added, 3 removed",
+	})
+	c.Assert(fmt.Sprintf("%+v", r.Audit(catalog.AuditFilter{})), qt.Not(qt.Contains), "secret")
+}
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -402,3 +402,58 @@
 		}
 	})
 }
+
+const tenantRecords = `{
+  "operator": "amina",
+  "records": [
+    {"kind": "tenant", "name": "firm", "schema-version": 1, "version": 1, "body": {
+      "api-keys": [
+        "k-secret-1", "k-secret-2"
+      ],
+      "rate-per-s": 20
+    }},
+    {"kind": "tenant", "name": "bureau", "schema-version": 1, "version": 1, "body": {
+      "api-keys": ["k-secret-3"]
+    }}
+  ]
+}`
+
+// Guards against a fault of a tenant that is reported without its line and key, and against an API key in a fault.
+func TestCheckOfTenants(t *testing.T) {
+	f := newFixture(t)
+	good := f.file("good.jsonc", tenantRecords)
+	f.run(StatusOK, "check", "--complete", good)
+	for _, test := range []struct{ old, with, want string }{
+		{`"rate-per-s": 20`, `"rate-per-s": -4`, `:8: tenant record "firm": rate-per-s is -4, .*`},
+		{`"rate-per-s": 20`, `"rate-per-s": 2.5`, `:8: .*2.5.*rate-per-s.*`},
+		{`"k-secret-2"`, `"k-secret 2"`, `:6: tenant record "firm": api-keys\[1\] has 10 bytes, .*`},
+		{`"k-secret-2"`, `k-secret-2`, `:6: .*invalid literal`},
+		{`"k-secret-3"`, `"x", "k-secret-2"`, `:11: tenant record "bureau": api-keys/1 is the same as one of tenant record "firm"`},
+		{`"api-keys": ["k-secret-3"]`, `"id": "firm"`, `:11: tenant record "bureau": id is the same as one of tenant record "firm"`},
+	} {
+		output := f.run(StatusUsage, "check", f.file("bad.jsonc", strings.Replace(tenantRecords, test.old, test.with, 1)))
+		f.c.Assert(output, qt.Matches, `.*bad.jsonc`+test.want+`\n`)
+		f.c.Assert(output, qt.Not(qt.Contains), "k-secret")
+	}
+	second := f.file("second.jsonc", strings.Replace(tenantRecords, `"firm"`, `"other"`, 1))
+	f.c.Assert(f.run(StatusUsage, "check", "--complete", good, second), qt.Matches, `(?s).*tenants "firm" and "other" share an API key\n.*`)
+}
+
+// Guards against API keys in the output of any command but the one that reads the whole configuration as it was submitted.
+func TestCommandsShowNoKeys(t *testing.T) {
+	f := newFixture(t)
+	file := f.file("tenants.jsonc", tenantRecords)
+	output := f.run(StatusRefused, "apply", file)
+	f.c.Assert(output, qt.Contains, "rules-not-raised")
+	command, err := catalog.EncodeRules(time.Now(), catalog.TenantRules)
+	f.c.Assert(err, qt.IsNil)
+	_, err = f.replicator.Propose(t.Context(), command)
+	f.c.Assert(err, qt.IsNil)
+	for _, args := range []string{"apply " + file, "records", "records --kind tenant --output json", "records firm --output json", "audit", "audit --output json"} {
+		output += f.run(StatusOK, strings.Fields(args)...)
+	}
+	f.c.Assert(output, qt.Contains, "set tenant firm schema 1 version 1, API keys: 2 added, 0 removed")
+	f.c.Assert(output, qt.Contains, "redacted key")
+	f.c.Assert(output, qt.Not(qt.Contains), "k-secret")
+	f.c.Assert(f.run(StatusOK, "records", "--output", "json"), qt.Contains, "k-secret-3")
+}
