--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -55,9 +55,8 @@
 	sequence    uint64
 	lentAt      Time // when the last answered request was sent
 	hasLease    bool
-	epoch       uint64 // counts lapsed leases; units of an earlier one are void
-	needFull    bool   // the next request must name all units
-	pending     bool   // a request is unanswered
+	needFull    bool // the next request must name all units
+	pending     bool // a request is unanswered
 	pendingAt   Time
 	asked       []asked       // the tenants in the pending request
 	lastSent    time.Duration // of the last request
@@ -69,7 +68,6 @@
 	uses       count
 	refusals   count
 	units      int           // lent by the lender
-	epoch      uint64        // in which they were lent
 	base       int           // bound under which they were lent, zero if the lender knows no limit
 	bound      int           // at this node
 	freeHint   int           // see Report.Free
@@ -250,7 +248,7 @@
 	if bounded := a.base; bounded == 0 || a.bound < bounded {
 		a.base = a.bound
 	}
-	a.units, a.epoch, a.wantedSent = limit, h.epoch, wanted
+	a.units, a.wantedSent = limit, wanted
 	report := Report{
 		Tenant:   tenant,
 		Held:     held,
@@ -308,7 +306,7 @@
 func (h *Holder) apply(now time.Duration, a *allotment, lent Allotment) {
 	a.advance(now)
 	held := max(h.limit(a), a.uses.sum)
-	a.units, a.epoch, a.base = lent.Units, h.epoch, lent.Base
+	a.units, a.base = lent.Units, lent.Base
 	a.lenderView = max(held, lent.Units)
 	a.freeHint = lent.Free + 1
 	a.usedUntil, a.askAt, a.aheadAt = 0, 0, 0
@@ -336,11 +334,11 @@
 	}
 }
 
-// checkLease voids all units once the lease is over by one of the clocks.
+// checkLease ends the lease once it is over by one of the clocks. No unit can be used then, and the next request gives all of them up
+// that are not in use.
 func (h *Holder) checkLease(now Time) {
 	if h.hasLease && !now.Within(Lease, h.lentAt) {
 		h.hasLease, h.needFull = false, true
-		h.epoch++
 	}
 }
 
@@ -355,7 +353,7 @@
 // limit returns how many uses the window may contain. Units that were lent under a higher bound count in proportion, so that a lower
 // limit is kept even while the lender cannot take units back.
 func (h *Holder) limit(a *allotment) int {
-	if a.epoch != h.epoch || !h.hasLease {
+	if !h.hasLease {
 		return 0
 	}
 	units := a.units
--- a/core/quota/lender.go
+++ b/core/quota/lender.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"parsleyport/core"
@@ -11,7 +12,7 @@
 	// lenders. The window of the holders is added to it.
 	takeoverPeriod = Lease + takeoverOverlap
 	// takeoverHoldOff is how long a new lender considers all unreported units as lent, since holders need about as long to find it.
-	takeoverHoldOff = 500 * time.Millisecond
+	takeoverHoldOff = time.Second
 	// silentAfter is the time after the last contact from which the demand of a holder no longer counts. It tolerates one lost exchange.
 	silentAfter = 2500 * time.Millisecond
 	// raiseDelay is how long a lender keeps to the lower bound after a limit was raised. By then each holder that has a lease has
@@ -242,7 +243,7 @@
 			Units:  each.units,
 		}
 	}
-	rest := l.unreported(now, p)
+	rest, expiring := l.unreported(now, p)
 	free := p.bound - p.lent - rest
 	units := min(p.share(each, p.bound-rest-(p.lent-p.live)), l.most(each, free, told))
 	l.setUnits(each, units, told)
@@ -250,7 +251,7 @@
 		Tenant: tenant,
 		Units:  units,
 		Base:   told,
-		Free:   max(p.bound-p.lent-rest, 0),
+		Free:   max(p.bound-p.lent-rest+expiring, 0),
 	}
 	if units < each.demand && p.demand+p.lent-p.live >= p.bound {
 		granted.Used = p.untilNext(now, h.span)
@@ -310,20 +311,22 @@
 // unreported returns how many units of an earlier lender are still considered as lent although no holder has reported them. They expire
 // evenly, since after a loss of all processes nobody reports them. Those that were not in the pool of the earlier lender are certainly
 // lent if a holder still knows about it, and do not expire early.
-func (l *Lender) unreported(now time.Duration, p *pool) int {
+//
+// It also returns the part that expires. A next lender may count it as unused too.
+func (l *Lender) unreported(now time.Duration, p *pool) (rest, expiring int) {
 	age, period := now-l.startedAt, takeoverPeriod+l.span
 	if age >= period || p.assumed <= p.reported {
-		return 0
+		return 0, 0
 	}
 	rest, lent := p.assumed-p.reported, 0
 	if p.hint > 0 {
 		lent = max(rest-(p.hint-1), 0)
 	}
-	if age <= takeoverHoldOff {
-		return rest
+	expiring = rest - lent
+	if age > takeoverHoldOff {
+		expiring = int(math.Ceil(float64(expiring) * float64(period-age) / float64(period-takeoverHoldOff)))
 	}
-	remaining := float64(period-age) / float64(period-takeoverHoldOff)
-	return lent + int(float64(rest-lent)*remaining+1)
+	return lent + expiring, expiring
 }
 
 // pool returns the state of a tenant with its bound brought up to date.
--- a/core/quota/messages.go
+++ b/core/quota/messages.go
@@ -26,7 +26,7 @@
 	Ahead    int           // further units wanted, for about the next second
 	Next     time.Duration // until the oldest use leaves the window, zero without uses
 	Base     int           // bound under which the units were lent
-	Free     int           // units in the lender's pool as it last stated, plus 1; zero if unknown
+	Free     int           // Free of the last Allotment, plus 1; zero if unknown
 }
 
 // Answer states the units that a holder has from now on, for the tenants that it names. The others are unchanged.
@@ -42,6 +42,6 @@
 	Tenant core.TenantID
 	Units  int
 	Base   int           // the lender's bound, zero if it knows no limit
-	Free   int           // units that remain in the pool
+	Free   int           // units in the pool, and those of an earlier lender that are probably unused
 	Used   time.Duration // positive if the limit is used up: the time until units are available again
 }
--- a/io/control/quota.go
+++ b/io/control/quota.go
@@ -146,16 +146,18 @@
 	defer q.mu.Unlock()
 	if term != q.term {
 		q.term, q.ledSince, q.lender = term, q.now(), nil
+		q.wake.TryPush(struct{}{})
 	}
 }
 
-// confirm runs confirmations while there are holders, until the context ends.
+// confirm runs confirmations while there are holders, until the context ends. There is also one at the start of each term: the
+// configuration is then the newest of the earlier terms, so that no units of tenants which appear later have been lent.
 func (q *quotaLender) confirm(ctx context.Context) {
 	for {
 		if _, err := q.wake.Pop(ctx); err != nil {
 			return
 		}
-		for ctx.Err() == nil && q.hasHolders() {
+		for ctx.Err() == nil && q.needsConfirmation() {
 			began := time.Now()
 			q.confirmOnce(ctx)
 			wait(ctx, time.Until(began.Add(quotaConfirmInterval)))
@@ -172,10 +174,10 @@
 	}
 }
 
-func (q *quotaLender) hasHolders() bool {
+func (q *quotaLender) needsConfirmation() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.term != 0 && time.Since(q.lastRequestAt) < quotaIdle
+	return q.term != 0 && (q.lender == nil || time.Since(q.lastRequestAt) < quotaIdle)
 }
 
 // confirmOnce confirms that this instance has led in one term from the start of the read until its end. A read of an instance that
