--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -198,6 +198,8 @@
 		Keys:                   keys,
 		Quota:                  p.quotas,
 		Headers:                p.headers(),
+		KeyScheme:              p.options.KeyScheme,
+		LeaderHeard:            subscriber.LeaderHeard,
 		CallerSetsCallID:       p.options.CallerSetsCallID,
 		CallerService:          p.localService,
 		DisableHedging:         p.options.DisableHedging,
