--- a/io/distribution/quotas.go
+++ b/io/distribution/quotas.go
@@ -20,6 +20,9 @@
 	maxQuotaLinks = maxDirectChildren
 	// maxQuotaNames limits the tenants that a connection numbers. The node opens another one when they are used up.
 	maxQuotaNames = 16384
+	// maxQuotaSpan and maxQuotaUnits bound the values in messages, so that sums of them do not overflow.
+	maxQuotaSpan  = time.Hour
+	maxQuotaUnits = 1 << 41
 )
 
 // ErrLinkFull means that a connection has numbered too many tenants and that the node must open another one.
@@ -43,7 +46,9 @@
 
 // quotaHello identifies the holder in the first request of a connection.
 type quotaHello struct {
-	_msgpack    struct{} `msgpack:",as_array"`
+	//lint:ignore U1000 makes the msgpack library encode the fields as an array
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Node        core.NodeID
 	Incarnation core.Incarnation
 	SpanMS      int64
@@ -51,7 +56,9 @@
 
 // quotaRequest is a quota.Request. It names each tenant once on a connection, and then refers to it by its number.
 type quotaRequest struct {
+	//lint:ignore U1000 makes the msgpack library encode the fields as an array
 	_msgpack struct{} `msgpack:",as_array"`
+
 	Sequence uint64
 	Term     core.Term
 	Full     bool
@@ -61,7 +68,9 @@
 }
 
 type quotaReport struct {
+	//lint:ignore U1000 makes the msgpack library encode the fields as an array
 	_msgpack struct{} `msgpack:",as_array"`
+
 	Tenant   int
 	Held     int
 	Allotted int
@@ -74,7 +83,9 @@
 
 // quotaAnswer answers a quotaRequest. A control instance that does not lend answers with NotLender and closes the connection.
 type quotaAnswer struct {
-	_msgpack   struct{} `msgpack:",as_array"`
+	//lint:ignore U1000 makes the msgpack library encode the fields as an array
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Sequence   uint64
 	Term       core.Term
 	NeedFull   bool
@@ -84,12 +95,14 @@
 }
 
 type quotaAllotment struct {
+	//lint:ignore U1000 makes the msgpack library encode the fields as an array
 	_msgpack struct{} `msgpack:",as_array"`
-	Tenant   int
-	Units    int
-	Base     int
-	Free     int
-	UsedMS   int64
+
+	Tenant int
+	Units  int
+	Base   int
+	Free   int
+	UsedMS int64
 }
 
 // answerQuotas answers the requests on a connection until it ends.
@@ -190,20 +203,22 @@
 		}
 		request.Reports = append(request.Reports, quota.Report{
 			Tenant:   l.names[each.Tenant],
-			Held:     each.Held,
-			Allotted: each.Allotted,
-			Demand:   each.Demand,
-			Ahead:    each.Ahead,
+			Held:     validUnits(each.Held),
+			Allotted: validUnits(each.Allotted),
+			Demand:   validUnits(each.Demand),
+			Ahead:    validUnits(each.Ahead),
 			Next:     time.Duration(min(max(each.NextMS, 0), maxQuotaSpan.Milliseconds())) * time.Millisecond,
-			Base:     each.Base,
-			Free:     each.Free,
+			Base:     validUnits(each.Base),
+			Free:     validUnits(each.Free),
 		})
 	}
 	return request, nil
 }
 
-// maxQuotaSpan bounds the time for which uses count.
-const maxQuotaSpan = time.Hour
+// validUnits returns a number of units within the bounds.
+func validUnits(units int) int {
+	return min(max(units, 0), maxQuotaUnits)
+}
 
 func (l *quotaServerLink) encode(answer quota.Answer) quotaAnswer {
 	message := quotaAnswer{
@@ -347,9 +362,9 @@
 		}
 		answer.Allotments = append(answer.Allotments, quota.Allotment{
 			Tenant: l.names[each.Tenant],
-			Units:  max(each.Units, 0),
-			Base:   max(each.Base, 0),
-			Free:   max(each.Free, 0),
+			Units:  validUnits(each.Units),
+			Base:   validUnits(each.Base),
+			Free:   validUnits(each.Free),
 			Used:   time.Duration(min(max(each.UsedMS, 0), maxQuotaSpan.Milliseconds())) * time.Millisecond,
 		})
 	}
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -6,10 +6,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"parsleyport/core/quota"
 	"parsleyport/io/settings"
 )
 
@@ -30,7 +32,7 @@
   "id": "n1", "data-centre": "dc-a",
   "caller-address": "127.0.0.1:7201", "peer-address": "127.0.0.1:7202", "relay-address": "127.0.0.1:7203",
   "backend-address": "127.0.0.1:7204", "admin-address": "[::1]:7205",
-  "control-addresses": ["127.0.0.1:7103"], "log-level": "debug",
+  "control-addresses": ["127.0.0.1:7103"], "log-level": "debug", "quota": {"window-ms": 3000, "overshoot-per-mille": 0},
 }`
 
 // Guards against settings that are read into the wrong field or lose their default values.
@@ -43,6 +45,7 @@
 	c.Assert(loaded.Bootstrap, qt.IsTrue)
 	c.Assert(loaded.Limits.SubmissionsPerSecond, qt.Equals, 20)
 	c.Assert(loaded.Limits.TenantSubmissions > 1400, qt.IsTrue)
+	c.Assert(loaded.Quota, qt.Equals, quota.DefaultSettings())
 	c.Assert(loaded.LogLevel, qt.Equals, zerolog.InfoLevel)
 	c.Assert(loaded.Members[2].NodeAddress, qt.Equals, "127.0.0.1:7123")
 	c.Assert(loaded.PeerAddress, qt.Equals, "127.0.0.1:7102")
@@ -51,6 +54,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(parsed.AdminAddress, qt.Equals, "[::1]:7205")
 	c.Assert(parsed.LogLevel, qt.Equals, zerolog.DebugLevel)
+	c.Assert(parsed.Quota, qt.Equals, quota.Settings{Window: 3 * time.Second, Slack: 20})
 
 	_, err = settings.LoadNode(filepath.Join(c.TempDir(), "missing.jsonc"))
 	c.Assert(err, qt.ErrorMatches, `.*missing.jsonc:0: expected a readable file.*`)
@@ -81,6 +85,8 @@
 		{`"bootstrap": true`, `"limits": {"submissions-per-second": 0}`, `f:6: limits.submissions-per-second: expected a whole number from 1 to 10000, found 0`},
 		{`"bootstrap": true`, `"limits": {"queries-burst": 9.5}`, `f:6: limits.queries-burst: expected a whole number from 20 to 10000, found 9.5`},
 		{`"bootstrap": true`, `"limits": {"per-second": 1}`, `f:6: limits.per-second: expected one of submissions-per-second, .*, found an unknown key`},
+		{`"bootstrap": true`, `"quota": {"window-ms": 100}`, `f:6: quota.window-ms: expected a whole number from 2000 to 60000, found 100`},
+		{`"bootstrap": true`, `"quota": {"window": 1}`, `f:6: quota.window: expected one of window-ms, overshoot-per-mille, slack, found an unknown key`},
 		{`"bootstrap": true`, `"limits": 7`, `f:6: limits: expected an object, found 7`},
 		{control, `[]`, `f:1: expected an object, found \[\]`},
 		{control, "{\n}}", `f:2: expected JSON with comments, found .*`},
