--- a/io/distribution/quotas.go
+++ b/io/distribution/quotas.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/quota"
@@ -23,6 +24,10 @@
 	// maxQuotaSpan and maxQuotaUnits bound the values in messages, so that sums of them do not overflow.
 	maxQuotaSpan  = time.Hour
 	maxQuotaUnits = 1 << 41
+	// unknownQuotaBase is the base of a tenant that no message has stated.
+	unknownQuotaBase = -1
+	// quotaTimeUnit is the resolution of times in messages. Uses leave the window in steps of about as much.
+	quotaTimeUnit = 100 * time.Millisecond
 )
 
 // ErrLinkFull means that a connection has numbered too many tenants and that the node must open another one.
@@ -54,13 +59,14 @@
 	SpanMS      int64
 }
 
-// quotaRequest is a quota.Request. It names each tenant once on a connection, and then refers to it by its number.
+// quotaRequest is a quota.Request. It names each tenant once on a connection, and then refers to it by its number. Numbers are int and
+// uint, which the msgpack library encodes in as few bytes as the value needs; int64 always takes nine.
 type quotaRequest struct {
 	//lint:ignore U1000 makes the msgpack library encode the fields as an array
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Sequence uint64
-	Term     core.Term
+	Sequence uint
+	Term     uint
 	Full     bool
 	Hello    *quotaHello // only in the first request
 	Names    []core.TenantID
@@ -76,9 +82,9 @@
 	Allotted int
 	Demand   int
 	Ahead    int
-	NextMS   int64
-	Base     int
-	Free     int
+	Next     int // in units of quotaTimeUnit
+	Base     int // plus 1, or zero if that of the last message about the tenant still applies
+	Free     int // only in a full request
 }
 
 // quotaAnswer answers a quotaRequest. A control instance that does not lend answers with NotLender and closes the connection.
@@ -86,8 +92,8 @@
 	//lint:ignore U1000 makes the msgpack library encode the fields as an array
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Sequence   uint64
-	Term       core.Term
+	Sequence   uint
+	Term       uint
 	NeedFull   bool
 	NotLender  bool
 	Lender     string
@@ -100,9 +106,42 @@
 
 	Tenant int
 	Units  int
-	Base   int
+	Base   int // as in quotaReport
 	Free   int
-	UsedMS int64
+	Used   int // in units of quotaTimeUnit
+}
+
+// quotaBases holds the bases of the last messages about each tenant on a connection, by number. Requests and answers alternate, so that
+// both ends have the same.
+type quotaBases []int
+
+// compress returns the value of Base in a message.
+func (b *quotaBases) compress(number, base int) int {
+	if b.set(number, base) {
+		return base + 1
+	}
+	return 0
+}
+
+// expand returns the base that a value of Base in a message stands for.
+func (b *quotaBases) expand(number, value int) int {
+	if value > 0 {
+		b.set(number, validUnits(value-1))
+	}
+	if number >= len(*b) {
+		return 0
+	}
+	return max((*b)[number], 0)
+}
+
+// set returns false if the base is the last one.
+func (b *quotaBases) set(number, base int) bool {
+	for len(*b) <= number {
+		*b = append(*b, unknownQuotaBase)
+	}
+	changed := (*b)[number] != base
+	(*b)[number] = base
+	return changed
 }
 
 // answerQuotas answers the requests on a connection until it ends.
@@ -144,7 +183,7 @@
 	answer, err := h.quotaLender.Exchange(ctx, request)
 	if errors.Is(err, core.ErrNoLeader) {
 		return quotaAnswer{
-			Sequence:  request.Sequence,
+			Sequence:  uint(request.Sequence),
 			NotLender: true,
 			Lender:    h.leaderAddress(),
 		}, nil
@@ -171,6 +210,7 @@
 	hello   *quotaHello
 	names   []core.TenantID
 	numbers map[core.TenantID]int
+	bases   quotaBases
 }
 
 func (l *quotaServerLink) decode(received frame.Frame) (quota.Request, error) {
@@ -191,8 +231,8 @@
 	request := quota.Request{
 		Node:        l.hello.Node,
 		Incarnation: l.hello.Incarnation,
-		Sequence:    message.Sequence,
-		Term:        message.Term,
+		Sequence:    uint64(message.Sequence),
+		Term:        core.Term(message.Term),
 		Span:        time.Duration(l.hello.SpanMS) * time.Millisecond,
 		Full:        message.Full,
 		Reports:     make([]quota.Report, 0, len(message.Reports)),
@@ -207,14 +247,23 @@
 			Allotted: validUnits(each.Allotted),
 			Demand:   validUnits(each.Demand),
 			Ahead:    validUnits(each.Ahead),
-			Next:     time.Duration(min(max(each.NextMS, 0), maxQuotaSpan.Milliseconds())) * time.Millisecond,
-			Base:     validUnits(each.Base),
+			Next:     validQuotaTime(each.Next),
+			Base:     l.bases.expand(each.Tenant, each.Base),
 			Free:     validUnits(each.Free),
 		})
 	}
 	return request, nil
 }
 
+// quotaTime returns a time in units of quotaTimeUnit, rounded up.
+func quotaTime(duration time.Duration) int {
+	return int((duration + quotaTimeUnit - 1) / quotaTimeUnit)
+}
+
+func validQuotaTime(units int) time.Duration {
+	return time.Duration(min(max(units, 0), int(maxQuotaSpan/quotaTimeUnit))) * quotaTimeUnit
+}
+
 // validUnits returns a number of units within the bounds.
 func validUnits(units int) int {
 	return min(max(units, 0), maxQuotaUnits)
@@ -222,8 +271,8 @@
 
 func (l *quotaServerLink) encode(answer quota.Answer) quotaAnswer {
 	message := quotaAnswer{
-		Sequence:   answer.Sequence,
-		Term:       answer.Term,
+		Sequence:   uint(answer.Sequence),
+		Term:       uint(answer.Term),
 		NeedFull:   answer.NeedFull,
 		Allotments: make([]quotaAllotment, 0, len(answer.Allotments)),
 	}
@@ -235,9 +284,9 @@
 		message.Allotments = append(message.Allotments, quotaAllotment{
 			Tenant: number,
 			Units:  each.Units,
-			Base:   each.Base,
+			Base:   l.bases.compress(number, each.Base),
 			Free:   each.Free,
-			UsedMS: each.Used.Milliseconds(),
+			Used:   quotaTime(each.Used),
 		})
 	}
 	return message
@@ -255,6 +304,7 @@
 	hello   *quotaHello // nil once it has been sent
 	names   []core.TenantID
 	numbers map[core.TenantID]int
+	bases   quotaBases
 }
 
 // OpenQuotaLink connects to the control instance at an address.
@@ -316,8 +366,8 @@
 
 func (l *QuotaLink) encode(request quota.Request) (quotaRequest, error) {
 	message := quotaRequest{
-		Sequence: request.Sequence,
-		Term:     request.Term,
+		Sequence: uint(request.Sequence),
+		Term:     uint(request.Term),
 		Full:     request.Full,
 		Hello:    l.hello,
 		Reports:  make([]quotaReport, 0, len(request.Reports)),
@@ -337,9 +387,9 @@
 			Allotted: each.Allotted,
 			Demand:   each.Demand,
 			Ahead:    each.Ahead,
-			NextMS:   each.Next.Milliseconds(),
-			Base:     each.Base,
-			Free:     each.Free,
+			Next:     quotaTime(each.Next),
+			Base:     l.bases.compress(number, each.Base),
+			Free:     lo.Ternary(request.Full, each.Free, 0),
 		})
 	}
 	if len(l.names) > maxQuotaNames {
@@ -351,8 +401,8 @@
 
 func (l *QuotaLink) decode(message quotaAnswer) (quota.Answer, error) {
 	answer := quota.Answer{
-		Sequence:   message.Sequence,
-		Term:       message.Term,
+		Sequence:   uint64(message.Sequence),
+		Term:       core.Term(message.Term),
 		NeedFull:   message.NeedFull,
 		Allotments: make([]quota.Allotment, 0, len(message.Allotments)),
 	}
@@ -363,9 +413,9 @@
 		answer.Allotments = append(answer.Allotments, quota.Allotment{
 			Tenant: l.names[each.Tenant],
 			Units:  validUnits(each.Units),
-			Base:   validUnits(each.Base),
+			Base:   l.bases.expand(each.Tenant, each.Base),
 			Free:   validUnits(each.Free),
-			Used:   time.Duration(min(max(each.UsedMS, 0), maxQuotaSpan.Milliseconds())) * time.Millisecond,
+			Used:   validQuotaTime(each.Used),
 		})
 	}
 	return answer, nil
