Count a request towards the quota until its answer

A request may wait in a queue between its admission and its arrival at the backend server, so that a window at the backend servers could contain more requests than one at the admissions. QuotaLimiter.Settle restamps the unit when the call ends; the fixed margin of half a second is gone.

--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -127,4 +127,6 @@
 	Take(ctx context.Context, tenant TenantID) (QuotaUnit, *Refusal)
 	// GiveBack returns the unit of a request that reached no backend server.
 	GiveBack(unit QuotaUnit)
+	// Settle keeps the unit of a request that may have reached a backend server, some time between its admission and now.
+	Settle(unit QuotaUnit)
 }
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -39,6 +39,13 @@
 	*Holder
 	dead    bool
 	waiting []fleetWait
+	calls   []fleetCall
+}
+
+// fleetCall is a request that a backend server answers.
+type fleetCall struct {
+	tenant  int
+	takenAt time.Duration
 }
 
 type fleetWait struct {
@@ -146,6 +153,8 @@
 	}
 	verdict, _ := n.Take(clock, f.tenants[i].name, f.tenants[i].bound)
 	switch verdict {
+	case Admitted:
+		n.calls = append(n.calls, fleetCall{tenant: i, takenAt: f.now})
 	case Used:
 		f.refuse(i)
 	case Missing:
@@ -179,7 +188,9 @@
 		n.Leave(clock, f.tenants[w.tenant].name, verdict == Missing)
 		if verdict != Admitted {
 			f.refuse(w.tenant)
+			continue
 		}
+		n.calls = append(n.calls, fleetCall{tenant: w.tenant, takenAt: f.now})
 	}
 }
 
@@ -187,6 +198,10 @@
 	if n.dead {
 		return
 	}
+	for len(n.calls) > 0 && f.now >= n.calls[0].takenAt+200*time.Millisecond {
+		n.Settle(clock, f.tenants[n.calls[0].tenant].name, n.calls[0].takenAt)
+		n.calls = n.calls[1:]
+	}
 	if len(n.waiting) > 0 && f.now >= n.waiting[0].until {
 		f.retry(n, clock)
 	}
@@ -264,7 +279,7 @@
 		f.tenants[0].rate /= 7.5
 		hot, served := f.first[0], f.first[0]-f.first[1]
 		othersRefused := 1 - f.shareServed()
-		atLimit := float64(f.tenants[0].bound) * (seconds / f.settings.Span().Seconds())
+		atLimit := float64(f.tenants[0].bound) * (seconds / f.settings.Window.Seconds())
 		t.Logf("seed %d: %d of %d requests over %d s served, %.2f of the bound, %d waited; others: %.4f refused; %.1f exchanges a second for each node",
 			seed, served, hot, seconds, float64(served)/atLimit, f.waited-waited, othersRefused, float64(f.exchanges-exchanges)/85/seconds)
 		if float64(served) < 0.85*atLimit || othersRefused > 0.005 || f.waited-waited > hot/10 {
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -144,6 +144,16 @@
 	}
 }
 
+// Settle keeps the unit of a request that was admitted at a time and has reached a backend server by now. It counts from now on, since
+// it is not known when it did.
+func (h *Holder) Settle(now Time, tenant core.TenantID, at time.Duration) {
+	if a := h.tenants[tenant]; a != nil {
+		a.advance(now.Steady)
+		a.uses.remove(at)
+		a.uses.add()
+	}
+}
+
 // Wait counts a request that waits for a unit as demand until Leave.
 func (h *Holder) Wait(tenant core.TenantID) {
 	if a := h.tenants[tenant]; a != nil {
@@ -266,8 +276,8 @@
 
 // ahead returns the number of units for about one second at the rate of the window or of the last half second, if that is higher.
 func (h *Holder) ahead(a *allotment, demand int) int {
-	span := h.settings.Span()
-	perSecond := (demand*int(time.Second) + int(span) - 1) / int(span)
+	window := h.settings.Window
+	perSecond := (demand*int(time.Second) + int(window) - 1) / int(window)
 	recent := a.uses.recent(recentBuckets) + a.waiting
 	perSecond = max(perSecond, recent*int(time.Second/(recentBuckets*h.settings.bucket())))
 	return min(max(perSecond, minAhead), a.bound)
@@ -345,7 +355,7 @@
 func (h *Holder) newAllotment() *allotment {
 	bucket := h.settings.bucket()
 	return &allotment{
-		uses:     newCount(h.settings.Span(), bucket),
+		uses:     newCount(h.settings.Window, bucket),
 		refusals: newCount(refusalWindow, max(bucket, refusalWindow/10)),
 	}
 }
--- a/core/quota/messages.go
+++ b/core/quota/messages.go
@@ -12,7 +12,7 @@
 	Incarnation core.Incarnation
 	Sequence    uint64        // grows with each request of the incarnation
 	Term        core.Term     // the highest term of a lender that has answered the holder
-	Span        time.Duration // how long a use counts at the holder
+	Span        time.Duration // see Settings.Span
 	Full        bool          // the holder holds no units of tenants without a report
 	Reports     []Report
 }
--- a/core/quota/schedule_test.go
+++ b/core/quota/schedule_test.go
@@ -31,6 +31,7 @@
 	lenders []*simLender
 	nodes   []*simNode
 	packets []simPacket
+	calls   []simCall
 	uses    [][]time.Duration // of each tenant, in order
 	highest [][]simBound      // bounds in force at some node
 	excess  float64           // highest number of uses in a window by the bound in force
@@ -65,6 +66,17 @@
 	waitEnds    time.Duration
 }
 
+// simCall is a request on its way to a backend server and back.
+type simCall struct {
+	node       *simNode
+	holder     *Holder
+	tenant     int
+	takenAt    time.Duration // by the monotonic clock of the node
+	reachesAt  time.Duration
+	answeredAt time.Duration
+	reached    bool
+}
+
 type simPacket struct {
 	at      time.Duration
 	from    *simNode
@@ -143,6 +155,7 @@
 	for end := s.now + length; s.now < end && (s.failure == "" || s.faults.takeovers); s.now += simStep {
 		s.disturb()
 		s.deliver()
+		s.travel()
 		for _, n := range s.nodes {
 			if s.now < n.frozenUntil {
 				if n.steadyLag >= 0 && n.id%2 == 0 { // a suspended machine; the others are stopped processes, whose clock goes on
@@ -289,7 +302,13 @@
 			n.GiveBack(tenant, clock.Steady)
 			return
 		}
-		s.use(i)
+		reachesAt := s.now + s.duration(0, 30*time.Millisecond)
+		if s.random.IntN(10) == 0 { // it waits in a queue
+			reachesAt = s.now + s.duration(0, maxTravel)
+		}
+		s.calls = append(s.calls, simCall{
+			node: n, holder: n.Holder, tenant: i, takenAt: clock.Steady, reachesAt: reachesAt, answeredAt: reachesAt + s.duration(0, 300*time.Millisecond),
+		})
 	case Missing:
 		if n.waiting[i] < 50 {
 			n.Wait(tenant)
@@ -299,10 +318,27 @@
 	}
 }
 
-// use records an admitted request and checks the bound over the whole span, which is stricter than over the window.
+// travel lets requests reach backend servers, also those of a node that has ended, and settles answered ones.
+func (s *simulation) travel() {
+	calls := s.calls
+	s.calls = s.calls[:0]
+	for _, call := range calls {
+		if !call.reached && s.now >= call.reachesAt {
+			call.reached = true
+			s.use(call.tenant)
+		}
+		if s.now < call.answeredAt || s.now < call.node.frozenUntil {
+			s.calls = append(s.calls, call)
+			continue
+		}
+		call.holder.Settle(s.clock(call.node), tenantName(call.tenant), call.takenAt)
+	}
+}
+
+// use records a request that reaches a backend server and checks the bound.
 func (s *simulation) use(i int) {
 	s.uses[i] = append(s.uses[i], s.now)
-	for s.uses[i][0] <= s.now-s.limits.Span() {
+	for s.uses[i][0] <= s.now-s.limits.Window {
 		s.uses[i] = s.uses[i][1:]
 	}
 	bound := 0
--- a/core/quota/settings.go
+++ b/core/quota/settings.go
@@ -17,8 +17,8 @@
 	takeoverOverlap = time.Second
 	// bucketsPerWindow is the resolution with which uses leave the window.
 	bucketsPerWindow = 50
-	// maxTravel bounds the time between the admission of a request and its arrival at the backend server that Span covers.
-	maxTravel = 500 * time.Millisecond
+	// maxTravel is the time between the admission of a request and its arrival at a backend server that reclaiming allows for.
+	maxTravel = time.Second
 	maxBound  = 1 << 40
 )
 
@@ -62,8 +62,7 @@
 	return max(s.Window/bucketsPerWindow, time.Millisecond)
 }
 
-// Span is how long a use counts. It exceeds Window by a part of Overshoot, because a request reaches its backend server some time after
-// its admission. A tenant at its rate is served nevertheless, since Overshoot raises the bound too.
+// Span is how long after its admission a request may still be in a window at its backend server.
 func (s Settings) Span() time.Duration {
-	return s.Window + max(s.bucket(), min(time.Duration(float64(s.Window)*s.Overshoot), maxTravel))
+	return s.Window + maxTravel
 }
--- a/io/callerhttp/quota.go
+++ b/io/callerhttp/quota.go
@@ -25,7 +25,9 @@
 	last := s.attemptCall(ctx, req)
 	if last.outcome == core.OutcomeNotRun && !req.reachedBackend.Load() {
 		s.options.Quota.GiveBack(unit)
+		return last
 	}
+	s.options.Quota.Settle(unit)
 	return last
 }
 
--- a/io/callerhttp/tenants_test.go
+++ b/io/callerhttp/tenants_test.go
@@ -103,8 +103,8 @@
 
 // fakeQuota refuses if it has a refusal, and counts the units.
 type fakeQuota struct {
-	refusal     *core.Refusal
-	taken, back int
+	refusal              *core.Refusal
+	taken, back, settled int
 }
 
 func (q *fakeQuota) Take(_ context.Context, tenant core.TenantID) (core.QuotaUnit, *core.Refusal) {
@@ -113,6 +113,7 @@
 }
 
 func (q *fakeQuota) GiveBack(core.QuotaUnit) { q.back++ }
+func (q *fakeQuota) Settle(core.QuotaUnit)   { q.settled++ }
 
 // Guards against quotas that count a request twice, or one that reached no backend server, and against an answer without the time at which
 // a refused request may be sent again.
@@ -151,6 +152,9 @@
 		response, _, err := e.send(c, "POST", test.path, "Authorization", "Bearer "+test.key)
 		c.Assert(err, qt.IsNil)
 		c.Assert([]int{response.StatusCode, quota.taken, quota.back}, qt.DeepEquals, []int{test.status, test.taken, test.back}, qt.Commentf("%+v", test))
+		if quota.refusal == nil {
+			c.Assert(quota.settled, qt.Equals, test.taken-test.back, qt.Commentf("%+v", test))
+		}
 		if test.refusal != nil {
 			c.Assert(response.Header.Get("Parsleyport-Cause"), qt.Equals, string(test.refusal.Cause))
 			c.Assert(response.Header.Get("Retry-After"), qt.Matches, map[int]string{429: "(89|90)"}[test.status])
--- a/io/node/quota.go
+++ b/io/node/quota.go
@@ -200,6 +200,16 @@
 	q.holder.GiveBack(unit.Tenant, unit.At.Sub(q.start))
 }
 
+// Settle implements core.QuotaLimiter.
+func (q *quotaLimiter) Settle(unit core.QuotaUnit) {
+	if unit.At.IsZero() {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.holder.Settle(q.clock(time.Now()), unit.Tenant, unit.At.Sub(q.start))
+}
+
 func (q *quotaLimiter) refuse(tenant core.TenantID, cause core.RefusalCause, retryAfter time.Time) *core.Refusal {
 	q.metrics.GetOrCreateCounter(`parsleyport_quota_refusals_total{tenant="` + q.label(tenant) + `",cause="` + string(cause) + `"}`).Inc()
 	return &core.Refusal{
