--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -55,9 +55,8 @@
 	sequence    uint64
 	lentAt      Time // when the last answered request was sent
 	hasLease    bool
-	epoch       uint64 // counts lapsed leases; units of an earlier one are void
-	needFull    bool   // the next request must name all units
-	pending     bool   // a request is unanswered
+	needFull    bool // the next request must name all units
+	pending     bool // a request is unanswered
 	pendingAt   Time
 	asked       []asked       // the tenants in the pending request
 	lastSent    time.Duration // of the last request
@@ -69,7 +68,6 @@
 	uses       count
 	refusals   count
 	units      int           // lent by the lender
-	epoch      uint64        // in which they were lent
 	base       int           // bound under which they were lent, zero if the lender knows no limit
 	bound      int           // at this node
 	freeHint   int           // see Report.Free
@@ -146,6 +144,16 @@
 	}
 }
 
+// Settle keeps the unit of a request that was admitted at a time and has reached a backend server by now. It counts from now on, since
+// it is not known when it did.
+func (h *Holder) Settle(now Time, tenant core.TenantID, at time.Duration) {
+	if a := h.tenants[tenant]; a != nil {
+		a.advance(now.Steady)
+		a.uses.remove(at)
+		a.uses.add()
+	}
+}
+
 // Wait counts a request that waits for a unit as demand until Leave.
 func (h *Holder) Wait(tenant core.TenantID) {
 	if a := h.tenants[tenant]; a != nil {
@@ -250,7 +258,7 @@
 	if bounded := a.base; bounded == 0 || a.bound < bounded {
 		a.base = a.bound
 	}
-	a.units, a.epoch, a.wantedSent = limit, h.epoch, wanted
+	a.units, a.wantedSent = limit, wanted
 	report := Report{
 		Tenant:   tenant,
 		Held:     held,
@@ -268,8 +276,8 @@
 
 // ahead returns the number of units for about one second at the rate of the window or of the last half second, if that is higher.
 func (h *Holder) ahead(a *allotment, demand int) int {
-	span := h.settings.Span()
-	perSecond := (demand*int(time.Second) + int(span) - 1) / int(span)
+	window := h.settings.Window
+	perSecond := (demand*int(time.Second) + int(window) - 1) / int(window)
 	recent := a.uses.recent(recentBuckets) + a.waiting
 	perSecond = max(perSecond, recent*int(time.Second/(recentBuckets*h.settings.bucket())))
 	return min(max(perSecond, minAhead), a.bound)
@@ -308,7 +316,7 @@
 func (h *Holder) apply(now time.Duration, a *allotment, lent Allotment) {
 	a.advance(now)
 	held := max(h.limit(a), a.uses.sum)
-	a.units, a.epoch, a.base = lent.Units, h.epoch, lent.Base
+	a.units, a.base = lent.Units, lent.Base
 	a.lenderView = max(held, lent.Units)
 	a.freeHint = lent.Free + 1
 	a.usedUntil, a.askAt, a.aheadAt = 0, 0, 0
@@ -336,18 +344,18 @@
 	}
 }
 
-// checkLease voids all units once the lease is over by one of the clocks.
+// checkLease ends the lease once it is over by one of the clocks. No unit can be used then, and the next request gives all of them up
+// that are not in use.
 func (h *Holder) checkLease(now Time) {
 	if h.hasLease && !now.Within(Lease, h.lentAt) {
 		h.hasLease, h.needFull = false, true
-		h.epoch++
 	}
 }
 
 func (h *Holder) newAllotment() *allotment {
 	bucket := h.settings.bucket()
 	return &allotment{
-		uses:     newCount(h.settings.Span(), bucket),
+		uses:     newCount(h.settings.Window, bucket),
 		refusals: newCount(refusalWindow, max(bucket, refusalWindow/10)),
 	}
 }
@@ -355,7 +363,7 @@
 // limit returns how many uses the window may contain. Units that were lent under a higher bound count in proportion, so that a lower
 // limit is kept even while the lender cannot take units back.
 func (h *Holder) limit(a *allotment) int {
-	if a.epoch != h.epoch || !h.hasLease {
+	if !h.hasLease {
 		return 0
 	}
 	units := a.units
--- a/core/quota/messages.go
+++ b/core/quota/messages.go
@@ -12,7 +12,7 @@
 	Incarnation core.Incarnation
 	Sequence    uint64        // grows with each request of the incarnation
 	Term        core.Term     // the highest term of a lender that has answered the holder
-	Span        time.Duration // how long a use counts at the holder
+	Span        time.Duration // see Settings.Span
 	Full        bool          // the holder holds no units of tenants without a report
 	Reports     []Report
 }
@@ -26,7 +26,7 @@
 	Ahead    int           // further units wanted, for about the next second
 	Next     time.Duration // until the oldest use leaves the window, zero without uses
 	Base     int           // bound under which the units were lent
-	Free     int           // units in the lender's pool as it last stated, plus 1; zero if unknown
+	Free     int           // Free of the last Allotment, plus 1; zero if unknown
 }
 
 // Answer states the units that a holder has from now on, for the tenants that it names. The others are unchanged.
@@ -42,6 +42,6 @@
 	Tenant core.TenantID
 	Units  int
 	Base   int           // the lender's bound, zero if it knows no limit
-	Free   int           // units that remain in the pool
+	Free   int           // units in the pool, and those of an earlier lender that are probably unused
 	Used   time.Duration // positive if the limit is used up: the time until units are available again
 }
