--- a/io/pipelinehttp/response.go
+++ b/io/pipelinehttp/response.go
@@ -238,6 +238,7 @@
 		return r.wantsClose
 	case "Content-Type":
 		r.hasType = true
+		return r.status == http.StatusNotModified // as net/http does
 	case "Content-Encoding":
 		r.hasEncoding = len(values) > 0 && values[0] != ""
 	case "Date":
@@ -308,7 +309,7 @@
 	}
 	closes = c.order.closeWith(&r.entry, closes || c.server.draining.Load())
 	switch {
-	case closes && r.req.ProtoAtLeast(1, 1):
+	case closes && (r.wantsClose || r.req.ProtoAtLeast(1, 1)):
 		c.lingers = !r.req.Close
 		r.append("Connection: close\r\n")
 	case !closes && !r.req.ProtoAtLeast(1, 1):
