--- a/io/pipelinehttp/loop_test.go
+++ b/io/pipelinehttp/loop_test.go
@@ -310,6 +310,10 @@
 			w.Header().Set("Content-Length", "10")
 			fmt.Fprint(w, "part")
 		},
+		"too long": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "3")
+			fmt.Fprint(w, "more")
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
