pipelinehttp: limits on heads, chunks and connections, memory account

A caller could make a node read 1 MiB of short header lines, which take several times that once parsed, on any number of connections. Heads, lines, empty lines, chunk extensions, trailers and connections have limits, and one account bounds the memory of all requests. Refusals and closed connections are counted by cause.

--- a/io/callerhttp/calllog.go
+++ b/io/callerhttp/calllog.go
@@ -69,7 +69,7 @@
 }
 
 // writeUnreadable logs a request that could not be read.
-func (l callLog) writeUnreadable(remote net.Addr, status int) {
+func (l callLog) writeUnreadable(remote net.Addr, status int, cause string) {
 	l.failed.Info().Str("event", "call").Str("outcome", string(core.OutcomeNotRun)).Int("status", status).
-		Str("cause", causeUnreadable).Str("remote", remote.String()).Msg("request refused")
+		Str("cause", cause).Str("remote", remote.String()).Msg("request refused")
 }
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -18,6 +18,7 @@
 	"parsleyport/core"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
+	"parsleyport/io/pipelinehttp"
 )
 
 // attemptResult is the result of one attempt, or of an attempt and its hedge.
@@ -65,7 +66,7 @@
 	defer func() { s.bufferedBodyBytes.Add(-buffered) }()
 	reserve := func(bytes int64) bool {
 		buffered += bytes
-		return s.bufferedBodyBytes.Add(bytes) <= maxBufferedBodyBytes
+		return s.bufferedBodyBytes.Add(bytes) <= maxBufferedBodyBytes && pipelinehttp.Reserve(w, bytes)
 	}
 	if req.call.Body, refused = readBody(r, s.maxBodyBytes(configuration), reserve); refused != nil {
 		s.refuseEarly(w, r, refused)
@@ -436,15 +437,12 @@
 }
 
 // refuseUnreadable counts and logs a request that the connection loop could not read and has answered itself.
-func (s *Server) refuseUnreadable(remote net.Addr, status int) {
+func (s *Server) refuseUnreadable(remote net.Addr, status int, cause string) {
 	s.outcomes[core.OutcomeNotRun].Inc()
-	s.refusalCounter(causeUnreadable).Inc()
-	s.callLog.writeUnreadable(remote, status)
+	s.refusalCounter(cause).Inc()
+	s.callLog.writeUnreadable(remote, status, cause)
 }
 
-// causeUnreadable is the metric label of requests that the connection loop refuses. Callers only get a status.
-const causeUnreadable = "unreadable-request"
-
 func (s *Server) refusalCounter(cause string) *metrics.Counter {
 	return s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_refusals_total{cause="` + cause + `"}`)
 }
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -80,6 +80,8 @@
 	CallCompleted func(idempotency.Fingerprint)
 	// Keys claims idempotency keys. If it is nil, the keys of calls are ignored.
 	Keys KeyClaimer
+	// Limits bounds what callers can make the server do.
+	Limits pipelinehttp.Limits
 	// MaxBodyBytes bounds a request body. Zero means 8 MiB, which is the most that io/nodepeer carries.
 	MaxBodyBytes int64
 	// Headers names the HTTP headers; the zero value stands for the default names.
@@ -205,9 +207,15 @@
 	}
 	s.http = pipelinehttp.New(pipelinehttp.Options{
 		Handler:   s,
+		Limits:    options.Limits,
 		OnRefused: s.refuseUnreadable,
+		OnLimit:   s.countLimit,
 		Logger:    options.Logger,
+
+		DeclaredHeadLimits: s.declaredHeadLimits,
 	})
+	options.Metrics.GetOrCreateGauge("parsleyport_caller_connections", func() float64 { return float64(s.http.OpenConnections()) })
+	options.Metrics.GetOrCreateGauge("parsleyport_caller_accounted_bytes", func() float64 { return float64(s.http.AccountedBytes()) })
 	s.listener = httpserver.NewListener(listener)
 	s.tasks.Go(func() { _ = s.http.Serve(s.listener) }) // ends when the listener is closed
 	return s, s.close, nil
--- a/io/callerhttp/watch.go
+++ b/io/callerhttp/watch.go
@@ -25,3 +25,14 @@
 	}
 	return time.Now()
 }
+
+// declaredHeadLimits returns the limits of a head in the configuration.
+func (s *Server) declaredHeadLimits() (bytes int, timeout time.Duration) {
+	declared := s.options.Source.Current().Declaration()
+	return int(declared.MaxHeaderBytes), time.Duration(declared.HeaderTimeoutMS) * time.Millisecond
+}
+
+// countLimit counts a connection that was closed without an answer, or a body that was refused, because of a limit.
+func (s *Server) countLimit(cause string) {
+	s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_limits_total{cause="` + cause + `"}`).Inc()
+}
--- a/io/pipelinehttp/account.go
+++ b/io/pipelinehttp/account.go
@@ -29,9 +29,6 @@
 }
 
 func newAccount(size int64) *account {
-	if size <= 0 {
-		size = defaultAccountBytes
-	}
 	return &account{
 		size: size,
 	}
--- a/io/pipelinehttp/body.go
+++ b/io/pipelinehttp/body.go
@@ -117,6 +117,7 @@
 func (s *chunkedSource) Read(p []byte) (int, error) {
 	n, err := s.b.c.readBody(p, s.b.deadline)
 	if !s.counter.scan(p[:n]) {
+		s.b.c.server.options.OnLimit(CauseChunkExtra)
 		return 0, errChunkExtra
 	}
 	return n, err
--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -70,6 +70,9 @@
 	broken        bool // nothing can be written any more
 	lingers       bool // the caller may send further requests before it reads that the connection closes
 	heldBytes     int64
+	growth        holding   // of the read buffer
+	headSince     time.Time // when the head that is being read has begun
+	evicted       bool      // closed because there is no memory for its head
 }
 
 func newConnection(s *Server, rwc net.Conn) *connection {
@@ -78,8 +81,11 @@
 		rwc:       rwc,
 		idleSince: time.Now(),
 		bodyDone:  make(chan struct{}, 1),
+		growth: holding{
+			account: s.account,
+		},
 		order: order{
-			limit: s.options.MaxConcurrent,
+			limit: s.limits.ConcurrentRequests,
 		},
 	}
 	c.changed = sync.NewCond(&c.mu)
@@ -99,10 +105,11 @@
 	for c.serveNext() {
 	}
 	c.mu.Lock()
-	c.order.dropWaiting()
+	c.dropWaiting()
 	for len(c.order.entries) > 0 {
 		c.changed.Wait()
 	}
+	c.growth.release()
 	lingers := !c.broken && (c.lingers || c.unread || c.begin < c.end)
 	c.mu.Unlock()
 	c.cancel()
@@ -118,7 +125,7 @@
 	if c.begin == c.end && !c.awaitBytes() {
 		return false
 	}
-	if !c.watch(c.server.options.MaxConcurrent-1, c.mayGoOn) {
+	if !c.watch(c.server.limits.ConcurrentRequests-1, c.mayGoOn) {
 		return false
 	}
 	c.mu.Lock()
@@ -128,35 +135,46 @@
 		return c.finish()
 	}
 	startedAt := time.Now()
+	limits, timeout := c.server.headLimits()
 	head := headCounter{
-		limits: c.server.headLimits(),
+		limits: limits,
 	}
-	status, ok := c.readHead(&head, startedAt)
+	status, ok := c.readHead(&head, startedAt.Add(timeout))
 	if !ok {
 		return false
 	}
-	var parsed parsedRequest
-	if status == 0 {
-		parsed, status = parseHead(c.store[c.begin+head.beginAt:c.begin+head.endAt], &head)
+	if status != 0 {
+		return c.refuse(status, &head)
+	}
+	memory := holding{
+		account: c.server.account,
+	}
+	alone, ok := c.reserveRequest(&memory, &head)
+	if !ok {
+		return c.refuse(http.StatusServiceUnavailable, &head)
 	}
+	parsed, status := parseHead(c.store[c.begin+head.beginAt:c.begin+head.endAt], &head)
 	if status != 0 {
-		return c.refuse(status)
+		memory.release()
+		return c.refuse(status, &head)
 	}
 	c.begin += head.endAt
-	return c.start(parsed, startedAt)
+	r := newResponse(c, parsed, memory, startedAt.Add(c.server.limits.RequestTimeout))
+	r.alone = alone
+	return c.start(r)
 }
 
 // mayGoOn reports whether the next request may be read, or none will be. c.mu must be held.
 func (c *connection) mayGoOn() bool { return c.order.mayRead() || c.order.closed }
 
 // start adds a request to the order and runs it when that is allowed.
-func (c *connection) start(parsed parsedRequest, startedAt time.Time) bool {
+func (c *connection) start(r *response) bool {
 	s := c.server
-	r := newResponse(c, parsed, startedAt.Add(s.options.RequestTimeout))
-	r.concurrent = s.decider != nil && isSafe(parsed.Request) && s.decider.Concurrent(parsed.Request)
-	r.closes = parsed.Close || parsed.chunked != nil || s.draining.Load()
+	r.concurrent = s.decider != nil && isSafe(r.req) && s.decider.Concurrent(r.req)
+	r.closes = r.req.Close || len(r.req.TransferEncoding) > 0 || s.draining.Load()
 	c.mu.Lock()
 	if !c.order.mayRead() { // an answer has closed the connection
+		r.memory.release()
 		c.mu.Unlock()
 		return c.finish()
 	}
@@ -214,20 +232,25 @@
 }
 
 // refuse answers a request that cannot be read, after the requests before it.
-func (c *connection) refuse(status int) bool {
-	c.server.options.OnRefused(c.rwc.RemoteAddr(), status)
+func (c *connection) refuse(status int, head *headCounter) bool {
 	r := &response{
 		c: c,
 	}
 	r.owner, r.cancel = r, func() {}
-	r.closes, r.started, r.done = true, true, true
+	r.closes, r.started = true, true
 	r.out = appendRefusal(nil, status)
-	c.unread = true
 	c.mu.Lock()
-	if c.order.mayRead() {
-		c.order.add(&r.entry)
-		c.advance()
+	if !c.order.mayRead() { // the request is treated as unread
+		c.mu.Unlock()
+		return c.finish()
 	}
+	c.order.add(&r.entry)
+	c.mu.Unlock()
+	c.unread = true
+	c.server.options.OnRefused(c.rwc.RemoteAddr(), status, refusalCause(status, head))
+	c.mu.Lock()
+	r.done = true
+	c.advance()
 	c.mu.Unlock()
 	return c.finish()
 }
@@ -240,7 +263,7 @@
 
 // awaitBytes waits for the first bytes of the next request. It returns false if the connection has ended or was idle for too long.
 func (c *connection) awaitBytes() bool {
-	idleTimeout := c.server.idleTimeout()
+	idleTimeout := c.server.limits.IdleTimeout
 	for {
 		now := time.Now()
 		c.mu.Lock()
@@ -248,7 +271,8 @@
 		expiresAt := c.idleSince.Add(idleTimeout)
 		switch {
 		case !c.answered && len(c.order.entries) == 0:
-			expiresAt = c.idleSince.Add(c.server.headerTimeout())
+			_, headTimeout := c.server.headLimits()
+			expiresAt = c.idleSince.Add(headTimeout)
 		case len(c.order.entries) > 0:
 			expiresAt = now.Add(idleTimeout)
 		}
@@ -355,33 +379,37 @@
 // caller may have closed only its sending side.
 func (c *connection) disconnect() {
 	c.mu.Lock()
-	c.order.dropWaiting()
+	c.dropWaiting()
 	c.mu.Unlock()
 	c.cancel()
 }
 
 // readHead reads until a head is complete. It returns the status of a refusal, or false if the connection has ended.
-func (c *connection) readHead(head *headCounter, startedAt time.Time) (int, bool) {
-	first := true
-	for {
+func (c *connection) readHead(head *headCounter, deadline time.Time) (int, bool) {
+	for first := true; ; first = false {
 		complete, status := head.scan(c.store[c.begin:c.end])
 		if complete || status != 0 {
 			return status, true
 		}
 		c.mu.Lock()
 		if first {
-			c.setReadDeadline(startedAt.Add(c.server.headerTimeout()))
-			first = false
+			c.setReadDeadline(deadline)
+			c.headSince = time.Now()
 		}
 		ended := c.ended
 		c.mu.Unlock()
 		if ended {
 			return 0, false
 		}
-		c.makeRoom(head.limits.bytes)
+		if !c.makeRoom(head.limits.bytes) {
+			return http.StatusServiceUnavailable, true
+		}
 		if err := c.fill(); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				c.mu.Lock()
+				if !c.ended {
+					c.server.options.OnLimit(CauseHeadTimeout)
+				}
 				c.order.closed = true
 				c.mu.Unlock()
 				return 0, c.finish()
@@ -392,14 +420,19 @@
 	}
 }
 
-// makeRoom grows a full read buffer, which holds at most limit bytes.
-func (c *connection) makeRoom(limit int) {
+// makeRoom grows a full read buffer, which holds at most limit bytes. It returns false if there is no memory.
+func (c *connection) makeRoom(limit int) bool {
 	if c.end-c.begin < len(c.store) {
-		return
+		return true
+	}
+	size := min(2*len(c.store), max(limit+readBufferBytes, 2*readBufferBytes))
+	if !c.reserveBuffer(size - len(c.store)) {
+		return false
 	}
-	larger := make([]byte, min(2*len(c.store), max(limit+readBufferBytes, 2*readBufferBytes)))
+	larger := make([]byte, size)
 	c.end = copy(larger, c.store[c.begin:c.end])
 	c.begin, c.store = 0, larger
+	return true
 }
 
 // fill reads once. The read buffer must not be full.
@@ -408,6 +441,9 @@
 		c.begin, c.end = 0, 0
 		if len(c.store) > readBufferBytes {
 			c.store = make([]byte, readBufferBytes) // an idle connection holds no larger buffer
+			c.mu.Lock()
+			c.growth.release()
+			c.mu.Unlock()
 		}
 	}
 	if c.end == len(c.store) {
@@ -524,9 +560,9 @@
 	now := time.Now()
 	deadline := r.writeDeadline
 	if deadline.IsZero() {
-		deadline = now.Add(c.server.options.WriteTimeout)
+		deadline = now.Add(c.server.limits.WriteTimeout)
 		// The previous deadline is kept while it leaves enough time, since setting one costs more than a look at the clock.
-		if left := c.writeDeadline.Sub(now); left >= c.server.options.WriteTimeout/2 && left <= c.server.options.WriteTimeout {
+		if left := c.writeDeadline.Sub(now); left >= c.server.limits.WriteTimeout/2 && left <= c.server.limits.WriteTimeout {
 			deadline = c.writeDeadline
 		}
 	}
@@ -556,8 +592,16 @@
 	return err
 }
 
+// dropWaiting removes a request that has not started. c.mu must be held.
+func (c *connection) dropWaiting() {
+	if dropped := c.order.dropWaiting(); dropped != nil {
+		dropped.owner.memory.release()
+	}
+}
+
 // popFront removes the first request, which was answered. c.mu must be held.
 func (c *connection) popFront() {
+	c.order.entries[0].owner.memory.release()
 	c.order.pop()
 	c.answered = true
 	switch {
@@ -575,24 +619,12 @@
 		return
 	}
 	c.broken, c.watching = true, false
-	c.order.dropWaiting()
+	c.dropWaiting()
 	c.cancel()
 	_ = c.rwc.Close()
 	c.changed.Broadcast()
 }
 
-func (s *Server) headLimits() headLimits {
-	return headLimits{
-		bytes:      defaultMaxHeadBytes,
-		lines:      defaultMaxHeadLines,
-		emptyLines: defaultMaxEmptyLines,
-	}
-}
-
-func (s *Server) headerTimeout() time.Duration { return s.options.HeaderTimeout }
-
-func (s *Server) idleTimeout() time.Duration { return s.options.IdleTimeout }
-
 // appendRefusal appends an answer of the server itself.
 func appendRefusal(out []byte, status int) []byte {
 	text := http.StatusText(status)
--- a/io/pipelinehttp/order.go
+++ b/io/pipelinehttp/order.go
@@ -82,13 +82,17 @@
 	return false
 }
 
-// dropWaiting removes a request that has not started, which can only be the last one. It is treated as unread.
-func (o *order) dropWaiting() {
+// dropWaiting removes and returns a request that has not started, which can only be the last one. It is treated as unread.
+func (o *order) dropWaiting() *entry {
 	o.closed = true
-	if n := len(o.entries); n > 0 && !o.entries[n-1].started && !o.entries[n-1].done {
-		o.entries[n-1] = nil
-		o.entries = o.entries[:n-1]
+	n := len(o.entries) - 1
+	if n < 0 || o.entries[n].started {
+		return nil
 	}
+	dropped := o.entries[n]
+	o.entries[n] = nil
+	o.entries = o.entries[:n]
+	return dropped
 }
 
 // closeWith reports whether the head of an answer must state that the connection closes. If one is to close, no further request is
--- a/io/pipelinehttp/response.go
+++ b/io/pipelinehttp/response.go
@@ -42,7 +42,9 @@
 	req    *http.Request
 	ctx    context.Context
 	cancel context.CancelFunc
-	body   *body // nil if the request has none
+	body   *body   // nil if the request has none
+	memory holding // until the answer has been written
+	alone  bool    // no other request of the connection was in progress when this one was read
 
 	// Owned by the handler.
 	header        http.Header
@@ -59,6 +61,7 @@
 
 	// Guarded by c.mu.
 	out           []byte // output that has not been written
+	reserved      int64  // bytes of out that were reserved in addition to the first buffer
 	held          int64  // bytes of out that are counted as waiting for an earlier answer
 	flushed       bool   // out is to be written when it is this answer's turn
 	aborted       bool   // the handler has panicked
@@ -66,10 +69,11 @@
 	writeDeadline time.Time
 }
 
-func newResponse(c *connection, parsed parsedRequest, bodyDeadline time.Time) *response {
+func newResponse(c *connection, parsed parsedRequest, memory holding, bodyDeadline time.Time) *response {
 	r := &response{
 		c:             c,
 		req:           parsed.Request,
+		memory:        memory,
 		header:        make(http.Header),
 		contentLength: -1,
 	}
@@ -88,7 +92,7 @@
 			parsed.chunked.body = &chunkedSource{
 				b: r.body,
 				counter: chunkCounter{
-					limit: defaultMaxChunkExtra,
+					limit: c.server.limits.ChunkExtraBytes,
 				},
 			}
 		}
@@ -171,7 +175,7 @@
 
 // endOrder cancels the requests behind this one, because their answers cannot be delivered. c.mu must be held.
 func (r *response) endOrder() {
-	r.c.order.dropWaiting()
+	r.c.dropWaiting()
 	for _, behind := range r.c.order.endAt(&r.entry) {
 		behind.owner.cancel()
 	}
@@ -428,7 +432,7 @@
 		if c.broken || c.order.isBehindEnd(&r.entry) {
 			return errAborted
 		}
-		if c.order.isFront(&r.entry) || c.heldBytes+int64(bytes) <= defaultHeldConnectionBytes && c.server.heldBytes.Load()+int64(bytes) <= defaultHeldBytes {
+		if c.order.isFront(&r.entry) || r.mayWait(bytes) {
 			return nil
 		}
 		if !r.writeDeadline.IsZero() {
@@ -445,6 +449,23 @@
 	}
 }
 
+// mayWait reports whether there is room for bytes that wait for an earlier answer, and reserves them. c.mu must be held.
+func (r *response) mayWait(bytes int) bool {
+	c, limits, added := r.c, &r.c.server.limits, int64(bytes)
+	if c.heldBytes+added > limits.ConnectionWaitingBytes || c.server.heldBytes.Load()+added > limits.WaitingBytes {
+		return false
+	}
+	more := int64(len(r.out)) + added - outputBytes - r.reserved
+	if more <= 0 {
+		return true
+	}
+	if !r.memory.reserve(more, false) {
+		return false
+	}
+	r.reserved += more
+	return true
+}
+
 // hold counts output that waits for an earlier answer. c.mu must be held.
 func (r *response) hold() {
 	if r.c.order.isFront(&r.entry) {
@@ -508,7 +529,7 @@
 	return c.writeOut(r, nil)
 }
 
-// SetWriteDeadline sets the time until which the answer can be written. The zero time stands for Options.WriteTimeout.
+// SetWriteDeadline sets the time until which the answer can be written. The zero time stands for Limits.WriteTimeout.
 func (r *response) SetWriteDeadline(deadline time.Time) error {
 	r.c.mu.Lock()
 	defer r.c.mu.Unlock()
--- a/io/pipelinehttp/server.go
+++ b/io/pipelinehttp/server.go
@@ -13,15 +13,7 @@
 )
 
 const (
-	defaultHeaderTimeout  = 10 * time.Second
-	defaultRequestTimeout = time.Minute
-	defaultIdleTimeout    = 2 * time.Minute
-	defaultWriteTimeout   = 30 * time.Second
-	defaultMaxConcurrent  = 16
-	// defaultHeldConnectionBytes and defaultHeldBytes bound the answers that wait for an earlier one.
-	defaultHeldConnectionBytes = 256 << 10
-	defaultHeldBytes           = 16 << 20
-	shutdownPollInterval       = 10 * time.Millisecond
+	shutdownPollInterval = 10 * time.Millisecond
 	// Waits after failed accepts. The usual cause is a lack of descriptors, which ends when a connection does.
 	minAcceptDelay = 5 * time.Millisecond
 	maxAcceptDelay = time.Second
@@ -33,21 +25,18 @@
 	Concurrent(r *http.Request) bool
 }
 
-// Options configures a Server. Only Handler is required; a zero value stands for the default.
+// Options configures a Server. Only Handler is required.
 type Options struct {
 	Handler http.Handler
-	// HeaderTimeout limits the time from the first byte of a head, or from the accept of a connection, to the end of the head.
-	HeaderTimeout time.Duration
-	// RequestTimeout limits the time to read a head and a body.
-	RequestTimeout time.Duration
-	// IdleTimeout is how long a connection without requests stays open.
-	IdleTimeout time.Duration
-	// WriteTimeout limits a write to the caller for which the handler has set no deadline.
-	WriteTimeout time.Duration
-	// MaxConcurrent bounds the requests of a connection that are running or waiting for their answer to be written.
-	MaxConcurrent int
+	// Limits bounds what callers can make the server do.
+	Limits Limits
+	// DeclaredHeadLimits returns limits of a head that apply if they are lower, or zeros. It may be nil.
+	DeclaredHeadLimits func() (bytes int, timeout time.Duration)
 	// OnRefused is called for each request that the server answers itself because it could not be read. It may be nil.
-	OnRefused func(remote net.Addr, status int)
+	OnRefused func(remote net.Addr, status int, cause string)
+	// OnLimit is called for each connection that ends without an answer because of a limit, and for each body that is over one. It
+	// may be nil.
+	OnLimit func(cause string)
 	// Logger gets a line for a handler that panics.
 	Logger zerolog.Logger
 }
@@ -55,6 +44,8 @@
 // Server serves HTTP/1.1 connections.
 type Server struct {
 	options   Options
+	limits    Limits // with defaults
+	account   *account
 	decider   ConcurrencyDecider // nil if no requests run concurrently
 	draining  atomic.Bool
 	heldBytes atomic.Int64 // of answers that wait for an earlier one
@@ -64,33 +55,33 @@
 	listener    net.Listener
 	connections map[*connection]struct{}
 	idleWorkers []chan *response
+	evictedAt   time.Time
 	closed      bool
+
+	// Owned by Serve.
+	idleCandidates []*connection // that are closed for new ones
+	searchedAt     time.Time
 }
 
 // New returns a server.
 func New(options Options) *Server {
-	setDefault(&options.HeaderTimeout, defaultHeaderTimeout)
-	setDefault(&options.RequestTimeout, defaultRequestTimeout)
-	setDefault(&options.IdleTimeout, defaultIdleTimeout)
-	setDefault(&options.WriteTimeout, defaultWriteTimeout)
-	setDefault(&options.MaxConcurrent, defaultMaxConcurrent)
 	if options.OnRefused == nil {
-		options.OnRefused = func(net.Addr, int) {}
+		options.OnRefused = ignoreRefusal
+	}
+	if options.OnLimit == nil {
+		options.OnLimit = ignoreLimit
 	}
+	options.Limits.setDefaults()
 	s := &Server{
 		options:     options,
+		limits:      options.Limits,
+		account:     newAccount(options.Limits.AccountBytes),
 		connections: make(map[*connection]struct{}),
 	}
 	s.decider, _ = options.Handler.(ConcurrencyDecider)
 	return s
 }
 
-func setDefault[T int | int64 | time.Duration](value *T, defaultValue T) {
-	if *value == 0 {
-		*value = defaultValue
-	}
-}
-
 // Serve accepts connections until the listener is closed, and returns the error of the last accept.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
@@ -113,6 +104,11 @@
 			continue
 		}
 		delay = minAcceptDelay
+		if !s.admit() {
+			s.options.OnLimit(CauseConnections)
+			_ = rwc.Close()
+			continue
+		}
 		if c := newConnection(s, rwc); s.add(c) {
 			go c.serve()
 		}
