callerhttp: give pipelined requests up before their caller does

A caller that gets no answer in time closes its connection, which cuts off its other requests there. Requests on connections that pipeline now end 30 ms before their caller's time.

--- /dev/null
+++ b/io/callerhttp/answermargin_test.go
@@ -0,0 +1,56 @@
+package callerhttp_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"parsleyport/core"
+)
+
+// Guards against a pipelining caller that cuts off its other requests, because one of them got its failure just after the caller had
+// given it up; and against less time for callers that do not pipeline.
+func TestPipelinedRequestsAreGivenUpInTime(t *testing.T) {
+	c := qt.New(t)
+	e := newEntry(c, allV1, nil)
+	var forwardedAt atomic.Int64 // of the latest request, in Unix nanoseconds
+	e.forwarder.forward = func(attempt int, to core.Endpoint) (*core.Answer, core.Outcome, error) {
+		forwardedAt.Store(time.Now().UnixNano())
+		return answerDone(attempt, to)
+	}
+	connection, err := net.Dial("tcp", e.Address())
+	c.Assert(err, qt.IsNil)
+	defer connection.Close()
+	answers := bufio.NewReader(connection)
+	request := "GET /orders HTTP/1.1\r\nHost: n\r\nParsleyport-Deadline-Ms: 20000\r\n\r\n"
+	for _, test := range []struct {
+		requests int
+		early    bool
+	}{
+		{requests: 1},
+		{requests: 2, early: true},
+		{requests: 1, early: true},
+	} {
+		arrivedAt := time.Now()
+		for range test.requests {
+			_, err = io.WriteString(connection, request)
+			c.Assert(err, qt.IsNil)
+		}
+		for range test.requests {
+			c.Assert(readStatus(c, answers), qt.Equals, 200)
+		}
+		last := e.forwarder.calls[len(e.forwarder.calls)-1]
+		switch {
+		case test.requests > 1: // whether the first one is early depends on when it was answered
+		case test.early:
+			c.Assert(last.Deadline.After(time.Unix(0, forwardedAt.Load()).Add(20*time.Second-30*time.Millisecond)), qt.IsFalse)
+		default:
+			c.Assert(last.Deadline.Before(arrivedAt.Add(20*time.Second)), qt.IsFalse)
+		}
+	}
+}
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	crand "crypto/rand"
 	"encoding/hex"
 	"io"
@@ -20,6 +21,7 @@
 	"parsleyport/core/idempotency"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
+	"parsleyport/io/pipelinehttp"
 )
 
 const (
@@ -27,6 +29,11 @@
 	maxSessionBytes = 256
 	maxKeyBytes     = 256
 	maxIDBytes      = 128
+	// pipelinedAnswerMargin covers a round trip to a caller in the same region, the interval at which deadlines are checked, and the
+	// answer's way between two data centres.
+	pipelinedAnswerMargin = 30 * time.Millisecond
+	// minMarginRatio is the ratio of the remaining time to the margin below which the margin would be too large a part of it.
+	minMarginRatio = 5
 )
 
 // request is a caller's request with the configuration that was in force when it arrived. All attempts use that configuration.
@@ -92,7 +99,7 @@
 	}
 	deadline := now.Add(route.Timeout())
 	if numbers.remaining >= 0 {
-		deadline = earliest(deadline, now.Add(numbers.remaining))
+		deadline = earliest(deadline, now.Add(numbers.remaining-answerMargin(r.Context(), numbers.remaining)))
 	}
 	if !deadline.After(now) {
 		return nil, newRefusal(core.CauseDeadline, "")
@@ -128,6 +135,15 @@
 	}, nil
 }
 
+// answerMargin returns how long before the end of a caller's time its request is given up. A caller that gets no answer in time closes
+// its connection. If it pipelines, it cuts off its other requests there; a failure that arrives in time leaves them alone.
+func answerMargin(ctx context.Context, remaining time.Duration) time.Duration {
+	if remaining < minMarginRatio*pipelinedAnswerMargin || !pipelinehttp.Pipelined(ctx) {
+		return 0
+	}
+	return pipelinedAnswerMargin
+}
+
 // startDeadline returns the time by which a call must get a slot. While the server drains, this is at the latest the end of
 // RefusalPeriod, since the call has to end before the server stops.
 func (s *Server) startDeadline(now time.Time) time.Time {
--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -61,6 +61,7 @@
 	order         order
 	reading       bool // bytes of the next request have arrived
 	answered      bool // a request was answered
+	pipelined     bool // a request was read before an earlier one was answered
 	watching      bool // the reader must be woken when at most wakeAt requests are left
 	wakeAt        int
 	writing       bool // a goroutine writes to the connection
@@ -178,6 +179,7 @@
 		c.mu.Unlock()
 		return c.finish()
 	}
+	c.pipelined = c.pipelined || len(c.order.entries) > 0
 	c.order.add(&r.entry)
 	c.reading = c.begin < c.end
 	started := c.order.start(&r.entry)
@@ -367,6 +369,17 @@
 	return disconnected || err != nil // the connection was closed by this process
 }
 
+// Pipelined reports whether the caller of a request has sent requests on its connection before earlier ones were answered.
+func Pipelined(ctx context.Context) bool {
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pipelined
+}
+
 type readTimeKey struct{}
 
 // ReadTime returns the time when a request was read, if it had to wait for others of its connection. The zero time stands for now.
