--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -153,7 +153,7 @@
 	if !ok {
 		return c.refuse(http.StatusServiceUnavailable, &head)
 	}
-	parsed, status := parseHead(c.store[c.begin+head.beginAt:c.begin+head.endAt], &head)
+	parsed, status := parseHead(c.store[c.begin:c.end], &head)
 	if status != 0 {
 		memory.release()
 		return c.refuse(status, &head)
--- a/io/pipelinehttp/head.go
+++ b/io/pipelinehttp/head.go
@@ -34,8 +34,9 @@
 	lines   int // including the request line
 	empty   int // lines before the request line
 	hosts   int
-	inHost  bool   // the last line was a Host header
-	host    []byte // value of the Host header
+	inHost  bool // the last line was a Host header
+	hostAt  int  // where the line of the Host header begins
+	hostEnd int
 }
 
 // scan goes on with the bytes that were read since the last call; data always begins at the same byte. It returns true once the head
@@ -64,10 +65,10 @@
 			if h.lines == 1 && !isRequestLine(line) {
 				return false, http.StatusBadRequest
 			}
-			value, isHost := cutHost(line)
+			isHost := isHostLine(line)
 			if isHost {
 				h.hosts++
-				h.host = value
+				h.hostAt, h.hostEnd = h.lineAt, h.lineAt+len(line)
 			}
 			// The value of a continued Host line would differ from the one that is checked.
 			if h.inHost && (line[0] == ' ' || line[0] == '\t') {
@@ -94,13 +95,18 @@
 	return i > 0 && bytes.HasPrefix(line[i+1:], []byte("HTTP/")) && bytes.IndexByte(line, ' ') < i
 }
 
-// cutHost returns the value of a Host header line.
-func cutHost(line []byte) ([]byte, bool) {
-	const name = "host:"
-	if len(line) < len(name) || !strings.EqualFold(string(line[:len(name)]), name) {
-		return nil, false
+const hostName = "host:"
+
+func isHostLine(line []byte) bool {
+	return len(line) >= len(hostName) && strings.EqualFold(string(line[:len(hostName)]), hostName)
+}
+
+// host returns the value of the Host header. The data is that of the last scan, which may have been moved since.
+func (h *headCounter) host(data []byte) []byte {
+	if h.hosts == 0 {
+		return nil
 	}
-	return bytes.Trim(line[len(name):], " \t"), true
+	return bytes.Trim(data[h.hostAt+len(hostName):h.hostEnd], " \t")
 }
 
 // validNameByte and validHostByte list the bytes of header names (tokens of RFC 9110) and of Host headers.
--- a/io/pipelinehttp/limits.go
+++ b/io/pipelinehttp/limits.go
@@ -177,8 +177,7 @@
 	return reserve()
 }
 
-// evictHeads closes connections in the middle of a long head, those first that have begun it first, until a quarter of the account is
-// free.
+// evictHeads closes connections in the middle of a long head, those first that have begun it first, until half of the account is free.
 func (s *Server) evictHeads(except *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,7 +206,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.since.Compare(b.since) })
 	for _, each := range candidates {
-		if s.account.inUse() <= s.limits.AccountBytes/4*3 {
+		if s.account.inUse() <= s.limits.AccountBytes/2 {
 			return
 		}
 		each.c.mu.Lock()
--- a/io/pipelinehttp/request.go
+++ b/io/pipelinehttp/request.go
@@ -38,9 +38,10 @@
 	chunked *headReader
 }
 
-// parseHead parses a whole head, or returns the status of a refusal. It checks what the server of net/http checks in addition to
-// http.ReadRequest.
-func parseHead(head []byte, counted *headCounter) (parsedRequest, int) {
+// parseHead parses the head that was counted at the beginning of data, or returns the status of a refusal. It checks what the server
+// of net/http checks in addition to http.ReadRequest.
+func parseHead(data []byte, counted *headCounter) (parsedRequest, int) {
+	head := data[counted.beginAt:counted.endAt]
 	h := headReaderPool.Get().(*headReader)
 	h.head.Reset(head)
 	h.buffer.Reset(h)
@@ -57,19 +58,20 @@
 	if len(r.TransferEncoding) > 0 {
 		parsed.chunked = h
 	} else {
+		h.head.Reset(nil)
 		headReaderPool.Put(h)
 	}
-	return parsed, checkRequest(r, counted)
+	return parsed, checkRequest(r, counted, counted.host(data))
 }
 
 // checkRequest returns the status of a refusal, or zero.
-func checkRequest(r *http.Request, counted *headCounter) int {
+func checkRequest(r *http.Request, counted *headCounter, host []byte) int {
 	switch {
 	case r.ProtoMajor != 1:
 		return http.StatusHTTPVersionNotSupported
 	case counted.hosts > 1, counted.hosts == 0 && r.ProtoAtLeast(1, 1) && r.Method != http.MethodConnect:
 		return http.StatusBadRequest
-	case !consistsOf(counted.host, &validHostByte):
+	case !consistsOf(host, &validHostByte):
 		return http.StatusBadRequest
 	}
 	for name, values := range r.Header {
