--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -183,6 +183,7 @@
 	}
 	server, cleanup, err := callerhttp.New(callerhttp.Options{
 		Address:                p.settings.CallerAddress,
+		Limits:                 p.settings.CallerLimits,
 		Source:                 subscriber,
 		ConfigurationConfirmed: subscriber.Confirmed,
 		Endpoints:              subscriber,
--- a/io/settings/node.go
+++ b/io/settings/node.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 
 	"parsleyport/core"
+	"parsleyport/io/pipelinehttp"
 )
 
 // Node holds the settings of a node.
@@ -20,6 +21,7 @@
 	AdminAddress     string
 	ControlAddresses []string
 	Service          core.ServiceName // of the local backend server, empty until it announces itself
+	CallerLimits     pipelinehttp.Limits
 	LogLevel         zerolog.Level
 }
 
@@ -52,6 +54,7 @@
 		RelayAddress:   top.address("relay-address"),
 		BackendAddress: top.address("backend-address"),
 		AdminAddress:   top.address("admin-address"),
+		CallerLimits:   readCallerLimits(top),
 		LogLevel:       top.logLevel("log-level"),
 	}
 	node.ControlAddresses = readAddresses(r, top.list("control-addresses", "list of the node addresses of control instances"))
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -6,10 +6,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"parsleyport/io/pipelinehttp"
 	"parsleyport/io/settings"
 )
 
@@ -91,6 +93,39 @@
 	}
 }
 
+// Guards against limits for callers that are read into the wrong field, are not checked, or lose their default values.
+func TestCallerLimits(t *testing.T) {
+	c := qt.New(t)
+	with := func(keys string) string { return strings.Replace(node, `"log-level"`, keys+`, "log-level"`, 1) }
+	parsed, err := settings.ParseNode("f", []byte(node))
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed.CallerLimits, qt.Equals, pipelinehttp.Limits{})
+	parsed, err = settings.ParseNode("f", []byte(with(`"memory-limit-bytes": 268435456, "caller-limits": {
+		"head-bytes": 4096, "head-lines": 50, "empty-lines": 2, "chunk-extra-bytes": 100, "head-timeout-ms": 3000, "request-timeout-ms": 4000,
+		"idle-timeout-ms": 5000, "write-timeout-ms": 6000, "concurrent-requests": 8, "connection-waiting-bytes": 65536,
+		"waiting-bytes": 1048576, "connections": 500}`)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed.CallerLimits, qt.Equals, pipelinehttp.Limits{
+		HeadBytes: 4096, HeadLines: 50, EmptyLines: 2, ChunkExtraBytes: 100, HeadTimeout: 3 * time.Second, RequestTimeout: 4 * time.Second,
+		IdleTimeout: 5 * time.Second, WriteTimeout: 6 * time.Second, ConcurrentRequests: 8, ConnectionWaitingBytes: 64 << 10,
+		WaitingBytes: 1 << 20, AccountBytes: 64 << 20, Connections: 500,
+	})
+	parsed, err = settings.ParseNode("f", []byte(with(`"memory-limit-bytes": 268435456, "caller-limits": {"account-bytes": 2097152}`)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(parsed.CallerLimits.AccountBytes, qt.Equals, int64(2<<20))
+	for _, test := range []struct{ keys, want string }{
+		{`"memory-limit-bytes": 1000`, `f:5: memory-limit-bytes: expected a whole number from 16777216 to .*, found 1000`},
+		{`"caller-limits": []`, `f:5: caller-limits: expected an object, found \[\]`},
+		{`"caller-limits": {"head-lines": 0}`, `f:5: caller-limits.head-lines: expected a whole number from 16 to 10000, found 0`},
+		{`"caller-limits": {"connections": 1.5}`, `f:5: caller-limits.connections: expected a whole number .*, found 1.5`},
+		{`"caller-limits": {"idle-timeout-ms": -1}`, `f:5: caller-limits.idle-timeout-ms: expected a whole number .*, found -1`},
+		{`"caller-limits": {"heads": 1}`, `f:5: caller-limits.heads: expected one of head-bytes, .*, found an unknown key`},
+	} {
+		_, err := settings.ParseNode("f", []byte(with(test.keys)))
+		c.Assert(err, qt.ErrorMatches, test.want, qt.Commentf("%s", test.keys))
+	}
+}
+
 // Guards against a check that stops at the first fault, so that operators find the faults one at a time.
 func TestParseReportsAllFaultsAtOnce(t *testing.T) {
 	c := qt.New(t)
