--- a/io/settings/node.go
+++ b/io/settings/node.go
@@ -8,6 +8,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/quota"
+	"parsleyport/io/pipelinehttp"
 )
 
 // Node holds the settings of a node.
@@ -22,6 +23,7 @@
 	ControlAddresses []string
 	Service          core.ServiceName // of the local backend server, empty until it announces itself
 	Quota            quota.Settings   // zero for the defaults
+	CallerLimits     pipelinehttp.Limits
 	LogLevel         zerolog.Level
 	// LinkBytesPerSecond is the rate of the node's link, to which long bodies of calls are paced; zero if it is not stated.
 	LinkBytesPerSecond int64
@@ -60,6 +62,7 @@
 		BackendAddress: top.address("backend-address"),
 		AdminAddress:   top.address("admin-address"),
 		Quota:          readQuota(top),
+		CallerLimits:   readCallerLimits(top),
 		LogLevel:       top.logLevel("log-level"),
 	}
 	if kilobytes := top.integer("link-kilobytes-per-second", 1, maxLinkKilobytes, 0); kilobytes > 0 {
