--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -163,6 +163,7 @@
 
 // ask requests an exchange at a time.
 func (h *Holder) ask(at time.Duration) {
+	at = max(at, 1) // zero means none
 	if h.askAt == 0 || at < h.askAt {
 		h.askAt = at
 	}
@@ -179,8 +180,11 @@
 	}
 }
 
-// Disconnected tells the holder that a pending request will not be answered.
+// Disconnected tells the holder that a pending request will not be answered. The next one is due at once.
 func (h *Holder) Disconnected() {
+	if h.pending {
+		h.ask(h.lastSent)
+	}
 	h.pending, h.needFull = false, true
 }
 
@@ -398,9 +402,15 @@
 	return 0
 }
 
-// Tenants returns the number of tenants with units, uses or waiting requests.
-func (h *Holder) Tenants() int {
-	return len(h.tenants)
+// HeldIf returns the sum of Held over the tenants for which a function returns true.
+func (h *Holder) HeldIf(included func(core.TenantID) bool) int {
+	sum := 0
+	for tenant, a := range h.tenants {
+		if included(tenant) {
+			sum += h.limit(a)
+		}
+	}
+	return sum
 }
 
 // SetBound applies the bound of a tenant after a change of the configuration.
--- a/io/node/quota.go
+++ b/io/node/quota.go
@@ -225,16 +225,24 @@
 		return label
 	}
 	if len(q.labels) >= maxQuotaLabels {
+		q.registerUnitsHeld(otherTenants, func() int {
+			return q.holder.HeldIf(func(each core.TenantID) bool { return q.labels[each] == "" })
+		})
 		return otherTenants
 	}
 	label = escapeLabel(string(tenant))
 	q.labels[tenant] = label
+	q.registerUnitsHeld(label, func() int { return q.holder.Held(tenant) })
+	return label
+}
+
+// registerUnitsHeld registers a gauge unless it exists; read is called with mu held.
+func (q *quotaLimiter) registerUnitsHeld(label string, read func() int) {
 	q.metrics.GetOrCreateGauge(`parsleyport_quota_units_held{tenant="`+label+`"}`, func() float64 {
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		return float64(q.holder.Held(tenant))
+		return float64(read())
 	})
-	return label
 }
 
 func (q *quotaLimiter) wakeUp() {
