pipelinehttp: end earlier requests when a later one must be answered

An answer that is ready waits for the earlier ones of its connection. When its caller gives it up meanwhile, the caller closes the connection and cuts off all requests there. The earlier requests are now cancelled just before that, so that they are answered with a failure and the later ones are saved.

--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -98,7 +98,12 @@
 	}
 	deadline := now.Add(route.Timeout())
 	if numbers.remaining >= 0 {
-		deadline = earliest(deadline, now.Add(numbers.remaining-answerMargin(r, route, numbers.remaining)))
+		margin := answerMargin(r, route, numbers.remaining)
+		answerBy := now.Add(numbers.remaining - margin)
+		if margin > 0 {
+			pipelinehttp.SetAnswerBy(r.Context(), answerBy)
+		}
+		deadline = earliest(deadline, answerBy)
 	}
 	if !deadline.After(now) {
 		return nil, newRefusal(core.CauseDeadline, "")
--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -611,7 +611,11 @@
 
 // popFront removes the first request, which was answered. c.mu must be held.
 func (c *connection) popFront() {
-	c.order.entries[0].owner.memory.release()
+	r := c.order.entries[0].owner
+	r.memory.release()
+	if r.answerTimer != nil {
+		r.answerTimer.Stop()
+	}
 	c.order.pop()
 	c.answered = true
 	switch {
--- a/io/pipelinehttp/loop_test.go
+++ b/io/pipelinehttp/loop_test.go
@@ -151,6 +151,31 @@
 	}
 }
 
+// Guards against a caller that closes its connection, with all requests on it, because an earlier request delays the answer to one
+// that it gives up sooner. A request without an earlier one is not concerned.
+func TestEarlierRequestsEndBeforeALaterOneIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	cancelled := make(chan string, 2)
+	_, address := start(c, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/late" {
+			pipelinehttp.SetAnswerBy(r.Context(), time.Now().Add(time.Minute))
+			<-r.Context().Done()
+			cancelled <- r.URL.Path
+			w.WriteHeader(http.StatusGatewayTimeout)
+		} else {
+			pipelinehttp.SetAnswerBy(r.Context(), time.Now())
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}, nil)
+	caller := dial(c, address, get("/alone"))
+	c.Assert(caller.next(), qt.Equals, "200 /alone")
+	caller.send(get("/late") + get("/early") + get("/later"))
+	c.Assert(caller.next(), qt.Equals, "504 /late")
+	c.Assert(<-cancelled, qt.Equals, "/late")
+	c.Assert(caller.next(), qt.Equals, "200 /early")
+	c.Assert(caller.next(), qt.Equals, "200 /later")
+}
+
 // Guards against an unsafe request that runs beside another one, or before one that was sent earlier.
 func TestUnsafeRequestsRunAlone(t *testing.T) {
 	for name, request := range map[string]string{"body": post("/x", "body"), "route": get("/alone"), "method": "DELETE /x HTTP/1.1\r\nHost: n\r\n\r\n"} {
--- a/io/pipelinehttp/order.go
+++ b/io/pipelinehttp/order.go
@@ -104,3 +104,13 @@
 
 // ended reports whether the connection can be closed because all its requests have been answered.
 func (o *order) ended() bool { return o.closed && len(o.entries) == 0 }
+
+// before returns the requests before one, none if it is not in the order any more.
+func (o *order) before(e *entry) []*entry {
+	for i, other := range o.entries {
+		if other == e {
+			return o.entries[:i]
+		}
+	}
+	return nil
+}
--- a/io/pipelinehttp/response.go
+++ b/io/pipelinehttp/response.go
@@ -67,6 +67,7 @@
 	aborted       bool   // the handler has panicked
 	truncated     bool   // the body is shorter than the length stated
 	writeDeadline time.Time
+	answerTimer   *time.Timer // see SetAnswerBy; nil if it is not needed
 }
 
 func newResponse(c *connection, parsed parsedRequest, memory holding, bodyDeadline time.Time) *response {
