balancer: placement by least expected completion, on settings

A call went to an endpoint whose slots were full while others had free ones: response times were estimated from the mean of all calls and from reports that are about a second old, and a call that waits is overtaken by later ones.

PolicyLeastCompletion compares up to six endpoints by the reported time until a slot is free, which decays to the usual one of the endpoint, by its learned speed, and by calls in flight that make no progress. The wait weighs six times the work. Calls cross to another data centre only for more than the time that their body takes on a link.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -27,6 +27,7 @@
 	roundRobinIndex int
 	nextRemovalAt   time.Time
 	firstUsedAt     time.Time
+	routeMeans      map[core.RouteName]*movingMean // service times over all endpoints, with PolicyLeastCompletion
 }
 
 var _ core.Picker = (*Balancer)(nil)
@@ -38,6 +39,8 @@
 		random:   rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)),
 		members:  make(map[core.NodeID]*member),
 		sessions: newSessionTable(),
+
+		routeMeans: make(map[core.RouteName]*movingMean),
 	}
 }
 
@@ -55,6 +58,9 @@
 		return core.Endpoint{}, false
 	}
 	chosen.outstanding++
+	if b.options.Policy == PolicyLeastCompletion {
+		chosen.completion.sent(now)
+	}
 	return chosen.endpoint, true
 }
 
@@ -123,6 +129,9 @@
 		halfLife = remoteLoadHalfLife
 	}
 	m.observeLoad(now, result.Route, result.Load, halfLife)
+	if b.options.Policy == PolicyLeastCompletion {
+		b.observeCompletion(now, m, result)
+	}
 	if result.Discarded {
 		if result.Latency.Seconds() > m.latencySeconds {
 			m.observeLatency(now, result.Latency) // a lower bound: the cancelled attempt would have taken longer
--- a/core/balancer/expected.go
+++ b/core/balancer/expected.go
@@ -120,12 +120,15 @@
 	}
 }
 
-// choosePreferringLocal implements PolicyExpected. A call stays in the local data centre if it is expected on time there, since
+// sampler chooses one of the members, nil if there are none, and returns its estimate.
+type sampler func(now time.Time, route core.RouteName, members []*member, fallback time.Duration, onTime func(estimate) bool) (*member, estimate)
+
+// choosePreferringLocal implements PolicyExpected and PolicyLeastCompletion, which differ in the sampler. A call stays in the local data centre if it is expected on time there, since
 // links between data centres are expensive. Otherwise it goes to another data centre that has spare capacity and where it is
 // expected on time. If there is none, the call stays local, because elsewhere it would only displace other calls. Without a usable
 // local endpoint, the call goes to another data centre, but after a refusal for lack of capacity only to an endpoint with spare
 // capacity.
-func (b *Balancer) choosePreferringLocal(now time.Time, request core.PickRequest, usable []*member) *member {
+func (b *Balancer) choosePreferringLocal(now time.Time, request core.PickRequest, usable []*member, sample sampler) *member {
 	fallback := averageServiceTime(usable)
 	local, remote := lo.FilterReject(usable, func(m *member, _ int) bool {
 		return m.endpoint.DataCentre == b.options.DataCentre
@@ -135,17 +138,17 @@
 		dueBy = request.Deadline
 	}
 	onTime := func(e estimate) bool { return dueBy.IsZero() || !now.Add(e.responseTime()).After(dueBy) }
-	localChoice, localEstimate := b.sampleByResponseTime(now, request.Route, local, fallback, onTime)
+	localChoice, localEstimate := sample(now, request.Route, local, fallback, onTime)
 	if localChoice != nil && onTime(localEstimate) {
 		return localChoice
 	}
-	remoteChoice, remoteEstimate := b.sampleByResponseTime(now, request.Route, remote, fallback, onTime)
+	remoteChoice, remoteEstimate := sample(now, request.Route, remote, fallback, onTime)
 	switch {
 	case localChoice == nil && request.CapacityRefused && !remoteEstimate.hasSpareCapacity():
 		return nil
 	case localChoice == nil:
 		return remoteChoice
-	case remoteChoice != nil && remoteEstimate.hasSpareCapacity() && onTime(remoteEstimate):
+	case remoteChoice != nil && remoteEstimate.hasSpareCapacity() && onTime(remoteEstimate) && b.worthCrossing(request, localEstimate, remoteEstimate):
 		return remoteChoice
 	}
 	return localChoice
@@ -162,13 +165,21 @@
 		members = b.sample(members, maxSampledMembers)
 	}
 	estimates := make([]estimate, len(members))
-	weights, sum := make([]float64, len(members)), 0.0
 	for i, m := range members {
 		estimates[i] = m.estimateResponse(now, route, fallback)
-		weights[i] = math.Pow(1/max(estimates[i].responseTime().Seconds(), minResponseTime.Seconds()), responseTimeExponent)
+	}
+	drawn := b.drawByResponseTime(estimates, responseTimeExponent, onTime)
+	return members[drawn], estimates[drawn]
+}
+
+// drawByResponseTime draws one of the estimates, with weights that fall with the response time to the power of an exponent.
+func (b *Balancer) drawByResponseTime(estimates []estimate, exponent float64, onTime func(estimate) bool) int {
+	weights, sum := make([]float64, len(estimates)), 0.0
+	for i, e := range estimates {
+		weights[i] = math.Pow(1/max(e.responseTime().Seconds(), minResponseTime.Seconds()), exponent)
 		sum += weights[i]
 	}
-	drawn := len(members) - 1
+	drawn := len(estimates) - 1
 	point := b.random.Float64() * sum
 	for i, weight := range weights[:drawn] {
 		if point -= weight; point < 0 {
@@ -179,7 +190,7 @@
 	if !onTime(estimates[drawn]) {
 		drawn = slices.Index(weights, slices.Max(weights))
 	}
-	return members[drawn], estimates[drawn]
+	return drawn
 }
 
 func (b *Balancer) sample(members []*member, n int) []*member {
--- a/core/balancer/member.go
+++ b/core/balancer/member.go
@@ -13,6 +13,7 @@
 	outstanding int
 	load        reportedLoad
 	sessions    int // reserved sticky sessions
+	completion  completion
 
 	latencySeconds float64 // moving average
 	sampledAt      time.Time
--- a/core/balancer/policy.go
+++ b/core/balancer/policy.go
@@ -24,11 +24,14 @@
 	// PolicyExpected places a call by the response time estimated from load reports, in the local data centre as long as the
 	// answer is expected on time there.
 	PolicyExpected Policy = "expected"
+	// PolicyLeastCompletion places a call where its completion is expected first, among a few endpoints, by the reported time until
+	// a slot is free and the learned speeds of the endpoints. It keeps to the local data centre as PolicyExpected does.
+	PolicyLeastCompletion Policy = "least-completion"
 )
 
 // Policies returns all policies, the default one first.
 func Policies() []Policy {
-	return []Policy{PolicyPowerOfTwo, PolicyRandom, PolicyRoundRobin, PolicyLeastLoaded, PolicySticky, PolicyExpected}
+	return []Policy{PolicyPowerOfTwo, PolicyRandom, PolicyRoundRobin, PolicyLeastLoaded, PolicySticky, PolicyExpected, PolicyLeastCompletion}
 }
 
 func (b *Balancer) choose(now time.Time, request core.PickRequest, usable []*member) *member {
@@ -41,7 +44,9 @@
 	case PolicyLeastLoaded:
 		return lo.MinBy(usable, func(a, b *member) bool { return a.outstanding < b.outstanding })
 	case PolicyExpected:
-		return b.choosePreferringLocal(now, request, usable)
+		return b.choosePreferringLocal(now, request, usable, b.sampleByResponseTime)
+	case PolicyLeastCompletion:
+		return b.choosePreferringLocal(now, request, usable, b.sampleByCompletion)
 	case PolicySticky:
 		if request.Session != "" {
 			return b.sticky(now, request.Session, usable)
--- a/core/callreplay/bound.go
+++ b/core/callreplay/bound.go
@@ -76,7 +76,7 @@
 
 // duration returns the mean time of one call, its own calls included, if nothing waits.
 func (p Pattern) duration(route PatternRoute) float64 {
-	seconds := route.WorkMS / 1000
+	seconds := route.WorkMS / 1000 * (1 + route.TailShare*(route.TailFactor-1))
 	for _, call := range route.Calls {
 		seconds += call.Share * p.duration(p.route(call.Route))
 	}
@@ -90,13 +90,30 @@
 
 func (p Pattern) burstAt(second int) float64 {
 	for _, event := range p.Events {
-		if event.Kind == PatternBurst && event.coversSecond(second) {
+		switch {
+		case !event.coversSecond(second):
+		case event.Kind == PatternBurst:
 			return event.Value
+		case event.Kind == PatternTenantBurst:
+			return 1 + (event.Value-1)*p.tenantShares()[event.Tenant-1]
 		}
 	}
 	return 1
 }
 
+// tenantShares returns the part of the callers' requests of each tenant.
+func (p Pattern) tenantShares() []float64 {
+	shares, sum := make([]float64, max(p.Tenants, 1)), 0.0
+	for i := range shares {
+		shares[i] = math.Pow(float64(i+1), -p.TenantExponent)
+		sum += shares[i]
+	}
+	for i := range shares {
+		shares[i] /= sum
+	}
+	return shares
+}
+
 // coversSecond reports whether an event lasts for the whole of a second, so that the bound is never too low.
 func (e PatternEvent) coversSecond(second int) bool {
 	return float64(second)*1000 >= e.AtMS && float64(second+1)*1000 <= e.AtMS+e.ForMS
@@ -113,7 +130,7 @@
 		capacity += float64(service.Slots) / speed
 	}
 	for _, event := range p.Events {
-		if event.Service != "" && event.Service != service.Name || !event.coversSecond(second) {
+		if event.Service != "" && event.Service != service.Name || !event.coversSecond(second) || event.EveryMS > 0 {
 			continue
 		}
 		switch event.Kind {
--- a/core/callreplay/fleet.go
+++ b/core/callreplay/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/samber/lo"
@@ -26,6 +27,7 @@
 // FleetOptions are the rules of the nodes in a run of a pattern.
 type FleetOptions struct {
 	Seed                uint64
+	Policy              balancer.Policy // empty for balancer.PolicyExpected
 	Limiter             limiter.Options
 	FreeCapacityRetries int
 	Budget              retry.BudgetOptions
@@ -46,6 +48,10 @@
 	// WastedRuns counts runs that failed because a call that they made failed.
 	WastedRuns int
 	Worth      float64 // of all answers; at most Asked
+	// OthersAsked and OthersOnTime leave out the tenants that have a burst at any time of the pattern.
+	OthersAsked, OthersOnTime int
+	// CrossedKB is what requests and answers took on the links between data centres.
+	CrossedKB float64
 	// SlotSeconds is the time for which the calls held slots.
 	SlotSeconds float64
 }
@@ -71,6 +77,9 @@
 	routes    map[core.RouteName]*PatternRoute
 	measures  map[core.RouteName]*RouteMeasures
 	burst     float64
+	// tenantRates are the parts of the rate of all callers by tenant, above their usual parts during a burst of a tenant.
+	tenantRates  []float64
+	tenantBursts map[int]bool // by index
 }
 
 // RunPattern plays a pattern and returns the measures by route, in the order of the pattern. Equal patterns and options give equal
@@ -79,6 +88,9 @@
 	if options.RetryAfter == nil {
 		options.RetryAfter = retry.After
 	}
+	if options.Policy == "" {
+		options.Policy = balancer.PolicyExpected
+	}
 	start := time.Unix(1_700_000_000, 0)
 	f := &fleet{
 		pattern: p,
@@ -93,6 +105,14 @@
 		routes:    make(map[core.RouteName]*PatternRoute),
 		measures:  make(map[core.RouteName]*RouteMeasures),
 		burst:     1,
+
+		tenantRates:  p.tenantShares(),
+		tenantBursts: make(map[int]bool),
+	}
+	for _, event := range p.Events {
+		if event.Kind == PatternTenantBurst {
+			f.tenantBursts[event.Tenant-1] = true
+		}
 	}
 	for _, service := range p.Services {
 		for i := range service.Instances {
@@ -139,7 +159,7 @@
 		running: make(map[limiter.Ticket]*fleetAttempt),
 		balancer: balancer.New(balancer.Options{
 			DataCentre: dataCentre,
-			Policy:     balancer.PolicyExpected,
+			Policy:     f.options.Policy,
 			Seed:       f.random.Uint64(),
 		}),
 		budgets: make(map[core.ServiceName]*retry.Budget),
@@ -153,7 +173,7 @@
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 func (f *fleet) scheduleArrival(route *PatternRoute) {
-	f.queue.after(time.Duration(f.random.ExpFloat64()/(route.PerSecond*f.burst)*float64(time.Second)), func() {
+	f.queue.after(time.Duration(f.random.ExpFloat64()/(route.PerSecond*f.burst*lo.Sum(f.tenantRates))*float64(time.Second)), func() {
 		if f.queue.now.After(f.endsAt) {
 			return
 		}
@@ -162,17 +182,47 @@
 		caller := &fleetCaller{
 			fleet:       f,
 			route:       route,
+			tenant:      f.drawTenant(),
 			entry:       f.instances[f.random.IntN(len(f.instances))],
 			began:       f.queue.now,
 			deadline:    f.queue.now.Add(patience),
 			retriesLeft: route.CallerRetries,
 		}
 		f.measures[route.Name].Asked++
+		if !f.tenantBursts[caller.tenant] {
+			f.measures[route.Name].OthersAsked++
+		}
 		caller.try()
 	})
 }
 
+// tenantID returns the tenant with an index. Without tenants, all calls have the same one, those that runs make included.
+func (f *fleet) tenantID(index int) core.TenantID {
+	if f.pattern.Tenants == 0 {
+		return ""
+	}
+	return core.TenantID(strconv.Itoa(index + 1))
+}
+
+// drawTenant returns the index of the tenant of a new caller.
+func (f *fleet) drawTenant() int {
+	if len(f.tenantRates) == 1 {
+		return 0
+	}
+	point := f.random.Float64() * lo.Sum(f.tenantRates)
+	for i, rate := range f.tenantRates {
+		if point -= rate; point < 0 {
+			return i
+		}
+	}
+	return len(f.tenantRates) - 1
+}
+
 func (f *fleet) scheduleEvent(start time.Time, event PatternEvent) {
+	if next := event; event.EveryMS > 0 && event.AtMS+event.EveryMS < float64(f.pattern.Seconds)*1000 {
+		next.AtMS += event.EveryMS
+		defer f.scheduleEvent(start, next)
+	}
 	var concerned []*fleetInstance
 	for _, instance := range f.instances {
 		if (event.Service == "" || instance.endpoint.Service == event.Service) && f.random.Float64() < event.Share {
@@ -201,5 +251,11 @@
 	case PatternBurst:
 		concerned = f.instances[:1]
 		apply(func(_ *fleetInstance, active bool) { f.burst = lo.Ternary(active, event.Value, 1) })
+	case PatternTenantBurst:
+		concerned = f.instances[:1]
+		usual := f.tenantRates[event.Tenant-1]
+		apply(func(_ *fleetInstance, active bool) {
+			f.tenantRates[event.Tenant-1] = lo.Ternary(active, event.Value, 1) * usual
+		})
 	}
 }
--- a/core/callreplay/fleet_test.go
+++ b/core/callreplay/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"parsleyport/core"
+	"parsleyport/core/balancer"
 	"parsleyport/core/callreplay"
 	"parsleyport/core/retry"
 )
@@ -83,12 +84,57 @@
 	c.Assert(worth > late, qt.IsTrue, qt.Commentf("worth %.0f, callers return after 1 s: %.0f", worth, late))
 }
 
+// Guards against calls that queue at endpoints while others have free slots: with unequal speeds, stalls, demand that swings and a
+// burst of one tenant, placement by learned cost must answer more callers in time than PolicyExpected.
+func TestPlacementByCostAnswersMoreCallersInTime(t *testing.T) {
+	c := qt.New(t)
+	for _, name := range []string{"unequal-speeds", "stalls", "swinging-demand", "tenant-burst"} {
+		p := readPattern(c, name)
+		perMille := func(rules callreplay.FleetOptions) float64 {
+			onTime, asked := 0, 0
+			for _, m := range callreplay.RunSeeds(p, rules, 2) {
+				onTime += m.OnTime
+				asked += m.Asked
+			}
+			return float64(onTime) / float64(asked) * 1000
+		}
+		rules := callreplay.ServingRules()
+		expected := perMille(rules)
+		rules.Policy, rules.Limiter.LearnCosts = balancer.PolicyLeastCompletion, true
+		placed := perMille(rules)
+		t.Logf("%s: %.0f per mille in time by expected response times, %.0f by cost", name, expected, placed)
+		c.Assert(placed > expected+8, qt.IsTrue)
+	}
+}
+
+// Guards against a burst of one tenant that delays the calls of the others.
+func TestBurstOfOneTenantIsItsOwn(t *testing.T) {
+	c := qt.New(t)
+	p := readPattern(c, "tenant-burst")
+	calm := p
+	calm.Events = slices.Clone(p.Events)
+	calm.Events[0].Value = 1
+	rules := callreplay.ServingRules()
+	rules.Policy, rules.Limiter.LearnCosts = balancer.PolicyLeastCompletion, true
+	perMille := func(p callreplay.Pattern) int {
+		onTime, asked := 0, 0
+		for _, m := range callreplay.RunSeeds(p, rules, 2) {
+			onTime += m.OthersOnTime
+			asked += m.OthersAsked
+		}
+		return onTime * 1000 / asked
+	}
+	without, with := perMille(calm), perMille(p)
+	t.Logf("calls of the other tenants in time: %d per mille without the burst, %d with it", without, with)
+	c.Assert(with >= without-25, qt.IsTrue)
+}
+
 // Guards against measures that differ between two runs with the same seed, and against requests that are counted twice or not at all.
 func TestPatternsRepeatAndAddUp(t *testing.T) {
 	c := qt.New(t)
 	files, err := filepath.Glob("testdata/*.pattern")
 	c.Assert(err, qt.IsNil)
-	c.Assert(files, qt.HasLen, 6)
+	c.Assert(files, qt.HasLen, 11)
 	for _, file := range files {
 		p, err := callreplay.ReadPattern(file)
 		c.Assert(err, qt.IsNil)
@@ -116,10 +162,13 @@
 	p := readPattern(c, "burst")
 	c.Assert(callreplay.RunPatternFile(filepath.Join("testdata", "missing.pattern"), io.Discard), qt.ErrorMatches, ".*missing.pattern.*")
 	for want, change := range map[string]func(*callreplay.Pattern){
-		`seconds is 0.*`:                                func(p *callreplay.Pattern) { p.Seconds = 0 },
-		`service "records" has 0 instances.*`:           func(p *callreplay.Pattern) { p.Services[0].Instances = 0 },
-		`route "fetch" refers to service "x".*`:         func(p *callreplay.Pattern) { p.Routes[1].Service = "x" },
-		`route "fetch": work-ms.*`:                      func(p *callreplay.Pattern) { p.Routes[1].WorkMS = 0 },
+		`seconds is 0.*`:                        func(p *callreplay.Pattern) { p.Seconds = 0 },
+		`service "records" has 0 instances.*`:   func(p *callreplay.Pattern) { p.Services[0].Instances = 0 },
+		`route "fetch" refers to service "x".*`: func(p *callreplay.Pattern) { p.Routes[1].Service = "x" },
+		`route "fetch": work-ms.*`:              func(p *callreplay.Pattern) { p.Routes[1].WorkMS = 0 },
+		`event refers to tenant 3 of 2`: func(p *callreplay.Pattern) {
+			p.Tenants, p.Events[0].Kind, p.Events[0].Tenant = 2, callreplay.PatternTenantBurst, 3
+		},
 		`event kind is "storm".*`:                       func(p *callreplay.Pattern) { p.Events[0].Kind = "storm" },
 		`route "fetch" calls "certify", which is not.*`: func(p *callreplay.Pattern) { p.Routes[1].Calls[0].Route = "certify" },
 	} {
--- a/core/callreplay/fleetcall.go
+++ b/core/callreplay/fleetcall.go
@@ -10,6 +10,7 @@
 // fleetCall is a call at the node where it entered.
 type fleetCall struct {
 	route            *PatternRoute
+	tenant           core.TenantID
 	entry            *fleetInstance
 	arrivedAt        time.Time
 	softDeadline     time.Time
@@ -39,6 +40,7 @@
 type fleetCaller struct {
 	fleet       *fleet
 	route       *PatternRoute
+	tenant      int // index
 	entry       *fleetInstance
 	began       time.Time
 	deadline    time.Time
@@ -48,7 +50,7 @@
 
 func (c *fleetCaller) try() {
 	now := c.fleet.queue.now
-	c.entry.enter(c.route, c.deadline, now, func(result fleetResult) { c.receive(result) })
+	c.entry.enter(c.route, c.fleet.tenantID(c.tenant), c.deadline, now, func(result fleetResult) { c.receive(result) })
 }
 
 func (c *fleetCaller) receive(result fleetResult) {
@@ -61,6 +63,9 @@
 		if now.Sub(c.began) <= milliseconds(c.route.SoftDeadlineMS) {
 			m.OnTime++
 			m.Worth++
+			if !c.fleet.tenantBursts[c.tenant] {
+				m.OthersOnTime++
+			}
 		} else {
 			m.Late++
 			m.Worth += c.route.LateWorth
@@ -102,6 +107,7 @@
 		Tried:           c.tried,
 		SoftDeadline:    c.softDeadline,
 		Deadline:        c.deadline,
+		BodyBytes:       int(c.route.BodyKB * 1024),
 		CapacityRefused: c.capacityRefusals > 0,
 	}, f.byService[c.route.Service])
 	if !found {
@@ -119,6 +125,8 @@
 	oneWay := time.Duration(f.pattern.OneWayUS) * time.Microsecond
 	if chosen.DataCentre == c.entry.endpoint.DataCentre {
 		oneWay = time.Duration(f.pattern.LocalUS) * time.Microsecond
+	} else {
+		f.measures[c.route.Name].CrossedKB += c.route.BodyKB
 	}
 	began := now
 	attempt := &fleetAttempt{
@@ -132,6 +140,9 @@
 
 func (c *fleetCall) receive(from core.Endpoint, began time.Time, result fleetResult) {
 	now := c.entry.fleet.queue.now
+	if result.outcome == core.OutcomeAnswered && from.DataCentre != c.entry.endpoint.DataCentre {
+		c.entry.fleet.measures[c.route.Name].CrossedKB += c.route.AnswerKB
+	}
 	c.entry.balancer.Done(now, core.PickResult{
 		Endpoint: from,
 		Route:    c.route.Name,
--- a/core/callreplay/fleetinstance.go
+++ b/core/callreplay/fleetinstance.go
@@ -35,13 +35,14 @@
 }
 
 // enter begins a call at this node.
-func (i *fleetInstance) enter(route *PatternRoute, callerDeadline, now time.Time, done func(fleetResult)) {
+func (i *fleetInstance) enter(route *PatternRoute, tenant core.TenantID, callerDeadline, now time.Time, done func(fleetResult)) {
 	deadline := now.Add(milliseconds(route.TimeoutMS))
 	if callerDeadline.Before(deadline) {
 		deadline = callerDeadline
 	}
 	call := &fleetCall{
 		route:        route,
+		tenant:       tenant,
 		entry:        i,
 		arrivedAt:    now,
 		softDeadline: i.softDeadline(route, callerDeadline, now),
@@ -77,12 +78,14 @@
 		return
 	}
 	ticket, change := i.limiter.Arrive(i.fleet.queue.now, limiter.Request{
+		Tenant:       a.call.tenant,
 		Priority:     a.call.route.Priority,
 		SoftDeadline: a.call.softDeadline,
 		Deadline:     a.call.deadline,
 		Class:        a.call.route.Name,
 		Cost: &cost.Class{
-			Route: a.call.route.Name,
+			Route:  a.call.route.Name,
+			Tenant: a.call.tenant,
 		},
 	})
 	i.waiting[ticket] = a
@@ -134,6 +137,9 @@
 		return
 	}
 	work := milliseconds(route.WorkMS * i.speed * i.slow * math.Exp(f.random.NormFloat64()*route.Spread-route.Spread*route.Spread/2))
+	if route.TailShare > 0 && f.random.Float64() < route.TailShare {
+		work = time.Duration(float64(work) * route.TailFactor)
+	}
 	ends := f.queue.now.Add(work)
 	if ends.After(a.call.deadline) {
 		ends = a.call.deadline
@@ -166,7 +172,7 @@
 	}
 	m := f.measures[nested.Name]
 	m.Asked++
-	i.enter(nested, callerDeadline, now, func(result fleetResult) {
+	i.enter(nested, "", callerDeadline, now, func(result fleetResult) {
 		switch {
 		case result.outcome == core.OutcomeAnswered && !result.failed:
 			m.OnTime++
--- a/core/callreplay/pattern.go
+++ b/core/callreplay/pattern.go
@@ -22,6 +22,10 @@
 	Services    []PatternService `json:"services"`
 	Routes      []PatternRoute   `json:"routes"`
 	Events      []PatternEvent   `json:"events"`
+	// Tenants is the number of tenants of the callers; the rate of each falls with its number to the power of TenantExponent. The calls
+	// that runs make have no tenant. None means one tenant.
+	Tenants        int     `json:"tenants"`
+	TenantExponent float64 `json:"tenant-exponent"`
 }
 
 // PatternService is a service whose instances are spread evenly over the data centres.
@@ -37,8 +41,12 @@
 	Name           core.RouteName   `json:"name"`
 	Service        core.ServiceName `json:"service"`
 	PerSecond      float64          `json:"per-second"`
-	WorkMS         float64          `json:"work-ms"` // mean duration of a run
-	Spread         float64          `json:"spread"`  // standard deviation of its logarithm
+	WorkMS         float64          `json:"work-ms"`    // mean duration of a run
+	Spread         float64          `json:"spread"`     // standard deviation of its logarithm
+	TailShare      float64          `json:"tail-share"` // of the runs, which take TailFactor times as long
+	TailFactor     float64          `json:"tail-factor"`
+	BodyKB         float64          `json:"body-kb"`   // of a request
+	AnswerKB       float64          `json:"answer-kb"` // of an answer
 	SoftDeadlineMS float64          `json:"soft-deadline-ms"`
 	CallerMS       float64          `json:"caller-ms"` // time that a caller waits, all of its attempts together
 	TimeoutMS      float64          `json:"timeout-ms"`
@@ -65,6 +73,10 @@
 	Service core.ServiceName `json:"service"`
 	Share   float64          `json:"share"` // of the instances
 	Value   float64          `json:"value"`
+	// EveryMS repeats the event until the end of the pattern, with other instances each time. Zero means that it happens once.
+	EveryMS float64 `json:"every-ms"`
+	// Tenant is the number of the tenant of a tenant-burst, from 1.
+	Tenant int `json:"tenant"`
 }
 
 // PatternEventKind is a kind of event of a pattern.
@@ -80,6 +92,8 @@
 	PatternDown PatternEventKind = "down"
 	// PatternBurst multiplies the rates of all routes by Value. Service and Share are ignored.
 	PatternBurst PatternEventKind = "burst"
+	// PatternTenantBurst multiplies the rates of one tenant by Value.
+	PatternTenantBurst PatternEventKind = "tenant-burst"
 )
 
 // ReadPattern reads a pattern file, in JSON with comments. An error names the file and what is wrong.
@@ -136,8 +150,15 @@
 	for _, e := range p.Events {
 		switch e.Kind {
 		case PatternReject, PatternSlow, PatternDown, PatternBurst:
+		case PatternTenantBurst:
+			if e.Tenant < 1 || e.Tenant > p.Tenants {
+				return errors.Errorf("event refers to tenant %d of %d", e.Tenant, p.Tenants)
+			}
 		default:
-			return errors.Errorf("event kind is %q, expected reject, slow, down or burst", e.Kind)
+			return errors.Errorf("event kind is %q, expected reject, slow, down, burst or tenant-burst", e.Kind)
+		}
+		if e.EveryMS != 0 && e.EveryMS < e.ForMS {
+			return errors.Errorf("event lasts for %g ms and is repeated every %g ms", e.ForMS, e.EveryMS)
 		}
 		if e.Service != "" && !services[e.Service] {
 			return errors.Errorf("event refers to service %q, which does not exist", e.Service)
--- a/core/callreplay/patternfile.go
+++ b/core/callreplay/patternfile.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/balancer"
 	"parsleyport/core/limiter"
 	"parsleyport/core/retry"
 )
@@ -43,6 +44,8 @@
 func patternVariants() []patternVariant {
 	withoutShort, soon, inOrder, learned := ServingRules(), ServingRules(), ServingRules(), ServingRules()
 	learned.Limiter.LearnCosts = true
+	placed := learned
+	placed.Policy = balancer.PolicyLeastCompletion
 	withoutShort.Limiter.ShortClassesFirst = false
 	soon.RetryAfter = func(retry.RefusedCall) time.Duration { return 250 * time.Millisecond }
 	inOrder.Limiter = limiter.Options{
@@ -51,6 +54,7 @@
 	return []patternVariant{
 		{name: "serving rules", rules: ServingRules()},
 		{name: "costs learned", rules: learned},
+		{name: "placed by cost", rules: placed},
 		{name: "short classes not first", rules: withoutShort},
 		{name: "callers return after 250 ms", rules: soon},
 		{name: "in order of deadlines", rules: inOrder},
@@ -80,6 +84,9 @@
 		ReturnedInVain: m.ReturnedInVain + other.ReturnedInVain,
 		WastedRuns:     m.WastedRuns + other.WastedRuns,
 		Worth:          m.Worth + other.Worth,
+		OthersAsked:    m.OthersAsked + other.OthersAsked,
+		OthersOnTime:   m.OthersOnTime + other.OthersOnTime,
+		CrossedKB:      m.CrossedKB + other.CrossedKB,
 		SlotSeconds:    m.SlotSeconds + other.SlotSeconds,
 	}
 }
@@ -92,13 +99,13 @@
 	}
 	fmt.Fprintf(out, "%s: at most %d per mille of all requests can be answered in time\n", p.Name, p.BoundPerMille())
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "RULES\tROUTE\tASKED\tWORTH PER MILLE\tIN TIME\tLATE\tREFUSED\tFAILED\tRETURNED IN VAIN\tWASTED RUNS\tSLOT SECONDS")
+	fmt.Fprintln(table, "RULES\tROUTE\tASKED\tWORTH PER MILLE\tIN TIME\tLATE\tREFUSED\tFAILED\tRETURNED IN VAIN\tWASTED RUNS\tSLOT SECONDS\tIN TIME OF OTHER TENANTS\tCROSSED MB")
 	for _, variant := range patternVariants() {
 		sums := RunSeeds(p, variant.rules, patternSeeds)
 		for _, route := range p.Routes {
 			m := sums[route.Name]
-			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\n", variant.name, m.Route, m.Asked, m.WorthPerMille(), m.OnTime, m.Late,
-				m.Refused, m.Failed, m.ReturnedInVain, m.WastedRuns, m.SlotSeconds)
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d/%d\t%.1f\n", variant.name, m.Route, m.Asked, m.WorthPerMille(), m.OnTime, m.Late,
+				m.Refused, m.Failed, m.ReturnedInVain, m.WastedRuns, m.SlotSeconds, m.OthersOnTime, m.OthersAsked, m.CrossedKB/1024)
 		}
 	}
 	return errors.Trace(table.Flush())
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -85,6 +85,7 @@
 
 	SoftDeadline    time.Time // an answer after it counts as late; zero if none is set
 	Deadline        time.Time
+	BodyBytes       int  // of the request
 	CapacityRefused bool // an endpoint has already refused the call because no slot would be free in time
 }
 
