--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -453,3 +453,33 @@
 		c.Assert(pair.server.Drain(context.Background()), qt.IsNil)
 	})
 }
+
+// Guards against an answer that arrives just after the deadline and is waited for in vain, so that the caller gets its failure 100 ms
+// late, and against one that is thrown away although it is complete.
+func TestAnswerAtTheDeadlineIsDelivered(t *testing.T) {
+	for name, body := range map[string][]byte{"complete": []byte("ready"), "longer than a frame": longBody("abc")} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			pair := newTestPair(t, 1)
+			pair.backend.handle = func(ctx context.Context, _ *core.Call) (*core.Answer, core.Outcome, error) {
+				<-ctx.Done()
+				answer := answerWith(body)
+				answer.Header.Set("Content-Length", fmt.Sprint(len(body)))
+				return answer, core.OutcomeAnswered, nil
+			}
+			call := callFor("slow", nil)
+			call.Deadline = time.Now().Add(time.Second)
+			answer, outcome, _ := pair.call(call)
+			c.Assert(time.Since(call.Deadline) < cancelReplyTimeout/2, qt.IsTrue, qt.Commentf("%s: %v late", name, time.Since(call.Deadline)))
+			if len(body) > core.MaxChunkBytes {
+				c.Assert(outcome, qt.Equals, core.OutcomeUnknown)
+				return
+			}
+			c.Assert(outcome, qt.Equals, core.OutcomeAnswered)
+			got, err := io.ReadAll(answer.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(got), qt.Equals, string(body))
+			c.Assert(answer.Body.Close(), qt.IsNil)
+		})
+	}
+}
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -130,8 +130,7 @@
 			}
 			return nil, nil, errPeerLost
 		case <-ctx.Done():
-			refused, err := s.abandon(ctx.Err())
-			return nil, refused, err
+			return s.abandon(ctx)
 		}
 	}
 }
@@ -179,8 +178,9 @@
 	return s.head != nil || s.refused != nil
 }
 
-// abandon cancels the attempt and waits up to cancelReplyTimeout for the peer's reply that it has not run.
-func (s *stream) abandon(cause error) (*refusedMessage, error) {
+// abandon cancels the attempt and waits up to cancelReplyTimeout for the peer's reply that it has not run. An answer that arrives
+// meanwhile and is complete is returned; its call has run, so that waiting any longer would only delay its caller.
+func (s *stream) abandon(ctx context.Context) (*core.Answer, *refusedMessage, error) {
 	defer s.conn.remove(s.sequence)
 	s.conn.send(typeCancel, sequenceMessage{
 		Sequence: s.sequence,
@@ -189,17 +189,22 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		refused := s.refused
+		head, refused, complete := s.head, s.refused, s.end != nil
 		s.mu.Unlock()
-		if refused != nil {
-			return refused, nil
+		switch {
+		case refused != nil:
+			return nil, refused, nil
+		case head != nil && complete:
+			return s.answer(ctx, head), nil, nil
+		case head != nil:
+			return nil, nil, ctx.Err()
 		}
 		select {
 		case <-s.changed:
 		case <-s.conn.done:
-			return nil, cause
+			return nil, nil, ctx.Err()
 		case <-timer.C:
-			return nil, cause
+			return nil, nil, ctx.Err()
 		}
 	}
 }
