tests of quotas: guard the fakes against data races

The race detector reported counters of the fakes that tests read while tasks ran; the code under test was not concerned. io/node and io/control pass with -race, three times for the tests concerned.

--- a/io/control/quota_test.go
+++ b/io/control/quota_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,8 +26,8 @@
 	status   core.ReplicatorStatus
 	reads    int
 	readErr  error
-	readTime time.Duration
 	onRead   func()
+	readTime time.Duration // not changed
 }
 
 func (f *fakeLeader) Status() core.ReplicatorStatus {
@@ -43,22 +44,29 @@
 
 func (f *fakeLeader) ConfirmRead(context.Context) error {
 	time.Sleep(f.readTime)
-	if f.onRead != nil {
-		f.onRead()
+	f.mu.Lock()
+	f.reads++
+	err, onRead := f.readErr, f.onRead
+	f.mu.Unlock()
+	if onRead != nil {
+		onRead()
 	}
+	return err
+}
+
+func (f *fakeLeader) readCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reads++
-	return f.readErr
+	return f.reads
 }
 
 // fixedSource is a record.Source whose configuration a test replaces.
 type fixedSource struct {
 	record.Source
-	current *record.Configuration
+	current atomic.Pointer[record.Configuration]
 }
 
-func (f *fixedSource) Current() *record.Configuration { return f.current }
+func (f *fixedSource) Current() *record.Configuration { return f.current.Load() }
 
 func tenantsWithRate(c *qt.C, revision core.Revision, names ...string) *record.Configuration {
 	var records []core.Record
@@ -83,7 +91,8 @@
 func withLender(t *testing.T, test func(f *lenderFixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		f := &lenderFixture{c: c, leader: &fakeLeader{readTime: 5 * time.Millisecond}, source: &fixedSource{current: tenantsWithRate(c, 1, "old")}}
+		f := &lenderFixture{c: c, leader: &fakeLeader{readTime: 5 * time.Millisecond}, source: &fixedSource{}}
+		f.source.current.Store(tenantsWithRate(c, 1, "old"))
 		f.quotaLender = newQuotaLender(f.leader, f.source, quota.DefaultSettings(), zerolog.Nop(), metrics.NewSet())
 		ctx, cancel := context.WithCancel(context.Background())
 		var tasks sync.WaitGroup
@@ -117,12 +126,12 @@
 func TestLenderConfirmsItsLeadershipWhileThereAreHolders(t *testing.T) {
 	withLender(t, func(f *lenderFixture) {
 		time.Sleep(10 * time.Second)
-		f.c.Assert(f.leader.reads, qt.Equals, 0)
+		f.c.Assert(f.leader.readCount(), qt.Equals, 0)
 		f.leader.setTerm(3, string(raft.Leader))
 		time.Sleep(2 * time.Second)
-		f.c.Assert(f.leader.reads, qt.Equals, 1)
+		f.c.Assert(f.leader.readCount(), qt.Equals, 1)
 
-		f.source.current = tenantsWithRate(f.c, 2, "old", "new")
+		f.source.current.Store(tenantsWithRate(f.c, 2, "old", "new"))
 		units, err := f.ask("new")
 		f.c.Assert(err, qt.IsNil)
 		f.c.Assert(units, qt.Equals, 7)
@@ -134,14 +143,14 @@
 			_, err := f.ask("new")
 			f.c.Assert(err, qt.IsNil)
 		}
-		f.c.Assert(f.leader.reads <= 42 && f.leader.reads >= 38, qt.IsTrue, qt.Commentf("%d confirmations in 10 s", f.leader.reads))
+		f.c.Assert(f.leader.readCount() <= 42 && f.leader.readCount() >= 38, qt.IsTrue, qt.Commentf("%d confirmations in 10 s", f.leader.readCount()))
 		units, err = f.ask("old")
 		f.c.Assert(err, qt.IsNil)
 		f.c.Assert(units, qt.Equals, 7)
 		time.Sleep(quotaIdle + time.Second)
-		before := f.leader.reads
+		before := f.leader.readCount()
 		time.Sleep(time.Minute)
-		f.c.Assert(f.leader.reads, qt.Equals, before)
+		f.c.Assert(f.leader.readCount(), qt.Equals, before)
 	})
 }
 
--- a/io/node/quota_limiter_test.go
+++ b/io/node/quota_limiter_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,9 +30,11 @@
 	start     time.Time
 	lender    *quota.Lender
 	limits    quota.Limits
-	opened    []string
-	exchanges int
-	away      bool
+	exchanges atomic.Int64
+	away      atomic.Bool
+
+	mu     sync.Mutex // guards opened
+	opened []string
 }
 
 type fakeQuotaLink struct {
@@ -40,8 +44,8 @@
 
 func (l fakeQuotaLink) Exchange(_ context.Context, request quota.Request) (quota.Answer, error) {
 	time.Sleep(2 * time.Millisecond)
-	l.lender.exchanges++
-	if l.lender.away {
+	l.lender.exchanges.Add(1)
+	if l.lender.away.Load() {
 		return quota.Answer{}, errors.New("connection lost")
 	}
 	if l.address == "b" {
@@ -53,6 +57,12 @@
 
 func (l fakeQuotaLink) Close() error { return nil }
 
+func (l *fakeQuotaLender) addresses() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.opened)
+}
+
 // newTestLimiter runs a limiter with tenants t0, t1 and so on, with a rate each, until the end of the test.
 func newTestLimiter(c *qt.C, rates ...int64) (*quotaLimiter, *fakeQuotaLender) {
 	var records []core.Record
@@ -72,6 +82,8 @@
 	limiter := newQuotaLimiter(settings, "n1", 1, func() *record.Configuration { return configuration }, quotaNetwork{
 		targets: func() []string { return []string{"b", "a"} },
 		open: func(_ context.Context, address string) (quotaLink, error) {
+			lender.mu.Lock()
+			defer lender.mu.Unlock()
 			lender.opened = append(lender.opened, address)
 			return fakeQuotaLink{lender: lender, address: address}, nil
 		},
@@ -96,18 +108,18 @@
 		c.Assert(refused == nil, qt.IsTrue)
 		limiter.GiveBack(unit)
 		time.Sleep(time.Hour)
-		c.Assert(lender.opened, qt.HasLen, 0)
+		c.Assert(lender.addresses(), qt.HasLen, 0)
 
 		unit, refused = limiter.Take(context.Background(), "t1")
 		c.Assert(refused == nil, qt.IsTrue)
-		c.Assert(lender.opened, qt.DeepEquals, []string{"b", "a"})
+		c.Assert(lender.addresses(), qt.DeepEquals, []string{"b", "a"})
 		limiter.Settle(unit)
 		time.Sleep(time.Minute)
-		before := lender.exchanges
+		before := lender.exchanges.Load()
 		c.Assert(before <= 12, qt.IsTrue, qt.Commentf("%d exchanges", before))
 		_, refused = limiter.Take(context.Background(), "t1")
 		c.Assert(refused == nil, qt.IsTrue)
-		c.Assert(len(lender.opened) > 2, qt.IsTrue)
+		c.Assert(len(lender.addresses()) > 2, qt.IsTrue)
 	})
 }
 
@@ -122,7 +134,7 @@
 			c.Assert(refused == nil, qt.IsTrue)
 		}
 		time.Sleep(100 * time.Millisecond) // more units arrive
-		lender.away = true
+		lender.away.Store(true)
 		for range 2 {
 			_, refused := limiter.Take(context.Background(), "t0")
 			c.Assert(refused == nil, qt.IsTrue)
@@ -162,7 +174,7 @@
 		_, refused := limiter.Take(context.Background(), "t0")
 		c.Assert(refused, qt.Not(qt.IsNil))
 		c.Assert(time.Since(began), qt.Equals, maxQuotaWait)
-		lender.away = false
+		lender.away.Store(false)
 		time.Sleep(2 * maxQuotaBackoff)
 		_, refused = limiter.Take(context.Background(), "t0")
 		c.Assert(refused == nil, qt.IsTrue)
