core/quota: units for a whole window at the present rate of a new tenant

Holders asked for the units in use and one second ahead. While the lender has plenty of units, a holder now asks for the use of a whole window at the present rate. Schedules and fleet tests of core/quota pass.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -23,6 +23,10 @@
 	// refusalWindow is how long a refused request counts as demand. After a hot period, a longer one would keep units at nodes
 	// that no longer need them.
 	refusalWindow = time.Second
+	// minRateTime is the shortest time by which the rate of a new tenant is judged.
+	minRateTime = time.Second
+	// plentifulDivisor is the divisor of the bound above which the lender has plenty of units left.
+	plentifulDivisor = 4
 	// minBand is the number of surplus units that a holder keeps, so that small changes of demand cost no bytes.
 	minBand = 4
 	// maxUsedWait is how long a holder asks for no more units of a tenant after the lender has reported that its limit is used up.
@@ -65,6 +69,7 @@
 
 // allotment holds the units of one tenant.
 type allotment struct {
+	since      time.Duration // when the tenant was first used
 	uses       count
 	refusals   count
 	units      int           // lent by the lender
@@ -112,7 +117,7 @@
 		if len(h.tenants) >= maxTenants {
 			return Missing, 0
 		}
-		a = h.newAllotment()
+		a = h.newAllotment(now.Steady)
 		h.tenants[tenant] = a
 	}
 	a.advance(now.Steady)
@@ -240,9 +245,9 @@
 	if demand > 0 {
 		ahead = h.ahead(a, demand)
 	}
-	limit, wanted := h.limit(a), demand+ahead
+	limit, wanted := h.limit(a), min(h.expectedUse(now, a, demand)+ahead, a.bound)
 	band := 0
-	if demand > 0 && a.freeHint > a.bound/4 {
+	if demand > 0 && a.freeHint > a.bound/plentifulDivisor {
 		band = max(minBand, wanted/8)
 	}
 	if limit > wanted+band {
@@ -278,6 +283,17 @@
 	return report, true
 }
 
+// expectedUse returns the use of a whole window at the present rate. For a tenant that is new at this node it is more than the use so
+// far. With units for it, the holder goes on through the loss of the lender soon after the traffic has begun; later, the uses that
+// leave the window suffice. While units are scarce at the lender, only the demand so far counts.
+func (h *Holder) expectedUse(now time.Duration, a *allotment, demand int) int {
+	age := max(now-a.since, minRateTime)
+	if age >= h.settings.Window || a.freeHint <= a.bound/plentifulDivisor {
+		return demand
+	}
+	return int(int64(demand) * int64(h.settings.Window) / int64(age))
+}
+
 // ahead returns the number of units for about one second at the rate of the window or of the last half second, if that is higher.
 func (h *Holder) ahead(a *allotment, demand int) int {
 	window := h.settings.Window
@@ -356,9 +372,10 @@
 	}
 }
 
-func (h *Holder) newAllotment() *allotment {
+func (h *Holder) newAllotment(now time.Duration) *allotment {
 	bucket := h.settings.bucket()
 	return &allotment{
+		since:    now,
 		uses:     newCount(h.settings.Window, bucket),
 		refusals: newCount(refusalWindow, max(bucket, refusalWindow/10)),
 	}
