pipelinehttp: close after Connection values that net/http takes for close

net/http finds the word close also in a value without commas (close x) and closes the connection; this server read on. The head timeout of a declaration record does not apply to the wait for the first byte of a new connection.

--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -274,8 +274,8 @@
 		expiresAt := c.idleSince.Add(idleTimeout)
 		switch {
 		case !c.answered && len(c.order.entries) == 0:
-			_, headTimeout := c.server.headLimits()
-			expiresAt = c.idleSince.Add(headTimeout)
+			// The declared limit is only for heads: callers open connections in advance.
+			expiresAt = c.idleSince.Add(c.server.limits.HeadTimeout)
 		case len(c.order.entries) > 0:
 			expiresAt = now.Add(idleTimeout)
 		}
--- a/io/pipelinehttp/request.go
+++ b/io/pipelinehttp/request.go
@@ -52,6 +52,8 @@
 		}
 		return parsedRequest{}, http.StatusBadRequest
 	}
+	// The server of net/http finds the word also in lists without commas, as in "close x".
+	r.Close = r.Close || strings.Contains(strings.ToLower(r.Header.Get("Connection")), "close")
 	parsed := parsedRequest{
 		Request: r,
 	}
