--- a/io/pipelinehttp/bubble_test.go
+++ b/io/pipelinehttp/bubble_test.go
@@ -195,3 +195,20 @@
 		}
 	})
 }
+
+// Guards against pipelined requests that use memory beyond the account: those for which there is none run one by one.
+func TestRequestsWithoutMemoryWaitForTheirTurn(t *testing.T) {
+	var g gates
+	limits := pipelinehttp.Limits{AccountBytes: 4 << 10}
+	runInBubble(t, func(w http.ResponseWriter, r *http.Request) { g.serve(w, r) }, limits, func(c *qt.C, _ *causes, dial func(string) caller) {
+		g = newGates("/a", "/b")
+		caller := dial(get("/a") + get("/b"))
+		synctest.Wait()
+		c.Assert(g.started, qt.HasLen, 1)
+		close(g.ended["/a"])
+		c.Assert(caller.next(), qt.Equals, "200 /a")
+		g.awaitStart(c, "/a", "/b")
+		close(g.ended["/b"])
+		c.Assert(caller.next(), qt.Equals, "200 /b")
+	})
+}
