--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -149,7 +149,7 @@
 	memory := holding{
 		account: c.server.account,
 	}
-	alone, ok := c.reserveRequest(&memory, &head)
+	alone, waitedSince, ok := c.reserveRequest(&memory, &head)
 	if !ok {
 		return c.refuse(http.StatusServiceUnavailable, &head)
 	}
@@ -161,6 +161,9 @@
 	c.begin += head.endAt
 	r := newResponse(c, parsed, memory, startedAt.Add(c.server.limits.RequestTimeout))
 	r.alone = alone
+	if !waitedSince.IsZero() {
+		r.ctx = context.WithValue(r.ctx, readTimeKey{}, waitedSince)
+	}
 	return c.start(r)
 }
 
@@ -274,8 +277,8 @@
 		expiresAt := c.idleSince.Add(idleTimeout)
 		switch {
 		case !c.answered && len(c.order.entries) == 0:
-			_, headTimeout := c.server.headLimits()
-			expiresAt = c.idleSince.Add(headTimeout)
+			// The declared limit is only for heads: callers open connections in advance.
+			expiresAt = c.idleSince.Add(c.server.limits.HeadTimeout)
 		case len(c.order.entries) > 0:
 			expiresAt = now.Add(idleTimeout)
 		}
@@ -296,7 +299,7 @@
 			c.mu.Unlock()
 			return true
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.disconnect()
 			return false
 		}
