backendhttp: end repeatable calls that the backend server will never answer

A full backend server never answers the call that it cannot queue. Such a call held its caller and its slot until its deadline, though another endpoint could have served it.

core/stuck reports a call as stuck if three calls that began later were completed, each of at least usual length, and it has run for more than twice the time that one run of its route in 100 exceeds. A call that must not be repeated waits until its deadline. A hang does not count as a broken call, so it is no sign of a crash. On settings (EndStuckCalls), as placement by cost.

--- a/core/cost/histogram.go
+++ b/core/cost/histogram.go
@@ -159,3 +159,15 @@
 }
 
 func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// Quantile returns the time that a part of the calls does not exceed, to the lower bound of its bucket, zero if nothing is known.
+func (w Work) Quantile(part float64) time.Duration {
+	if w.tails == nil {
+		return 0
+	}
+	bucket := 0
+	for bucket < buckets-1 && w.tails.part[bucket+1] > 1-part {
+		bucket++
+	}
+	return duration(lowerBounds[bucket])
+}
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -15,6 +15,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/retry"
+	"parsleyport/core/stuck"
 )
 
 // Errors of Handle, and of reading the body of an answer.
@@ -81,7 +82,11 @@
 	}
 	answered := false
 	defer func() { // also if run panics
-		if !answered {
+		switch {
+		case answered:
+		case x.stuck:
+			x.settleStuck()
+		default:
 			x.end(ResultFailed)
 		}
 	}()
@@ -104,6 +109,9 @@
 	written        bool        // at least one byte of the call may have been written
 	strayReceived  bool        // answers to other calls were received on the connection
 	reusable       bool
+	stuckID        stuck.ID // zero if stuck calls are not detected, or before it was sent
+	interrupted    bool     // the wait for the answer was ended because the call is stuck; guarded by stuckCalls.mu
+	stuck          bool     // it ended because it is stuck
 }
 
 func (x *exchange) end(result CallResult) {
@@ -111,6 +119,7 @@
 		if !x.startedAt.IsZero() {
 			x.server.exchanges.Add(-1)
 		}
+		x.server.stuckCalls.end(time.Now(), x, result)
 		x.release(result)
 		x.server.endCall()
 	})
@@ -141,6 +150,7 @@
 	}
 	x.startedAt = time.Now()
 	s.exchanges.Add(1)
+	s.stuckCalls.begin(x)
 	return x.roundTrip(request)
 }
 
@@ -184,8 +194,12 @@
 	// The answer is read even after a failed write, since a backend server may answer before it has read the whole request.
 	response, readErr := x.readResponse(request)
 	if readErr != nil {
+		if x.stuck = x.server.stuckCalls.isInterrupted(x) && x.ctx.Err() == nil; x.stuck {
+			return nil, core.OutcomeUnknown, ErrStuck
+		}
 		return nil, core.OutcomeUnknown, x.fail(readErr)
 	}
+	x.server.stuckCalls.answered(x)
 	x.server.pool.markAnswered(x.conn)
 	x.server.answeredAt.Store(time.Now().UnixNano())
 	x.reusable = err == nil && !response.Close && !x.strayReceived
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -50,6 +50,8 @@
 	OnChange func(Announcement)
 	// OnCrash is called with the calls that were running in a crash. It may be nil.
 	OnCrash func(Crash)
+	// EndStuckCalls ends repeatable calls that the backend server does not answer although it answers later ones; see stuck.Detector.
+	EndStuckCalls bool
 	// Dial connects to the backend server. Nil means a TCP dial.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Logger gets a line when a run of a backend server is first announced, when a lease ends, and for calls that were not answered.
@@ -92,6 +94,7 @@
 	changed   chan struct{} // has one element while a change has not been reported to OnChange
 	crashes   *ring.Ring[Crash]
 
+	stuckCalls   *stuckCalls // nil without EndStuckCalls
 	sentCalls    *metrics.Counter
 	crashedCalls *metrics.Counter
 	strayAnswers *metrics.Counter
@@ -146,6 +149,7 @@
 		crashedCalls: options.Metrics.GetOrCreateCounter("parsleyport_backend_crashed_calls_total"),
 		strayAnswers: options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
 		failureLog:   loglimit.New(options.Logger, options.Metrics, "not-answered", failureLinesPerSecond),
+		stuckCalls:   newStuckCalls(options.EndStuckCalls, options.Metrics),
 		drained:      make(chan struct{}),
 		probes:       ring.New[Announcement](1),
 	}
