--- a/io/backendhttp/stuck.go
+++ b/io/backendhttp/stuck.go
@@ -105,8 +105,9 @@
 func (x *exchange) settleStuck() {
 	x.server.failureLog.Warn().Str("event", "call-stuck").Str("call", string(x.call.ID)).Str("route", string(x.call.Route)).
 		Str("run", x.processRun).Int64("waited-ms", time.Since(x.startedAt).Milliseconds()).Msg("backend server answers later calls and not this one")
+	x.stopCancelling() // the context of the call ends as soon as its outcome is reported
 	time.AfterFunc(stuckCloseDelay, func() {
-		_ = x.abort()
+		_ = x.conn.Close()
 		time.AfterFunc(stuckReleaseDelay, func() { x.end(ResultFailed) })
 	})
 }
