retry: callers return by the forecast of free slots

A caller refused for capacity was asked to wait for a third of its remaining time, whatever was known of the queue.

Retry-After is the expected time until a slot is free where the call was refused last, plus a quarter of the remaining time, at most the third as before. Without a forecast it stays the third. The quarter spreads the callers; those that have waited longest return first.

--- a/core/callreplay/fleetcall.go
+++ b/core/callreplay/fleetcall.go
@@ -80,6 +80,7 @@
 				Now:            now,
 				CallerDeadline: c.deadline,
 				Cause:          result.cause,
+				FreeIn:         result.load.FreeIn,
 			}), c.deadline.Sub(now)/callerWaitDivisor)
 		}
 		if now.Add(wait).Before(c.deadline) {
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -462,6 +462,7 @@
 			Now:            time.Now(),
 			CallerDeadline: callerDeadline,
 			Cause:          refused.Cause,
+			FreeIn:         refused.Load.FreeIn,
 		})
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
