--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -180,6 +180,10 @@
 	LatencyMS   float64     `json:"latency-ms"`
 	FailureRate float64     `json:"failure-rate"`
 	Ejected     bool        `json:"ejected"`
+	// WaitMS is the usual reported time until a slot is free, and ServiceTimeRatio the service time as a ratio to that of all endpoints; both with
+	// PolicyLeastCompletion only.
+	WaitMS           float64 `json:"wait-ms,omitempty"`
+	ServiceTimeRatio float64 `json:"service-time-ratio,omitempty"`
 }
 
 // Status returns the status of all known endpoints for a state dump.
@@ -188,11 +192,13 @@
 	defer b.mu.Unlock()
 	return lo.MapToSlice(b.members, func(id core.NodeID, m *member) EndpointStatus {
 		return EndpointStatus{
-			Node:        id,
-			Outstanding: m.outstanding,
-			LatencyMS:   m.latencySeconds * 1000,
-			FailureRate: m.failureRate(),
-			Ejected:     m.ejected(now),
+			Node:             id,
+			Outstanding:      m.outstanding,
+			LatencyMS:        m.latencySeconds * 1000,
+			FailureRate:      m.failureRate(),
+			Ejected:          m.ejected(now),
+			WaitMS:           m.completion.usualWait.mean(0) * 1000,
+			ServiceTimeRatio: m.completion.speed.mean(0),
 		}
 	})
 }
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -57,6 +57,9 @@
 		CallerService: p.headers().CallerService,
 	})
 	p.cleanups.add(stopAdmission)
+	if p.options.LearnCosts {
+		p.metrics.GetOrCreateGauge("parsleyport_backend_free_in_seconds", func() float64 { return admission.Load("").FreeIn.Seconds() })
+	}
 	server, cleanup, err := backendhttp.New(backendhttp.Options{
 		Headers:             p.options.Headers,
 		Lease:               p.options.BackendLease,
