cli, node: parsleyport route shows where a request would go and why

Operators could only guess from /state why a request went to an endpoint.

It sends no request, keeps no statistics and draws no random numbers. API keys are not considered yet.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -74,13 +74,17 @@
 		}
 	}
 	b.removeStale(now)
+	return preferred(now, all)
+}
+
+// preferred leaves out ejected members, up to the panic threshold, and avoided ones unless all are.
+func preferred(now time.Time, all []*member) []*member {
 	healthy := lo.Filter(all, func(m *member, _ int) bool { return !m.ejected(now) })
 	if float64(len(all)-len(healthy)) > panicThresholdRatio*float64(len(all)) {
 		healthy = all
 	}
-	preferred := lo.Filter(healthy, func(m *member, _ int) bool { return !m.avoided(now) })
-	if len(preferred) > 0 {
-		return preferred
+	if unavoided := lo.Filter(healthy, func(m *member, _ int) bool { return !m.avoided(now) }); len(unavoided) > 0 {
+		return unavoided
 	}
 	return healthy
 }
--- a/core/balancer/completion_test.go
+++ b/core/balancer/completion_test.go
@@ -79,3 +79,34 @@
 	c.Assert(away(80*ms, 60<<10) > 0.99, qt.IsTrue)
 	c.Assert(away(80*ms, 1<<20) < 0.01, qt.IsTrue)
 }
+
+// Guards against an explanation that differs from what Pick does, and against one that changes what later calls get.
+func TestExplanationMatchesThePickAndChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	all := append(endpoints(2, "home"), endpoints(2, "away")...)
+	full, idle := reported(10, 100*ms, 700*ms), reported(1, 100*ms, 1)
+	loads := map[core.NodeID]core.Load{"home-0": full, "home-1": full, "away-0": idle, "away-1": full}
+	explained, plain := newCompletionBalancer(all, loads), newCompletionBalancer(all, loads)
+	request := core.PickRequest{Route: "r", SoftDeadline: start.Add(500 * ms), Deadline: start.Add(2 * time.Second)}
+	for range 50 {
+		e := explained.Explain(start, request, append(all, endpoints(1, "new")...))
+		c.Assert(e.Likely, qt.Equals, core.NodeID("away-0"))
+		c.Assert(e.Why, qt.Equals, "late here, on time in another data centre")
+		c.Assert(e.Endpoints, qt.HasLen, 5)
+		got, _ := explained.Pick(start, request, all)
+		want, _ := plain.Pick(start, request, all)
+		c.Assert(got, qt.Equals, want)
+		explained.Done(start, core.PickResult{Endpoint: got, Discarded: true})
+		plain.Done(start, core.PickResult{Endpoint: want, Discarded: true})
+	}
+	c.Assert(explained.Status(start), qt.HasLen, 4)
+	large := request
+	large.BodyBytes = 8 << 20
+	b := newCompletionBalancer(all, loads)
+	c.Assert(b.Explain(start, large, all).Why, qt.Contains, "the body takes longer")
+	leaving := all[:1:1]
+	leaving[0].State = core.EndpointLeaving
+	e := b.Explain(start, request, leaving)
+	c.Assert(e.Likely, qt.Equals, core.NodeID(""))
+	c.Assert(e.Endpoints[0].Excluded, qt.Equals, "state leaving")
+}
--- a/core/balancer/expected.go
+++ b/core/balancer/expected.go
@@ -133,11 +133,7 @@
 	local, remote := lo.FilterReject(usable, func(m *member, _ int) bool {
 		return m.endpoint.DataCentre == b.options.DataCentre
 	})
-	dueBy := request.SoftDeadline
-	if dueBy.IsZero() || now.After(dueBy) {
-		dueBy = request.Deadline
-	}
-	onTime := func(e estimate) bool { return dueBy.IsZero() || !now.Add(e.responseTime()).After(dueBy) }
+	onTime := func(e estimate) bool { return isOnTime(now, request, e) }
 	localChoice, localEstimate := sample(now, request.Route, local, fallback, onTime)
 	if localChoice != nil && onTime(localEstimate) {
 		return localChoice
@@ -154,6 +150,15 @@
 	return localChoice
 }
 
+// isOnTime reports whether a call is expected to be answered by its soft deadline or, once that has passed, by its deadline.
+func isOnTime(now time.Time, request core.PickRequest, e estimate) bool {
+	dueBy := request.SoftDeadline
+	if dueBy.IsZero() || now.After(dueBy) {
+		dueBy = request.Deadline
+	}
+	return dueBy.IsZero() || !now.Add(e.responseTime()).After(dueBy)
+}
+
 // sampleByResponseTime chooses one of a few members at random; members with a lower estimated response time are more likely.
 // A deterministic choice would make all nodes, which see the same reports, choose the same endpoint, and a slightly slower endpoint
 // would get no calls until the others are full. If the chosen member would be late, the member with the lowest estimate is used.
--- a/io/adminhttp/server.go
+++ b/io/adminhttp/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,9 +26,11 @@
 	State   func() any
 	Metrics *metrics.Set
 	Logger  zerolog.Logger
+	// Explain says where a request would go, by the parameters of a query. If it is nil, there is no /route.
+	Explain func(url.Values) (any, error)
 }
 
-// New starts the server on /metrics, /ready (status 200 or 503) and /state; the clean-up function stops it.
+// New starts the server on /metrics, /ready (status 200 or 503), /state and /route; the clean-up function stops it.
 func New(options Options) (func(), error) {
 	listener, err := net.Listen("tcp", options.Address)
 	if err != nil {
@@ -55,12 +58,26 @@
 		_, _ = w.Write([]byte("ready\n"))
 	})
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		if err := encoder.Encode(options.State()); err != nil {
-			options.Logger.Error().Err(err).Msg("state dump cannot be encoded")
-		}
+		writeJSON(w, options.State(), options.Logger)
 	})
+	if options.Explain != nil {
+		mux.HandleFunc("GET /route", func(w http.ResponseWriter, r *http.Request) {
+			explanation, err := options.Explain(r.URL.Query())
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			writeJSON(w, explanation, options.Logger)
+		})
+	}
 	return mux
 }
+
+func writeJSON(w http.ResponseWriter, value any, log zerolog.Logger) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		log.Error().Err(err).Msg("answer of the admin interface cannot be encoded")
+	}
+}
--- a/io/adminhttp/server_test.go
+++ b/io/adminhttp/server_test.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -22,6 +24,12 @@
 		State:   func() any { return map[string]int{"revision": 7} },
 		Metrics: set,
 		Logger:  zerolog.Nop(),
+		Explain: func(query url.Values) (any, error) {
+			if query.Get("path") == "" {
+				return nil, errors.New("no path")
+			}
+			return map[string]string{"route": query.Get("path")}, nil
+		},
 	})
 	get := func(path string) (int, string) {
 		recorder := httptest.NewRecorder()
@@ -35,6 +43,10 @@
 	c.Assert(status, qt.Equals, http.StatusOK)
 	_, body := get("/state")
 	c.Assert(body, qt.Contains, `"revision": 7`)
+	_, body = get("/route?path=/a")
+	c.Assert(body, qt.Contains, `"route": "/a"`)
+	status, _ = get("/route")
+	c.Assert(status, qt.Equals, http.StatusBadRequest)
 	_, body = get("/metrics")
 	c.Assert(strings.HasPrefix(body, "calls_total 1\n"), qt.IsTrue)
 }
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -71,6 +71,8 @@
 		return p.check(o)
 	case commandExplain:
 		return p.explain(o)
+	case commandRoute:
+		return p.route(ctx, o)
 	case commandReplay:
 		return p.replay(o)
 	case commandControl:
--- a/io/cli/options.go
+++ b/io/cli/options.go
@@ -41,6 +41,7 @@
 	commandCheck   = "check"
 	commandReplay  = "replay"
 	commandExplain = "explain"
+	commandRoute   = "route"
 	commandVersion = "version"
 
 	commandMembers        = "members"
@@ -85,6 +86,11 @@
 	recordFilter     operatorhttp.RecordFilter
 	fileKind         string
 	complete         bool
+	node             string // admin address
+	method           string
+	host             string
+	path             string
+	bodyBytes        uint32
 }
 
 // rawOptions also holds the values that need more checks than kingpin's.
@@ -192,6 +198,14 @@
 	audit.Flag("limit", "Number of entries, from 1 to 10000.").Default("100").IntVar(&r.auditLimit)
 	audit.Flag("before", "Only entries before this number, as printed by a command that reached its limit.").Uint64Var(&r.beforeEntry)
 
+	route := app.Command(commandRoute, "Show where a node would send a request now, and why. Nothing is sent.\n\nExample: parsleyport route --node 127.0.0.1:7205 --host orders.example /v1/orders")
+	route.Flag("node", "Admin address of the node that the request enters.").Required().StringVar(&r.node)
+	route.Flag("method", "Method of the request.").Default("GET").StringVar(&r.method)
+	route.Flag("host", "Host of the request.").StringVar(&r.host)
+	route.Flag("body-bytes", "Size of the request's body.").Uint32Var(&r.bodyBytes)
+	route.Arg("path", "Path of the request, with or without a query.").Required().StringVar(&r.path)
+	addOutputFlag(route, r)
+
 	for _, command := range []*kingpin.CmdClause{moves, status, records, audit} {
 		addServerFlags(command, r)
 	}
--- a/io/node/dump.go
+++ b/io/node/dump.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"net/url"
+	"strconv"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/samber/do/v2"
 
 	"parsleyport/core"
@@ -10,6 +13,7 @@
 	"parsleyport/core/record"
 	"parsleyport/io/adminhttp"
 	"parsleyport/io/backendhttp"
+	"parsleyport/io/callerhttp"
 	"parsleyport/io/distribution"
 )
 
@@ -31,6 +35,7 @@
 		State:   func() any { return p.dump(injector, subscriber, subscriber.Current()) },
 		Metrics: p.metrics,
 		Logger:  p.log,
+		Explain: p.explainRoute,
 	})
 	if err != nil {
 		return err
@@ -39,6 +44,27 @@
 	return nil
 }
 
+// explainRoute says where a request with the parameters method, host, path and body-bytes would go from this node.
+func (p *process) explainRoute(parameters url.Values) (any, error) {
+	server := p.callerServer.Load()
+	if server == nil {
+		return nil, errors.New("the node accepts no callers yet")
+	}
+	query := callerhttp.Query{
+		Method: parameters.Get("method"),
+		Host:   parameters.Get("host"),
+		Path:   parameters.Get("path"),
+	}
+	if text := parameters.Get("body-bytes"); text != "" {
+		bytes, err := strconv.Atoi(text)
+		if err != nil || bytes < 0 {
+			return nil, errors.NotValidf("body-bytes %q", text)
+		}
+		query.BodyBytes = bytes
+	}
+	return server.Explain(time.Now(), query), nil
+}
+
 func (p *process) dump(injector do.Injector, subscriber *distribution.Subscriber, configuration *record.Configuration) dump {
 	announced, _ := do.MustInvoke[*backendhttp.Server](injector).Current()
 	d := dump{
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -79,6 +79,7 @@
 	suspects       *suspects
 	departures     *departures
 	peerServer     atomic.Pointer[nodepeer.Server]
+	callerServer   atomic.Pointer[callerhttp.Server]
 	service        atomic.Value // core.ServiceName of the local backend server
 	serving        atomic.Bool  // whether the node accepts callers
 	cleanups       cleanups
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -218,6 +218,9 @@
 		Logger:                 p.log,
 		Metrics:                p.metrics,
 	})
+	if err == nil {
+		p.callerServer.Store(server)
+	}
 	return registerCleanup(p, server, cleanup, err)
 }
 
