--- a/core/limiter/shares_test.go
+++ b/core/limiter/shares_test.go
@@ -265,9 +265,13 @@
 }
 
 func BenchmarkArriveAndFinish(b *testing.B) {
-	for _, waiting := range []int{0, 24} {
-		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
-			l := NewWithOptions(6, Options{TrustSlots: true, SoftDeadlineFirst: true, ShortClassesFirst: true})
+	for _, test := range []struct {
+		waiting int
+		learn   bool
+	}{{0, false}, {24, false}, {0, true}, {24, true}} {
+		waiting := test.waiting
+		b.Run(fmt.Sprintf("%d waiting, learned %t", waiting, test.learn), func(b *testing.B) {
+			l := NewWithOptions(6, Options{TrustSlots: true, SoftDeadlineFirst: true, ShortClassesFirst: true, LearnCosts: test.learn})
 			var running []Ticket
 			for i := 0; b.Loop(); i++ {
 				_, change := l.Arrive(began, Request{Tenant: "a", SoftDeadline: began.Add(time.Hour), Deadline: began.Add(time.Hour)})
@@ -276,6 +280,7 @@
 					change = l.Finish(began, running[0], Result{Latency: time.Microsecond})
 					running = append(running[1:], change.Start...)
 				}
+				l.Load(began, "")
 			}
 		})
 	}
