--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -74,13 +74,17 @@
 		}
 	}
 	b.removeStale(now)
+	return preferred(now, all)
+}
+
+// preferred leaves out ejected members, up to the panic threshold, and avoided ones unless all are.
+func preferred(now time.Time, all []*member) []*member {
 	healthy := lo.Filter(all, func(m *member, _ int) bool { return !m.ejected(now) })
 	if float64(len(all)-len(healthy)) > panicThresholdRatio*float64(len(all)) {
 		healthy = all
 	}
-	preferred := lo.Filter(healthy, func(m *member, _ int) bool { return !m.avoided(now) })
-	if len(preferred) > 0 {
-		return preferred
+	if unavoided := lo.Filter(healthy, func(m *member, _ int) bool { return !m.avoided(now) }); len(unavoided) > 0 {
+		return unavoided
 	}
 	return healthy
 }
@@ -180,6 +184,10 @@
 	LatencyMS   float64     `json:"latency-ms"`
 	FailureRate float64     `json:"failure-rate"`
 	Ejected     bool        `json:"ejected"`
+	// WaitMS is the usual reported time until a slot is free, and ServiceTimeRatio the service time as a ratio to that of all endpoints; both with
+	// PolicyLeastCompletion only.
+	WaitMS           float64 `json:"wait-ms,omitempty"`
+	ServiceTimeRatio float64 `json:"service-time-ratio,omitempty"`
 }
 
 // Status returns the status of all known endpoints for a state dump.
@@ -188,11 +196,13 @@
 	defer b.mu.Unlock()
 	return lo.MapToSlice(b.members, func(id core.NodeID, m *member) EndpointStatus {
 		return EndpointStatus{
-			Node:        id,
-			Outstanding: m.outstanding,
-			LatencyMS:   m.latencySeconds * 1000,
-			FailureRate: m.failureRate(),
-			Ejected:     m.ejected(now),
+			Node:             id,
+			Outstanding:      m.outstanding,
+			LatencyMS:        m.latencySeconds * 1000,
+			FailureRate:      m.failureRate(),
+			Ejected:          m.ejected(now),
+			WaitMS:           m.completion.usualWait.mean(0) * 1000,
+			ServiceTimeRatio: m.completion.speed.mean(0),
 		}
 	})
 }
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -468,6 +468,7 @@
 			Now:            time.Now(),
 			CallerDeadline: callerDeadline,
 			Cause:          refused.Cause,
+			FreeIn:         refused.Load.FreeIn,
 		})
 		w.Header().Set("Retry-After", s.formatRetryAfter(wait))
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -45,6 +45,8 @@
 	ShortClassesFirst bool
 	// LearnCosts learns the work of calls and forecasts when slots are free; see limiter.Options.
 	LearnCosts bool
+	// EndStuckCalls ends repeatable calls that the backend server does not answer; see backendhttp.Options.
+	EndStuckCalls bool
 	// FreeCapacityRetries is the number of retries after capacity refusals that cost no retry budget.
 	FreeCapacityRetries int
 	// RetryBudget configures the retry budget of each service.
@@ -82,6 +84,7 @@
 	departures     *departures
 	quotas         *quotaLimiter
 	peerServer     atomic.Pointer[nodepeer.Server]
+	callerServer   atomic.Pointer[callerhttp.Server]
 	service        atomic.Value // core.ServiceName of the local backend server
 	serving        atomic.Bool  // whether the node accepts callers
 	cleanups       cleanups
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -57,10 +57,14 @@
 		CallerService: p.headers().CallerService,
 	})
 	p.cleanups.add(stopAdmission)
+	if p.options.LearnCosts {
+		p.metrics.GetOrCreateGauge("parsleyport_backend_free_in_seconds", func() float64 { return admission.Load("").FreeIn.Seconds() })
+	}
 	server, cleanup, err := backendhttp.New(backendhttp.Options{
 		Headers:             p.options.Headers,
 		Lease:               p.options.BackendLease,
 		AllowCloseDelimited: p.options.AllowCloseDelimited,
+		EndStuckCalls:       p.options.EndStuckCalls,
 		Address:             p.settings.BackendAddress,
 		Admission:           admission,
 		OnChange:            func(a backendhttp.Announcement) { p.announce(subscriber, a) },
@@ -228,6 +232,9 @@
 		Logger:                 p.log,
 		Metrics:                p.metrics,
 	})
+	if err == nil {
+		p.callerServer.Store(server)
+	}
 	return registerCleanup(p, server, cleanup, err)
 }
 
