Bound heads, lines, connections, bodies and first frames on all ports but the callers' one

Clients without any right could make a process keep heads of 1 MiB, 600 connections, bodies of 4 or 16 MiB for each request, and frames of 16 MiB before a hello. HTTP ports now count heads while they are read (16 KiB, 128 lines, 16 empty lines), replace the oldest idle connection at 128 or an eighth of the descriptors, and share a budget for bodies. Ports between processes limit the first message and the connections without one, and a connection without a hello ends after 5 s instead of 2 min.

--- a/io/adminhttp/server.go
+++ b/io/adminhttp/server.go
@@ -37,13 +37,14 @@
 		Handler:           handler(options),
 		ReadHeaderTimeout: headerTimeout,
 	}
-	return httpserver.Serve(server, listener, stopTimeout, options.Logger), nil
+	return httpserver.Serve(server, listener, "admin", stopTimeout, options.Logger), nil
 }
 
 func handler(options Options) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		options.Metrics.WritePrometheus(w)
+		httpserver.WriteMetrics(w)
 		metrics.WriteProcessMetrics(w)
 		metrics.WriteFDMetrics(w)
 	})
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -18,6 +18,7 @@
 	"parsleyport/core"
 	"parsleyport/core/idempotency"
 	"parsleyport/core/ring"
+	"parsleyport/io/httpserver"
 	"parsleyport/io/loglimit"
 )
 
@@ -156,11 +157,14 @@
 		Handler:           s.routes(),
 		ReadHeaderTimeout: requestReadTimeout,
 		ReadTimeout:       requestReadTimeout,
+		WriteTimeout:      requestReadTimeout,
 		MaxHeaderBytes:    maxAnnouncementBytes,
 		ErrorLog:          log.New(options.Logger, "", 0),
 	}
 	if listener != nil {
-		s.tasks.Go(func() { _ = s.http.Serve(listener) }) // ends with http.ErrServerClosed
+		limited := httpserver.NewLimitedListener(listener, "announcements")
+		s.http.ConnState = limited.Track
+		s.tasks.Go(func() { _ = s.http.Serve(limited) }) // ends with http.ErrServerClosed
 	}
 	s.tasks.Go(s.expireLeases)
 	s.tasks.Go(s.runCallbacks)
--- a/io/distribution/child.go
+++ b/io/distribution/child.go
@@ -112,10 +112,12 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 
+	conn.SetMaxReceived(maxHelloBytes)
 	first, err := h.receive(conn, helloTimeout)
 	if err != nil {
 		return
 	}
+	conn.SetMaxReceived(core.MaxFrameBytes)
 	switch first.Type {
 	case typeDepart:
 		slot.release() // a proposal may wait for an election
--- a/io/distribution/options.go
+++ b/io/distribution/options.go
@@ -78,6 +78,7 @@
 	maxDirectChildren = 1024
 	maxRelayChildren  = 16
 	maxHandshakes     = 32
+	maxHelloBytes     = 64 << 10 // of the first message of a link, also of a request about departures
 	maxPathNodes      = 12
 	maxRedirects      = 8
 	maxSubscriptions  = 4096
--- a/io/frame/compressor.go
+++ b/io/frame/compressor.go
@@ -104,8 +104,8 @@
 }
 
 // decompress returns the message of a compressed frame. It returns ErrMalformed for damaged data, and for a frame that states no
-// length or one over the maximum ratio.
-func (c *Compressor) decompress(f Frame) (Frame, error) {
+// length or one over the maximum ratio, and ErrTooLong for one that states more than maxBytes.
+func (c *Compressor) decompress(f Frame, maxBytes int) (Frame, error) {
 	var header zstd.Header
 	if err := header.Decode(f.body); err != nil {
 		return Frame{}, errors.Annotatef(ErrMalformed, "compressed message: %v", err)
@@ -113,6 +113,9 @@
 	if !header.HasFCS || header.FrameContentSize > maxDecompressedBytes(len(f.body)) {
 		return Frame{}, errors.Annotatef(ErrMalformed, "compressed message of %d bytes states a length of %d", len(f.body), header.FrameContentSize)
 	}
+	if header.FrameContentSize > uint64(maxBytes) {
+		return Frame{}, errors.Annotatef(ErrTooLong, "%d bytes after decompression", header.FrameContentSize)
+	}
 	message, err := c.decoder.DecodeAll(f.body, nil)
 	if err != nil {
 		return Frame{}, errors.Annotatef(ErrMalformed, "compressed message: %v", err)
--- a/io/frame/frame.go
+++ b/io/frame/frame.go
@@ -32,7 +32,7 @@
 
 // Errors of a connection; each of them leaves the connection unusable.
 const (
-	// ErrTooLong means that a frame is longer than core.MaxFrameBytes.
+	// ErrTooLong means that a frame is longer than core.MaxFrameBytes, or than the limit of the connection.
 	ErrTooLong = errors.ConstError("frame too long")
 	// ErrMalformed means that a frame or its message cannot be decoded.
 	ErrMalformed = errors.ConstError("malformed frame")
@@ -76,6 +76,7 @@
 	waitingSenders atomic.Int32
 	sent           atomic.Uint64
 	received       atomic.Uint64
+	maxReceived    atomic.Int64
 	compressor     *Compressor // nil if compressed messages cannot be read
 	compress       atomic.Bool
 	minCompressed  atomic.Int64 // messages shorter than this are not compressed
@@ -92,11 +93,19 @@
 }
 
 func newWithReadBuffer(conn net.Conn, compressor *Compressor, bufferBytes int) *Conn {
-	return &Conn{
+	c := &Conn{
 		conn:       conn,
 		reader:     bufio.NewReaderSize(conn, bufferBytes),
 		compressor: compressor,
 	}
+	c.maxReceived.Store(core.MaxFrameBytes)
+	return c
+}
+
+// SetMaxReceived sets the length in bytes above which Receive returns ErrTooLong, up to core.MaxFrameBytes. A connection that has not
+// introduced itself should get a small one, since Receive keeps a whole frame in memory before its type is known.
+func (c *Conn) SetMaxReceived(bytes int) {
+	c.maxReceived.Store(int64(min(bytes, core.MaxFrameBytes)))
 }
 
 // SetMinCompressed sets the length in bytes below which messages are not compressed even if the peer could read them.
@@ -190,7 +199,8 @@
 // io.ErrUnexpectedEOF for a truncated frame, ErrTooLong or ErrMalformed.
 func (c *Conn) Receive(deadline time.Time) (Frame, error) {
 	_ = c.conn.SetReadDeadline(deadline) // fails only on a closed connection, for which the read returns a clearer error
-	frame, size, err := Read(c.reader)
+	maxBytes := int(c.maxReceived.Load())
+	frame, size, err := readUpTo(c.reader, maxBytes)
 	c.received.Add(uint64(size))
 	if err != nil || frame.Type&compressedFlag == 0 {
 		return frame, err
@@ -198,17 +208,21 @@
 	if c.compressor == nil {
 		return Frame{}, errors.Annotatef(ErrMalformed, "compressed message of type %d on a connection without compression", frame.Type&^compressedFlag)
 	}
-	return c.compressor.decompress(frame)
+	return c.compressor.decompress(frame, maxBytes)
 }
 
 // Read reads one frame and returns its size on the wire in bytes; its errors are those of Conn.Receive.
 func Read(reader io.Reader) (Frame, int, error) {
+	return readUpTo(reader, core.MaxFrameBytes)
+}
+
+func readUpTo(reader io.Reader, maxBytes int) (Frame, int, error) {
 	var head [lengthBytes]byte
 	if _, err := io.ReadFull(reader, head[:]); err != nil {
 		return Frame{}, 0, err
 	}
 	length := binary.BigEndian.Uint32(head[:])
-	if length > core.MaxFrameBytes {
+	if uint64(length) > uint64(maxBytes) {
 		return Frame{}, lengthBytes, errors.Annotatef(ErrTooLong, "%d bytes", length)
 	}
 	if length < typeBytes {
--- a/io/httpserver/httpserver.go
+++ b/io/httpserver/httpserver.go
@@ -19,19 +19,33 @@
 	unreadPollInterval   = 10 * time.Millisecond
 )
 
+// Timeouts of servers that set none. The longest answer is a dump of the state, which a slow connection takes seconds to carry.
+const (
+	headTimeout    = 5 * time.Second
+	requestTimeout = 30 * time.Second
+	answerTimeout  = time.Minute // from the end of the head
+	idleTimeout    = time.Minute
+)
+
 // Serve serves on a listener until the returned clean-up function is called. The clean-up function closes the listener, waits for the
-// requests in progress, and cuts off those that have not ended after stopTimeout. Serve sets the server's ConnState.
-func Serve(server *http.Server, listener net.Listener, stopTimeout time.Duration, log zerolog.Logger) func() {
+// requests in progress, and cuts off those that have not ended after stopTimeout. Serve sets the server's ConnState, limits heads and
+// connections, and sets the timeouts that the server has not set. Port names the listener in metrics.
+func Serve(server *http.Server, listener net.Listener, port string, stopTimeout time.Duration, log zerolog.Logger) func() {
 	unread := unreadConnections{
 		connections: make(map[net.Conn]struct{}),
 	}
-	server.ConnState = unread.track
 	accepting := NewListener(listener)
+	limited := NewLimitedListener(accepting, port)
+	server.ConnState = func(connection net.Conn, state http.ConnState) {
+		limited.Track(connection, state)
+		unread.track(connection, state)
+	}
+	setTimeouts(server)
 	stopping := atomic.Bool{}
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		if err := server.Serve(accepting); !errors.Is(err, http.ErrServerClosed) && !stopping.Load() {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) && !stopping.Load() {
 			log.Error().Err(err).Str("event", "interface-lost").Str("address", listener.Addr().String()).Msg("HTTP server failed")
 		}
 	}()
@@ -55,6 +69,22 @@
 	}
 }
 
+func setTimeouts(server *http.Server) {
+	for timeout, value := range map[*time.Duration]time.Duration{
+		&server.ReadHeaderTimeout: headTimeout,
+		&server.ReadTimeout:       requestTimeout,
+		&server.WriteTimeout:      answerTimeout,
+		&server.IdleTimeout:       idleTimeout,
+	} {
+		if *timeout == 0 {
+			*timeout = value
+		}
+	}
+	if server.MaxHeaderBytes == 0 {
+		server.MaxHeaderBytes = maxHeadBytes
+	}
+}
+
 // unreadConnections tracks the connections whose first request has not been read.
 type unreadConnections struct {
 	mu          sync.Mutex // guards connections
--- a/io/httpserver/httpserver_test.go
+++ b/io/httpserver/httpserver_test.go
@@ -40,7 +40,7 @@
 				close(begun)
 				<-finish
 			})
-			stop := httpserver.Serve(&http.Server{Handler: handler}, listener, limit, zerolog.Nop())
+			stop := httpserver.Serve(&http.Server{Handler: handler}, listener, "test", limit, zerolog.Nop())
 			caller, err := net.Dial("tcp", listener.Addr().String())
 			c.Assert(err, qt.IsNil)
 			defer caller.Close()
--- /dev/null
+++ b/io/httpserver/limits_test.go
@@ -0,0 +1,177 @@
+package httpserver
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+)
+
+// Guards against heads beyond a limit that are passed on, and against heads within all limits that are refused.
+func TestHeadLimits(t *testing.T) {
+	line := "GET / HTTP/1.1\r\n"
+	for name, test := range map[string]struct {
+		head string
+		want error
+	}{
+		"ordinary":           {head: line + "Host: n\r\n\r\n"},
+		"bare line feeds":    {head: "GET / HTTP/1.1\nHost: n\n\n"},
+		"most lines":         {head: line + strings.Repeat("a:\r\n", maxHeadLines-1) + "\r\n"},
+		"too many lines":     {head: line + strings.Repeat("a:\r\n", maxHeadLines), want: errTooManyLines},
+		"most bytes":         {head: line + strings.Repeat("a", maxHeadBytes-len(line)-4) + "\r\n\r\n"},
+		"too many bytes":     {head: line + strings.Repeat("a", maxHeadBytes-len(line)+1), want: errHeadTooLong},
+		"most empty lines":   {head: strings.Repeat("\r\n", maxEmptyLines) + line + "\r\n"},
+		"too many empty":     {head: strings.Repeat("\r\n", maxEmptyLines+1), want: errTooManyEmpties},
+		"returns in a line":  {head: strings.Repeat("\r", maxHeadBytes+1), want: errHeadTooLong},
+		"lines of the body":  {head: line + "\r\n" + strings.Repeat("\n", 10_000)},
+		"empty request line": {head: "\r\n" + line + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var counter headCounter
+			_, err := counter.count([]byte(test.head))
+			qt.Assert(t, err, qt.Equals, test.want)
+			qt.Assert(t, counter.ended, qt.Equals, test.want == nil)
+		})
+	}
+}
+
+// FuzzHeadCounter guards against a head whose end or refusal depends on how it is split into reads, and against one that takes more lines
+// than the limit. The model splits the text into lines.
+func FuzzHeadCounter(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: n\r\n\r\nbody\n"), uint64(1))
+	f.Add([]byte(strings.Repeat("\r\n", maxEmptyLines+1)), uint64(2))
+	f.Add([]byte("x"+strings.Repeat("a:\n", maxHeadLines+2)), uint64(3))
+	f.Fuzz(func(t *testing.T, text []byte, seed uint64) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		var whole, parts headCounter
+		wantCount, wantErr := whole.count(text)
+		count, err := 0, error(nil)
+		for rest := text; len(rest) > 0 && err == nil; {
+			n := 1 + random.IntN(len(rest))
+			var counted int
+			counted, err = parts.count(rest[:n])
+			count += counted
+			rest = rest[n:]
+		}
+		if count != wantCount || !errors.Is(err, wantErr) || parts != whole {
+			t.Fatalf("%d bytes and error %v in parts, %d and %v at once", count, err, wantCount, wantErr)
+		}
+		lines, isEmptyPossible := 0, true
+		for each := range bytes.Lines(text[:wantCount]) {
+			if len(bytes.ReplaceAll(bytes.TrimSuffix(each, []byte("\n")), []byte("\r"), nil)) > 0 {
+				lines++
+				isEmptyPossible = false
+			}
+		}
+		if lines > maxHeadLines+1 || wantCount > maxHeadBytes || whole.ended && isEmptyPossible {
+			t.Fatalf("%d lines and %d bytes are in the limits", lines, wantCount)
+		}
+	})
+}
+
+// serve starts a server that answers with the length of the request's body.
+func serve(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	})
+	c.Cleanup(Serve(&http.Server{Handler: handler}, listener, "test", time.Second, zerolog.Nop()))
+	return listener.Addr().String()
+}
+
+func dial(c *qt.C, address string) (net.Conn, *bufio.Reader) {
+	connection, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = connection.Close() })
+	return connection, bufio.NewReader(connection)
+}
+
+// request sends a request and returns the status of its answer.
+func request(c *qt.C, connection net.Conn, reader *bufio.Reader, text string) int {
+	_, err := io.WriteString(connection, text)
+	c.Assert(err, qt.IsNil)
+	answer, err := http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	_, err = io.Copy(io.Discard, answer.Body)
+	c.Assert(err, qt.IsNil)
+	return answer.StatusCode
+}
+
+const ordinary = "GET / HTTP/1.1\r\nHost: n\r\n\r\n"
+
+// Guards against clients that get no answer to a head beyond a limit, and against a refusal of later requests on a connection because of
+// the bytes of earlier ones.
+func TestLimitsOnAConnection(t *testing.T) {
+	c := qt.New(t)
+	address := serve(c)
+	connection, reader := dial(c, address)
+	post := "POST / HTTP/1.1\r\nHost: n\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("\n", 5000)
+	for range 20 {
+		c.Assert(request(c, connection, reader, ordinary), qt.Equals, http.StatusOK)
+		c.Assert(request(c, connection, reader, post+ordinary), qt.Equals, http.StatusOK)
+		c.Assert(request(c, connection, reader, ""), qt.Equals, http.StatusOK)
+	}
+	tooLong := strings.TrimSuffix(ordinary, "\r\n") + strings.Repeat("a:\r\n", 200)
+	c.Assert(request(c, connection, reader, ordinary), qt.Equals, http.StatusOK)
+	c.Assert(request(c, connection, reader, tooLong), qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	_, err := reader.ReadByte()
+	c.Assert(err, qt.IsNotNil)
+
+	connection, reader = dial(c, address)
+	c.Assert(request(c, connection, reader, strings.Repeat("\r\n", 100)), qt.Equals, http.StatusBadRequest)
+}
+
+// Guards against connections without a request that keep others out, and against requests in progress that are cut off by new
+// connections.
+func TestOldestIdleConnectionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	address := serve(c)
+	busy, busyReader := dial(c, address)
+	_, err := io.WriteString(busy, "POST / HTTP/1.1\r\nHost: n\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	interim, err := http.ReadResponse(busyReader, nil) // the handler reads the body
+	c.Assert(err, qt.IsNil)
+	c.Assert(interim.StatusCode, qt.Equals, http.StatusContinue)
+	oldest, oldestReader := dial(c, address)
+	c.Assert(request(c, oldest, oldestReader, ordinary), qt.Equals, http.StatusOK)
+	for range connectionLimit() {
+		connection, reader := dial(c, address)
+		c.Assert(request(c, connection, reader, ordinary), qt.Equals, http.StatusOK)
+	}
+	_, err = oldestReader.ReadByte()
+	c.Assert(err, qt.Equals, io.EOF)
+	c.Assert(request(c, busy, busyReader, "x"), qt.Equals, http.StatusOK)
+}
+
+// Guards against bodies of concurrent requests that take more memory than the budget, and against bytes that are not returned to it.
+func TestBodyBudget(t *testing.T) {
+	c := qt.New(t)
+	budget := NewBodyBudget("test", 2*maxBodyRead)
+	read := func(size int, next func()) (err error) {
+		budget.Limit(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, err = io.Copy(io.Discard, r.Body)
+			next()
+		})).ServeHTTP(nil, &http.Request{Body: io.NopCloser(strings.NewReader(strings.Repeat("x", size)))})
+		return err
+	}
+	for range 3 {
+		err := read(maxBodyRead/2, func() {
+			c.Assert(read(2*maxBodyRead, func() {}), qt.Equals, ErrBodiesFull)
+			c.Assert(read(maxBodyRead/4, func() {}), qt.IsNil)
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(budget.left.Load(), qt.Equals, int64(2*maxBodyRead))
+	}
+}
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -1,6 +1,10 @@
 package nodepeer
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 const (
 	pingInterval   = 500 * time.Millisecond
@@ -16,6 +20,10 @@
 	idleTimeout       = time.Minute
 	serverIdleTimeout = 2 * time.Minute // far below idempotency.Window, so that no open arrives after its revocation has expired
 
+	// helloTimeout bounds the wait for the hello of an accepted connection, which the dialer sends at once.
+	helloTimeout  = 5 * time.Second
+	maxHelloBytes = 4 << 10
+
 	connectTimeout = time.Second
 	// redialBackoff is the time after a failed dial in which a pool with a live connection does not try to grow.
 	redialBackoff = time.Second
@@ -27,10 +35,19 @@
 	maxBodyBytes         = 8 << 20  // of one call
 	maxBufferedBodyBytes = 32 << 20 // bytes of all calls whose body is incomplete or queued at a server
 	defaultMaxCalls      = 4096     // at one server
-	maxConnections       = 4096     // at one server
+	maxConnections       = 4096     // at one server; also half of its file descriptors, and a quarter without a hello
 	maxPeers             = 8192     // at one dialer
 	defaultConnections   = 2        // to one peer
 	// poolGrowthCalls is the number of outstanding calls on a connection from which its pool grows. The connections of 2,700
 	// callers, plus those that the calls of defaultMaxCalls can add, stay below maxConnections.
 	poolGrowthCalls = 4
 )
+
+// descriptorShare returns maxConnections, or a share of the file descriptors of the process if that is less.
+func descriptorShare(divisor uint64) int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return maxConnections
+	}
+	return int(min(maxConnections, max(1, limit.Cur/divisor)))
+}
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -70,6 +70,9 @@
 	leaving        bool
 	closed         bool
 	drained        chan struct{} // closed when the server is leaving and its last call has ended
+
+	maxConnections int
+	unintroduced   *frame.Unintroduced
 }
 
 // NewServer listens and starts to accept connections. The cleanup function closes all connections and waits for the goroutines.
@@ -103,6 +106,8 @@
 		calls:              make(map[idempotency.AttemptKey]*serverCall),
 		connections:        make(map[*serverConn]struct{}),
 		drained:            make(chan struct{}),
+		maxConnections:     descriptorShare(2),
+		unintroduced:       frame.NewUnintroduced(descriptorShare(4)),
 	}
 	s.tasks.Go(s.accept)
 	return s, s.close, nil
@@ -180,12 +185,14 @@
 		ctx:    ctx,
 		cancel: cancel,
 	}
+	c.frames.SetMaxReceived(maxHelloBytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.connections) >= maxConnections {
+	if s.closed || len(s.connections) >= s.maxConnections {
 		c.fail(errConnectionLost)
 		return
 	}
 	s.connections[c] = struct{}{}
+	s.unintroduced.Add(c.frames)
 	s.tasks.Go(c.serve)
 }
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -63,8 +63,10 @@
 
 func (c *serverConn) serve() {
 	defer c.server.removeConnection(c)
+	defer c.server.unintroduced.Remove(c.frames)
+	timeout := helloTimeout
 	for {
-		received, err := c.frames.Receive(time.Now().Add(serverIdleTimeout))
+		received, err := c.frames.Receive(time.Now().Add(timeout))
 		if err != nil {
 			c.fail(errConnectionLost)
 			return
@@ -73,6 +75,7 @@
 			c.fail(err)
 			return
 		}
+		timeout = serverIdleTimeout
 		if time.Since(c.lastPong) >= pingInterval {
 			c.pong()
 		}
@@ -132,6 +135,8 @@
 		return errors.Annotate(errProtocol, "hello")
 	}
 	c.id, c.lastPong = message.Connection, time.Now()
+	s.unintroduced.Remove(c.frames)
+	c.frames.SetMaxReceived(core.MaxFrameBytes)
 	compressorID := frame.CompressorID(0)
 	if message.DataCentre != s.options.DataCentre && message.CompressorID == s.options.Compressor.ID() {
 		compressorID = message.CompressorID
--- a/io/operatorhttp/api.go
+++ b/io/operatorhttp/api.go
@@ -24,7 +24,7 @@
 	maxRequests       = 64                     // handled concurrently; further ones get status 503
 	maxAnswerBytes    = 64 << 20
 	maxTokenFileBytes = 4 << 10
-	maxHeaderBytes    = 64 << 10
+	maxBodiesBytes    = 3 * catalog.MaxCommandBytes // of the bodies of all requests together
 )
 
 // Costs of requests in a token bucket, where an ordinary request costs 1. They keep one tenant from using up the capacity of the others.
--- a/io/operatorhttp/dump.go
+++ b/io/operatorhttp/dump.go
@@ -10,6 +10,7 @@
 	"parsleyport/core"
 	"parsleyport/core/catalog"
 	"parsleyport/core/raft"
+	"parsleyport/io/httpserver"
 )
 
 // dump is the state of a control instance for support. It holds no secrets.
@@ -32,6 +33,7 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		s.options.Metrics.WritePrometheus(w)
+		httpserver.WriteMetrics(w)
 		metrics.WriteProcessMetrics(w)
 		metrics.WriteFDMetrics(w)
 	})
--- a/io/operatorhttp/server.go
+++ b/io/operatorhttp/server.go
@@ -64,10 +64,9 @@
 		ReadTimeout:       bodyTimeout,
 		WriteTimeout:      answerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	s.addGauges()
-	stop := httpserver.Serve(server, listener, stopTimeout, options.Log)
+	stop := httpserver.Serve(server, listener, "operator", stopTimeout, options.Log)
 	options.Log.Info().Str("address", s.Address()).Msg("operators' API is listening")
 	return s, stop, nil
 }
@@ -88,7 +87,8 @@
 	root.Handle("GET "+metricsPath, s.metrics())
 	root.Handle("GET "+readyPath, s.limitConcurrency(http.HandlerFunc(s.ready)))
 	root.Handle("GET "+statePath, s.limitConcurrency(s.requireAllRights(http.HandlerFunc(s.state))))
-	root.Handle("/", s.limitConcurrency(s.authenticate(s.limitRate(s.readWholeBody(mux)))))
+	bodies := httpserver.NewBodyBudget("operator", maxBodiesBytes)
+	root.Handle("/", s.limitConcurrency(s.authenticate(s.limitRate(bodies.Limit(s.readWholeBody(mux))))))
 	return root
 }
 
@@ -102,6 +102,11 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if errors.Is(err, httpserver.ErrBodiesFull) {
+			s.countError("busy")
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
 		s.countError("malformed")
 		status := http.StatusBadRequest
 		if tooLong, is := errors.AsType[*http.MaxBytesError](err); is {
--- a/io/raftpeer/link.go
+++ b/io/raftpeer/link.go
@@ -179,13 +179,17 @@
 	defer conn.Close()
 	pings := time.NewTicker(pingInterval)
 	defer pings.Stop()
+	ping := outgoing{
+		kind: typePing,
+		message: pingMessage{
+			CompressorID: r.compressor.ID(),
+		},
+	}
+	if err := conn.Send(time.Now().Add(sendTimeout), ping.kind, ping.message); err != nil { // the first message must be short
+		return
+	}
 	for {
-		out := outgoing{
-			kind: typePing,
-			message: pingMessage{
-				CompressorID: r.compressor.ID(),
-			},
-		}
+		out := ping
 		select {
 		case <-ctx.Done():
 			return
@@ -215,6 +219,7 @@
 
 func (r *Replica) acceptLoop() {
 	slots := make(chan struct{}, maxIncomingConnections)
+	unintroduced := frame.NewUnintroduced(maxUnintroduced)
 	for {
 		conn, err := r.listener.Accept()
 		if err != nil {
@@ -228,7 +233,10 @@
 		case slots <- struct{}{}:
 			r.goroutines.Go(func() {
 				defer func() { <-slots }()
-				r.receiveLoop(frame.NewBulk(conn, r.compressor))
+				frames := frame.NewBulk(conn, r.compressor)
+				unintroduced.Add(frames)
+				defer unintroduced.Remove(frames)
+				r.receiveLoop(frames, unintroduced)
 			})
 		default:
 			_ = conn.Close()
@@ -236,10 +244,11 @@
 	}
 }
 
-func (r *Replica) receiveLoop(conn *frame.Conn) {
+func (r *Replica) receiveLoop(conn *frame.Conn, unintroduced *frame.Unintroduced) {
 	stop := context.AfterFunc(r.context, func() { _ = conn.Close() })
 	defer stop()
 	defer conn.Close()
+	conn.SetMaxReceived(maxFirstMessageBytes)
 	for {
 		received, err := conn.Receive(time.Now().Add(silenceTimeout))
 		if err != nil {
@@ -249,6 +258,8 @@
 			r.options.Logger.Warn().Err(err).Stringer("peer", conn.RemoteAddr()).Msg("connection closed")
 			return
 		}
+		unintroduced.Remove(conn)
+		conn.SetMaxReceived(core.MaxFrameBytes)
 	}
 }
 
--- a/io/raftpeer/options.go
+++ b/io/raftpeer/options.go
@@ -20,8 +20,10 @@
 
 	maxMembers             = 16
 	maxIncomingConnections = 64
-	maxOutstandingRequests = 4096 // proposals and reads of this instance without an answer
-	maxBatchEvents         = 512  // events that one sync covers
+	maxUnintroduced        = maxMembers // incoming connections without a first message
+	maxFirstMessageBytes   = 2 << 20    // earlier releases may begin with an append message of 1 MiB of commands; later ones begin with a ping
+	maxOutstandingRequests = 4096       // proposals and reads of this instance without an answer
+	maxBatchEvents         = 512        // events that one sync covers
 	inputQueueCapacity     = 1024
 	maxPendingEntries      = 8192 // committed entries not yet passed to the applier
 	applyQueueCapacity     = 256
