--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -18,6 +18,7 @@
 	"parsleyport/core"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
+	"parsleyport/io/pipelinehttp"
 )
 
 // attemptResult is the result of one attempt, or of an attempt and its hedge.
@@ -35,7 +36,6 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	markHandled(r.Context())
 	// A chunked request may also have had a Content-Length, which net/http drops. A proxy in front that goes by the length would take
 	// the bytes that follow for a part of the body, so they must not be read as a request (request smuggling).
 	if s.draining.Load() || len(r.TransferEncoding) > 0 {
@@ -50,7 +50,7 @@
 		s.refuseEarly(w, r, newRefusal(core.CauseQueueFull, ""))
 		return
 	}
-	now := time.Now()
+	now := readTime(r.Context())
 	configuration := s.options.Source.Current()
 	setHeader(w.Header(), s.options.Headers.Revision, strconv.FormatUint(uint64(configuration.Revision()), 10))
 	if !s.options.ConfigurationConfirmed() {
@@ -66,7 +66,7 @@
 	defer func() { s.bufferedBodyBytes.Add(-buffered) }()
 	reserve := func(bytes int64) bool {
 		buffered += bytes
-		return s.bufferedBodyBytes.Add(bytes) <= maxBufferedBodyBytes
+		return s.bufferedBodyBytes.Add(bytes) <= maxBufferedBodyBytes && pipelinehttp.Reserve(w, bytes)
 	}
 	if req.call.Body, refused = readBody(r, s.maxBodyBytes(configuration), reserve); refused != nil {
 		s.refuseEarly(w, r, refused)
@@ -436,16 +436,13 @@
 	s.callLog.writeRefused(r, s.options.Headers.CallID, refused, s.refuse(w, time.Time{}, refused))
 }
 
-// refuseUnreadable counts and logs a request that net/http could not read and has answered itself.
-func (s *Server) refuseUnreadable(remote net.Addr, status int) {
+// refuseUnreadable counts and logs a request that the connection loop could not read and has answered itself.
+func (s *Server) refuseUnreadable(remote net.Addr, status int, cause string) {
 	s.outcomes[core.OutcomeNotRun].Inc()
-	s.refusalCounter(causeUnreadable).Inc()
-	s.callLog.writeUnreadable(remote, status)
+	s.refusalCounter(cause).Inc()
+	s.callLog.writeUnreadable(remote, status, cause)
 }
 
-// causeUnreadable is the metric label of requests that net/http refuses. Callers only get a status.
-const causeUnreadable = "unreadable-request"
-
 func (s *Server) refusalCounter(cause string) *metrics.Counter {
 	return s.options.Metrics.GetOrCreateCounter(`parsleyport_caller_refusals_total{cause="` + cause + `"}`)
 }
