Odd statuses of backend servers and nodes are failures

A status of 000, 099 or 100 to 199 with a body passed for an interim answer, so that the call waited until its deadline; 600 and above, and answers of HTTP/0.9 and 2.0, reached the caller. A status outside 200 to 599 now closes the connection and makes the call unknown: 502, or another endpoint if it may be repeated. The same holds between nodes, also for answers recorded under idempotency keys.

--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -24,12 +25,15 @@
 	ErrNoLength = errors.ConstError("backend server's answer states no length")
 	// ErrBroken means that the connection broke before the answer was complete.
 	ErrBroken = errors.ConstError("connection to the backend server broke")
+	// ErrInvalidAnswer means that the bytes on the connection are no answer in HTTP/1, or one with a status outside 200 to 599.
+	ErrInvalidAnswer = errors.ConstError("backend server's answer is invalid")
 )
 
 const (
 	// maxHeadBytes bounds the heads of an answer, those of interim answers and of answers to other calls included. A faulty backend
 	// server may send bytes without end that are no answer.
 	maxHeadBytes   = 256 << 10
+	maxStatus      = 599 // of an answer; see RFC 9110, section 15
 	errHeadTooLong = errors.ConstError("head of the answer is over 256 KiB")
 )
 
@@ -231,15 +235,18 @@
 		x.conn.headBytesLeft = headBytesLeft
 		response, err := http.ReadResponse(x.conn.reader, request)
 		headBytesLeft, x.conn.headBytesLeft = x.conn.headBytesLeft, -1
+		if err != nil && !isConnectionError(err) {
+			return nil, errors.WithType(err, ErrInvalidAnswer)
+		}
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("backend server switched protocols")
-		}
-		if response.StatusCode < http.StatusOK {
+		if isInterim(response) {
 			continue
 		}
+		if response.ProtoMajor != 1 || response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+			return nil, errors.Annotatef(ErrInvalidAnswer, "%s with status %d", response.Proto, response.StatusCode)
+		}
 		if !x.isStray(response) {
 			return response, nil
 		}
@@ -253,6 +260,21 @@
 	}
 }
 
+// isInterim reports whether another answer to the same call follows. A backend server that states a body or the end of the connection
+// has sent its final answer, with an invalid status.
+func isInterim(response *http.Response) bool {
+	return response.ProtoMajor == 1 && response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK &&
+		response.StatusCode != http.StatusSwitchingProtocols && !response.Close &&
+		len(response.TransferEncoding) == 0 && response.Header.Get("Content-Length") == ""
+}
+
+// isConnectionError reports whether reading an answer failed because the connection ended, and not because of what was received.
+func isConnectionError(err error) bool {
+	var networkError net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) ||
+		errors.Is(err, net.ErrClosed) || errors.Is(err, errHeadTooLong) || errors.As(err, &networkError)
+}
+
 // isStray reports whether an answer has the ID of another call, or none on a connection whose earlier answers have stated theirs.
 // Otherwise an earlier refusal that is written again would count as a statement that this call has not run.
 func (x *exchange) isStray(response *http.Response) bool {
@@ -296,11 +318,16 @@
 	return notCancelled
 }
 
-// fail closes the connection and returns the error of the call. Unless the call was cancelled, it is recorded as broken.
+// fail closes the connection and returns the error of the call. Unless the call was cancelled, it is recorded as broken; an invalid
+// answer does not tell of a crash.
 func (x *exchange) fail(err error) error {
 	if !x.abort() {
 		return errors.Annotate(context.Cause(x.ctx), "call at the backend server")
 	}
+	if errors.Is(err, ErrInvalidAnswer) {
+		x.server.invalidAnswers.Inc()
+		return err
+	}
 	x.server.recordBrokenCall(time.Now(), x)
 	return errors.Annotate(ErrBroken, err.Error())
 }
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -96,7 +96,9 @@
 	sentCalls    *metrics.Counter
 	crashedCalls *metrics.Counter
 	strayAnswers *metrics.Counter
-	failureLog   zerolog.Logger // for calls that were not answered
+
+	invalidAnswers *metrics.Counter
+	failureLog     zerolog.Logger // for calls that were not answered
 
 	probes     *ring.Ring[Announcement] // backend servers to dial after calls were broken
 	exchanges  atomic.Int64             // number of calls that the backend server is working on
@@ -136,19 +138,20 @@
 		options.Lease = DefaultLease
 	}
 	s := &Server{
-		options:      options,
-		admission:    options.Admission,
-		pool:         newPool(options.Dial),
-		listener:     listener,
-		done:         make(chan struct{}),
-		changed:      make(chan struct{}, 1),
-		crashes:      ring.New[Crash](maxQueuedCrashes),
-		sentCalls:    options.Metrics.GetOrCreateCounter("parsleyport_backend_calls_total"),
-		crashedCalls: options.Metrics.GetOrCreateCounter("parsleyport_backend_crashed_calls_total"),
-		strayAnswers: options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
-		failureLog:   loglimit.New(options.Logger, options.Metrics, "not-answered", failureLinesPerSecond),
-		drained:      make(chan struct{}),
-		probes:       ring.New[Announcement](1),
+		options:        options,
+		admission:      options.Admission,
+		pool:           newPool(options.Dial),
+		listener:       listener,
+		done:           make(chan struct{}),
+		changed:        make(chan struct{}, 1),
+		crashes:        ring.New[Crash](maxQueuedCrashes),
+		sentCalls:      options.Metrics.GetOrCreateCounter("parsleyport_backend_calls_total"),
+		crashedCalls:   options.Metrics.GetOrCreateCounter("parsleyport_backend_crashed_calls_total"),
+		strayAnswers:   options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
+		invalidAnswers: options.Metrics.GetOrCreateCounter("parsleyport_backend_invalid_answers_total"),
+		failureLog:     loglimit.New(options.Logger, options.Metrics, "not-answered", failureLinesPerSecond),
+		drained:        make(chan struct{}),
+		probes:         ring.New[Announcement](1),
 	}
 	if s.admission == nil {
 		s.admission = NewQueue(1)
--- a/io/nodepeer/claims.go
+++ b/io/nodepeer/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -319,6 +320,9 @@
 	})
 	switch {
 	case err == nil:
+		if reply.Verdict == idempotency.VerdictAnswered && !isAnswer(reply.Answer) {
+			reply.Verdict, reply.Answer = idempotency.VerdictUnknown, nil
+		}
 		c.setUnresponsive(address, reply.HandedOver) // a holder that has handed its keys over is about to stop
 		if reply.HandedOver {
 			err = errUnresponsive
@@ -329,6 +333,11 @@
 	return reply, err
 }
 
+// isAnswer reports whether another node's record of an answer can be written to a caller.
+func isAnswer(recorded *idempotency.RecordedAnswer) bool {
+	return recorded != nil && recorded.Status >= http.StatusOK && recorded.Status <= maxStatus
+}
+
 func (c *Claims) isUnresponsive(address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -37,6 +37,7 @@
 	defaultMaxCalls      = 4096     // at one server
 	maxConnections       = 4096     // at one server; also half of its file descriptors, and a quarter without a hello
 	maxPeers             = 8192     // at one dialer
+	maxStatus            = 599      // of an answer; see RFC 9110, section 15
 	defaultConnections   = 2        // to one peer
 	// poolGrowthCalls is the number of outstanding calls on a connection from which its pool grows. The connections of 2,700
 	// callers, plus those that the calls of defaultMaxCalls can add, stay below maxConnections.
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -57,7 +57,7 @@
 func (s *stream) setHead(message headMessage) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.head != nil || message.Status < 100 || message.Status > 999 {
+	if s.head != nil || message.Status < http.StatusOK || message.Status > maxStatus {
 		return errors.Annotatef(errProtocol, "repeated or invalid head of sequence %d", s.sequence)
 	}
 	s.head = &message
