--- a/io/pipelinehttp/limits.go
+++ b/io/pipelinehttp/limits.go
@@ -141,8 +141,8 @@
 func (s *Server) AccountedBytes() int64 { return s.account.inUse() }
 
 // reserveRequest takes the bytes for a parsed head. A request that would run beside others waits until it is alone if there is no
-// memory for that. It returns false if there is none for it alone, either.
-func (c *connection) reserveRequest(memory *holding, head *headCounter) (alone, ok bool) {
+// memory for that; waitedSince is the time when it was read then. It returns false if there is none for it alone, either.
+func (c *connection) reserveRequest(memory *holding, head *headCounter) (alone bool, waitedSince time.Time, ok bool) {
 	bytes := int64(head.endAt - head.beginAt + parsedLineBytes*head.lines)
 	c.mu.Lock()
 	alone = len(c.order.entries) == 0
@@ -150,17 +150,18 @@
 	if !alone {
 		// The output buffer of an answer that may have to wait is not counted again.
 		if memory.reserve(bytes+outputBytes, false) {
-			return false, true
+			return false, time.Time{}, true
 		}
+		waitedSince = time.Now()
 		if !c.watch(0, func() bool { return len(c.order.entries) == 0 }) {
-			return true, false
+			return true, waitedSince, false
 		}
 	}
 	if memory.reserve(bytes, true) {
-		return true, true
+		return true, waitedSince, true
 	}
 	c.server.evictHeads(c)
-	return true, memory.reserve(bytes, true)
+	return true, waitedSince, memory.reserve(bytes, true)
 }
 
 // reserveBuffer takes the bytes by which the read buffer grows.
@@ -177,8 +178,7 @@
 	return reserve()
 }
 
-// evictHeads closes connections in the middle of a long head, those first that have begun it first, until a quarter of the account is
-// free.
+// evictHeads closes connections in the middle of a long head, those first that have begun it first, until half of the account is free.
 func (s *Server) evictHeads(except *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,7 +207,7 @@
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return a.since.Compare(b.since) })
 	for _, each := range candidates {
-		if s.account.inUse() <= s.limits.AccountBytes/4*3 {
+		if s.account.inUse() <= s.limits.AccountBytes/2 {
 			return
 		}
 		each.c.mu.Lock()
