--- a/e2e/unknowncallers/heads_test.go
+++ b/e2e/unknowncallers/heads_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 )
 
@@ -33,21 +35,33 @@
 	return err
 }
 
+// maxLineOffset bounds the number at which the names of header lines begin.
+const maxLineOffset = 1 << 20
+
+// numberedLines returns short header lines with the names x1, x2 and so on in base 36, and the position of each. They are built once,
+// since the clients of a case write tens of megabytes of them.
+var numberedLines = sync.OnceValues(func() (string, []int) {
+	var lines strings.Builder
+	var positions []int
+	for i := uint64(1); i <= maxLineOffset || lines.Len()-positions[maxLineOffset-1] < endlessBytes+64; i++ {
+		positions = append(positions, lines.Len())
+		lines.WriteString("x" + strconv.FormatUint(i, 36) + ":\r\n")
+	}
+	return lines.String(), append(positions, lines.Len())
+})
+
 // writeLines writes short header lines with different names until they have the given size.
 func writeLines(r *rand.Rand, w io.Writer, size int) error {
-	var lines strings.Builder
-	offset := r.Uint64N(1 << 20)
-	for written := 0; written < size; {
-		lines.Reset()
-		for lines.Len() < 4<<10 && written+lines.Len() < size {
-			offset++
-			lines.WriteString("x" + strconv.FormatUint(offset, 36) + ":\r\n")
-		}
-		n, err := io.WriteString(w, lines.String())
+	lines, positions := numberedLines()
+	first := int(r.Uint64N(maxLineOffset))
+	begin := positions[first]
+	end := positions[first+sort.SearchInts(positions[first:], begin+size)]
+	for rest := lines[begin:end]; len(rest) > 0; {
+		n, err := io.WriteString(w, rest[:min(len(rest), 4<<10)])
 		if err != nil {
 			return err
 		}
-		written += n
+		rest = rest[n:]
 	}
 	return nil
 }
