--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -76,6 +76,9 @@
 	leaving         bool
 	closed          bool
 	drained         chan struct{} // closed when the server is leaving and its last call has ended
+
+	maxConnections int
+	unintroduced   *frame.Unintroduced
 }
 
 // NewServer listens and starts to accept connections. The cleanup function closes all connections and waits for the goroutines.
@@ -109,6 +112,8 @@
 		calls:              make(map[idempotency.AttemptKey]*serverCall),
 		connections:        make(map[*serverConn]struct{}),
 		drained:            make(chan struct{}),
+		maxConnections:     descriptorShare(2),
+		unintroduced:       frame.NewUnintroduced(descriptorShare(4)),
 	}
 	if options.LinkBytesPerSecond > 0 {
 		s.bodies = bodycredit.New(options.LinkBytesPerSecond)
@@ -190,12 +195,14 @@
 		ctx:    ctx,
 		cancel: cancel,
 	}
+	c.frames.SetMaxReceived(maxHelloBytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.connections) >= maxConnections {
+	if s.closed || len(s.connections) >= s.maxConnections {
 		c.fail(errConnectionLost)
 		return
 	}
 	s.connections[c] = struct{}{}
+	s.unintroduced.Add(c.frames)
 	s.tasks.Go(c.serve)
 }
--- a/io/operatorhttp/dump.go
+++ b/io/operatorhttp/dump.go
@@ -11,6 +11,7 @@
 	"parsleyport/core/catalog"
 	"parsleyport/core/raft"
 	"parsleyport/core/record"
+	"parsleyport/io/httpserver"
 )
 
 // dump is the state of a control instance for support. It holds no secrets.
@@ -33,6 +34,7 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		s.options.Metrics.WritePrometheus(w)
+		httpserver.WriteMetrics(w)
 		metrics.WriteProcessMetrics(w)
 		metrics.WriteFDMetrics(w)
 	})
