--- a/io/nodepeer/dialer.go
+++ b/io/nodepeer/dialer.go
@@ -130,7 +130,7 @@
 	if !s.conn.sendCall(ctx, s, call) {
 		return d.resolveLostAttempt(ctx, address, s)
 	}
-	answer, refusal, err := s.await(ctx)
+	answer, refusal, err := s.await(ctx, call.Idempotent)
 	switch {
 	case answer != nil:
 		return answer, core.OutcomeAnswered, nil
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -32,6 +32,9 @@
 	bodyCheckInterval = 50 * time.Millisecond
 	// cancelReplyTimeout bounds the wait of a cancelled attempt for the server's reply on whether it has run.
 	cancelReplyTimeout = 100 * time.Millisecond
+	// idempotentCancelReplyTimeout replaces it for calls that may be repeated. It covers a round trip between data centres of a region;
+	// with cancelReplyTimeout, callers that pipeline got some failures after they had given up (pipelinedAnswerMargin of callerhttp).
+	idempotentCancelReplyTimeout = 30 * time.Millisecond
 
 	answerWindowBytes    = 64 << 10 // flow-control window of one answer: bytes in flight or unread; 64 MiB for 1024 slow readers
 	maxBodyBytes         = 8 << 20  // of one call
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -111,7 +111,7 @@
 }
 
 // await waits for the head or the refusal. Its error is errPeerLost or the context's error.
-func (s *stream) await(ctx context.Context) (*core.Answer, *refusedMessage, error) {
+func (s *stream) await(ctx context.Context, idempotent bool) (*core.Answer, *refusedMessage, error) {
 	for {
 		s.mu.Lock()
 		head, refused := s.head, s.refused
@@ -130,7 +130,7 @@
 			}
 			return nil, nil, errPeerLost
 		case <-ctx.Done():
-			return s.abandon(ctx)
+			return s.abandon(ctx, idempotent)
 		}
 	}
 }
@@ -179,13 +179,18 @@
 }
 
 // abandon cancels the attempt and waits up to cancelReplyTimeout for the peer's reply that it has not run. An answer that arrives
-// meanwhile and is complete is returned; its call has run, so that waiting any longer would only delay its caller.
-func (s *stream) abandon(ctx context.Context) (*core.Answer, *refusedMessage, error) {
+// meanwhile and is complete is returned; its call has run, so that waiting any longer would only delay its caller. For a call that may
+// be repeated, the reply matters less than an answer in time, so that the wait is shorter.
+func (s *stream) abandon(ctx context.Context, idempotent bool) (*core.Answer, *refusedMessage, error) {
 	defer s.conn.remove(s.sequence)
 	s.conn.send(typeCancel, sequenceMessage{
 		Sequence: s.sequence,
 	})
-	timer := time.NewTimer(cancelReplyTimeout)
+	timeout := cancelReplyTimeout
+	if idempotent {
+		timeout = idempotentCancelReplyTimeout
+	}
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
