--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -493,7 +493,8 @@
 	_ = c.rwc.SetReadDeadline(deadline) // fails only on a closed connection
 }
 
-// linger closes the sending side and reads what the caller still sends.
+// linger closes the sending side and reads a part of what the caller still sends. It then waits for the caller to close: closing the
+// connection with unread bytes would reset it, and a caller that still writes would lose the answer.
 func (c *connection) linger() {
 	half, canHalfClose := c.rwc.(interface{ CloseWrite() error })
 	if !canHalfClose || half.CloseWrite() != nil {
@@ -507,6 +508,7 @@
 			return
 		}
 	}
+	_ = c.awaitHangup()
 }
 
 // remote returns the address of the caller.
