--- a/io/callerhttp/answermargin_test.go
+++ b/io/callerhttp/answermargin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -59,3 +60,34 @@
 		}
 	}
 }
+
+// Guards against a request whose caller gives it up before any answer can arrive, and then cuts off the requests behind it.
+func TestPipelinedRequestWithoutTimeIsRefused(t *testing.T) {
+	c := qt.New(t)
+	e := newEntry(c, allV1, nil)
+	e.forwarder.forward = answerDone
+	connection, err := net.Dial("tcp", e.Address())
+	c.Assert(err, qt.IsNil)
+	defer connection.Close()
+	answers := bufio.NewReader(connection)
+	request := func(ms int) string {
+		return fmt.Sprintf("GET /orders HTTP/1.1\r\nHost: n\r\nParsleyport-Deadline-Ms: %d\r\n\r\n", ms)
+	}
+	var together sync.WaitGroup
+	together.Add(2)
+	e.forwarder.forward = func(attempt int, to core.Endpoint) (*core.Answer, core.Outcome, error) {
+		if attempt <= 2 {
+			together.Done()
+			together.Wait()
+		}
+		return answerDone(attempt, to)
+	}
+	_, err = io.WriteString(connection, request(20_000)+request(20_000))
+	c.Assert(err, qt.IsNil)
+	c.Assert(readStatus(c, answers), qt.Equals, 200)
+	c.Assert(readStatus(c, answers), qt.Equals, 200)
+	_, err = io.WriteString(connection, request(60))
+	c.Assert(err, qt.IsNil)
+	c.Assert(readStatus(c, answers), qt.Equals, 503)
+	c.Assert(e.forwarder.attempts(), qt.Equals, 2)
+}
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -31,8 +31,8 @@
 	// pipelinedAnswerMargin covers the round trips to a caller and to a node of another data centre, which is asked whether the call has
 	// run. On deployment B these took up to 30 ms with the processing.
 	pipelinedAnswerMargin = 60 * time.Millisecond
-	// minMarginRatio is the ratio of the remaining time to the margin below which the margin would be too large a part of it.
-	minMarginRatio = 5
+	// maxMarginShare is the divisor of the part of the remaining time that the margin may take.
+	maxMarginShare = 2
 )
 
 // request is a caller's request with the configuration that was in force when it arrived. All attempts use that configuration.
@@ -143,10 +143,13 @@
 // its connection. If it pipelines, it cuts off its other requests there; a failure that arrives in time leaves them alone. Requests
 // that are not idempotent are alone on their connection.
 func answerMargin(r *http.Request, route record.Route, remaining time.Duration) time.Duration {
-	if remaining < minMarginRatio*pipelinedAnswerMargin || !route.Idempotent || !pipelinehttp.Pipelined(r.Context()) {
+	if !route.Idempotent || !pipelinehttp.Pipelined(r.Context()) {
 		return 0
 	}
-	return pipelinedAnswerMargin
+	if remaining <= pipelinedAnswerMargin {
+		return remaining // it is refused at once
+	}
+	return min(pipelinedAnswerMargin, remaining/maxMarginShare)
 }
 
 // startDeadline returns the time by which a call must get a slot. While the server drains, this is at the latest the end of
