--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -22,6 +22,7 @@
 	"stuck-uploads":         stuckUploads,
 	"first-start":           firstStart,
 	"invalid-configuration": invalidConfiguration,
+	"flapping":              flapping,
 }
 
 func main() {
--- a/review/harness2/stuckuploads.go
+++ b/review/harness2/stuckuploads.go
@@ -14,19 +14,19 @@
 	readsPerSecond  = 20
 	uploadsPerRead  = 5 // one upload in so many reads
 	warmUp          = 5 * time.Second
-	lostLoad        = time.Second // for which the lost machine sends uploads before it is lost
+	lostLoad        = time.Second // for which the lost machines send uploads before they are lost
 	afterLoss       = 45 * time.Second
 )
 
-// stuckUploads: a machine is lost while its node sends uploads. The uploads of the other machines must still be served.
+// stuckUploads: two machines are lost while their nodes send uploads. The uploads of the other machines must still be served.
 func stuckUploads(r *run) bool {
 	r.site = uploadSite
-	d := r.startDeployment(3, "results", "results", "captures")
+	d := r.startDeployment(3, "results", "results", "results", "captures")
 	d.putConfiguration(configuration(1, 0, []string{"results", "captures"},
 		route{name: "read", kind: "safe", prefix: "/read/", service: "results", timeout: "1500ms", attempts: 2},
 		route{name: "upload", kind: "upload", prefix: "/upload/", service: "captures", timeout: "2000ms", attempts: 2},
 	))
-	lost := d.nodes[0]
+	lost := d.nodes[:2]
 	for i, node := range d.nodes {
 		u := d.startUpstream(node, "i-"+node.name, "v1", func(u *upstream, c *upstreamConn, request *http.Request, _ []byte) {
 			u.begin(request)
@@ -34,12 +34,12 @@
 			c.answer(request, http.StatusOK, headerSeal+": "+u.id+"\r\n", "done")
 		})
 		defer u.stop()
-		if i == 0 {
-			lost.upstream = u
+		if i < len(lost) {
+			lost[i].upstream = u
 		}
 	}
 	d.awaitReady()
-	entry := d.nodes[1]
+	entry := d.nodes[2]
 	r.await("first answers", 20*time.Second, func() bool {
 		return r.request(entry, http.MethodGet, "/read/first", "", "", time.Second).status == http.StatusOK &&
 			r.request(entry, http.MethodPost, "/upload/first", "", "x", time.Second).status == http.StatusOK
@@ -61,7 +61,7 @@
 	send(warmUp)
 	stopLoad := make(chan struct{})
 	var load sync.WaitGroup
-	for range 12 { // the clients of the machine that is lost
+	for i := range 24 { // the clients of the machines that are lost
 		load.Go(func() {
 			body := strings.Repeat("u", lostUploadBytes)
 			for {
@@ -69,16 +69,18 @@
 				case <-stopLoad:
 					return
 				default:
-					r.request(lost, http.MethodPost, "/upload/trace", "", body, 4*time.Second)
+					r.request(lost[i%len(lost)], http.MethodPost, "/upload/trace", "", body, 4*time.Second)
 				}
 			}
 		})
 	}
 	send(lostLoad)
 	if r.trouble {
-		r.notef("machine %s is lost", lost.name)
-		lost.process.signal(syscall.SIGSTOP)
-		lost.upstream.stop()
+		for _, each := range lost {
+			r.notef("machine %s is lost", each.name)
+			each.process.signal(syscall.SIGSTOP)
+			each.upstream.stop()
+		}
 	}
 	close(stopLoad)
 	send(afterLoss)
@@ -130,7 +132,7 @@
 		}
 		began := time.Now()
 		answer := r.request(node, method, path, "", body, left)
-		r.notef("client: %s, attempt %s was answered %d after %d ms (%v)", kind, answer.id, answer.status, time.Since(began).Milliseconds(), answer.err)
+		r.notef("client: %s, attempt %s was answered %d after %d ms (%v) %.60q", kind, answer.id, answer.status, time.Since(began).Milliseconds(), answer.err, answer.body)
 		if served = answer.status == http.StatusOK; served || answer.status != http.StatusServiceUnavailable && kind == "upload" {
 			break
 		}
--- a/review/harness2/upstream.go
+++ b/review/harness2/upstream.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex // guards the fields below
 	runs     map[string]int
 	sequence int
+	conns    map[*upstreamConn]bool
 }
 
 // upstreamConn is a connection from a node.
@@ -57,6 +58,7 @@
 		listener: listen(node.address(d.run.ports.application)),
 		done:     make(chan struct{}),
 		runs:     make(map[string]int),
+		conns:    make(map[*upstreamConn]bool),
 	}
 	go u.serve()
 	go u.beat()
@@ -67,6 +69,11 @@
 	u.closing.Do(func() {
 		close(u.done)
 		_ = u.listener.Close()
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		for c := range u.conns {
+			_ = c.Close()
+		}
 	})
 }
 
@@ -118,6 +125,14 @@
 
 func (u *upstream) serveConn(c *upstreamConn) {
 	defer c.Close()
+	u.mu.Lock()
+	u.conns[c] = true
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.conns, c)
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
