--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -20,7 +20,7 @@
 // cases holds the cases by the name of their folder. Each returns whether the rule was broken.
 var cases = map[string]func(*run) bool{
 	"stuck-uploads":         stuckUploads,
-	"first-start":           firstStart,
+	"dropped-service":       droppedService,
 	"invalid-configuration": invalidConfiguration,
 	"flapping":              flapping,
 }
