e2e/unknowncallers: complete requests, long answers, distinct names, neighbours, the platform's callers

What callers saw: clients that nobody controls were tested with heads, odd requests and connections only, at one node of the product. Change: a second node with a backend server in the test's process. Crowds of 96 clients hold complete requests of legal size at it, pipeline, send long bodies, leave, do not read, or get answers whose heads have many lines, at the node beside the backend server and through the other one. Further crowds choose 134,400 distinct routes, sessions, callers and keys. 600 connections or 96 requests of one address are held while a caller of another one asks. The callers' port of the platform's program is attacked as the product's is; its limits are those of its settings file, without GOMEMLIMIT. The bounds are the old ones: 96 MiB resident, 448 descriptors. Heads of 15.5 KiB with 2,300 lines are refused with 431, so that the cases which hold them say little until that is fixed.

--- a/e2e/unknowncallers/crowd_test.go
+++ b/e2e/unknowncallers/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -31,6 +32,10 @@
 type target struct {
 	process string
 	address string
+	// watched lists the processes that are checked; nil means only process.
+	watched []string
+	// start starts the processes, unless they run.
+	start func(c *qt.C)
 	// request is the port's ordinary request, which must be answered.
 	request func() bool
 }
@@ -45,49 +50,94 @@
 	halfClose bool
 	// requestWhileOpen expects an answer to the ordinary request while the clients keep their connections.
 	requestWhileOpen bool
+	// neighbour, if it is not nil, is a request of a client with another address that must be answered while the clients keep their
+	// connections.
+	neighbour func() bool
+	// unread clients never read.
+	unread bool
+	// leave makes each client close its connection after the script, without waiting for the others.
+	leave bool
+	// stay is how long the clients keep their connections after their scripts.
+	stay time.Duration
+	// patience bounds the time for a script; zero stands for scriptTimeout.
+	patience time.Duration
 }
 
-// attack runs crowds against a port, one after the other, and checks the process after each of them.
+// attack runs crowds against a port, one after the other, and checks the processes after each of them.
 func attack(t *testing.T, at target, crowds []crowd) {
+	watched := at.watched
+	if watched == nil {
+		watched = []string{at.process}
+	}
 	for i, each := range crowds {
 		t.Run(strings.ReplaceAll(each.name, " ", "-"), func(t *testing.T) {
 			c := qt.New(t)
-			if at.process == node || at.process == control {
-				startProduct(c)
-			} else {
-				startPlatform(c)
-			}
-			p := deployment.processes[at.process]
+			at.start(c)
+			checks := make(map[string]*processCheck)
 			defer func() {
-				if t.Failed() {
-					t.Logf("%s", logTail(at.process))
-					kill(at.process) // so that the next case starts with a sound process
+				if !t.Failed() {
+					return
+				}
+				for _, name := range watched {
+					t.Logf("%s: %s", name, logTail(name))
+					kill(name) // so that the next case starts with a sound process
 				}
 			}()
-			p.resetPeak(c)
-			before, _ := p.memory(c)
-			descriptorsBefore := p.descriptors(c)
+			for _, name := range watched {
+				checks[name] = newProcessCheck(c, name)
+			}
 			clients := each.run(at.address, uint64(i+1))
 			settle(at.address)
-			c.Assert(p.alive(), qt.IsTrue, qt.Commentf("the process has ended"))
-			descriptors := p.descriptors(c)
+			time.Sleep(each.stay)
+			for _, check := range checks {
+				check.observe(c)
+			}
 			answeredWhileOpen := !each.requestWhileOpen || answered(at.request)
+			neighbourAnswered := each.neighbour == nil || answered(each.neighbour)
 			clients.close()
-			c.Assert(p.alive(), qt.IsTrue, qt.Commentf("the process has ended"))
 			answeredAfterwards := answered(at.request)
-			c.Assert(p.alive(), qt.IsTrue, qt.Commentf("the process has ended"))
-			descriptors = max(descriptors, p.descriptors(c))
-			after, peak := p.memory(c)
-			t.Logf("resident %d MiB before, %d MiB at the peak, %d MiB after; descriptors %d before, %d at most; %d of %d connections closed by the process",
-				before>>20, peak>>20, after>>20, descriptorsBefore, descriptors, clients.closedByServer, each.size)
-			c.Check(peak <= residentBound, qt.IsTrue, qt.Commentf("resident set size %d MiB, bound %d MiB", peak>>20, residentBound>>20))
-			c.Check(descriptors <= descriptorBound, qt.IsTrue, qt.Commentf("%d descriptors, bound %d", descriptors, descriptorBound))
+			t.Logf("%d of %d connections closed by the process", clients.closedByServer, each.size)
+			for _, check := range checks {
+				check.finish(c)
+			}
 			c.Check(answeredWhileOpen, qt.IsTrue, qt.Commentf("ordinary request while the connections are open"))
+			c.Check(neighbourAnswered, qt.IsTrue, qt.Commentf("request of another address while the connections are open"))
 			c.Check(answeredAfterwards, qt.IsTrue, qt.Commentf("ordinary request after the connections were closed"))
 		})
 	}
 }
 
+// processCheck checks that a process lives and stays within its memory and descriptors.
+type processCheck struct {
+	name                           string
+	process                        *process
+	before                         int
+	descriptorsBefore, descriptors int
+}
+
+func newProcessCheck(c *qt.C, name string) *processCheck {
+	p := deployment.processes[name]
+	p.resetPeak(c)
+	before, _ := p.memory(c)
+	descriptors := p.descriptors(c)
+	return &processCheck{name: name, process: p, before: before, descriptorsBefore: descriptors, descriptors: descriptors}
+}
+
+// observe notes the present number of descriptors.
+func (check *processCheck) observe(c *qt.C) {
+	c.Assert(check.process.alive(), qt.IsTrue, qt.Commentf("%s has ended", check.name))
+	check.descriptors = max(check.descriptors, check.process.descriptors(c))
+}
+
+func (check *processCheck) finish(c *qt.C) {
+	check.observe(c)
+	after, peak := check.process.memory(c)
+	c.Logf("%s: resident %d MiB before, %d MiB at the peak, %d MiB after; descriptors %d before, %d at most",
+		check.name, check.before>>20, peak>>20, after>>20, check.descriptorsBefore, check.descriptors)
+	c.Check(peak <= residentBound, qt.IsTrue, qt.Commentf("%s: resident set size %d MiB, bound %d MiB", check.name, peak>>20, residentBound>>20))
+	c.Check(check.descriptors <= descriptorBound, qt.IsTrue, qt.Commentf("%s: %d descriptors, bound %d", check.name, check.descriptors, descriptorBound))
+}
+
 // clients are the connections of a crowd.
 type clients struct {
 	mu             sync.Mutex
@@ -107,8 +157,12 @@
 			if err != nil {
 				return // refusing is a limit too
 			}
-			all.add(connection)
-			_ = connection.SetWriteDeadline(time.Now().Add(scriptTimeout))
+			if each.leave {
+				defer connection.Close()
+			} else {
+				all.add(connection, !each.unread)
+			}
+			_ = connection.SetWriteDeadline(time.Now().Add(cmp.Or(each.patience, scriptTimeout)))
 			if err := each.script(rand.New(rand.NewPCG(seed, uint64(i))), connection); err == nil && each.halfClose {
 				_ = connection.(*net.TCPConn).CloseWrite()
 			}
@@ -118,11 +172,14 @@
 	return all
 }
 
-// add keeps a connection open and reads what the server sends, so that the server is not blocked.
-func (all *clients) add(connection net.Conn) {
+// add keeps a connection open. Unless the client never reads, it reads what the server sends, so that the server is not blocked.
+func (all *clients) add(connection net.Conn, reads bool) {
 	all.mu.Lock()
 	defer all.mu.Unlock()
 	all.connections = append(all.connections, connection)
+	if !reads {
+		return
+	}
 	all.readers.Go(func() {
 		_, _ = io.Copy(io.Discard, connection)
 		all.mu.Lock()
@@ -184,15 +241,25 @@
 	return false
 }
 
+// neighbourClient sends from an address that no client of a crowd has.
+var neighbourClient = sync.OnceValue(func() *http.Client {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host(neighbour))}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+})
+
 // answers reports whether a request on a new connection gets an expected status.
 func answers(request *http.Request, expected ...int) bool {
+	return answersThrough(http.DefaultClient, request, expected...)
+}
+
+func answersThrough(client *http.Client, request *http.Request, expected ...int) bool {
 	if len(expected) == 0 {
 		expected = []int{http.StatusOK}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
 	request.Close = true
-	response, err := http.DefaultClient.Do(request.WithContext(ctx))
+	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		return false
 	}
--- a/e2e/unknowncallers/frames_test.go
+++ b/e2e/unknowncallers/frames_test.go
@@ -45,7 +45,7 @@
 
 func peerPort() target {
 	at := address(node, portPeer)
-	return target{process: node, address: at, request: func() bool {
+	return target{process: node, address: at, start: startProduct, request: func() bool {
 		return exchange(at, peerHello, map[string]any{"connection": rand.Uint64() | 1}, peerWelcome)
 	}}
 }
@@ -53,14 +53,14 @@
 // linkPort is a port for nodes that attach, of a control instance or of a node that relays.
 func linkPort(process string, port int) target {
 	at := address(process, port)
-	return target{process: process, address: at, request: func() bool {
+	return target{process: process, address: at, start: startProduct, request: func() bool {
 		return exchange(at, linkHello, map[string]any{"kind": "node", "id": "probe", "incarnation": rand.Uint64() >> 1, "data-centre": "dc-a", "schema-version": 1}, linkAccept)
 	}}
 }
 
 func raftPort() target {
 	at := address(control, portRaft)
-	return target{process: control, address: at, request: func() bool { return exchange(at, raftPing, map[string]any{}, raftPong) }}
+	return target{process: control, address: at, start: startProduct, request: func() bool { return exchange(at, raftPing, map[string]any{}, raftPong) }}
 }
 
 // frameHead returns the length and type of a frame with a message of the given size.
--- a/e2e/unknowncallers/heads_test.go
+++ b/e2e/unknowncallers/heads_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	qt "github.com/frankban/quicktest"
 )
 
 const (
@@ -224,6 +226,7 @@
 			target: target{
 				process: process,
 				address: at,
+				start:   map[bool]func(*qt.C){true: startProduct, false: startPlatform}[process == node || process == control],
 				request: func() bool { return answers(newRequest(method, "http://"+at+path, body), expected...) },
 			},
 		}
@@ -243,6 +246,7 @@
 	return target{
 		process: node,
 		address: address(node, portCaller),
+		start:   startProduct,
 		request: func() bool { return answers(callerRequest()) },
 	}
 }
--- a/e2e/unknowncallers/processes_test.go
+++ b/e2e/unknowncallers/processes_test.go
@@ -25,7 +25,7 @@
 
 // The limits of each process under test, and what follows from them.
 const (
-	// goMemoryLimit is the soft memory limit (GOMEMLIMIT) of a process.
+	// goMemoryLimit is the soft memory limit (GOMEMLIMIT) of a process of the product. The platform's settings state residentBound.
 	goMemoryLimit = 64 << 20
 	// residentBound adds 32 MiB for what the soft limit does not cover, mainly the pages of the program file.
 	residentBound = goMemoryLimit + 32<<20
@@ -109,9 +109,11 @@
 	backend         = "backend"
 	platformControl = "platform-control"
 	platformNode    = "platform-node"
+	farNode         = "far-node"
+	neighbour       = "neighbour" // no process, only an address
 )
 
-var hosts = map[string]int{control: 1, node: 2, backend: 3, platformControl: 4, platformNode: 5}
+var hosts = map[string]int{control: 1, node: 2, backend: 3, platformControl: 4, platformNode: 5, farNode: 6, neighbour: 7}
 
 func host(process string) string {
 	return fmt.Sprintf("127.%d.0.%d", deployment.network, hosts[process])
@@ -148,22 +150,27 @@
 
 // submitRoute submits one service with one route.
 func submitRoute(c *qt.C) {
-	record := func(kind core.Kind, name, body string) core.Record {
-		return core.Record{Kind: kind, Name: name, SchemaVersion: 1, Version: 1, Body: json.RawMessage(body)}
-	}
+	submit(c, "transcripts-1",
+		newRecord(core.KindService, "transcripts", `{"tenant":"platform"}`),
+		newRecord(core.KindUpstream, "transcripts-v1", `{"service":"transcripts","release":"v1","slots":9}`),
+		newRecord(core.KindPolicy, "transcripts", `{"service":"transcripts","weights":[{"upstream":"transcripts-v1","per-mille":1000}]}`),
+		newRecord(core.KindRoute, "read", `{"path-prefix":"/transcripts","methods":["GET"],"service":"transcripts","idempotent":true,"timeout-ms":2000}`))
+}
+
+func newRecord(kind core.Kind, name, body string) core.Record {
+	return core.Record{Kind: kind, Name: name, SchemaVersion: 1, Version: 1, Body: json.RawMessage(body)}
+}
+
+// submit submits records, which must be accepted.
+func submit(c *qt.C, id core.SubmissionID, records ...core.Record) {
 	client := operatorhttp.NewClient(operatorhttp.ClientOptions{Servers: []string{address(control, portOperator)}})
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	verdict, err := client.Submit(ctx, core.Submission{
-		ID:       "transcripts-1",
+		ID:       id,
 		Operator: "test",
-		Records: []core.Record{
-			record(core.KindService, "transcripts", `{"tenant":"platform"}`),
-			record(core.KindUpstream, "transcripts-v1", `{"service":"transcripts","release":"v1","slots":9}`),
-			record(core.KindPolicy, "transcripts", `{"service":"transcripts","weights":[{"upstream":"transcripts-v1","per-mille":1000}]}`),
-			record(core.KindRoute, "read", `{"path-prefix":"/transcripts","methods":["GET"],"service":"transcripts","idempotent":true,"timeout-ms":2000}`),
-		},
+		Records:  records,
 	})
 	c.Assert(err, qt.IsNil)
 	c.Assert(verdict.Result, qt.Equals, catalog.Accepted, qt.Commentf("%+v", verdict))
@@ -184,8 +191,9 @@
 		}
 		text := fmt.Sprintf("node-name=%s\nip-address=%s\nzone=zone-1\nlisten-addresses.control=%s\nlisten-addresses.metrics=%s\n"+
 			"internal-port-range=%d,%d\nseeds=%s\nis-first-start=true\nheartbeat-interval=300ms\nfault-tolerance.machines=0\nbounds.grace=4s\n"+
-			"bounds.retry-budget-ratio=0.2\nbounds.budget-window=10s\nbounds.retry-budget-slack=62\n",
-			name, host(name), address(name, listen), address(name, portAdmin), deployment.ports, deployment.ports+portRelay, address(platformControl, portOperator+10))
+			"bounds.retry-budget-ratio=0.2\nbounds.budget-window=10s\nbounds.retry-budget-slack=62\nlimits.memory-mb=%d\nlimits.file-descriptors=%d\n",
+			name, host(name), address(name, listen), address(name, portAdmin), deployment.ports, deployment.ports+portRelay, address(platformControl, portOperator+10),
+			residentBound>>20, descriptorLimit)
 		if role == "control" {
 			text += "data-directory=" + filepath.Join(deployment.folder, "platform-data") + "\n"
 		} else {
@@ -221,7 +229,10 @@
 	limited := append([]string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$@"`, descriptorLimit), "sh", filepath.Join(programs, program)}, args...)
 	command := exec.Command("sh", limited...)
 	command.Stdout, command.Stderr = log, log
-	command.Env = append(os.Environ(), fmt.Sprintf("GOMEMLIMIT=%d", goMemoryLimit), "PARSLEYPORT_NODE_FILE="+filepath.Join(deployment.folder, name+".conf"))
+	command.Env = append(os.Environ(), "PARSLEYPORT_NODE_FILE="+filepath.Join(deployment.folder, name+".conf"))
+	if program == "parsleyport" { // the platform's program gets its limits from its settings
+		command.Env = append(command.Env, fmt.Sprintf("GOMEMLIMIT=%d", goMemoryLimit))
+	}
 	c.Assert(command.Start(), qt.IsNil)
 	p := &process{command: command, exited: make(chan struct{})}
 	deployment.processes[name] = p
