pipelinehttp: the account carries header lines; declared limits replace defaults

What callers saw: one request in calm with a head within the declared 16 KiB got 431 if it had more than 256 lines: 750 lines "x-forwarded-for: 1", 1,150 cookies, 2,300 different names, 3,900 empty values. A configuration that declared larger heads, longer times for them or longer idle connections than the defaults had no effect. Change: lines are bounded by the bytes of a head and by the memory account only, unless `head-lines` is set. A declared limit replaces a default; one that is set still caps it.

--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -224,9 +224,8 @@
 		Limits:    options.Limits,
 		OnRefused: s.refuseUnreadable,
 		OnLimit:   s.countLimit,
+		Declared:  s.declared,
 		Logger:    options.Logger,
-
-		DeclaredHeadLimits: s.declaredHeadLimits,
 	})
 	options.Metrics.GetOrCreateGauge("parsleyport_caller_connections", func() float64 { return float64(s.http.OpenConnections()) })
 	options.Metrics.GetOrCreateGauge("parsleyport_caller_accounted_bytes", func() float64 { return float64(s.http.AccountedBytes()) })
--- a/io/callerhttp/watch.go
+++ b/io/callerhttp/watch.go
@@ -26,10 +26,14 @@
 	return time.Now()
 }
 
-// declaredHeadLimits returns the limits of a head in the configuration.
-func (s *Server) declaredHeadLimits() (bytes int, timeout time.Duration) {
-	declared := s.options.Source.Current().Declaration()
-	return int(declared.MaxHeaderBytes), time.Duration(declared.HeaderTimeoutMS) * time.Millisecond
+// declared returns the limits for callers in the configuration.
+func (s *Server) declared() pipelinehttp.Declared {
+	declaration := s.options.Source.Current().Declaration()
+	return pipelinehttp.Declared{
+		HeadBytes:   int(declaration.MaxHeaderBytes),
+		HeadTimeout: time.Duration(declaration.HeaderTimeoutMS) * time.Millisecond,
+		IdleTimeout: time.Duration(declaration.IdleTimeoutMS) * time.Millisecond,
+	}
 }
 
 // countLimit counts a connection that was closed without an answer, or a body that was refused, because of a limit.
--- a/io/pipelinehttp/account.go
+++ b/io/pipelinehttp/account.go
@@ -7,7 +7,7 @@
 	defaultAccountBytes = 64 << 20
 	// smallRequestBytes is the most that a connection may hold of the part of the account for small requests. A usual request has a
 	// head of 1 KB and a dozen header lines.
-	smallRequestBytes = 8 << 10
+	smallRequestBytes = 12 << 10
 	// smallRequestShare is the part of the account that only connections with one small request at a time can use, so that they are
 	// served while large or many requests have used up the rest.
 	smallRequestShare = 4
--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -270,8 +270,8 @@
 
 // awaitBytes waits for the first bytes of the next request. It returns false if the connection has ended or was idle for too long.
 func (c *connection) awaitBytes() bool {
-	idleTimeout := c.server.limits.IdleTimeout
 	for {
+		idleTimeout := c.server.idleTimeout()
 		now := time.Now()
 		c.mu.Lock()
 		c.reading = false
--- a/io/pipelinehttp/head.go
+++ b/io/pipelinehttp/head.go
@@ -10,9 +10,6 @@
 	// defaultMaxHeadBytes is 16 times a usual head with cookies. net/http reads 1 MiB, which 64 connections could turn into more
 	// than the memory of a node.
 	defaultMaxHeadBytes = 64 << 10
-	// defaultMaxHeadLines bounds the header lines; callers send a few dozen at most. A parsed line takes some 200 bytes in addition
-	// to its text, so 64 KiB of the shortest lines would take 3 MB.
-	defaultMaxHeadLines = 256
 	// defaultMaxEmptyLines bounds the empty lines before a request. Some clients send one after a body.
 	defaultMaxEmptyLines = 16
 )
@@ -20,7 +17,7 @@
 // headLimits bounds the head of a request.
 type headLimits struct {
 	bytes      int // without empty lines before the request
-	lines      int // header lines, with continued ones
+	lines      int // header lines, with continued ones; zero means any number
 	emptyLines int // before the request
 }
 
@@ -59,7 +56,7 @@
 		case len(line) == 0:
 			h.endAt = next
 		default:
-			if h.lines++; h.lines > 1+h.limits.lines {
+			if h.lines++; h.limits.lines > 0 && h.lines > 1+h.limits.lines {
 				return false, http.StatusRequestHeaderFieldsTooLarge
 			}
 			if h.lines == 1 && !isRequestLine(line) {
--- a/io/pipelinehttp/limits.go
+++ b/io/pipelinehttp/limits.go
@@ -4,10 +4,11 @@
 	"math"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"syscall"
 	"time"
+
+	"parsleyport/core/memory"
 )
 
 // Defaults of Limits. Those of a head and of chunks are with headLimits and body.
@@ -26,8 +27,8 @@
 	// memoryLimitShare is the part of the memory limit that the account may use. The rest is for garbage that has not been
 	// collected yet, for the answers of backend servers and for the process itself.
 	memoryLimitShare = 4
-	// parsedLineBytes is the memory of a parsed header line in addition to its text.
-	parsedLineBytes = 200
+	// maxDeclaredHeadBytes bounds the limit of a head that a configuration can declare; as in net/http.
+	maxDeclaredHeadBytes = 1 << 20
 	// evictionInterval bounds the processor time for the search for connections that can be closed.
 	evictionInterval = 50 * time.Millisecond
 	// maxIdleCandidates is the number of idle connections that are kept from one search for the next ones to be closed.
@@ -37,7 +38,7 @@
 // Causes of refusals and of connections that are closed.
 const (
 	CauseUnreadable  = "unreadable-request"   // not HTTP, or ambiguous
-	CauseHead        = "head-too-large"       // over Limits.HeadBytes or HeadLines
+	CauseHead        = "head-too-large"       // over the limit of bytes or lines
 	CauseEmptyLines  = "too-many-empty-lines" // over Limits.EmptyLines
 	CauseChunkExtra  = "chunk-extra"          // over Limits.ChunkExtraBytes
 	CauseMemory      = "no-memory"            // Limits.AccountBytes are in use
@@ -47,19 +48,21 @@
 
 // Limits bounds what callers can make the server do. A zero value stands for the default.
 type Limits struct {
-	// HeadBytes and HeadLines bound the head of a request; the defaults are 64 KiB and 256 header lines.
+	// HeadBytes bounds the head of a request; the default is Declared.HeadBytes, or 64 KiB if none is declared.
 	HeadBytes int
+	// HeadLines bounds the header lines of a request; by default, only HeadBytes and AccountBytes do.
 	HeadLines int
 	// EmptyLines bounds the empty lines before a request; the default is 16.
 	EmptyLines int
 	// ChunkExtraBytes bounds the chunk extensions and trailers of a request; the default is 8 KiB.
 	ChunkExtraBytes int
-	// HeadTimeout limits the time from the first byte of a head, or from the accept of a connection, to the end of the head; the
-	// default is 10 s.
+	// HeadTimeout limits the time from the first byte of a head to its end, and from the accept of a connection to the first byte;
+	// the default is 10 s. For a head, Declared.HeadTimeout replaces the default.
 	HeadTimeout time.Duration
 	// RequestTimeout limits the time to read a head and a body; the default is 1 min.
 	RequestTimeout time.Duration
-	// IdleTimeout is how long a connection without requests stays open; the default is 2 min.
+	// IdleTimeout is how long a connection without requests stays open; the default is 2 min, or Declared.IdleTimeout if that is
+	// longer.
 	IdleTimeout time.Duration
 	// WriteTimeout limits a write to the caller for which the handler has set no deadline; the default is 30 s.
 	WriteTimeout time.Duration
@@ -77,6 +80,14 @@
 	Connections int
 }
 
+// Declared holds the limits that the configuration in force states for callers. Zero stands for none. A limit of Limits that is set
+// applies if it is lower.
+type Declared struct {
+	HeadBytes   int
+	HeadTimeout time.Duration
+	IdleTimeout time.Duration
+}
+
 // AccountShare returns the size of the account for a memory limit of the process.
 func AccountShare(memoryLimit int64) int64 { return memoryLimit / memoryLimitShare }
 
@@ -85,7 +96,6 @@
 
 func (l *Limits) setDefaults() {
 	setDefault(&l.HeadBytes, defaultMaxHeadBytes)
-	setDefault(&l.HeadLines, defaultMaxHeadLines)
 	setDefault(&l.EmptyLines, defaultMaxEmptyLines)
 	setDefault(&l.ChunkExtraBytes, defaultMaxChunkExtra)
 	setDefault(&l.HeadTimeout, defaultHeadTimeout)
@@ -95,10 +105,7 @@
 	setDefault(&l.ConcurrentRequests, defaultConcurrentRequests)
 	setDefault(&l.ConnectionWaitingBytes, defaultConnectionWaiting)
 	setDefault(&l.WaitingBytes, defaultWaiting)
-	if memoryLimit := debug.SetMemoryLimit(-1); memoryLimit < math.MaxInt64 {
-		setDefault(&l.AccountBytes, AccountShare(memoryLimit))
-	}
-	setDefault(&l.AccountBytes, defaultAccountBytes)
+	setDefault(&l.AccountBytes, memory.Share(memoryLimitShare, defaultAccountBytes))
 	var descriptors syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err == nil && descriptors.Cur < math.MaxInt32 {
 		setDefault(&l.Connections, ConnectionShare(int(descriptors.Cur)))
@@ -112,23 +119,34 @@
 	}
 }
 
-// headLimits returns the lower of the server's and the declared limits of a head.
+// headLimits returns the limits of a head that are in force.
 func (s *Server) headLimits() (headLimits, time.Duration) {
-	limits, timeout := headLimits{
-		bytes:      s.limits.HeadBytes,
+	declared := s.options.Declared()
+	return headLimits{
+		bytes:      declaredOr(min(declared.HeadBytes, maxDeclaredHeadBytes), s.options.Limits.HeadBytes, s.limits.HeadBytes),
 		lines:      s.limits.HeadLines,
 		emptyLines: s.limits.EmptyLines,
-	}, s.limits.HeadTimeout
-	if s.options.DeclaredHeadLimits != nil {
-		declaredBytes, declaredTimeout := s.options.DeclaredHeadLimits()
-		if declaredBytes > 0 {
-			limits.bytes = min(limits.bytes, declaredBytes)
-		}
-		if declaredTimeout > 0 {
-			timeout = min(timeout, declaredTimeout)
-		}
+	}, declaredOr(declared.HeadTimeout, s.options.Limits.HeadTimeout, s.limits.HeadTimeout)
+}
+
+// idleTimeout returns the idle timeout that is in force. A lower declared one does not apply: a connection that is closed earlier than
+// its caller expects may meet a request.
+func (s *Server) idleTimeout() time.Duration {
+	if s.options.Limits.IdleTimeout > 0 {
+		return s.limits.IdleTimeout
 	}
-	return limits, timeout
+	return max(s.limits.IdleTimeout, s.options.Declared().IdleTimeout)
+}
+
+// declaredOr returns the declared limit, or the limit in its place if none is declared. A limit that was set applies if it is lower.
+func declaredOr[T int | time.Duration](declared, set, limit T) T {
+	if declared <= 0 {
+		return limit
+	}
+	if set > 0 {
+		return min(declared, set)
+	}
+	return declared
 }
 
 // Reserve takes bytes of the server's account for a request until it has been answered. It returns false if the account is used up.
@@ -142,14 +160,14 @@
 
 // reserveRequest takes the bytes for a parsed head. A request that would run beside others waits until it is alone if there is no
 // memory for that; waitedSince is the time when it was read then. It returns false if there is none for it alone, either.
-func (c *connection) reserveRequest(memory *holding, head *headCounter) (alone bool, waitedSince time.Time, ok bool) {
-	bytes := int64(head.endAt - head.beginAt + parsedLineBytes*head.lines)
+func (c *connection) reserveRequest(held *holding, head *headCounter) (alone bool, waitedSince time.Time, ok bool) {
+	bytes := int64(head.endAt - head.beginAt + memory.HeaderLineBytes*head.lines)
 	c.mu.Lock()
 	alone = len(c.order.entries) == 0
 	c.mu.Unlock()
 	if !alone {
 		// The output buffer of an answer that may have to wait is not counted again.
-		if memory.reserve(bytes+outputBytes, false) {
+		if held.reserve(bytes+outputBytes, false) {
 			return false, time.Time{}, true
 		}
 		waitedSince = time.Now()
@@ -157,11 +175,11 @@
 			return true, waitedSince, false
 		}
 	}
-	if memory.reserve(bytes, true) {
+	if held.reserve(bytes, true) {
 		return true, waitedSince, true
 	}
 	c.server.evictHeads(c)
-	return true, waitedSince, memory.reserve(bytes, true)
+	return true, waitedSince, held.reserve(bytes, true)
 }
 
 // reserveBuffer takes the bytes by which the read buffer grows.
@@ -299,3 +317,6 @@
 func ignoreRefusal(net.Addr, int, string) {}
 
 func ignoreLimit(string) {}
+
+// declareNothing stands for Options.Declared if that is not set.
+func declareNothing() Declared { return Declared{} }
--- a/io/pipelinehttp/server.go
+++ b/io/pipelinehttp/server.go
@@ -30,8 +30,8 @@
 	Handler http.Handler
 	// Limits bounds what callers can make the server do.
 	Limits Limits
-	// DeclaredHeadLimits returns limits of a head that apply if they are lower, or zeros. It may be nil.
-	DeclaredHeadLimits func() (bytes int, timeout time.Duration)
+	// Declared returns the limits that the configuration in force states. It may be nil.
+	Declared func() Declared
 	// OnRefused is called for each request that the server answers itself because it could not be read. It may be nil.
 	OnRefused func(remote net.Addr, status int, cause string)
 	// OnLimit is called for each connection that ends without an answer because of a limit, and for each body that is over one. It
@@ -72,11 +72,15 @@
 	if options.OnLimit == nil {
 		options.OnLimit = ignoreLimit
 	}
-	options.Limits.setDefaults()
+	if options.Declared == nil {
+		options.Declared = declareNothing
+	}
+	limits := options.Limits
+	limits.setDefaults()
 	s := &Server{
 		options:     options,
-		limits:      options.Limits,
-		account:     newAccount(options.Limits.AccountBytes),
+		limits:      limits,
+		account:     newAccount(limits.AccountBytes),
 		connections: make(map[*connection]struct{}),
 	}
 	s.decider, _ = options.Handler.(ConcurrencyDecider)
