httpserver: a budget of memory carries header lines

What clients saw: heartbeats, operators and probes with more than 128 header lines got 431, although their heads were within 16 KiB. Cause: lines were limited apart from bytes, since a parsed line takes many times its text. Change: the first 128 lines of a head are free, and further ones take memory from a budget of 4 MiB a port, so that ordinary heads are served while others have used it up. Without memory the answer is 503.

--- a/io/httpserver/bodies.go
+++ b/io/httpserver/bodies.go
@@ -3,9 +3,10 @@
 import (
 	"io"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/juju/errors"
+
+	"parsleyport/core/memory"
 )
 
 // ErrBodiesFull is returned by reading the body of a request while the bodies of other requests use up the memory for them.
@@ -16,17 +17,16 @@
 
 // BodyBudget bounds the memory for the request bodies of a server.
 type BodyBudget struct {
-	port string
-	left atomic.Int64
+	port   string
+	memory *memory.Budget
 }
 
 // NewBodyBudget returns a budget in bytes; port names the server in metrics.
 func NewBodyBudget(port string, bytes int64) *BodyBudget {
-	b := &BodyBudget{
-		port: port,
+	return &BodyBudget{
+		port:   port,
+		memory: memory.NewBudget(bytes),
 	}
-	b.left.Store(bytes)
-	return b
 }
 
 // Limit wraps a handler, so that reading more bodies than the budget allows fails with ErrBodiesFull. The bytes that a request has read
@@ -37,7 +37,7 @@
 			ReadCloser: r.Body,
 			budget:     b,
 		}
-		defer func() { b.left.Add(body.reserved) }()
+		defer func() { b.memory.Release(body.reserved) }()
 		r.Body = body
 		next.ServeHTTP(w, r)
 	})
@@ -53,13 +53,12 @@
 func (l *limitedBody) Read(data []byte) (int, error) {
 	data = data[:min(len(data), maxBodyRead)]
 	size := int64(len(data))
-	if l.budget.left.Add(-size) < 0 {
-		l.budget.left.Add(size)
+	if !l.budget.memory.Reserve(size) {
 		countRefusal(l.budget.port, "bodies")
 		return 0, ErrBodiesFull
 	}
 	n, err := l.ReadCloser.Read(data)
 	l.reserved += int64(n)
-	l.budget.left.Add(size - int64(n))
+	l.budget.memory.Release(size - int64(n))
 	return n, err
 }
--- a/io/httpserver/head.go
+++ b/io/httpserver/head.go
@@ -1,19 +1,29 @@
 package httpserver
 
-import "github.com/juju/errors"
+import (
+	"github.com/juju/errors"
+
+	"parsleyport/core/memory"
+)
 
 // Limits of the head of a request. They suit ports whose clients are the operators' own programs: those send less than a kilobyte and a
-// dozen lines. A parsed line takes some 200 bytes in addition to its text, so that lines are limited apart from bytes.
+// dozen lines.
 const (
 	maxHeadBytes  = 16 << 10
-	maxHeadLines  = 128
 	maxEmptyLines = 16 // before the request line; some clients send one after a body
+	// freeLines is the number of lines of a head for which no memory is reserved, so that ordinary clients need none of the memory
+	// that others have used up.
+	freeLines = 128
+	// lineReservation is the number of further lines for which memory is reserved at once.
+	lineReservation = 64
+	// headBudgetBytes bounds the memory for the further lines of all heads of one port.
+	headBudgetBytes = 4 << 20
 )
 
 // Errors of headCounter.
 const (
 	errHeadTooLong    = errors.ConstError("head of a request is over 16 KiB")
-	errTooManyLines   = errors.ConstError("head of a request has over 128 lines")
+	errHeadsFull      = errors.ConstError("heads of other requests use up the memory for lines")
 	errTooManyEmpties = errors.ConstError("over 16 empty lines before a request")
 )
 
@@ -24,6 +34,13 @@
 	ended                    bool
 }
 
+// reservation returns the memory for the lines that were counted.
+func (h *headCounter) reservation() int64 {
+	further := max(0, h.lines-freeLines)
+	steps := (further + lineReservation - 1) / lineReservation
+	return int64(steps * lineReservation * memory.HeaderLineBytes)
+}
+
 // count returns how many of the received bytes belong to the head, or an error if they exceed a limit.
 func (h *headCounter) count(data []byte) (int, error) {
 	for i, b := range data {
@@ -58,9 +75,7 @@
 			return errTooManyEmpties
 		}
 	default:
-		if h.lines++; h.lines > maxHeadLines {
-			return errTooManyLines
-		}
+		h.lines++
 	}
 	return nil
 }
--- a/io/httpserver/limits.go
+++ b/io/httpserver/limits.go
@@ -11,6 +11,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"parsleyport/core/memory"
 )
 
 const (
@@ -43,6 +45,7 @@
 	net.Listener
 	port           string
 	maxConnections int
+	heads          *memory.Budget
 
 	mu          sync.Mutex // guards the fields below
 	connections map[*limitedConnection]struct{}
@@ -55,6 +58,7 @@
 		Listener:       listener,
 		port:           port,
 		maxConnections: connectionLimit(),
+		heads:          memory.NewBudget(headBudgetBytes),
 		connections:    make(map[*limitedConnection]struct{}),
 	}
 }
@@ -76,7 +80,8 @@
 	head     headCounter
 	// readAhead means that the server may hold a part of the next head already. Only the server's own limit of bytes applies to it.
 	readAhead bool
-	busy      bool // a request is in progress; guarded by LimitedListener.mu
+	reserved  int64 // of LimitedListener.heads; guarded by LimitedListener.mu
+	busy      bool  // a request is in progress; guarded by LimitedListener.mu
 }
 
 // Accept implements net.Listener.
@@ -143,9 +148,29 @@
 	case http.StateIdle:
 		limited.busy, limited.inHead, limited.head = false, !limited.readAhead, headCounter{}
 		limited.readAhead = false
+		l.release(limited)
 	case http.StateClosed, http.StateHijacked:
 		delete(l.connections, limited)
+		l.release(limited)
+	}
+}
+
+// reserve takes the memory for the head that is being read.
+func (l *LimitedListener) reserve(c *limitedConnection) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	more := c.head.reservation() - c.reserved
+	if more > 0 && !l.heads.Reserve(more) {
+		return errHeadsFull
 	}
+	c.reserved += max(0, more)
+	return nil
+}
+
+// release returns the memory for the head of a connection. l.mu must be held.
+func (l *LimitedListener) release(c *limitedConnection) {
+	l.heads.Release(c.reserved)
+	c.reserved = 0
 }
 
 // CloseWrite lets the server end its side before it closes the connection, so that the client can read the answer.
@@ -165,6 +190,9 @@
 		return n, err
 	}
 	counted, limitErr := c.head.count(data[:n])
+	if limitErr == nil && c.head.lines > freeLines {
+		limitErr = c.listener.reserve(c)
+	}
 	if limitErr != nil {
 		c.refuse(limitErr)
 		return 0, io.EOF
@@ -175,8 +203,11 @@
 
 func (c *limitedConnection) refuse(cause error) {
 	status, label := http.StatusRequestHeaderFieldsTooLarge, "head"
-	if errors.Is(cause, errTooManyEmpties) {
+	switch {
+	case errors.Is(cause, errTooManyEmpties):
 		status, label = http.StatusBadRequest, "empty-lines"
+	case errors.Is(cause, errHeadsFull):
+		status, label = http.StatusServiceUnavailable, "heads"
 	}
 	countRefusal(c.listener.port, label)
 	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // fails only on a closed connection
