backendhttp, callerhttp: long heads of answers take memory from a budget

What callers saw: answers whose heads have very many lines let the nodes grow to 106 to 352 MiB, beside the backend server and at the entry; where memory is limited, the process ends and all its callers lose their answers. Cause: a head of an answer was limited to 256 KiB, but a line of seven bytes takes many times its text once it is parsed, and as many heads as calls are in progress were parsed at the same time. Change: the lines of a head are counted while they are read; 64 lines are free, further ones take memory from a budget, an eighth of the memory limit of the process. The connection returns a head line by line, so that nothing is parsed before it is counted. At the entry, a long head takes memory from the callers' account until it is written. Without memory the call ends with 502, since the backend server has run it.

--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -30,13 +30,7 @@
 	ErrInvalidAnswer = errors.ConstError("backend server's answer is invalid")
 )
 
-const (
-	// maxHeadBytes bounds the heads of an answer, those of interim answers and of answers to other calls included. A faulty backend
-	// server may send bytes without end that are no answer.
-	maxHeadBytes   = 256 << 10
-	maxStatus      = 599 // of an answer; see RFC 9110, section 15
-	errHeadTooLong = errors.ConstError("head of the answer is over 256 KiB")
-)
+const maxStatus = 599 // of an answer; see RFC 9110, section 15
 
 // Handle implements core.Backend. The context must not end before the answer's body is closed.
 func (s *Server) Handle(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
@@ -83,6 +77,9 @@
 		ctx:     ctx,
 		call:    call,
 		release: release,
+		head: answerHead{
+			budget: s.heads,
+		},
 	}
 	answered := false
 	defer func() { // also if run panics
@@ -113,6 +110,7 @@
 	written        bool        // at least one byte of the call may have been written
 	strayReceived  bool        // answers to other calls were received on the connection
 	reusable       bool
+	head           answerHead
 	stuckID        stuck.ID // zero if stuck calls are not detected, or before it was sent
 	interrupted    bool     // the wait for the answer was ended because the call is stuck; guarded by stuckCalls.mu
 	stuck          bool     // it ended because it is stuck
@@ -124,6 +122,7 @@
 			x.server.exchanges.Add(-1)
 		}
 		x.server.stuckCalls.end(time.Now(), x, result)
+		x.head.release()
 		x.release(result)
 		x.server.endCall()
 	})
@@ -244,11 +243,11 @@
 }
 
 func (x *exchange) readResponse(request *http.Request) (*http.Response, error) {
-	headBytesLeft := maxHeadBytes
+	x.head.bytesLeft = maxHeadBytes
 	for {
-		x.conn.headBytesLeft = headBytesLeft
+		x.conn.source.head = &x.head
 		response, err := http.ReadResponse(x.conn.reader, request)
-		headBytesLeft, x.conn.headBytesLeft = x.conn.headBytesLeft, -1
+		x.conn.source.head = nil
 		if err != nil && !isConnectionError(err) {
 			return nil, errors.WithType(err, ErrInvalidAnswer)
 		}
@@ -271,6 +270,7 @@
 		if n, err := io.CopyN(io.Discard, response.Body, maxStrayBytes); n == maxStrayBytes || err != io.EOF {
 			return nil, errors.Annotatef(ErrBroken, "answer to another call")
 		}
+		x.head.bytesLeft -= readAheadBytes // the reader may hold further heads, which are not counted
 	}
 }
 
--- a/io/backendhttp/pool.go
+++ b/io/backendhttp/pool.go
@@ -24,28 +24,14 @@
 	net.Conn
 	pool      *pool
 	address   string
-	reader    *bufio.Reader
+	source    headSource
+	reader    *bufio.Reader // of source
 	writer    *bufio.Writer
 	idleSince time.Time
-	// headBytesLeft is the number of bytes that may still be read while the head of an answer is expected; negative means any number.
-	headBytesLeft int
 	// statesIDs says that an earlier answer on the connection stated the ID of its call.
 	statesIDs bool
 }
 
-// Read implements io.Reader. It returns errHeadTooLong once the bytes of an answer's head exceed their limit.
-func (c *backendConn) Read(target []byte) (int, error) {
-	if c.headBytesLeft < 0 {
-		return c.Conn.Read(target)
-	}
-	if c.headBytesLeft == 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := c.Conn.Read(target[:min(len(target), c.headBytesLeft)])
-	c.headBytesLeft -= n
-	return n, err
-}
-
 // pool keeps idle connections and reuses the most recently used one first.
 type pool struct {
 	dial func(ctx context.Context, address string) (net.Conn, error)
@@ -82,13 +68,15 @@
 		return nil, err
 	}
 	c := &backendConn{
-		Conn:          conn,
-		pool:          p,
-		address:       address,
-		writer:        bufio.NewWriter(nil),
-		headBytesLeft: -1,
+		Conn:    conn,
+		pool:    p,
+		address: address,
+		source: headSource{
+			buffer: bufio.NewReader(conn),
+		},
+		writer: bufio.NewWriter(nil),
 	}
-	c.reader = bufio.NewReader(c)
+	c.reader = bufio.NewReaderSize(&c.source, readAheadBytes)
 	return c, nil
 }
 
@@ -165,7 +153,7 @@
 // alive checks without blocking that the connection is open and has no unexpected data. Without this check, a call on a connection
 // that the backend server has closed would end with the outcome unknown.
 func (c *backendConn) alive() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.source.buffer.Buffered() > 0 {
 		return false
 	}
 	socket, ok := c.Conn.(syscall.Conn)
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -17,6 +17,7 @@
 
 	"parsleyport/core"
 	"parsleyport/core/idempotency"
+	"parsleyport/core/memory"
 	"parsleyport/core/ring"
 	"parsleyport/io/httpserver"
 	"parsleyport/io/loglimit"
@@ -94,6 +95,7 @@
 	done      chan struct{}
 	changed   chan struct{} // has one element while a change has not been reported to OnChange
 	crashes   *ring.Ring[Crash]
+	heads     *memory.Budget // for the heads of answers
 
 	stuckCalls   *stuckCalls // nil without EndStuckCalls
 	sentCalls    *metrics.Counter
@@ -148,6 +150,7 @@
 		done:           make(chan struct{}),
 		changed:        make(chan struct{}, 1),
 		crashes:        ring.New[Crash](maxQueuedCrashes),
+		heads:          memory.NewBudget(memory.Share(headBudgetDivisor, defaultHeadBudget)),
 		sentCalls:      options.Metrics.GetOrCreateCounter("parsleyport_backend_calls_total"),
 		crashedCalls:   options.Metrics.GetOrCreateCounter("parsleyport_backend_crashed_calls_total"),
 		strayAnswers:   options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -16,11 +16,19 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/memory"
 	"parsleyport/core/record"
 	"parsleyport/core/retry"
 	"parsleyport/io/pipelinehttp"
 )
 
+const (
+	// freeAnswerHeadBytes is the memory of a head of an answer up to which none is reserved, so that usual answers are passed on while
+	// others have used up the account.
+	freeAnswerHeadBytes = 32 << 10
+	errAnswerHeadsFull  = errors.ConstError("no memory for the head of the answer")
+)
+
 // attemptResult is the result of one attempt, or of an attempt and its hedge.
 type attemptResult struct {
 	answer     *core.Answer
@@ -117,6 +125,9 @@
 
 // deliver answers the caller with the result of its call. The recorder, if it is not nil, gets a copy of the body.
 func (s *Server) deliver(ctx context.Context, w http.ResponseWriter, req *request, last attemptResult, recorder *recorder) {
+	if last.outcome == core.OutcomeAnswered && !reserveAnswerHead(w, last.answer.Header) {
+		s.dropAnswer(ctx, req, &last)
+	}
 	switch last.outcome {
 	case core.OutcomeAnswered:
 		s.callLog.write(req, last, last.answer.Status)
@@ -128,6 +139,21 @@
 	}
 }
 
+// reserveAnswerHead takes the memory for a long head of an answer until it has been written. It returns false if there is none.
+func reserveAnswerHead(w http.ResponseWriter, header http.Header) bool {
+	bytes := memory.HeaderBytes(header)
+	return bytes <= freeAnswerHeadBytes || pipelinehttp.Reserve(w, bytes)
+}
+
+// dropAnswer ends a call whose answer cannot be passed on.
+func (s *Server) dropAnswer(ctx context.Context, req *request, last *attemptResult) {
+	_ = last.answer.Body.Close()
+	if !last.reported {
+		s.reportAttempt(ctx, req, *last, last.answer.Status >= http.StatusInternalServerError)
+	}
+	last.outcome, last.answer, last.err = core.OutcomeUnknown, nil, errAnswerHeadsFull
+}
+
 func refusalOf(err error) *core.Refusal {
 	var refused *core.Refusal
 	if errors.As(err, &refused) {
