nodepeer: long heads of calls take memory from a budget at the receiving node

What callers saw: nothing yet in a test; a node that receives calls kept the heads of all of them, up to 4,096 at the same time, without an account. With 4,000 lines each they take some 230 bytes a line: 0.9 MB a call. The entry nodes have accounts, but many of them send to one receiver. Change: the part of a head above 16 KiB takes memory from a budget, an eighth of the memory limit of the process, until the call ends. Without memory the call is refused as queue-full: it has not run, and the entry node may offer it elsewhere. Evidence: suspected from the code.

--- a/io/nodepeer/bench_test.go
+++ b/io/nodepeer/bench_test.go
@@ -27,8 +27,8 @@
 	benchDuration  = 3 * time.Second
 )
 
-// memory returns the live memory after a garbage collection and the resident memory of the process, in KiB.
-func memory(b *testing.B) (live, resident float64) {
+// usedMemory returns the live memory after a garbage collection and the resident memory of the process, in KiB.
+func usedMemory(b *testing.B) (live, resident float64) {
 	runtime.GC()
 	runtime.GC() // the second collection frees what sync.Pool keeps
 	var stats runtime.MemStats
@@ -98,7 +98,7 @@
 func BenchmarkConnections(b *testing.B) {
 	debug.FreeOSMemory()
 	n := newBenchNode(b)
-	base, baseResident := memory(b)
+	base, baseResident := usedMemory(b)
 	times := hdrhistogram.New(1, 10_000_000, 3)
 	for peer := range benchPeers {
 		began := time.Now()
@@ -110,7 +110,7 @@
 		}
 		second.Wait()
 	}
-	idle, idleResident := memory(b)
+	idle, idleResident := usedMemory(b)
 	b.ReportMetric(float64(n.dialer.dials.Get()), "connections")
 	b.ReportMetric(float64(times.ValueAtQuantile(50)), "first-call-p50-µs")
 	b.ReportMetric(float64(times.ValueAtQuantile(99)), "first-call-p99-µs")
@@ -123,7 +123,7 @@
 			pause = 100 * time.Millisecond // 4,000 calls a second
 		}
 		calls, spent := n.callBusyPeers(b, pause, func() {
-			live, resident := memory(b)
+			live, resident := usedMemory(b)
 			b.ReportMetric((live-idle)/benchBusyPeers, name+"-KiB/peer")
 			b.ReportMetric((resident-baseResident)/1024, name+"-RSS-MiB")
 		})
@@ -156,7 +156,7 @@
 func BenchmarkServerEnd(b *testing.B) {
 	n := newBenchNode(b)
 	var ends []net.Conn
-	base, _ := memory(b)
+	base, _ := usedMemory(b)
 	for i := range benchPeers {
 		conn, err := net.Dial("tcp", n.server.Address())
 		if err != nil {
@@ -171,7 +171,7 @@
 			b.Fatal(err)
 		}
 	}
-	idle, _ := memory(b)
+	idle, _ := usedMemory(b)
 	runtime.KeepAlive(ends)
 	b.ReportMetric((idle-base)/benchPeers, "idle-KiB/connection")
 }
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -41,10 +41,16 @@
 	maxCreditlessBytes   = 8 << 10  // bodies up to this length are sent without waiting for body credit
 	maxBufferedBodyBytes = 32 << 20 // bytes of all calls whose body is incomplete or queued at a server
 	defaultMaxCalls      = 4096     // at one server
-	maxConnections       = 4096     // at one server; also half of its file descriptors, and a quarter without a hello
-	maxPeers             = 8192     // at one dialer
-	maxStatus            = 599      // of an answer; see RFC 9110, section 15
-	defaultConnections   = 2        // to one peer
+	// freeHeadBytes is the memory of the head of a call up to which none is reserved, so that usual calls are accepted while others
+	// have used up the budget.
+	freeHeadBytes = 16 << 10
+	// headBudgetDivisor is the divisor of the memory limit of the process for long heads of calls.
+	headBudgetDivisor  = 8
+	defaultHeadBudget  = 16 << 20 // if the memory limit is unknown
+	maxConnections     = 4096     // at one server; also half of its file descriptors, and a quarter without a hello
+	maxPeers           = 8192     // at one dialer
+	maxStatus          = 599      // of an answer; see RFC 9110, section 15
+	defaultConnections = 2        // to one peer
 	// poolGrowthCalls is the number of outstanding calls on a connection from which its pool grows. The connections of 2,700
 	// callers, plus those that the calls of defaultMaxCalls can add, stay below maxConnections.
 	poolGrowthCalls = 4
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -13,6 +13,7 @@
 	"parsleyport/core"
 	"parsleyport/core/bodycredit"
 	"parsleyport/core/idempotency"
+	"parsleyport/core/memory"
 	"parsleyport/io/frame"
 )
 
@@ -70,6 +71,7 @@
 	calls           map[idempotency.AttemptKey]*serverCall
 	connections     map[*serverConn]struct{}
 	bodyBytes       int
+	heads           *memory.Budget        // for long heads of calls
 	bodies          *bodycredit.Scheduler // nil without pacing
 	callsByBody     map[bodycredit.Ticket]*serverCall
 	bodiesCheckedAt time.Time
@@ -112,6 +114,7 @@
 		calls:              make(map[idempotency.AttemptKey]*serverCall),
 		connections:        make(map[*serverConn]struct{}),
 		drained:            make(chan struct{}),
+		heads:              memory.NewBudget(memory.Share(headBudgetDivisor, defaultHeadBudget)),
 		maxConnections:     descriptorShare(2),
 		unintroduced:       frame.NewUnintroduced(descriptorShare(4)),
 	}
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -10,6 +10,7 @@
 	"parsleyport/core"
 	"parsleyport/core/bodycredit"
 	"parsleyport/core/idempotency"
+	"parsleyport/core/memory"
 	"parsleyport/io/frame"
 )
 
@@ -37,6 +38,7 @@
 
 	body               []byte
 	reservedBytes      int
+	reservedHead       int64             // of Server.heads
 	bodyTicket         bodycredit.Ticket // zero unless the call waits for its body
 	bodyGranted        chan struct{}     // has one element after grantedBytes has grown or the body has arrived
 	grantedBytes       int               // credit that has not been sent
@@ -189,8 +191,9 @@
 	if message.Length < 0 || message.Length > maxBodyBytes || len(message.Body) > message.Length {
 		return errors.Annotatef(errProtocol, "open with a body of %d bytes", message.Length)
 	}
+	headBytes := max(0, memory.HeaderBytes(message.Header)-freeHeadBytes)
 	s.mu.Lock()
-	cause, err := s.register(key, message, now)
+	cause, err := s.register(key, message, headBytes, now)
 	if err != nil || cause != "" {
 		s.mu.Unlock()
 		if err == nil {
@@ -213,6 +216,7 @@
 		bodyChecksum:  message.Checksum,
 		body:          message.Body,
 		reservedBytes: message.Length,
+		reservedHead:  headBytes,
 	}
 	s.calls[key] = call
 	s.bodyBytes += call.reservedBytes
@@ -238,9 +242,9 @@
 	return nil
 }
 
-// register records the attempt and returns a cause if it must be refused, or an error if the connection must be closed. s.mu must be
-// held.
-func (s *Server) register(key idempotency.AttemptKey, message openMessage, now time.Time) (core.RefusalCause, error) {
+// register records the attempt, and reserves the memory for its head. It returns a cause if the attempt must be refused, or an error if
+// the connection must be closed. s.mu must be held.
+func (s *Server) register(key idempotency.AttemptKey, message openMessage, headBytes int64, now time.Time) (core.RefusalCause, error) {
 	switch s.attempts.Arrived(now, key) {
 	case idempotency.ArrivalRepeated:
 		return "", errors.Annotatef(errProtocol, "sequence %d arrived twice", key.Sequence)
@@ -253,7 +257,7 @@
 		cause = core.CauseLeaving
 	case message.RemainingUS <= 0:
 		cause = core.CauseDeadline
-	case len(s.calls) >= s.options.MaxCalls, s.bodyBytes+message.Length > maxBufferedBodyBytes:
+	case len(s.calls) >= s.options.MaxCalls, s.bodyBytes+message.Length > maxBufferedBodyBytes, !s.heads.Reserve(headBytes):
 		cause = core.CauseQueueFull
 	}
 	if cause != "" {
@@ -410,6 +414,7 @@
 	s.endBody(call)
 	s.attempts.Ended(call.key, ran)
 	s.bodyBytes -= call.reservedBytes
+	s.heads.Release(call.reservedHead)
 	call.cancel(nil)
 	s.signalDrained()
 }
