idempotency: bound the bytes of keys and of recorded heads

What callers saw: nothing refused, but a holder kept 131,072 keys of any length up to 256 bytes with call ids and tenants of 128 each, and recorded answers whose heads were not counted, for ten minutes. Cause: the store counted keys and the bodies of answers only. Change: the text of keys and their owners has a bound of 128 bytes for each of the 131,072 keys; keys of usual length meet the old bound first. The bound of recorded answers includes their heads.

--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,6 +129,38 @@
 	c.Assert(verdict, qt.Equals, VerdictGranted)
 }
 
+// Guards against keys and heads of recorded answers, which callers and backend servers choose, that take more memory than a store has.
+func TestLongKeysAndHeadsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	keys, long := NewKeyStore(), strings.Repeat("x", 200)
+	key := func(i int) Key {
+		return Key{Tenant: core.TenantID(long), Name: core.IdempotencyKey(long + fmt.Sprint(i))}
+	}
+	claim := func(now time.Time, i int) Verdict {
+		verdict, _ := keys.Claim(now, key(i), core.CallID(long), 1, epoch)
+		return verdict
+	}
+	claimed := 0
+	for claim(epoch, claimed) == VerdictGranted {
+		claimed++
+	}
+	c.Assert(claimed > 20_000 && claimed < 30_000, qt.IsTrue, qt.Commentf("%d keys", claimed))
+	head := make(http.Header)
+	for i := range 1000 {
+		head.Set(fmt.Sprint("X", i), "")
+	}
+	recorded := 0
+	for i := range 1000 {
+		keys.Settle(epoch, key(i), core.CallID(long), VerdictAnswered, &RecordedAnswer{Header: head})
+		if claim(epoch, i) == VerdictAnswered {
+			recorded++
+		}
+	}
+	c.Assert(recorded > 10 && recorded < 100, qt.IsTrue, qt.Commentf("%d answers", recorded))
+	c.Assert(claim(epoch.Add(Window+1), claimed), qt.Equals, VerdictGranted)
+	c.Assert(keys.recordedBytes, qt.Equals, 0)
+}
+
 // Guards against a grant based on replies of holders that cannot know, and against ignoring the reply of one that does.
 func TestClaimNeedsEachReachedHolderAndAMajority(t *testing.T) {
 	c := qt.New(t)
--- a/core/idempotency/keys.go
+++ b/core/idempotency/keys.go
@@ -5,13 +5,16 @@
 	"time"
 
 	"parsleyport/core"
+	"parsleyport/core/memory"
 )
 
 const (
 	maxKeys = 131_072 // allows 218 keys a second over the window
+	// maxKeyBytes bounds the text of all keys and of the call ids that go with them. It leaves 128 bytes for each of maxKeys.
+	maxKeyBytes = maxKeys * 128
 	// MaxRecordedBytes limits the body of one recorded answer.
 	MaxRecordedBytes      = 64 << 10
-	maxTotalRecordedBytes = 16 << 20
+	maxTotalRecordedBytes = 16 << 20 // bodies and heads of all recorded answers
 )
 
 // Key identifies a request that must run at most once.
@@ -62,7 +65,8 @@
 type KeyStore struct {
 	entries       map[Key]*keyEntry
 	byAge         []keyAge // oldest first
-	recordedBytes int      // total size of the recorded bodies
+	keyBytes      int      // total size of the text in byAge
+	recordedBytes int      // total size of the recorded answers
 }
 
 type keyEntry struct {
@@ -77,6 +81,27 @@
 type keyAge struct {
 	key       Key
 	claimedAt time.Time
+	bytes     int // of the text of the key and of its owner
+}
+
+// bytes returns the memory of a recorded answer.
+func (a *RecordedAnswer) bytes() int {
+	return len(a.Body) + int(memory.HeaderBytes(a.Header))
+}
+
+// add remembers the age of a key. It returns false and changes nothing if the store is full.
+func (k *KeyStore) add(key Key, owner core.CallID, claimedAt time.Time) bool {
+	bytes := len(key.Tenant) + len(key.Service) + len(key.Name) + len(owner)
+	if len(k.byAge) >= maxKeys || k.keyBytes+bytes > maxKeyBytes {
+		return false
+	}
+	k.byAge = append(k.byAge, keyAge{
+		key:       key,
+		claimedAt: claimedAt,
+		bytes:     bytes,
+	})
+	k.keyBytes += bytes
+	return true
 }
 
 // NewKeyStore returns an empty store.
@@ -92,7 +117,7 @@
 	k.expire(now)
 	entry := k.entries[key]
 	switch {
-	case entry == nil && len(k.byAge) >= maxKeys:
+	case entry == nil && !k.add(key, owner, now):
 		return VerdictFull, nil
 	case entry == nil:
 		k.entries[key] = &keyEntry{
@@ -102,10 +127,6 @@
 			settleBy:  settleBy,
 			claimedAt: now,
 		}
-		k.byAge = append(k.byAge, keyAge{
-			key:       key,
-			claimedAt: now,
-		})
 		return VerdictGranted, nil
 	case entry.content != content:
 		return VerdictConflict, nil
@@ -127,10 +148,10 @@
 	switch {
 	case verdict == VerdictGranted && entry.verdict == VerdictRunning:
 		delete(k.entries, key)
-	case verdict == VerdictAnswered && answer != nil && len(answer.Body) <= MaxRecordedBytes && k.recordedBytes+len(answer.Body) <= maxTotalRecordedBytes:
+	case verdict == VerdictAnswered && answer != nil && len(answer.Body) <= MaxRecordedBytes && k.recordedBytes+answer.bytes() <= maxTotalRecordedBytes:
 		entry.verdict = VerdictAnswered
 		entry.answer = answer
-		k.recordedBytes += len(answer.Body)
+		k.recordedBytes += answer.bytes()
 	default:
 		entry.verdict = VerdictUnknown
 	}
@@ -141,12 +162,13 @@
 	for expired < len(k.byAge) && now.Sub(k.byAge[expired].claimedAt) > Window {
 		age := k.byAge[expired]
 		expired++
+		k.keyBytes -= age.bytes
 		entry := k.entries[age.key]
 		if entry == nil || !entry.claimedAt.Equal(age.claimedAt) {
 			continue // released, and possibly claimed again later
 		}
 		if entry.answer != nil {
-			k.recordedBytes -= len(entry.answer.Body)
+			k.recordedBytes -= entry.answer.bytes()
 		}
 		delete(k.entries, age.key)
 	}
--- a/core/idempotency/transfer.go
+++ b/core/idempotency/transfer.go
@@ -60,7 +60,8 @@
 // whose call was granted by the other holders.
 func (k *KeyStore) Restore(now time.Time, sinceExport time.Duration, entries []Entry) {
 	for _, e := range entries {
-		if k.entries[e.Key] != nil || len(k.byAge) >= maxKeys {
+		claimedAt := now.Add(-e.Age - sinceExport)
+		if k.entries[e.Key] != nil || !k.add(e.Key, e.Owner, claimedAt) {
 			continue
 		}
 		entry := &keyEntry{
@@ -68,17 +69,13 @@
 			content:   e.Content,
 			verdict:   e.Verdict,
 			settleBy:  now.Add(e.Remaining - sinceExport),
-			claimedAt: now.Add(-e.Age - sinceExport),
+			claimedAt: claimedAt,
 			answer:    e.Answer,
 		}
 		if entry.answer != nil {
-			k.recordedBytes += len(entry.answer.Body)
+			k.recordedBytes += entry.answer.bytes()
 		}
 		k.entries[e.Key] = entry
-		k.byAge = append(k.byAge, keyAge{
-			key:       e.Key,
-			claimedAt: entry.claimedAt,
-		})
 	}
 	slices.SortStableFunc(k.byAge, func(a, b keyAge) int { return cmp.Compare(a.claimedAt.UnixNano(), b.claimedAt.UnixNano()) })
 	k.expire(now)
