pipelinehttp: keep places for callers of other addresses

What callers saw: beside 600 connections with a part of a head from one address, a caller of another address was not answered within 5 s: its new connections were closed, since all places were taken and none was idle. Cause: connections of all addresses shared one limit. Change: an address with a 64th of `connections` or more leaves the last 16th of the places to others.

--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"syscall"
@@ -42,9 +43,11 @@
 type connection struct {
 	server *Server
 	rwc    net.Conn
-	socket syscall.RawConn // nil if the connection is no socket
-	ctx    context.Context
-	cancel context.CancelFunc
+	// address is the IP address of the caller, zero if the connection is no socket.
+	address netip.Addr
+	socket  syscall.RawConn // nil if the connection is no socket
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	remoteOnce sync.Once
 	remoteText string
@@ -79,6 +82,7 @@
 	c := &connection{
 		server:    s,
 		rwc:       rwc,
+		address:   addressOf(rwc.RemoteAddr()),
 		idleSince: time.Now(),
 		bodyDone:  make(chan struct{}, 1),
 		growth: holding{
--- a/io/pipelinehttp/limits.go
+++ b/io/pipelinehttp/limits.go
@@ -4,6 +4,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"syscall"
 	"time"
@@ -31,6 +32,11 @@
 	maxDeclaredHeadBytes = 1 << 20
 	// evictionInterval bounds the processor time for the search for connections that can be closed.
 	evictionInterval = 50 * time.Millisecond
+	// neighbourShare is the divisor of Limits.Connections for the part that only addresses with few connections can use, so that one
+	// address cannot keep the callers of others out.
+	neighbourShare = 16
+	// fewConnectionsShare is the divisor of Limits.Connections for the connections up to which an address has few.
+	fewConnectionsShare = 64
 	// maxIdleCandidates is the number of idle connections that are kept from one search for the next ones to be closed.
 	maxIdleCandidates = 64
 )
@@ -241,8 +247,8 @@
 
 // admit makes room for a new connection. If there are too many, it closes an idle one, those first that have never had a request,
 // and then the one that has been idle for the longest time. It is called by Serve only. It returns false if none is idle.
-func (s *Server) admit() bool {
-	if s.OpenConnections() < s.limits.Connections {
+func (s *Server) admit(remote net.Addr) bool {
+	if s.hasRoomFor(remote) {
 		return true
 	}
 	for range 2 {
@@ -266,6 +272,25 @@
 	return false
 }
 
+// hasRoomFor reports whether a connection from an address can be added.
+func (s *Server) hasRoomFor(remote net.Addr) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.limits.Connections
+	if few := max(1, limit/fewConnectionsShare); s.byAddress[addressOf(remote)] >= few {
+		limit -= limit / neighbourShare
+	}
+	return len(s.connections) < limit
+}
+
+// addressOf returns the IP address of a caller, or the zero address if the connection is no socket.
+func addressOf(remote net.Addr) netip.Addr {
+	if tcp, ok := remote.(*net.TCPAddr); ok {
+		return tcp.AddrPort().Addr()
+	}
+	return netip.Addr{}
+}
+
 // findIdle returns the idle connections that are closed first.
 func (s *Server) findIdle() []*connection {
 	type candidate struct {
--- a/io/pipelinehttp/server.go
+++ b/io/pipelinehttp/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,7 @@
 	mu          sync.Mutex // guards the fields below
 	listener    net.Listener
 	connections map[*connection]struct{}
+	byAddress   map[netip.Addr]int // number of connections
 	idleWorkers []chan *response
 	evictedAt   time.Time
 	closed      bool
@@ -82,6 +84,7 @@
 		limits:      limits,
 		account:     newAccount(limits.AccountBytes),
 		connections: make(map[*connection]struct{}),
+		byAddress:   make(map[netip.Addr]int),
 	}
 	s.decider, _ = options.Handler.(ConcurrencyDecider)
 	return s
@@ -109,7 +112,7 @@
 			continue
 		}
 		delay = minAcceptDelay
-		if !s.admit() {
+		if !s.admit(rwc.RemoteAddr()) {
 			s.options.OnLimit(CauseConnections)
 			_ = rwc.Close()
 			continue
@@ -128,6 +131,7 @@
 		return false
 	}
 	s.connections[c] = struct{}{}
+	s.byAddress[c.address]++
 	return true
 }
 
@@ -135,6 +139,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.connections, c)
+	if s.byAddress[c.address]--; s.byAddress[c.address] == 0 {
+		delete(s.byAddress, c.address)
+	}
 }
 
 // Drain makes each connection end after the answers to the requests that were read from it, one at least.
