callerhttp: a body may take as long as its call

What callers saw: a body had to arrive within a minute, however long the route allows the call to take; and one that did not arrive before the call's deadline held its connection until that minute was over, and then got 400. Cause: the time to read a body was a constant of the connection loop. Change: the handler sets the deadline of the call as the read deadline of its body. After it, the answer is 503 with deadline-cannot-be-met, since the call has not run and cannot be answered any more. `request-timeout-ms` applies to bodies only if it is set, or before the call is known.

--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -340,6 +341,9 @@
 		if err == io.EOF {
 			return body.Bytes(), nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, newRefusal(core.CauseDeadline, "the body did not arrive in time")
+		}
 		if err != nil {
 			return nil, newRefusal(core.CauseMalformedCall, errors.Annotate(err, "read body").Error())
 		}
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -76,6 +76,7 @@
 		buffered += bytes
 		return s.bufferedBodyBytes.Add(bytes) <= maxBufferedBodyBytes && pipelinehttp.Reserve(w, bytes)
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(req.call.Deadline) // fails only on a closed connection
 	if req.call.Body, refused = readBody(r, s.maxBodyBytes(configuration), reserve); refused != nil {
 		s.refuseEarly(w, r, refused)
 		return
--- a/io/pipelinehttp/limits.go
+++ b/io/pipelinehttp/limits.go
@@ -65,7 +65,7 @@
 	// HeadTimeout limits the time from the first byte of a head to its end, and from the accept of a connection to the first byte;
 	// the default is 10 s. For a head, Declared.HeadTimeout replaces the default.
 	HeadTimeout time.Duration
-	// RequestTimeout limits the time to read a head and a body; the default is 1 min.
+	// RequestTimeout limits the time to read a head and a body; the default is 1 min, unless the handler sets a read deadline.
 	RequestTimeout time.Duration
 	// IdleTimeout is how long a connection without requests stays open; the default is 2 min, or Declared.IdleTimeout if that is
 	// longer.
--- a/io/pipelinehttp/response.go
+++ b/io/pipelinehttp/response.go
@@ -541,6 +541,21 @@
 	return nil
 }
 
+// SetReadDeadline sets the time until which the body must have arrived, in place of the default of Limits.RequestTimeout. A limit that was
+// set applies if it is earlier.
+func (r *response) SetReadDeadline(deadline time.Time) error {
+	if r.body == nil {
+		return nil
+	}
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	if r.c.server.options.Limits.RequestTimeout > 0 && r.body.deadline.Before(deadline) {
+		return nil
+	}
+	r.body.deadline = deadline
+	return nil
+}
+
 // appendStatusLine appends a status line. Statuses without a known text get the same text as in net/http.
 func appendStatusLine(out []byte, protoMinor, status int) []byte {
 	out = append(out, "HTTP/1."...)
