callerhttp, nodepeer, backendhttp: pass on long bodies while they arrive

What callers saw: bodies over 8 MiB got 413 whatever the configuration allows; its operators declare 64 MiB. Cause: every body was kept whole, at the entry and again at the node that receives the call, so that 8 MiB was the most that either could afford. Change: a body of more than 1 MiB is a source that is read once. Between nodes it has a window of 64 KiB, and the receiver gives the first credit only when the call has a slot and a connection to its backend server. So a call that is refused has lost nothing of its body and can be offered elsewhere; after the first byte it is not sent again. The body ends with its length and checksum, and a part of it closes the connection to the backend server. Bodies of unknown length go on in chunks. The limit is the declared one, or 64 MiB. A node of an earlier release is not sent such a call. Bodies that cannot cross the receiver's link by the deadline are refused at once; streamed bodies are not paced otherwise. A caller that sends slowly holds a slot now, so a pause may last for the declared idle timeout at most, or 10 s, and calls with streamed bodies hold three quarters of the slots at most: others wait for a quarter of their time, as many as there are slots. They are not hedged, and suspected of crashes or taken for resends by their length, not their content.

--- a/core/bodycredit/scheduler.go
+++ b/core/bodycredit/scheduler.go
@@ -93,6 +93,11 @@
 	return added.ticket, true
 }
 
+// CanArrive reports whether a body that is not scheduled could cross the link by a deadline if nothing else did.
+func (s *Scheduler) CanArrive(now time.Time, bytes int64, deadline time.Time) bool {
+	return !now.Add(time.Duration(float64(bytes) / s.bytesPerSecond * float64(time.Second))).After(deadline)
+}
+
 // Grants returns the bytes that may be sent now.
 func (s *Scheduler) Grants(now time.Time) []Grant {
 	var grants []Grant
--- a/core/call.go
+++ b/core/call.go
@@ -60,7 +60,8 @@
 	Target         string // path and query
 	Host           string
 	Header         http.Header
-	Body           []byte // buffered up to the entry node's limit so that an attempt can be retried
+	Body           []byte      // nil if Source is set; it is kept so that an attempt can be retried
+	Source         *BodySource // of a body that is too long to be kept, nil for others
 	Idempotent     bool
 	IdempotencyKey IdempotencyKey
 	Priority       Priority
--- a/core/idempotency/suspects.go
+++ b/core/idempotency/suspects.go
@@ -17,7 +17,7 @@
 // FingerprintOf hashes tenant, route, method, path and body.
 func FingerprintOf(call *core.Call) Fingerprint {
 	path, _, _ := strings.Cut(call.Target, "?")
-	return hashOf(call.Body, string(call.Tenant), string(call.Route), call.Method, path)
+	return hashOf(identifyingBody(call), string(call.Tenant), string(call.Route), call.Method, path)
 }
 
 // ExactFingerprintOf refines the result of FingerprintOf by the query and the service that the caller belongs to, so that a request
@@ -34,7 +34,15 @@
 
 // ContentFingerprintOf identifies resends of a request. It hashes tenant, service, method, path, query and body.
 func ContentFingerprintOf(call *core.Call) Fingerprint {
-	return hashOf(call.Body, string(call.Tenant), string(call.Service), call.Method, call.Target)
+	return hashOf(identifyingBody(call), string(call.Tenant), string(call.Service), call.Method, call.Target)
+}
+
+// identifyingBody returns the body of a call, or the length of one that is passed on while it arrives.
+func identifyingBody(call *core.Call) []byte {
+	if call.Source == nil {
+		return call.Body
+	}
+	return binary.BigEndian.AppendUint64(nil, uint64(call.Source.Length()))
 }
 
 func hashOf(body []byte, texts ...string) Fingerprint {
--- a/e2e/unknowncallers/calls_test.go
+++ b/e2e/unknowncallers/calls_test.go
@@ -176,6 +176,12 @@
 			}
 			return repeat(w, "x", longBodyBytes-1<<10)
 		}},
+		{name: "very long bodies that stop", size: crowdSize, patience: bodyPatience, script: func(r *rand.Rand, w io.Writer) error {
+			if err := head(r, w, http.MethodPost, sumPath, fullBodyBytes, 0); err != nil {
+				return err
+			}
+			return repeat(w, "x", veryLongBodyBytes)
+		}},
 	})
 }
 
@@ -208,3 +214,26 @@
 	crowds := append(headCrowds("/get/1"), oddCrowds("/get/1")...)
 	attack(t, platformCallerPort(), append(crowds, connectionCrowds("/get/1")...))
 }
+
+// Guards against complete requests that wait at the platform's node until a backend server is known.
+func TestPlatformCalls(t *testing.T) {
+	waiting := func(bodyBytes int) func(*rand.Rand, io.Writer) error {
+		return func(r *rand.Rand, w io.Writer) error {
+			if _, err := fmt.Fprintf(w, "POST /get/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: %d\r\n", bodyBytes); err != nil {
+				return err
+			}
+			if err := writeLines(r, w, fullHeadBytes); err != nil {
+				return err
+			}
+			if _, err := io.WriteString(w, "\r\n"); err != nil {
+				return err
+			}
+			return repeat(w, "x", bodyBytes)
+		}
+	}
+	attack(t, platformCallerPort(), []crowd{
+		{name: "full heads that wait", size: crowdSize, stay: holdTime, script: waiting(0)},
+		{name: "full heads that wait on many connections", size: connectionCrowdSize, stay: holdTime, script: waiting(0)},
+		{name: "bodies that wait", size: crowdSize, stay: holdTime, script: waiting(1 << 20)},
+	})
+}
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -67,7 +67,7 @@
 	if refusal := s.beginCall(call); refusal != nil {
 		return nil, core.OutcomeNotRun, refusal
 	}
-	release, refusal := s.admission.Acquire(ctx, call)
+	release, refusal := s.acquire(ctx, call)
 	if refusal != nil {
 		s.endCall()
 		return nil, core.OutcomeNotRun, refusal
@@ -96,6 +96,25 @@
 	return answer, outcome, err
 }
 
+// acquire waits for a slot. The returned function releases it.
+func (s *Server) acquire(ctx context.Context, call *core.Call) (func(CallResult), *core.Refusal) {
+	if call.Source == nil {
+		return s.admission.Acquire(ctx, call)
+	}
+	if refusal := s.acquireStream(ctx, call); refusal != nil {
+		return nil, refusal
+	}
+	release, refusal := s.admission.Acquire(ctx, call)
+	if refusal != nil {
+		s.streams.release()
+		return nil, refusal
+	}
+	return func(result CallResult) {
+		release(result)
+		s.streams.release()
+	}, nil
+}
+
 // exchange is a call that runs at the backend server. It holds its slot until the end of the answer's body.
 type exchange struct {
 	server         *Server
@@ -108,6 +127,7 @@
 	startedAt      time.Time   // when it was sent
 	stopCancelling func() bool // unregisters the close on cancellation; false if that has begun
 	written        bool        // at least one byte of the call may have been written
+	writeFailed    bool        // the connection takes no more bytes
 	strayReceived  bool        // answers to other calls were received on the connection
 	reusable       bool
 	head           answerHead
@@ -167,10 +187,12 @@
 	}
 }
 
-// Write implements io.Writer. It notes that the backend server may have received a part of the call.
+// Write implements io.Writer. It notes that the backend server may have received a part of the call, and whether it receives no more.
 func (x *exchange) Write(bytes []byte) (int, error) {
 	x.written = true
-	return x.conn.Write(bytes)
+	n, err := x.conn.Write(bytes)
+	x.writeFailed = err != nil
+	return n, err
 }
 
 func (x *exchange) roundTrip(request *http.Request) (*core.Answer, core.Outcome, error) {
@@ -194,6 +216,10 @@
 			Detail: err.Error(),
 		}
 	}
+	if err != nil && !x.writeFailed { // the backend server waits for the rest of a body that does not come
+		x.abort()
+		return nil, core.OutcomeUnknown, errors.Annotate(err, "body of the call")
+	}
 	// The answer is read even after a failed write, since a backend server may answer before it has read the whole request.
 	response, readErr := x.readResponse(request)
 	if readErr != nil {
@@ -463,9 +489,12 @@
 		URL:           target,
 		Host:          call.Host,
 		Header:        header,
-		ContentLength: int64(len(call.Body)),
+		ContentLength: call.BodyBytes(), // net/http sends a body of unknown length in chunks
 	}
-	if len(call.Body) > 0 {
+	switch {
+	case call.Source != nil:
+		request.Body = io.NopCloser(call.Source)
+	case len(call.Body) > 0:
 		request.Body = io.NopCloser(bytes.NewReader(call.Body))
 	}
 	return request, nil
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -96,6 +96,7 @@
 	changed   chan struct{} // has one element while a change has not been reported to OnChange
 	crashes   *ring.Ring[Crash]
 	heads     *memory.Budget // for the heads of answers
+	streams   streamPlaces
 
 	stuckCalls   *stuckCalls // nil without EndStuckCalls
 	sentCalls    *metrics.Counter
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -58,7 +58,7 @@
 				Tried:   history.triedNodes(candidates),
 				Session: req.session,
 
-				BodyBytes:       len(req.call.Body),
+				BodyBytes:       int(max(req.call.BodyBytes(), 0)),
 				SoftDeadline:    req.call.SoftDeadline,
 				Deadline:        req.call.Deadline,
 				CapacityRefused: req.capacityRefusals > 0,
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -1,21 +1,16 @@
 package callerhttp
 
 import (
-	"bytes"
 	crand "crypto/rand"
 	"encoding/hex"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"parsleyport/core"
 	"parsleyport/core/callerauth"
 	"parsleyport/core/idempotency"
@@ -315,37 +310,3 @@
 	_, _ = crand.Read(id[:]) // crypto/rand never returns an error
 	return core.CallID(hex.EncodeToString(id[:]))
 }
-
-// readBody buffers the body, so that the call can be retried. It refuses a body that is incomplete or too long, or for which
-// reserve grants no memory.
-func readBody(r *http.Request, limit int64, reserve func(bytes int64) bool) ([]byte, *core.Refusal) {
-	if r.ContentLength > limit {
-		return nil, newRefusal(core.CauseTooLarge, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > 0 && !reserve(r.ContentLength) {
-		return nil, newRefusal(core.CauseQueueFull, "no memory for more request bodies")
-	}
-	var body bytes.Buffer
-	body.Grow(int(max(r.ContentLength, 0)))
-	for {
-		if r.ContentLength < 0 && !reserve(core.MaxChunkBytes) {
-			return nil, newRefusal(core.CauseQueueFull, "no memory for more request bodies")
-		}
-		_, err := io.CopyN(&body, r.Body, core.MaxChunkBytes)
-		if int64(body.Len()) > limit {
-			return nil, newRefusal(core.CauseTooLarge, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
-		}
-		if err == io.EOF {
-			return body.Bytes(), nil
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, newRefusal(core.CauseDeadline, "the body did not arrive in time")
-		}
-		if err != nil {
-			return nil, newRefusal(core.CauseMalformedCall, errors.Annotate(err, "read body").Error())
-		}
-	}
-}
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"maps"
@@ -76,8 +77,14 @@
 		buffered += bytes
 		return s.bufferedBodyBytes.Add(bytes) <= maxBufferedBodyBytes && pipelinehttp.Reserve(w, bytes)
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(req.call.Deadline) // fails only on a closed connection
-	if req.call.Body, refused = readBody(r, s.maxBodyBytes(configuration), reserve); refused != nil {
+	body := bodyReader{
+		request:      r,
+		controller:   http.NewResponseController(w),
+		limit:        s.maxBodyBytes(configuration),
+		stallTimeout: cmp.Or(s.declared().IdleTimeout, defaultStallTimeout),
+		reserve:      reserve,
+	}
+	if refused := body.readInto(req.call); refused != nil {
 		s.refuseEarly(w, r, refused)
 		return
 	}
@@ -97,12 +104,9 @@
 	}
 }
 
-// maxBodyBytes returns the lower of the limits of the configuration and of the node.
+// maxBodyBytes returns the limit of a body that the configuration declares, or the default.
 func (s *Server) maxBodyBytes(configuration *record.Configuration) int64 {
-	if declared := configuration.Declaration().MaxBodyBytes; declared > 0 {
-		return min(declared, s.options.MaxBodyBytes)
-	}
-	return s.options.MaxBodyBytes
+	return cmp.Or(configuration.Declaration().MaxBodyBytes, s.options.MaxBodyBytes)
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, req *request) {
@@ -191,7 +195,7 @@
 		case core.OutcomeAnswered:
 			answered = last
 		}
-		if !attempted || ctx.Err() != nil || !s.allowRetry(ctx, req, class) {
+		if !attempted || ctx.Err() != nil || req.call.Source.Taken() || !s.allowRetry(ctx, req, class) {
 			break
 		}
 		if s.isCrashSuspect(req) {
@@ -536,7 +540,10 @@
 func (s *Server) answerUnknown(w http.ResponseWriter, req *request, release core.Release, err error) int {
 	s.outcomes[core.OutcomeUnknown].Inc()
 	status := http.StatusBadGateway
-	if !time.Now().Before(req.call.Deadline) {
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		status = http.StatusRequestEntityTooLarge
+	case !time.Now().Before(req.call.Deadline):
 		status = http.StatusGatewayTimeout
 	}
 	setHeader(w.Header(), s.options.Headers.Outcome, string(core.OutcomeUnknown))
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	defaultMaxBodyBytes = 8 << 20
+	defaultMaxBodyBytes = 64 << 20
 	// defaultDrainPeriod lets idle callers send one more request while the server drains. The answer tells them to close the
 	// connection; closing it at once could cut off a request in flight.
 	defaultDrainPeriod = time.Second
@@ -85,7 +85,7 @@
 	Quota core.QuotaLimiter
 	// Limits bounds what callers can make the server do.
 	Limits pipelinehttp.Limits
-	// MaxBodyBytes bounds a request body. Zero means 8 MiB, which is the most that io/nodepeer carries.
+	// MaxBodyBytes bounds a request body if the configuration declares no limit. Zero means 64 MiB.
 	MaxBodyBytes int64
 	// Headers names the HTTP headers; the zero value stands for the default names.
 	Headers core.HeaderNames
--- a/io/node/admission.go
+++ b/io/node/admission.go
@@ -171,7 +171,7 @@
 	class := &cost.Class{
 		Route:  call.Route,
 		Method: call.Method,
-		Size:   cost.SizeClassOf(len(call.Body)),
+		Size:   cost.SizeClassOf(int(max(call.BodyBytes(), 0))),
 		Tenant: call.Tenant,
 	}
 	if a.options.CallerService != "" {
--- a/io/nodepeer/bodycredit.go
+++ b/io/nodepeer/bodycredit.go
@@ -40,6 +40,31 @@
 	return nil
 }
 
+// startStream starts a call whose body arrives while the backend reads it, or returns the refusal of a call that the backend would refuse
+// anyway or whose body cannot arrive in time. Streamed bodies are not paced: their windows bound what is in flight.
+func (s *Server) startStream(call *serverCall, length int64) *core.Refusal {
+	now := time.Now()
+	call.call.Source = core.NewBodySource(call.stream, length)
+	var load core.Load
+	if previewer, ok := s.options.Backend.(core.CallPreviewer); ok {
+		var refusal *core.Refusal
+		if load, refusal = previewer.Preview(call.call); refusal != nil {
+			return refusal
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.calls[call.key] != call {
+		return nil
+	}
+	if s.bodies != nil && length > 0 && !s.bodies.CanArrive(now, length, call.call.Deadline) {
+		return tooLateBody(s.addWaitingBodies(load))
+	}
+	call.started = true
+	s.tasks.Go(func() { s.run(call) })
+	return nil
+}
+
 // sendBodyCredit sends credit for the body of a call as it is granted, until the body has arrived or the call has ended. A goroutine
 // of the call does this, since a connection that does not accept messages must not delay the reader of another one.
 func (s *Server) sendBodyCredit(call *serverCall) {
--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -49,6 +49,7 @@
 	idleUntil         time.Time // the connection is closed at this time unless something is outstanding
 	peerStartedBefore time.Time // the peer's process started before this time
 	bodyCredit        bool      // the peer gives credit for long bodies
+	streamsBodies     bool      // the peer receives streamed bodies
 	lastPing          time.Time
 	pinging           bool // the latest ping is still being written
 	lastCheck         time.Time
@@ -151,8 +152,16 @@
 }
 
 // sendCall sends an attempt. It returns false if the connection was lost, when part of the attempt may have been sent. It stops
-// early if the attempt has been refused or the context ends.
-func (c *clientConn) sendCall(ctx context.Context, s *stream, call *core.Call) bool {
+// early if the attempt has been refused or the context ends. An error means that the body could not be read, so that the attempt must
+// be abandoned.
+func (c *clientConn) sendCall(ctx context.Context, s *stream, call *core.Call) (bool, error) {
+	if call.Source != nil {
+		return c.sendStream(ctx, s, newOpenMessage(s.sequence, call, time.Now(), 0), call.Source)
+	}
+	return c.sendBuffered(ctx, s, call), nil
+}
+
+func (c *clientConn) sendBuffered(ctx context.Context, s *stream, call *core.Call) bool {
 	c.mu.Lock()
 	waitForCredit, maxInline := c.bodyCredit, core.MaxChunkBytes
 	c.mu.Unlock()
@@ -190,7 +199,7 @@
 		}
 		rest = rest[n:]
 	}
-	return c.send(typeBodyEnd, sequenceMessage{
+	return c.send(typeBodyEnd, bodyEndMessage{
 		Sequence: s.sequence,
 	})
 }
@@ -353,7 +362,7 @@
 		return errors.Annotate(errProtocol, "second welcome")
 	}
 	c.frames.SetPeerCompressor(message.CompressorID)
-	c.bodyCredit = message.BodyCredit
+	c.bodyCredit, c.streamsBodies = message.BodyCredit, message.StreamsBodies
 	c.peerStartedBefore = time.Now().Add(-time.Duration(message.RunningUS) * time.Microsecond)
 	close(c.welcomed)
 	return nil
--- a/io/nodepeer/dialer.go
+++ b/io/nodepeer/dialer.go
@@ -115,7 +115,13 @@
 }
 
 func (d *Dialer) forward(ctx context.Context, cancel context.CancelFunc, address string, call *core.Call) (*core.Answer, core.Outcome, error) {
-	s, err := d.register(ctx, cancel, address)
+	s, err := d.register(ctx, cancel, address, call.Source != nil)
+	if errors.Is(err, errNoStreams) {
+		return nil, core.OutcomeNotRun, &core.Refusal{
+			Cause:  core.CauseTooLarge,
+			Detail: err.Error(),
+		}
+	}
 	if errors.Is(err, errLeaving) {
 		return nil, core.OutcomeNotRun, &core.Refusal{
 			Cause: core.CauseLeaving,
@@ -127,9 +133,13 @@
 			Detail: err.Error(),
 		}
 	}
-	if !s.conn.sendCall(ctx, s, call) {
+	sent, sourceErr := s.conn.sendCall(ctx, s, call)
+	if !sent {
 		return d.resolveLostAttempt(ctx, address, s)
 	}
+	if sourceErr != nil {
+		return s.abandonBody(ctx, sourceErr)
+	}
 	answer, refusal, err := s.await(ctx, call.Idempotent)
 	switch {
 	case answer != nil:
@@ -149,10 +159,13 @@
 }
 
 // register assigns a live connection and a sequence number to an attempt. On an error nothing has been sent.
-func (d *Dialer) register(ctx context.Context, cancel context.CancelFunc, address string) (*stream, error) {
+func (d *Dialer) register(ctx context.Context, cancel context.CancelFunc, address string, streamed bool) (*stream, error) {
 	var s *stream
 	err := retryUnsent(func() error {
 		c, err := d.connection(ctx, address)
+		if err == nil && streamed {
+			err = c.awaitStreams(ctx)
+		}
 		if err == nil {
 			s, err = c.register(ctx, cancel)
 		}
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -41,11 +41,13 @@
 }
 
 // welcomeMessage states the dictionary that both ends compress with from then on, or zero for no compression. With BodyCredit, the
-// dialer sends a body that is not in the open message only as the server's body credit allows.
+// dialer sends a body that is not in the open message only as the server's body credit allows. With StreamsBodies, the server receives
+// streamed bodies, for which it always gives credit.
 type welcomeMessage struct {
-	RunningUS    int64              `msgpack:"running-us"`
-	CompressorID frame.CompressorID `msgpack:"packing,omitempty"`
-	BodyCredit   bool               `msgpack:"body-credit,omitempty"`
+	RunningUS     int64              `msgpack:"running-us"`
+	CompressorID  frame.CompressorID `msgpack:"packing,omitempty"`
+	BodyCredit    bool               `msgpack:"body-credit,omitempty"`
+	StreamsBodies bool               `msgpack:"streams-bodies,omitempty"`
 }
 
 type openMessage struct {
@@ -72,6 +74,15 @@
 	Length         int                 `msgpack:"length"`
 	Checksum       uint64              `msgpack:"sum"`
 	Body           []byte              `msgpack:"body"`
+	Streamed       bool                `msgpack:"streamed,omitempty"`
+	StreamLength   int64               `msgpack:"stream-length,omitempty"` // of a streamed body, or core.UnknownLength
+}
+
+// bodyEndMessage ends a body. Length and Checksum are stated only for a streamed one; those of others are in the open message.
+type bodyEndMessage struct {
+	Sequence uint64 `msgpack:"sequence"`
+	Length   int64  `msgpack:"length,omitempty"`
+	Checksum uint64 `msgpack:"sum,omitempty"`
 }
 
 type bodyMessage struct {
@@ -200,6 +211,9 @@
 	if len(call.Body) <= maxInline {
 		message.Body = call.Body
 	}
+	if call.Source != nil {
+		message.Streamed, message.StreamLength = true, call.Source.Length()
+	}
 	return message
 }
 
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -33,6 +33,7 @@
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
 	credit       *credit
+	stream       *bodyStream // nil unless the body is streamed
 	bodyLength   int
 	bodyChecksum uint64
 
@@ -151,6 +152,8 @@
 		RunningUS:    time.Since(s.started).Microseconds(),
 		CompressorID: compressorID,
 		BodyCredit:   s.bodies != nil,
+
+		StreamsBodies: true,
 	})
 	c.frames.SetPeerCompressor(compressorID)
 	if leaving {
@@ -188,7 +191,7 @@
 func (c *serverConn) handleOpen(message openMessage) error {
 	s, now := c.server, time.Now()
 	key := c.attemptKey(message.Sequence)
-	if message.Length < 0 || message.Length > maxBodyBytes || len(message.Body) > message.Length {
+	if message.Length < 0 || message.Length > maxBodyBytes || len(message.Body) > message.Length || message.Streamed && message.Length > 0 {
 		return errors.Annotatef(errProtocol, "open with a body of %d bytes", message.Length)
 	}
 	headBytes := max(0, memory.HeaderBytes(message.Header)-freeHeadBytes)
@@ -215,20 +218,34 @@
 		bodyLength:    message.Length,
 		bodyChecksum:  message.Checksum,
 		body:          message.Body,
-		reservedBytes: message.Length,
+		reservedBytes: message.bodyMemory(),
 		reservedHead:  headBytes,
 	}
+	if message.Streamed {
+		call.stream = newBodyStream(ctx, func(bytes int) {
+			c.send(typeBodyCredit, creditMessage{
+				Sequence: message.Sequence,
+				Bytes:    bytes,
+			})
+		})
+	}
 	s.calls[key] = call
 	s.bodyBytes += call.reservedBytes
 	s.mu.Unlock()
 	s.accepted.Inc()
-	if len(message.Body) == message.Length {
+	if call.stream == nil && len(message.Body) == message.Length {
 		return c.startCall(call)
 	}
-	if s.bodies == nil {
+	if s.bodies == nil && call.stream == nil {
 		return nil
 	}
-	if refusal := s.scheduleBody(call); refusal != nil {
+	refusal := (*core.Refusal)(nil)
+	if call.stream != nil {
+		refusal = s.startStream(call, message.StreamLength)
+	} else {
+		refusal = s.scheduleBody(call)
+	}
+	if refusal != nil {
 		s.mu.Lock()
 		s.removeCall(call, false)
 		s.mu.Unlock()
@@ -242,6 +259,14 @@
 	return nil
 }
 
+// bodyMemory returns the bytes that the server keeps of the body of a call.
+func (m *openMessage) bodyMemory() int {
+	if m.Streamed {
+		return streamWindowBytes
+	}
+	return m.Length
+}
+
 // register records the attempt, and reserves the memory for its head. It returns a cause if the attempt must be refused, or an error if
 // the connection must be closed. s.mu must be held.
 func (s *Server) register(key idempotency.AttemptKey, message openMessage, headBytes int64, now time.Time) (core.RefusalCause, error) {
@@ -257,7 +282,7 @@
 		cause = core.CauseLeaving
 	case message.RemainingUS <= 0:
 		cause = core.CauseDeadline
-	case len(s.calls) >= s.options.MaxCalls, s.bodyBytes+message.Length > maxBufferedBodyBytes, !s.heads.Reserve(headBytes):
+	case len(s.calls) >= s.options.MaxCalls, s.bodyBytes+message.bodyMemory() > maxBufferedBodyBytes, !s.heads.Reserve(headBytes):
 		cause = core.CauseQueueFull
 	}
 	if cause != "" {
@@ -286,6 +311,9 @@
 // handleBody collects the chunks of a long body. The attempt starts only when the body is complete and its checksum is right.
 func (c *serverConn) handleBody(message bodyMessage) error {
 	call := c.findCall(message.Sequence)
+	if call != nil && call.stream != nil {
+		return errors.Annotatef(call.stream.add(message.Bytes), "sequence %d", message.Sequence)
+	}
 	if call == nil || call.started {
 		return nil // refused or cancelled while the body was in flight
 	}
@@ -302,8 +330,12 @@
 	return nil
 }
 
-func (c *serverConn) handleBodyEnd(message sequenceMessage) error {
+func (c *serverConn) handleBodyEnd(message bodyEndMessage) error {
 	call := c.findCall(message.Sequence)
+	if call != nil && call.stream != nil {
+		call.stream.finish(message)
+		return nil
+	}
 	if call == nil || call.started {
 		return nil
 	}
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -146,6 +146,13 @@
 	return nil
 }
 
+// returnBodyCredit returns credit that was taken and not used.
+func (s *stream) returnBodyCredit(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodyCredit += bytes
+}
+
 // takeBodyCredit waits until bytes of the body may be sent and returns their number, at most the given one. It returns zero if the
 // attempt has a result already, or the connection or the context has ended.
 func (s *stream) takeBodyCredit(ctx context.Context, most int) int {
