--- a/e2e/unknowncallers/backend_test.go
+++ b/e2e/unknowncallers/backend_test.go
@@ -75,6 +75,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	countRun(r)
 	switch r.URL.Path {
 	case holdPath, writeHoldPath:
 		select {
--- a/e2e/unknowncallers/calls_test.go
+++ b/e2e/unknowncallers/calls_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sort"
 	"strings"
 	"testing"
 	"time"
@@ -104,6 +105,59 @@
 	}
 }
 
+// workCrowds make a process that handles a head in quadratic time work for minutes.
+func workCrowds() []crowd {
+	return []crowd{
+		{name: "full heads in small pieces", size: crowdSize, patience: distinctPatience, script: func(r *rand.Rand, w io.Writer) error {
+			return head(r, pieces{w}, http.MethodGet, quickPath, 0, fullHeadBytes)
+		}},
+		{name: "names of connection options", size: crowdSize, patience: distinctPatience, script: pipelined(func(r *rand.Rand, w io.Writer) error {
+			lines, positions := numberedLines()
+			names := lines[:positions[sort.SearchInts(positions, fullHeadBytes/2)]]
+			_, err := io.WriteString(w, "GET "+quickPath+" HTTP/1.1\r\nHost: crowd.example\r\nConnection: "+strings.ReplaceAll(names, ":\r\n", ",")+"z\r\n"+names+"\r\n")
+			return err
+		})},
+		{name: "lists of credentials", size: crowdSize, patience: distinctPatience, script: pipelined(func(_ *rand.Rand, w io.Writer) error {
+			const line = "authorization: Bearer x\r\n"
+			_, err := io.WriteString(w, "GET "+quickPath+" HTTP/1.1\r\nHost: crowd.example\r\n"+strings.Repeat(line, fullHeadBytes/len(line))+"\r\n")
+			return err
+		})},
+		{name: "segments of a path", size: crowdSize, patience: distinctPatience, script: pipelined(func(_ *rand.Rand, w io.Writer) error {
+			_, err := io.WriteString(w, "GET "+quickPath+strings.Repeat("/a", fullHeadBytes/2-200)+" HTTP/1.1\r\nHost: crowd.example\r\n\r\n")
+			return err
+		})},
+		{name: "chunks of one byte", size: crowdSize, patience: distinctPatience, script: chunkedBody(writePath, "1\r\nx\r\n", endlessBytes)},
+	}
+}
+
+// pieces writes a few bytes at a time.
+type pieces struct{ io.Writer }
+
+func (w pieces) Write(data []byte) (int, error) {
+	for rest := data; len(rest) > 0; {
+		n, err := w.Writer.Write(rest[:min(len(rest), 7)])
+		if err != nil {
+			return len(data) - len(rest) + n, err
+		}
+		rest = rest[n:]
+	}
+	return len(data), nil
+}
+
+// chunkedBody writes a complete chunked body.
+func chunkedBody(path, chunk string, size int) func(*rand.Rand, io.Writer) error {
+	return func(r *rand.Rand, w io.Writer) error {
+		if err := chunked(path, "", strings.Repeat(chunk, size/len(chunk)))(r, w); err != nil {
+			return err
+		}
+		_, err := io.WriteString(w, "0\r\n\r\n")
+		return err
+	}
+}
+
+// Guards against requests whose handling takes a time that grows with the square of their size, at both nodes of a call.
+func TestWorkGrowsWithTheSize(t *testing.T) { attackArchive(t, node, workCrowds()) }
+
 // Guards against complete requests that take more memory than a process has, at the node beside the backend server.
 func TestCallsOfOneNode(t *testing.T) { attackArchive(t, farNode, callCrowds()) }
 
