nodepeer: one place for the preview of a call, streamed calls start with their streams

What a newcomer met: the preview stood twice, and handleOpen told streamed calls from others in three conditions. Change: preview, startStream beside its type, one switch; a counter that nothing read is gone. Result: go test -race ./io/nodepeer passes.

--- a/io/nodepeer/bodycredit.go
+++ b/io/nodepeer/bodycredit.go
@@ -11,12 +11,9 @@
 // would refuse anyway or whose body would arrive too late.
 func (s *Server) scheduleBody(call *serverCall) *core.Refusal {
 	now := time.Now()
-	var load core.Load
-	if previewer, ok := s.options.Backend.(core.CallPreviewer); ok {
-		var refusal *core.Refusal
-		if load, refusal = previewer.Preview(call.call); refusal != nil {
-			return refusal
-		}
+	load, refusal := s.preview(call)
+	if refusal != nil {
+		return refusal
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -40,29 +37,12 @@
 	return nil
 }
 
-// startStream starts a call whose body arrives while the backend reads it, or returns the refusal of a call that the backend would refuse
-// anyway or whose body cannot arrive in time. Streamed bodies are not paced: their windows bound what is in flight.
-func (s *Server) startStream(call *serverCall, length int64) *core.Refusal {
-	now := time.Now()
-	call.call.Source = core.NewBodySource(call.stream, length)
-	var load core.Load
+// preview returns the load of the backend, or the refusal of a call that it would refuse now.
+func (s *Server) preview(call *serverCall) (core.Load, *core.Refusal) {
 	if previewer, ok := s.options.Backend.(core.CallPreviewer); ok {
-		var refusal *core.Refusal
-		if load, refusal = previewer.Preview(call.call); refusal != nil {
-			return refusal
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed || s.calls[call.key] != call {
-		return nil
+		return previewer.Preview(call.call)
 	}
-	if s.bodies != nil && length > 0 && !s.bodies.CanArrive(now, length, call.call.Deadline) {
-		return tooLateBody(s.addWaitingBodies(load))
-	}
-	call.started = true
-	s.tasks.Go(func() { s.run(call) })
-	return nil
+	return core.Load{}, nil
 }
 
 // sendBodyCredit sends credit for the body of a call as it is granted, until the body has arrived or the call has ended. A goroutine
--- a/io/nodepeer/bodystream.go
+++ b/io/nodepeer/bodystream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -30,7 +31,6 @@
 
 	mu       sync.Mutex // guards the fields below
 	chunks   [][]byte
-	unread   int // bytes in chunks
 	granted  int // bytes that may still arrive
 	received int64
 	digest   *xxhash.Digest
@@ -70,7 +70,6 @@
 	b.received += int64(len(bytes))
 	_, _ = b.digest.Write(bytes) // Digest.Write never returns an error
 	b.chunks = append(b.chunks, bytes)
-	b.unread += len(bytes)
 	b.signal()
 	return nil
 }
@@ -115,7 +114,6 @@
 	defer b.mu.Unlock()
 	if len(b.chunks) > 0 {
 		n := copy(target, b.chunks[0])
-		b.unread -= n
 		if b.chunks[0] = b.chunks[0][n:]; len(b.chunks[0]) == 0 {
 			b.chunks = b.chunks[1:]
 		}
@@ -137,6 +135,27 @@
 	b.grant(bytes)
 }
 
+// startStream starts a call whose body arrives while the backend reads it, or returns the refusal of a call that the backend would refuse
+// anyway or whose body cannot arrive in time. Streamed bodies are not paced: their windows bound what is in flight.
+func (s *Server) startStream(call *serverCall) *core.Refusal {
+	now, length := time.Now(), call.call.Source.Length()
+	load, refusal := s.preview(call)
+	if refusal != nil {
+		return refusal
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.calls[call.key] != call {
+		return nil
+	}
+	if s.bodies != nil && length > 0 && !s.bodies.CanArrive(now, length, call.call.Deadline) {
+		return tooLateBody(s.addWaitingBodies(load))
+	}
+	call.started = true
+	s.tasks.Go(func() { s.run(call) })
+	return nil
+}
+
 // sendStream sends an attempt with a streamed body. It returns the error of reading the body, in which case the attempt must be
 // abandoned; sent is false if the connection was lost.
 func (c *clientConn) sendStream(ctx context.Context, s *stream, open openMessage, body *core.BodySource) (sent bool, err error) {
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -228,21 +228,19 @@
 				Bytes:    bytes,
 			})
 		})
+		call.call.Source = core.NewBodySource(call.stream, message.StreamLength)
 	}
 	s.calls[key] = call
 	s.bodyBytes += call.reservedBytes
 	s.mu.Unlock()
 	s.accepted.Inc()
-	if call.stream == nil && len(message.Body) == message.Length {
+	var refusal *core.Refusal
+	switch {
+	case call.stream != nil:
+		refusal = s.startStream(call)
+	case len(message.Body) == message.Length:
 		return c.startCall(call)
-	}
-	if s.bodies == nil && call.stream == nil {
-		return nil
-	}
-	refusal := (*core.Refusal)(nil)
-	if call.stream != nil {
-		refusal = s.startStream(call, message.StreamLength)
-	} else {
+	case s.bodies != nil:
 		refusal = s.scheduleBody(call)
 	}
 	if refusal != nil {
