callerhttp: notice that the caller of a long body has left

What callers saw: nothing; a call whose long body had not been asked for waited for a slot until its deadline although its caller had left, and was then begun with a body that ends at once. Cause: while a body is expected, the connection's reader leaves the connection to the handler, which reads only once there is credit. Change: the connection of such a call is polled every 100 ms. Evidence: TestCallerThatLeavesALongBodyIsNoticed, 10 s in vain before. Result: it passes.

--- a/io/callerhttp/body_test.go
+++ b/io/callerhttp/body_test.go
@@ -87,6 +87,34 @@
 	}
 }
 
+// waitingForwarder reads nothing until its attempt is cancelled.
+type waitingForwarder struct{ begun, cancelled chan struct{} }
+
+func (f waitingForwarder) Forward(ctx context.Context, _ core.Endpoint, _ *core.Call) (*core.Answer, core.Outcome, error) {
+	close(f.begun)
+	<-ctx.Done()
+	close(f.cancelled)
+	return notRun(core.CauseRevoked)
+}
+
+// Guards against a call that waits for a slot although its caller has left before its body was read.
+func TestCallerThatLeavesALongBodyIsNoticed(t *testing.T) {
+	c := qt.New(t)
+	forwarder := waitingForwarder{begun: make(chan struct{}), cancelled: make(chan struct{})}
+	e := newEntry(c, allV1, func(o *callerhttp.Options) { o.Forwarder = forwarder })
+	connection, err := net.Dial("tcp", e.Address())
+	c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(connection, "POST /orders HTTP/1.1\r\nHost: n\r\nContent-Length: 3000000\r\n\r\nxyz")
+	c.Assert(err, qt.IsNil)
+	<-forwarder.begun
+	c.Assert(connection.Close(), qt.IsNil)
+	select {
+	case <-forwarder.cancelled:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the attempt goes on 10 s after its caller has left")
+	}
+}
+
 // Guards against a body that holds a connection and a slot long after its caller could have been answered.
 func TestBodiesEndAtTheDeadline(t *testing.T) {
 	c := qt.New(t)
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -120,6 +120,9 @@
 	s.mu.Unlock()
 	defer s.latency.UpdateDuration(req.arrivedAt)
 	defer s.endWait(req)
+	if req.call.Source != nil {
+		go cancelWhenCallerLeaves(ctx, cancel) // ends with ctx
+	}
 	s.options.SubscribeEndpoints(req.route.Service)
 	if s.options.Keys != nil && req.call.IdempotencyKey != "" && !req.call.Idempotent {
 		s.serveKeyed(ctx, w, req)
--- a/io/callerhttp/watch.go
+++ b/io/callerhttp/watch.go
@@ -11,6 +11,24 @@
 // callerDisconnected reports whether the caller has closed its connection.
 func callerDisconnected(ctx context.Context) bool { return pipelinehttp.Disconnected(ctx) }
 
+// disconnectPollInterval bounds how long a call goes on after its caller has left while its body is not being read.
+const disconnectPollInterval = 100 * time.Millisecond
+
+// cancelWhenCallerLeaves cancels a call whose body is passed on while it arrives. While such a call waits, nothing reads from its
+// connection that would notice.
+func cancelWhenCallerLeaves(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(disconnectPollInterval)
+	defer ticker.Stop()
+	for !callerDisconnected(ctx) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	cancel()
+}
+
 // Concurrent implements pipelinehttp.ConcurrencyDecider: the requests of idempotent routes may run beside each other, since a lost
 // answer to one of them does not keep its caller from sending it again.
 func (s *Server) Concurrent(r *http.Request) bool {
