--- a/e2e/unknowncallers/bodies_test.go
+++ b/e2e/unknowncallers/bodies_test.go
@@ -40,13 +40,13 @@
 		size    int64
 		chunked bool
 	}{
-		{node, fullBodyBytes, false},
-		{farNode, fullBodyBytes, false},
-		{node, fullBodyBytes, true},
-		{farNode, fullBodyBytes, true},
-		{node, 9 << 20, false},
-		{node, 2 << 20, true},
-		{node, 1 << 20, false},
+		{entry: node, size: fullBodyBytes},
+		{entry: farNode, size: fullBodyBytes},
+		{entry: node, size: fullBodyBytes, chunked: true},
+		{entry: farNode, size: fullBodyBytes, chunked: true},
+		{entry: node, size: 9 << 20},
+		{entry: node, size: 2 << 20, chunked: true},
+		{entry: node, size: 1 << 20},
 	} {
 		body, sum := generator(uint64(i), test.size)
 		request, err := http.NewRequest(http.MethodPost, "http://"+address(test.entry, portCaller)+sumPath, body)
--- a/e2e/unknowncallers/calm_test.go
+++ b/e2e/unknowncallers/calm_test.go
@@ -31,24 +31,23 @@
 	for i := range 2_300 {
 		heads["different names"] += fmt.Sprintf("%03x:\r\n", i)
 	}
-	type port struct{ method, address, path, host string }
-	at := func(process string, number int) string { return address(process, number) }
 	for _, each := range []struct {
-		port
-		served string // the statuses of a request that was read
+		method, process, path, host string
+		port                        int
+		served                      string // the statuses of a request that was read
 	}{
-		{port{"GET", at(node, portCaller), "/transcripts/1", "n"}, "200"},
-		{port{"GET", at(node, portCaller), quickPath, "n"}, "200"},
-		{port{"GET", at(platformNode, portCaller), "/get/1", "shop.example"}, "200 503"},
-		{port{"GET", at(node, portAdmin), "/ready", "n"}, "200"},
-		{port{"GET", at(control, portOperator), "/ready", "n"}, "200"},
-		{port{"GET", at(platformNode, portReadiness), "/parsleyport/readiness", "n"}, "200 503"},
-		{port{"POST", at(platformNode, portHeartbeat), "/parsleyport/Instances.Heartbeat/u1", "n"}, "400"},
-		{port{"GET", at(platformControl, portOperator+10), "/parsleyport/Configuration.Get", "n"}, "200"},
+		{method: "GET", process: node, port: portCaller, path: "/transcripts/1", host: "n", served: "200"},
+		{method: "GET", process: node, port: portCaller, path: quickPath, host: "n", served: "200"},
+		{method: "GET", process: platformNode, port: portCaller, path: "/get/1", host: "shop.example", served: "200 503"},
+		{method: "GET", process: node, port: portAdmin, path: "/ready", host: "n", served: "200"},
+		{method: "GET", process: control, port: portOperator, path: "/ready", host: "n", served: "200"},
+		{method: "GET", process: platformNode, port: portReadiness, path: "/parsleyport/readiness", host: "n", served: "200 503"},
+		{method: "POST", process: platformNode, port: portHeartbeat, path: "/parsleyport/Instances.Heartbeat/u1", host: "n", served: "400"},
+		{method: "GET", process: platformControl, port: portOperator + 10, path: "/parsleyport/Configuration.Get", host: "n", served: "200"},
 	} {
 		for name, lines := range heads {
-			status := statusOf(each.address, fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n%s\r\n", each.method, each.path, each.host, lines))
-			c.Check(status != "" && strings.Contains(each.served, status), qt.IsTrue, qt.Commentf("%s at %s%s: status %q, expected one of %s", name, each.address, each.path, status, each.served))
+			status := statusOf(address(each.process, each.port), fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n%s\r\n", each.method, each.path, each.host, lines))
+			c.Check(status != "" && strings.Contains(each.served, status), qt.IsTrue, qt.Commentf("%s at %s%s: status %q, expected one of %s", name, each.process, each.path, status, each.served))
 		}
 	}
 }
--- a/e2e/unknowncallers/heads_test.go
+++ b/e2e/unknowncallers/heads_test.go
@@ -226,7 +226,7 @@
 			target: target{
 				process: process,
 				address: at,
-				start:   map[bool]func(*qt.C){true: startProduct, false: startPlatform}[process == node || process == control],
+				start:   starterOf(process),
 				request: func() bool { return answers(newRequest(method, "http://"+at+path, body), expected...) },
 			},
 		}
@@ -242,6 +242,14 @@
 	}
 }
 
+// starterOf returns what starts a process with those that it needs.
+func starterOf(process string) func(*qt.C) {
+	if process == node || process == control {
+		return startProduct
+	}
+	return startPlatform
+}
+
 func callerPort() target {
 	return target{
 		process: node,
