callerhttp: a body that its caller does not send is no failure of a backend server

What callers saw: callers that stall in a long body, or exceed its limit, made the attempt count as a failure of the endpoint and of its release, so that a few of them could put sound backend servers out of use. Cause: only callers that had closed their connection were left out. Change: the source of a body remembers that it failed, and such an attempt is reported like one that its caller cancelled. Evidence: TestLongBodiesArePassedOn checks what the picker is told; the case of a chunked body over its limit counted as failed before.

--- a/core/bodysource.go
+++ b/core/bodysource.go
@@ -13,6 +13,7 @@
 	reader io.Reader
 	length int64
 	taken  atomic.Bool
+	failed atomic.Bool
 }
 
 // NewBodySource returns a source with a length in bytes, or UnknownLength.
@@ -26,7 +27,11 @@
 // Read implements io.Reader.
 func (b *BodySource) Read(target []byte) (int, error) {
 	b.taken.Store(true)
-	return b.reader.Read(target)
+	n, err := b.reader.Read(target)
+	if err != nil && err != io.EOF {
+		b.failed.Store(true)
+	}
+	return n, err
 }
 
 // Length returns the number of bytes, or UnknownLength.
@@ -35,6 +40,9 @@
 // Taken reports whether a part of the body may have been read.
 func (b *BodySource) Taken() bool { return b != nil && b.taken.Load() }
 
+// Failed reports whether the body has ended with an error. Then an attempt that fails says nothing about its backend server.
+func (b *BodySource) Failed() bool { return b != nil && b.failed.Load() }
+
 // BodyBytes returns the length of the call's body, which may be UnknownLength.
 func (c *Call) BodyBytes() int64 {
 	if c.Source != nil {
--- a/io/callerhttp/body_test.go
+++ b/io/callerhttp/body_test.go
@@ -74,6 +74,11 @@
 				o.Forwarder = forwarder
 				o.MaxBodyBytes = test.limit
 			})
+			defer func() { // a body over the limit is no failure of a backend server
+				for _, done := range e.endpoints.done {
+					c.Check(done.Failed, qt.Equals, test.limit == 0 && done.Outcome != core.OutcomeAnswered)
+				}
+			}()
 			body := io.Reader(bytes.NewReader(make([]byte, size)))
 			if test.chunked {
 				body = io.MultiReader(body)
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -375,9 +375,9 @@
 }
 
 // reportAttempt reports an attempt to the picker and, if the backend server may have run it, to the evidence. An attempt that the
-// caller cancelled does not count as a failure of the release.
+// caller cancelled, or whose body it did not send, does not count as a failure of the release.
 func (s *Server) reportAttempt(ctx context.Context, req *request, last attemptResult, failed bool) {
-	callerGone := errors.Is(ctx.Err(), context.Canceled)
+	callerGone := errors.Is(ctx.Err(), context.Canceled) || req.call.Source.Failed()
 	failed = failed && !callerGone
 	s.options.Picker.Done(time.Now(), core.PickResult{
 		Endpoint: last.endpoint,
