pipelinehttp: a read deadline can be moved on beside request-timeout-ms

What callers saw: with `request-timeout-ms` set, a body of more than 1 MiB ended 10 s, or the declared idle timeout, after its first byte, however steadily it came. Cause: a later deadline was taken for one beyond the limit that was set. Change: the limit is kept beside the deadline. Evidence: TestReadDeadlines got 400 with a limit of a minute before. Result: go test -race -count=2 ./io/pipelinehttp passes.

--- a/io/pipelinehttp/body.go
+++ b/io/pipelinehttp/body.go
@@ -27,7 +27,8 @@
 	c              *connection
 	r              *response
 	deadline       time.Time
-	expectContinue bool // the caller waits for a status 100 before it sends the body
+	latest         time.Time // that a handler can set as the deadline, zero if any
+	expectContinue bool      // the caller waits for a status 100 before it sends the body
 
 	mu        sync.Mutex // guards the fields below
 	remaining int64      // bytes that have not been read, of a body with a known length
--- a/io/pipelinehttp/limits_test.go
+++ b/io/pipelinehttp/limits_test.go
@@ -128,6 +128,30 @@
 	c.Assert(dial(c, address, strings.Repeat("x", 1<<20+1)).next(), qt.Matches, "431 .*")
 }
 
+// Guards against a read deadline that cannot be moved on, and against one that overrides a limit that was set.
+func TestReadDeadlines(t *testing.T) {
+	for timeout, status := range map[time.Duration]string{0: "200 ", time.Minute: "200 ", 300 * time.Millisecond: `(?s)400 .*`} {
+		c := qt.New(t)
+		_, address, _ := startLimited(c, func(w http.ResponseWriter, r *http.Request) {
+			controller := http.NewResponseController(w)
+			for range 20 { // each read has a short time
+				c.Check(controller.SetReadDeadline(time.Now().Add(time.Second)), qt.IsNil)
+				_, err := io.ReadFull(r.Body, make([]byte, 1))
+				if err != nil {
+					http.Error(w, "", http.StatusBadRequest)
+					return
+				}
+			}
+		}, pipelinehttp.Limits{RequestTimeout: timeout})
+		caller := dial(c, address, "POST / HTTP/1.1\r\nHost: n\r\nContent-Length: 20\r\n\r\n")
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(caller, "x")
+		}
+		c.Check(caller.next(), qt.Matches, status, qt.Commentf("limit %v", timeout))
+	}
+}
+
 // Guards against heads, bodies and waiting answers that fill the memory, against an account that refuses small requests while large
 // ones fill it, and against bytes that are not released.
 func TestMemoryAccount(t *testing.T) {
--- a/io/pipelinehttp/response.go
+++ b/io/pipelinehttp/response.go
@@ -80,11 +80,16 @@
 	}
 	r.owner = r
 	r.ctx, r.cancel = context.WithCancel(c.ctx)
+	latest := time.Time{}
+	if c.server.options.Limits.RequestTimeout > 0 {
+		latest = bodyDeadline
+	}
 	if parsed.chunked != nil || parsed.ContentLength > 0 {
 		r.body = &body{
 			c:              c,
 			r:              r,
 			deadline:       bodyDeadline,
+			latest:         latest,
 			expectContinue: parsed.ProtoAtLeast(1, 1) && expectsContinue(parsed.Request),
 			remaining:      max(parsed.ContentLength, 0),
 		}
@@ -549,8 +554,8 @@
 	}
 	r.body.mu.Lock()
 	defer r.body.mu.Unlock()
-	if r.c.server.options.Limits.RequestTimeout > 0 && r.body.deadline.Before(deadline) {
-		return nil
+	if latest := r.body.latest; !latest.IsZero() && latest.Before(deadline) {
+		deadline = latest
 	}
 	r.body.deadline = deadline
 	return nil
