platform: refuse configurations and moves that are not complete

Cause: decodeConfiguration asked json.Decoder.More whether a value follows, which returns false for any closing bracket, and took missing lists for empty ones. Orders to move a service did not look at what follows at all; bodies of records had the same check as configurations. Change: core/jsonvalue decodes a message as a whole, with the fields that it must have; configurations and moves use it.

--- a/core/catalog/command.go
+++ b/core/catalog/command.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"parsleyport/core"
+	"parsleyport/core/jsonvalue"
 	"parsleyport/core/packed"
 	"parsleyport/core/record"
 )
@@ -196,7 +197,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.UseNumber()
 	var value any
-	if err := decoder.Decode(&value); err != nil {
+	if err := jsonvalue.DecodeOnly(decoder, &value); err != nil {
 		return nil, err
 	}
 	return json.Marshal(value)
--- /dev/null
+++ b/core/jsonvalue/doc.go
@@ -0,0 +1,2 @@
+// Package jsonvalue decodes JSON messages that must be complete.
+package jsonvalue
--- a/core/record/schema.go
+++ b/core/record/schema.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"parsleyport/core"
+	"parsleyport/core/jsonvalue"
 )
 
 // NewestSchema is the newest schema version that this program knows, for each kind.
@@ -238,13 +239,7 @@
 func decodeStrict(body []byte, target any) error {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
-		return errors.Annotate(err, "body")
-	}
-	if decoder.More() {
-		return errors.Errorf("body: more than one JSON value")
-	}
-	return nil
+	return errors.Annotate(jsonvalue.DecodeOnly(decoder, target), "body")
 }
 
 func contains(list []string, item string) bool {
