bodycredit, nodepeer: what a lost sender of bodies holds returns without it

Cause: bytes granted to a sender counted as in flight until they arrived or their call ended, and a call without its whole body ended only by a message of its sender or with its connection, after two minutes of silence. Its memory was held as long, also without pacing, and a streamed body held its slot until the deadline of the call. Change: grants are leases; at their end the bytes no longer count, and the connection gets no grants until something arrives on it. A call ends at its deadline where its body is awaited. A stream ends after 5 s without a byte on its connection. Why it works: no state of the receiver waits for a machine that may never answer. Late bytes are accepted and counted again, so that a slow sender loses its turn only (TestSlowSendersAreNotHarmed).

--- a/core/bodycredit/scheduler.go
+++ b/core/bodycredit/scheduler.go
@@ -12,6 +12,9 @@
 	// windowTime is the time that the link takes for the bytes that may be in flight. It keeps the link busy over a round trip
 	// between data centres, and bounds the time for which short messages wait behind bodies.
 	windowTime = 25 * time.Millisecond
+	// leaseTime is how long granted bytes count as in flight after the time that the link takes for them. It covers the way of the grant
+	// to a sender in another data centre and that of the bytes.
+	leaseTime = 250 * time.Millisecond
 	// minWindowChunks lets one chunk be in flight while the credit for the next one is on its way.
 	minWindowChunks = 2
 )
@@ -22,8 +25,12 @@
 // Ticket identifies a call within a Scheduler.
 type Ticket uint64
 
+// SenderID identifies a connection on which bodies arrive.
+type SenderID uint64
+
 // Request describes a call whose body is to be received.
 type Request struct {
+	Sender       SenderID
 	Bytes        int
 	Priority     core.Priority
 	SoftDeadline time.Time     // an answer after it counts as late; zero if none is set
@@ -42,6 +49,9 @@
 	request Request
 	toGrant int // bytes that have not been granted
 	granted int // bytes that were granted and have not arrived
+
+	leaseEnd time.Time // at which granted bytes no longer count as in flight; valid if granted is positive
+	stalled  bool      // the lease has ended, and nothing has arrived since
 }
 
 // latestStart returns the time at which the rest of the body must begin to cross an idle link for an answer at the given time.
@@ -59,7 +69,13 @@
 	inFlight       int // bytes that were granted and have not arrived
 	lastTicket     Ticket
 	transfers      map[Ticket]*transfer
-	waiting        []*transfer // those with bytes to grant, in order of arrival
+	waiting        []*transfer          // those with bytes to grant, in order of arrival
+	senders        map[SenderID]*sender // those with transfers
+}
+
+type sender struct {
+	transfers int
+	silent    bool // a lease of the sender has ended, and nothing has arrived from it since
 }
 
 // New returns a scheduler for a link with a rate in bytes per second, which must be positive.
@@ -69,6 +85,7 @@
 		bytesPerSecond: float64(bytesPerSecond),
 		window:         max(window, minWindowChunks*ChunkBytes),
 		transfers:      make(map[Ticket]*transfer),
+		senders:        make(map[SenderID]*sender),
 	}
 }
 
@@ -79,6 +96,7 @@
 
 // Arrive adds a call. It returns false if its answer would miss the deadline behind the bodies that come before its own.
 func (s *Scheduler) Arrive(now time.Time, request Request) (Ticket, bool) {
+	s.Heard(request.Sender)
 	added := &transfer{
 		ticket:  s.lastTicket + 1,
 		request: request,
@@ -90,9 +108,23 @@
 	s.lastTicket++
 	s.transfers[added.ticket] = added
 	s.waiting = append(s.waiting, added)
+	if s.senders[request.Sender] == nil {
+		s.senders[request.Sender] = &sender{}
+	}
+	s.senders[request.Sender].transfers++
 	return added.ticket, true
 }
 
+// Heard notes that something has arrived from a sender, which may get grants again. It reports whether the sender was silent.
+func (s *Scheduler) Heard(id SenderID) bool {
+	known := s.senders[id]
+	if known == nil || !known.silent {
+		return false
+	}
+	known.silent = false
+	return true
+}
+
 // CanArrive reports whether a body that is not scheduled could cross the link by a deadline if nothing else did.
 func (s *Scheduler) CanArrive(now time.Time, bytes int64, deadline time.Time) bool {
 	return !now.Add(time.Duration(float64(bytes) / s.bytesPerSecond * float64(time.Second))).After(deadline)
@@ -100,13 +132,20 @@
 
 // Grants returns the bytes that may be sent now.
 func (s *Scheduler) Grants(now time.Time) []Grant {
+	s.endLeases(now)
 	var grants []Grant
-	for len(s.waiting) > 0 && s.inFlight < s.window {
-		next := slices.MinFunc(s.waiting, func(a, b *transfer) int { return s.compare(now, a, b) })
+	for s.inFlight < s.window {
+		next := s.next(now)
+		if next == nil {
+			break
+		}
 		bytes := min(next.toGrant, ChunkBytes)
 		next.toGrant -= bytes
-		next.granted += bytes
 		s.inFlight += bytes
+		if next.granted == 0 {
+			s.renewLease(now, next)
+		}
+		next.granted += bytes
 		if next.toGrant == 0 {
 			s.removeWaiting(next)
 		}
@@ -118,15 +157,65 @@
 	return grants
 }
 
+// next returns the transfer that gets the next grant, or nil if there is none.
+func (s *Scheduler) next(now time.Time) *transfer {
+	var best *transfer
+	for _, t := range s.waiting {
+		if s.isGrantable(t) && (best == nil || s.compare(now, t, best) < 0) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) isGrantable(t *transfer) bool {
+	return !t.stalled && !s.senders[t.request.Sender].silent
+}
+
+func (s *Scheduler) renewLease(now time.Time, t *transfer) {
+	t.leaseEnd = now.Add(sendTime(s.inFlight, s.bytesPerSecond) + leaseTime)
+}
+
+func (s *Scheduler) endLeases(now time.Time) {
+	for _, t := range s.transfers {
+		if t.isLeased() && !now.Before(t.leaseEnd) {
+			t.stalled = true
+			s.inFlight -= t.granted
+			s.senders[t.request.Sender].silent = true
+		}
+	}
+}
+
+func (t *transfer) isLeased() bool {
+	return t.granted > 0 && !t.stalled
+}
+
+// NextLeaseEnd returns the earliest time at which a lease ends, or zero if nothing is in flight.
+func (s *Scheduler) NextLeaseEnd() time.Time {
+	var next time.Time
+	for _, t := range s.transfers {
+		if t.isLeased() && (next.IsZero() || t.leaseEnd.Before(next)) {
+			next = t.leaseEnd
+		}
+	}
+	return next
+}
+
 // Received notes that bytes of a body have arrived.
-func (s *Scheduler) Received(ticket Ticket, bytes int) {
+func (s *Scheduler) Received(now time.Time, ticket Ticket, bytes int) {
 	t := s.transfers[ticket]
 	if t == nil {
 		return
 	}
+	if t.stalled {
+		t.stalled = false
+		s.inFlight += t.granted
+	}
 	bytes = min(bytes, t.granted)
 	t.granted -= bytes
 	s.inFlight -= bytes
+	s.renewLease(now, t)
+	s.Heard(t.request.Sender)
 }
 
 // End removes a call whose body has arrived or will not be sent.
@@ -135,9 +224,15 @@
 	if t == nil {
 		return
 	}
-	s.inFlight -= t.granted
+	if t.isLeased() {
+		s.inFlight -= t.granted
+	}
 	delete(s.transfers, ticket)
 	s.removeWaiting(t)
+	from := s.senders[t.request.Sender]
+	if from.transfers--; from.transfers == 0 {
+		delete(s.senders, t.request.Sender)
+	}
 }
 
 // Overdue returns the calls that have been granted nothing and whose answers would miss their deadlines.
@@ -159,7 +254,7 @@
 func (s *Scheduler) bytesBefore(now time.Time, t *transfer) int {
 	bytes := s.inFlight
 	for _, other := range s.waiting {
-		if other != t && s.compare(now, other, t) < 0 {
+		if other != t && s.isGrantable(other) && s.compare(now, other, t) < 0 {
 			bytes += other.toGrant
 		}
 	}
--- a/core/bodycredit/scheduler_test.go
+++ b/core/bodycredit/scheduler_test.go
@@ -58,7 +58,7 @@
 			if link[0].Bytes -= n; link[0].Bytes == 0 {
 				link = link[1:]
 			}
-			scheduler.Received(ticket, n)
+			scheduler.Received(at, ticket, n)
 			if u := uploads[ticket]; u != nil {
 				if u.left -= n; u.left == 0 {
 					scheduler.End(ticket)
@@ -133,3 +133,80 @@
 	c.Assert(accepted, qt.IsTrue)
 	c.Assert(scheduler.Grants(now), qt.DeepEquals, []bodycredit.Grant{{Ticket: ticket, Bytes: 1000}})
 }
+
+// Guards against senders that are lost with granted bytes and keep the link from all others, also when many bodies of theirs wait.
+func TestGrantsOfLostSendersEnd(t *testing.T) {
+	c := qt.New(t)
+	for lost := range 6 {
+		scheduler, now := bodycredit.New(linkBytesPerSecond), time.Unix(1_700_000_000, 0)
+		arrive := func(sender bodycredit.SenderID) bodycredit.Ticket {
+			ticket, accepted := scheduler.Arrive(now, bodycredit.Request{Sender: sender, Bytes: 20_000, Deadline: now.Add(time.Minute)})
+			c.Assert(accepted, qt.IsTrue)
+			return ticket
+		}
+		for range 10 {
+			for sender := range lost {
+				arrive(bodycredit.SenderID(100 + sender))
+			}
+		}
+		start := now
+		scheduler.Grants(now) // all of it to lost senders, if there are any
+		ticket, left, waited := arrive(1), 20_000, time.Duration(0)
+		for ; left > 0; now = now.Add(time.Millisecond) {
+			for _, grant := range scheduler.Grants(now) {
+				if grant.Ticket == ticket {
+					scheduler.Received(now, ticket, grant.Bytes)
+					left -= grant.Bytes
+				}
+			}
+			waited = now.Sub(start)
+			c.Assert(waited < time.Second, qt.IsTrue, qt.Commentf("%d lost senders", lost))
+		}
+		scheduler.End(ticket)
+	}
+}
+
+// Guards against a slow sender whose body is given up, or counted twice, because its bytes come after the end of a lease.
+func TestSlowSendersAreNotHarmed(t *testing.T) {
+	c := qt.New(t)
+	scheduler, now := bodycredit.New(linkBytesPerSecond), time.Unix(1_700_000_000, 0)
+	const length = 200_000
+	slow, accepted := scheduler.Arrive(now, bodycredit.Request{Sender: 1, Bytes: length, Deadline: now.Add(time.Minute)})
+	c.Assert(accepted, qt.IsTrue)
+	received, outstanding := 0, 0
+	for received < length {
+		for _, grant := range scheduler.Grants(now) {
+			c.Assert(grant.Ticket, qt.Equals, slow)
+			outstanding += grant.Bytes
+		}
+		c.Assert(outstanding > 0 && outstanding <= linkBytesPerSecond/40+bodycredit.ChunkBytes, qt.IsTrue, qt.Commentf("%d bytes outstanding", outstanding))
+		now = now.Add(700 * time.Millisecond) // longer than a lease
+		c.Assert(scheduler.Grants(now), qt.HasLen, 0)
+		arrived := min(outstanding, 5_000)
+		scheduler.Received(now, slow, arrived)
+		received, outstanding = received+arrived, outstanding-arrived
+	}
+	scheduler.End(slow)
+	c.Assert(scheduler.NextLeaseEnd().IsZero(), qt.IsTrue)
+	other, accepted := scheduler.Arrive(now, bodycredit.Request{Sender: 2, Bytes: 1000, Deadline: now.Add(time.Second)})
+	c.Assert(accepted, qt.IsTrue)
+	c.Assert(scheduler.Grants(now), qt.DeepEquals, []bodycredit.Grant{{Ticket: other, Bytes: 1000}})
+}
+
+// Guards against a sender that gets no grants any more although it has cancelled its stalled body and is heard again.
+func TestSilentSenderIsHeardAgain(t *testing.T) {
+	c := qt.New(t)
+	scheduler, now := bodycredit.New(linkBytesPerSecond), time.Unix(1_700_000_000, 0)
+	request := bodycredit.Request{Sender: 1, Bytes: 100_000, Deadline: now.Add(time.Minute)}
+	first, _ := scheduler.Arrive(now, request)
+	second, _ := scheduler.Arrive(now, request)
+	c.Assert(len(scheduler.Grants(now)) > 0, qt.IsTrue)
+	now = scheduler.NextLeaseEnd()
+	c.Assert(scheduler.Grants(now), qt.HasLen, 0)
+	scheduler.End(first)
+	c.Assert(scheduler.Grants(now), qt.HasLen, 0)
+	c.Assert(scheduler.Heard(1), qt.IsTrue)
+	c.Assert(scheduler.Heard(1), qt.IsFalse)
+	grants := scheduler.Grants(now)
+	c.Assert(len(grants) > 0 && grants[0].Ticket == second, qt.IsTrue)
+}
--- a/io/nodepeer/bodycredit.go
+++ b/io/nodepeer/bodycredit.go
@@ -21,6 +21,7 @@
 		return nil // cancelled meanwhile
 	}
 	ticket, accepted := s.bodies.Arrive(now, bodycredit.Request{
+		Sender:       bodycredit.SenderID(call.key.Connection),
 		Bytes:        call.bodyLength,
 		Priority:     call.call.Priority,
 		SoftDeadline: call.call.SoftDeadline,
@@ -95,6 +96,10 @@
 
 // endBody ends the wait of a call for its body. s.mu must be held.
 func (s *Server) endBody(call *serverCall) {
+	if call.bodyExpiry != nil {
+		call.bodyExpiry.Stop()
+		call.bodyExpiry = nil
+	}
 	if call.bodyTicket == 0 {
 		return
 	}
@@ -124,6 +129,60 @@
 		call.grantedBytes += grant.Bytes
 		call.signalBodyGranted()
 	}
+	s.scheduleLeaseCheck(s.bodies.NextLeaseEnd())
+}
+
+// scheduleLeaseCheck gives credit again when a lease has ended, since nothing else may arrive until then. s.mu must be held.
+func (s *Server) scheduleLeaseCheck(at time.Time) {
+	if at.IsZero() || !s.leaseCheckAt.IsZero() && !at.Before(s.leaseCheckAt) {
+		return
+	}
+	s.leaseCheckAt = at
+	if s.leaseTimer == nil {
+		s.leaseTimer = time.AfterFunc(time.Until(at), s.checkLeases)
+		return
+	}
+	s.leaseTimer.Reset(time.Until(at))
+}
+
+func (s *Server) checkLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaseCheckAt = time.Time{}
+	if !s.closed {
+		s.giveBodyCredit(time.Now())
+	}
+}
+
+// noteSender lets a sender get credit again from which something has arrived.
+func (s *Server) noteSender(c *serverConn) {
+	if s.bodies == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bodies.Heard(bodycredit.SenderID(c.id)) {
+		s.giveBodyCredit(time.Now())
+	}
+}
+
+// expireBody ends a call whose body has not arrived by its deadline, so that what it holds does not depend on its sender.
+func (s *Server) expireBody(call *serverCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || call.started || s.calls[call.key] != call {
+		return
+	}
+	s.removeCall(call, false)
+	s.giveBodyCredit(time.Now())
+	s.refused.Inc()
+	s.bodiesExpired.Inc()
+	s.tasks.Go(func() { // the sender may not read
+		call.conn.refuse(call.key.Sequence, core.OutcomeNotRun, &core.Refusal{
+			Cause:  core.CauseDeadline,
+			Detail: "the body has not arrived by the deadline",
+		})
+	})
 }
 
 func tooLateBody(load core.Load) *core.Refusal {
--- a/io/nodepeer/bodystream.go
+++ b/io/nodepeer/bodystream.go
@@ -19,6 +19,7 @@
 	errNoStreams       = errors.ConstError("the peer is of a release that does not receive streamed bodies")
 	errBodyCorrupted   = errors.ConstError("length or checksum of the call's body differs from that at its end")
 	errBeyondWindow    = errors.ConstError("streamed body is beyond its window")
+	errSenderSilent    = errors.ConstError("nothing arrives from the sender of the body")
 	errBodyAfterItsEnd = errors.ConstError("streamed body goes on after its end")
 )
 
@@ -26,8 +27,9 @@
 // The sender gets no credit before the first read, so that a call that is refused can be repeated elsewhere with its body.
 type bodyStream struct {
 	ctx     context.Context
-	grant   func(bytes int) // sends credit
-	changed chan struct{}   // has one element after something was added
+	grant   func(bytes int)  // sends credit
+	heardAt func() time.Time // when the sender's connection last carried anything
+	changed chan struct{}    // has one element after something was added
 
 	mu       sync.Mutex // guards the fields below
 	chunks   [][]byte
@@ -40,10 +42,11 @@
 	begun    bool
 }
 
-func newBodyStream(ctx context.Context, grant func(bytes int)) *bodyStream {
+func newBodyStream(ctx context.Context, heardAt func() time.Time, grant func(bytes int)) *bodyStream {
 	return &bodyStream{
 		ctx:     ctx,
 		grant:   grant,
+		heardAt: heardAt,
 		changed: make(chan struct{}, 1),
 		digest:  xxhash.New(),
 	}
@@ -83,12 +86,14 @@
 	b.signal()
 }
 
-// Read implements io.Reader. It returns io.EOF only after the length and the checksum of the body have been verified.
+// Read implements io.Reader. It returns io.EOF only after the length and the checksum of the body have been verified. A sender that waits
+// for its caller still sends pings; one that sends nothing at all for streamSilenceTimeout is taken for lost.
 func (b *bodyStream) Read(target []byte) (int, error) {
 	if !b.begun {
 		b.begun = true
 		b.allow(streamWindowBytes)
 	}
+	waitingSince := time.Now()
 	for {
 		n, err := b.take(target)
 		if n > 0 {
@@ -100,12 +105,31 @@
 		if n > 0 || err != nil || len(target) == 0 {
 			return n, err
 		}
+		silentAt := laterOf(b.heardAt(), waitingSince).Add(streamSilenceTimeout)
+		switch now := time.Now(); {
+		case now.After(silentAt.Add(checkInterval)):
+			waitingSince = now // this process has paused, and what has arrived meanwhile is still unread
+			continue
+		case !now.Before(silentAt):
+			return 0, errSenderSilent
+		}
+		timer := time.NewTimer(time.Until(silentAt))
 		select {
 		case <-b.changed:
+		case <-timer.C:
 		case <-b.ctx.Done():
+			timer.Stop()
 			return 0, context.Cause(b.ctx)
 		}
+		timer.Stop()
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
 
 // take returns bytes that have arrived, the end of the body, or nothing.
--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -11,6 +11,10 @@
 	silenceTimeout = 1500 * time.Millisecond
 	checkInterval  = 250 * time.Millisecond
 
+	// streamSilenceTimeout is the silence of a sender after which its streamed bodies end, which hold slots of the backend. A sender that
+	// is alive sends a ping every pingInterval.
+	streamSilenceTimeout = 5 * time.Second
+
 	// writeTimeout bounds one write, including the wait for other senders on a busy connection. Pings detect a silent peer
 	// much earlier.
 	writeTimeout = 10 * time.Second
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -415,7 +415,7 @@
 		defer near.Close()
 		defer far.Close()
 		ctx, cancel := context.WithCancelCause(context.Background())
-		atServer := &serverConn{server: server, frames: frame.New(near, nil), ctx: ctx, cancel: cancel}
+		atServer := &serverConn{server: server, heard: &heardConn{Conn: near}, frames: frame.New(near, nil), ctx: ctx, cancel: cancel}
 		if server.attempts.Connected(time.Now(), 1) {
 			atServer.id = 1
 			defer server.removeConnection(atServer)
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -57,6 +57,7 @@
 
 	accepted           *metrics.Counter
 	refused            *metrics.Counter
+	bodiesExpired      *metrics.Counter
 	panics             *metrics.Counter
 	revocationsDone    *metrics.Counter
 	revocationsTooLate *metrics.Counter
@@ -75,6 +76,8 @@
 	bodies          *bodycredit.Scheduler // nil without pacing
 	callsByBody     map[bodycredit.Ticket]*serverCall
 	bodiesCheckedAt time.Time
+	leaseCheckAt    time.Time // next run of leaseTimer, zero if none is due
+	leaseTimer      *time.Timer
 	leaving         bool
 	closed          bool
 	drained         chan struct{} // closed when the server is leaving and its last call has ended
@@ -104,6 +107,7 @@
 		started:            time.Now(),
 		accepted:           options.Metrics.GetOrCreateCounter("parsleyport_peer_calls_total"),
 		refused:            options.Metrics.GetOrCreateCounter("parsleyport_peer_calls_refused_total"),
+		bodiesExpired:      options.Metrics.GetOrCreateCounter("parsleyport_peer_bodies_expired_total"),
 		panics:             options.Metrics.GetOrCreateCounter("parsleyport_peer_calls_panicked_total"),
 		revocationsDone:    options.Metrics.GetOrCreateCounter(`parsleyport_peer_revocations_total{verdict="not-run"}`),
 		revocationsTooLate: options.Metrics.GetOrCreateCounter(`parsleyport_peer_revocations_total{verdict="unknown"}`),
@@ -169,6 +173,9 @@
 	_ = s.listener.Close()
 	s.mu.Lock()
 	s.closed = true
+	if s.leaseTimer != nil {
+		s.leaseTimer.Stop()
+	}
 	for c := range s.connections {
 		c.fail(errConnectionLost)
 	}
@@ -192,9 +199,13 @@
 
 func (s *Server) addConnection(conn net.Conn) {
 	ctx, cancel := context.WithCancelCause(context.Background())
+	heard := &heardConn{
+		Conn: conn,
+	}
 	c := &serverConn{
 		server: s,
-		frames: frame.New(conn, s.options.Compressor),
+		heard:  heard,
+		frames: frame.New(heard, s.options.Compressor),
 		ctx:    ctx,
 		cancel: cancel,
 	}
@@ -209,3 +220,28 @@
 	s.unintroduced.Add(c.frames)
 	s.tasks.Go(c.serve)
 }
+
+// heardConn is a connection that keeps the time at which bytes last arrived.
+type heardConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	at time.Time
+}
+
+// Read implements net.Conn.
+func (c *heardConn) Read(target []byte) (int, error) {
+	n, err := c.Conn.Read(target)
+	if n > 0 {
+		c.mu.Lock()
+		c.at = time.Now()
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+func (c *heardConn) lastHeard() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -17,6 +17,7 @@
 // serverConn is one connection from a dialer. Only serve reads from it.
 type serverConn struct {
 	server   *Server
+	heard    *heardConn
 	frames   *frame.Conn
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -43,6 +44,7 @@
 	bodyTicket         bodycredit.Ticket // zero unless the call waits for its body
 	bodyGranted        chan struct{}     // has one element after grantedBytes has grown or the body has arrived
 	grantedBytes       int               // credit that has not been sent
+	bodyExpiry         *time.Timer       // runs expireBody; nil unless the call waits for its body
 	started            bool              // run has been started, which calls Handle
 	outcome            core.Outcome      // empty until Handle has returned
 	pendingRevocations []pendingRevocation
@@ -82,6 +84,7 @@
 			c.fail(err)
 			return
 		}
+		c.server.noteSender(c)
 		timeout = serverIdleTimeout
 		if time.Since(c.lastPong) >= pingInterval {
 			c.pong()
@@ -222,7 +225,7 @@
 		reservedHead:  headBytes,
 	}
 	if message.Streamed {
-		call.stream = newBodyStream(ctx, func(bytes int) {
+		call.stream = newBodyStream(ctx, c.heard.lastHeard, func(bytes int) {
 			c.send(typeBodyCredit, creditMessage{
 				Sequence: message.Sequence,
 				Bytes:    bytes,
@@ -253,6 +256,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if call.stream == nil && s.calls[key] == call {
+		call.bodyExpiry = time.AfterFunc(time.Until(call.call.Deadline), func() { s.expireBody(call) })
+	}
 	s.giveBodyCredit(now)
 	return nil
 }
@@ -321,8 +327,9 @@
 	call.body = append(call.body, message.Bytes...)
 	if s := c.server; s.bodies != nil {
 		s.mu.Lock()
-		s.bodies.Received(call.bodyTicket, len(message.Bytes))
-		s.giveBodyCredit(time.Now())
+		now := time.Now()
+		s.bodies.Received(now, call.bodyTicket, len(message.Bytes))
+		s.giveBodyCredit(now)
 		s.mu.Unlock()
 	}
 	return nil
