idempotency: suspected requests are tested, one at a time in the fleet

Cause: only a run to its end takes back the suspicion that a request crashes backend servers, and a suspected request was never run. What was running at three crashes in a row stayed refused for ten minutes. Change: 5 s after the latest report of a crash, and 15 s after that of a failed test, one request runs as a test, at the node that rendezvous hashing gives; that node lets one test of a fingerprint run at a time. A test is not retried or hedged. Two tests may fail. Why it works: innocence can be proved again, and what a true crasher may take down is bounded by one node's decision and not by the number of nodes.

--- a/core/call.go
+++ b/core/call.go
@@ -71,6 +71,9 @@
 	Depth          int
 	AttemptsLeft   int
 	Hedge          bool // a hedged attempt: refused unless it can start at once
+	// Trial is the fingerprint under which the call is suspected of crashing backend servers, if it runs as a test of that, or zero. The
+	// node beside the backend server lets one test of a fingerprint run at a time.
+	Trial Fingerprint
 }
 
 // Load is the load of a backend server as the node beside it reports it. A zero Limit means that nothing is known.
--- a/core/idempotency/suspects.go
+++ b/core/idempotency/suspects.go
@@ -12,7 +12,7 @@
 )
 
 // Fingerprint identifies requests that a backend server handles alike.
-type Fingerprint uint64
+type Fingerprint = core.Fingerprint
 
 // FingerprintOf hashes tenant, route, method, path and body.
 func FingerprintOf(call *core.Call) Fingerprint {
@@ -92,6 +92,7 @@
 type suspect struct {
 	crashes     []Crash   // by time
 	completedAt time.Time // latest known run to the end, zero if none
+	reportedAt  time.Time // when the latest report of a crash arrived
 }
 
 // Suspects decides which requests crash backend servers. Such a request never runs to its end, at whatever backend server. Requests
@@ -130,6 +131,7 @@
 	if slices.ContainsFunc(held.crashes, func(known Crash) bool { return known.ID == crash.ID }) {
 		return held.completedAt
 	}
+	held.reportedAt = now
 	at, _ := slices.BinarySearchFunc(held.crashes, crash.At, func(known Crash, at time.Time) int { return known.At.Compare(at) })
 	held.crashes = slices.Insert(held.crashes, at, crash)
 	if s.running[crash.ID] == nil {
--- a/core/idempotency/suspects_test.go
+++ b/core/idempotency/suspects_test.go
@@ -24,6 +24,7 @@
 	crashShare  float64       // of the backend servers, at each of them
 	lateReports bool          // crashes are known only when the lease ends
 	deadlyEvery time.Duration // time between two attempts of a request that crashes backend servers, zero for none
+	flapping    int           // backend servers that go down and up by turns from flapStart to flapEnd
 	runLength   time.Duration
 }
 
@@ -39,7 +40,10 @@
 	backends []replayedBackend
 	lastRun  int
 
+	callerTrials, backendTrials []*Trials // of each node
+
 	served, refused int
+	lastRefusal     time.Time // of a request that crashes nothing
 	deadlyCrashes   []time.Time
 	deadlyRuns      []time.Time
 }
@@ -92,6 +96,7 @@
 	}
 	for i := range load.nodes {
 		r.entries[i] = NewSuspects()
+		r.callerTrials, r.backendTrials = append(r.callerTrials, NewTrials(r.entries[i])), append(r.backendTrials, NewTrials(r.entries[i]))
 		r.backends[i].running = make(map[int]replayedRun)
 	}
 	var arrive, crash, deadly func()
@@ -122,6 +127,13 @@
 	if load.deadlyEvery > 0 {
 		r.after(time.Second, deadly)
 	}
+	for at := flapStart; load.flapping > 0 && at < flapEnd; at += flapPeriod {
+		r.after(at, func() {
+			for i := range load.flapping {
+				r.crash(i)
+			}
+		})
+	}
 	for end := epoch.Add(load.runLength); r.now.Before(end); {
 		next := heap.Pop(&r.events).(event)
 		r.now = next.at
@@ -132,10 +144,15 @@
 
 // send makes an attempt, and a second one if the first is cut off.
 func (r *crashReplay) send(fingerprint Fingerprint, entry, attempt int) {
-	if r.entries[entry].Suspected(r.now, fingerprint) {
+	refuse := func() {
 		if fingerprint != deadlyFingerprint {
 			r.refused++
+			r.lastRefusal = r.now
 		}
+	}
+	trial := r.entries[entry].Suspected(r.now, fingerprint)
+	if trial && (attempt > 1 || !r.callerTrials[entry].Begin(r.now, fingerprint)) {
+		refuse()
 		return
 	}
 	var up []int
@@ -145,9 +162,24 @@
 		}
 	}
 	if len(up) == 0 {
+		if trial {
+			r.callerTrials[entry].Cancel(fingerprint)
+		}
 		return
 	}
 	backend, run := up[r.random.IntN(len(up))], r.lastRun
+	if trial {
+		backend = up[int(fingerprint)%len(up)]
+		if r.load.lateReports { // no node knows yet which backend servers are down
+			backend = int(fingerprint) % len(r.backends)
+		}
+		if r.backends[backend].down || !r.backendTrials[backend].Begin(r.now, fingerprint) {
+			r.callerTrials[entry].Cancel(fingerprint)
+			refuse()
+			return
+		}
+		attempt = 2 // a test is not repeated
+	}
 	r.lastRun++
 	r.backends[backend].running[run] = replayedRun{
 		fingerprint: fingerprint,
@@ -206,9 +238,20 @@
 			r.after(r.between(time.Millisecond, 3*time.Millisecond), func() { r.send(run.fingerprint, run.entry, 2) })
 		}
 	}
-	r.after(4500*time.Millisecond, func() { b.down = false })
+	downFor := 4500 * time.Millisecond
+	if backend < r.load.flapping {
+		downFor = flapPeriod / 2
+	}
+	r.after(downFor, func() { b.down = false })
 }
 
+// Flapping backend servers are down for the first half of each period.
+const (
+	flapStart  = 6 * time.Second
+	flapPeriod = 1400 * time.Millisecond
+	flapEnd    = flapStart + 6500*time.Millisecond
+)
+
 // maxTransit is the longest way of a report to another node. The receiver takes it for a part of the event's time.
 const maxTransit = 15 * time.Millisecond
 
@@ -321,3 +364,88 @@
 	c.Assert(running <= maxFingerprints*maxCrashesPerFingerprint, qt.IsTrue)
 	c.Assert(suspects.Suspected(now.Add(Window+time.Second), 1), qt.IsFalse)
 }
+
+// Guards against requests that are refused for minutes because they were running each time when backend servers went down for another
+// cause, and against tests of them by which a request that does crash backend servers takes down more of them than allowed.
+func TestSuspicionIsTested(t *testing.T) {
+	loads := map[string]crashLoad{
+		"one server, one kind":           {nodes: 1, rate: 4, kinds: 1, work: 800 * time.Millisecond, flapping: 1},
+		"two servers, both flap":         {nodes: 2, rate: 8, kinds: 1, work: 800 * time.Millisecond, flapping: 2},
+		"six servers, all flap":          {nodes: 6, rate: 20, kinds: 2, work: 800 * time.Millisecond, flapping: 6},
+		"twelve servers, three flap":     {nodes: 12, rate: 60, kinds: 4, work: 300 * time.Millisecond, flapping: 3},
+		"sixty servers, none flaps":      {nodes: 60, rate: 100, kinds: 20, work: 300 * time.Millisecond},
+		"six servers, late reports":      {nodes: 6, rate: 85, kinds: 1, work: 300 * time.Millisecond, crashEvery: 8 * time.Second, lateReports: true},
+		"two servers, crashes of others": {nodes: 2, rate: 3, kinds: 3, work: 200 * time.Millisecond, crashEvery: 6 * time.Second},
+	}
+	for name, load := range loads {
+		for _, deadlyEvery := range []time.Duration{0, 250 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, deadly request every %s", name, deadlyEvery), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				load := load
+				load.deadlyEvery, load.runLength = deadlyEvery, 3*time.Minute
+				total, refused, retries, trials := 0, 0, 0, 0
+				for seed := range uint64(max(2, 60/load.nodes)) {
+					r := playCrashes(load, seed)
+					late := len(r.retriesAfterThird())
+					comment := qt.Commentf("seed %d: %d served, %d refused, the last one after %v, %d runs of the deadly request", seed, r.served, r.refused, r.lastRefusal.Sub(epoch), len(r.deadlyRuns))
+					c.Check(late <= 3, qt.IsTrue, comment)
+					if load.flapping > 0 && deadlyEvery == 0 {
+						c.Check(r.lastRefusal.Before(epoch.Add(flapEnd+firstTrialDelay+2*time.Second)), qt.IsTrue, comment)
+					}
+					total, refused, retries, trials = total+r.served+r.refused, refused+r.refused, max(retries, late), trials+len(r.deadlyRuns)
+				}
+				t.Logf("%d of %d requests refused that crash nothing; at most %d runs of the deadly request after its third crash, %d runs in all", refused, total, retries, trials)
+			})
+		}
+	}
+}
+
+// Guards against a suspicion that all nodes test at once, and against tests without end of a request that crashes what it reaches.
+func TestTrialsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	suspects, now := NewSuspects(), epoch
+	entry, backend := NewTrials(suspects), NewTrials(suspects)
+	crashes := 0
+	crash := func() {
+		crashes++
+		suspects.RecordCrash(now, Crash{
+			ID:          CrashID{Node: "a", Run: fmt.Sprint(crashes)},
+			Fingerprint: 7,
+			StartedAt:   now.Add(-10 * time.Millisecond),
+			At:          now,
+		})
+	}
+	for range minCrashes {
+		now = now.Add(time.Second)
+		crash()
+	}
+	var began []time.Duration
+	for start := now; now.Sub(start) < Window-time.Minute; now = now.Add(100 * time.Millisecond) {
+		if !entry.Begin(now, 7) {
+			continue
+		}
+		c.Assert(backend.Begin(now, 7), qt.IsTrue)
+		c.Assert(backend.Begin(now, 7), qt.IsFalse) // of another entry node
+		began = append(began, now.Sub(start))
+		now = now.Add(50 * time.Millisecond)
+		crash()
+	}
+	c.Assert(began, qt.HasLen, maxTrials)
+	c.Assert(began[1]-began[0] >= 2*firstTrialDelay, qt.IsTrue, qt.Commentf("%v", began))
+}
+
+// Guards against a test that does not run and after which none is made for a time.
+func TestCancelledTrialIsRepeated(t *testing.T) {
+	c := qt.New(t)
+	trials := NewTrials(NewSuspects())
+	c.Assert(trials.Begin(epoch, 7), qt.IsTrue)
+	c.Assert(trials.Begin(epoch, 7), qt.IsFalse)
+	trials.Cancel(7)
+	c.Assert(trials.Begin(epoch, 7), qt.IsTrue)
+	for i := range maxFingerprints + 10 {
+		trials.Begin(epoch, Fingerprint(1000+i))
+	}
+	c.Assert(len(trials.begun) <= maxFingerprints, qt.IsTrue)
+	c.Assert(trials.Begin(epoch.Add(time.Minute), 1), qt.IsTrue)
+}
--- a/core/ids.go
+++ b/core/ids.go
@@ -68,3 +68,6 @@
 
 // LogIndex is a position in the replicated log; the first entry has index 1.
 type LogIndex uint64
+
+// Fingerprint identifies requests that a backend server handles alike.
+type Fingerprint uint64
--- a/core/interfaces.go
+++ b/core/interfaces.go
@@ -80,6 +80,14 @@
 	Preview(call *Call) (Load, *Refusal)
 }
 
+// CrashTrials decides which requests that are suspected of crashing backend servers run as tests.
+type CrashTrials interface {
+	// Begin reports whether a request may run as a test now, and begins the test if so.
+	Begin(fingerprint Fingerprint) bool
+	// Cancel takes back a test that has not run.
+	Cancel(fingerprint Fingerprint)
+}
+
 // PickRequest describes one attempt that needs an endpoint.
 type PickRequest struct {
 	Call    CallID
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -67,6 +67,24 @@
 	if refusal := s.beginCall(call); refusal != nil {
 		return nil, core.OutcomeNotRun, refusal
 	}
+	if call.Trial == 0 || s.options.CrashTrials == nil {
+		return s.runCall(ctx, call)
+	}
+	if !s.options.CrashTrials.Begin(call.Trial) {
+		s.endCall()
+		return nil, core.OutcomeNotRun, &core.Refusal{
+			Cause: core.CauseCrashSuspect,
+		}
+	}
+	answer, outcome, err := s.runCall(ctx, call)
+	if outcome == core.OutcomeNotRun {
+		s.options.CrashTrials.Cancel(call.Trial)
+	}
+	return answer, outcome, err
+}
+
+// runCall waits for a slot and runs a call that beginCall has accepted.
+func (s *Server) runCall(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
 	release, refusal := s.acquire(ctx, call)
 	if refusal != nil {
 		s.endCall()
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -52,6 +52,8 @@
 	OnChange func(Announcement)
 	// OnCrash is called with the calls that were running in a crash. It may be nil.
 	OnCrash func(Crash)
+	// CrashTrials limits the calls that run as tests of a suspicion (core.Call.Trial). Nil means no limit.
+	CrashTrials core.CrashTrials
 	// EndStuckCalls ends repeatable calls that the backend server does not answer although it answers later ones; see stuck.Detector.
 	EndStuckCalls bool
 	// Dial connects to the backend server. Nil means a TCP dial.
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -1,10 +1,13 @@
 package callerhttp
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"parsleyport/core"
@@ -45,25 +48,15 @@
 func (s *Server) chooseEndpoint(req *request, history attemptHistory, now time.Time) (core.Endpoint, bool) {
 	shares := s.releaseShares(req)
 	ready := s.readyEndpoints(req.route.Service)
+	if req.call.Trial != 0 {
+		return s.chooseTrialEndpoint(req, history, now, ready, shares)
+	}
 	for len(shares) > 0 {
 		index := drawShare(shares, func(n core.PerMille) core.PerMille { return rand.N(n) })
 		chosen := shares[index]
 		candidates := candidatesOf(chosen.endpoints(ready, shares), history)
 		if len(candidates) > 0 {
-			endpoint, found := s.options.Picker.Pick(now, core.PickRequest{
-				Call:    req.call.ID,
-				Service: req.route.Service,
-				Route:   req.route.Name,
-				Release: chosen.release,
-				Tried:   history.triedNodes(candidates),
-				Session: req.session,
-
-				BodyBytes:       int(max(req.call.BodyBytes(), 0)),
-				SoftDeadline:    req.call.SoftDeadline,
-				Deadline:        req.call.Deadline,
-				CapacityRefused: req.capacityRefusals > 0,
-			}, candidates)
-			if found {
+			if endpoint, found := s.options.Picker.Pick(now, req.pick(chosen.release, history, candidates), candidates); found {
 				return endpoint, true
 			}
 		}
@@ -74,6 +67,45 @@
 	return core.Endpoint{}, false
 }
 
+func (r *request) pick(release core.Release, history attemptHistory, candidates []core.Endpoint) core.PickRequest {
+	return core.PickRequest{
+		Call:    r.call.ID,
+		Service: r.route.Service,
+		Route:   r.route.Name,
+		Release: release,
+		Tried:   history.triedNodes(candidates),
+		Session: r.session,
+
+		BodyBytes:       int(max(r.call.BodyBytes(), 0)),
+		SoftDeadline:    r.call.SoftDeadline,
+		Deadline:        r.call.Deadline,
+		CapacityRefused: r.capacityRefusals > 0,
+	}
+}
+
+// chooseTrialEndpoint returns the endpoint that gets the tests of a suspicion. All nodes choose the same one, which lets one test run at a
+// time, so that a request that does crash backend servers takes down one of them a test and not one an entry node.
+func (s *Server) chooseTrialEndpoint(req *request, history attemptHistory, now time.Time, ready []core.Endpoint, shares []releaseShare) (core.Endpoint, bool) {
+	var all []core.Endpoint
+	for _, share := range shares {
+		all = append(all, share.endpoints(ready, shares)...)
+	}
+	candidates := candidatesOf(all, history)
+	if len(candidates) == 0 {
+		return core.Endpoint{}, false
+	}
+	chosen := slices.MinFunc(candidates, func(a, b core.Endpoint) int {
+		return cmp.Compare(trialRank(req.call.Trial, a.Node), trialRank(req.call.Trial, b.Node))
+	})
+	only := []core.Endpoint{chosen}
+	return s.options.Picker.Pick(now, req.pick(chosen.Release, history, only), only)
+}
+
+// trialRank orders nodes as rendezvous hashing does, so that the loss of other nodes does not change the choice.
+func trialRank(fingerprint core.Fingerprint, node core.NodeID) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(uint64(fingerprint), 16) + "/" + string(node))
+}
+
 // releaseShares returns the releases that may get the call, with their shares.
 func (s *Server) releaseShares(req *request) []releaseShare {
 	shares := make([]releaseShare, 0, len(req.weights))
--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -191,7 +191,7 @@
 
 // hedgeDelay returns how long after an attempt its hedge may start, or false if the request must not be hedged.
 func (s *Server) hedgeDelay(req *request, now time.Time) (time.Duration, bool) {
-	if s.options.DisableHedging || !req.call.Idempotent || req.call.Depth != hedgedDepth || req.call.Source != nil {
+	if s.options.DisableHedging || req.call.Trial != 0 || !req.call.Idempotent || req.call.Depth != hedgedDepth || req.call.Source != nil {
 		return 0, false
 	}
 	s.mu.Lock()
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
+	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/memory"
@@ -89,10 +90,11 @@
 		return
 	}
 	req.setFingerprints(s.options.Headers.CallerService)
-	if s.isCrashSuspect(req) {
+	if !s.admitSuspect(req) {
 		s.refuseEarly(w, r, newRefusal(core.CauseCrashSuspect, ""))
 		return
 	}
+	defer s.endTrial(req)
 	setHeader(w.Header(), s.options.Headers.CallID, string(req.call.ID))
 	s.serve(w, r, req)
 }
@@ -198,7 +200,7 @@
 		case core.OutcomeAnswered:
 			answered = last
 		}
-		if !attempted || ctx.Err() != nil || req.call.Source.Taken() || !s.allowRetry(ctx, req, class) {
+		if !attempted || ctx.Err() != nil || req.call.Trial != 0 || req.call.Source.Taken() || !s.allowRetry(ctx, req, class) {
 			break
 		}
 		if s.isCrashSuspect(req) {
@@ -353,6 +355,9 @@
 	if outcome == core.OutcomeNotRun && refusedByBackend(causeOf(err)) {
 		req.reachedBackend.Store(true)
 	}
+	if outcome != core.OutcomeNotRun && req.call.Trial != 0 {
+		req.ran = true // tests are not hedged, so that nothing else changes it at the same time
+	}
 	s.recordAttempt(req.route.Service, last)
 	return last
 }
@@ -426,6 +431,27 @@
 	}
 }
 
+// admitSuspect reports whether the request may run, if only as a test of the suspicion that it crashes backend servers.
+func (s *Server) admitSuspect(req *request) bool {
+	suspected := lo.Filter(req.fingerprints, func(f core.Fingerprint, _ int) bool { return s.options.CrashSuspected(f) })
+	if len(suspected) == 0 {
+		return true
+	}
+	if s.options.CrashTrials == nil || !s.options.CrashTrials.Begin(suspected[0]) {
+		return false
+	}
+	req.call.Trial = suspected[0] // the more general suspicion, if there are two
+	s.crashTrials.Inc()
+	return true
+}
+
+// endTrial lets another request be the test if this one was and has not run.
+func (s *Server) endTrial(req *request) {
+	if req.call.Trial != 0 && !req.ran {
+		s.options.CrashTrials.Cancel(req.call.Trial)
+	}
+}
+
 // isCrashSuspect reports whether the request is suspected of crashing backend servers.
 func (s *Server) isCrashSuspect(req *request) bool {
 	return slices.ContainsFunc(req.fingerprints, s.options.CrashSuspected)
--- a/io/callerhttp/server.go
+++ b/io/callerhttp/server.go
@@ -77,6 +77,8 @@
 	ReleaseAllowed func(core.ServiceName, core.Release) bool
 	// CrashSuspected reports whether requests with a fingerprint are suspected of crashing backend servers. Nil means no.
 	CrashSuspected func(idempotency.Fingerprint) bool
+	// CrashTrials lets some of these requests run as tests. Nil means none.
+	CrashTrials core.CrashTrials
 	// CallCompleted is called with the fingerprints of a request that a backend server has answered whole. It may be nil.
 	CallCompleted func(idempotency.Fingerprint)
 	// Keys claims idempotency keys. If it is nil, the keys of calls are ignored.
@@ -145,6 +147,7 @@
 	hedges         *metrics.Counter
 	hedgesWon      *metrics.Counter
 	retries        *metrics.Counter
+	crashTrials    *metrics.Counter
 	abortedAnswers *metrics.Counter
 	waits          *metrics.Counter
 	latency        *metrics.Histogram
@@ -207,6 +210,7 @@
 		timeouts:       make(map[core.RouteName]*timeoutEstimate),
 		hedges:         options.Metrics.GetOrCreateCounter("parsleyport_caller_hedges_total"),
 		retries:        options.Metrics.GetOrCreateCounter("parsleyport_caller_retries_total"),
+		crashTrials:    options.Metrics.GetOrCreateCounter("parsleyport_caller_crash_trials_total"),
 		abortedAnswers: options.Metrics.GetOrCreateCounter("parsleyport_caller_answers_aborted_total"),
 		latency:        options.Metrics.GetOrCreateHistogram("parsleyport_caller_latency_seconds"),
 		hedgesWon:      options.Metrics.GetOrCreateCounter("parsleyport_caller_hedges_won_total"),
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -69,6 +69,7 @@
 		Admission:           admission,
 		OnChange:            func(a backendhttp.Announcement) { p.announce(subscriber, a) },
 		OnCrash:             func(crash backendhttp.Crash) { p.reportCrash(subscriber, crash) },
+		CrashTrials:         p.suspects.ofBackend(),
 		Logger:              p.log,
 		Metrics:             p.metrics,
 	})
@@ -213,6 +214,7 @@
 		Evidence:               evidence,
 		ReleaseAllowed:         evidence.releaseAllowed,
 		CrashSuspected:         p.suspects.isSuspected,
+		CrashTrials:            p.suspects.ofCallers(),
 		CallCompleted:          func(f idempotency.Fingerprint) { p.suspects.recordCompletion(time.Now(), f) },
 		Keys:                   keys,
 		Quota:                  p.quotas,
--- a/io/node/suspects.go
+++ b/io/node/suspects.go
@@ -23,21 +23,62 @@
 	at          time.Time
 }
 
-// suspects makes an idempotency.Suspects safe for concurrent use, and collects the completions that other nodes must know.
+// suspects makes an idempotency.Suspects and its trials safe for concurrent use, and collects the completions that other nodes must know.
 type suspects struct {
 	unreported *ring.Ring[completion]
 
-	mu       sync.Mutex // guards detector
-	detector *idempotency.Suspects
+	mu            sync.Mutex // guards the fields below
+	detector      *idempotency.Suspects
+	callerTrials  *idempotency.Trials // of the requests of callers
+	backendTrials *idempotency.Trials // of the calls to the local backend server
 }
 
 func newSuspects() *suspects {
+	detector := idempotency.NewSuspects()
 	return &suspects{
-		unreported: ring.New[completion](maxQueuedCompletions),
-		detector:   idempotency.NewSuspects(),
+		unreported:    ring.New[completion](maxQueuedCompletions),
+		detector:      detector,
+		callerTrials:  idempotency.NewTrials(detector),
+		backendTrials: idempotency.NewTrials(detector),
 	}
 }
 
+// lockedTrials are trials that are safe for concurrent use.
+type lockedTrials struct {
+	mu     *sync.Mutex
+	trials *idempotency.Trials
+}
+
+// ofCallers returns the trials of the requests of callers.
+func (s *suspects) ofCallers() lockedTrials {
+	return lockedTrials{
+		mu:     &s.mu,
+		trials: s.callerTrials,
+	}
+}
+
+// ofBackend returns the trials of the calls to the local backend server.
+func (s *suspects) ofBackend() lockedTrials {
+	return lockedTrials{
+		mu:     &s.mu,
+		trials: s.backendTrials,
+	}
+}
+
+// Begin implements core.CrashTrials.
+func (t lockedTrials) Begin(fingerprint core.Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.trials.Begin(time.Now(), fingerprint)
+}
+
+// Cancel implements core.CrashTrials.
+func (t lockedTrials) Cancel(fingerprint core.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.trials.Cancel(fingerprint)
+}
+
 // recordCrash is called with a lock of the distribution held.
 func (s *suspects) recordCrash(at time.Time, report core.CrashReport) {
 	s.mu.Lock()
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -71,6 +71,7 @@
 	Depth          int                 `msgpack:"depth"`
 	AttemptsLeft   int                 `msgpack:"attempts"`
 	Hedge          bool                `msgpack:"hedge"`
+	Trial          core.Fingerprint    `msgpack:"trial,omitempty"` // Call.Trial
 	Length         int                 `msgpack:"length"`
 	Checksum       uint64              `msgpack:"sum"`
 	Body           []byte              `msgpack:"body"`
@@ -205,6 +206,7 @@
 		Depth:          call.Depth,
 		AttemptsLeft:   call.AttemptsLeft,
 		Hedge:          call.Hedge,
+		Trial:          call.Trial,
 		Length:         len(call.Body),
 		Checksum:       xxhash.Sum64(call.Body),
 	}
@@ -257,5 +259,6 @@
 		Depth:          message.Depth,
 		AttemptsLeft:   message.AttemptsLeft,
 		Hedge:          message.Hedge,
+		Trial:          message.Trial,
 	}
 }
