backendhttp: a body without a length is broken after a reset during the call

What callers saw: a part of an answer as a whole 200, when the backend server had answered a long upload at once without a length and reset the connection while the upload was being written. Cause: the kernel reports a reset once. The write of the call gets it, and the read after it the bytes received so far and an orderly end, which is the end of a body that ends with its connection. Change: such a body is broken if the write of its call has failed. Why it works: whichever of the two calls gets the reset, the body is not complete any more.

--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -30,6 +30,9 @@
 	ErrInvalidAnswer = errors.ConstError("backend server's answer is invalid")
 )
 
+// errResetInBody means that the connection was reset, so that it is not known whether a body that ends with it is complete.
+const errResetInBody = errors.ConstError("connection was reset before the end of a body without a length")
+
 const maxStatus = 599 // of an answer; see RFC 9110, section 15
 
 // Handle implements core.Backend. The context must not end before the answer's body is closed.
@@ -209,7 +212,7 @@
 func (x *exchange) Write(bytes []byte) (int, error) {
 	x.written = true
 	n, err := x.conn.Write(bytes)
-	x.writeFailed = err != nil
+	x.writeFailed = x.writeFailed || err != nil
 	return n, err
 }
 
@@ -446,6 +449,9 @@
 	case b.closeDelimited && !x.server.options.AllowCloseDelimited:
 		_ = x.abort()
 		err = ErrNoLength
+	case b.closeDelimited && x.writeFailed:
+		// The kernel reports a reset only once. As the write has got it, the read sees an orderly end after a part of the body.
+		err = x.fail(errResetInBody)
 	case x.stopCancelling() && x.reusable && !b.closeDelimited:
 		x.server.pool.put(x.conn)
 	default:
