pipelinehttp: a body that ends with its connection breaks off with a reset

What callers saw: callers of HTTP/1.0 got a part of a body as the whole when the answer broke off, since such a body has no length and no chunks. Cause: an aborted answer closed the connection in order, as a complete one. Evidence: TestBodyThatEndsWithItsConnectionIsWhole fails on for an aborted answer, a panic and a server that is closed. Change: from the first byte of such an answer until it is complete, closing the connection resets it (SO_LINGER 0). Why it works: a caller cannot take a reset for the end of a body, and the kernel does the same when the process is killed.

--- a/io/pipelinehttp/connection.go
+++ b/io/pipelinehttp/connection.go
@@ -71,6 +71,7 @@
 	idleSince     time.Time
 	ended         bool // all answers have been written and the reader must close the connection
 	broken        bool // nothing can be written any more
+	resets        bool // closing the connection resets it
 	lingers       bool // the caller may send further requests before it reads that the connection closes
 	heldBytes     int64
 	growth        holding   // of the read buffer
@@ -564,6 +565,9 @@
 		case r.done && r.truncated && !c.broken:
 			c.fail()
 		case r.done:
+			if r.endsWithClose && !c.broken {
+				c.setReset(false)
+			}
 			c.popFront()
 		default:
 			return
@@ -576,6 +580,9 @@
 	out := r.out
 	r.out, r.flushed = nil, false
 	r.release()
+	if r.endsWithClose {
+		c.setReset(true)
+	}
 	c.writing = true
 	now := time.Now()
 	deadline := r.writeDeadline
@@ -612,6 +619,24 @@
 	return err
 }
 
+// setReset decides how the connection ends from now on, also if the process is killed: with a reset while a part of a body has been written
+// that ends with the connection, so that it cannot pass for the whole, and else in order. c.mu must be held.
+func (c *connection) setReset(reset bool) {
+	if c.resets == reset {
+		return
+	}
+	c.resets = reset
+	socket, isTCP := c.rwc.(interface{ SetLinger(seconds int) error })
+	if !isTCP {
+		return
+	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	_ = socket.SetLinger(seconds) // fails only on a closed connection
+}
+
 // dropWaiting removes a request that has not started. c.mu must be held.
 func (c *connection) dropWaiting() {
 	if dropped := c.order.dropWaiting(); dropped != nil {
--- a/io/pipelinehttp/loop_test.go
+++ b/io/pipelinehttp/loop_test.go
@@ -365,6 +365,41 @@
 	}
 }
 
+// Guards against a part of a body without a length that a caller of HTTP/1.0 takes for the whole, because its connection ends in order when
+// the answer breaks off.
+func TestBodyThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	text := strings.Repeat("0123456789", 10_000)
+	for name, test := range map[string]struct {
+		after func(server *pipelinehttp.Server)
+		whole bool
+	}{
+		"complete":              {after: func(*pipelinehttp.Server) {}, whole: true},
+		"aborted":               {after: func(*pipelinehttp.Server) { panic(http.ErrAbortHandler) }},
+		"panic":                 {after: func(*pipelinehttp.Server) { panic("fault") }},
+		"the server was closed": {after: func(s *pipelinehttp.Server) { _ = s.Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			servers := make(chan *pipelinehttp.Server, 1)
+			server, address := start(c, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, text)
+				w.(http.Flusher).Flush()
+				test.after(<-servers)
+			}, nil)
+			servers <- server
+			caller := dial(c, address, "GET / HTTP/1.0\r\n\r\n")
+			response, err := http.ReadResponse(caller.answers, nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.ContentLength, qt.Equals, int64(-1))
+			body, err := io.ReadAll(response.Body)
+			c.Assert(err == nil, qt.Equals, test.whole, qt.Commentf("%v", err))
+			if test.whole {
+				c.Assert(string(body) == text, qt.IsTrue)
+			}
+		})
+	}
+}
+
 // Guards against a request that is served although the server of net/http refuses it, which could be used for request smuggling, and
 // against one that is refused although that server accepts it.
 func TestRequestsAreRefusedAsByNetHTTP(t *testing.T) {
--- a/io/pipelinehttp/response.go
+++ b/io/pipelinehttp/response.go
@@ -66,6 +66,7 @@
 	flushed       bool   // out is to be written when it is this answer's turn
 	aborted       bool   // the handler has panicked
 	truncated     bool   // the body is shorter than the length stated
+	endsWithClose bool   // the end of the connection is the end of the body
 	writeDeadline time.Time
 	answerTimer   *time.Timer // see SetAnswerBy; nil if it is not needed
 }
@@ -315,7 +316,7 @@
 		r.chunked = true
 		r.append("Transfer-Encoding: chunked\r\n")
 	default:
-		closes = true // the end of the connection is the end of the body
+		closes, r.endsWithClose = true, true
 	}
 	closes = c.order.closeWith(&r.entry, closes || c.server.draining.Load())
 	switch {
