callerhttp: answers cut at every byte reach no caller as whole

A report of another operator: a backend server stopped in the middle of the head, and callers got a 200 with an empty or short body. The test cuts nine answers at every byte, by a close and by a reset, on the whole path with a second node, for GET, HEAD and POST, and behind a whole answer on a kept connection. Nothing but a test was missing, as only bodies were cut before.

--- a/io/callerhttp/path_test.go
+++ b/io/callerhttp/path_test.go
@@ -67,7 +67,7 @@
 		newRecord(core.KindUpstream, "orders-v1", `{"service":"orders","release":"v1","slots":64}`),
 		newRecord(core.KindUpstream, "orders-v2", `{"service":"orders","release":"v2","slots":64}`),
 		newRecord(core.KindPolicy, "orders", `{"service":"orders","weights":[`+weights+`]}`),
-		newRecord(core.KindRoute, "read", `{"path-prefix":"/orders","methods":["GET"],"service":"orders","idempotent":true,"timeout-ms":60000}`),
+		newRecord(core.KindRoute, "read", `{"path-prefix":"/orders","methods":["GET","HEAD"],"service":"orders","idempotent":true,"timeout-ms":60000}`),
 		newRecord(core.KindRoute, "write", `{"path-prefix":"/orders","methods":["POST"],"service":"orders","timeout-ms":60000}`),
 	}, nil)
 	if err != nil {
@@ -106,7 +106,12 @@
 }
 
 func startNodeWith(t testing.TB, backend *httptest.Server, state core.EndpointState, onCrash func(backendhttp.Crash)) node {
-	handler, stopBackend, err := backendhttp.New(backendhttp.Options{Address: "127.0.0.1:0", OnCrash: onCrash})
+	return startNodeOf(t, backend, state, backendhttp.Options{OnCrash: onCrash})
+}
+
+func startNodeOf(t testing.TB, backend *httptest.Server, state core.EndpointState, options backendhttp.Options) node {
+	options.Address = "127.0.0.1:0"
+	handler, stopBackend, err := backendhttp.New(options)
 	if err != nil {
 		t.Fatal(err)
 	}
