--- a/core/jsonvalue/jsonvalue.go
+++ b/core/jsonvalue/jsonvalue.go
@@ -58,10 +58,12 @@
 		return false, checkObject(decoder, shape)
 	case json.Delim('['):
 		for decoder.More() {
-			if isNull, err := checkValue(decoder, shape); err != nil {
+			isNull, err := checkValue(decoder, shape)
+			if err == nil && isNull && len(shape.Required) > 0 {
+				err = errors.New("null in a list of objects")
+			}
+			if err != nil {
 				return false, err
-			} else if isNull && len(shape.Required) > 0 {
-				return false, errors.New("null in a list of objects")
 			}
 		}
 		_, err := decoder.Token()
@@ -79,11 +81,11 @@
 			return err
 		}
 		key := token.(string) // the decoder returns an error for other keys
-		if folded := strings.ToLower(key); seen[folded] {
+		folded := strings.ToLower(key)
+		if seen[folded] {
 			return errors.Errorf("key %q stands twice", key)
-		} else {
-			seen[folded] = true
 		}
+		seen[folded] = true
 		isNull, err := checkValue(decoder, shape.Fields[key])
 		if err != nil {
 			return errors.Annotate(err, key)
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -70,9 +70,14 @@
 	if refusal := s.beginCall(call); refusal != nil {
 		return nil, core.OutcomeNotRun, refusal
 	}
-	if call.Trial == 0 || s.options.CrashTrials == nil {
-		return s.runCall(ctx, call)
+	if call.Trial != 0 && s.options.CrashTrials != nil {
+		return s.runTrial(ctx, call)
 	}
+	return s.runCall(ctx, call)
+}
+
+// runTrial runs a call that tests a suspicion, unless the same suspicion is being tested by another call.
+func (s *Server) runTrial(ctx context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
 	if !s.options.CrashTrials.Begin(call.Trial) {
 		s.endCall()
 		return nil, core.OutcomeNotRun, &core.Refusal{
--- a/io/callerhttp/choose.go
+++ b/io/callerhttp/choose.go
@@ -67,6 +67,7 @@
 	return core.Endpoint{}, false
 }
 
+// pick returns the request to the picker for an attempt at one of the candidates.
 func (r *request) pick(release core.Release, history attemptHistory, candidates []core.Endpoint) core.PickRequest {
 	return core.PickRequest{
 		Call:    r.call.ID,
--- a/io/callerhttp/request.go
+++ b/io/callerhttp/request.go
@@ -47,7 +47,7 @@
 	limited          bool        // the tenant has a limit
 	reachedBackend   atomic.Bool // a backend server itself has refused an attempt
 	fingerprints     []idempotency.Fingerprint
-	ran              bool // an attempt may have run
+	trialRan         bool // the request is a test (core.Call.Trial) and may have run
 }
 
 // setFingerprints sets the fingerprints under which the request may be suspected of crashing backend servers.
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -15,7 +15,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
-	"github.com/samber/lo"
 
 	"parsleyport/core"
 	"parsleyport/core/memory"
@@ -356,7 +355,7 @@
 		req.reachedBackend.Store(true)
 	}
 	if outcome != core.OutcomeNotRun && req.call.Trial != 0 {
-		req.ran = true // tests are not hedged, so that nothing else changes it at the same time
+		req.trialRan = true // tests are not hedged, so that nothing else changes it at the same time
 	}
 	s.recordAttempt(req.route.Service, last)
 	return last
@@ -433,21 +432,22 @@
 
 // admitSuspect reports whether the request may run, if only as a test of the suspicion that it crashes backend servers.
 func (s *Server) admitSuspect(req *request) bool {
-	suspected := lo.Filter(req.fingerprints, func(f core.Fingerprint, _ int) bool { return s.options.CrashSuspected(f) })
-	if len(suspected) == 0 {
+	at := slices.IndexFunc(req.fingerprints, s.options.CrashSuspected)
+	if at < 0 {
 		return true
 	}
-	if s.options.CrashTrials == nil || !s.options.CrashTrials.Begin(suspected[0]) {
+	suspected := req.fingerprints[at] // the more general one, if there are two
+	if s.options.CrashTrials == nil || !s.options.CrashTrials.Begin(suspected) {
 		return false
 	}
-	req.call.Trial = suspected[0] // the more general suspicion, if there are two
+	req.call.Trial = suspected
 	s.crashTrials.Inc()
 	return true
 }
 
 // endTrial lets another request be the test if this one was and has not run.
 func (s *Server) endTrial(req *request) {
-	if req.call.Trial != 0 && !req.ran {
+	if req.call.Trial != 0 && !req.trialRan {
 		s.options.CrashTrials.Cancel(req.call.Trial)
 	}
 }
