idempotency: tests of a suspicion are counted also after many crashes

What callers saw: nothing yet. Cause: the crash since which a request is suspected was looked for among the latest 8 crashes only. Behind more of them it moved, and runs that use up the bound were not counted. Change: that crash is kept with the suspect until a run to the end or the end of the window. Why it works: the count no longer depends on how many crashes are kept.

--- a/core/idempotency/suspects.go
+++ b/core/idempotency/suspects.go
@@ -93,6 +93,7 @@
 	crashes     []Crash   // by time
 	completedAt time.Time // latest known run to the end, zero if none
 	reportedAt  time.Time // when the latest report of a crash arrived
+	suspectedAt time.Time // the crash since which the fingerprint is suspected, zero if it is not; it may have left crashes
 }
 
 // Suspects decides which requests crash backend servers. Such a request never runs to its end, at whatever backend server. Requests
@@ -138,6 +139,7 @@
 		s.running[crash.ID] = make(map[Fingerprint]bool)
 	}
 	s.running[crash.ID][crash.Fingerprint] = true
+	held.updateSuspectedAt(now)
 	if len(held.crashes) > maxCrashesPerFingerprint {
 		s.forget(held.crashes[0])
 		held.crashes = slices.Delete(held.crashes, 0, 1)
--- a/core/idempotency/suspects_test.go
+++ b/core/idempotency/suspects_test.go
@@ -375,10 +375,11 @@
 		"twelve servers, three flap":     {nodes: 12, rate: 60, kinds: 4, work: 300 * time.Millisecond, flapping: 3},
 		"sixty servers, none flaps":      {nodes: 60, rate: 100, kinds: 20, work: 300 * time.Millisecond},
 		"six servers, late reports":      {nodes: 6, rate: 85, kinds: 1, work: 300 * time.Millisecond, crashEvery: 8 * time.Second, lateReports: true},
+		"twelve servers, racks, late":    {nodes: 12, rate: 150, kinds: 4, work: 200 * time.Millisecond, crashEvery: 10 * time.Second, crashShare: 0.4, lateReports: true},
 		"two servers, crashes of others": {nodes: 2, rate: 3, kinds: 3, work: 200 * time.Millisecond, crashEvery: 6 * time.Second},
 	}
 	for name, load := range loads {
-		for _, deadlyEvery := range []time.Duration{0, 250 * time.Millisecond} {
+		for _, deadlyEvery := range []time.Duration{0, 250 * time.Millisecond, time.Second} {
 			t.Run(fmt.Sprintf("%s, deadly request every %s", name, deadlyEvery), func(t *testing.T) {
 				t.Parallel()
 				c := qt.New(t)
--- a/core/idempotency/trials.go
+++ b/core/idempotency/trials.go
@@ -1,9 +1,6 @@
 package idempotency
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// firstTrialDelay is the time without a report of a crash after which a suspected request may be tested. It is longer than the lease
@@ -85,25 +82,34 @@
 	if held == nil {
 		return 0, time.Time{}
 	}
-	recent := slices.DeleteFunc(slices.Clone(held.crashes), func(crash Crash) bool { return !held.isRecent(now, crash) })
-	if len(recent) == 0 {
-		return 0, time.Time{}
+	if held.suspectedAt.IsZero() {
+		return 0, held.reportedAt
 	}
-	for i := range recent {
-		before := suspect{
-			crashes:     recent[:i+1],
-			completedAt: held.completedAt,
+	firstTrial := held.suspectedAt.Add(knownAfter - sequenceTolerance)
+	for _, crash := range held.crashes {
+		if held.isRecent(now, crash) && !crash.StartedAt.Before(firstTrial) {
+			trials++
 		}
-		if !before.isSuspected(now, countAll) {
-			continue
+	}
+	return trials, held.reportedAt
+}
+
+// updateSuspectedAt finds the first crash that makes the fingerprint suspected. An earlier result stays while it is recent, since only the
+// latest crashes are kept.
+func (s *suspect) updateSuspectedAt(now time.Time) {
+	if !s.suspectedAt.After(s.completedAt) || now.Sub(s.suspectedAt) > Window {
+		s.suspectedAt = time.Time{}
+	}
+	for i, crash := range s.crashes {
+		before := suspect{
+			crashes:     s.crashes[:i+1],
+			completedAt: s.completedAt,
 		}
-		firstTrial := recent[i].At.Add(knownAfter - sequenceTolerance)
-		for _, crash := range recent[i+1:] {
-			if !crash.StartedAt.Before(firstTrial) {
-				trials++
+		if before.isSuspected(now, countAll) {
+			if s.suspectedAt.IsZero() || crash.At.Before(s.suspectedAt) {
+				s.suspectedAt = crash.At
 			}
+			return
 		}
-		break
 	}
-	return trials, held.reportedAt
 }
