httpserver: count heads of which a part was read ahead

What callers saw: on the ports for operators, monitoring and backend servers, a head of more than 16 KiB without its end got no answer; its connection ended after 5 s instead of with a 431. Heads of thousands of lines behind a request with a body took none of the port's memory for lines.

Cause: bytes of the next head may reach net/http before ConnState reports StateIdle: the byte by which it notices a client that has left, or the rest of a read that brought a body. The listener did not know where that head began and left it to the server's own limit, which is 4 KiB higher and knows no lines.

Change: the listener keeps the bytes after a head that the server may still hold. At StateIdle, the length of the body tells which of them begin the next head, and they are counted. After a body in chunks, whose end is unknown, the answer closes the connection. A whole head that was read ahead is refused by the handler's wrapper, since the server does not read again for it.

Why it works: net/http reports StateIdle only when it has consumed the body, so that the bytes after the body's length belong to the next head, whoever has read them.

--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -176,7 +176,7 @@
 	}
 	if listener != nil {
 		limited := httpserver.NewLimitedListener(listener, "announcements")
-		s.http.ConnState = limited.Track
+		limited.Limit(s.http)
 		s.tasks.Go(func() { _ = s.http.Serve(limited) }) // ends with http.ErrServerClosed
 	}
 	s.tasks.Go(s.expireLeases)
--- a/io/httpserver/httpserver.go
+++ b/io/httpserver/httpserver.go
@@ -28,16 +28,18 @@
 )
 
 // Serve serves on a listener until the returned clean-up function is called. The clean-up function closes the listener, waits for the
-// requests in progress, and cuts off those that have not ended after stopTimeout. Serve sets the server's ConnState, limits heads and
-// connections, and sets the timeouts that the server has not set. Port names the listener in metrics.
+// requests in progress, and cuts off those that have not ended after stopTimeout. Serve sets the server's ConnState and ConnContext, wraps
+// its Handler, limits heads and connections, and sets the timeouts that the server has not set. Port names the listener in metrics.
 func Serve(server *http.Server, listener net.Listener, port string, stopTimeout time.Duration, log zerolog.Logger) func() {
 	unread := unreadConnections{
 		connections: make(map[net.Conn]struct{}),
 	}
 	accepting := NewListener(listener)
 	limited := NewLimitedListener(accepting, port)
+	limited.Limit(server)
+	trackLimits := server.ConnState
 	server.ConnState = func(connection net.Conn, state http.ConnState) {
-		limited.Track(connection, state)
+		trackLimits(connection, state)
 		unread.track(connection, state)
 	}
 	setTimeouts(server)
--- a/io/httpserver/limits.go
+++ b/io/httpserver/limits.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +26,11 @@
 	refusalWriteTimeout = time.Second
 	refusalDrainTimeout = 250 * time.Millisecond
 	maxDrainedBytes     = 256 << 10
+	// maxReadAhead is the number of bytes that a server of net/http may hold unread: its buffer, and the byte by which it notices
+	// during a request that the client has left.
+	maxReadAhead = 4<<10 + 1
+	// unknownLength is the length of a body that is framed in chunks, or of a request whose handler has not been called.
+	unknownLength = -1
 )
 
 // refusals holds the counters of all servers of the process.
@@ -52,7 +58,7 @@
 	accepted    uint64
 }
 
-// NewLimitedListener wraps a listener; port names it in metrics. The server's ConnState must call Track.
+// NewLimitedListener wraps a listener; port names it in metrics. The server has to be prepared by Limit.
 func NewLimitedListener(listener net.Listener, port string) *LimitedListener {
 	return &LimitedListener{
 		Listener:       listener,
@@ -71,17 +77,23 @@
 	return max(1, int(limit.Cur/descriptorShare))
 }
 
-// limitedConnection counts the heads of requests. The server reads and changes head on one goroutine at a time.
+// limitedConnection counts the heads of requests. The server reads and changes the fields that no lock guards on one goroutine at a
+// time.
 type limitedConnection struct {
 	net.Conn
 	listener *LimitedListener
 	number   uint64
 	inHead   bool // a head is expected or being read
 	head     headCounter
-	// readAhead means that the server may hold a part of the next head already. Only the server's own limit of bytes applies to it.
-	readAhead bool
-	reserved  int64 // of LimitedListener.heads; guarded by LimitedListener.mu
-	busy      bool  // a request is in progress; guarded by LimitedListener.mu
+
+	// afterHead counts the bytes that were received after the head, and latest holds the last of them: the server may have read a
+	// part of the next head ahead.
+	afterHead  int64
+	latest     []byte
+	bodyLength int64 // in bytes, or unknownLength
+	limitErr   error // of a head that was read ahead
+	reserved   int64 // of LimitedListener.heads; guarded by LimitedListener.mu
+	busy       bool  // a request is in progress; guarded by LimitedListener.mu
 }
 
 // Accept implements net.Listener.
@@ -112,6 +124,8 @@
 		listener: l,
 		number:   l.accepted,
 		inHead:   true,
+
+		bodyLength: unknownLength,
 	}
 	l.connections[connection] = struct{}{}
 	return connection
@@ -134,8 +148,41 @@
 	return true
 }
 
-// Track must be called by the server's ConnState.
-func (l *LimitedListener) Track(connection net.Conn, state http.ConnState) {
+type connectionKey struct{}
+
+// Limit sets the server's ConnState and ConnContext, and wraps its Handler.
+func (l *LimitedListener) Limit(server *http.Server) {
+	next := server.Handler
+	if next == nil {
+		next = http.DefaultServeMux
+	}
+	server.ConnState = l.track
+	server.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, connection)
+	}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connection, ok := r.Context().Value(connectionKey{}).(*limitedConnection)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if err := connection.limitErr; err != nil {
+			status, label := refusal(err)
+			countRefusal(l.port, label)
+			w.Header().Set("Connection", "close")
+			http.Error(w, err.Error(), status)
+			return
+		}
+		connection.bodyLength = r.ContentLength // unknownLength in chunks
+		if r.ContentLength == unknownLength {
+			// The next head could not be counted, since it is unknown where the body ends.
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (l *LimitedListener) track(connection net.Conn, state http.ConnState) {
 	limited, ok := connection.(*limitedConnection)
 	if !ok {
 		return
@@ -146,19 +193,17 @@
 	case http.StateActive: // the head has been read
 		limited.busy, limited.inHead = true, false
 	case http.StateIdle:
-		limited.busy, limited.inHead, limited.head = false, !limited.readAhead, headCounter{}
-		limited.readAhead = false
 		l.release(limited)
+		limited.busy = false
+		limited.expectHead()
 	case http.StateClosed, http.StateHijacked:
 		delete(l.connections, limited)
 		l.release(limited)
 	}
 }
 
-// reserve takes the memory for the head that is being read.
+// reserve takes the memory for the head that is being read. l.mu must be held.
 func (l *LimitedListener) reserve(c *limitedConnection) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	more := c.head.reservation() - c.reserved
 	if more > 0 && !l.heads.Reserve(more) {
 		return errHeadsFull
@@ -184,31 +229,63 @@
 // Read counts the head of a request. If it exceeds a limit, Read answers and returns io.EOF, upon which the server closes the
 // connection without an answer of its own.
 func (c *limitedConnection) Read(data []byte) (int, error) {
+	if c.inHead && c.limitErr != nil {
+		c.refuse(c.limitErr)
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(data)
-	if !c.inHead {
-		c.readAhead = c.readAhead || n > 0
-		return n, err
+	received := data[:n]
+	if c.inHead {
+		c.listener.mu.Lock()
+		counted, limitErr := c.count(received)
+		c.listener.mu.Unlock()
+		if limitErr != nil {
+			c.refuse(limitErr)
+			return 0, io.EOF
+		}
+		received = received[counted:]
 	}
-	counted, limitErr := c.head.count(data[:n])
-	if limitErr == nil && c.head.lines > freeLines {
-		limitErr = c.listener.reserve(c)
+	c.afterHead += int64(len(received))
+	c.keepLatest(received)
+	return n, err
+}
+
+// keepLatest keeps the last maxReadAhead bytes after the head.
+func (c *limitedConnection) keepLatest(received []byte) {
+	received = received[max(0, len(received)-maxReadAhead):]
+	superseded := max(0, len(c.latest)+len(received)-maxReadAhead)
+	c.latest = append(c.latest[:0], c.latest[superseded:]...)
+	c.latest = append(c.latest, received...)
+}
+
+// count counts bytes of the head, reserves memory for its lines and returns how many of the bytes belong to it. LimitedListener.mu must
+// be held.
+func (c *limitedConnection) count(data []byte) (int, error) {
+	counted, err := c.head.count(data)
+	if err == nil && c.head.lines > freeLines {
+		err = c.listener.reserve(c)
 	}
-	if limitErr != nil {
-		c.refuse(limitErr)
-		return 0, io.EOF
+	return counted, err
+}
+
+// expectHead begins the next head, after a request whose body has been read. LimitedListener.mu must be held.
+func (c *limitedConnection) expectHead() {
+	// A request without a handler is "OPTIONS *". Without bytes after its head, it has no body.
+	readAhead := c.afterHead - max(0, c.bodyLength)
+	if c.bodyLength == unknownLength && c.afterHead > 0 || readAhead < 0 || readAhead > int64(len(c.latest)) {
+		_ = c.Conn.Close()
+		return
 	}
-	c.readAhead = counted < n
-	return n, err
+	ahead := c.latest[int64(len(c.latest))-readAhead:]
+	c.inHead, c.head, c.bodyLength = true, headCounter{}, unknownLength
+	var counted int
+	counted, c.limitErr = c.count(ahead)
+	c.latest = append(c.latest[:0], ahead[counted:]...)
+	c.afterHead = int64(len(c.latest))
 }
 
 func (c *limitedConnection) refuse(cause error) {
-	status, label := http.StatusRequestHeaderFieldsTooLarge, "head"
-	switch {
-	case errors.Is(cause, errTooManyEmpties):
-		status, label = http.StatusBadRequest, "empty-lines"
-	case errors.Is(cause, errHeadsFull):
-		status, label = http.StatusServiceUnavailable, "heads"
-	}
+	status, label := refusal(cause)
 	countRefusal(c.listener.port, label)
 	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout)) // fails only on a closed connection
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s\n",
@@ -220,3 +297,14 @@
 	_ = c.SetReadDeadline(time.Now().Add(refusalDrainTimeout))
 	_, _ = io.CopyN(io.Discard, c.Conn, maxDrainedBytes)
 }
+
+// refusal returns the status of an answer to a head beyond a limit, and the cause for the metric.
+func refusal(cause error) (int, string) {
+	switch {
+	case errors.Is(cause, errTooManyEmpties):
+		return http.StatusBadRequest, "empty-lines"
+	case errors.Is(cause, errHeadsFull):
+		return http.StatusServiceUnavailable, "heads"
+	}
+	return http.StatusRequestHeaderFieldsTooLarge, "head"
+}
--- a/io/httpserver/limits_test.go
+++ b/io/httpserver/limits_test.go
@@ -113,19 +113,22 @@
 
 const ordinary = "GET / HTTP/1.1\r\nHost: n\r\n\r\n"
 
+var (
+	post    = "POST / HTTP/1.1\r\nHost: n\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("\n", 5000)
+	tooLong = strings.TrimSuffix(ordinary, "\r\n") + strings.Repeat("a:\r\n", maxHeadBytes/4)
+)
+
 // Guards against clients that get no answer to a head beyond a limit, and against a refusal of later requests on a connection because of
 // the bytes of earlier ones.
 func TestLimitsOnAConnection(t *testing.T) {
 	c := qt.New(t)
 	address := serve(c)
 	connection, reader := dial(c, address)
-	post := "POST / HTTP/1.1\r\nHost: n\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("\n", 5000)
 	for range 20 {
 		c.Assert(request(c, connection, reader, ordinary), qt.Equals, http.StatusOK)
 		c.Assert(request(c, connection, reader, post+ordinary), qt.Equals, http.StatusOK)
 		c.Assert(request(c, connection, reader, ""), qt.Equals, http.StatusOK)
 	}
-	tooLong := strings.TrimSuffix(ordinary, "\r\n") + strings.Repeat("a:\r\n", maxHeadBytes/4)
 	c.Assert(request(c, connection, reader, ordinary), qt.Equals, http.StatusOK)
 	c.Assert(request(c, connection, reader, tooLong), qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 	_, err := reader.ReadByte()
@@ -135,18 +138,88 @@
 	c.Assert(request(c, connection, reader, strings.Repeat("\r\n", 100)), qt.Equals, http.StatusBadRequest)
 }
 
-// Guards against heads of many lines that take more memory than the port has, against ordinary heads that are refused beside them, and
-// against memory that is not released.
+// Guards against a head that evades the limits because the server has received a part of it together with the request before it. The
+// client of such a head got no answer.
+func TestLimitsOfHeadsReadAhead(t *testing.T) {
+	full := strings.TrimSuffix(ordinary, "\r\n") + strings.Repeat("a:\r\n", 4000) + "\r\n"
+	for name, test := range map[string]struct {
+		text string
+		want []int
+	}{
+		"body":           {text: post + tooLong, want: []int{http.StatusOK, http.StatusRequestHeaderFieldsTooLarge}},
+		"no body":        {text: ordinary + tooLong, want: []int{http.StatusOK, http.StatusRequestHeaderFieldsTooLarge}},
+		"whole requests": {text: ordinary + post + ordinary + tooLong, want: []int{200, 200, 200, http.StatusRequestHeaderFieldsTooLarge}},
+		"empty lines":    {text: post + strings.Repeat("\r\n", 2*maxEmptyLines), want: []int{http.StatusOK, http.StatusBadRequest}},
+		"within limits":  {text: post + full + post + full, want: []int{200, 200, 200, 200}},
+		"asterisk":       {text: "OPTIONS * HTTP/1.1\r\nHost: n\r\n\r\n", want: []int{http.StatusOK}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, first := range []int{0, 1, 100, 4096, len(test.text)} { // bytes that arrive first
+				c := qt.New(t)
+				connection, reader := dial(c, serve(c))
+				first = min(first, len(test.text))
+				_, err := io.WriteString(connection, test.text[:first])
+				c.Assert(err, qt.IsNil)
+				time.Sleep(5 * time.Millisecond)
+				var got []int
+				for i := range test.want {
+					rest := ""
+					if i == 0 {
+						rest = test.text[first:]
+					}
+					got = append(got, request(c, connection, reader, rest))
+				}
+				c.Assert(got, qt.DeepEquals, test.want, qt.Commentf("%d bytes first", first))
+			}
+		})
+	}
+}
+
+// Guards against a whole head that was read ahead and is passed on although other heads use up the memory for lines.
+func TestHeadReadAheadIsRefusedWithoutMemory(t *testing.T) {
+	c := qt.New(t)
+	address := serve(c)
+	lines := strings.TrimSuffix(ordinary, "\r\n") + strings.Repeat("a:\r\n", 500)
+	for range 40 {
+		connection, _ := dial(c, address)
+		_, err := io.WriteString(connection, lines)
+		c.Assert(err, qt.IsNil)
+	}
+	time.Sleep(50 * time.Millisecond)
+	connection, reader := dial(c, address)
+	c.Assert(request(c, connection, reader, ordinary+lines+"\r\n"), qt.Equals, http.StatusOK)
+	c.Assert(request(c, connection, reader, ""), qt.Equals, http.StatusServiceUnavailable)
+	_, err := reader.ReadByte()
+	c.Assert(err, qt.IsNotNil)
+}
+
+// Guards against a head that evades the limits because it is unknown where the body before it ended.
+func TestConnectionClosesAfterBodyWithoutLength(t *testing.T) {
+	c := qt.New(t)
+	connection, reader := dial(c, serve(c))
+	_, err := io.WriteString(connection, "POST / HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	answer, err := http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(answer.Close, qt.IsTrue)
+}
+
+// Guards against heads of many lines that take more memory than the port has, also after a request with a body, against ordinary heads
+// that are refused beside them, and against memory that is not released.
 func TestHeadBudget(t *testing.T) {
 	c := qt.New(t)
 	address := serve(c)
 	full := strings.TrimSuffix(ordinary, "\r\n") + strings.Repeat("a:\r\n", 4000)
-	for range 2 {
+	for _, before := range []string{"", post} {
 		refused := 0
 		var held []net.Conn
 		for range 10 {
 			connection, reader := dial(c, address)
 			held = append(held, connection)
+			if before != "" {
+				c.Assert(request(c, connection, reader, before), qt.Equals, http.StatusOK)
+			}
 			_, err := io.WriteString(connection, full)
 			c.Assert(err, qt.IsNil)
 			_ = connection.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
