rollout: one standstill does not take back a short move

What callers saw: a rollout of a sound release ended as rolled_back, with the cause "slow answers".

Cause: the decider of short moves tests slow answers as independent draws. A standstill of one backend server makes all calls that it meets slow, and at a small share a few dozen calls decide.

With the new release's only backend server stopped for 150 ms after the step, TestRollouts fails on the code before: 12 of 360 answers over 16 ms, taken back 0.4 s after the step.

Change: the tests of latency leave out the worst 0.9 s of reports, which one standstill of up to 0.4 s can fill. Failures count as before.

Why it works: a release that is slow is so in all reports, and remains worse without any 0.9 s of them. A standstill is in one place.

--- a/core/rollout/short_move_decider.go
+++ b/core/rollout/short_move_decider.go
@@ -53,6 +53,9 @@
 	shortMoveRateWeightCalls = 5.0
 	// shortMoveMinBadCalls is the least number of bad calls that may take a move back, so that one or two unlucky calls do not.
 	shortMoveMinBadCalls = 3
+	// shortMoveStallDuration covers the reports about one standstill of a backend server of up to 0.4 s: nodes report every 0.3 s, and
+	// decisions are 0.2 s apart. The calls that a standstill meets are slow together, so that they are not independent evidence.
+	shortMoveStallDuration = 900 * time.Millisecond
 )
 
 // ShortMoveDecider decides the steps of one move that is too short for a SequentialDecider. It compares the releases over the same
@@ -66,6 +69,7 @@
 	countedAtStep   map[core.RouteName]shortMovePair // at the latest step
 	history         []shortMoveSnapshot              // at the latest decisions, oldest first
 	warmUpLatencies map[core.RouteName]latencies     // of the new release, to be left out
+	reports         []shortMoveReport                // oldest first
 }
 
 type latencies [core.LatencyBuckets]uint64
@@ -77,6 +81,12 @@
 	latency                   latencies
 }
 
+// shortMoveReport holds the latencies of the new release that were reported between two decisions.
+type shortMoveReport struct {
+	from, until time.Time
+	latencies   map[core.RouteName]latencies
+}
+
 // shortMovePair holds the counts of both releases, and how many calls of the new release would have been bad at the old release's
 // rates at the same time. The rates have to be those of the same time: most calls of the new release may fall into a time of faults
 // that affect both releases.
@@ -231,10 +241,11 @@
 		d.history = d.history[1:]
 	}
 	if len(d.history) > 0 {
-		oldest, latest := d.history[0].counted, d.history[len(d.history)-1].counted
+		oldest, latest := d.history[0], d.history[len(d.history)-1]
 		for route, pair := range counted {
-			counted[route] = pair.withExpected(oldest[route], latest[route])
+			counted[route] = pair.withExpected(oldest.counted[route], latest.counted[route])
 		}
+		d.addReport(now, counted, latest)
 	}
 	d.history = append(d.history, shortMoveSnapshot{
 		at:      now,
@@ -243,6 +254,44 @@
 	return counted
 }
 
+func (d *ShortMoveDecider) addReport(now time.Time, counted map[core.RouteName]shortMovePair, latest shortMoveSnapshot) {
+	added := make(map[core.RouteName]latencies)
+	for route, pair := range counted {
+		if delta := pair.new.latency.sub(latest.counted[route].new.latency); delta.total() > 0 {
+			added[route] = delta
+		}
+	}
+	if len(added) > 0 {
+		d.reports = append(d.reports, shortMoveReport{
+			from:      latest.at,
+			until:     now,
+			latencies: added,
+		})
+	}
+}
+
+// worstStall returns the latencies of a route that were reported within the shortMoveStallDuration with most answers above a bucket,
+// from a time on.
+func (d *ShortMoveDecider) worstStall(route core.RouteName, since time.Time, bucket int) latencies {
+	var worst latencies
+	for first, report := range d.reports {
+		if report.from.Before(since) {
+			continue
+		}
+		var within latencies
+		for _, each := range d.reports[first:] {
+			if each.until.Sub(report.from) > shortMoveStallDuration {
+				break
+			}
+			within = within.plus(each.latencies[route])
+		}
+		if within.above(bucket) > worst.above(bucket) {
+			worst = within
+		}
+	}
+	return worst
+}
+
 func (p shortMovePair) withExpected(oldest, latest shortMovePair) shortMovePair {
 	window := p.old.sub(oldest.old)
 	added := func(now, before uint64) float64 { return float64(saturatingSub(now, before)) }
@@ -298,6 +347,13 @@
 	return l
 }
 
+func (l latencies) plus(other latencies) latencies {
+	for i := range l {
+		l[i] += other[i]
+	}
+	return l
+}
+
 func (l latencies) above(bucket int) uint64 { return lo.Sum(l[bucket+1:]) }
 
 func (l latencies) total() uint64 { return lo.Sum(l[:]) }
@@ -316,9 +372,7 @@
 	c.calls += other.calls
 	c.failures += other.failures
 	c.rejected += other.rejected
-	for i := range c.latency {
-		c.latency[i] += other.latency[i]
-	}
+	c.latency = c.latency.plus(other.latency)
 	return c
 }
 
@@ -328,10 +382,11 @@
 	routes := lo.Keys(counted)
 	slices.Sort(routes)
 	for _, route := range routes {
-		for _, pair := range []shortMovePair{counted[route], recent[route]} {
-			if cause, found := pair.worse(counted[route].old, alarmProbability); found {
-				return fmt.Sprintf("route %q: %s", route, cause), true
-			}
+		if cause, found := d.routeWorse(route, time.Time{}, counted[route], counted[route].old, alarmProbability); found {
+			return cause, true
+		}
+		if cause, found := d.routeWorse(route, d.stepSeenAt, recent[route], counted[route].old, alarmProbability); found {
+			return cause, true
 		}
 	}
 	for _, pair := range []shortMovePair{totalOf(counted), totalOf(recent)} {
@@ -342,6 +397,19 @@
 	return "", false
 }
 
+// routeWorse compares the counts of a route since a time. A single standstill does not make the new release worse.
+func (d *ShortMoveDecider) routeWorse(route core.RouteName, since time.Time, pair shortMovePair, usual shortMoveCount, alarmProbability float64) (string, bool) {
+	if _, found := pair.worse(usual, latencies{}, alarmProbability); !found {
+		return "", false
+	}
+	var stalled latencies
+	if boundary, known := usual.slowBoundary(); known {
+		stalled = d.worstStall(route, since, boundary)
+	}
+	cause, found := pair.worse(usual, stalled, alarmProbability)
+	return fmt.Sprintf("route %q: %s", route, cause), found
+}
+
 // latencyNoninferior reports whether a release that is slower for shortMoveDetectedSlowRate of its calls would have had more slow
 // answers or rejected calls than were counted. The test fails with few calls, or if many of the old release's answers are slow too,
 // since a slow release could then go unnoticed. Routes on which the old release has fewer than windowMinCalls calls are left out.
@@ -363,7 +431,8 @@
 	return calls > 0 && binomialCDF(slow, calls, expected/float64(calls)+shortMoveDetectedSlowRate) <= shortMoveMissProbability
 }
 
-func (p shortMovePair) worse(usual shortMoveCount, alarmProbability float64) (string, bool) {
+// worse returns the first measure in which the new release is worse. The tests of latency leave out the answers of a standstill.
+func (p shortMovePair) worse(usual shortMoveCount, stalled latencies, alarmProbability float64) (string, bool) {
 	if p.failuresWorse(alarmProbability) {
 		return "failures", true
 	}
@@ -371,12 +440,13 @@
 	if !known {
 		return "", false
 	}
-	timed, slow, expected := p.new.latency.total(), p.new.latency.above(boundary), p.expectedSlow[boundary]
+	answers := p.new.latency.sub(stalled)
+	timed, slow, expected := answers.total(), answers.above(boundary), p.expectedSlow[boundary]
 	if exceedsRate(slow, timed, shortMoveToleratedSlowRate+expected/float64(max(timed, 1)), alarmProbability) {
 		return "slow answers", true
 	}
 	// A release that is a little worse in both measures is bad too. Calls that fail slowly count twice for both releases.
-	calls := p.new.calls
+	calls := saturatingSub(p.new.calls, stalled.total())
 	if exceedsRate(min(slow+p.new.failures, calls), calls, shortMoveToleratedSlowRate+(expected+p.expectedFailures)/float64(max(calls, 1)), alarmProbability) {
 		return "failures and slow answers", true
 	}
