rollout: bound what is kept to find a standstill

What callers saw: nothing yet. A short move may last a minute, and the reports that are kept to find a standstill grow with the number of routes: with 1,000 routes in each report of 0.2 s, by some 60 MB (from the code).

Change: at most 16,384 latencies of single routes are kept; older ones count as before. TestSequentialDeciderFinishesGoodReleasesInTime has two cases of a standstill, which passed before too: that decider bounds what one window of calls can show.

Result: the tests of core/rollout pass.

--- a/core/rollout/sequential_decider_test.go
+++ b/core/rollout/sequential_decider_test.go
@@ -195,7 +195,8 @@
 	}
 }
 
-// Guards against a good release that is taken back for what both releases show, for counts from before the move or for single calls.
+// Guards against a good release that is taken back for what both releases show, for counts from before the move, for single calls or for a
+// standstill of 0.4 s.
 func TestSequentialDeciderFinishesGoodReleasesInTime(t *testing.T) {
 	good := load{calls: 200, oldFail: 0.001, newFail: 0.001, oldSlow: 0.02, newSlow: 0.02}
 	burst := func(l load) func(int) map[core.RouteName]load {
@@ -206,6 +207,15 @@
 			return map[core.RouteName]load{"read": good}
 		}
 	}
+	standstill := func(at int) func(int) map[core.RouteName]load {
+		return func(second int) map[core.RouteName]load {
+			l := good
+			if second == at {
+				l.newSlow = 0.4
+			}
+			return map[core.RouteName]load{"read": l}
+		}
+	}
 	for name, loads := range map[string]func(int) map[core.RouteName]load{
 		"calm":              constantLoads(good),
 		"shared slowness":   burst(load{calls: 200, oldSlow: 0.8, newSlow: 0.8}),
@@ -213,6 +223,8 @@
 		"shared crashes":    constantLoads(load{calls: 200, oldCrash: 0.001, newCrash: 0.001}),
 		"failing as before": constantLoads(load{calls: 200, oldFail: 0.03, newFail: 0.03}),
 		"old release worse": constantLoads(load{calls: 200, oldFail: 0.05}),
+		"early standstill":  standstill(20),
+		"late standstill":   standstill(300),
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/core/rollout/short_move_decider.go
+++ b/core/rollout/short_move_decider.go
@@ -56,6 +56,8 @@
 	// shortMoveStallDuration covers the reports about one standstill of a backend server of up to 0.4 s: nodes report every 0.3 s, and
 	// decisions are 0.2 s apart. The calls that a standstill meets are slow together, so that they are not independent evidence.
 	shortMoveStallDuration = 900 * time.Millisecond
+	// maxShortMoveReported bounds the latencies of single routes and reports that are kept to find a standstill, at 112 bytes each.
+	maxShortMoveReported = 16 << 10
 )
 
 // ShortMoveDecider decides the steps of one move that is too short for a SequentialDecider. It compares the releases over the same
@@ -70,6 +72,7 @@
 	history         []shortMoveSnapshot              // at the latest decisions, oldest first
 	warmUpLatencies map[core.RouteName]latencies     // of the new release, to be left out
 	reports         []shortMoveReport                // oldest first
+	reported        int                              // latencies of all reports
 }
 
 type latencies [core.LatencyBuckets]uint64
@@ -261,12 +264,16 @@
 			added[route] = delta
 		}
 	}
-	if len(added) > 0 {
-		d.reports = append(d.reports, shortMoveReport{
-			from:      latest.at,
-			until:     now,
-			latencies: added,
-		})
+	if len(added) == 0 {
+		return
+	}
+	d.reports = append(d.reports, shortMoveReport{
+		from:      latest.at,
+		until:     now,
+		latencies: added,
+	})
+	for d.reported += len(added); d.reported > maxShortMoveReported; d.reports = d.reports[1:] {
+		d.reported -= len(d.reports[0].latencies)
 	}
 }
 
