httpserver: run no request of a closed connection

What callers saw: nothing yet. After "OPTIONS *", which net/http answers without the handler, the connection closes if bytes have followed. A whole request among them would have run without an answer (from the code).

Change: such a request is refused by the handler's wrapper.

Result: the tests of the servers that use the listener pass. No test shows the case itself.

--- a/io/httpserver/limits.go
+++ b/io/httpserver/limits.go
@@ -91,7 +91,7 @@
 	afterHead  int64
 	latest     []byte
 	bodyLength int64 // in bytes, or unknownLength
-	limitErr   error // of a head that was read ahead
+	limitErr   error // of a head that was read ahead, or net.ErrClosed
 	reserved   int64 // of LimitedListener.heads; guarded by LimitedListener.mu
 	busy       bool  // a request is in progress; guarded by LimitedListener.mu
 }
@@ -120,11 +120,10 @@
 	}
 	l.accepted++
 	connection := &limitedConnection{
-		Conn:     accepted,
-		listener: l,
-		number:   l.accepted,
-		inHead:   true,
-
+		Conn:       accepted,
+		listener:   l,
+		number:     l.accepted,
+		inHead:     true,
 		bodyLength: unknownLength,
 	}
 	l.connections[connection] = struct{}{}
@@ -274,6 +273,7 @@
 	readAhead := c.afterHead - max(0, c.bodyLength)
 	if c.bodyLength == unknownLength && c.afterHead > 0 || readAhead < 0 || readAhead > int64(len(c.latest)) {
 		_ = c.Conn.Close()
+		c.limitErr = net.ErrClosed // a request that was read ahead must not run, since it would get no answer
 		return
 	}
 	ahead := c.latest[int64(len(c.latest))-readAhead:]
