backendhttp, stuck: one line for each call that is given up as stuck, with what shows it

The line call-stuck shared a limit of 25 lines a second with all calls that are not answered, and stated the age of the call only.

Change: the line has no limit, since a call gets one at most, and three other calls have been completed before it. It states the later calls, the known runs and the times that half of them and one in 100 exceed. Which calls are given up does not change.

Result: TestStuckCallIsEndedAndItsSlotHeld checks the line.

--- a/core/cost/cost.go
+++ b/core/cost/cost.go
@@ -132,8 +132,14 @@
 func (e *Estimator) Work(now time.Time, class Class) Work {
 	for l := range level(levels) {
 		h := e.histograms[key{level: l, class: class.narrow(l)}]
-		if h != nil && (h.samples(now) >= minSamples || l == levels-1 && h.total > 0) {
-			return Work{tails: h.derive(now)}
+		if h == nil {
+			continue
+		}
+		if samples := h.samples(now); samples >= minSamples || l == levels-1 && h.total > 0 {
+			return Work{
+				tails:   h.derive(now),
+				samples: samples,
+			}
 		}
 	}
 	return Work{}
--- a/core/cost/histogram.go
+++ b/core/cost/histogram.go
@@ -114,9 +114,13 @@
 
 // Work is the distribution of the time for which calls of a class hold a slot. The zero value knows nothing.
 type Work struct {
-	tails *tails
+	tails   *tails
+	samples float64
 }
 
+// Samples returns the number of observed calls, each by its present weight.
+func (w Work) Samples() float64 { return w.samples }
+
 // Known reports whether any call was observed.
 func (w Work) Known() bool { return w.tails != nil }
 
--- a/core/stuck/stuck.go
+++ b/core/stuck/stuck.go
@@ -1,6 +1,7 @@
 package stuck
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -36,6 +37,19 @@
 	later      int // calls that began after it and were completed
 }
 
+// Finding is a call that is stuck, and what shows it.
+type Finding struct {
+	ID ID
+	// Later is the number of calls that began after it and were completed.
+	Later int
+	// Ran is the time since it was sent.
+	Ran time.Duration
+	// Usual and Longest are the times that half of the known runs and one run in 100 exceed.
+	Usual, Longest time.Duration
+	// KnownRuns is the number of runs that these times are taken from, each by its present weight.
+	KnownRuns float64
+}
+
 // Detector finds the stuck calls of one backend server. It is not safe for concurrent use.
 type Detector struct {
 	calls  map[ID]*call
@@ -76,42 +90,50 @@
 func (d *Detector) Abandon(id ID) { delete(d.calls, id) }
 
 // Complete removes a call that was served completely, and returns the calls that are stuck as it shows, each once.
-func (d *Detector) Complete(now time.Time, id ID) []ID {
+func (d *Detector) Complete(now time.Time, id ID) []Finding {
 	completed := d.calls[id]
 	if completed == nil {
 		return nil
 	}
 	delete(d.calls, id)
 	ran := now.Sub(completed.startedAt)
-	usual := ran >= d.quantile(now, completed.route, usualPart)
+	usual := ran >= d.work(now, completed.route).Quantile(usualPart)
 	d.runs.Observe(now, cost.Class{Route: completed.route}, ran, 1)
 	if !usual {
 		return nil
 	}
-	var stuck []ID
+	var stuck []Finding
 	for id, c := range d.calls {
 		if c.answered || !completed.startedAt.After(c.startedAt) {
 			continue
 		}
 		c.later++
-		if d.isStuck(now, c) {
+		if finding, isStuck := d.judge(now, id, c); isStuck {
 			c.reported = true
-			stuck = append(stuck, id)
+			stuck = append(stuck, finding)
 		}
 	}
-	slices.Sort(stuck)
+	slices.SortFunc(stuck, func(a, b Finding) int { return cmp.Compare(a.ID, b.ID) })
 	return stuck
 }
 
-func (d *Detector) isStuck(now time.Time, c *call) bool {
+func (d *Detector) judge(now time.Time, id ID, c *call) (Finding, bool) {
 	if !c.repeatable || c.reported || c.later < minLaterCalls {
-		return false
+		return Finding{}, false
+	}
+	work := d.work(now, c.route)
+	finding := Finding{
+		ID:        id,
+		Later:     c.later,
+		Ran:       now.Sub(c.startedAt),
+		Usual:     work.Quantile(usualPart),
+		Longest:   work.Quantile(longestPart),
+		KnownRuns: work.Samples(),
 	}
-	longest := d.quantile(now, c.route, longestPart)
-	return longest > 0 && now.Sub(c.startedAt) > longestRatio*longest
+	return finding, finding.Longest > 0 && finding.Ran > longestRatio*finding.Longest
 }
 
-// quantile returns the time that a part of the runs of a route does not exceed, zero if nothing is known of the route.
-func (d *Detector) quantile(now time.Time, route core.RouteName, part float64) time.Duration {
-	return d.runs.Work(now, cost.Class{Route: route}).Quantile(part)
+// work returns the distribution of the runs of a route.
+func (d *Detector) work(now time.Time, route core.RouteName) cost.Work {
+	return d.runs.Work(now, cost.Class{Route: route})
 }
--- a/core/stuck/stuck_test.go
+++ b/core/stuck/stuck_test.go
@@ -17,7 +17,9 @@
 	for range n {
 		id := d.Begin(now, "r", true)
 		now = now.Add(ran)
-		found = append(found, d.Complete(now, id)...)
+		for _, each := range d.Complete(now, id) {
+			found = append(found, each.ID)
+		}
 	}
 	return found, now
 }
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -159,7 +159,7 @@
 		strayAnswers:   options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
 		invalidAnswers: options.Metrics.GetOrCreateCounter("parsleyport_backend_invalid_answers_total"),
 		failureLog:     loglimit.New(options.Logger, options.Metrics, "not-answered", failureLinesPerSecond),
-		stuckCalls:     newStuckCalls(options.EndStuckCalls, options.Metrics),
+		stuckCalls:     newStuckCalls(options.EndStuckCalls, options.Metrics, options.Logger),
 		drained:        make(chan struct{}),
 		probes:         ring.New[Announcement](1),
 	}
--- a/io/backendhttp/stuck.go
+++ b/io/backendhttp/stuck.go
@@ -1,11 +1,13 @@
 package backendhttp
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	"parsleyport/core/stuck"
 )
@@ -25,18 +27,20 @@
 // stuckCalls ends the calls that a stuck.Detector reports. A nil stuckCalls ends none.
 type stuckCalls struct {
 	ended *metrics.Counter
+	log   zerolog.Logger
 
 	mu        sync.Mutex // guards the fields below
 	detector  *stuck.Detector
 	exchanges map[stuck.ID]*exchange
 }
 
-func newStuckCalls(enabled bool, set *metrics.Set) *stuckCalls {
+func newStuckCalls(enabled bool, set *metrics.Set, log zerolog.Logger) *stuckCalls {
 	if !enabled {
 		return nil
 	}
 	return &stuckCalls{
 		ended:     set.GetOrCreateCounter("parsleyport_backend_stuck_calls_total"),
+		log:       log,
 		detector:  stuck.NewDetector(),
 		exchanges: make(map[stuck.ID]*exchange),
 	}
@@ -92,19 +96,27 @@
 		s.detector.Abandon(x.stuckID)
 		return
 	}
-	for _, id := range s.detector.Complete(now, x.stuckID) {
-		if other := s.exchanges[id]; other != nil {
+	for _, finding := range s.detector.Complete(now, x.stuckID) {
+		if other := s.exchanges[finding.ID]; other != nil {
+			s.logFinding(other, finding)
 			other.interrupted = true
 			_ = other.conn.SetReadDeadline(now) // ends the wait for the answer; fails only on a closed connection
 		}
 	}
 }
 
+// logFinding logs a stuck call and what shows it. The line is subject to no limit: there is one for each call at most, after three other
+// calls have been completed.
+func (s *stuckCalls) logFinding(x *exchange, finding stuck.Finding) {
+	s.log.Warn().Str("event", "call-stuck").Str("call", string(x.call.ID)).Str("route", string(x.call.Route)).Str("run", x.processRun).
+		Int64("ran-ms", finding.Ran.Milliseconds()).Int("later-calls", finding.Later).Float64("known-runs", math.Round(finding.KnownRuns)).
+		Int64("usual-ms", finding.Usual.Milliseconds()).Int64("longest-ms", finding.Longest.Milliseconds()).
+		Int64("left-ms", time.Until(x.call.Deadline).Milliseconds()).Msg("backend server answers later calls and not this one")
+}
+
 // settleStuck ends a stuck call. Its connection is closed after its caller's node knows the outcome, and its slot is released when
 // the call cannot be running any more. It is no sign that the backend server has crashed.
 func (x *exchange) settleStuck() {
-	x.server.failureLog.Warn().Str("event", "call-stuck").Str("call", string(x.call.ID)).Str("route", string(x.call.Route)).
-		Str("run", x.processRun).Int64("waited-ms", time.Since(x.startedAt).Milliseconds()).Msg("backend server answers later calls and not this one")
 	x.stopCancelling() // the context of the call ends as soon as its outcome is reported
 	time.AfterFunc(stuckCloseDelay, func() {
 		_ = x.conn.Close()
--- a/io/backendhttp/stuck_test.go
+++ b/io/backendhttp/stuck_test.go
@@ -1,6 +1,7 @@
 package backendhttp
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -12,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	"parsleyport/core"
 )
@@ -35,7 +37,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := startFixture(t)
-		f.stuckCalls = newStuckCalls(true, f.options.Metrics)
+		var lines bytes.Buffer
+		f.stuckCalls = newStuckCalls(true, f.options.Metrics, zerolog.New(&lines))
 		f.backend.respond = func(conn net.Conn, request *http.Request) {
 			if request.URL.Path == "/dropped" {
 				return // and no later call on the connection is answered, since none is sent
@@ -80,6 +83,7 @@
 		serve(3)
 		settled := <-repeatable
 		c.Assert(errors.Is(settled, ErrStuck), qt.IsTrue, qt.Commentf("%v", settled))
+		c.Assert(lines.String(), qt.Matches, `.*"event":"call-stuck","call":"x".*"ran-ms":301,"later-calls":3,"known-runs":(49|5\d),"usual-ms":\d+,"longest-ms":\d+,.*\n`)
 		c.Assert(closedAt, qt.HasLen, 0)
 		c.Assert(f.admission.Load("").Running, qt.Equals, 2)
 		time.Sleep(400 * time.Millisecond)
@@ -109,7 +113,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := startFixture(t)
-		f.stuckCalls = newStuckCalls(true, f.options.Metrics)
+		f.stuckCalls = newStuckCalls(true, f.options.Metrics, f.options.Logger)
 		f.announce(time.Now(), readyAnnouncement("1"))
 		x := &exchange{server: f.Server, call: newTestCall(""), startedAt: time.Now()}
 		near, far := net.Pipe()
