stuck, backendhttp, nodepeer, callerhttp: a call that looks stuck goes on until another answer has arrived

What callers saw: 502 for a repeatable call at which a backend server was at work, in place of its answer, with up to 1.4 s of their time left.

Cause: the node beside the backend server ended a working call because later calls were completed before it. It does not know whether the call's node has an attempt, retry budget or another endpoint left. Without them the caller got a failure although its answer was on the way.

Change: the node reports the suspicion (core.Call.OnStuck, a notice between nodes for dialers that state that they receive it), and the call goes on. The entry node makes a second attempt beside it within attempts and budget; the first answer wins. Without a second attempt the call goes on to its deadline. Each report and its end have a line in the log (call-stuck, stuck-call-ended).

Detector.Answered returns nothing any more, as no interruption has to be taken back.

Why it works: nothing ends a working attempt before its deadline but an answer, its caller or its connection.

--- a/core/call.go
+++ b/core/call.go
@@ -74,6 +74,9 @@
 	// Trial is the fingerprint under which the call is suspected of crashing backend servers, if it runs as a test of that, or zero. The
 	// node beside the backend server lets one test of a fingerprint run at a time.
 	Trial Fingerprint
+	// OnStuck is called once, and must not block, if the backend server completes later calls and not this one, so that it may never
+	// answer. The call goes on. Nil for calls that must not be repeated, and for nodes that do not receive such notices.
+	OnStuck func()
 }
 
 // Load is the load of a backend server as the node beside it reports it. A zero Limit means that nothing is known.
--- a/core/stuck/doc.go
+++ b/core/stuck/doc.go
@@ -1,2 +1,2 @@
-// Package stuck tells calls to a backend server that will never be answered from calls that take long.
+// Package stuck finds calls that a backend server may never answer. What it finds is a suspicion: a call that takes long looks the same.
 package stuck
--- a/core/stuck/stuck.go
+++ b/core/stuck/stuck.go
@@ -10,10 +10,11 @@
 )
 
 // The rule of this package is made for backend servers that never answer a call that they had no room for, nor later calls on its
-// connection. Such a call holds its slot and its caller until its deadline, although another endpoint could serve it.
+// connection. Such a call holds its slot and its caller until its deadline, although another endpoint could serve it. Calls that work for
+// long are overtaken in the same way, so that only another answer shows that a call is not needed any more.
 
 const (
-	// minLaterCalls is the number of calls that began after a call and were completed before it counts as stuck. Each alone may have
+	// minLaterCalls is the number of calls that began after a call and were completed before it is reported. Each alone may have
 	// overtaken it on a backend server that works on several calls.
 	minLaterCalls = 3
 	// usualPart is the part of the runs of a route that are shorter than usual. Answers that come faster, such as refusals, do not
@@ -37,7 +38,7 @@
 	later      int // calls that began after it and were completed
 }
 
-// Finding is a call that is stuck, and what shows it.
+// Finding is a call that looks stuck, and why.
 type Finding struct {
 	ID ID
 	// Later is the number of calls that began after it and were completed.
@@ -50,7 +51,7 @@
 	KnownRuns float64
 }
 
-// Detector finds the stuck calls of one backend server. It is not safe for concurrent use.
+// Detector finds the calls of one backend server that look stuck. It is not safe for concurrent use.
 type Detector struct {
 	calls  map[ID]*call
 	lastID ID
@@ -65,7 +66,7 @@
 	}
 }
 
-// Begin adds a call that was sent to the backend server. Only repeatable calls are ever reported as stuck: others may be running.
+// Begin adds a call that was sent to the backend server. Only repeatable calls are ever reported as stuck: no other one could be made in their place.
 func (d *Detector) Begin(now time.Time, route core.RouteName, repeatable bool) ID {
 	d.lastID++
 	d.calls[d.lastID] = &call{
@@ -76,20 +77,17 @@
 	return d.lastID
 }
 
-// Answered notes that the answer to a call has begun. It returns false if the call was reported as stuck before.
-func (d *Detector) Answered(id ID) bool {
-	c := d.calls[id]
-	if c == nil || c.reported {
-		return false
+// Answered notes that the answer to a call has begun.
+func (d *Detector) Answered(id ID) {
+	if c := d.calls[id]; c != nil {
+		c.answered = true
 	}
-	c.answered = true
-	return true
 }
 
 // Abandon removes a call that ended without a complete answer.
 func (d *Detector) Abandon(id ID) { delete(d.calls, id) }
 
-// Complete removes a call that was served completely, and returns the calls that are stuck as it shows, each once.
+// Complete removes a call that was served completely, and returns the calls that look stuck after it, each once.
 func (d *Detector) Complete(now time.Time, id ID) []Finding {
 	completed := d.calls[id]
 	if completed == nil {
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -111,8 +111,8 @@
 	defer func() { // also if run panics
 		switch {
 		case answered:
-		case x.stuck:
-			x.settleStuck()
+		case s.stuckCalls.isReported(x):
+			x.endAfterWork()
 		default:
 			x.end(ResultFailed)
 		}
@@ -158,8 +158,7 @@
 	reusable       bool
 	head           answerHead
 	stuckID        stuck.ID // zero if stuck calls are not detected, or before it was sent
-	interrupted    bool     // the wait for the answer was ended because the call is stuck; guarded by stuckCalls.mu
-	stuck          bool     // it ended because it is stuck
+	stuckReported  bool     // guarded by stuckCalls.mu
 }
 
 func (x *exchange) end(result CallResult) {
@@ -249,9 +248,6 @@
 	// The answer is read even after a failed write, since a backend server may answer before it has read the whole request.
 	response, readErr := x.readResponse(request)
 	if readErr != nil {
-		if x.stuck = x.server.stuckCalls.isInterrupted(x) && x.ctx.Err() == nil; x.stuck {
-			return nil, core.OutcomeUnknown, ErrStuck
-		}
 		return nil, core.OutcomeUnknown, x.fail(readErr)
 	}
 	x.server.stuckCalls.answered(x)
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -54,8 +54,9 @@
 	OnCrash func(Crash)
 	// CrashTrials limits the calls that run as tests of a suspicion (core.Call.Trial). Nil means no limit.
 	CrashTrials core.CrashTrials
-	// EndStuckCalls ends repeatable calls that the backend server does not answer although it answers later ones; see stuck.Detector.
-	EndStuckCalls bool
+	// ReportStuckCalls calls core.Call.OnStuck for calls that the backend server does not answer although it answers later ones; see
+	// stuck.Detector.
+	ReportStuckCalls bool
 	// Dial connects to the backend server. Nil means a TCP dial.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Logger gets a line when a run of a backend server is first announced, when a lease ends, and for calls that were not answered.
@@ -100,7 +101,7 @@
 	heads     *memory.Budget // for the heads of answers
 	streams   streamPlaces
 
-	stuckCalls   *stuckCalls // nil without EndStuckCalls
+	stuckCalls   *stuckCalls // nil without ReportStuckCalls
 	sentCalls    *metrics.Counter
 	crashedCalls *metrics.Counter
 	strayAnswers *metrics.Counter
@@ -159,7 +160,7 @@
 		strayAnswers:   options.Metrics.GetOrCreateCounter("parsleyport_backend_stray_answers_total"),
 		invalidAnswers: options.Metrics.GetOrCreateCounter("parsleyport_backend_invalid_answers_total"),
 		failureLog:     loglimit.New(options.Logger, options.Metrics, "not-answered", failureLinesPerSecond),
-		stuckCalls:     newStuckCalls(options.EndStuckCalls, options.Metrics, options.Logger),
+		stuckCalls:     newStuckCalls(options.ReportStuckCalls, options.Metrics, options.Logger),
 		drained:        make(chan struct{}),
 		probes:         ring.New[Announcement](1),
 	}
--- a/io/backendhttp/stuck.go
+++ b/io/backendhttp/stuck.go
@@ -6,28 +6,20 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
 	"parsleyport/core/stuck"
 )
 
-// ErrStuck means that the backend server has answered later calls and probably never answers this one.
-const ErrStuck = errors.ConstError("backend server does not answer the call")
+// stuckReleaseDelay is the time from the close of the connection of a call that was reported as stuck to the release of its slot. Backend
+// servers cancel the work of a call within half a second after its connection was closed; before, it might run beside as many calls as
+// there are slots.
+const stuckReleaseDelay = 500 * time.Millisecond
 
-const (
-	// stuckCloseDelay is the time from the end of a stuck call to the close of its connection, so that the caller's node knows the
-	// outcome before the backend server can.
-	stuckCloseDelay = 10 * time.Millisecond
-	// stuckReleaseDelay is the time from the close of its connection to the release of its slot. Backend servers cancel the work of
-	// a call within half a second after its connection was closed; before, it might run beside as many calls as there are slots.
-	stuckReleaseDelay = 500 * time.Millisecond
-)
-
-// stuckCalls ends the calls that a stuck.Detector reports. A nil stuckCalls ends none.
+// stuckCalls reports the calls that a stuck.Detector finds to their callers' nodes. A nil stuckCalls reports none.
 type stuckCalls struct {
-	ended *metrics.Counter
-	log   zerolog.Logger
+	reported *metrics.Counter
+	log      zerolog.Logger
 
 	mu        sync.Mutex // guards the fields below
 	detector  *stuck.Detector
@@ -39,7 +31,7 @@
 		return nil
 	}
 	return &stuckCalls{
-		ended:     set.GetOrCreateCounter("parsleyport_backend_stuck_calls_total"),
+		reported:  set.GetOrCreateCounter("parsleyport_backend_stuck_calls_total"),
 		log:       log,
 		detector:  stuck.NewDetector(),
 		exchanges: make(map[stuck.ID]*exchange),
@@ -53,60 +45,64 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	x.stuckID = s.detector.Begin(x.startedAt, x.call.Route, x.call.Idempotent)
+	x.stuckID = s.detector.Begin(x.startedAt, x.call.Route, x.call.OnStuck != nil)
 	s.exchanges[x.stuckID] = x
 }
 
-// answered notes that an answer has begun, and takes back the interruption of a call whose answer has arrived after all.
+// answered notes that an answer has begun.
 func (s *stuckCalls) answered(x *exchange) {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.detector.Answered(x.stuckID) {
-		_ = x.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
-	}
+	s.detector.Answered(x.stuckID)
 	delete(s.exchanges, x.stuckID)
 }
 
-// isInterrupted reports whether a call whose answer could not be read was interrupted as stuck, and counts it then.
-func (s *stuckCalls) isInterrupted(x *exchange) bool {
+// isReported reports whether a call was reported as stuck.
+func (s *stuckCalls) isReported(x *exchange) bool {
 	if s == nil {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !x.interrupted {
-		return false
-	}
-	s.ended.Inc()
-	return true
+	return x.stuckReported
 }
 
-// end removes a call, and interrupts those that turn out to be stuck if it was served.
+// end removes a call, and reports those that look stuck if it was served.
 func (s *stuckCalls) end(now time.Time, x *exchange, result CallResult) {
 	if s == nil || x.stuckID == 0 {
 		return
 	}
+	for _, each := range s.remove(now, x, result) {
+		each.call.OnStuck()
+	}
+}
+
+// remove removes a call and returns those that look stuck, which it counts and logs.
+func (s *stuckCalls) remove(now time.Time, x *exchange, result CallResult) []*exchange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.exchanges, x.stuckID)
 	if result != ResultServed {
 		s.detector.Abandon(x.stuckID)
-		return
+		return nil
 	}
+	var found []*exchange
 	for _, finding := range s.detector.Complete(now, x.stuckID) {
 		if other := s.exchanges[finding.ID]; other != nil {
+			other.stuckReported = true
+			s.reported.Inc()
 			s.logFinding(other, finding)
-			other.interrupted = true
-			_ = other.conn.SetReadDeadline(now) // ends the wait for the answer; fails only on a closed connection
+			found = append(found, other)
 		}
 	}
+	return found
 }
 
-// logFinding logs a stuck call and what shows it. The line is subject to no limit: there is one for each call at most, after three other
-// calls have been completed.
+// logFinding logs a call that looks stuck, and why. The line is subject to no limit: there is one for each call at most, after three
+// other calls have been completed.
 func (s *stuckCalls) logFinding(x *exchange, finding stuck.Finding) {
 	s.log.Warn().Str("event", "call-stuck").Str("call", string(x.call.ID)).Str("route", string(x.call.Route)).Str("run", x.processRun).
 		Int64("ran-ms", finding.Ran.Milliseconds()).Int("later-calls", finding.Later).Float64("known-runs", math.Round(finding.KnownRuns)).
@@ -114,12 +110,7 @@
 		Int64("left-ms", time.Until(x.call.Deadline).Milliseconds()).Msg("backend server answers later calls and not this one")
 }
 
-// settleStuck ends a stuck call. Its connection is closed after its caller's node knows the outcome, and its slot is released when
-// the call cannot be running any more. It is no sign that the backend server has crashed.
-func (x *exchange) settleStuck() {
-	x.stopCancelling() // the context of the call ends as soon as its outcome is reported
-	time.AfterFunc(stuckCloseDelay, func() {
-		_ = x.conn.Close()
-		time.AfterFunc(stuckReleaseDelay, func() { x.end(ResultFailed) })
-	})
+// endAfterWork ends a call that was reported as stuck, and whose connection is closed, when it cannot be running any more.
+func (x *exchange) endAfterWork() {
+	time.AfterFunc(stuckReleaseDelay, func() { x.end(ResultFailed) })
 }
--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -15,8 +15,27 @@
 // would grow by 80%; a hedge at the first level covers the levels below it.
 const hedgedDepth = 1
 
-// hedge is a second attempt of a call, made if the first one is slow. Its result is sent to results, or discarded if the call has
-// ended by then.
+// secondCause says why a second attempt is made beside the first one.
+type secondCause string
+
+const (
+	causeSlow  secondCause = "slow"  // the first attempt takes longer than most
+	causeStuck secondCause = "stuck" // the backend server completes later calls and not the first attempt
+)
+
+// secondDecision says whether a second attempt was made, and if not, why.
+type secondDecision string
+
+const (
+	secondBegun      secondDecision = "begun"
+	secondNotNeeded  secondDecision = "not-needed" // the first attempt had ended
+	secondSuspect    secondDecision = "crash-suspect"
+	secondNowhere    secondDecision = "no-endpoint"
+	secondNotAllowed secondDecision = "no-attempt-or-budget-left"
+)
+
+// hedge is a second attempt of a call beside the first one, which goes on until another answer has arrived: neither a slow attempt nor
+// one that looks stuck is known to fail. The result is sent to results, or discarded if the call has ended by then.
 type hedge struct {
 	server      *Server
 	request     *request
@@ -27,14 +46,16 @@
 
 	mu        sync.Mutex
 	started   bool
-	won       bool // answered before the first attempt
-	discarded bool // the result is no longer needed
+	stuck     bool           // the first attempt looks stuck
+	decision  secondDecision // the latest one
+	won       bool           // answered before the first attempt
+	discarded bool           // the result is no longer needed
 	cancel    context.CancelFunc
-	endpoint  core.Endpoint
+	endpoint  core.Endpoint // of the latest second attempt
 }
 
-// attemptHedged makes an attempt, and a second one at another endpoint if the first is not answered within the delay.
-func (s *Server) attemptHedged(ctx context.Context, req *request, history attemptHistory, endpoint core.Endpoint, delay time.Duration) attemptResult {
+// attemptWithSecond makes an attempt, and a second one at another endpoint if the first is slow or looks stuck.
+func (s *Server) attemptWithSecond(ctx context.Context, req *request, history attemptHistory, endpoint core.Endpoint) attemptResult {
 	firstCtx, cancelFirst := context.WithCancel(ctx)
 	h := &hedge{
 		server:      s,
@@ -46,72 +67,128 @@
 			tried:    append(slices.Clone(history.tried), endpoint),
 			unusable: append(slices.Clone(history.unusable), endpoint),
 		},
+		decision: secondNotNeeded,
 	}
 	call := startAttempt(req, endpoint)
-	timer := time.AfterFunc(delay, h.start)
+	call.OnStuck = func() { go h.start(causeStuck) }
+	if delay, hedged := s.hedgeDelay(req, time.Now()); hedged {
+		timer := time.AfterFunc(delay, func() { h.start(causeSlow) })
+		defer timer.Stop()
+	}
 	first := s.forward(firstCtx, req, call, endpoint)
-	timer.Stop()
 	last := h.resolve(first)
+	h.logStuck(first, last)
 	if last.outcome != core.OutcomeAnswered {
 		cancelFirst() // an answered attempt is cancelled when the request ends, after its body has been read
 	}
 	return last
 }
 
-// start makes the second attempt. It runs on the timer's goroutine.
-func (h *hedge) start() {
-	s, req := h.server, h.request
-	if !s.startTask() {
+// start makes the second attempt, unless one has been started.
+func (h *hedge) start(cause secondCause) {
+	if !h.server.startTask() {
 		return
 	}
-	defer s.tasks.Done()
+	defer h.server.tasks.Done()
+	for attempt := h.begin(cause); attempt != nil; {
+		second := h.server.forward(attempt.ctx, h.request, attempt.call, attempt.endpoint)
+		attempt = h.finish(cause, second)
+	}
+}
+
+// secondAttempt is an attempt of a hedge that is about to be sent.
+type secondAttempt struct {
+	ctx      context.Context
+	call     *core.Call
+	endpoint core.Endpoint
+}
+
+func (h *hedge) begin(cause secondCause) *secondAttempt {
 	h.mu.Lock()
-	endpoint, allowed := h.chooseEndpoint()
-	if !allowed {
-		h.mu.Unlock()
-		return
+	defer h.mu.Unlock()
+	h.stuck = h.stuck || cause == causeStuck
+	if h.started {
+		return nil
 	}
-	call := startAttempt(req, endpoint)
-	call.Hedge = true
-	ctx, cancel := context.WithCancel(h.ctx)
-	h.started, h.cancel, h.endpoint = true, cancel, endpoint
-	h.mu.Unlock()
-	s.hedges.Inc()
-	h.finish(s.forward(ctx, req, call, endpoint))
+	attempt, decision := h.choose(cause, retry.RetryBudgeted)
+	h.decision = decision
+	return attempt
 }
 
-// chooseEndpoint returns false if the hedge is no longer needed, the budgets do not allow it, or there is no other endpoint.
-// h.mu must be held.
-func (h *hedge) chooseEndpoint() (core.Endpoint, bool) {
+// choose returns the next attempt, or nil and the reason if it is not needed or not allowed. h.mu must be held.
+func (h *hedge) choose(cause secondCause, class retry.Class) (*secondAttempt, secondDecision) {
 	s, req, now := h.server, h.request, time.Now()
-	if h.discarded || s.isCrashSuspect(req) {
-		return core.Endpoint{}, false
+	if h.discarded {
+		return nil, secondNotNeeded
+	}
+	if s.isCrashSuspect(req) {
+		return nil, secondSuspect
 	}
 	endpoint, found := s.chooseEndpoint(req, h.history, now)
 	if !found {
-		return core.Endpoint{}, false
+		return nil, secondNowhere
+	}
+	takeBudget := func() bool { return s.takeRetryBudget(req.route.Service) }
+	if cause == causeSlow {
+		takeBudget = func() bool { return s.takeHedge(req.route.Service, now) }
 	}
-	if !req.attempts.AllowRetry(retry.RetryBudgeted, func() bool { return s.takeHedge(req.route.Service, now) }) {
+	if !req.attempts.AllowRetry(class, takeBudget) {
 		s.reportDiscarded(attemptResult{
 			endpoint: endpoint,
 		})
-		return core.Endpoint{}, false
+		return nil, secondNotAllowed
 	}
-	return endpoint, true
+	if cause == causeSlow {
+		s.hedges.Inc()
+	} else {
+		s.retries.Inc()
+	}
+	call := startAttempt(req, endpoint)
+	call.Hedge = cause == causeSlow
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.started, h.cancel, h.endpoint = true, cancel, endpoint
+	return &secondAttempt{
+		ctx:      ctx,
+		call:     call,
+		endpoint: endpoint,
+	}, secondBegun
 }
 
-func (h *hedge) finish(second attemptResult) {
+// finish takes the result of the second attempt. After a refusal it returns a further attempt if the first one looks stuck; one that is
+// only slow is not worth more.
+func (h *hedge) finish(cause secondCause, second attemptResult) *secondAttempt {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.discarded {
 		h.discard(second)
-		return
+		return nil
+	}
+	if cause == causeStuck && second.outcome == core.OutcomeNotRun {
+		if next := h.chooseAfterRefusal(second); next != nil {
+			return next
+		}
 	}
 	h.won = succeeded(second)
 	h.results <- second
 	if h.won {
 		h.cancelFirst()
 	}
+	return nil
+}
+
+// chooseAfterRefusal returns a further attempt, or nil if none is allowed. h.mu must be held.
+func (h *hedge) chooseAfterRefusal(second attemptResult) *secondAttempt {
+	cancelRefused := h.cancel
+	h.history.tried = append(h.history.tried, second.endpoint)
+	if retry.NodeUnavailable(causeOf(second.err)) {
+		h.history.unusable = append(h.history.unusable, second.endpoint)
+	}
+	next, _ := h.choose(causeStuck, h.server.classify(h.ctx, h.request, &second))
+	if next != nil {
+		h.server.reportToPicker(h.request, second, endpointFailed(second))
+		cancelRefused()
+	}
+	return next
 }
 
 // discard ends the second attempt without using its result. h.mu must be held.
@@ -127,7 +204,7 @@
 func (h *hedge) resolve(first attemptResult) attemptResult {
 	s := h.server
 	h.mu.Lock()
-	started, won := h.started, h.won
+	started, won, stuck := h.started, h.won, h.stuck
 	h.discarded = !started || !won && succeeded(first)
 	if started && h.discarded {
 		h.cancel()
@@ -143,6 +220,8 @@
 	}
 	second := <-h.results
 	switch {
+	case won && stuck && first.answer == nil:
+		s.reportFailure(h.ctx, h.request, first) // its node and a second attempt that began later say that it failed
 	case won:
 		s.hedgesWon.Inc()
 		s.reportDiscarded(first)
@@ -165,6 +244,26 @@
 	return second
 }
 
+// logStuck logs the end of an attempt that looked stuck, with what was done about it. There is one line for each such attempt, without a
+// limit.
+func (h *hedge) logStuck(first, last attemptResult) {
+	h.mu.Lock()
+	stuck, decision, second := h.stuck, h.decision, h.endpoint.Node
+	h.mu.Unlock()
+	if !stuck {
+		return
+	}
+	server := core.NodeID("")
+	if last.outcome == core.OutcomeAnswered {
+		server = last.endpoint.Node
+	}
+	call := h.request.call
+	h.server.options.Logger.Info().Str("event", "stuck-call-ended").Str("call", string(call.ID)).Str("route", string(call.Route)).
+		Str("endpoint", string(first.endpoint.Node)).Str("outcome", string(first.outcome)).Int64("ran-ms", first.latency.Milliseconds()).
+		Str("second-attempt", string(decision)).Str("second-endpoint", string(second)).Str("answered-by", string(server)).
+		Int64("left-ms", time.Until(call.Deadline).Milliseconds()).Msg("attempt that looked stuck ended")
+}
+
 // succeeded reports whether an attempt was answered without a server error.
 func succeeded(r attemptResult) bool {
 	return r.outcome == core.OutcomeAnswered && r.answer.Status < http.StatusInternalServerError
@@ -189,9 +288,14 @@
 	}
 }
 
-// hedgeDelay returns how long after an attempt its hedge may start, or false if the request must not be hedged.
+// mayRunBeside reports whether a second attempt of the request may run beside the first one.
+func (r *request) mayRunBeside() bool {
+	return r.call.Idempotent && r.call.Trial == 0 && r.call.Source == nil
+}
+
+// hedgeDelay returns how long after an attempt its hedge may start, or false if slow attempts of the request must not be hedged.
 func (s *Server) hedgeDelay(req *request, now time.Time) (time.Duration, bool) {
-	if s.options.DisableHedging || req.call.Trial != 0 || !req.call.Idempotent || req.call.Depth != hedgedDepth || req.call.Source != nil {
+	if s.options.DisableHedging || req.call.Depth != hedgedDepth {
 		return 0, false
 	}
 	s.mu.Lock()
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -308,7 +308,7 @@
 	}
 }
 
-// attemptOnce makes one attempt, hedged if that is allowed. It returns false if no endpoint is available.
+// attemptOnce makes one attempt, with a second one beside it if that is allowed and needed. It returns false if no endpoint is available.
 func (s *Server) attemptOnce(ctx context.Context, req *request, history attemptHistory) (attemptResult, bool) {
 	startedAt := time.Now()
 	req.attemptCount++
@@ -320,8 +320,8 @@
 		}, false
 	}
 	var last attemptResult
-	if delay, hedged := s.hedgeDelay(req, startedAt); hedged {
-		last = s.attemptHedged(ctx, req, history, endpoint, delay)
+	if req.mayRunBeside() {
+		last = s.attemptWithSecond(ctx, req, history, endpoint)
 	} else {
 		last = s.forward(ctx, req, startAttempt(req, endpoint), endpoint)
 	}
@@ -374,8 +374,13 @@
 
 // reportFailure reports an attempt without an answer to the picker and the evidence.
 func (s *Server) reportFailure(ctx context.Context, req *request, last attemptResult) {
+	s.reportAttempt(ctx, req, last, endpointFailed(last))
+}
+
+// endpointFailed reports whether the endpoint of an attempt without an answer has failed, and not only refused.
+func endpointFailed(last attemptResult) bool {
 	cause := causeOf(last.err)
-	s.reportAttempt(ctx, req, last, last.outcome != core.OutcomeNotRun || cause == core.CauseConnectFailed || cause == core.CauseBackendRefused)
+	return last.outcome != core.OutcomeNotRun || cause == core.CauseConnectFailed || cause == core.CauseBackendRefused
 }
 
 // reportAttempt reports an attempt to the picker and, if the backend server may have run it, to the evidence. An attempt that the
@@ -383,14 +388,7 @@
 func (s *Server) reportAttempt(ctx context.Context, req *request, last attemptResult, failed bool) {
 	callerGone := errors.Is(ctx.Err(), context.Canceled) || req.call.Source.Failed()
 	failed = failed && !callerGone
-	s.options.Picker.Done(time.Now(), core.PickResult{
-		Endpoint: last.endpoint,
-		Route:    req.route.Name,
-		Outcome:  last.outcome,
-		Failed:   failed,
-		Latency:  last.latency,
-		Load:     last.load,
-	})
+	s.reportToPicker(req, last, failed)
 	if callerGone {
 		return
 	}
@@ -404,6 +402,17 @@
 	}
 }
 
+func (s *Server) reportToPicker(req *request, last attemptResult, failed bool) {
+	s.options.Picker.Done(time.Now(), core.PickResult{
+		Endpoint: last.endpoint,
+		Route:    req.route.Name,
+		Outcome:  last.outcome,
+		Failed:   failed,
+		Latency:  last.latency,
+		Load:     last.load,
+	})
+}
+
 // stream sends an answer to the caller. If the body fails midway, it aborts the connection, so that the caller can't mistake a
 // part of the answer for the whole.
 func (s *Server) stream(ctx context.Context, w http.ResponseWriter, req *request, last attemptResult, recorder *recorder) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -45,8 +45,8 @@
 	ShortClassesFirst bool
 	// LearnCosts learns the work of calls and forecasts when slots are free; see limiter.Options.
 	LearnCosts bool
-	// EndStuckCalls ends repeatable calls that the backend server does not answer; see backendhttp.Options.
-	EndStuckCalls bool
+	// ReportStuckCalls lets the entry node know of calls that the backend server does not answer; see backendhttp.Options.
+	ReportStuckCalls bool
 	// FreeCapacityRetries is the number of retries after capacity refusals that cost no retry budget.
 	FreeCapacityRetries int
 	// RetryBudget configures the retry budget of each service.
--- a/io/node/parts.go
+++ b/io/node/parts.go
@@ -64,7 +64,7 @@
 		Headers:             p.options.Headers,
 		Lease:               p.options.BackendLease,
 		AllowCloseDelimited: p.options.AllowCloseDelimited,
-		EndStuckCalls:       p.options.EndStuckCalls,
+		ReportStuckCalls:    p.options.ReportStuckCalls,
 		Address:             p.settings.BackendAddress,
 		Admission:           admission,
 		OnChange:            func(a backendhttp.Announcement) { p.announce(subscriber, a) },
--- a/io/nodepeer/answer.go
+++ b/io/nodepeer/answer.go
@@ -47,6 +47,20 @@
 	return s.options.Backend.Handle(ctx, call)
 }
 
+// reportStuck tells the dialer that an attempt looks stuck. It does not wait for the connection.
+func (s *Server) reportStuck(call *serverCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.calls[call.key] != call {
+		return
+	}
+	s.tasks.Go(func() {
+		call.conn.send(typeStuck, sequenceMessage{
+			Sequence: call.key.Sequence,
+		})
+	})
+}
+
 func (s *Server) finish(call *serverCall, ran bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -292,6 +292,7 @@
 		Connection:   c.id,
 		CompressorID: c.dialer.options.Compressor.ID(),
 		DataCentre:   c.dialer.options.DataCentre,
+		StuckNotices: true,
 	})
 	if err != nil {
 		_ = c.frames.Close()
@@ -339,6 +340,8 @@
 		return decodeAndHandle(received, func(m creditMessage) error {
 			return c.deliver(m.Sequence, func(s *stream) error { return s.addBodyCredit(m.Bytes) })
 		})
+	case typeStuck:
+		return decodeAndHandle(received, func(m sequenceMessage) error { return c.deliver(m.Sequence, (*stream).setStuck) })
 	case typeRevoked:
 		return decodeAndHandle(received, c.handleRevoked)
 	case typeKeyReply:
--- a/io/nodepeer/dialer.go
+++ b/io/nodepeer/dialer.go
@@ -133,6 +133,7 @@
 			Detail: err.Error(),
 		}
 	}
+	s.notifyStuck(call.OnStuck)
 	sent, sourceErr := s.conn.sendCall(ctx, s, call)
 	if !sent {
 		return d.resolveLostAttempt(ctx, address, s)
--- a/io/nodepeer/messages.go
+++ b/io/nodepeer/messages.go
@@ -31,13 +31,16 @@
 	typeKey
 	typeKeyReply
 	typeBodyCredit
+	typeStuck
 )
 
-// helloMessage states the dialer's data centre and the dictionary with which it can read compressed messages.
+// helloMessage states the dialer's data centre, the dictionary with which it can read compressed messages, and whether it receives
+// notices of calls that look stuck (typeStuck, with a sequenceMessage).
 type helloMessage struct {
 	Connection   uint64             `msgpack:"connection"`
 	CompressorID frame.CompressorID `msgpack:"packing,omitempty"`
 	DataCentre   core.DataCentre    `msgpack:"data-centre,omitempty"`
+	StuckNotices bool               `msgpack:"stuck-notices,omitempty"`
 }
 
 // welcomeMessage states the dictionary that both ends compress with from then on, or zero for no compression. With BodyCredit, the
--- a/io/nodepeer/serverconn.go
+++ b/io/nodepeer/serverconn.go
@@ -22,6 +22,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	id       uint64    // zero until hello
+	notices  bool      // the dialer receives typeStuck
 	lastPong time.Time // latest pong or welcome
 }
 
@@ -144,7 +145,7 @@
 	if !connected {
 		return errors.Annotate(errProtocol, "hello")
 	}
-	c.id, c.lastPong = message.Connection, time.Now()
+	c.id, c.lastPong, c.notices = message.Connection, time.Now(), message.StuckNotices
 	s.unintroduced.Remove(c.frames)
 	c.frames.SetMaxReceived(core.MaxFrameBytes)
 	compressorID := frame.CompressorID(0)
@@ -224,6 +225,9 @@
 		reservedBytes: message.bodyMemory(),
 		reservedHead:  headBytes,
 	}
+	if c.notices && message.Idempotent {
+		call.call.OnStuck = func() { s.reportStuck(call) }
+	}
 	if message.Streamed {
 		call.stream = newBodyStream(ctx, c.heard.lastHeard, func(bytes int) {
 			c.send(typeBodyCredit, creditMessage{
--- a/io/nodepeer/stream.go
+++ b/io/nodepeer/stream.go
@@ -36,7 +36,8 @@
 	unreadBytes int // bytes in chunks
 	end         *answerEndMessage
 	closed      bool
-	bodyCredit  int // bytes of the call's body that may be sent
+	bodyCredit  int    // bytes of the call's body that may be sent
+	onStuck     func() // nil once it was called
 }
 
 func newStream(c *clientConn, sequence uint64, cancel context.CancelFunc) *stream {
@@ -110,6 +111,26 @@
 	return nil
 }
 
+// notifyStuck sets what is called, once, when the peer reports that the attempt looks stuck.
+func (s *stream) notifyStuck(notify func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onStuck = notify
+}
+
+// setStuck passes on the first notice that the attempt looks stuck, unless its result has arrived.
+func (s *stream) setStuck() error {
+	s.mu.Lock()
+	notify := s.onStuck
+	s.onStuck = nil
+	ended := s.head != nil || s.refused != nil
+	s.mu.Unlock()
+	if notify != nil && !ended {
+		notify()
+	}
+	return nil
+}
+
 // await waits for the head or the refusal. Its error is errPeerLost or the context's error.
 func (s *stream) await(ctx context.Context, idempotent bool) (*core.Answer, *refusedMessage, error) {
 	for {
