nodepeer: no waiting call starts in a slot that a lost connection leaves

What callers saw: 502 for a request that had waited for a slot, ran for an instant and was cut, when the connection between two nodes was lost or given up or the node beside the backend server closed. It need not have run; its entry node could have offered it elsewhere.

Cause: package context ends the contexts of the calls of a connection one after another, and Server.close ends its connections one after another. The call that runs gives its slot back as soon as it is cancelled. A waiting call that gets the slot before its own context has ended passes the check after the slot and is sent to the backend server.

Change: the context that a call gets reports its end as soon as the context of its connection or of the server has ended. Contexts of connections derive from one of the server, which ends before the connections are closed.

Why it works: the owner's context has ended before the first call learns of it, so that any call which gets a slot that this has freed sees it in the check that io/backendhttp makes after the slot and again before the first byte.

--- a/io/nodepeer/answer.go
+++ b/io/nodepeer/answer.go
@@ -17,7 +17,10 @@
 func (s *Server) run(call *serverCall) {
 	ctx, cancel := context.WithDeadline(call.ctx, call.call.Deadline)
 	defer cancel()
-	answer, outcome, err := s.handle(ctx, call.call)
+	answer, outcome, err := s.handle(ownedContext{
+		Context: ctx,
+		owner:   call.conn.ctx,
+	}, call.call)
 	if outcome != core.OutcomeAnswered && outcome != core.OutcomeNotRun {
 		outcome = core.OutcomeUnknown
 	}
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -53,6 +53,8 @@
 	options  ServerOptions
 	listener net.Listener
 	started  time.Time
+	ctx      context.Context // ends when the server closes
+	cancel   context.CancelCauseFunc
 	tasks    sync.WaitGroup
 
 	accepted           *metrics.Counter
@@ -101,10 +103,13 @@
 	if options.MaxCalls == 0 {
 		options.MaxCalls = defaultMaxCalls
 	}
+	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Server{
 		options:            options,
 		listener:           listener,
 		started:            time.Now(),
+		ctx:                ctx,
+		cancel:             cancel,
 		accepted:           options.Metrics.GetOrCreateCounter("parsleyport_peer_calls_total"),
 		refused:            options.Metrics.GetOrCreateCounter("parsleyport_peer_calls_refused_total"),
 		bodiesExpired:      options.Metrics.GetOrCreateCounter("parsleyport_peer_bodies_expired_total"),
@@ -176,6 +181,7 @@
 	if s.leaseTimer != nil {
 		s.leaseTimer.Stop()
 	}
+	s.cancel(errConnectionLost)
 	for c := range s.connections {
 		c.fail(errConnectionLost)
 	}
@@ -198,7 +204,7 @@
 }
 
 func (s *Server) addConnection(conn net.Conn) {
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(s.ctx)
 	heard := &heardConn{
 		Conn: conn,
 	}
@@ -206,7 +212,10 @@
 		server: s,
 		heard:  heard,
 		frames: frame.New(heard, s.options.Compressor),
-		ctx:    ctx,
+		ctx: ownedContext{
+			Context: ctx,
+			owner:   s.ctx,
+		},
 		cancel: cancel,
 	}
 	c.frames.SetMaxReceived(maxHelloBytes)
