nodepeer: a message that is still arriving is no silence

What callers saw: 502 for calls at which backend servers worked, on a connection between two nodes on which a message took longer than 1.5 s to arrive (32 KiB at less than 22 KiB/s).

Cause: the dialer took the time of the latest complete message for the latest sign of the peer. While a long message arrives, the pong waits behind it, so that the dialer gave the connection up with all its calls, and their runs were cancelled.

Evidence: TestArrivingMessageIsNotSilence (an answer of 30,000 bytes at 10 KiB/s, beside a call of 8 s) had both calls unknown with "connection to the peer was lost" before the change.

Change: the dialer counts the bytes that arrive, as the server does for streamed bodies.

Result: the test passes, both calls are answered over one connection. A connection on which nothing arrives is still replaced after 1.5 s (TestSilentConnectionIsReplaced).

Why it works: bytes of a message show that the peer and the link work, whichever message they belong to; each call still ends at its deadline.

--- a/io/nodepeer/client.go
+++ b/io/nodepeer/client.go
@@ -28,6 +28,7 @@
 type clientConn struct {
 	dialer     *Dialer
 	pool       *peerPool
+	heard      *heardConn
 	frames     *frame.Conn
 	id         uint64
 	dialStart  time.Time
@@ -45,7 +46,7 @@
 	lastToken         uint64 // token of the latest request, which is a revocation or a keyMessage
 	lost              bool
 	goawayReceived    bool
-	lastReceived      time.Time // latest of: message from the peer, first outstanding call, end of a pause of this process
+	listeningSince    time.Time // latest of: first outstanding call, end of a pause of this process
 	idleUntil         time.Time // the connection is closed at this time unless something is outstanding
 	peerStartedBefore time.Time // the peer's process started before this time
 	bodyCredit        bool      // the peer gives credit for long bodies
@@ -58,18 +59,22 @@
 }
 
 func newClientConn(d *Dialer, p *peerPool, conn net.Conn, dialStart time.Time, dialNumber uint64) *clientConn {
+	heard := &heardConn{
+		Conn: conn,
+	}
 	return &clientConn{
-		dialer:       d,
-		pool:         p,
-		frames:       frame.New(conn, d.options.Compressor),
-		id:           rand.Uint64() | 1, // never zero
-		dialStart:    dialStart,
-		dialNumber:   dialNumber,
-		done:         make(chan struct{}),
-		welcomed:     make(chan struct{}),
-		streams:      make(map[uint64]*stream),
-		lastReceived: time.Now(),
-		lastCheck:    time.Now(),
+		dialer:         d,
+		pool:           p,
+		heard:          heard,
+		frames:         frame.New(heard, d.options.Compressor),
+		id:             rand.Uint64() | 1, // never zero
+		dialStart:      dialStart,
+		dialNumber:     dialNumber,
+		done:           make(chan struct{}),
+		welcomed:       make(chan struct{}),
+		streams:        make(map[uint64]*stream),
+		listeningSince: time.Now(),
+		lastCheck:      time.Now(),
 
 		idleUntil: time.Now().Add(idleTimeout),
 	}
@@ -91,7 +96,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	busy := c.hasOutstanding()
-	return !c.lost && !(busy && now.Sub(c.lastReceived) > suspectSilence)
+	return !c.lost && !(busy && c.silence(now) > suspectSilence)
 }
 
 // fail closes the connection because of an error. Its streams and requests learn of it from done.
@@ -308,9 +313,6 @@
 			c.fail(errors.Annotate(errPeerLost, err.Error()))
 			return
 		}
-		c.mu.Lock()
-		c.lastReceived = time.Now()
-		c.mu.Unlock()
 		if err := c.dispatch(received); err != nil {
 			c.fail(err)
 			return
--- a/io/nodepeer/keepalive.go
+++ b/io/nodepeer/keepalive.go
@@ -21,6 +21,12 @@
 	return len(c.streams)+len(c.revocations)+len(c.keyRequests) > 0
 }
 
+// silence returns for how long nothing has arrived from the peer. Each part of a message counts, since a long one may take longer than
+// silenceTimeout on a slow connection. c.mu must be held.
+func (c *clientConn) silence(now time.Time) time.Duration {
+	return now.Sub(laterOf(c.listeningSince, c.heard.lastHeard()))
+}
+
 // beginUse prepares the connection for a call or request, or returns errUnsent if it is lost or being closed. c.mu must be held
 // until the call or request is registered. Silence counts from the first outstanding call, since an idle connection gets no pings.
 func (c *clientConn) beginUse() error {
@@ -29,7 +35,7 @@
 	}
 	if !c.hasOutstanding() {
 		now := time.Now()
-		c.lastReceived, c.lastPing, c.lastCheck = now, now, now
+		c.listeningSince, c.lastPing, c.lastCheck = now, now, now
 		c.scheduleCheck(now.Add(checkInterval))
 	}
 	return nil
@@ -63,11 +69,11 @@
 func (c *clientConn) check(now time.Time) {
 	c.mu.Lock()
 	if now.Sub(c.lastCheck) > 2*checkInterval {
-		c.lastReceived = now
+		c.listeningSince = now
 	}
 	c.lastCheck = now
 	busy := c.hasOutstanding()
-	silent := busy && now.Sub(c.lastReceived) >= silenceTimeout
+	silent := busy && c.silence(now) >= silenceTimeout
 	ping := busy && !c.pinging && now.Sub(c.lastPing) >= pingInterval
 	idle := !c.lost && !busy && (c.goawayReceived || !now.Before(c.idleUntil))
 	c.lost = c.lost || idle
--- a/io/nodepeer/keepalive_test.go
+++ b/io/nodepeer/keepalive_test.go
@@ -54,6 +54,53 @@
 	}
 }
 
+// slowConn receives 10 KiB in a second.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Read(target []byte) (int, error) {
+	time.Sleep(100 * time.Millisecond)
+	return c.Conn.Read(target[:min(len(target), 1<<10)])
+}
+
+// Guards against a message that takes longer than silenceTimeout to arrive on a slow connection and passes for silence, which ends the
+// calls at which backend servers work.
+func TestArrivingMessageIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		pair := newTestPair(t, 1)
+		dialer, stop, err := NewDialer(DialerOptions{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := pair.network.dial(ctx, address)
+			return slowConn{conn}, err
+		}, ConnectionsPerPeer: 1})
+		c.Assert(err, qt.IsNil)
+		defer stop()
+		pair.dialer = dialer
+		pair.backend.handle = func(_ context.Context, call *core.Call) (*core.Answer, core.Outcome, error) {
+			time.Sleep(time.Second)
+			answer := answerWith(call.Body)
+			if call.ID == "working" {
+				time.Sleep(7 * time.Second)
+			} else {
+				answer = answerWith(longBody("abc")[:30_000])
+				answer.Header.Set("Content-Length", "30000")
+			}
+			return answer, core.OutcomeAnswered, nil
+		}
+		var callers sync.WaitGroup
+		for _, id := range []string{"long", "working"} {
+			callers.Go(func() {
+				answer, outcome, err := pair.call(callFor(id, nil))
+				c.Check(outcome, qt.Equals, core.OutcomeAnswered, qt.Commentf("%s: %v", id, err))
+				if answer != nil {
+					_ = answer.Body.Close()
+				}
+			})
+		}
+		callers.Wait()
+		c.Assert(pair.network.dials, qt.Equals, 1)
+	})
+}
+
 // Guards against a pause of this process that is counted as silence of the peer, so that running calls become unknown.
 func TestProcessPauseIsNotCountedAsSilence(t *testing.T) {
 	c := qt.New(t)
