nodepeer: a planned stop does not wait for a dialer that reads nothing

What callers would see: a node that stops beside one that is paused or lost, with a full connection between them, tells the other nodes of its stop up to 10 s late and outlasts its grace period, at the end of which it is killed with the calls that run.

Cause: Drain sent goaway to one connection after another, each with writeTimeout, and did not regard its context meanwhile.

Change: goaway is sent to all connections at the same time. Drain waits for it 0.5 s at the most, and not beyond its context.

Why it works: each connection has its own queue of messages, so that a dialer which does not read delays no other one. The close of the server ends the sends that remain.

--- a/io/nodepeer/limits.go
+++ b/io/nodepeer/limits.go
@@ -18,6 +18,8 @@
 	// writeTimeout bounds one write, including the wait for other senders on a busy connection. Pings detect a silent peer
 	// much earlier.
 	writeTimeout = 10 * time.Second
+	// goawayTimeout bounds the wait of a planned stop for dialers that do not read.
+	goawayTimeout = 500 * time.Millisecond
 	// idleTimeout is the time after its latest call or request at which the dialer closes a connection (clientConn.idleUntil).
 	// It is shorter than serverIdleTimeout, so that the dialer closes first. An idle connection costs 13 KiB at both ends
 	// together; without it, the next call waits one round trip for a new connection.
--- a/io/nodepeer/nodepeer_test.go
+++ b/io/nodepeer/nodepeer_test.go
@@ -393,6 +393,41 @@
 	})
 }
 
+// Guards against a dialer that reads nothing and so keeps the others from learning of a planned stop, and the stop from its end.
+func TestDrainDoesNotWaitForADialerThatReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		pair := newTestPair(t, 1)
+		var dialers []*frame.Conn
+		for i := range 10 {
+			conn, err := pair.network.dial(t.Context(), "b")
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			frames := frame.New(conn, nil)
+			c.Assert(frames.Send(time.Time{}, typeHello, helloMessage{Connection: uint64(i + 1)}), qt.IsNil)
+			if i > 0 {
+				_, err = frames.Receive(time.Time{})
+				c.Assert(err, qt.IsNil)
+				dialers = append(dialers, frames)
+			}
+		}
+		synctest.Wait()
+		began := time.Now()
+		var drain sync.WaitGroup
+		drain.Go(func() {
+			c.Check(pair.server.Drain(t.Context()), qt.IsNil)
+			c.Check(time.Since(began), qt.Equals, goawayTimeout) // no call has begun
+		})
+		for _, frames := range dialers {
+			goaway, err := frames.Receive(time.Time{})
+			c.Check(err, qt.IsNil)
+			c.Check(goaway.Type, qt.Equals, typeGoaway)
+			c.Check(time.Since(began), qt.Equals, time.Duration(0))
+		}
+		drain.Wait()
+	})
+}
+
 // Guards against a panic or an endless loop on invalid messages from a peer.
 func FuzzMessages(f *testing.F) {
 	f.Add([]byte{0, 0, 0, 3, 0, byte(typeOpen), 0x80})
--- a/io/nodepeer/server.go
+++ b/io/nodepeer/server.go
@@ -146,13 +146,24 @@
 		s.leaving = true
 		s.signalDrained()
 	}
-	connections := make([]*serverConn, 0, len(s.connections))
-	for c := range s.connections {
-		connections = append(connections, c)
+	sent := make(chan struct{})
+	if !s.closed {
+		var goaways sync.WaitGroup
+		for c := range s.connections {
+			goaways.Go(func() { c.send(typeGoaway, emptyMessage{}) })
+		}
+		s.tasks.Go(func() {
+			goaways.Wait()
+			close(sent)
+		})
 	}
 	s.mu.Unlock()
-	for _, c := range connections {
-		c.send(typeGoaway, emptyMessage{})
+	timer := time.NewTimer(goawayTimeout)
+	defer timer.Stop()
+	select {
+	case <-sent:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 	select {
 	case <-s.drained:
