nodepeer: a panic in the answer of a call ends this call alone

What callers would see: a panic while the body of one answer is read ended the process, and with it all calls at which its backend server and others worked.

Cause: the recovery covered Backend.Handle and not the body that it returns.

Evidence: the new case of TestWorkingCallSurvives, answers with and without a length whose bodies panic, ended the test process before the change.

Change: reading the body recovers too. The panic is counted and logged as before, and becomes the error of the body.

The call itself is unknown, or its answer is cut off and marked so; the other call is answered.

--- a/io/nodepeer/answer.go
+++ b/io/nodepeer/answer.go
@@ -30,6 +30,11 @@
 		s.finish(call, outcome != core.OutcomeNotRun)
 		return
 	}
+	answer.Body = recoveredBody{
+		ReadCloser: answer.Body,
+		server:     s,
+		call:       call.call,
+	}
 	call.sendAnswer(ctx, answer)
 	_ = answer.Body.Close()
 	s.finish(call, true)
@@ -38,14 +43,9 @@
 // handle passes a call to the backend. A panic ends this call alone, with an unknown outcome.
 func (s *Server) handle(ctx context.Context, call *core.Call) (answer *core.Answer, outcome core.Outcome, err error) {
 	defer func() {
-		cause := recover()
-		if cause == nil {
-			return
+		if cause := recover(); cause != nil {
+			answer, outcome, err = nil, core.OutcomeUnknown, s.panicked(call, cause)
 		}
-		s.panics.Inc()
-		s.options.Logger.Error().Str("event", "call-panicked").Str("call", string(call.ID)).Str("route", string(call.Route)).
-			Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("handling a call panicked")
-		answer, outcome, err = nil, core.OutcomeUnknown, errors.Errorf("handling the call panicked: %v", cause)
 	}()
 	return s.options.Backend.Handle(ctx, call)
 }
@@ -64,6 +64,31 @@
 	})
 }
 
+// panicked counts and logs a panic that was recovered, and returns it as an error.
+func (s *Server) panicked(call *core.Call, cause any) error {
+	s.panics.Inc()
+	s.options.Logger.Error().Str("event", "call-panicked").Str("call", string(call.ID)).Str("route", string(call.Route)).
+		Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("handling a call panicked")
+	return errors.Errorf("handling the call panicked: %v", cause)
+}
+
+// recoveredBody is the body of an answer of which a panic ends this call alone.
+type recoveredBody struct {
+	io.ReadCloser
+	server *Server
+	call   *core.Call
+}
+
+// Read implements io.Reader.
+func (b recoveredBody) Read(target []byte) (n int, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			n, err = 0, b.server.panicked(b.call, cause)
+		}
+	}()
+	return b.ReadCloser.Read(target)
+}
+
 func (s *Server) finish(call *serverCall, ran bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/nodepeer/workingcall_test.go
+++ b/io/nodepeer/workingcall_test.go
@@ -17,6 +17,10 @@
 
 const workingTime = 4 * time.Second
 
+type panickingReader struct{}
+
+func (panickingReader) Read([]byte) (int, error) { panic("unexpected") }
+
 // Guards against a call that is ended while the backend works on it, because of something that happens to another call or connection, or
 // because nothing is heard for a time in which the work goes on.
 func TestWorkingCallSurvives(t *testing.T) {
@@ -40,6 +44,15 @@
 		"another call panics": func(_ *testing.T, s setting) {
 			_, _, _ = s.call(callFor("broken", nil))
 		},
+		"answer of another call panics": func(_ *testing.T, s setting) {
+			for _, id := range []core.CallID{"broken body", "broken short body"} {
+				answer, _, err := s.call(callFor(string(id), nil))
+				if answer != nil {
+					_, err = io.ReadAll(answer.Body)
+				}
+				qt.Assert(t, err, qt.ErrorMatches, ".*panicked: unexpected.*")
+			}
+		},
 		"another call is cancelled": func(t *testing.T, s setting) {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
@@ -84,6 +97,13 @@
 					return queueUntilCancelled(ctx, call)
 				case "broken":
 					panic("unexpected")
+				case "broken body", "broken short body":
+					answer := answerWith(nil)
+					answer.Body = io.NopCloser(panickingReader{})
+					if call.ID == "broken short body" {
+						answer.Header.Set("Content-Length", "1")
+					}
+					return answer, core.OutcomeAnswered, nil
 				}
 				select {
 				case <-time.After(workingTime):
