callerhttp: a rejected attempt does not end the working one of its call

What callers saw: 429 at once while a backend server worked on another attempt of the call, which was cancelled.

Cause: of two attempts that run beside each other, the first answer below 500 won, and 429 is below it. It says that a backend server had no room, like 503.

Evidence: TestRejectedAttemptLeavesTheWorkingOne failed in its two cases with 429 and passed in the other four.

Change: an overload answer wins over no attempt that is still at work.

Result: all six cases pass, 5 of 5 times with the race detector.

Why it works: the other attempt ends only for an answer that its caller can use.

--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -264,9 +264,9 @@
 		Int64("left-ms", time.Until(call.Deadline).Milliseconds()).Msg("attempt that looked stuck ended")
 }
 
-// succeeded reports whether an attempt was answered without a server error.
+// succeeded reports whether an attempt was answered without a server error, and not rejected for overload.
 func succeeded(r attemptResult) bool {
-	return r.outcome == core.OutcomeAnswered && r.answer.Status < http.StatusInternalServerError
+	return r.outcome == core.OutcomeAnswered && r.answer.Status < http.StatusInternalServerError && !retry.Overloaded(r.answer.Status)
 }
 
 // reportDiscarded tells the picker about an attempt that was cancelled or not started.
