--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -28,7 +28,7 @@
 
 const (
 	secondBegun      secondDecision = "begun"
-	secondNotNeeded  secondDecision = "not-needed" // the first attempt had ended
+	secondNotNeeded  secondDecision = "not-needed" // the first attempt had ended, or the caller had left
 	secondSuspect    secondDecision = "crash-suspect"
 	secondNowhere    secondDecision = "no-endpoint"
 	secondNotAllowed secondDecision = "no-attempt-or-budget-left"
@@ -118,7 +118,7 @@
 // choose returns the next attempt, or nil and the reason if it is not needed or not allowed. h.mu must be held.
 func (h *hedge) choose(cause secondCause, class retry.Class) (*secondAttempt, secondDecision) {
 	s, req, now := h.server, h.request, time.Now()
-	if h.discarded {
+	if h.discarded || h.ctx.Err() != nil || callerDisconnected(h.ctx) {
 		return nil, secondNotNeeded
 	}
 	if s.isCrashSuspect(req) {
