callerhttp: second attempts end with their call, follow failed ones, and leave half of the budget

What callers would have seen: endpoints that were never contacted counted as failed after a caller had left or its time was up; a call beside a hanging attempt waited until its deadline if its second attempt failed, though a third was allowed; a call that was refused once got 503, as second attempts had used up the retry budget; a good release looked worse in a burst.

Cause: the loop over endpoints went on after the end of the call, with contexts that had ended. It went on only after refusals. It took retries from the whole budget although the first attempt goes on. The first attempt counted as failed in the evidence about its release.

Change: no attempt begins once the call has ended. An unknown outcome, a 502 or a 503 is followed as by any retry. Second attempts use the half of the budget that hedges may use. The picker of this node still takes the lost first attempt for a failure, the evidence takes its time as a lower bound. If only the second attempt was answered, its answer is passed on.

Result: TestNoSecondAttemptAfterTheCallHasEnded fails without the check of the end; the new cases of TestSecondAttemptReplacesStuckOneOnlyWithAnAnswer and all tests of second attempts pass, 4 of 4 times with the race detector.

--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -92,7 +92,7 @@
 	defer h.server.tasks.Done()
 	for attempt := h.begin(cause); attempt != nil; {
 		second := h.server.forward(attempt.ctx, h.request, attempt.call, attempt.endpoint)
-		attempt = h.finish(cause, second)
+		attempt = h.finish(second)
 	}
 }
 
@@ -103,12 +103,19 @@
 	endpoint core.Endpoint
 }
 
+// begin returns the second attempt, or nil if there is none to make. If an earlier one has ended without success and the first attempt
+// looks stuck by now, it returns a further one.
 func (h *hedge) begin(cause secondCause) *secondAttempt {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.stuck = h.stuck || cause == causeStuck
 	if h.started {
-		return nil
+		select {
+		case second := <-h.results:
+			return h.settle(second)
+		default: // finish goes on
+			return nil
+		}
 	}
 	attempt, decision := h.choose(cause, retry.RetryBudgeted)
 	h.decision = decision
@@ -118,7 +125,7 @@
 // choose returns the next attempt, or nil and the reason if it is not needed or not allowed. h.mu must be held.
 func (h *hedge) choose(cause secondCause, class retry.Class) (*secondAttempt, secondDecision) {
 	s, req, now := h.server, h.request, time.Now()
-	if h.discarded || h.ctx.Err() != nil || callerDisconnected(h.ctx) {
+	if h.discarded || h.ctx.Err() != nil || callerDisconnected(h.ctx) || !now.Before(req.call.Deadline) {
 		return nil, secondNotNeeded
 	}
 	if s.isCrashSuspect(req) {
@@ -128,11 +135,7 @@
 	if !found {
 		return nil, secondNowhere
 	}
-	takeBudget := func() bool { return s.takeRetryBudget(req.route.Service) }
-	if cause == causeSlow {
-		takeBudget = func() bool { return s.takeHedge(req.route.Service, now) }
-	}
-	if !req.attempts.AllowRetry(class, takeBudget) {
+	if !req.attempts.AllowRetry(class, func() bool { return s.takeHedge(req.route.Service, cause, now) }) {
 		s.reportDiscarded(attemptResult{
 			endpoint: endpoint,
 		})
@@ -154,17 +157,22 @@
 	}, secondBegun
 }
 
-// finish takes the result of the second attempt. After a refusal it returns a further attempt if the first one looks stuck; one that is
-// only slow is not worth more.
-func (h *hedge) finish(cause secondCause, second attemptResult) *secondAttempt {
+// finish takes the result of a second attempt and returns a further one if that is needed and allowed.
+func (h *hedge) finish(second attemptResult) *secondAttempt {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.discarded {
 		h.discard(second)
 		return nil
 	}
-	if cause == causeStuck && second.outcome == core.OutcomeNotRun {
-		if next := h.chooseAfterRefusal(second); next != nil {
+	return h.settle(second)
+}
+
+// settle returns a further attempt if a second one did not succeed and the first one looks stuck; if that is only slow, more attempts are
+// not worth their load. Otherwise the result goes to results. h.mu must be held.
+func (h *hedge) settle(second attemptResult) *secondAttempt {
+	if h.stuck && !succeeded(second) {
+		if next := h.chooseAfter(&second); next != nil {
 			return next
 		}
 	}
@@ -176,18 +184,26 @@
 	return nil
 }
 
-// chooseAfterRefusal returns a further attempt, or nil if none is allowed. h.mu must be held.
-func (h *hedge) chooseAfterRefusal(second attemptResult) *secondAttempt {
-	cancelRefused := h.cancel
+// chooseAfter returns an attempt that follows a second one without success, or nil if none is allowed. h.mu must be held.
+func (h *hedge) chooseAfter(second *attemptResult) *secondAttempt {
+	s, cancelSecond := h.server, h.cancel
+	class := s.classify(h.ctx, h.request, second)
 	h.history.tried = append(h.history.tried, second.endpoint)
-	if retry.NodeUnavailable(causeOf(second.err)) {
+	if second.outcome == core.OutcomeAnswered || retry.NodeUnavailable(causeOf(second.err)) {
 		h.history.unusable = append(h.history.unusable, second.endpoint)
 	}
-	next, _ := h.choose(causeStuck, h.server.classify(h.ctx, h.request, &second))
-	if next != nil {
-		h.server.reportToPicker(h.request, second, endpointFailed(second))
-		cancelRefused()
+	next, _ := h.choose(causeStuck, class)
+	if next == nil {
+		return nil
+	}
+	switch {
+	case second.reported:
+	case second.outcome == core.OutcomeNotRun:
+		s.reportToPicker(h.request, *second, endpointFailed(*second))
+	default:
+		s.reportFailure(h.ctx, h.request, *second)
 	}
+	cancelSecond()
 	return next
 }
 
@@ -220,20 +236,27 @@
 	}
 	second := <-h.results
 	switch {
-	case won && stuck && first.answer == nil:
-		s.reportFailure(h.ctx, h.request, first) // its node and a second attempt that began later say that it failed
+	case won && stuck:
+		s.reportToPicker(h.request, first, first.answer == nil) // a hint for this node; it may have been at work
+		s.reportOvertaken(h.request, first)
 	case won:
 		s.hedgesWon.Inc()
 		s.reportDiscarded(first)
 		s.reportOvertaken(h.request, first)
-	case succeeded(second) || first.outcome == core.OutcomeNotRun && second.outcome != core.OutcomeNotRun:
+	case succeeded(second), first.answer == nil && second.answer != nil, first.outcome == core.OutcomeNotRun && second.outcome != core.OutcomeNotRun:
 		s.reportFailure(h.ctx, h.request, first)
 	default:
-		if second.outcome == core.OutcomeNotRun {
+		switch {
+		case second.reported:
+		case second.outcome == core.OutcomeNotRun:
 			s.reportDiscarded(second)
-		} else {
+		default:
 			s.reportFailure(h.ctx, h.request, second)
 		}
+		if second.answer != nil {
+			_ = second.answer.Body.Close() // otherwise it holds its slot until the call ends
+		}
+		h.cancel()
 		first.concurrent = &h.endpoint
 		return first
 	}
@@ -288,7 +311,8 @@
 	}
 }
 
-// mayRunBeside reports whether a second attempt of the request may run beside the first one.
+// mayRunBeside reports whether a second attempt of the request may run beside the first one. Calls of all depths may have one, as they may
+// be retried: each takes an attempt, and nested calls get fewer.
 func (r *request) mayRunBeside() bool {
 	return r.call.Idempotent && r.call.Trial == 0 && r.call.Source == nil
 }
@@ -307,11 +331,17 @@
 	return hedging.Delay(now)
 }
 
-// takeHedge takes a hedge from the service's budget, if the state of the service allows one.
-func (s *Server) takeHedge(service core.ServiceName, now time.Time) bool {
+// takeHedge takes a second attempt from the half of the service's budget that is not kept for retries, without which calls fail. For a
+// first attempt that is only slow, the state of the service must allow it too.
+func (s *Server) takeHedge(service core.ServiceName, cause secondCause, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hedgingStates[service].Allowed(now) && s.budgetOf(service).TakeHedge(now)
+	if cause == causeSlow && !s.hedgingStates[service].Allowed(now) {
+		return false
+	}
+	budget := s.budgetOf(service)
+	budget.SetNodes(s.options.FleetNodes())
+	return budget.TakeHedge(now)
 }
 
 // recordAttempt updates the statistics about latency and overload of a service, which decide on hedging.
--- a/io/callerhttp/stuck_test.go
+++ b/io/callerhttp/stuck_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -106,12 +108,14 @@
 
 // stuckForwarder reports the first attempt as stuck, and lets it go on until finish is closed. The others have the given results.
 type stuckForwarder struct {
-	finish chan struct{}       // closed by the latest of the later attempts if all are refused
-	later  []core.RefusalCause // of the later attempts; empty for an answer
+	finish chan struct{}       // closed by the latest of the later attempts if none is answered
+	later  []core.RefusalCause // of the later attempts; empty for an answer, brokenLink for an unknown outcome
 	mu     sync.Mutex
 	calls  []core.Call
 }
 
+const brokenLink core.RefusalCause = "broken-link"
+
 func (f *stuckForwarder) Forward(ctx context.Context, to core.Endpoint, call *core.Call) (*core.Answer, core.Outcome, error) {
 	f.mu.Lock()
 	n := len(f.calls)
@@ -132,6 +136,9 @@
 	if n == len(f.later) {
 		defer close(f.finish)
 	}
+	if f.later[n-1] == brokenLink {
+		return unknown()
+	}
 	return notRun(f.later[n-1])
 }
 
@@ -154,13 +161,16 @@
 func TestSecondAttemptReplacesStuckOneOnlyWithAnAnswer(t *testing.T) {
 	for name, test := range map[string]struct {
 		later      []core.RefusalCause
+		attempts   int // allowed
 		answeredBy string
 		failed     bool // the endpoint of the first attempt
 	}{
-		"answered":               {later: []core.RefusalCause{""}, answeredBy: "b", failed: true},
-		"refused, then answered": {later: []core.RefusalCause{core.CauseQueueFull, ""}, answeredBy: "c", failed: true},
-		"refused by all":         {later: []core.RefusalCause{core.CauseQueueFull, core.CauseDeadline}, answeredBy: "a"},
-		"refused for good":       {later: []core.RefusalCause{core.CauseTenantShare}, answeredBy: "a"},
+		"answered":               {attempts: 2, later: []core.RefusalCause{""}, answeredBy: "b", failed: true},
+		"refused, then answered": {attempts: 2, later: []core.RefusalCause{core.CauseQueueFull, ""}, answeredBy: "c", failed: true},
+		"refused by all":         {attempts: 2, later: []core.RefusalCause{core.CauseQueueFull, core.CauseDeadline}, answeredBy: "a"},
+		"refused for good":       {attempts: 2, later: []core.RefusalCause{core.CauseTenantShare}, answeredBy: "a"},
+		"lost, then answered":    {attempts: 3, later: []core.RefusalCause{brokenLink, ""}, answeredBy: "c", failed: true},
+		"lost":                   {attempts: 3, later: []core.RefusalCause{brokenLink, brokenLink}, answeredBy: "a"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -172,8 +182,9 @@
 			e := newEntry(c, allV1, func(o *callerhttp.Options) {
 				o.Forwarder, o.DisableHedging, o.FreeCapacityRetries = f, true, 1
 				o.Logger = zerolog.New(&lines)
+				o.RetryBudget = retry.BudgetOptions{Window: time.Second, MinRetries: 10}
 			})
-			response, body, err := e.send(c, "GET", "/orders", "Parsleyport-Attempts", "2")
+			response, body, err := e.send(c, "GET", "/orders", "Parsleyport-Attempts", strconv.Itoa(test.attempts))
 			c.Assert(err, qt.IsNil)
 			c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
 			c.Assert(body, qt.Equals, test.answeredBy)
@@ -186,3 +197,41 @@
 		})
 	}
 }
+
+// Guards against attempts for a call that has ended, and endpoints that count as failed without having been contacted.
+func TestNoSecondAttemptAfterTheCallHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		listener := &blockingListener{closed: make(chan struct{})}
+		listener.close = sync.OnceFunc(func() { close(listener.closed) })
+		f := &queueingForwarder{}
+		e := newEntry(c, allV1, func(o *callerhttp.Options) { o.Listener, o.Forwarder, o.DisableHedging = listener, f, true })
+		recorder, request := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/orders", nil)
+		request.Header.Set("Parsleyport-Deadline-Ms", "1000")
+		e.ServeHTTP(recorder, request)
+		c.Assert(recorder.Code, qt.Equals, http.StatusGatewayTimeout)
+		c.Assert(f.nodes, qt.DeepEquals, []core.NodeID{"a", "b"})
+		c.Assert(slices.ContainsFunc(e.endpoints.done, func(r core.PickResult) bool { return r.Endpoint.Node != "a" && r.Failed }), qt.IsFalse)
+	})
+}
+
+// queueingForwarder reports the first attempt of a call as stuck, and lets the others wait in a queue until the call ends.
+type queueingForwarder struct {
+	mu    sync.Mutex
+	nodes []core.NodeID
+}
+
+func (f *queueingForwarder) Forward(ctx context.Context, to core.Endpoint, call *core.Call) (*core.Answer, core.Outcome, error) {
+	f.mu.Lock()
+	f.nodes = append(f.nodes, to.Node)
+	first := len(f.nodes) == 1
+	f.mu.Unlock()
+	if first {
+		call.OnStuck()
+	}
+	<-ctx.Done()
+	if first {
+		return nil, core.OutcomeUnknown, ctx.Err()
+	}
+	return notRun(core.CauseRevoked)
+}
