backendhttp: lines of stuck calls outside the lock, the slot is held only after a cancellation

Found by review. A slow log delayed the start and end of all calls of a node. A reported call whose backend server broke the connection held its slot for half a second more, although nothing can run any more.

--- a/core/stuck/stuck.go
+++ b/core/stuck/stuck.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// Begin adds a call that was sent to the backend server. Only repeatable calls are ever reported as stuck: no other one could be made in their place.
+// Begin adds a call that was sent to the backend server. Calls that must not be repeated are never reported, since no second attempt could
+// replace them.
 func (d *Detector) Begin(now time.Time, route core.RouteName, repeatable bool) ID {
 	d.lastID++
 	d.calls[d.lastID] = &call{
--- a/io/backendhttp/handle.go
+++ b/io/backendhttp/handle.go
@@ -111,7 +111,7 @@
 	defer func() { // also if run panics
 		switch {
 		case answered:
-		case s.stuckCalls.isReported(x):
+		case x.ctx.Err() != nil && s.stuckCalls.isReported(x):
 			x.endAfterWork()
 		default:
 			x.end(ResultFailed)
--- a/io/backendhttp/server.go
+++ b/io/backendhttp/server.go
@@ -54,7 +54,7 @@
 	OnCrash func(Crash)
 	// CrashTrials limits the calls that run as tests of a suspicion (core.Call.Trial). Nil means no limit.
 	CrashTrials core.CrashTrials
-	// ReportStuckCalls calls core.Call.OnStuck for calls that the backend server does not answer although it answers later ones; see
+	// ReportStuckCalls calls core.Call.OnStuck for calls that the backend server may never answer, as it answers later ones; see
 	// stuck.Detector.
 	ReportStuckCalls bool
 	// Dial connects to the backend server. Nil means a TCP dial.
--- a/io/backendhttp/stuck.go
+++ b/io/backendhttp/stuck.go
@@ -76,12 +76,20 @@
 		return
 	}
 	for _, each := range s.remove(now, x, result) {
-		each.call.OnStuck()
+		s.reported.Inc()
+		s.logFinding(each.exchange, each.Finding)
+		each.exchange.call.OnStuck()
 	}
 }
 
-// remove removes a call and returns those that look stuck, which it counts and logs.
-func (s *stuckCalls) remove(now time.Time, x *exchange, result CallResult) []*exchange {
+// stuckCall is a call that looks stuck, and why.
+type stuckCall struct {
+	stuck.Finding
+	exchange *exchange
+}
+
+// remove removes a call and returns those that look stuck after it.
+func (s *stuckCalls) remove(now time.Time, x *exchange, result CallResult) []stuckCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.exchanges, x.stuckID)
@@ -89,13 +97,14 @@
 		s.detector.Abandon(x.stuckID)
 		return nil
 	}
-	var found []*exchange
+	var found []stuckCall
 	for _, finding := range s.detector.Complete(now, x.stuckID) {
 		if other := s.exchanges[finding.ID]; other != nil {
 			other.stuckReported = true
-			s.reported.Inc()
-			s.logFinding(other, finding)
-			found = append(found, other)
+			found = append(found, stuckCall{
+				Finding:  finding,
+				exchange: other,
+			})
 		}
 	}
 	return found
@@ -110,7 +119,7 @@
 		Int64("left-ms", time.Until(x.call.Deadline).Milliseconds()).Msg("backend server answers later calls and not this one")
 }
 
-// endAfterWork ends a call that was reported as stuck, and whose connection is closed, when it cannot be running any more.
+// endAfterWork ends a call that was reported as stuck and then cancelled when it cannot be running any more.
 func (x *exchange) endAfterWork() {
 	time.AfterFunc(stuckReleaseDelay, func() { x.end(ResultFailed) })
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -45,7 +45,7 @@
 	ShortClassesFirst bool
 	// LearnCosts learns the work of calls and forecasts when slots are free; see limiter.Options.
 	LearnCosts bool
-	// ReportStuckCalls lets the entry node know of calls that the backend server does not answer; see backendhttp.Options.
+	// ReportStuckCalls lets the entry node know of calls that the backend server may never answer; see backendhttp.Options.
 	ReportStuckCalls bool
 	// FreeCapacityRetries is the number of retries after capacity refusals that cost no retry budget.
 	FreeCapacityRetries int
