--- a/io/callerhttp/hedge.go
+++ b/io/callerhttp/hedge.go
@@ -216,7 +216,8 @@
 	h.server.reportDiscarded(second)
 }
 
-// resolve returns the better result of the two attempts, and reports the other one to the picker and the evidence.
+// resolve returns the better result of the two attempts, and reports the other one: reportToPicker and reportDiscarded tell the picker,
+// reportOvertaken the evidence about the release, and reportFailure both.
 func (h *hedge) resolve(first attemptResult) attemptResult {
 	s := h.server
 	h.mu.Lock()
@@ -276,14 +277,14 @@
 	if !stuck {
 		return
 	}
-	server := core.NodeID("")
+	answeredBy := core.NodeID("")
 	if last.outcome == core.OutcomeAnswered {
-		server = last.endpoint.Node
+		answeredBy = last.endpoint.Node
 	}
 	call := h.request.call
 	h.server.options.Logger.Info().Str("event", "stuck-call-ended").Str("call", string(call.ID)).Str("route", string(call.Route)).
 		Str("endpoint", string(first.endpoint.Node)).Str("outcome", string(first.outcome)).Int64("ran-ms", first.latency.Milliseconds()).
-		Str("second-attempt", string(decision)).Str("second-endpoint", string(second)).Str("answered-by", string(server)).
+		Str("second-attempt", string(decision)).Str("second-endpoint", string(second)).Str("answered-by", string(answeredBy)).
 		Int64("left-ms", time.Until(call.Deadline).Milliseconds()).Msg("attempt that looked stuck ended")
 }
 
--- a/io/callerhttp/serve.go
+++ b/io/callerhttp/serve.go
@@ -40,7 +40,7 @@
 	latency    time.Duration // until the head of the answer
 	load       core.Load
 	reported   bool           // to the picker and the evidence
-	concurrent *core.Endpoint // endpoint of the other attempt of a hedged pair
+	concurrent *core.Endpoint // endpoint of an attempt that was made beside this one
 }
 
 // ServeHTTP implements http.Handler.
@@ -249,8 +249,10 @@
 		return retry.Final
 	}
 	_ = body.Close()
-	s.reportAttempt(ctx, req, *last, true)
-	last.reported = true
+	if !last.reported {
+		s.reportAttempt(ctx, req, *last, true)
+		last.reported = true
+	}
 	last.answer.Body = io.NopCloser(bytes.NewReader(prefix))
 	if err != nil {
 		last.outcome, last.answer, last.err = core.OutcomeUnknown, nil, err
@@ -402,6 +404,7 @@
 	}
 }
 
+// reportToPicker ends an attempt for the picker, without evidence about the release.
 func (s *Server) reportToPicker(req *request, last attemptResult, failed bool) {
 	s.options.Picker.Done(time.Now(), core.PickResult{
 		Endpoint: last.endpoint,
